--- /dev/null
+++ b/src/mustardswitch/backends/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards backend servers and their database groups."""
--- /dev/null
+++ b/src/mustardswitch/backends/errors.py
@@ -0,0 +1,42 @@
+"""Errors of the backend layer."""
+
+
+class BackendError(Exception):
+    """Raised by any dealing with a backend server that did not succeed."""
+
+
+class ServerRefusedError(BackendError):
+    """Raised when a backend server's instance answered that nothing listens there."""
+
+
+class BackendUnreachableError(BackendError):
+    """Raised when no connection could be opened in time; nothing was sent."""
+
+
+class ConnectionBrokenError(BackendError):
+    """Raised when a connection broke, or an answer did not come, after something was sent."""
+
+
+class NothingSentError(ConnectionBrokenError):
+    """Raised when a connection was found closed before the first byte of a statement was sent."""
+
+
+class DatabaseRejectedError(BackendError):
+    """Raised when the database answered a statement with an error."""
+
+    def __init__(self, *, code: int, message: str) -> None:
+        super().__init__(f"{code}: {message}")
+        self.code = code
+        self.message = message
+
+
+class NotPrimaryError(DatabaseRejectedError):
+    """Raised when a slot refused a statement because it does not lead at the statement's term."""
+
+
+class PoolRefusedError(BackendError):
+    """Raised when a pool cannot serve a statement before its deadline; nothing was sent."""
+
+
+class PoolUnreachableError(PoolRefusedError):
+    """Raised when a pool's slot went out of reach, or lost its role, while a statement waited."""
--- /dev/null
+++ b/src/mustardswitch/backends/failover_driver.py
@@ -0,0 +1,170 @@
+"""Carries out what the failover decisions of one group command."""
+
+import asyncio
+import collections.abc
+import functools
+import time
+import typing
+
+from mustardswitch import events
+from mustardswitch.backends import errors, slot_control
+from mustardswitch.internal import confirmations, failover, groups, ids
+
+TICK_S = 0.05
+
+
+class FailoverWorld(typing.Protocol):
+    """What a failover needs from outside its group."""
+
+    async def primary_reached_by_peers(self, database: ids.DatabaseName, term: ids.Term) -> bool:
+        """Ask the other homes whether one of them reaches the primary."""
+
+    async def claim_lease(self, database: ids.DatabaseName) -> failover.LeaseAnswer:
+        """Claim the group's lease in the store."""
+
+    async def release_lease(self, database: ids.DatabaseName) -> None:
+        """Give the group's lease back."""
+
+    def publish_view(self, view: groups.GroupView) -> None:
+        """Tell the store and the peers who leads."""
+
+
+class FailoverDriver:
+    """Feeds events to the failover machine of one group and executes its commands."""
+
+    def __init__(
+        self,
+        *,
+        machine: failover.FailoverMachine,
+        tracker: confirmations.GroupTracker,
+        controls: collections.abc.Mapping[ids.SlotId, slot_control.SlotControl],
+        world: FailoverWorld,
+        proposer: ids.InstanceId,
+        allow_writes: collections.abc.Callable[[bool], None],
+    ) -> None:
+        self.machine = machine
+        self.tracker = tracker
+        self.controls = controls
+        self.world = world
+        self.proposer = proposer
+        self.allow_writes = allow_writes
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        try:
+            while True:
+                self.handle(failover.Tick())
+                await asyncio.sleep(TICK_S)
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def handle(self, event: failover.Event) -> None:
+        """Feed one event and carry out the commands."""
+        for command in self.machine.handle(event, now_s=time.monotonic()):
+            _execute(command, self)
+
+    def start(self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Run a command that waits for an answer."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def ask_peers(self) -> None:
+        """Ask the other homes for the primary."""
+        reached = await self.world.primary_reached_by_peers(
+            self.tracker.database, self.tracker.view.term
+        )
+        self.handle(failover.PeersAnswered(primary_reached=reached))
+
+    async def claim_lease(self) -> None:
+        """Claim the lease."""
+        answer = await self.world.claim_lease(self.tracker.database)
+        self.handle(failover.LeaseAnswered(answer=answer))
+
+    async def fence(self, slot: ids.SlotId, term: ids.Term) -> None:
+        """Ask one slot to promise a term."""
+        try:
+            answer = await self.controls[slot].command("fence", term, self.proposer)
+        except errors.BackendError:
+            return
+        self.handle(
+            failover.FenceAnswered(term=term, accepted=answer.accepted, status=answer.status)
+        )
+
+    async def promote(self, slot: ids.SlotId, term: ids.Term) -> None:
+        """Ask one slot to lead."""
+        try:
+            answer = await self.controls[slot].command("promote", term, self.proposer)
+        except errors.BackendError:
+            return
+        self.handle(
+            failover.PromoteAnswered(term=term, accepted=answer.accepted, status=answer.status)
+        )
+
+    async def follow(self, slot: ids.SlotId, primary: ids.SlotId, term: ids.Term) -> None:
+        """Ask one slot to follow the primary; a later tick repeats it when it fails."""
+        endpoint = self.controls[primary].endpoint
+        try:
+            await self.controls[slot].command("follow", primary, endpoint.host, endpoint.port, term)
+        except errors.BackendError:
+            return
+
+
+@functools.singledispatch
+def _execute(command: failover.Command, driver: FailoverDriver) -> None:
+    raise TypeError(f"no failover command: {command!r}")
+
+
+@_execute.register
+def _(command: failover.AskPeers, driver: FailoverDriver) -> None:
+    driver.start(driver.ask_peers())
+
+
+@_execute.register
+def _(command: failover.ClaimLease, driver: FailoverDriver) -> None:
+    driver.start(driver.claim_lease())
+
+
+@_execute.register
+def _(command: failover.ReleaseLease, driver: FailoverDriver) -> None:
+    driver.start(driver.world.release_lease(driver.tracker.database))
+
+
+@_execute.register
+def _(command: failover.FenceSlots, driver: FailoverDriver) -> None:
+    events.log(events.Event.FAILOVER_STARTED, database=driver.tracker.database, term=command.term)
+    for slot in driver.controls:
+        driver.start(driver.fence(slot, command.term))
+
+
+@_execute.register
+def _(command: failover.PromoteSlot, driver: FailoverDriver) -> None:
+    driver.start(driver.promote(command.slot, command.term))
+
+
+@_execute.register
+def _(command: failover.FollowPrimary, driver: FailoverDriver) -> None:
+    driver.start(driver.follow(command.slot, command.primary, command.term))
+
+
+@_execute.register
+def _(command: failover.PublishView, driver: FailoverDriver) -> None:
+    events.log(
+        events.Event.PRIMARY_PROMOTED,
+        database=command.view.database,
+        slot=command.view.primary,
+        term=command.view.term,
+    )
+    driver.world.publish_view(command.view)
+
+
+@_execute.register
+def _(command: failover.StopWrites, driver: FailoverDriver) -> None:
+    driver.allow_writes(False)
+
+
+@_execute.register
+def _(command: failover.AllowWrites, driver: FailoverDriver) -> None:
+    driver.allow_writes(True)
--- /dev/null
+++ b/src/mustardswitch/backends/group_home.py
@@ -0,0 +1,223 @@
+"""The home of one or more slots of a group: watches the group and runs statements on its slots."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import time
+
+from mustardswitch import events, metrics
+from mustardswitch.backends import (
+    connection,
+    failover_driver,
+    slot_control,
+    slot_pool,
+    statement_runner,
+    transactions,
+    waiters,
+)
+from mustardswitch.internal import confirmations, failover, groups, ids, outcomes, positions
+
+TRANSACTION_CHECK_S = 0.5
+TRANSACTION_IDLE_S = 10.0
+FAILURE_MARGIN_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GroupPolicy:
+    """What the document says of one group; times in seconds."""
+
+    endpoints: collections.abc.Mapping[ids.SlotId, connection.Endpoint]
+    connections_per_slot: int
+    leaving: frozenset[ids.SlotId]
+    confirm_by_majority: bool
+    replica_wait_s: float
+    suspicion_s: float
+    request_retention_s: float
+
+
+class GroupHome:
+    """Owns the control connections of a group and the pools of the slots it is home of."""
+
+    def __init__(
+        self,
+        *,
+        database: ids.DatabaseName,
+        policy: GroupPolicy,
+        instance: ids.InstanceId,
+        world: failover_driver.FailoverWorld,
+        on_view: collections.abc.Callable[[groups.GroupView], None],
+        registry: metrics.Registry,
+    ) -> None:
+        self.database = database
+        self.policy = policy
+        self.on_view = on_view
+        self.registry = registry
+        self.tracker = confirmations.GroupTracker(database=database, slots=policy.endpoints)
+        self.waiters = waiters.PositionWaiters(tracker=self.tracker, nudge=self._nudge)
+        self.machine = failover.FailoverMachine(
+            tracker=self.tracker,
+            settings=failover.FailoverSettings(suspicion_s=policy.suspicion_s, rank=0),
+        )
+        self.controls = {
+            slot: self._control(slot, endpoint) for slot, endpoint in policy.endpoints.items()
+        }
+        self.driver = failover_driver.FailoverDriver(
+            machine=self.machine,
+            tracker=self.tracker,
+            controls=self.controls,
+            world=world,
+            proposer=instance,
+            allow_writes=self._allow_writes,
+        )
+        self.pools: dict[ids.SlotId, slot_pool.SlotPool] = {}
+        self.open_transactions = transactions.OpenTransactions()
+        self.writes_allowed = asyncio.Event()
+        self.writes_allowed.set()
+        self.in_flight = 0
+        self.runner = statement_runner.StatementRunner(home=self)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _control(self, slot: ids.SlotId, endpoint: connection.Endpoint) -> slot_control.SlotControl:
+        return slot_control.SlotControl(
+            slot=slot,
+            endpoint=endpoint,
+            on_status=self._observe,
+            on_refused=lambda: self._refused(slot),
+            wanted=lambda: self.waiters.wanted_of(slot),
+        )
+
+    def start(self) -> None:
+        """Start watching the group."""
+        work = [control.run() for control in self.controls.values()]
+        work += [self.driver.run(), self._reap_transactions()]
+        self.tasks = [asyncio.create_task(item) for item in work]
+
+    def set_role(self, *, own_slots: collections.abc.Iterable[ids.SlotId], rank: int) -> None:
+        """Take or release the home of slots, as the membership changes."""
+        wanted = set(own_slots)
+        for slot in wanted - set(self.pools):
+            pool = slot_pool.SlotPool(
+                endpoint=self.policy.endpoints[slot], size=self.policy.connections_per_slot
+            )
+            self.pools[slot] = pool
+            pool.warm()
+            events.log(events.Event.HOME_TAKEN, database=self.database, slot=slot)
+        for slot in set(self.pools) - wanted:
+            self.pools.pop(slot).close()
+            events.log(events.Event.HOME_RELEASED, database=self.database, slot=slot)
+        self._refresh_settings(rank)
+
+    def _refresh_settings(self, rank: int) -> None:
+        self.machine.settings = failover.FailoverSettings(
+            suspicion_s=self.policy.suspicion_s,
+            rank=rank,
+            leaving=self.policy.leaving,
+            handover_owner=self.tracker.view.primary in self.pools,
+        )
+
+    def adopt_view(self, view: groups.GroupView) -> None:
+        """Take over a view that a peer told."""
+        if self.tracker.adopt(view):
+            self._view_changed()
+
+    def _observe(self, observation: confirmations.Observation) -> None:
+        before = self.tracker.view
+        self.tracker.observe(observation)
+        if observation.status.slot == self.tracker.view.primary:
+            self.machine.note_primary_heard()
+        if self.tracker.view != before:
+            self._view_changed()
+        self.waiters.notify()
+
+    def _view_changed(self) -> None:
+        view = self.tracker.view
+        events.log(
+            events.Event.VIEW_CHANGED,
+            database=self.database,
+            slot=view.primary,
+            term=view.term,
+        )
+        self._refresh_settings(self.machine.settings.rank)
+        for slot, pool in self.pools.items():
+            if slot != view.primary:
+                pool.reject_waiters(f"slot {view.primary} leads at term {view.term}", patient=True)
+        self.waiters.notify()
+        self.on_view(view)
+
+    def _refused(self, slot: ids.SlotId) -> None:
+        if slot == self.tracker.view.primary:
+            self.machine.note_primary_refused(time.monotonic())
+
+    def _nudge(self) -> None:
+        for control in self.controls.values():
+            control.ask_now()
+
+    def _allow_writes(self, allowed: bool) -> None:
+        if allowed:
+            self.writes_allowed.set()
+        else:
+            self.writes_allowed.clear()
+
+    async def execute(
+        self, request: outcomes.StatementRequest, *, owner: str
+    ) -> outcomes.StatementReply:
+        """Run one statement for a caller of the instance ``owner``."""
+        self.in_flight += 1
+        try:
+            reply = await self.runner.run(request, owner=owner)
+        finally:
+            self.in_flight -= 1
+        return dataclasses.replace(reply, view=self.tracker.view)
+
+    async def arrival_floor(self, *, deadline_s: float) -> positions.Position | None:
+        """Ask the group, now, for the floor of a session that arrived without a token."""
+        return await self.waiters.arrival_floor(since_s=time.monotonic(), deadline_s=deadline_s)
+
+    def primary_silence_s(self) -> float:
+        """Return for how many seconds the primary has not answered here."""
+        primary = self.tracker.view.primary
+        seen = self.tracker.observations.get(primary) if primary else None
+        if seen is None or seen.status.role is not groups.SlotRole.PRIMARY:
+            return float("inf")
+        return time.monotonic() - seen.heard_s
+
+    async def _reap_transactions(self) -> None:
+        while True:
+            await asyncio.sleep(TRANSACTION_CHECK_S)
+            for transaction in self.open_transactions.expired(
+                now_s=time.monotonic(), idle_s=TRANSACTION_IDLE_S
+            ):
+                self.end_transaction(transaction, clean=False)
+
+    def end_transaction(self, transaction: transactions.OpenTransaction, *, clean: bool) -> None:
+        """Give a transaction's connection back."""
+        if self.open_transactions.remove(transaction):
+            transaction.pool.release(transaction.used, clean=clean)
+
+    def abandon_owner(self, owner: str) -> None:
+        """Roll back what the callers of a lost instance left open."""
+        for transaction in self.open_transactions.of_owner(owner):
+            transaction.abandoned = True
+            if not transaction.busy:
+                self.end_transaction(transaction, clean=False)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no statement and no transaction is open."""
+        return self.in_flight == 0 and not self.open_transactions.by_id
+
+    @property
+    def connections_held(self) -> int:
+        """How many connections this home holds to the group."""
+        controls = sum(control.reachable for control in self.controls.values())
+        return controls + sum(pool.held for pool in self.pools.values())
+
+    async def close(self) -> None:
+        """Stop watching and close every connection."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for pool in self.pools.values():
+            pool.close()
+        for transaction in list(self.open_transactions.by_id.values()):
+            self.end_transaction(transaction, clean=False)
--- /dev/null
+++ b/src/mustardswitch/backends/slot_control.py
@@ -0,0 +1,202 @@
+"""Watches one slot over one control connection: heartbeats, confirmations and group commands."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import time
+import typing
+
+from mustardswitch import events
+from mustardswitch.backends import connection, errors
+from mustardswitch.internal import confirmations, groups, ids, positions
+
+HEARTBEAT_S = 0.1
+ANSWER_TIMEOUT_S = 0.4
+WAIT_MS = 40
+CONNECT_TIMEOUT_S = 0.4
+RECONNECT_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WantedPositions:
+    """Positions that somebody waits for: in the slot's log, or applied to its state."""
+
+    held: positions.Position = positions.ORIGIN
+    applied: positions.Position = positions.ORIGIN
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nobody waits."""
+        return self.held == positions.ORIGIN and self.applied == positions.ORIGIN
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GroupAnswer:
+    """The answer of a slot to a fence, promotion or follow command."""
+
+    accepted: bool
+    status: groups.SlotStatus
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Command:
+    """A group command on its way to the slot."""
+
+    procedure: str
+    arguments: tuple[object, ...]
+    answer: asyncio.Future[typing.Any]
+
+
+class SlotControl:
+    """Owns the control connection of one slot; others ask it by messages."""
+
+    def __init__(
+        self,
+        *,
+        slot: ids.SlotId,
+        endpoint: connection.Endpoint,
+        on_status: collections.abc.Callable[[confirmations.Observation], None],
+        on_refused: collections.abc.Callable[[], None],
+        wanted: collections.abc.Callable[[], WantedPositions],
+    ) -> None:
+        self.slot = slot
+        self.endpoint = endpoint
+        self.on_status = on_status
+        self.on_refused = on_refused
+        self.wanted = wanted
+        self.commands: list[_Command] = []
+        self.wake = asyncio.Event()
+        self.asked_now = False
+        self.reachable = False
+
+    def ask_now(self) -> None:
+        """Ask for a status at once instead of at the next heartbeat."""
+        self.asked_now = True
+        self.wake.set()
+
+    def nudge(self) -> None:
+        """Look again at which position is wanted."""
+        self.wake.set()
+
+    async def command(self, procedure: str, *arguments: object) -> GroupAnswer:
+        """Send a group command; raises BackendUnreachableError when no answer comes."""
+        answer = await self.query(procedure, *arguments)
+        return GroupAnswer(
+            accepted=bool(answer["accepted"]), status=connection.decode_status(answer)
+        )
+
+    async def query(self, procedure: str, *arguments: object) -> typing.Any:
+        """Send a group command and return its raw answer."""
+        if not self.reachable:
+            raise errors.BackendUnreachableError(f"slot {self.slot} is not reachable")
+        future = asyncio.get_running_loop().create_future()
+        self.commands.append(_Command(procedure=procedure, arguments=arguments, answer=future))
+        self.wake.set()
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return await future
+        except TimeoutError as error:
+            raise errors.BackendUnreachableError(f"slot {self.slot} did not answer") from error
+
+    async def run(self) -> None:
+        """Keep the connection up until cancelled."""
+        while True:
+            try:
+                opened = await connection.connect(
+                    self.endpoint, timeout_s=CONNECT_TIMEOUT_S, show_positions=False
+                )
+            except errors.BackendError as error:
+                if isinstance(error, errors.ServerRefusedError):
+                    self.on_refused()
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            events.log(events.Event.SLOT_REACHABLE, slot=self.slot)
+            self.reachable = True
+            try:
+                await self._converse(opened)
+            except errors.BackendError as error:
+                events.log(events.Event.SLOT_UNREACHABLE, slot=self.slot, error=error)
+            finally:
+                self.reachable = False
+                opened.close()
+                self._fail_commands()
+
+    def _fail_commands(self) -> None:
+        for command in self.commands:
+            if not command.answer.done():
+                command.answer.set_exception(
+                    errors.BackendUnreachableError(f"slot {self.slot} went out of reach")
+                )
+        self.commands.clear()
+
+    async def _converse(self, opened: connection.BackendConnection) -> None:
+        while True:
+            self.wake.clear()
+            if self.commands:
+                await self._send_command(opened, self.commands.pop(0))
+                continue
+            wanted = self.wanted()
+            self.asked_now = False
+            if wanted.is_empty or self.commands:
+                await self._observe(opened, "status", ())
+            else:
+                await self._observe(opened, "wait", _wait_arguments(wanted))
+            if not self.wanted().is_empty or self.asked_now:
+                continue
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.wake.wait(), HEARTBEAT_S)
+
+    async def _observe(
+        self, opened: connection.BackendConnection, procedure: str, arguments: tuple
+    ) -> None:
+        asked_s = time.monotonic()
+        answer = await opened.call(procedure, *arguments, timeout_s=ANSWER_TIMEOUT_S)
+        self._report(connection.decode_status(answer), asked_s)
+
+    def _report(self, status: groups.SlotStatus, asked_s: float) -> None:
+        self.on_status(
+            confirmations.Observation(status=status, asked_s=asked_s, heard_s=time.monotonic())
+        )
+
+    async def _send_command(self, opened: connection.BackendConnection, command: _Command) -> None:
+        if command.answer.done():
+            return
+        asked_s = time.monotonic()
+        try:
+            answer = await opened.call(
+                command.procedure, *command.arguments, timeout_s=ANSWER_TIMEOUT_S
+            )
+        except errors.DatabaseRejectedError as error:
+            self._settle(command, error=error)
+            return
+        except errors.BackendError as error:
+            self._settle(command, error=error)
+            raise
+        if "role" in answer:
+            self._report(connection.decode_status(answer), asked_s)
+        self._settle(command, answer=answer)
+
+    def _settle(
+        self,
+        command: _Command,
+        *,
+        answer: typing.Any = None,
+        error: errors.BackendError | None = None,
+    ) -> None:
+        if command.answer.done():
+            return
+        if error is not None:
+            command.answer.set_exception(error)
+        else:
+            command.answer.set_result(answer)
+
+
+def _wait_arguments(wanted: WantedPositions) -> tuple[int, ...]:
+    return (
+        wanted.held.term,
+        wanted.held.offset,
+        wanted.applied.term,
+        wanted.applied.offset,
+        WAIT_MS,
+    )
--- /dev/null
+++ b/src/mustardswitch/backends/slot_pool.py
@@ -0,0 +1,188 @@
+"""The connections of one home to one slot: opened ahead, bounded, handed out in fair order."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from mustardswitch.backends import connection, errors
+from mustardswitch.internal import limits
+
+CONNECT_TIMEOUT_S = 1.0
+REOPEN_DELAY_S = 0.05
+MAX_REOPEN_DELAY_S = 1.0
+QUEUE_PER_CONNECTION = 64
+INITIAL_SERVICE_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PoolUse:
+    """Who wants a connection, how urgently and until when (on this instance's clock)."""
+
+    caller: str
+    priority: limits.Priority
+    deadline_s: float
+    patient: bool = False
+    """Whether to wait while the slot is out of reach, until its role is known to be lost."""
+
+
+class SlotPool:
+    """Holds up to ``size`` connections to a slot."""
+
+    def __init__(self, *, endpoint: connection.Endpoint, size: int) -> None:
+        self.endpoint = endpoint
+        self.size = size
+        self.idle: collections.deque[connection.BackendConnection] = collections.deque()
+        self.busy = 0
+        self.opening = 0
+        self.limit = limits.ConcurrencyLimit(maximum=size)
+        self.queue: limits.AdmissionQueue[asyncio.Future[connection.BackendConnection]] = (
+            limits.AdmissionQueue(max_length=size * QUEUE_PER_CONNECTION)
+        )
+        self.patient: set[asyncio.Future[connection.BackendConnection]] = set()
+        self.closed = False
+        self.failures = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.refused = 0
+
+    def __repr__(self) -> str:
+        return f"SlotPool(endpoint={self.endpoint!r}, size={self.size!r})"
+
+    @property
+    def held(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self.idle) + self.busy + self.opening
+
+    def warm(self) -> None:
+        """Open the first connections ahead of the first statement."""
+        self._open_missing(min(self.size, 2))
+
+    def _open_missing(self, wanted: int) -> None:
+        """Open one connection at a time, so that a returning server meets no stampede."""
+        if self.closed or self.opening or self.held >= min(wanted, self.size):
+            return
+        self.opening += 1
+        task = asyncio.create_task(self._open(wanted))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _open(self, wanted: int) -> None:
+        try:
+            opened = await connection.connect(self.endpoint, timeout_s=CONNECT_TIMEOUT_S)
+        except errors.BackendError:
+            self.opening -= 1
+            self.failures += 1
+            if self.held == 0:
+                self.reject_waiters("the slot is out of reach", patient=False)
+            await self._wait_and_reopen(wanted)
+            return
+        except BaseException:
+            self.opening -= 1
+            raise
+        self.opening -= 1
+        self.failures = 0
+        if self.closed:
+            opened.close()
+            return
+        self.idle.append(opened)
+        self._serve_queue()
+        self._open_missing(max(wanted, self.busy + self.queue.length))
+
+    async def _wait_and_reopen(self, wanted: int) -> None:
+        delay_s = min(MAX_REOPEN_DELAY_S, REOPEN_DELAY_S * 2 ** min(self.failures, 5))
+        await asyncio.sleep(delay_s)
+        if self.queue.length or self.held < 1:
+            self._open_missing(wanted)
+
+    async def acquire(self, use: PoolUse) -> connection.BackendConnection:
+        """Return a connection; PoolRefusedError means the deadline cannot be met."""
+        if self.closed:
+            raise errors.PoolUnreachableError("this instance is no longer the slot's home")
+        if self.idle and self.busy < self.limit.allowed and not self.queue.length:
+            return self._hand_out()
+        self._open_missing(self.busy + self.queue.length + 1)
+        return await self._wait_in_queue(use)
+
+    async def _wait_in_queue(self, use: PoolUse) -> connection.BackendConnection:
+        if not use.patient and self.failures and self.held <= self.opening:
+            raise errors.PoolUnreachableError("the slot is out of reach")
+        future = asyncio.get_running_loop().create_future()
+        if use.patient:
+            self.patient.add(future)
+        waiting = limits.Waiting(
+            ticket=future, caller=use.caller, priority=use.priority, deadline_s=use.deadline_s
+        )
+        service_s = self.limit.average_s or INITIAL_SERVICE_S
+        now_s = time.monotonic()
+        if not self.queue.offer(
+            waiting, now_s=now_s, service_s=service_s, concurrency=self.limit.allowed
+        ):
+            self.refused += 1
+            raise errors.PoolRefusedError(f"{self.queue.length} statements are waiting")
+        try:
+            async with asyncio.timeout(use.deadline_s - now_s):
+                return await future
+        except TimeoutError as error:
+            raise errors.PoolRefusedError("no connection became free in time") from error
+        finally:
+            self.patient.discard(future)
+            self._abandon(future)
+
+    def _abandon(self, future: asyncio.Future[connection.BackendConnection]) -> None:
+        """Take back what a waiter that left did not take."""
+        if self.queue.remove(future):
+            return
+        handed_out = future.done() and not future.cancelled() and future.exception() is None
+        if handed_out and asyncio.current_task().cancelling():
+            self.release(future.result(), clean=True)
+
+    def reject_waiters(self, why: str, *, patient: bool) -> None:
+        """Send waiting statements elsewhere; patient ones only when ``patient`` is true."""
+        kept = []
+        while (waiting := self.queue.take()) is not None:
+            if waiting.ticket in self.patient and not patient:
+                kept.append(waiting)
+            elif not waiting.ticket.done():
+                waiting.ticket.set_exception(errors.PoolUnreachableError(why))
+        for waiting in kept:
+            self.queue.restore(waiting)
+
+    def _hand_out(self) -> connection.BackendConnection:
+        self.busy += 1
+        return self.idle.pop()
+
+    def _serve_queue(self) -> None:
+        while self.idle and self.busy < self.limit.allowed:
+            waiting = self.queue.take()
+            if waiting is None:
+                return
+            if not waiting.ticket.done():
+                waiting.ticket.set_result(self._hand_out())
+
+    def release(self, used: connection.BackendConnection, *, clean: bool) -> None:
+        """Give a connection back; one that is not provably clean is closed."""
+        self.busy -= 1
+        if not clean or used.broken or self.closed:
+            used.close()
+            self._open_missing(max(1, self.busy + self.queue.length))
+        else:
+            self.idle.append(used)
+        self._serve_queue()
+
+    def record(self, latency_s: float) -> None:
+        """Let the concurrency limit follow the server's latency."""
+        full = self.busy >= self.limit.allowed
+        self.limit.record(latency_s=latency_s, now_s=time.monotonic(), was_full=full)
+
+    def record_timeout(self) -> None:
+        """Let the concurrency limit follow a missing answer."""
+        self.limit.record_timeout(time.monotonic())
+
+    def close(self) -> None:
+        """Close idle connections and refuse waiters; busy ones close on release."""
+        self.closed = True
+        for task in self.tasks:
+            task.cancel()
+        while self.idle:
+            self.idle.pop().close()
+        self.reject_waiters("this instance is no longer the slot's home", patient=True)
--- /dev/null
+++ b/src/mustardswitch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards callers, who speak the MySQL protocol."""
--- /dev/null
+++ b/src/mustardswitch/callers/streams.py
@@ -0,0 +1,94 @@
+"""The packet stream of the MySQL protocol, bounded in packet size.
+
+The codec's own reader takes a packet header as complete when fewer than its four bytes have
+arrived, and takes packets of any size; this one waits for the whole header and refuses packets
+over the limit (MySQL client/server protocol, "Sending more than 16 MB").
+"""
+
+import asyncio
+import struct
+
+from mysql_mimic import errors as mimic_errors
+from mysql_mimic import packets, stream
+
+HEADER_BYTES = 4
+MAX_PAYLOAD_BYTES = 0xFFFFFF
+PACKET_TOO_LARGE_CODE = 1153
+FIRST_REPLY_SEQUENCE = 1
+
+
+class BoundedStream:
+    """Reads whole packets of at most ``max_packet_bytes``; writing is left to the codec.
+
+    It wraps the codec's stream, because that class is compiled and cannot be a base class.
+    """
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_packet_bytes: int,
+    ) -> None:
+        self.codec = stream.MysqlStream(reader, writer)
+        self.reader = reader
+        self.writer = writer
+        self.seq = self.codec.seq
+        self.write = self.codec.write
+        self.write_many = self.codec.write_many
+        self.write_text_rows = self.codec.write_text_rows
+        self.drain = self.codec.drain
+        self.reset_seq = self.codec.reset_seq
+        self.start_tls = self.codec.start_tls
+        self.max_packet_bytes = max_packet_bytes
+        self.waiting_for_command = False
+
+    async def read(self) -> bytes:
+        """Read one packet; a caller that went away ends the connection quietly."""
+        self.waiting_for_command = self.seq.value == 0
+        try:
+            return await self._read_packet()
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise stream.ConnectionClosed from error
+        finally:
+            self.waiting_for_command = False
+
+    async def _read_packet(self) -> bytes:
+        data = b""
+        while True:
+            (header,) = struct.unpack("<I", await self.reader.readexactly(HEADER_BYTES))
+            self.waiting_for_command = False
+            length = header & MAX_PAYLOAD_BYTES
+            sequence = header >> 24
+            expected = next(self.seq)
+            if sequence != expected:
+                await self._refuse(
+                    f"packet has sequence number {sequence}, expected {expected}",
+                    mimic_errors.ErrorCode.MALFORMED_PACKET,
+                )
+            if len(data) + length > self.max_packet_bytes:
+                await self._refuse(
+                    f"NOT RUN: the packet is larger than {self.max_packet_bytes} bytes; "
+                    "send smaller statements",
+                    PACKET_TOO_LARGE_CODE,
+                )
+            data += await self.reader.readexactly(length)
+            if length < MAX_PAYLOAD_BYTES:
+                return data
+
+    async def _refuse(self, message: str, code: int) -> None:
+        """Answer with an error and end the connection, whose framing is lost."""
+        self.seq.value = FIRST_REPLY_SEQUENCE
+        await self.write(packets.make_error(msg=message, code=code))
+        raise stream.ConnectionClosed
+
+    async def dismiss(self, message: str, code: int) -> None:
+        """Answer the statement that the caller sends next with an error, and send no more.
+
+        Closing the socket instead could discard the error together with a statement that had
+        already arrived, and the caller would not know that it did not run.
+        """
+        self.seq.value = FIRST_REPLY_SEQUENCE
+        await self.write(packets.make_error(msg=message, code=code))
+        if self.writer.can_write_eof():
+            self.writer.write_eof()
--- /dev/null
+++ b/src/mustardswitch/document/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: its sections, checks and edits."""
--- /dev/null
+++ b/src/mustardswitch/document/errors.py
@@ -0,0 +1,40 @@
+"""Errors of the document layer."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Problem:
+    """One fault of a document: where it is, what is wrong and what to do."""
+
+    section: str
+    line: int
+    field: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return (
+            f"section {self.section}, line {self.line}, field {self.field}: "
+            f"{self.message}; {self.remedy}"
+        )
+
+
+class DocumentError(Exception):
+    """Raised by any operation on the document that did not succeed."""
+
+
+class InvalidDocumentError(DocumentError):
+    """Raised when a section or the whole document fails its checks; nothing was changed."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class EditConflictError(DocumentError):
+    """Raised when another edit changed the same field since the edited revision was read."""
+
+
+class EditUnresolvedError(DocumentError):
+    """Raised when the store's answer was lost and reading could not tell whether it applied."""
--- /dev/null
+++ b/src/mustardswitch/instance/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks inside an entry instance that stand between its edges."""
--- /dev/null
+++ b/src/mustardswitch/instance/directory.py
@@ -0,0 +1,206 @@
+"""Runs gossip: exchanges records with partners, pings them, and passes urgent records on."""
+
+import asyncio
+import collections.abc
+import random
+import time
+
+from mustardswitch import events
+from mustardswitch.internal import gossip, ids, membership
+from mustardswitch.peers import client, codec, errors, peers_pb2
+
+PERIOD_S = 0.5
+HELPERS = 2
+HELPER_TIMEOUT_S = 0.4
+REPAIR_EVERY = 4
+URGENT_KINDS = ("section/", "group/", "listed/")
+
+
+class Directory:
+    """Owns the record table and the membership of this instance."""
+
+    def __init__(
+        self,
+        *,
+        own: membership.Member,
+        links: client.PeerLinks,
+        source: random.Random,
+        translate: collections.abc.Callable[[str, int], tuple[str, int]],
+        seeds: collections.abc.Sequence[membership.Member] = (),
+    ) -> None:
+        self.table = gossip.RecordTable()
+        self.membership = membership.Membership(own=own, table=self.table, source=source)
+        self.links = links
+        self.source = source
+        self.translate = translate
+        self.handlers: dict[str, collections.abc.Callable[[gossip.Record], None]] = {}
+        self.on_members: collections.abc.Callable[[], None] = lambda: None
+        self.rounds = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.membership.add_listed(seeds, frozenset())
+
+    def address_of(self, member: membership.Member) -> client.PeerAddress:
+        """Return where a member is reached from here."""
+        host, port = self.translate(member.host, member.port)
+        return client.PeerAddress(
+            instance=member.instance,
+            host=host,
+            port=port,
+            other_region=member.region != self.membership.own.region,
+        )
+
+    def spread(self, records: list[gossip.Record]) -> None:
+        """Take over records of this instance's own making or from the store."""
+        self._take_over(records, urgent=True)
+
+    def _take_over(self, records: list[gossip.Record], *, urgent: bool) -> None:
+        fleet_size = max(1, self.membership.fleet_size)
+        changed = self.table.merge(records, fleet_size=fleet_size)
+        for record in changed:
+            self._dispatch(record)
+        if urgent and any(record.key.startswith(URGENT_KINDS) for record in changed):
+            self._push_now()
+
+    def _dispatch(self, record: gossip.Record) -> None:
+        kind = record.key.partition("/")[0]
+        if record.key.startswith(membership.MEMBER_KIND):
+            self.membership.apply_record(record, now_s=time.monotonic())
+            self.on_members()
+        elif kind in self.handlers:
+            self.handlers[kind](record)
+
+    def _push_now(self) -> None:
+        """Pass urgent records on without waiting for the period."""
+        for member in self.membership.choose_eager():
+            self._start(self._exchange(member))
+
+    def _start(self, work: collections.abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> None:
+        """Gossip once a period until cancelled."""
+        try:
+            while True:
+                for member in self.membership.choose_partners():
+                    self._start(self._exchange(member))
+                self._expire()
+                self.rounds += 1
+                await asyncio.sleep(PERIOD_S * self.source.uniform(0.8, 1.2))
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def _expire(self) -> None:
+        now_ms = int(time.time() * 1000)
+        dead = self.membership.expire_suspicions(now_s=time.monotonic(), now_ms=now_ms)
+        for instance in dead:
+            events.log(events.Event.MEMBER_DEAD, instance=instance)
+        self.membership.forget_dead(now_ms=now_ms)
+        if dead:
+            self.on_members()
+
+    async def _exchange(self, member: membership.Member) -> None:
+        link = self.links.get(self.address_of(member))
+        message = self._message(self.table.rumours())
+        self.sent_bytes += message.ByteSize()
+        try:
+            answer = await link.gossip(message)
+        except errors.PeerRefusedError:
+            self.note_refused(member.instance)
+            return
+        except errors.PeerError:
+            await self._ping_through_helpers(member)
+            return
+        self.received_bytes += answer.ByteSize()
+        self.membership.heard(member.instance)
+        self._take_over(codec.decode_records(answer.records), urgent=True)
+        if answer.buckets:
+            await self._repair(link, list(answer.buckets))
+
+    async def _repair(self, link: client.PeerLink, buckets: list[bytes]) -> None:
+        """Send what the partner's digests show it to lack, and get what this table lacks."""
+        records = self.table.differing(
+            buckets, start_bucket=self.source.randrange(gossip.BUCKET_COUNT)
+        )
+        message = self._message(records)
+        message.buckets.extend(self.table.bucket_digests())
+        self.sent_bytes += message.ByteSize()
+        try:
+            answer = await link.gossip(message)
+        except errors.PeerError:
+            return
+        self.received_bytes += answer.ByteSize()
+        self._take_over(codec.decode_records(answer.records), urgent=True)
+
+    def _message(self, records: list[gossip.Record]) -> peers_pb2.GossipMessage:
+        return peers_pb2.GossipMessage(
+            sender=self.membership.own.instance,
+            records=codec.encode_records(records),
+            digest=self.table.digest(),
+        )
+
+    def answer(self, message: peers_pb2.GossipMessage) -> peers_pb2.GossipMessage:
+        """Merge a partner's gossip and answer with own."""
+        self.received_bytes += message.ByteSize()
+        self._take_over(codec.decode_records(message.records), urgent=True)
+        if message.buckets:
+            records = self.table.differing(
+                list(message.buckets), start_bucket=self.source.randrange(gossip.BUCKET_COUNT)
+            )
+            answer = self._message(records)
+        else:
+            answer = self._message(self.table.rumours())
+            if message.digest != answer.digest:
+                answer.buckets.extend(self.table.bucket_digests())
+        self.sent_bytes += answer.ByteSize()
+        return answer
+
+    def note_refused(self, instance: ids.InstanceId) -> None:
+        """Declare an instance dead whose address answered that no process listens there."""
+        member = self.membership.members.get(instance)
+        if member is None or member.state is membership.MemberState.DEAD:
+            return
+        if member.incarnation == 0:
+            return
+        self.membership.declare_dead(instance, now_ms=int(time.time() * 1000))
+        events.log(events.Event.MEMBER_DEAD, instance=instance)
+        self.on_members()
+        self._push_now()
+
+    async def _ping_through_helpers(self, member: membership.Member) -> None:
+        helpers = self.membership.helpers_for(member.instance, HELPERS)
+        request = peers_pb2.ReachabilityRequest(instance=member.instance)
+        answers = await asyncio.gather(*(self._ask_helper(helper, request) for helper in helpers))
+        if any(answers):
+            return
+        self.membership.ping_failed(
+            member.instance, now_s=time.monotonic(), now_ms=int(time.time() * 1000)
+        )
+        events.log(events.Event.MEMBER_SUSPECTED, instance=member.instance)
+
+    async def _ask_helper(
+        self, helper: membership.Member, request: peers_pb2.ReachabilityRequest
+    ) -> bool:
+        link = self.links.get(self.address_of(helper))
+        try:
+            answer = await link.reachability(request, timeout_s=HELPER_TIMEOUT_S * 2)
+        except errors.PeerError:
+            return False
+        return answer.reachable
+
+    async def ping(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an instance answers here."""
+        member = self.membership.members.get(instance)
+        if member is None:
+            return False
+        link = self.links.get(self.address_of(member))
+        try:
+            async with asyncio.timeout(HELPER_TIMEOUT_S):
+                await link.gossip(self._message([]))
+        except (errors.PeerError, TimeoutError):
+            return False
+        return True
--- /dev/null
+++ b/src/mustardswitch/instance/document_keeper.py
@@ -0,0 +1,226 @@
+"""Keeps the document in force: learns sections, checks them together, applies the valid ones.
+
+A few watchers per availability zone read the store; everybody else learns from peers by gossip,
+also while the store is out. A section is applied only at a higher revision than the known one.
+"""
+
+import asyncio
+import collections.abc
+
+import pydantic
+
+from mustardswitch import events
+from mustardswitch.document import errors as document_errors
+from mustardswitch.document import models, sections
+from mustardswitch.internal import gossip, homes, ids, membership
+from mustardswitch.platform import errors as platform_errors
+from mustardswitch.platform import store
+
+SECTION_KIND = "section/"
+LISTED_KIND = "listed/"
+INSTANCE_PREFIX = "platform/instances/"
+WATCHERS_PER_ZONE = 2
+STORE_RETRY_S = 0.5
+WATCH_CHECK_S = 1.0
+REREAD_S = 30.0
+
+
+class ListedInstance(pydantic.BaseModel):
+    """One entry of the platform's list of instances."""
+
+    instance: str
+    zone: str
+    region: str
+    host: str
+    port: int
+    leaving: bool = False
+
+
+def listed_member(listed: ListedInstance) -> membership.Member:
+    """Turn a list entry into a member that nobody has heard yet (incarnation 0)."""
+    return membership.Member(
+        instance=ids.InstanceId(listed.instance),
+        zone=ids.ZoneName(listed.zone),
+        region=ids.RegionName(listed.region),
+        host=listed.host,
+        port=listed.port,
+        state=membership.MemberState.ALIVE,
+        leaving=False,
+        incarnation=0,
+    )
+
+
+class DocumentKeeper:
+    """Holds the document in force and watches the store when this instance is a watcher."""
+
+    def __init__(
+        self,
+        *,
+        client: store.Store,
+        own: membership.Member,
+        spread: collections.abc.Callable[[list[gossip.Record]], None],
+        candidates: collections.abc.Callable[[], list[homes.Candidate]],
+        on_document: collections.abc.Callable[[sections.Document], None],
+        on_listed: collections.abc.Callable[[], None],
+    ) -> None:
+        self.client = client
+        self.own = own
+        self.spread = spread
+        self.candidates = candidates
+        self.on_document = on_document
+        self.on_listed = on_listed
+        self.stored: dict[ids.SectionName, sections.StoredSection] = {}
+        self.valid_texts: dict[ids.SectionName, str] = {}
+        self.document = sections.Document(sections={})
+        self.listed: dict[ids.InstanceId, ListedInstance] = {}
+        self.store_reachable = False
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance reads the store for its zone."""
+        near = [candidate for candidate in self.candidates() if candidate.zone == self.own.zone]
+        ranked = homes.ranked(near, f"watcher|{self.own.zone}")
+        return not self.document.sections or self.own.instance in ranked[:WATCHERS_PER_ZONE]
+
+    def apply_record(self, record: gossip.Record) -> None:
+        """Take over a section or list entry that was newer than the known one."""
+        if record.key.startswith(SECTION_KIND):
+            self._apply_section(record)
+        elif record.key.startswith(LISTED_KIND):
+            self._apply_listed(record)
+
+    def _apply_section(self, record: gossip.Record) -> None:
+        name = ids.SectionName(record.key.removeprefix(SECTION_KIND))
+        if not record.payload:
+            self.stored.pop(name, None)
+            others = {key: text for key, text in self.valid_texts.items() if key != name}
+            self._put_in_force(others)
+            return
+        try:
+            stored = sections.decode_section(name, record.version, record.payload)
+        except document_errors.InvalidDocumentError as error:
+            events.log(events.Event.SECTION_REJECTED, section=name, error=error)
+            return
+        self.stored[name] = stored
+        self._put_in_force({**self.valid_texts, name: stored.text})
+
+    def _put_in_force(self, texts: dict[ids.SectionName, str]) -> None:
+        """Check all sections; ones that do not fit together keep their last good text."""
+        complete = {**texts, **{name: stored.text for name, stored in self.stored.items()}}
+        for candidate in (complete, texts):
+            try:
+                parsed = {
+                    name: sections.parse_section(name, text) for name, text in candidate.items()
+                }
+                problems = _blocking(sections.check_together(parsed, candidate), parsed)
+            except document_errors.InvalidDocumentError as error:
+                problems = error.problems
+            if not problems:
+                self._install(candidate, sections.Document(sections=parsed))
+                return
+        events.log(events.Event.SECTION_REJECTED, error="; ".join(map(str, problems)))
+
+    def _install(self, texts: dict[ids.SectionName, str], document: sections.Document) -> None:
+        self.valid_texts = texts
+        self.document = document
+        events.log(events.Event.SECTION_APPLIED, sections=sorted(texts))
+        self.on_document(document)
+
+    def _apply_listed(self, record: gossip.Record) -> None:
+        name = ids.InstanceId(record.key.removeprefix(LISTED_KIND))
+        if record.payload:
+            try:
+                self.listed[name] = ListedInstance.model_validate_json(record.payload)
+            except pydantic.ValidationError as error:
+                events.log(events.Event.SECTION_REJECTED, section=record.key, error=error)
+                return
+        else:
+            self.listed.pop(name, None)
+        self.on_listed()
+
+    async def run(self) -> None:
+        """Watch the store while this instance is a watcher, until cancelled."""
+        while True:
+            if not self.is_watcher:
+                await asyncio.sleep(WATCH_CHECK_S)
+                continue
+            try:
+                async with asyncio.TaskGroup() as tasks:
+                    tasks.create_task(self._follow(sections.SECTION_PREFIX, SECTION_KIND))
+                    tasks.create_task(self._follow(INSTANCE_PREFIX, LISTED_KIND))
+                    tasks.create_task(self._stop_when_replaced())
+            except* platform_errors.PlatformError as failures:
+                self._note_unavailable(failures)
+            except* _NoLongerWatcher:
+                pass
+            await asyncio.sleep(STORE_RETRY_S)
+
+    def _note_unavailable(self, failures: BaseExceptionGroup) -> None:
+        if self.store_reachable:
+            events.log(events.Event.STORE_UNAVAILABLE, error=failures.exceptions[0])
+        self.store_reachable = False
+
+    async def _stop_when_replaced(self) -> None:
+        while self.is_watcher:
+            await asyncio.sleep(WATCH_CHECK_S)
+        raise _NoLongerWatcher
+
+    async def _follow(self, prefix: str, kind: str) -> None:
+        """Read a prefix, watch it from that revision on, and read it again now and then.
+
+        The repeated read mends what a watch missed after a reconnect, and removals too.
+        """
+        while True:
+            snapshot = await self.client.read_prefix(prefix)
+            if not self.store_reachable:
+                events.log(events.Event.STORE_AVAILABLE)
+            self.store_reachable = True
+            self._spread_snapshot(snapshot, prefix, kind)
+            try:
+                async with asyncio.timeout(REREAD_S):
+                    await self._watch(prefix, kind, snapshot.revision + 1)
+            except TimeoutError:
+                continue
+
+    async def _watch(self, prefix: str, kind: str, start_revision: int) -> None:
+        changes = self.client.watch_prefix(prefix, start_revision=start_revision)
+        async for change in changes:
+            self.spread([_record(change, prefix, kind)])
+        raise platform_errors.StoreUnavailableError(f"watch of {prefix} ended")
+
+    def _spread_snapshot(self, snapshot: store.Snapshot, prefix: str, kind: str) -> None:
+        records = [_record(value, prefix, kind) for value in snapshot.values]
+        present = {record.key for record in records}
+        known = (
+            [f"{SECTION_KIND}{name}" for name in self.stored]
+            if kind == SECTION_KIND
+            else [f"{LISTED_KIND}{name}" for name in self.listed]
+        )
+        gone = [
+            gossip.Record(key=key, version=snapshot.revision, payload=b"")
+            for key in known
+            if key not in present
+        ]
+        self.spread([*records, *gone])
+
+
+class _NoLongerWatcher(Exception):
+    """Raised inside the watching tasks when another instance watches for the zone."""
+
+
+def _record(value: store.StoredValue, prefix: str, kind: str) -> gossip.Record:
+    return gossip.Record(
+        key=f"{kind}{value.key.removeprefix(prefix)}",
+        version=value.revision,
+        payload=value.value or b"",
+    )
+
+
+def _blocking(
+    problems: list[document_errors.Problem],
+    parsed: collections.abc.Mapping[ids.SectionName, models.Section],
+) -> list[document_errors.Problem]:
+    """Let services wait for a fleet section that has not arrived yet."""
+    if models.FLEET_SECTION in parsed:
+        return problems
+    return [problem for problem in problems if not problem.field.endswith("zone")]
--- /dev/null
+++ b/src/mustardswitch/instance/home_manager.py
@@ -0,0 +1,204 @@
+"""Takes and releases the homes of slots as the document and the membership change."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import ssl
+import time
+
+from mustardswitch import metrics
+from mustardswitch.backends import connection, failover_driver, group_home
+from mustardswitch.document import models, sections
+from mustardswitch.internal import groups, homes, ids, outcomes
+
+RELEASE_GRACE_S = 5.0
+RELEASE_CHECK_S = 0.05
+YIELD_EVERY_DATABASES = 50
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendLogin:
+    """How this instance logs in to backend servers."""
+
+    user: str
+    password: str
+    translate: collections.abc.Callable[[str, int], tuple[str, int]]
+    tls: ssl.SSLContext | None = None
+
+
+class HomeManager:
+    """Owns the group homes of this instance."""
+
+    def __init__(
+        self,
+        *,
+        instance: ids.InstanceId,
+        login: BackendLogin,
+        world: failover_driver.FailoverWorld,
+        on_view: collections.abc.Callable[[groups.GroupView], None],
+        registry: metrics.Registry,
+    ) -> None:
+        self.instance = instance
+        self.login = login
+        self.world = world
+        self.on_view = on_view
+        self.registry = registry
+        self.homes: dict[ids.DatabaseName, group_home.GroupHome] = {}
+        self.closing: set[asyncio.Task[None]] = set()
+        self.draining = False
+
+    async def reconcile(
+        self,
+        document: sections.Document,
+        candidates: collections.abc.Sequence[homes.Candidate],
+        views: collections.abc.Mapping[ids.DatabaseName, groups.GroupView],
+    ) -> None:
+        """Make the homes held here match the document and the membership."""
+        for number, (name, entry) in enumerate(document.databases.items()):
+            if number % YIELD_EVERY_DATABASES == YIELD_EVERY_DATABASES - 1:
+                await asyncio.sleep(0)
+            self._reconcile_one(name, entry, document, candidates, views.get(name))
+        for name in set(self.homes) - set(document.databases):
+            self._release(name)
+
+    def _reconcile_one(
+        self,
+        name: ids.DatabaseName,
+        entry: sections.DatabaseEntry,
+        document: sections.Document,
+        candidates: collections.abc.Sequence[homes.Candidate],
+        view: groups.GroupView | None,
+    ) -> None:
+        first_homes = {
+            slot: homes_for(document, entry, slot, candidates)[:1] for slot in entry.slots_by_id
+        }
+        own_slots = [slot for slot, first in first_homes.items() if first == [self.instance]]
+        if not own_slots:
+            self._release(name)
+            return
+        policy = self._policy(entry)
+        home = self.homes.get(name)
+        if home is not None and _needs_rebuild(home.policy, policy):
+            self._release(name)
+            home = None
+        if home is None:
+            home = self._create(name, policy)
+        home.policy = policy
+        if view is not None:
+            home.adopt_view(view)
+        everybody = sorted({first[0] for first in first_homes.values() if first})
+        home.set_role(own_slots=own_slots, rank=everybody.index(self.instance))
+
+    def _create(
+        self, name: ids.DatabaseName, policy: group_home.GroupPolicy
+    ) -> group_home.GroupHome:
+        home = group_home.GroupHome(
+            database=name,
+            policy=policy,
+            instance=self.instance,
+            world=self.world,
+            on_view=self.on_view,
+            registry=self.registry,
+        )
+        self.homes[name] = home
+        home.start()
+        return home
+
+    def _policy(self, entry: sections.DatabaseEntry) -> group_home.GroupPolicy:
+        database, policy = entry.database, entry.policy
+        return group_home.GroupPolicy(
+            endpoints={slot: self._endpoint(place) for slot, place in entry.slots_by_id.items()},
+            connections_per_slot=homes.statement_connections(
+                connections=database.connections, slot_count=len(database.slots)
+            ),
+            leaving=frozenset(slot for slot, place in entry.slots_by_id.items() if place.leaving),
+            confirm_by_majority=policy.confirmation is models.Confirmation.MAJORITY,
+            replica_wait_s=policy.replica_wait_ms / 1000.0,
+            suspicion_s=policy.suspicion_ms / 1000.0,
+            request_retention_s=policy.request_retention_s,
+        )
+
+    def _endpoint(self, place: models.Slot) -> connection.Endpoint:
+        host, port = str(place.host), place.port
+        via_host, via_port = self.login.translate(host, port)
+        translated = (via_host, via_port) != (host, port)
+        return connection.Endpoint(
+            host=host,
+            port=port,
+            user=self.login.user,
+            password=self.login.password,
+            tls=self.login.tls,
+            via=connection.Via(host=via_host, port=via_port) if translated else None,
+        )
+
+    def _release(self, name: ids.DatabaseName) -> None:
+        home = self.homes.pop(name, None)
+        if home is None:
+            return
+        task = asyncio.create_task(_close_when_idle(home))
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+    async def execute(
+        self, request: outcomes.StatementRequest, *, owner: str
+    ) -> outcomes.StatementReply:
+        """Run a statement on a slot of this home."""
+        home = self.homes.get(request.database)
+        if home is None:
+            return outcomes.not_run(
+                outcomes.Reason.UNREACHABLE,
+                f"instance {self.instance} is not a home of database {request.database}",
+            )
+        opens_work = request.transaction is None or request.kind is outcomes.StatementKind.BEGIN
+        if self.draining and opens_work:
+            return outcomes.not_run(
+                outcomes.Reason.LEAVING, f"instance {self.instance} is draining"
+            )
+        return await home.execute(request, owner=owner)
+
+    def peer_left(self, owner: str) -> None:
+        """Roll back what the callers of a lost instance left open."""
+        for home in self.homes.values():
+            home.abandon_owner(owner)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight on any home."""
+        return all(home.is_idle for home in self.homes.values())
+
+    async def close(self) -> None:
+        """Close every home."""
+        for name in list(self.homes):
+            await self.homes.pop(name).close()
+        for task in list(self.closing):
+            task.cancel()
+
+
+def homes_for(
+    document: sections.Document,
+    entry: sections.DatabaseEntry,
+    slot: ids.SlotId,
+    candidates: collections.abc.Sequence[homes.Candidate],
+) -> list[ids.InstanceId]:
+    """Order the homes of one slot of the document."""
+    zone = ids.ZoneName(entry.slots_by_id[slot].zone)
+    return homes.homes_of_slot(
+        candidates,
+        slot=slot,
+        zone=zone,
+        region=document.region_by_zone.get(zone, ids.RegionName("")),
+    )
+
+
+def _needs_rebuild(known: group_home.GroupPolicy, wanted: group_home.GroupPolicy) -> bool:
+    return (
+        known.endpoints != wanted.endpoints
+        or known.connections_per_slot != wanted.connections_per_slot
+    )
+
+
+async def _close_when_idle(home: group_home.GroupHome) -> None:
+    ends_s = time.monotonic() + RELEASE_GRACE_S
+    while not home.is_idle and time.monotonic() < ends_s:
+        await asyncio.sleep(RELEASE_CHECK_S)
+    await home.close()
--- /dev/null
+++ b/src/mustardswitch/instance/node.py
@@ -0,0 +1,351 @@
+"""Puts the parts of one entry instance together."""
+
+import asyncio
+import collections.abc
+import contextlib
+import random
+import time
+
+from mustardswitch import events, metrics, settings
+from mustardswitch.document import sections
+from mustardswitch.instance import directory, document_keeper, home_manager, router
+from mustardswitch.internal import (
+    failover,
+    gossip,
+    groups,
+    ids,
+    membership,
+    outcomes,
+    positions,
+)
+from mustardswitch.peers import client, codec, errors, peers_pb2
+from mustardswitch.platform import failover_leases, store
+
+VIEW_KIND = "group/"
+REACH_TIMEOUT_S = 0.12
+RECONCILE_DELAY_S = 0.02
+RESTART_DELAY_S = 0.5
+LEAVE_SPREAD_S = 0.3
+IDLE_CHECK_S = 0.02
+
+
+class Node:
+    """One entry instance without its listening sockets."""
+
+    def __init__(self, *, config: settings.Settings, tls: settings.LoadedTls) -> None:
+        self.config = config
+        self.registry = metrics.Registry()
+        advertised = config.advertise or config.peers
+        self.own = membership.Member(
+            instance=config.instance_id,
+            zone=ids.ZoneName(config.zone),
+            region=ids.RegionName(config.region),
+            host=advertised.address,
+            port=advertised.port,
+            state=membership.MemberState.ALIVE,
+            leaving=False,
+            incarnation=int(time.time() * 1000),
+        )
+        source = random.Random(f"{config.instance}{self.own.incarnation}")
+        self.links = client.PeerLinks(own=config.instance_id, tls=tls.peers_client)
+        self.peers = directory.Directory(
+            own=self.own,
+            links=self.links,
+            source=source,
+            translate=config.translate,
+            seeds=_seeds(config),
+        )
+        store_host, store_port = config.translate(config.store.address, config.store.port)
+        self.store = store.Store(host=store_host, port=store_port)
+        self.leases = failover_leases.FailoverLeases(client=self.store, instance=config.instance_id)
+        self.keeper = document_keeper.DocumentKeeper(
+            client=self.store,
+            own=self.own,
+            spread=self.peers.spread,
+            candidates=self.peers.membership.candidates,
+            on_document=self._document_changed,
+            on_listed=self._listed_changed,
+        )
+        self.manager = home_manager.HomeManager(
+            instance=config.instance_id,
+            login=home_manager.BackendLogin(
+                user=config.backend_user,
+                password=config.backend_password,
+                translate=config.translate,
+                tls=tls.backends_client,
+            ),
+            world=self,
+            on_view=self._view_changed,
+            registry=self.registry,
+        )
+        self.router = router.Router(
+            own=self.own,
+            manager=self.manager,
+            peers=self.peers,
+            links=self.links,
+            source=source,
+            registry=self.registry,
+        )
+        self.peers.on_members = self._request_reconcile
+        self.peers.handlers = {
+            "section": self.keeper.apply_record,
+            "listed": self.keeper.apply_record,
+            "group": self._view_record,
+        }
+        self.reconcile_wanted = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.background: set[asyncio.Task[None]] = set()
+
+    # What changed
+
+    def _document_changed(self, document: sections.Document) -> None:
+        self.router.document = document
+        self._request_reconcile()
+
+    def _listed_changed(self) -> None:
+        listed = self.keeper.listed.values()
+        leaving = frozenset(ids.InstanceId(item.instance) for item in listed if item.leaving)
+        members = [document_keeper.listed_member(item) for item in listed]
+        self.peers.membership.add_listed(members, leaving)
+        self._request_reconcile()
+
+    def _view_changed(self, view: groups.GroupView) -> None:
+        if self.router.adopt_view(view):
+            self.peers.spread([_view_record(view)])
+
+    def _view_record(self, record: gossip.Record) -> None:
+        database = ids.DatabaseName(record.key.removeprefix(VIEW_KIND))
+        view = groups.GroupView(
+            database=database,
+            term=ids.Term(record.version),
+            primary=ids.SlotId(record.payload.decode()),
+        )
+        self.router.adopt_view(view)
+        home = self.manager.homes.get(database)
+        if home is not None:
+            home.adopt_view(view)
+
+    def _request_reconcile(self) -> None:
+        self.reconcile_wanted.set()
+
+    async def _reconcile(self) -> None:
+        """Recompute homes, once for all changes that came together."""
+        while True:
+            await self.reconcile_wanted.wait()
+            await asyncio.sleep(RECONCILE_DELAY_S)
+            self.reconcile_wanted.clear()
+            await self.manager.reconcile(
+                self.keeper.document, self.peers.membership.candidates(), self.router.views
+            )
+
+    # What failovers need (backends.failover_driver.FailoverWorld)
+
+    async def primary_reached_by_peers(self, database: ids.DatabaseName, term: ids.Term) -> bool:
+        """Ask the other homes of a group whether one of them reaches the primary."""
+        entry = self.keeper.document.databases.get(database)
+        if entry is None:
+            return False
+        others = {
+            first
+            for slot in entry.slots_by_id
+            for first in self.router.homes_of(entry, slot)[:1]
+            if first != self.own.instance
+        }
+        answers = await asyncio.gather(
+            *(self._ask_reach(other, database, term) for other in others)
+        )
+        return any(answers)
+
+    async def _ask_reach(
+        self, instance: ids.InstanceId, database: ids.DatabaseName, term: ids.Term
+    ) -> bool:
+        member = self.peers.membership.members.get(instance)
+        if member is None:
+            return False
+        request = peers_pb2.ReachabilityRequest(database=database)
+        try:
+            answer = await self.links.get(self.peers.address_of(member)).reachability(
+                request, timeout_s=REACH_TIMEOUT_S
+            )
+        except errors.PeerError:
+            return False
+        return answer.reachable and answer.term >= term
+
+    async def claim_lease(self, database: ids.DatabaseName) -> failover.LeaseAnswer:
+        """Claim a group's failover lease."""
+        return await self.leases.claim(database)
+
+    async def release_lease(self, database: ids.DatabaseName) -> None:
+        """Give a group's failover lease back."""
+        await self.leases.release(database)
+
+    def publish_view(self, view: groups.GroupView) -> None:
+        """Tell peers, and the store when it can be reached."""
+        self._view_changed(view)
+        task = asyncio.create_task(self.leases.publish(view))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    # What peers ask (peers.server.PeerWork)
+
+    async def execute_for_peer(
+        self, request: outcomes.StatementRequest, *, owner: str
+    ) -> outcomes.StatementReply:
+        """Run a statement that a peer forwarded."""
+        return await self.manager.execute(request, owner=owner)
+
+    async def floor_for_peer(
+        self, database: ids.DatabaseName, *, deadline_s: float
+    ) -> positions.Position | None:
+        """Ask a group for an arrival floor on behalf of a peer."""
+        home = self.manager.homes.get(database)
+        if home is None:
+            return None
+        return await home.arrival_floor(deadline_s=time.monotonic() + deadline_s)
+
+    def peer_left(self, owner: str) -> None:
+        """Roll back what a lost peer left open."""
+        self.manager.peer_left(owner)
+
+    def answer_gossip(self, message: peers_pb2.GossipMessage) -> peers_pb2.GossipMessage:
+        """Exchange gossip with a peer."""
+        return self.peers.answer(message)
+
+    async def answer_reachability(
+        self, request: peers_pb2.ReachabilityRequest
+    ) -> peers_pb2.ReachabilityReply:
+        """Tell whether an instance, or a group's primary, is reached from here."""
+        if request.instance:
+            reached = await self.peers.ping(ids.InstanceId(request.instance))
+            return peers_pb2.ReachabilityReply(reachable=reached)
+        home = self.manager.homes.get(ids.DatabaseName(request.database))
+        if home is None:
+            return peers_pb2.ReachabilityReply(reachable=False)
+        silence_s = home.primary_silence_s()
+        return peers_pb2.ReachabilityReply(
+            reachable=silence_s < home.policy.suspicion_s / 2,
+            term=home.tracker.view.term,
+            silence_ms=min(silence_s, 1e6) * 1000.0,
+        )
+
+    def describe(self) -> peers_pb2.StatusReply:
+        """Describe what this instance knows, for operators."""
+        return peers_pb2.StatusReply(
+            instance=self.own.instance,
+            zone=self.own.zone,
+            store_reachable=self.keeper.store_reachable,
+            draining=self.manager.draining,
+            groups=[_group_state(home) for home in self.manager.homes.values()],
+            members=[
+                peers_pb2.MemberState(
+                    instance=member.instance,
+                    zone=member.zone,
+                    state=member.state.name.lower(),
+                    leaving=self.peers.membership.is_leaving(member),
+                    host=member.host,
+                    port=member.port,
+                )
+                for member in self.peers.membership.members.values()
+            ],
+            sections=[
+                peers_pb2.SectionState(name=stored.name, revision=stored.revision)
+                for stored in self.keeper.stored.values()
+            ],
+            views=[codec.encode_view(view) for view in self.router.views.values()],
+        )
+
+    # Life
+
+    def start(self) -> None:
+        """Start the tasks of the instance."""
+        for name, work in (
+            ("gossip", self.peers.run),
+            ("document", self.keeper.run),
+            ("reconcile", self._reconcile),
+        ):
+            self.tasks.append(asyncio.create_task(_kept_running(name, work)))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return bool(self.keeper.document.databases) and not self.manager.draining
+
+    async def drain(self, *, deadline_s: float) -> None:
+        """Announce the leave, let others take the homes over, and finish what is in flight."""
+        events.log(events.Event.DRAINING, instance=self.own.instance)
+        self.peers.membership.announce_leaving()
+        self.peers._push_now()
+        await asyncio.sleep(LEAVE_SPREAD_S)
+        self.manager.draining = True
+        while not self.manager.is_idle and time.monotonic() < deadline_s:
+            await asyncio.sleep(IDLE_CHECK_S)
+
+    async def close(self) -> None:
+        """Stop the tasks and close every connection."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.manager.close()
+        await self.links.close()
+        self.store.close()
+
+
+async def _kept_running(
+    name: str, work: collections.abc.Callable[[], collections.abc.Coroutine]
+) -> None:
+    """Run a task again after a defect, so that one fault does not stop the instance."""
+    while True:
+        try:
+            await work()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            events.log(events.Event.TASK_FAILED, task=name, error=repr(error))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.sleep(RESTART_DELAY_S)
+
+
+def _seeds(config: settings.Settings) -> list[membership.Member]:
+    return [
+        document_keeper.listed_member(
+            document_keeper.ListedInstance(
+                instance=seed.instance,
+                zone=seed.zone,
+                region=seed.region,
+                host=str(seed.host),
+                port=seed.port,
+            )
+        )
+        for seed in config.seeds
+        if seed.instance != config.instance
+    ]
+
+
+def _view_record(view: groups.GroupView) -> gossip.Record:
+    return gossip.Record(
+        key=f"{VIEW_KIND}{view.database}",
+        version=view.term,
+        payload=(view.primary or "").encode(),
+    )
+
+
+def _group_state(home: home_manager.group_home.GroupHome) -> peers_pb2.GroupState:
+    now_s = time.monotonic()
+    view = home.tracker.view
+    return peers_pb2.GroupState(
+        database=home.database,
+        term=view.term,
+        primary=view.primary or "",
+        connections=home.connections_held,
+        slots=[
+            peers_pb2.SlotState(
+                slot=slot,
+                role=observation.status.role.value,
+                promised=observation.status.promised,
+                log_end=codec.encode_position(observation.status.log_end),
+                applied=codec.encode_position(observation.status.applied),
+                heard_ago_ms=(now_s - observation.heard_s) * 1000.0,
+            )
+            for slot, observation in sorted(home.tracker.observations.items())
+        ],
+    )
--- /dev/null
+++ b/src/mustardswitch/instance/router.py
@@ -0,0 +1,428 @@
+"""Takes one statement from a session to a slot that answers it, within its deadline."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import random
+import time
+
+from mustardswitch import metrics
+from mustardswitch.document import models, sections
+from mustardswitch.instance import directory, home_manager
+from mustardswitch.internal import groups, ids, membership, outcomes, positions, retries, routing
+from mustardswitch.peers import client, errors
+
+AVOID_S = 1.0
+HOMES_TRIED = 2
+VIEW_WAIT_S = 0.1
+LOCAL_OWNER = "local"
+
+_RETRIED = frozenset(
+    {
+        outcomes.Reason.BEHIND,
+        outcomes.Reason.NOT_PRIMARY,
+        outcomes.Reason.UNREACHABLE,
+        outcomes.Reason.DISCONNECTED,
+        outcomes.Reason.LEAVING,
+        outcomes.Reason.UNCONFIRMED,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryStatement:
+    """A statement as a session sends it; the deadline is on this instance's clock."""
+
+    database: ids.DatabaseName
+    sql: str
+    kind: outcomes.StatementKind
+    deadline_s: float
+    floor: positions.Position | None = None
+    max_age_s: float | None = None
+    request_id: ids.RequestId | None = None
+    transaction: ids.TransactionId | None = None
+    caller: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TransactionHome:
+    """Where a transaction runs: the instance, its link's generation, and the slot."""
+
+    instance: ids.InstanceId
+    generation: int
+    slot: ids.SlotId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Opened:
+    """The reply to BEGIN and where the transaction runs."""
+
+    reply: outcomes.StatementReply
+    home: TransactionHome | None
+
+
+class Router:
+    """Chooses slots and homes, forwards statements and retries what was not run."""
+
+    def __init__(
+        self,
+        *,
+        own: membership.Member,
+        manager: home_manager.HomeManager,
+        peers: directory.Directory,
+        links: client.PeerLinks,
+        source: random.Random,
+        registry: metrics.Registry,
+    ) -> None:
+        self.own = own
+        self.manager = manager
+        self.peers = peers
+        self.links = links
+        self.source = source
+        self.registry = registry
+        self.document = sections.Document(sections={})
+        self.views: dict[ids.DatabaseName, groups.GroupView] = {}
+        self.view_changed: collections.defaultdict[ids.DatabaseName, asyncio.Event] = (
+            collections.defaultdict(asyncio.Event)
+        )
+        self.avoided_until_s: dict[ids.InstanceId, float] = {}
+        self.slots_avoided_until_s: dict[ids.SlotId, float] = {}
+        self.budget = retries.RetryBudget()
+        self.floor_questions: dict[ids.DatabaseName, _FloorQuestion] = {}
+
+    def adopt_view(self, view: groups.GroupView | None) -> bool:
+        """Take over who leads a group, if the term is newer."""
+        if view is None or view.primary is None:
+            return False
+        known = self.views.get(view.database)
+        if known is not None and known.term >= view.term:
+            return False
+        self.views[view.database] = view
+        self.view_changed.pop(view.database, asyncio.Event()).set()
+        return True
+
+    def _places(self, entry: sections.DatabaseEntry) -> list[routing.SlotPlace]:
+        regions = self.document.region_by_zone
+        return [
+            routing.SlotPlace(
+                slot=slot,
+                zone=ids.ZoneName(place.zone),
+                region=regions.get(ids.ZoneName(place.zone), ids.RegionName("")),
+                leaving=place.leaving,
+            )
+            for slot, place in entry.slots_by_id.items()
+        ]
+
+    async def execute(self, statement: EntryStatement) -> outcomes.StatementReply:
+        """Run a statement outside a transaction."""
+        entry = self.document.databases.get(statement.database)
+        if entry is None:
+            return _unknown_database(statement.database)
+        attempt = _Attempt(router=self, statement=statement, entry=entry)
+        return await attempt.run()
+
+    async def begin(self, statement: EntryStatement) -> Opened:
+        """Open a transaction and tell where it runs."""
+        entry = self.document.databases.get(statement.database)
+        if entry is None:
+            return Opened(reply=_unknown_database(statement.database), home=None)
+        attempt = _Attempt(router=self, statement=statement, entry=entry)
+        reply = await attempt.run()
+        return Opened(reply=reply, home=attempt.answered_by)
+
+    async def execute_in(
+        self, home: TransactionHome, statement: EntryStatement
+    ) -> outcomes.StatementReply:
+        """Run a statement of an open transaction at the transaction's home, without retries."""
+        request = self.request(statement, home.slot)
+        if home.instance == self.own.instance:
+            return await self.manager.execute(request, owner=LOCAL_OWNER)
+        member = self.peers.membership.members.get(home.instance)
+        if member is None:
+            return _transaction_lost("its home is gone")
+        link = self.links.get(self.peers.address_of(member))
+        if link.generation != home.generation or link.task is None or link.task.done():
+            return _transaction_lost("the connection to its home broke")
+        try:
+            return await link.execute(request)
+        except errors.PeerBrokenError as error:
+            if statement.kind is outcomes.StatementKind.COMMIT:
+                return outcomes.unknown(outcomes.Reason.DISCONNECTED, str(error))
+            return _transaction_lost(str(error))
+        except errors.PeerError as error:
+            return _transaction_lost(str(error))
+
+    def request(self, statement: EntryStatement, slot: ids.SlotId) -> outcomes.StatementRequest:
+        """Address a statement to one slot."""
+        return outcomes.StatementRequest(
+            database=statement.database,
+            slot=slot,
+            sql=statement.sql,
+            kind=statement.kind,
+            deadline_s=max(0.001, statement.deadline_s - time.monotonic()),
+            floor=statement.floor,
+            max_age_s=statement.max_age_s,
+            request_id=statement.request_id,
+            transaction=statement.transaction,
+            stale_listing=statement.max_age_s is not None,
+            caller=statement.caller,
+        )
+
+    def homes_of(self, entry: sections.DatabaseEntry, slot: ids.SlotId) -> list[ids.InstanceId]:
+        """Order the homes of a slot, those that failed just now last."""
+        candidates = self.peers.membership.candidates()
+        ranked = home_manager.homes_for(self.document, entry, slot, candidates)
+        now_s = time.monotonic()
+        return sorted(
+            ranked[: HOMES_TRIED + 1],
+            key=lambda instance: self.avoided_until_s.get(instance, 0.0) > now_s,
+        )
+
+    async def arrival_floor(
+        self, database: ids.DatabaseName, *, deadline_s: float
+    ) -> positions.Position | None:
+        """Ask a group for the floor of a session that arrived without a token.
+
+        Sessions of one database that arrive while a question is waiting to be sent share it.
+        """
+        question = self.floor_questions.get(database)
+        if question is None or question.sent:
+            question = _FloorQuestion(router=self, database=database, deadline_s=deadline_s)
+            self.floor_questions[database] = question
+        return await question.answer()
+
+    async def ask_floor(
+        self, database: ids.DatabaseName, *, deadline_s: float
+    ) -> positions.Position | None:
+        """Ask the homes of the group in turn."""
+        entry = self.document.databases.get(database)
+        if entry is None:
+            return None
+        question = routing.RoutingQuestion(
+            kind=outcomes.StatementKind.READ,
+            zone=self.own.zone,
+            region=self.own.region,
+            primary=None,
+            prefer_replicas=False,
+        )
+        while True:
+            for slot in routing.candidate_slots(self._places(entry), question):
+                floor = await self._floor_from(entry, slot, database, deadline_s)
+                if floor is not None:
+                    return floor
+            if time.monotonic() >= deadline_s:
+                return None
+            await asyncio.sleep(VIEW_WAIT_S)
+
+    async def _floor_from(
+        self,
+        entry: sections.DatabaseEntry,
+        slot: ids.SlotId,
+        database: ids.DatabaseName,
+        deadline_s: float,
+    ) -> positions.Position | None:
+        for instance in self.homes_of(entry, slot)[:1]:
+            limit_s = min(deadline_s, time.monotonic() + 0.5)
+            if instance == self.own.instance:
+                home = self.manager.homes.get(database)
+                if home is not None:
+                    return await home.arrival_floor(deadline_s=limit_s)
+                continue
+            member = self.peers.membership.members[instance]
+            link = self.links.get(self.peers.address_of(member))
+            try:
+                return await link.floor(database, deadline_s=limit_s - time.monotonic())
+            except errors.PeerError as error:
+                self.note_peer_failure(instance, error)
+        return None
+
+    def unreachable_slots(self) -> frozenset[ids.SlotId]:
+        """Return the slots that were out of reach a moment ago."""
+        now_s = time.monotonic()
+        return frozenset(
+            slot for slot, until_s in self.slots_avoided_until_s.items() if until_s > now_s
+        )
+
+    def note_peer_failure(self, instance: ids.InstanceId, error: errors.PeerError) -> None:
+        """Avoid a peer for a while; one whose process is gone is declared dead."""
+        self.avoided_until_s[instance] = time.monotonic() + AVOID_S
+        if isinstance(error, errors.PeerRefusedError):
+            self.peers.note_refused(instance)
+
+
+class _FloorQuestion:
+    """One question for an arrival floor, shared by the sessions that wait for it."""
+
+    def __init__(self, *, router: Router, database: ids.DatabaseName, deadline_s: float) -> None:
+        self.router = router
+        self.database = database
+        self.deadline_s = deadline_s
+        self.sent = False
+        self.task: asyncio.Task[positions.Position | None] | None = None
+
+    async def answer(self) -> positions.Position | None:
+        """Wait for the shared answer."""
+        if self.task is None:
+            self.task = asyncio.create_task(self._ask())
+        return await asyncio.shield(self.task)
+
+    async def _ask(self) -> positions.Position | None:
+        await asyncio.sleep(0)
+        self.sent = True
+        return await self.router.ask_floor(self.database, deadline_s=self.deadline_s)
+
+
+class _Attempt:
+    """The tries of one statement outside a transaction."""
+
+    def __init__(
+        self, *, router: Router, statement: EntryStatement, entry: sections.DatabaseEntry
+    ) -> None:
+        self.router = router
+        self.statement = statement
+        self.entry = entry
+        self.refused: set[ids.SlotId] = set()
+        self.answered_by: TransactionHome | None = None
+        self.may_have_run = False
+        """Whether the outcome of an earlier try is not known."""
+        self.backoff = retries.Backoff(deadline_s=statement.deadline_s, source=router.source)
+
+    async def run(self) -> outcomes.StatementReply:
+        """Offer the statement to one slot after another until it ran or must not be repeated."""
+        reply = await self._try_in_turn()
+        if reply.outcome is outcomes.Outcome.UNKNOWN and self._only_reads:
+            return dataclasses.replace(reply, outcome=outcomes.Outcome.NOT_RUN)
+        if reply.outcome is outcomes.Outcome.NOT_RUN and self.may_have_run:
+            return dataclasses.replace(reply, outcome=outcomes.Outcome.UNKNOWN)
+        return reply
+
+    @property
+    def _only_reads(self) -> bool:
+        return self.statement.kind is outcomes.StatementKind.READ
+
+    async def _try_in_turn(self) -> outcomes.StatementReply:
+        self.router.budget.record_first_try()
+        reply = outcomes.not_run(outcomes.Reason.UNREACHABLE, "no slot may take it")
+        while True:
+            slots = self._slots()
+            if not slots:
+                if not await self._wait_for_change():
+                    return _out_of_time(reply)
+                self.refused.clear()
+                continue
+            term_before = self._known_term()
+            reply = await self._offer(slots[0])
+            redirected = self._was_redirected(reply, term_before)
+            if reply.outcome is outcomes.Outcome.UNKNOWN and not self._only_reads:
+                self.may_have_run = True
+            if not self._may_repeat(reply):
+                return reply
+            self.refused.add(slots[0])
+            if reply.reason in (outcomes.Reason.UNREACHABLE, outcomes.Reason.DISCONNECTED):
+                self.router.slots_avoided_until_s[slots[0]] = time.monotonic() + AVOID_S
+            if time.monotonic() >= self.statement.deadline_s:
+                return _out_of_time(reply)
+            if redirected:
+                self.refused.clear()
+            elif not self.router.budget.take():
+                return dataclasses.replace(
+                    reply, detail=f"{reply.detail}; the retry budget is spent"
+                )
+
+    def _slots(self) -> list[ids.SlotId]:
+        view = self.router.views.get(self.statement.database)
+        preference = self.entry.policy.read_preference
+        question = routing.RoutingQuestion(
+            kind=self.statement.kind,
+            zone=self.router.own.zone,
+            region=self.router.own.region,
+            primary=view.primary if view else None,
+            prefer_replicas=preference is models.ReadPreference.REPLICAS_IN_REGION,
+            refused=frozenset(self.refused),
+            unreachable=self.router.unreachable_slots(),
+        )
+        return routing.candidate_slots(self.router._places(self.entry), question)
+
+    def _known_term(self) -> ids.Term:
+        view = self.router.views.get(self.statement.database)
+        return view.term if view else ids.Term(0)
+
+    def _was_redirected(self, reply: outcomes.StatementReply, term_before: ids.Term) -> bool:
+        """Tell whether a newer primary became known; the next try is then no plain retry."""
+        self.router.adopt_view(reply.view)
+        return self._known_term() > term_before
+
+    def _may_repeat(self, reply: outcomes.StatementReply) -> bool:
+        if reply.outcome is outcomes.Outcome.RAN:
+            return False
+        if reply.outcome is outcomes.Outcome.UNKNOWN:
+            return self._only_reads or self.statement.request_id is not None
+        return reply.reason in _RETRIED
+
+    async def _wait_for_change(self) -> bool:
+        """Wait for another primary or a moment; false when the deadline comes first."""
+        delay_s = self.backoff.next_delay_s(time.monotonic())
+        if delay_s is None:
+            return False
+        changed = self.router.view_changed[self.statement.database]
+        try:
+            async with asyncio.timeout(delay_s):
+                await changed.wait()
+        except TimeoutError:
+            return True
+        return True
+
+    async def _offer(self, slot: ids.SlotId) -> outcomes.StatementReply:
+        """Offer the statement to the homes of one slot."""
+        reply = outcomes.not_run(outcomes.Reason.UNREACHABLE, f"no instance can serve slot {slot}")
+        for instance in self.router.homes_of(self.entry, slot)[:HOMES_TRIED]:
+            reply = await self._send(instance, slot)
+            unreachable = reply.outcome is outcomes.Outcome.NOT_RUN and reply.reason in (
+                outcomes.Reason.UNREACHABLE,
+                outcomes.Reason.LEAVING,
+            )
+            if not unreachable:
+                return reply
+        return reply
+
+    async def _send(self, instance: ids.InstanceId, slot: ids.SlotId) -> outcomes.StatementReply:
+        router = self.router
+        request = router.request(self.statement, slot)
+        if instance == router.own.instance:
+            self.answered_by = TransactionHome(instance=instance, generation=0, slot=slot)
+            return await router.manager.execute(request, owner=LOCAL_OWNER)
+        member = router.peers.membership.members.get(instance)
+        if member is None:
+            return outcomes.not_run(outcomes.Reason.UNREACHABLE, f"{instance} is gone")
+        link = router.links.get(router.peers.address_of(member))
+        router.registry.count("forwarded_statements")
+        try:
+            reply = await link.execute(request)
+        except errors.PeerBrokenError as error:
+            router.note_peer_failure(instance, error)
+            return outcomes.unknown(outcomes.Reason.DISCONNECTED, str(error))
+        except errors.PeerError as error:
+            router.note_peer_failure(instance, error)
+            return outcomes.not_run(outcomes.Reason.UNREACHABLE, str(error))
+        self.answered_by = TransactionHome(instance=instance, generation=link.generation, slot=slot)
+        return reply
+
+
+def _out_of_time(reply: outcomes.StatementReply) -> outcomes.StatementReply:
+    return dataclasses.replace(
+        reply, detail=f"deadline passed; last: {reply.reason.value}: {reply.detail}"
+    )
+
+
+def _unknown_database(database: ids.DatabaseName) -> outcomes.StatementReply:
+    return outcomes.not_run(
+        outcomes.Reason.REFUSED,
+        f"database {database!r} is not in the document; name one that is",
+    )
+
+
+def _transaction_lost(why: str) -> outcomes.StatementReply:
+    return outcomes.not_run(
+        outcomes.Reason.TRANSACTION_LOST, f"the transaction was rolled back: {why}"
+    )
--- /dev/null
+++ b/src/mustardswitch/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without sockets, clocks or random sources of their own."""
--- /dev/null
+++ b/src/mustardswitch/internal/ids.py
@@ -0,0 +1,15 @@
+"""Identifiers that the whole system shares."""
+
+import typing
+
+InstanceId = typing.NewType("InstanceId", str)
+ZoneName = typing.NewType("ZoneName", str)
+RegionName = typing.NewType("RegionName", str)
+ServiceName = typing.NewType("ServiceName", str)
+DatabaseName = typing.NewType("DatabaseName", str)
+SlotId = typing.NewType("SlotId", str)
+SectionName = typing.NewType("SectionName", str)
+RequestId = typing.NewType("RequestId", str)
+TransactionId = typing.NewType("TransactionId", str)
+Term = typing.NewType("Term", int)
+Offset = typing.NewType("Offset", int)
--- /dev/null
+++ b/src/mustardswitch/internal/membership.py
@@ -0,0 +1,268 @@
+"""Which instances exist, are reachable, or leave: the platform's list joined with gossip.
+
+Suspicion and incarnation numbers follow SWIM (Das, Gupta and Motivala, 2002). Pings stay inside
+an availability zone; a few bridges, chosen by rendezvous hashing, exchange gossip between zones,
+and fewer between regions, so that the bytes per instance do not grow with the fleet.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+
+import pydantic
+
+from mustardswitch.internal import gossip, homes, ids
+
+SUSPICION_S = 1.5
+FORGET_DEAD_S = 3600.0
+BRIDGES_PER_ZONE = 2
+REVIVAL_CHANCE = 0.2
+STATE_COUNT = 4
+MEMBER_KIND = "member/"
+EAGER_FANOUT = 3
+
+
+class MemberState(enum.Enum):
+    """What the fleet believes of an instance."""
+
+    ALIVE = 0
+    """It answers, or says so itself."""
+    SUSPECT = 1
+    """A peer could not reach it, directly or through others."""
+    DEAD = 2
+    """It stayed suspect and did not object."""
+
+
+class MemberRecord(pydantic.BaseModel):
+    """The gossiped form of a member."""
+
+    instance: str
+    zone: str
+    region: str
+    host: str
+    port: int
+    state: int
+    leaving: bool = False
+    incarnation: int
+    since_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """One instance."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneName
+    region: ids.RegionName
+    host: str
+    port: int
+    state: MemberState
+    leaving: bool
+    incarnation: int
+    since_ms: int = 0
+
+    @property
+    def version(self) -> int:
+        """Order of records: a later incarnation, then a worse state, goes first."""
+        return self.incarnation * STATE_COUNT + self.state.value
+
+
+def encode_member(member: Member) -> gossip.Record:
+    """Write a member as a record."""
+    body = MemberRecord(
+        instance=member.instance,
+        zone=member.zone,
+        region=member.region,
+        host=member.host,
+        port=member.port,
+        state=member.state.value,
+        leaving=member.leaving,
+        incarnation=member.incarnation,
+        since_ms=member.since_ms,
+    )
+    return gossip.Record(
+        key=f"{MEMBER_KIND}{member.instance}",
+        version=member.version,
+        payload=body.model_dump_json().encode(),
+    )
+
+
+def decode_member(record: gossip.Record) -> Member:
+    """Read a member from a record."""
+    body = MemberRecord.model_validate_json(record.payload)
+    return Member(
+        instance=ids.InstanceId(body.instance),
+        zone=ids.ZoneName(body.zone),
+        region=ids.RegionName(body.region),
+        host=body.host,
+        port=body.port,
+        state=MemberState(body.state),
+        leaving=body.leaving,
+        incarnation=body.incarnation,
+        since_ms=body.since_ms,
+    )
+
+
+class Membership:
+    """The members that one instance knows, and whom it talks to next."""
+
+    def __init__(self, *, own: Member, table: gossip.RecordTable, source: random.Random) -> None:
+        self.own = own
+        self.table = table
+        self.source = source
+        self.members: dict[ids.InstanceId, Member] = {}
+        self.suspected_at_s: dict[ids.InstanceId, float] = {}
+        self.listed_leaving: frozenset[ids.InstanceId] = frozenset()
+        self._keep(own)
+
+    @property
+    def fleet_size(self) -> int:
+        """How many instances are known and not dead."""
+        return sum(member.state is not MemberState.DEAD for member in self.members.values())
+
+    def _keep(self, member: Member) -> None:
+        self.members[member.instance] = member
+        self.table.put(encode_member(member), fleet_size=max(1, len(self.members)))
+
+    def apply_record(self, record: gossip.Record, *, now_s: float) -> None:
+        """Take over a member record that was newer than the known one."""
+        member = decode_member(record)
+        if member.instance == self.own.instance:
+            self._object(member)
+            return
+        self.members[member.instance] = member
+        if member.state is MemberState.SUSPECT:
+            self.suspected_at_s.setdefault(member.instance, now_s)
+        else:
+            self.suspected_at_s.pop(member.instance, None)
+
+    def _object(self, claimed: Member) -> None:
+        """Contradict a claim about this instance by a later incarnation."""
+        self.own = dataclasses.replace(
+            self.own, incarnation=max(self.own.incarnation, claimed.incarnation) + 1
+        )
+        self._keep(self.own)
+
+    def announce_leaving(self) -> None:
+        """Tell the fleet that this instance takes no new work."""
+        self.own = dataclasses.replace(self.own, leaving=True, incarnation=self.own.incarnation + 1)
+        self._keep(self.own)
+
+    def add_listed(
+        self, listed: collections.abc.Iterable[Member], leaving: frozenset[ids.InstanceId]
+    ) -> None:
+        """Join the platform's list: unknown instances become known, leaving ones marked.
+
+        The list lags, so it never declares anybody dead.
+        """
+        self.listed_leaving = leaving
+        for member in listed:
+            if member.instance not in self.members:
+                self.members[member.instance] = member
+
+    def is_leaving(self, member: Member) -> bool:
+        """Tell whether an instance takes no new work, by its own word or the platform's."""
+        return member.leaving or member.instance in self.listed_leaving
+
+    def heard(self, instance: ids.InstanceId) -> None:
+        """Note that an instance answered."""
+        self.suspected_at_s.pop(instance, None)
+
+    def ping_failed(self, instance: ids.InstanceId, *, now_s: float, now_ms: int) -> None:
+        """Suspect an instance that answered neither directly nor through others."""
+        member = self.members.get(instance)
+        if member is None or member.state is not MemberState.ALIVE:
+            return
+        self.suspected_at_s[instance] = now_s
+        self._keep(dataclasses.replace(member, state=MemberState.SUSPECT, since_ms=now_ms))
+
+    def expire_suspicions(self, *, now_s: float, now_ms: int) -> list[ids.InstanceId]:
+        """Declare members dead that stayed suspect; return them."""
+        due = [
+            instance
+            for instance, since_s in self.suspected_at_s.items()
+            if now_s - since_s >= SUSPICION_S
+        ]
+        for instance in due:
+            self.declare_dead(instance, now_ms=now_ms)
+        return due
+
+    def declare_dead(self, instance: ids.InstanceId, *, now_ms: int) -> None:
+        """Tell the fleet that an instance is gone."""
+        self.suspected_at_s.pop(instance, None)
+        member = self.members[instance]
+        self._keep(dataclasses.replace(member, state=MemberState.DEAD, since_ms=now_ms))
+
+    def forget_dead(self, *, now_ms: int) -> None:
+        """Drop members that died long ago."""
+        limit_ms = now_ms - int(FORGET_DEAD_S * 1000)
+        for member in list(self.members.values()):
+            if member.state is MemberState.DEAD and member.since_ms < limit_ms:
+                del self.members[member.instance]
+                self.table.remove(f"{MEMBER_KIND}{member.instance}")
+
+    def candidates(self) -> list[homes.Candidate]:
+        """Return the instances that may be homes."""
+        return [
+            homes.Candidate(instance=member.instance, zone=member.zone, region=member.region)
+            for member in self.members.values()
+            if member.state is not MemberState.DEAD
+            and member.incarnation > 0
+            and not self.is_leaving(member)
+        ]
+
+    def _others(self, *, dead: bool) -> list[Member]:
+        return [
+            member
+            for member in self.members.values()
+            if member.instance != self.own.instance and (member.state is MemberState.DEAD) == dead
+        ]
+
+    def choose_partners(self) -> list[Member]:
+        """Choose whom to exchange gossip with in this period."""
+        others = self._others(dead=False)
+        partners = self._sample([member for member in others if self._in_zone(member)], 1)
+        partners += self._sample(self._bridged(others), 1)
+        dead = self._others(dead=True)
+        if dead and self.source.random() < REVIVAL_CHANCE:
+            partners += self._sample(dead, 1)
+        return partners or self._sample(others, 1)
+
+    def choose_eager(self) -> list[Member]:
+        """Choose whom to pass an urgent record to at once."""
+        others = self._others(dead=False)
+        near = [member for member in others if self._in_zone(member)]
+        bridged = self._bridged(others)
+        by_zone = {member.zone: member for member in self._sample(bridged, len(bridged))}
+        return [*self._sample(near, EAGER_FANOUT), *by_zone.values()]
+
+    def _in_zone(self, member: Member) -> bool:
+        return member.zone == self.own.zone
+
+    def _bridged(self, others: list[Member]) -> list[Member]:
+        """Return the members of other zones for which this instance is a bridge."""
+        near = [member for member in [self.own, *others] if self._in_zone(member)]
+        bridged = []
+        for zone in sorted({member.zone for member in others if not self._in_zone(member)}):
+            ranked = homes.ranked(
+                [
+                    homes.Candidate(
+                        instance=member.instance, zone=member.zone, region=member.region
+                    )
+                    for member in near
+                ],
+                f"bridge|{zone}",
+            )
+            if self.own.instance in ranked[:BRIDGES_PER_ZONE]:
+                bridged += [member for member in others if member.zone == zone]
+        return bridged
+
+    def helpers_for(self, instance: ids.InstanceId, count: int) -> list[Member]:
+        """Choose members to ask for an indirect ping."""
+        others = [member for member in self._others(dead=False) if member.instance != instance]
+        return self._sample(others, count)
+
+    def _sample(self, members: list[Member], count: int) -> list[Member]:
+        ordered = sorted(members, key=lambda member: member.instance)
+        return self.source.sample(ordered, min(count, len(ordered)))
--- /dev/null
+++ b/src/mustardswitch/internal/positions.py
@@ -0,0 +1,81 @@
+"""Log positions of a database group and the session floors made of them.
+
+A position is the term and offset of a log entry. Terms order first, as in the election rule of
+Raft (Ongaro and Ousterhout, 2014, section 5.4.1): a log whose last entry has a higher term holds
+every entry that a majority held under a lower one.
+"""
+
+import collections.abc
+import dataclasses
+import functools
+
+from mustardswitch.internal import errors, ids
+
+
+@functools.total_ordering
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Position:
+    """The place of one entry in the log of a database group."""
+
+    term: ids.Term
+    offset: ids.Offset
+
+    def __lt__(self, other: "Position") -> bool:
+        return (self.term, self.offset) < (other.term, other.offset)
+
+    def __str__(self) -> str:
+        return f"{self.term}:{self.offset}"
+
+
+ORIGIN = Position(term=ids.Term(0), offset=ids.Offset(0))
+
+
+def parse_position(text: str) -> Position:
+    """Read a position written as ``term:offset``."""
+    term, separator, offset = text.partition(":")
+    if not separator or not term.isdigit() or not offset.isdigit():
+        raise errors.InvalidPositionError(
+            f"position {text!r} is not term:offset; give two whole numbers such as 3:120"
+        )
+    return Position(term=ids.Term(int(term)), offset=ids.Offset(int(offset)))
+
+
+def majority_size(slot_count: int) -> int:
+    """Return how many of ``slot_count`` slots make a majority."""
+    return slot_count // 2 + 1
+
+
+def arrival_floor(
+    reported: collections.abc.Sequence[Position], *, slot_count: int
+) -> Position | None:
+    """Return the lowest floor that covers every write acknowledged before the slots were asked.
+
+    An acknowledged write is on a majority, so of ``r`` reports at least ``r + majority - n`` come
+    from slots that hold it; the report of that rank is therefore at or past the write. None means
+    that fewer than a majority reported.
+    """
+    needed = majority_size(slot_count)
+    if len(reported) < needed:
+        return None
+    rank = len(reported) + needed - slot_count
+    return sorted(reported, reverse=True)[rank - 1]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Floors:
+    """The lowest position per database at which a session may read."""
+
+    by_database: collections.abc.Mapping[ids.DatabaseName, Position] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def get(self, database: ids.DatabaseName) -> Position | None:
+        """Return the floor of a database, or None when the session never touched it."""
+        return self.by_database.get(database)
+
+    def raised(self, database: ids.DatabaseName, position: Position) -> "Floors":
+        """Return floors that also cover ``position``; a floor is never lowered."""
+        known = self.by_database.get(database)
+        if known is not None and known >= position:
+            return self
+        return Floors(by_database={**self.by_database, database: position})
--- /dev/null
+++ b/src/mustardswitch/internal/routing.py
@@ -0,0 +1,85 @@
+"""Chooses the slots that a statement is offered to, in order."""
+
+import collections.abc
+import dataclasses
+
+from mustardswitch.internal import ids, outcomes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SlotPlace:
+    """Where a slot is, and whether it takes new work."""
+
+    slot: ids.SlotId
+    zone: ids.ZoneName
+    region: ids.RegionName
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingQuestion:
+    """What the choice depends on."""
+
+    kind: outcomes.StatementKind
+    zone: ids.ZoneName
+    region: ids.RegionName
+    primary: ids.SlotId | None
+    prefer_replicas: bool
+    refused: frozenset[ids.SlotId] = frozenset()
+    """Slots that already refused this statement."""
+    unreachable: frozenset[ids.SlotId] = frozenset()
+    """Slots that were out of reach a moment ago; they are asked last."""
+
+
+def candidate_slots(
+    slots: collections.abc.Sequence[SlotPlace], question: RoutingQuestion
+) -> list[ids.SlotId]:
+    """Order the slots for a statement; an empty answer means none may take it."""
+    if question.kind is not outcomes.StatementKind.READ:
+        return _write_candidates(slots, question)
+    return _read_candidates(slots, question)
+
+
+def _write_candidates(
+    slots: collections.abc.Sequence[SlotPlace], question: RoutingQuestion
+) -> list[ids.SlotId]:
+    if question.primary is not None and question.primary not in question.refused:
+        return [question.primary]
+    others = [place.slot for place in slots if place.slot not in question.refused]
+    return others
+
+
+def _read_candidates(
+    slots: collections.abc.Sequence[SlotPlace], question: RoutingQuestion
+) -> list[ids.SlotId]:
+    usable = [
+        place
+        for place in slots
+        if place.slot not in question.refused
+        and (not place.leaving or place.slot == question.primary)
+    ]
+
+    def cost(place: SlotPlace) -> "_ReadCost":
+        is_primary = place.slot == question.primary
+        return _ReadCost(
+            unreachable=place.slot in question.unreachable,
+            other_region=place.region != question.region,
+            avoid_primary=is_primary and question.prefer_replicas,
+            other_zone=place.zone != question.zone,
+            leaving=place.leaving,
+            slot=place.slot,
+        )
+
+    return [place.slot for place in sorted(usable, key=cost)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class _ReadCost:
+    """Reads stay in the region first: the link between regions is slow and paid by volume."""
+
+    unreachable: bool
+    other_region: bool
+    avoid_primary: bool
+    other_zone: bool
+    leaving: bool
+    slot: ids.SlotId
--- /dev/null
+++ b/src/mustardswitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards operators, who edit the document."""
--- /dev/null
+++ b/src/mustardswitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The edge between the instances of this system."""
--- /dev/null
+++ b/src/mustardswitch/peers/client.py
@@ -0,0 +1,221 @@
+"""Links to other instances: one batched stream per peer for statements, calls for gossip."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import ssl
+import time
+
+import grpclib
+import grpclib.client
+import grpclib.exceptions
+
+from mustardswitch.internal import ids, outcomes, positions
+from mustardswitch.peers import codec, errors, peers_grpc, peers_pb2
+
+CONNECT_TIMEOUT_S = 0.5
+GOSSIP_TIMEOUT_S = 0.5
+ANSWER_GRACE_S = 0.25
+INSTANCE_METADATA = "instance"
+COMPRESS_METADATA = "compress"
+
+_TRANSPORT_ERRORS = (
+    OSError,
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAddress:
+    """Where a peer listens, and whether the way there is paid by volume."""
+
+    instance: ids.InstanceId
+    host: str
+    port: int
+    other_region: bool
+
+
+class PeerLink:
+    """Owns the connection to one peer."""
+
+    def __init__(
+        self, *, address: PeerAddress, own: ids.InstanceId, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self.address = address
+        self.own = own
+        self.channel = grpclib.client.Channel(address.host, address.port, ssl=tls)
+        self.stub = peers_grpc.PeersStub(self.channel)
+        self.numbers = itertools.count(1)
+        self.queue: asyncio.Queue[peers_pb2.Request] = asyncio.Queue()
+        self.waiting: dict[int, asyncio.Future[peers_pb2.Reply]] = {}
+        self.unsent: set[int] = set()
+        self.task: asyncio.Task[None] | None = None
+        self.generation = 0
+
+    def __repr__(self) -> str:
+        return f"PeerLink(address={self.address!r}, own={self.own!r})"
+
+    async def execute(self, request: outcomes.StatementRequest) -> outcomes.StatementReply:
+        """Forward a statement; PeerUnreachableError means that it was not sent."""
+        body = peers_pb2.Request(statement=codec.encode_request(request))
+        reply = await self._ask(body, request.deadline_s + ANSWER_GRACE_S)
+        return codec.decode_reply(reply.statement)
+
+    async def floor(
+        self, database: ids.DatabaseName, *, deadline_s: float
+    ) -> positions.Position | None:
+        """Ask a home for the floor of a session that has just arrived."""
+        question = peers_pb2.FloorRequest(database=database, deadline_s=deadline_s)
+        reply = await self._ask(peers_pb2.Request(floor=question), deadline_s)
+        if not reply.floor.HasField("floor"):
+            return None
+        return codec.decode_position(reply.floor.floor)
+
+    async def _ask(self, request: peers_pb2.Request, timeout_s: float) -> peers_pb2.Reply:
+        self._ensure_running()
+        number = next(self.numbers)
+        request.id = number
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        self.unsent.add(number)
+        self.queue.put_nowait(request)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            if number in self.unsent:
+                raise errors.PeerUnreachableError(
+                    f"{self.address.instance} could not be reached in time"
+                ) from error
+            raise errors.PeerBrokenError(f"{self.address.instance} did not answer") from error
+        finally:
+            self.waiting.pop(number, None)
+            self.unsent.discard(number)
+
+    def _ensure_running(self) -> None:
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        """Open the stream and pump requests and replies until it breaks."""
+        self.generation += 1
+        metadata = {INSTANCE_METADATA: self.own}
+        if self.address.other_region:
+            metadata[COMPRESS_METADATA] = "1"
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self.channel.__connect__()
+            async with self.stub.Exchange.open(metadata=metadata) as stream:
+                await stream.send_request()
+                async with asyncio.TaskGroup() as tasks:
+                    sender = tasks.create_task(self._send(stream))
+                    tasks.create_task(self._receive(stream, sender))
+        except* (*_TRANSPORT_ERRORS, TimeoutError) as failures:
+            self._fail(_first(failures))
+        else:
+            self._fail(ConnectionError("the peer ended the stream"))
+
+    async def _send(self, stream: grpclib.client.Stream) -> None:
+        while True:
+            request = await self.queue.get()
+            batch = [request]
+            while not self.queue.empty():
+                batch.append(self.queue.get_nowait())
+            live = [request for request in batch if request.id in self.waiting]
+            if not live:
+                continue
+            for request in live:
+                self.unsent.discard(request.id)
+            await stream.send_message(codec.pack_requests(live, compress=self.address.other_region))
+
+    async def _receive(self, stream: grpclib.client.Stream, sender: asyncio.Task) -> None:
+        async for batch in stream:
+            for reply in codec.unpack_replies(batch):
+                future = self.waiting.get(reply.id)
+                if future is not None and not future.done():
+                    future.set_result(reply)
+        raise ConnectionError("the peer ended the stream")
+
+    def _fail(self, cause: BaseException) -> None:
+        refused = isinstance(cause, ConnectionRefusedError)
+        for number, future in list(self.waiting.items()):
+            if future.done():
+                continue
+            if number not in self.unsent:
+                future.set_exception(errors.PeerBrokenError(str(cause)))
+            elif refused:
+                future.set_exception(errors.PeerRefusedError(str(cause)))
+            else:
+                future.set_exception(errors.PeerUnreachableError(str(cause)))
+        while not self.queue.empty():
+            self.queue.get_nowait()
+
+    async def gossip(self, message: peers_pb2.GossipMessage) -> peers_pb2.GossipMessage:
+        """Exchange gossip."""
+        return await self._call(self.stub.Gossip, message, GOSSIP_TIMEOUT_S)
+
+    async def reachability(
+        self, request: peers_pb2.ReachabilityRequest, *, timeout_s: float
+    ) -> peers_pb2.ReachabilityReply:
+        """Ask whether the peer reaches an instance or the primary of a database."""
+        return await self._call(self.stub.Reachability, request, timeout_s)
+
+    async def _call(
+        self, method: grpclib.client.UnaryUnaryMethod, message: object, timeout_s: float
+    ) -> object:
+        started_s = time.monotonic()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await method(message, metadata={INSTANCE_METADATA: self.own})
+        except ConnectionRefusedError as error:
+            raise errors.PeerRefusedError(str(error)) from error
+        except (*_TRANSPORT_ERRORS, TimeoutError) as error:
+            took_s = time.monotonic() - started_s
+            raise errors.PeerUnreachableError(f"{error!r} after {took_s:.3f} s") from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self.task is not None:
+            self.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.task
+        self.channel.close()
+
+
+def _first(group: BaseExceptionGroup) -> BaseException:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+class PeerLinks:
+    """All links of one instance, opened on first use."""
+
+    def __init__(self, *, own: ids.InstanceId, tls: ssl.SSLContext | None = None) -> None:
+        self.own = own
+        self.tls = tls
+        self.links: dict[ids.InstanceId, PeerLink] = {}
+
+    def get(self, address: PeerAddress) -> PeerLink:
+        """Return the link to a peer; a peer that moved gets a new one."""
+        known = self.links.get(address.instance)
+        if known is not None and known.address == address:
+            return known
+        link = PeerLink(address=address, own=self.own, tls=self.tls)
+        self.links[address.instance] = link
+        return link
+
+    async def forget(self, instance: ids.InstanceId) -> None:
+        """Close the link to a peer that is gone."""
+        link = self.links.pop(instance, None)
+        if link is not None:
+            await link.close()
+
+    async def close(self) -> None:
+        """Close all links."""
+        for instance in list(self.links):
+            await self.forget(instance)
--- /dev/null
+++ b/src/mustardswitch/peers/server.py
@@ -0,0 +1,135 @@
+"""Serves other instances: statements for this instance's slots, gossip and reachability."""
+
+import asyncio
+import itertools
+import typing
+
+import grpclib.server
+
+from mustardswitch.internal import ids, outcomes, positions
+from mustardswitch.peers import client, codec, peers_grpc, peers_pb2
+
+
+class PeerWork(typing.Protocol):
+    """What the server needs from the instance."""
+
+    async def execute_for_peer(
+        self, request: outcomes.StatementRequest, *, owner: str
+    ) -> outcomes.StatementReply:
+        """Run a statement on a slot of this home."""
+
+    async def floor_for_peer(
+        self, database: ids.DatabaseName, *, deadline_s: float
+    ) -> positions.Position | None:
+        """Ask a group for an arrival floor."""
+
+    def peer_left(self, owner: str) -> None:
+        """Roll back what a lost peer left open."""
+
+    def answer_gossip(self, message: peers_pb2.GossipMessage) -> peers_pb2.GossipMessage:
+        """Merge gossip and answer with own."""
+
+    async def answer_reachability(
+        self, request: peers_pb2.ReachabilityRequest
+    ) -> peers_pb2.ReachabilityReply:
+        """Tell whether an instance or a primary is reached from here."""
+
+    def describe(self) -> peers_pb2.StatusReply:
+        """Describe what this instance knows, for operators."""
+
+
+class OperatorService(peers_grpc.OperatorsBase):
+    """Answers operators' questions."""
+
+    def __init__(self, *, work: PeerWork) -> None:
+        self.work = work
+
+    async def Status(self, stream: grpclib.server.Stream) -> None:
+        """Describe the instance."""
+        await stream.recv_message()
+        await stream.send_message(self.work.describe())
+
+
+class PeerService(peers_grpc.PeersBase):
+    """Answers other instances."""
+
+    def __init__(self, *, work: PeerWork) -> None:
+        self.work = work
+        self.streams = itertools.count(1)
+
+    async def Exchange(self, stream: grpclib.server.Stream) -> None:
+        """Run the statements of one peer; replies go back as they are ready."""
+        instance = str(stream.metadata.get(client.INSTANCE_METADATA, "unknown"))
+        compress = client.COMPRESS_METADATA in stream.metadata
+        exchange = _Exchange(
+            work=self.work,
+            stream=stream,
+            owner=f"{instance}#{next(self.streams)}",
+            compress=compress,
+        )
+        await exchange.run()
+
+    async def Gossip(self, stream: grpclib.server.Stream) -> None:
+        """Exchange gossip."""
+        message = await stream.recv_message()
+        await stream.send_message(self.work.answer_gossip(message))
+
+    async def Reachability(self, stream: grpclib.server.Stream) -> None:
+        """Answer whether something is reached from here."""
+        request = await stream.recv_message()
+        await stream.send_message(await self.work.answer_reachability(request))
+
+
+class _Exchange:
+    """One peer's stream: a task per request, one sender that batches replies."""
+
+    def __init__(
+        self,
+        *,
+        work: PeerWork,
+        stream: grpclib.server.Stream,
+        owner: str,
+        compress: bool,
+    ) -> None:
+        self.work = work
+        self.stream = stream
+        self.owner = owner
+        self.compress = compress
+        self.replies: asyncio.Queue[peers_pb2.Reply] = asyncio.Queue()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Serve until the peer leaves; statements in flight end by themselves."""
+        sender = asyncio.create_task(self._send())
+        try:
+            async for batch in self.stream:
+                for request in codec.unpack_requests(batch):
+                    task = asyncio.create_task(self._answer(request))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+        finally:
+            sender.cancel()
+            self.work.peer_left(self.owner)
+
+    async def _answer(self, request: peers_pb2.Request) -> None:
+        reply = peers_pb2.Reply(id=request.id)
+        if request.WhichOneof("body") == "floor":
+            floor = await self.work.floor_for_peer(
+                ids.DatabaseName(request.floor.database), deadline_s=request.floor.deadline_s
+            )
+            reply.floor.SetInParent()
+            if floor is not None:
+                reply.floor.floor.CopyFrom(codec.encode_position(floor))
+        else:
+            answer = await self.work.execute_for_peer(
+                codec.decode_request(request.statement), owner=self.owner
+            )
+            reply.statement.CopyFrom(codec.encode_reply(answer))
+        self.replies.put_nowait(reply)
+
+    async def _send(self) -> None:
+        while True:
+            batch = [await self.replies.get()]
+            while not self.replies.empty():
+                batch.append(self.replies.get_nowait())
+            await self.stream.send_message(codec.pack_replies(batch, compress=self.compress))
--- /dev/null
+++ b/src/mustardswitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards the platform: its key-value store and instance list."""
--- /dev/null
+++ b/src/mustardswitch/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries."""
--- /dev/null
+++ b/src/mustardswitch/programs/mustardswitchd.py
@@ -0,0 +1,136 @@
+"""``mustardswitchd``: an entry instance."""
+
+import asyncio
+import pathlib
+import signal
+import time
+from typing import Annotated
+
+import grpclib.server
+import typer
+
+import mustardswitch
+from mustardswitch import events, settings
+from mustardswitch.callers import server as caller_server
+from mustardswitch.instance import node
+from mustardswitch.peers import server as peer_server
+from mustardswitch.programs import health
+
+EXIT_BAD_SETTINGS = 2
+GAUGE_INTERVAL_S = 1.0
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help="An entry instance of mustardswitch, a database proxy with session consistency.\n\n"
+    "Exit codes: 0 stopped after a drain, 2 unusable settings.",
+)
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"mustardswitchd {mustardswitch.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def _options(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=_show_version, is_eager=True, help="Show the version."),
+    ] = False,
+) -> None:
+    """Take the options that go before a command."""
+
+
+SettingsPath = Annotated[pathlib.Path, typer.Option("--settings", help="YAML settings file.")]
+
+
+def _load(path: pathlib.Path) -> settings.Settings:
+    try:
+        return settings.load_settings(path)
+    except settings.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from error
+
+
+@app.command()
+def check(path: SettingsPath) -> None:
+    """Check a settings file and start nothing."""
+    config = _load(path)
+    typer.echo(f"settings are usable: instance {config.instance} in zone {config.zone}")
+
+
+@app.command()
+def run(path: SettingsPath) -> None:
+    """Serve callers until SIGTERM, then drain and stop."""
+    config = _load(path)
+    with events.stderr_handler().applicationbound():
+        asyncio.run(_Daemon(config=config).run())
+
+
+class _Daemon:
+    """The life of one entry instance."""
+
+    def __init__(self, *, config: settings.Settings) -> None:
+        self.config = config
+
+    async def run(self) -> None:
+        """Start everything, wait for a signal, drain and stop."""
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+        tls = settings.LoadedTls()
+        entry = node.Node(config=self.config, tls=tls)
+        callers = caller_server.CallerServer(
+            entry=entry, config=self.config, tls=tls.callers_server
+        )
+        peers = grpclib.server.Server(
+            [peer_server.PeerService(work=entry), peer_server.OperatorService(work=entry)]
+        )
+        probe = health.HealthServer(
+            is_ready=lambda: entry.is_ready and not stopped.is_set(),
+            render_metrics=entry.registry.render,
+        )
+        await peers.start(self.config.peers.address, self.config.peers.port, ssl=tls.peers_server)
+        entry.start()
+        gauges = asyncio.create_task(_update_gauges(entry, callers))
+        await callers.start()
+        await probe.start(host=self.config.health.address, port=self.config.health.port)
+        events.log(events.Event.STARTED, instance=self.config.instance, zone=self.config.zone)
+        await stopped.wait()
+        deadline_s = time.monotonic() + self.config.drain_s
+        await callers.stop_listening()
+        await asyncio.gather(
+            callers.drain(deadline_s=deadline_s), entry.drain(deadline_s=deadline_s)
+        )
+        callers.close()
+        gauges.cancel()
+        await entry.close()
+        peers.close()
+        probe.close()
+        events.log(events.Event.STOPPED, instance=self.config.instance)
+
+
+async def _update_gauges(entry: node.Node, callers: caller_server.CallerServer) -> None:
+    while True:
+        registry = entry.registry
+        registry.set_gauge("callers", len(callers.open))
+        registry.set_gauge("members", entry.peers.membership.fleet_size)
+        registry.set_gauge("gossip_sent_bytes", entry.peers.sent_bytes)
+        registry.set_gauge("gossip_received_bytes", entry.peers.received_bytes)
+        registry.set_gauge("statement_parses", callers.classifier.parses)
+        for name, home in entry.manager.homes.items():
+            key = name.replace("-", "_")
+            registry.set_gauge(f"backend_connections_{key}", home.connections_held)
+        await asyncio.sleep(GAUGE_INTERVAL_S)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/mustardswitch/settings.py
@@ -0,0 +1,145 @@
+"""Settings of an entry instance, read from a YAML file."""
+
+import dataclasses
+import functools
+import pathlib
+import ssl
+
+import pydantic
+import ruamel.yaml
+import ruamel.yaml.error
+
+from mustardswitch.internal import ids
+
+
+class SettingsError(Exception):
+    """Raised when the settings file cannot be read or has an unusable value."""
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Endpoint(_Model):
+    """An IP address and a TCP port."""
+
+    host: pydantic.IPvAnyAddress
+    port: int = pydantic.Field(ge=1, le=65535)
+
+    @property
+    def address(self) -> str:
+        """The address as text."""
+        return str(self.host)
+
+
+class Seed(Endpoint):
+    """An instance to ask first, for a start while the store is out."""
+
+    instance: str
+    zone: str
+    region: str
+
+
+class Translation(_Model):
+    """Reaches an address of the document or of a peer by another one, for example a tunnel's."""
+
+    address: Endpoint
+    via: Endpoint
+
+
+class TlsFiles(_Model):
+    """Files of a certificate, its key and the authority that signs the other side's."""
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path
+
+
+class Tls(_Model):
+    """Keys per peer; a part left out speaks without TLS."""
+
+    callers: TlsFiles | None = None
+    peers: TlsFiles | None = None
+    backends: TlsFiles | None = None
+
+
+class Settings(_Model):
+    """Everything that an entry instance learns from its file."""
+
+    instance: str = pydantic.Field(min_length=1, max_length=64)
+    zone: str = pydantic.Field(min_length=1)
+    region: str = pydantic.Field(min_length=1)
+    callers: Endpoint
+    peers: Endpoint
+    health: Endpoint
+    store: Endpoint
+    token_keys: list[str] = pydantic.Field(min_length=1)
+    drain_s: float = pydantic.Field(default=20.0, gt=0, le=3600)
+    max_callers: int = pydantic.Field(default=8000, ge=1)
+    max_packet_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
+    backend_user: str = "mustardswitch"
+    backend_password: str = ""
+    trace_file: pathlib.Path | None = None
+    advertise: Endpoint | None = None
+    """Where peers reach this instance, when it differs from ``peers``."""
+    seeds: list[Seed] = []
+    translations: list[Translation] = []
+    tls: Tls = Tls()
+
+    @pydantic.field_validator("token_keys")
+    @classmethod
+    def _check_keys(cls, keys: list[str]) -> list[str]:
+        for key in keys:
+            if len(key) < 16:
+                raise ValueError("a token key has at least 16 characters")
+        return keys
+
+    def translate(self, host: str, port: int) -> tuple[str, int]:
+        """Return the host and port by which to reach an address."""
+        via = self._vias.get((host, port))
+        return (via.address, via.port) if via else (host, port)
+
+    @functools.cached_property
+    def _vias(self) -> dict[tuple[str, int], Endpoint]:
+        return {(item.address.address, item.address.port): item.via for item in self.translations}
+
+    @property
+    def instance_id(self) -> ids.InstanceId:
+        """The instance's name as an id."""
+        return ids.InstanceId(self.instance)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoadedTls:
+    """The TLS contexts made from the settings; None speaks without TLS."""
+
+    callers_server: ssl.SSLContext | None = None
+    peers_server: ssl.SSLContext | None = None
+    peers_client: ssl.SSLContext | None = None
+    backends_client: ssl.SSLContext | None = None
+
+
+def parse_settings(text: str, *, source: str) -> Settings:
+    """Check settings; raises SettingsError that names file, field, value and remedy."""
+    try:
+        loaded = ruamel.yaml.YAML(typ="safe").load(text)
+    except ruamel.yaml.error.YAMLError as error:
+        raise SettingsError(f"{source}: not valid YAML: {error}; correct the syntax") from error
+    try:
+        return Settings.model_validate(loaded)
+    except pydantic.ValidationError as error:
+        lines = [
+            f"{source}: field {'.'.join(map(str, detail['loc'])) or '(whole file)'}: "
+            f"{detail['msg']} (value {detail['input']!r:.80}); see docs/SETTINGS.md"
+            for detail in error.errors()
+        ]
+        raise SettingsError("\n".join(lines)) from error
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}; check the path") from error
+    return parse_settings(text, source=str(path))
--- /dev/null
+++ b/src/mustardswitch_standins/fleet.py
@@ -0,0 +1,431 @@
+"""Starts a whole system as separate processes on loopback: platform, slots, entry instances."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import asyncmy
+import ruamel.yaml
+
+from mustardswitch.document import sections
+from mustardswitch.internal import ids
+from mustardswitch.platform import store
+from mustardswitch_standins import links
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+TOKEN_KEY = "a-token-key-for-tests-only"
+PLATFORM_ZONE = "platform"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZoneSpec:
+    """One availability zone and how many entry instances it has."""
+
+    zone: str
+    region: str
+    instances: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetSpec:
+    """What to start."""
+
+    zones: tuple[ZoneSpec, ...]
+    databases: tuple[str, ...] = ("orders",)
+    service: str = "bakery"
+    connections: int = 25
+    connect_ms: float = 0.0
+    receive_lag_ms: float = 0.0
+    apply_lag_ms: float = 0.0
+    linked: bool = False
+    """Whether traffic between zones goes through a fault-injecting link."""
+    policy: dict = dataclasses.field(default_factory=dict)
+    """Further fields of the service section."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Process:
+    """One started process."""
+
+    name: str
+    command: list[str]
+    popen: subprocess.Popen
+    log_path: pathlib.Path
+
+    def kill(self) -> None:
+        """End it at once, as a crash does."""
+        with contextlib.suppress(ProcessLookupError):
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Freeze it."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """End the freeze."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop gracefully."""
+        self.popen.terminate()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlotSpec:
+    """One slot of the fleet."""
+
+    slot: str
+    database: str
+    zone: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntrySpec:
+    """One entry instance of the fleet."""
+
+    instance: str
+    zone: str
+    region: str
+    callers_port: int
+    peers_port: int
+    health_port: int
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing uses now."""
+    held = []
+    for _ in range(count):
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((HOST, 0))
+        held.append(holder)
+    ports = [holder.getsockname()[1] for holder in held]
+    for holder in held:
+        holder.close()
+    return ports
+
+
+class Fleet:
+    """A running system."""
+
+    def __init__(self, *, spec: FleetSpec, directory: pathlib.Path) -> None:
+        self.spec = spec
+        self.directory = directory
+        self.processes: dict[str, Process] = {}
+        self.links = links.LinkSet()
+        self.link_ports: dict[tuple[str, int], int] = {}
+        self.slots: list[SlotSpec] = []
+        self.entries: list[EntrySpec] = []
+        self.platform_port = 0
+        self._plan()
+
+    def _plan(self) -> None:
+        zones = self.spec.zones
+        instance_count = sum(zone.instances for zone in zones)
+        slot_count = len(zones) * len(self.spec.databases)
+        ports = iter(free_ports(1 + slot_count + 3 * instance_count))
+        self.platform_port = next(ports)
+        for database in self.spec.databases:
+            for zone in zones:
+                slot = f"{database}-{zone.zone}"
+                self.slots.append(
+                    SlotSpec(slot=slot, database=database, zone=zone.zone, port=next(ports))
+                )
+        for zone in zones:
+            for number in range(zone.instances):
+                self.entries.append(
+                    EntrySpec(
+                        instance=f"{zone.zone}-{number}",
+                        zone=zone.zone,
+                        region=zone.region,
+                        callers_port=next(ports),
+                        peers_port=next(ports),
+                        health_port=next(ports),
+                    )
+                )
+
+    def _targets(self) -> list[tuple[str, int]]:
+        """Return the zone and port of everything that is reached from other zones."""
+        return [
+            (PLATFORM_ZONE, self.platform_port),
+            *((slot.zone, slot.port) for slot in self.slots),
+            *((entry.zone, entry.peers_port) for entry in self.entries),
+        ]
+
+    async def start(self) -> None:
+        """Start everything and wait until every instance is ready."""
+        if self.spec.linked:
+            await self._start_links()
+        self._spawn(
+            "platform", ["mustardswitch_standins.platform_program", f"--port={self.platform_port}"]
+        )
+        for slot in self.slots:
+            self.start_slot(slot)
+        await asyncio.to_thread(self._wait_listening, self.platform_port)
+        for slot in self.slots:
+            await asyncio.to_thread(self._wait_listening, slot.port)
+        await self._write_document()
+        for entry in self.entries:
+            self.start_entry(entry)
+        for entry in self.entries:
+            await self.wait_ready(entry)
+        for database in self.spec.databases:
+            await self.wait_primary(database)
+
+    async def _start_links(self) -> None:
+        pairs = [
+            (zone.zone, target, port)
+            for zone in self.spec.zones
+            for target, port in self._targets()
+            if target != zone.zone
+        ]
+        for (source, target, port), via in zip(pairs, free_ports(len(pairs)), strict=True):
+            self.link_ports[(source, port)] = via
+            await self.links.listen(
+                links.Listener(source=source, target=target, port=via, target_port=port)
+            )
+
+    def _spawn(self, name: str, arguments: list[str]) -> Process:
+        command = [sys.executable, "-m", *arguments]
+        log_path = self.directory / f"{name}.log"
+        with log_path.open("ab") as log:
+            popen = subprocess.Popen(command, stdout=log, stderr=log, env=_environment())
+        process = Process(name=name, command=command, popen=popen, log_path=log_path)
+        self.processes[name] = process
+        return process
+
+    def start_slot(self, slot: SlotSpec) -> Process:
+        """Start a slot; its log is found again where it was."""
+        arguments = [
+            "mustardswitch_standins.backend_program",
+            f"--slot={slot.slot}",
+            f"--port={slot.port}",
+            f"--directory={self.directory / slot.slot}",
+            f"--max-connections={self.spec.connections}",
+            f"--connect-ms={self.spec.connect_ms}",
+            f"--receive-lag-ms={self.spec.receive_lag_ms}",
+            f"--apply-lag-ms={self.spec.apply_lag_ms}",
+        ]
+        for (source, port), via in self.link_ports.items():
+            if source == slot.zone:
+                arguments.append(f"--translate={port}={via}")
+        return self._spawn(slot.slot, arguments)
+
+    def start_entry(self, entry: EntrySpec, **changes: object) -> Process:
+        """Start an entry instance from settings; ``changes`` replace fields of them."""
+        settings = {
+            "instance": entry.instance,
+            "zone": entry.zone,
+            "region": entry.region,
+            "callers": {"host": HOST, "port": entry.callers_port},
+            "peers": {"host": HOST, "port": entry.peers_port},
+            "health": {"host": HOST, "port": entry.health_port},
+            "store": {"host": HOST, "port": self.platform_port},
+            "token_keys": [TOKEN_KEY],
+            "drain_s": 10,
+            "translations": [
+                {"address": {"host": HOST, "port": port}, "via": {"host": HOST, "port": via}}
+                for (source, port), via in self.link_ports.items()
+                if source == entry.zone
+            ],
+            **changes,
+        }
+        path = self.directory / f"{entry.instance}.yaml"
+        with path.open("w", encoding="utf-8") as stream:
+            ruamel.yaml.YAML(typ="safe").dump(settings, stream)
+        return self._spawn(
+            entry.instance,
+            ["mustardswitch.programs.mustardswitchd", "run", f"--settings={path}"],
+        )
+
+    def _wait_listening(self, port: int) -> None:
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            with contextlib.suppress(OSError), socket.create_connection((HOST, port), 0.5):
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"nothing listens on port {port}; see the logs in {self.directory}")
+
+    def service_section(self) -> dict:
+        """Return the service section that the fleet starts with."""
+        return {
+            "owner": f"{self.spec.service} team",
+            **self.spec.policy,
+            "databases": [
+                {
+                    "name": database,
+                    "connections": self.spec.connections,
+                    "slots": [
+                        {"id": slot.slot, "zone": slot.zone, "host": HOST, "port": slot.port}
+                        for slot in self.slots
+                        if slot.database == database
+                    ],
+                }
+                for database in self.spec.databases
+            ],
+        }
+
+    async def _write_document(self) -> None:
+        regions: dict[str, list[str]] = {}
+        for zone in self.spec.zones:
+            regions.setdefault(zone.region, []).append(zone.zone)
+        fleet = {
+            "owner": "platform team",
+            "regions": [{"name": name, "zones": zones} for name, zones in regions.items()],
+        }
+        client = store.Store(host=HOST, port=self.platform_port, timeout_s=5.0)
+        try:
+            await self.put_section(client, "fleet", fleet)
+            await self.put_section(client, f"service-{self.spec.service}", self.service_section())
+            for entry in self.entries:
+                await self.list_instance(client, entry)
+        finally:
+            client.close()
+
+    async def put_section(self, client: store.Store, name: str, body: dict) -> int:
+        """Write a section as a first edit."""
+        key = f"{sections.SECTION_PREFIX}{name}"
+        known = await client.read(key)
+        value = sections.encode_section(
+            text=json.dumps(body, indent=1), change_id=f"setup-{time.time_ns()}", editor="setup"
+        )
+        return await client.compare_and_swap(
+            key, value, expected_revision=known.revision if known else 0
+        )
+
+    async def list_instance(
+        self, client: store.Store, entry: EntrySpec, *, leaving: bool = False
+    ) -> None:
+        """Write an instance into the platform's list."""
+        key = f"platform/instances/{entry.instance}"
+        known = await client.read(key)
+        body = {
+            "instance": entry.instance,
+            "zone": entry.zone,
+            "region": entry.region,
+            "host": HOST,
+            "port": entry.peers_port,
+            "leaving": leaving,
+        }
+        await client.compare_and_swap(
+            key,
+            json.dumps(body).encode(),
+            expected_revision=known.revision if known else 0,
+        )
+
+    async def wait_ready(self, entry: EntrySpec) -> None:
+        """Wait until an instance's health endpoint says ready."""
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            if await asyncio.to_thread(_is_ready, entry.health_port):
+                return
+            if self.processes[entry.instance].popen.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"instance {entry.instance} is not ready; see {self.directory}")
+
+    async def wait_primary(self, database: str) -> SlotSpec:
+        """Wait until a slot leads a database, and return it."""
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            primary = await self.find_primary(database)
+            if primary is not None:
+                return primary
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"no primary for {database}; see {self.directory}")
+
+    async def find_primary(self, database: str) -> SlotSpec | None:
+        """Return the slot that leads at the highest term, as the slots themselves say."""
+        best: tuple[int, SlotSpec] | None = None
+        for slot in self.slots:
+            if slot.database != database or self.processes[slot.slot].popen.poll() is not None:
+                continue
+            status = await self.slot_call(slot, "status")
+            leads = status is not None and status["role"] == "primary"
+            if leads and (best is None or status["promised"] > best[0]):
+                best = (status["promised"], slot)
+        return best[1] if best else None
+
+    async def slot_call(self, slot: SlotSpec, procedure: str, *arguments: object) -> dict | None:
+        """Call a procedure of a slot directly; None when it does not answer."""
+        text = ", ".join(map(str, arguments))
+        try:
+            async with asyncio.timeout(1.0):
+                connection = await asyncmy.connect(
+                    host=HOST, port=slot.port, user="replication", autocommit=None
+                )
+                cursor = connection.cursor()
+                await cursor.execute(f"CALL group_{procedure}({text})")
+                (answer,) = await cursor.fetchone()
+                connection.close()
+                return json.loads(answer)
+        except (OSError, TimeoutError, asyncmy.errors.MySQLError):
+            return None
+
+    def entry_in(self, zone: str, number: int = 0) -> EntrySpec:
+        """Return an entry instance of a zone."""
+        return [entry for entry in self.entries if entry.zone == zone][number]
+
+    def slot_in(self, zone: str, database: str | None = None) -> SlotSpec:
+        """Return the slot of a database in a zone."""
+        wanted = database or self.spec.databases[0]
+        return next(slot for slot in self.slots if slot.zone == zone and slot.database == wanted)
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.kill()
+        await self.links.close()
+
+
+def _environment() -> dict[str, str]:
+    source = str(pathlib.Path(__file__).resolve().parents[1])
+    path = os.environ.get("PYTHONPATH")
+    return {**os.environ, "PYTHONPATH": f"{source}:{path}" if path else source}
+
+
+def _is_ready(port: int) -> bool:
+    try:
+        with urllib.request.urlopen(f"http://{HOST}:{port}/ready", timeout=1.0) as response:
+            return response.status == 200
+    except (OSError, urllib.error.URLError):
+        return False
+
+
+@contextlib.asynccontextmanager
+async def running(spec: FleetSpec, directory: pathlib.Path):
+    """Run a fleet for the time of the context."""
+    directory.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(spec=spec, directory=directory)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+CASCADE_ZONES = (
+    ZoneSpec(zone="puget-a", region="puget", instances=2),
+    ZoneSpec(zone="puget-b", region="puget", instances=2),
+    ZoneSpec(zone="willamette-a", region="willamette", instances=2),
+)
+
+
+def database_ids(spec: FleetSpec) -> list[ids.DatabaseName]:
+    """Return the databases of a fleet as ids."""
+    return [ids.DatabaseName(name) for name in spec.databases]
--- /dev/null
+++ b/src/mustardswitch_standins/links.py
@@ -0,0 +1,190 @@
+"""A fault-injecting link: forwards TCP between zones, and cuts, delays, freezes or narrows it.
+
+Each direction between two zones has its own rule. A cut direction passes nothing, as a network
+that drops every packet: connections stay open, and what was sent arrives late once the cut ends.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import time
+
+READ_BYTES = 65536
+CUT_CHECK_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Direction:
+    """From one zone to another."""
+
+    source: str
+    target: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class Rule:
+    """What happens to bytes of one direction."""
+
+    cut: bool = False
+    delay_s: float = 0.0
+    jitter: collections.abc.Callable[[], float] | None = None
+    bytes_per_s: float | None = None
+    passed_bytes: int = 0
+    free_at_s: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Connection:
+    """The two writers of one forwarded connection."""
+
+    listener: "Listener"
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listener:
+    """One port of the link and where it leads."""
+
+    source: str
+    target: str
+    port: int
+    target_port: int
+
+
+class LinkSet:
+    """All links of one test or experiment."""
+
+    def __init__(self, *, host: str = "127.0.0.1") -> None:
+        self.host = host
+        self.rules: collections.defaultdict[str, Rule] = collections.defaultdict(Rule)
+        self.servers: list[asyncio.Server] = []
+        self.connections: list[_Connection] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def rule(self, source: str, target: str) -> Rule:
+        """Return the rule of one direction."""
+        return self.rules[f"{source}>{target}"]
+
+    def cut(self, source: str, target: str) -> None:
+        """Pass nothing from one zone to another."""
+        self.rule(source, target).cut = True
+
+    def cut_both(self, first: str, second: str) -> None:
+        """Pass nothing between two zones."""
+        self.cut(first, second)
+        self.cut(second, first)
+
+    def isolate(self, zone: str, others: collections.abc.Iterable[str]) -> None:
+        """Pass nothing between one zone and others."""
+        for other in others:
+            self.cut_both(zone, other)
+
+    def heal(self) -> None:
+        """End every cut; what was held back arrives now."""
+        for rule in self.rules.values():
+            rule.cut = False
+
+    def break_connections(self, source: str, target: str) -> None:
+        """Reset the open connections from one zone to another."""
+        for connection in list(self.connections):
+            listener = connection.listener
+            if (listener.source, listener.target) == (source, target):
+                connection.near.transport.abort()
+                connection.far.transport.abort()
+
+    async def listen(self, listener: Listener) -> None:
+        """Open one port of the link."""
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._forward(listener, reader, writer)
+
+        server = await asyncio.start_server(accept, self.host, listener.port, backlog=256)
+        self.servers.append(server)
+
+    async def _forward(
+        self, listener: Listener, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        there = self.rule(listener.source, listener.target)
+        back = self.rule(listener.target, listener.source)
+        while there.cut or back.cut:
+            await asyncio.sleep(CUT_CHECK_S)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self.host, listener.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection(listener=listener, near=writer, far=far_writer)
+        self.connections.append(connection)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(_pump(reader, far_writer, there))
+                tasks.create_task(_pump(far_reader, writer, back))
+        except* (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.remove(connection)
+            writer.close()
+            far_writer.close()
+
+    async def close(self) -> None:
+        """Close every port and connection."""
+        for server in self.servers:
+            server.close()
+        for connection in list(self.connections):
+            connection.near.transport.abort()
+            connection.far.transport.abort()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Chunk:
+    """Bytes on their way, and when they may arrive; None ends the stream."""
+
+    data: bytes | None
+    due_s: float
+
+
+async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rule: Rule) -> None:
+    """Read at once and deliver later, so that a delay does not narrow the link."""
+    chunks: asyncio.Queue[_Chunk] = asyncio.Queue(maxsize=1024)
+    delivery = asyncio.create_task(_deliver(chunks, writer, rule))
+    last_due_s = 0.0
+    try:
+        while True:
+            data = await reader.read(READ_BYTES)
+            extra_s = rule.jitter() if rule.jitter else 0.0
+            last_due_s = max(last_due_s, time.monotonic() + rule.delay_s + extra_s)
+            await chunks.put(_Chunk(data=data or None, due_s=last_due_s))
+            if not data:
+                break
+        await delivery
+    finally:
+        delivery.cancel()
+
+
+async def _deliver(chunks: asyncio.Queue[_Chunk], writer: asyncio.StreamWriter, rule: Rule) -> None:
+    while True:
+        chunk = await chunks.get()
+        wait_s = chunk.due_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        while rule.cut:
+            await asyncio.sleep(CUT_CHECK_S)
+        if chunk.data is None:
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.write_eof()
+            return
+        await _narrow(rule, len(chunk.data))
+        rule.passed_bytes += len(chunk.data)
+        writer.write(chunk.data)
+        await writer.drain()
+
+
+async def _narrow(rule: Rule, size_bytes: int) -> None:
+    if not rule.bytes_per_s:
+        return
+    now_s = time.monotonic()
+    rule.free_at_s = max(rule.free_at_s, now_s) + size_bytes / rule.bytes_per_s
+    await asyncio.sleep(rule.free_at_s - now_s)
--- /dev/null
+++ b/src/mustardswitch_standins/load.py
@@ -0,0 +1,280 @@
+"""A load of browsing and ordering sessions that keeps a history for the checker."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import itertools
+import random
+import time
+
+import asyncmy
+import asyncmy.errors
+
+from mustardswitch.callers import errors as caller_errors
+from mustardswitch_standins import history
+
+HOST = "127.0.0.1"
+CONNECT_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 15.0
+TABLE = "effects"
+RECONNECT_S = 0.05
+_NOT_RUN_CODES = frozenset(
+    code for code in caller_errors.CallerErrorCode if code.name.startswith("NOT_RUN")
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Mix:
+    """What sessions do, as weights, and how often they roam."""
+
+    write: float = 1.0
+    recorded_write: float = 0.5
+    transaction: float = 0.5
+    own_read: float = 3.0
+    aged_read: float = 1.0
+    roam: float = 0.1
+    """Chance per step to move to another instance."""
+    token: float = 0.5
+    """Chance that a roaming session carries its token."""
+    max_age_s: float = 30.0
+    pause_s: float = 0.005
+
+
+CASCADE_MIX = Mix(
+    write=0.5, recorded_write=0.3, transaction=0.2, own_read=6.0, aged_read=13.0, roam=0.05
+)
+
+
+class Caller:
+    """A plain MySQL caller that translates the proxy's error codes."""
+
+    def __init__(self, *, port: int, database: str, user: str = "baker") -> None:
+        self.port = port
+        self.database = database
+        self.user = user
+        self.connection: asyncmy.Connection | None = None
+        self.raw_sent = False
+
+    async def connect(self) -> None:
+        """Connect to an entry instance."""
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            self.connection = await asyncmy.connect(
+                host=HOST,
+                port=self.port,
+                user=self.user,
+                database=self.database,
+                autocommit=None,
+            )
+
+    async def run(self, sql: str) -> list[tuple]:
+        """Run one statement and return its rows."""
+        if self.connection is None:
+            await self.connect()
+        cursor = self.connection.cursor()
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            await cursor.execute(sql)
+            return list(await cursor.fetchall())
+
+    def drop(self) -> None:
+        """Break the connection."""
+        if self.connection is not None:
+            with contextlib.suppress(Exception):
+                self.connection.close()
+        self.connection = None
+
+
+def told_of(error: BaseException) -> history.Told:
+    """Say what an error told about the statement that it answered."""
+    code = error.args[0] if error.args else 0
+    if isinstance(error, asyncmy.errors.MySQLError) and code in _NOT_RUN_CODES:
+        return history.Told.NOT_RUN
+    return history.Told.UNKNOWN
+
+
+CALL_ERRORS = (asyncmy.errors.MySQLError, OSError, TimeoutError)
+
+
+class Session:
+    """One logical session: writes its own operations, reads them back, roams."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        ports: collections.abc.Sequence[int],
+        database: str,
+        mix: Mix,
+        source: random.Random,
+        log: history.History,
+    ) -> None:
+        self.name = name
+        self.ports = list(ports)
+        self.database = database
+        self.mix = mix
+        self.source = source
+        self.log = log
+        self.numbers = itertools.count()
+        self.errors: list[str] = []
+        self.caller = Caller(port=source.choice(self.ports), database=database)
+
+    async def run(self, *, ends_s: float) -> None:
+        """Take steps until the time is up."""
+        steps = {
+            self._write: self.mix.write,
+            self._recorded_write: self.mix.recorded_write,
+            self._transaction: self.mix.transaction,
+            self._own_read: self.mix.own_read,
+            self._aged_read: self.mix.aged_read,
+        }
+        choices, weights = list(steps), list(steps.values())
+        while time.monotonic() < ends_s:
+            try:
+                if self.source.random() < self.mix.roam:
+                    await self._roam()
+                await self.source.choices(choices, weights)[0]()
+            except CALL_ERRORS as error:
+                self.errors.append(repr(error))
+                await self._recover()
+            await asyncio.sleep(self.source.uniform(0, 2 * self.mix.pause_s))
+        self.caller.drop()
+
+    async def _recover(self) -> None:
+        await asyncio.sleep(RECONNECT_S)
+        self.caller.drop()
+        self.caller.port = self.source.choice(self.ports)
+
+    async def _roam(self) -> None:
+        token = None
+        if self.source.random() < self.mix.token:
+            ((token,),) = await self.caller.run("SELECT @@mustardswitch_session_token")
+        self.caller.drop()
+        self.caller.port = self.source.choice(self.ports)
+        await self.caller.connect()
+        if token is not None:
+            await self.caller.run(f"SET mustardswitch_session_token = '{token}'")
+
+    def _operation(self) -> str:
+        return f"{self.name}-{next(self.numbers)}"
+
+    def _insert(self, operation: str, hint: str = "") -> str:
+        return f"INSERT {hint} INTO {TABLE} (session, op) VALUES ('{self.name}', '{operation}')"
+
+    async def _write(self) -> None:
+        operation = self._operation()
+        await self._logged(operation, [self._insert(operation)])
+
+    async def _recorded_write(self) -> None:
+        """Write with a request id and send it again when the outcome is not known."""
+        operation = self._operation()
+        sql = self._insert(operation, f"/*+ REQUEST_ID('{operation}') */")
+        asked_s = time.monotonic()
+        told = history.Told.NOT_RUN
+        for _ in range(3):
+            try:
+                await self.caller.run(sql)
+                told = history.Told.RAN
+                break
+            except CALL_ERRORS as error:
+                if told_of(error) is history.Told.UNKNOWN:
+                    told = history.Told.UNKNOWN
+                self.errors.append(repr(error))
+                await self._recover()
+        self._note(operation, asked_s, told)
+
+    async def _transaction(self) -> None:
+        operation = self._operation()
+        insert = self._insert(operation)
+        await self._logged(operation, ["BEGIN", insert, insert, "COMMIT"], parts=2)
+
+    async def _logged(self, operation: str, statements: list[str], parts: int = 1) -> None:
+        asked_s = time.monotonic()
+        last = False
+        try:
+            if self.caller.connection is None:
+                await self.caller.connect()
+            for number, sql in enumerate(statements):
+                last = number == len(statements) - 1
+                await self.caller.run(sql)
+        except CALL_ERRORS as error:
+            told = told_of(error) if last else history.Told.NOT_RUN
+            self._note(operation, asked_s, told, parts)
+            raise
+        self._note(operation, asked_s, history.Told.RAN, parts)
+
+    def _note(self, operation: str, asked_s: float, told: history.Told, parts: int = 1) -> None:
+        self.log.writes.append(
+            history.Write(
+                session=self.name,
+                operation=operation,
+                asked_s=asked_s,
+                answered_s=time.monotonic(),
+                told=told,
+                parts=parts,
+            )
+        )
+
+    async def _own_read(self) -> None:
+        await self._read("", None)
+
+    async def _aged_read(self) -> None:
+        await self._read(f"/*+ MAX_AGE({self.mix.max_age_s}) */ ", self.mix.max_age_s)
+
+    async def _read(self, hint: str, max_age_s: float | None) -> None:
+        if self.caller.connection is None:
+            await self.caller.connect()
+        asked_s = time.monotonic()
+        rows = await self.caller.run(f"SELECT {hint}op FROM {TABLE} WHERE session = '{self.name}'")
+        read = history.Read(
+            session=self.name,
+            asked_s=asked_s,
+            answered_s=time.monotonic(),
+            seen=frozenset(row[0] for row in rows),
+            max_age_s=max_age_s,
+        )
+        if max_age_s is None:
+            self.log.reads.append(read)
+
+
+async def create_table(port: int, database: str) -> None:
+    """Create the table that sessions write to."""
+    caller = Caller(port=port, database=database)
+    await caller.run(f"CREATE TABLE IF NOT EXISTS {TABLE} (session VARCHAR(40), op VARCHAR(60))")
+    with contextlib.suppress(*CALL_ERRORS):
+        await caller.run(f"CREATE INDEX {TABLE}_session ON {TABLE} (session)")
+    caller.drop()
+
+
+async def final_rows(port: int, database: str) -> list[str]:
+    """Read all rows at the end, through an instance and in a session of its own."""
+    caller = Caller(port=port, database=database)
+    rows = await caller.run(f"SELECT op FROM {TABLE}")
+    caller.drop()
+    return [row[0] for row in rows]
+
+
+async def run_sessions(
+    *,
+    ports: collections.abc.Sequence[int],
+    database: str,
+    count: int,
+    seconds: float,
+    mix: Mix,
+    seed: int,
+    log: history.History,
+) -> list[str]:
+    """Run sessions side by side and return the errors that they met."""
+    ends_s = time.monotonic() + seconds
+    sessions = [
+        Session(
+            name=f"{database}-{seed}-{number}",
+            ports=ports,
+            database=database,
+            mix=mix,
+            source=random.Random(f"{seed}-{number}"),
+            log=log,
+        )
+        for number in range(count)
+    ]
+    await asyncio.gather(*(session.run(ends_s=ends_s) for session in sessions))
+    return [error for session in sessions for error in session.errors]
--- /dev/null
+++ b/src/mustardswitch_standins/platform_store.py
@@ -0,0 +1,269 @@
+"""A stand-in for the platform's key-value store: the used part of the etcd v3 interface.
+
+It can be slow and can lose answers after a request took effect, as the brief says the real one
+does: write ``delay_ms`` or ``lose_answers`` as JSON to the key ``standin/faults``.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import time
+
+import grpclib
+import grpclib.const
+import grpclib.server
+
+from mustardswitch.platform import etcd_grpc, etcd_pb2
+
+FAULTS_KEY = b"standin/faults"
+LEASE_CHECK_S = 0.1
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """How the store misbehaves now."""
+
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class CallCounts:
+    """How many calls of each kind were answered."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+
+
+class StoreState:
+    """All keys with their revisions, the history for watches, and the leases."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.values: dict[bytes, etcd_pb2.KeyValue] = {}
+        self.history: list[etcd_pb2.Event] = []
+        self.lease_ends: dict[int, float] = {}
+        self.next_lease = 1
+        self.changed = asyncio.Event()
+        self.faults = Faults()
+        self.counts = CallCounts()
+
+    def header(self) -> etcd_pb2.ResponseHeader:
+        """Return the header that every answer carries."""
+        return etcd_pb2.ResponseHeader(revision=self.revision)
+
+    def select(self, key: bytes, range_end: bytes) -> list[etcd_pb2.KeyValue]:
+        """Return the key, or all keys from ``key`` up to ``range_end``."""
+        if not range_end:
+            found = self.values.get(key)
+            return [found] if found else []
+        names = sorted(name for name in self.values if key <= name < range_end)
+        return [self.values[name] for name in names]
+
+    def put(self, request: etcd_pb2.PutRequest) -> None:
+        """Set one key at a new revision."""
+        self.revision += 1
+        known = self.values.get(request.key)
+        value = etcd_pb2.KeyValue(
+            key=request.key,
+            value=request.value,
+            lease=request.lease,
+            mod_revision=self.revision,
+            create_revision=known.create_revision if known else self.revision,
+            version=known.version + 1 if known else 1,
+        )
+        self.values[request.key] = value
+        if request.key == FAULTS_KEY:
+            self.faults = Faults(**json.loads(request.value))
+        self._record(etcd_pb2.Event(type=etcd_pb2.Event.PUT, kv=value))
+
+    def delete(self, key: bytes, range_end: bytes) -> int:
+        """Remove keys and return how many there were."""
+        found = self.select(key, range_end)
+        for value in found:
+            self.revision += 1
+            del self.values[value.key]
+            gone = etcd_pb2.KeyValue(key=value.key, mod_revision=self.revision)
+            self._record(etcd_pb2.Event(type=etcd_pb2.Event.DELETE, kv=gone))
+        return len(found)
+
+    def _record(self, event: etcd_pb2.Event) -> None:
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def holds(self, compare: etcd_pb2.Compare) -> bool:
+        """Judge one comparison of a transaction."""
+        found = self.values.get(compare.key) or etcd_pb2.KeyValue()
+        names = {
+            etcd_pb2.Compare.VERSION: "version",
+            etcd_pb2.Compare.CREATE: "create_revision",
+            etcd_pb2.Compare.MOD: "mod_revision",
+            etcd_pb2.Compare.VALUE: "value",
+            etcd_pb2.Compare.LEASE: "lease",
+        }
+        name = names[compare.target]
+        actual, wanted = getattr(found, name), getattr(compare, name)
+        verdicts = {
+            etcd_pb2.Compare.EQUAL: actual == wanted,
+            etcd_pb2.Compare.GREATER: actual > wanted,
+            etcd_pb2.Compare.LESS: actual < wanted,
+            etcd_pb2.Compare.NOT_EQUAL: actual != wanted,
+        }
+        return verdicts[compare.result]
+
+    def expire_leases(self) -> None:
+        """Remove lapsed leases and the keys bound to them."""
+        now_s = time.monotonic()
+        for lease in [lease for lease, end_s in self.lease_ends.items() if end_s < now_s]:
+            self.drop_lease(lease)
+
+    def drop_lease(self, lease: int) -> None:
+        """Remove one lease and the keys bound to it."""
+        self.lease_ends.pop(lease, None)
+        for key in [value.key for value in self.values.values() if value.lease == lease]:
+            self.delete(key, b"")
+
+
+class KeyValueService(etcd_grpc.KVBase):
+    """Ranges and transactions."""
+
+    def __init__(self, *, state: StoreState) -> None:
+        self.state = state
+
+    async def Range(self, stream: grpclib.server.Stream) -> None:
+        """Answer a read."""
+        request = await stream.recv_message()
+        await self._delay()
+        self.state.counts.reads += 1
+        await stream.send_message(self._range(request))
+
+    async def Txn(self, stream: grpclib.server.Stream) -> None:
+        """Answer a transaction; its answer may be lost after it took effect."""
+        request = await stream.recv_message()
+        await self._delay()
+        self.state.counts.writes += 1
+        succeeded = all(self.state.holds(compare) for compare in request.compare)
+        responses = [
+            self._operate(operation)
+            for operation in (request.success if succeeded else request.failure)
+        ]
+        if self.state.faults.lose_answers > 0 and succeeded and responses:
+            self.state.faults.lose_answers -= 1
+            raise grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE, "answer lost")
+        await stream.send_message(
+            etcd_pb2.TxnResponse(
+                header=self.state.header(), succeeded=succeeded, responses=responses
+            )
+        )
+
+    async def _delay(self) -> None:
+        if self.state.faults.delay_ms:
+            await asyncio.sleep(self.state.faults.delay_ms / 1000.0)
+
+    def _range(self, request: etcd_pb2.RangeRequest) -> etcd_pb2.RangeResponse:
+        found = self.state.select(request.key, request.range_end)
+        return etcd_pb2.RangeResponse(header=self.state.header(), kvs=found, count=len(found))
+
+    def _operate(self, operation: etcd_pb2.RequestOp) -> etcd_pb2.ResponseOp:
+        kind = operation.WhichOneof("request")
+        if kind == "request_range":
+            return etcd_pb2.ResponseOp(response_range=self._range(operation.request_range))
+        if kind == "request_put":
+            self.state.put(operation.request_put)
+            return etcd_pb2.ResponseOp(
+                response_put=etcd_pb2.PutResponse(header=self.state.header())
+            )
+        request = operation.request_delete_range
+        deleted = self.state.delete(request.key, request.range_end)
+        return etcd_pb2.ResponseOp(
+            response_delete_range=etcd_pb2.DeleteRangeResponse(deleted=deleted)
+        )
+
+
+class WatchService(etcd_grpc.WatchBase):
+    """Watches from a revision on."""
+
+    def __init__(self, *, state: StoreState) -> None:
+        self.state = state
+
+    async def Watch(self, stream: grpclib.server.Stream) -> None:
+        """Send each change at or past the start revision, until the caller leaves."""
+        request = (await stream.recv_message()).create_request
+        self.state.counts.watches += 1
+        start = request.start_revision or self.state.revision + 1
+        await stream.send_message(etcd_pb2.WatchResponse(header=self.state.header(), created=True))
+        sent = 0
+        while True:
+            changed = self.state.changed
+            events = [
+                event
+                for event in self.state.history[sent:]
+                if event.kv.mod_revision >= start and _in_range(request, event.kv.key)
+            ]
+            sent = len(self.state.history)
+            if events:
+                await stream.send_message(
+                    etcd_pb2.WatchResponse(header=self.state.header(), events=events)
+                )
+            await changed.wait()
+
+
+def _in_range(request: etcd_pb2.WatchCreateRequest, key: bytes) -> bool:
+    if not request.range_end:
+        return key == request.key
+    return request.key <= key < request.range_end
+
+
+class LeaseService(etcd_grpc.LeaseBase):
+    """Grants and revokes leases."""
+
+    def __init__(self, *, state: StoreState) -> None:
+        self.state = state
+
+    async def LeaseGrant(self, stream: grpclib.server.Stream) -> None:
+        """Grant a lease of whole seconds."""
+        request = await stream.recv_message()
+        self.state.counts.writes += 1
+        lease = self.state.next_lease
+        self.state.next_lease += 1
+        self.state.lease_ends[lease] = time.monotonic() + request.TTL
+        await stream.send_message(
+            etcd_pb2.LeaseGrantResponse(header=self.state.header(), ID=lease, TTL=request.TTL)
+        )
+
+    async def LeaseRevoke(self, stream: grpclib.server.Stream) -> None:
+        """Revoke a lease and remove its keys."""
+        request = await stream.recv_message()
+        self.state.counts.writes += 1
+        self.state.drop_lease(request.ID)
+        await stream.send_message(etcd_pb2.LeaseRevokeResponse(header=self.state.header()))
+
+
+async def _expire_leases(state: StoreState) -> None:
+    while True:
+        await asyncio.sleep(LEASE_CHECK_S)
+        state.expire_leases()
+
+
+@contextlib.asynccontextmanager
+async def serving(*, host: str, port: int) -> collections.abc.AsyncIterator[StoreState]:
+    """Serve the store for the time of the context."""
+    state = StoreState()
+    services = [
+        KeyValueService(state=state),
+        WatchService(state=state),
+        LeaseService(state=state),
+    ]
+    server = grpclib.server.Server(services)
+    await server.start(host, port)
+    expiry = asyncio.create_task(_expire_leases(state))
+    try:
+        yield state
+    finally:
+        expiry.cancel()
+        server.close()
+        await server.wait_closed()
--- /dev/null
+++ b/src/mustardswitch_standins/processes.py
@@ -0,0 +1,16 @@
+"""What the stand-in programs share: saying they are ready, and stopping on SIGTERM."""
+
+import asyncio
+import logging
+import signal
+
+
+async def announce_and_wait(kind: str, name: str) -> None:
+    """Print ``ready``, then wait for SIGTERM or SIGINT."""
+    logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    print(f"ready {kind} {name}", flush=True)
+    await stopped.wait()
--- /dev/null
+++ b/tests/common/builders.py
@@ -0,0 +1,47 @@
+"""Builders of test data."""
+
+from mustardswitch.internal import confirmations, groups, ids, positions
+
+DATABASE = ids.DatabaseName("orders")
+SLOTS = (ids.SlotId("a"), ids.SlotId("b"), ids.SlotId("c"))
+
+
+def position(term: int, offset: int) -> positions.Position:
+    """Build a position."""
+    return positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
+
+
+def status(
+    slot: str,
+    *,
+    role: groups.SlotRole = groups.SlotRole.REPLICA,
+    promised: int = 1,
+    log_end: tuple[int, int] = (1, 1),
+    applied: tuple[int, int] | None = None,
+    following: str | None = None,
+    silence_ms: float = 0.0,
+) -> groups.SlotStatus:
+    """Build a slot's status."""
+    return groups.SlotStatus(
+        slot=ids.SlotId(slot),
+        role=role,
+        promised=ids.Term(promised),
+        log_end=position(*log_end),
+        applied=position(*(applied or log_end)),
+        following=ids.SlotId(following) if following else None,
+        primary_silence_ms=silence_ms,
+    )
+
+
+def observation(
+    seen: groups.SlotStatus, *, asked_s: float = 0.0, heard_s: float | None = None
+) -> confirmations.Observation:
+    """Build an observation of a status."""
+    return confirmations.Observation(
+        status=seen, asked_s=asked_s, heard_s=asked_s if heard_s is None else heard_s
+    )
+
+
+def tracker(slots: tuple[ids.SlotId, ...] = SLOTS) -> confirmations.GroupTracker:
+    """Build a tracker that has seen nothing."""
+    return confirmations.GroupTracker(database=DATABASE, slots=slots)
--- /dev/null
+++ b/tests/common/processes.py
@@ -0,0 +1,67 @@
+"""Helpers of the tests that run real processes."""
+
+import asyncio
+import collections
+import contextlib
+import pathlib
+
+import asyncmy
+
+from mustardswitch_standins import fleet, history, load
+
+CASCADE = fleet.FleetSpec(zones=fleet.CASCADE_ZONES)
+LINKED = fleet.FleetSpec(
+    zones=tuple(fleet.ZoneSpec(zone=zone.zone, region=zone.region) for zone in fleet.CASCADE_ZONES),
+    linked=True,
+)
+
+
+@contextlib.asynccontextmanager
+async def running(spec: fleet.FleetSpec, directory: pathlib.Path):
+    """Run a fleet with the table of effects in each database."""
+    async with fleet.running(spec, directory) as started:
+        for database in spec.databases:
+            await load.create_table(started.entries[0].callers_port, database)
+        yield started
+
+
+def ports(started: fleet.Fleet, *zones: str) -> list[int]:
+    """Return the callers' ports of the zones, or of all."""
+    return [entry.callers_port for entry in started.entries if not zones or entry.zone in zones]
+
+
+async def caller(
+    entry: fleet.EntrySpec, database: str = "orders", user: str = "baker"
+) -> load.Caller:
+    """Connect to an entry instance."""
+    connected = load.Caller(port=entry.callers_port, database=database, user=user)
+    await connected.connect()
+    return connected
+
+
+async def eventually(check, *, within_s: float = 10.0, every_s: float = 0.05) -> None:
+    """Wait until ``check`` returns true; a test that needs longer has failed."""
+    async with asyncio.timeout(within_s):
+        while True:
+            answer = check()
+            if asyncio.iscoroutine(answer):
+                answer = await answer
+            if answer:
+                return
+            await asyncio.sleep(every_s)
+
+
+async def judge(started: fleet.Fleet, log: history.History, database: str = "orders") -> list:
+    """Check a history against the rows that every reachable slot will come to show."""
+    rows = await load.final_rows(started.entries[0].callers_port, database)
+    return history.check(log, rows)
+
+
+def told(log: history.History) -> collections.Counter:
+    """Count the answers to writes."""
+    return collections.Counter(write.told for write in log.writes)
+
+
+def error_code(error: asyncmy.errors.MySQLError) -> int:
+    """Return the error code that a caller was given."""
+    return error.args[0]
