Prove at decision level that no acknowledged write is lost

Cause: a home that had never seen a group's primary waited for ever when that primary was dead: replicas that follow it made the group look led. Change: the tracker learns the leader from replicas that follow it; a home that never heard the primary counts silence from its own first tick. State machine, traces and mutations added.

--- a/src/mustardswitch/internal/confirmations.py
+++ b/src/mustardswitch/internal/confirmations.py
@@ -66,9 +66,10 @@
             return
         self.observations[status.slot] = observation
         self._note_leader(status)
-        if status.role is groups.SlotRole.PRIMARY:
+        leader = self.leaders.get(status.promised)
+        if leader is not None:
             self.adopt(
-                groups.GroupView(database=self.database, term=status.promised, primary=status.slot)
+                groups.GroupView(database=self.database, term=status.promised, primary=leader)
             )
         self.note_held(status.slot, status.log_end)
         self._anchor_age()
--- a/src/mustardswitch/internal/failover.py
+++ b/src/mustardswitch/internal/failover.py
@@ -176,6 +176,7 @@
         self.settings = settings
         self.phase = Phase.WATCHING
         self.phase_ends_s = float("inf")
+        self.watching_since_s = float("inf")
         self.suspected_since_s: float | None = None
         self.not_before_s = float("-inf")
         self.refused_since_s: float | None = None
@@ -205,6 +206,7 @@
 
     def tick(self, now_s: float) -> list[Command]:
         """Start an attempt when one is due, or give one up whose answers stay away."""
+        self.watching_since_s = min(self.watching_since_s, now_s)
         if self.phase is Phase.WATCHING:
             return [*self._repairs(now_s), *self._consider(now_s)]
         if now_s < self.phase_ends_s:
@@ -265,7 +267,8 @@
     def _silent_long_enough(self, now_s: float, seen: confirmations.Observation | None) -> bool:
         if self.refused_since_s is not None:
             return now_s - self.refused_since_s >= self.settings.suspicion_s / 3
-        return seen is None or now_s - seen.heard_s >= self.settings.suspicion_s
+        heard_s = self.watching_since_s if seen is None else seen.heard_s
+        return now_s - heard_s >= self.settings.suspicion_s
 
     def _heard_by_replica(self, fresh: list[groups.SlotStatus]) -> bool:
         """Tell whether a replica still hears the primary that this instance does not."""
--- /dev/null
+++ b/tests/common/group_world.py
@@ -0,0 +1,299 @@
+"""A small world of one database group: fake slots, homes with the real decisions, no sockets.
+
+Each method is one step that a state machine may choose or a recorded trace may name. The world
+keeps what was acknowledged and shown, and judges it against the log of the latest primary.
+"""
+
+import dataclasses
+
+from mustardswitch.internal import confirmations, failover, groups, ids, positions
+from tests.common import builders
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakeSlot:
+    """A slot that follows the rules of the group interface."""
+
+    slot: ids.SlotId
+    promised: int = 0
+    proposer: str = ""
+    role: groups.SlotRole = groups.SlotRole.FENCED
+    log: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+    following: ids.SlotId | None = None
+    paused: bool = False
+
+    @property
+    def end(self) -> positions.Position:
+        """The position of the last entry."""
+        return builders.position(self.log[-1][0] if self.log else 0, len(self.log))
+
+    def status(self) -> groups.SlotStatus:
+        """Report the state."""
+        return builders.status(
+            self.slot,
+            role=self.role,
+            promised=self.promised,
+            log_end=(self.end.term, self.end.offset),
+            following=self.following,
+            silence_ms=0.0 if self.role is groups.SlotRole.PRIMARY else 1e6,
+        )
+
+    def fence(self, term: int, proposer: str) -> bool:
+        """Promise a term."""
+        if (term, proposer) == (self.promised, self.proposer):
+            return True
+        if term <= self.promised:
+            return False
+        self.promised, self.proposer = term, proposer
+        self.role, self.following = groups.SlotRole.FENCED, None
+        return True
+
+    def promote(self, term: int, proposer: str) -> bool:
+        """Lead at a promised term, opening it with an entry."""
+        if (term, proposer) != (self.promised, self.proposer):
+            return False
+        if self.role is not groups.SlotRole.PRIMARY:
+            self.role = groups.SlotRole.PRIMARY
+            self.log.append((term, f"open-{term}"))
+        return True
+
+    def follow(self, primary: ids.SlotId, term: int) -> bool:
+        """Follow a primary."""
+        leads = self.role is groups.SlotRole.PRIMARY and term == self.promised
+        if term < self.promised or leads:
+            return False
+        if term > self.promised:
+            self.promised, self.proposer = term, ""
+        self.role, self.following = groups.SlotRole.REPLICA, primary
+        return True
+
+    def write(self, operation: str, term: int) -> positions.Position | None:
+        """Append an entry, unless this slot does not lead at ``term``."""
+        if self.role is not groups.SlotRole.PRIMARY or self.promised != term:
+            return None
+        self.log.append((term, operation))
+        return self.end
+
+    def pull(self, source: "FakeSlot") -> None:
+        """Take one entry over from the followed primary, dropping what conflicts."""
+        valid = (
+            self.role is groups.SlotRole.REPLICA
+            and source.role is groups.SlotRole.PRIMARY
+            and source.promised == self.promised
+        )
+        if not valid:
+            return
+        for index, entry in enumerate(source.log):
+            if index >= len(self.log):
+                self.log.append(entry)
+                return
+            if self.log[index] != entry:
+                del self.log[index:]
+                self.log.append(entry)
+                return
+
+
+@dataclasses.dataclass(kw_only=True)
+class Home:
+    """One instance's decisions about the group."""
+
+    name: str
+    tracker: confirmations.GroupTracker
+    machine: failover.FailoverMachine
+    waiting: list[tuple[str, positions.Position]] = dataclasses.field(default_factory=list)
+    commands: list[failover.Command] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Mechanisms:
+    """Switches, for tests only, that take a mechanism away to show what it is for."""
+
+    confirm_by_majority: bool = True
+    compare_logs: bool = True
+
+
+class _AnyFencedSlot(failover.FailoverMachine):
+    """Promotes any fenced slot, whatever its log holds."""
+
+    def _fitness(self, status: groups.SlotStatus) -> ids.SlotId:
+        return status.slot
+
+
+class GroupWorld:
+    """Slots, homes, the time and what callers were told."""
+
+    def __init__(self, *, homes: int = 2, mechanisms: Mechanisms = Mechanisms()) -> None:
+        self.mechanisms = mechanisms
+        self.now_s = 0.0
+        self.slots = {slot: FakeSlot(slot=slot) for slot in builders.SLOTS}
+        self.homes = [self._home(number) for number in range(homes)]
+        self.cuts: set[tuple[int, str]] = set()
+        self.slot_cuts: set[frozenset[str]] = set()
+        self.acknowledged: list[str] = []
+        self.refused: list[str] = []
+        self.leaders: dict[int, str] = {}
+        self.operations = 0
+
+    def _home(self, number: int) -> Home:
+        tracker = builders.tracker()
+        settings = failover.FailoverSettings(suspicion_s=0.6, rank=number)
+        kind = failover.FailoverMachine if self.mechanisms.compare_logs else _AnyFencedSlot
+        machine = kind(tracker=tracker, settings=settings)
+        return Home(name=f"home{number}", tracker=tracker, machine=machine)
+
+    def _reaches(self, home: int, slot: str) -> bool:
+        return (home, slot) not in self.cuts and not self.slots[ids.SlotId(slot)].paused
+
+    # Steps
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now_s += seconds
+
+    def poll(self, home: int, slot: str) -> None:
+        """A home asks a slot for its status."""
+        if not self._reaches(home, slot):
+            return
+        status = self.slots[ids.SlotId(slot)].status()
+        seen = builders.observation(status, asked_s=self.now_s)
+        self.homes[home].tracker.observe(seen)
+        self.settle(home)
+
+    def tick(self, home: int) -> None:
+        """A home's failover looks at the time."""
+        self._event(home, failover.Tick())
+
+    def _event(self, home: int, event: failover.Event) -> None:
+        machine = self.homes[home].machine
+        self.homes[home].commands += machine.handle(event, now_s=self.now_s)
+
+    def carry_out(self, home: int) -> None:
+        """Carry out the oldest command of a home, as far as it reaches the slots."""
+        commands = self.homes[home].commands
+        if not commands:
+            return
+        command = commands.pop(0)
+        if isinstance(command, failover.AskPeers):
+            self._event(home, failover.PeersAnswered(primary_reached=False))
+        elif isinstance(command, failover.ClaimLease):
+            answer = failover.LeaseAnswer.UNAVAILABLE
+            self._event(home, failover.LeaseAnswered(answer=answer))
+        elif isinstance(command, failover.FenceSlots):
+            for slot in self.slots:
+                self._fence(home, slot, command.term)
+        elif isinstance(command, failover.PromoteSlot):
+            self._promote(home, command)
+        elif isinstance(command, failover.FollowPrimary):
+            self._follow(home, command)
+
+    def _fence(self, home: int, name: ids.SlotId, term: int) -> None:
+        if not self._reaches(home, name):
+            return
+        slot = self.slots[name]
+        accepted = slot.fence(term, self.homes[home].name)
+        answer = failover.FenceAnswered(term=term, accepted=accepted, status=slot.status())
+        self._event(home, answer)
+
+    def _promote(self, home: int, command: failover.PromoteSlot) -> None:
+        if not self._reaches(home, command.slot):
+            return
+        slot = self.slots[command.slot]
+        accepted = slot.promote(command.term, self.homes[home].name)
+        if accepted:
+            leader = self.leaders.setdefault(command.term, command.slot)
+            assert leader == command.slot, f"two primaries at term {command.term}"
+        status = slot.status()
+        self._event(
+            home, failover.PromoteAnswered(term=command.term, accepted=accepted, status=status)
+        )
+
+    def _follow(self, home: int, command: failover.FollowPrimary) -> None:
+        if self._reaches(home, command.slot):
+            self.slots[command.slot].follow(command.primary, command.term)
+
+    def replicate(self, slot: str) -> None:
+        """A slot pulls one entry from the primary that it follows."""
+        follower = self.slots[ids.SlotId(slot)]
+        if follower.following is None or follower.paused:
+            return
+        source = self.slots[follower.following]
+        cut = frozenset({slot, source.slot}) in self.slot_cuts
+        if not cut and not source.paused:
+            follower.pull(source)
+
+    def write(self, home: int) -> None:
+        """A caller writes through a home to the slot that the home takes for the primary."""
+        view = self.homes[home].tracker.view
+        if view.primary is None or not self._reaches(home, view.primary):
+            return
+        self.operations += 1
+        operation = f"op{self.operations}"
+        position = self.slots[view.primary].write(operation, view.term)
+        if position is None:
+            self.refused.append(operation)
+            return
+        tracker = self.homes[home].tracker
+        tracker.note_held(view.primary, position)
+        self.homes[home].waiting.append((operation, position))
+        self.settle(home)
+
+    def settle(self, home: int) -> None:
+        """Acknowledge what is confirmed."""
+        tracker = self.homes[home].tracker
+        still = []
+        for operation, position in self.homes[home].waiting:
+            if not self.mechanisms.confirm_by_majority or tracker.is_confirmed(position):
+                self.acknowledged.append(operation)
+            else:
+                still.append((operation, position))
+        self.homes[home].waiting = still
+
+    def cut(self, home: int, slot: str) -> None:
+        """Cut a home off from a slot."""
+        self.cuts.add((home, slot))
+
+    def cut_slots(self, first: str, second: str) -> None:
+        """Cut two slots off from each other."""
+        self.slot_cuts.add(frozenset({first, second}))
+
+    def pause(self, slot: str) -> None:
+        """Freeze a slot."""
+        self.slots[ids.SlotId(slot)].paused = True
+
+    def resume(self, slot: str) -> None:
+        """End a freeze."""
+        self.slots[ids.SlotId(slot)].paused = False
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+        self.slot_cuts.clear()
+
+    def run(self, home: int, seconds: float) -> None:
+        """Let one home act for a while, with everything that it reaches answering."""
+        ends_s = self.now_s + seconds
+        while self.now_s < ends_s:
+            for slot in self.slots:
+                self.poll(home, slot)
+            self.tick(home)
+            while self.homes[home].commands:
+                self.carry_out(home)
+            for slot in self.slots:
+                self.replicate(slot)
+            self.now_s += 0.05
+
+    # Judgement
+
+    def latest_primary(self) -> FakeSlot | None:
+        """Return the slot promoted at the highest term."""
+        if not self.leaders:
+            return None
+        return self.slots[ids.SlotId(self.leaders[max(self.leaders)])]
+
+    def lost(self) -> list[str]:
+        """Return the acknowledged operations that the latest primary does not hold."""
+        primary = self.latest_primary()
+        if primary is None:
+            return list(self.acknowledged)
+        held = {operation for _, operation in primary.log}
+        return [operation for operation in self.acknowledged if operation not in held]
