--- a/src/mustardswitch/backends/statement_runner.py
+++ b/src/mustardswitch/backends/statement_runner.py
@@ -24,6 +24,7 @@
     from mustardswitch.backends import group_home
 
 RESOLVE_S = 2.0
+LAG_MARGIN_S = 0.3
 
 
 class StatementRunner:
@@ -96,6 +97,8 @@
         if reply.reason is not outcomes.Reason.BEHIND or self.request.floor is None:
             return reply
         wait_s = min(self.home.policy.replica_wait_s, self.left_s)
+        if self._lags_too_far(wait_s):
+            return reply
         reached = await self.home.waiters.applied(
             self.request.slot, self.request.floor, deadline_s=time.monotonic() + wait_s
         )
@@ -103,6 +106,14 @@
             return reply
         return await self._read_once()
 
+    def _lags_too_far(self, wait_s: float) -> bool:
+        """Tell whether the slot was last seen so far behind that waiting is of no use."""
+        seen = self.home.tracker.observations.get(self.request.slot)
+        if seen is None or self.request.slot == self.home.tracker.view.primary:
+            return False
+        lag_s = self.home.tracker.age_s(seen.status.applied, now_s=seen.asked_s)
+        return LAG_MARGIN_S + wait_s < lag_s < float("inf")
+
     async def _read_once(self) -> outcomes.StatementReply:
         view = self.home.tracker.view
         leads = view.primary == self.request.slot
--- a/src/mustardswitch/instance/router.py
+++ b/src/mustardswitch/instance/router.py
@@ -309,6 +309,8 @@
             if not slots:
                 if not await self._wait_for_change():
                     return _out_of_time(reply)
+                if not self.router.budget.take():
+                    return _out_of_budget(reply)
                 self.refused.clear()
                 continue
             term_before = self._known_term()
@@ -325,10 +327,8 @@
                 return _out_of_time(reply)
             if redirected:
                 self.refused.clear()
-            elif not self.router.budget.take():
-                return dataclasses.replace(
-                    reply, detail=f"{reply.detail}; the retry budget is spent"
-                )
+            elif not self._may_spend(reply):
+                return _out_of_budget(reply)
 
     def _slots(self) -> list[ids.SlotId]:
         view = self.router.views.get(self.statement.database)
@@ -344,6 +344,12 @@
         )
         return routing.candidate_slots(self.router._places(self.entry), question)
 
+    def _may_spend(self, reply: outcomes.StatementReply) -> bool:
+        """Pay for a retry; going on from a replica that is behind is routing and costs nothing."""
+        if reply.reason is outcomes.Reason.BEHIND:
+            return True
+        return self.router.budget.take()
+
     def _known_term(self) -> ids.Term:
         view = self.router.views.get(self.statement.database)
         return view.term if view else ids.Term(0)
@@ -415,6 +421,10 @@
     )
 
 
+def _out_of_budget(reply: outcomes.StatementReply) -> outcomes.StatementReply:
+    return dataclasses.replace(reply, detail=f"{reply.detail}; the retry budget is spent")
+
+
 def _unknown_database(database: ids.DatabaseName) -> outcomes.StatementReply:
     return outcomes.not_run(
         outcomes.Reason.REFUSED,
--- a/src/mustardswitch/peers/client.py
+++ b/src/mustardswitch/peers/client.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_S = 0.5
 GOSSIP_TIMEOUT_S = 0.5
 ANSWER_GRACE_S = 0.25
+PING_INTERVAL_S = 0.2
+SILENCE_S = 0.8
+PING_NUMBER = 0
 INSTANCE_METADATA = "instance"
 COMPRESS_METADATA = "compress"
 
@@ -54,6 +57,7 @@
         self.unsent: set[int] = set()
         self.task: asyncio.Task[None] | None = None
         self.generation = 0
+        self.heard_s = 0.0
 
     def __repr__(self) -> str:
         return f"PeerLink(address={self.address!r}, own={self.own!r})"
@@ -111,8 +115,9 @@
             async with self.stub.Exchange.open(metadata=metadata) as stream:
                 await stream.send_request()
                 async with asyncio.TaskGroup() as tasks:
-                    sender = tasks.create_task(self._send(stream))
-                    tasks.create_task(self._receive(stream, sender))
+                    tasks.create_task(self._send(stream))
+                    tasks.create_task(self._receive(stream))
+                    tasks.create_task(self._watch_silence())
         except* (*_TRANSPORT_ERRORS, TimeoutError) as failures:
             self._fail(_first(failures))
         else:
@@ -124,15 +129,28 @@
             batch = [request]
             while not self.queue.empty():
                 batch.append(self.queue.get_nowait())
-            live = [request for request in batch if request.id in self.waiting]
+            live = [request for request in batch if _is_wanted(request, self.waiting)]
             if not live:
                 continue
             for request in live:
                 self.unsent.discard(request.id)
             await stream.send_message(codec.pack_requests(live, compress=self.address.other_region))
 
-    async def _receive(self, stream: grpclib.client.Stream, sender: asyncio.Task) -> None:
+    async def _watch_silence(self) -> None:
+        """Break the stream when answers are due and the peer does not even answer pings."""
+        self.heard_s = time.monotonic()
+        while True:
+            await asyncio.sleep(PING_INTERVAL_S)
+            if not self.waiting:
+                self.heard_s = time.monotonic()
+            elif time.monotonic() - self.heard_s > SILENCE_S:
+                raise ConnectionError(f"{self.address.instance} is silent")
+            else:
+                self.queue.put_nowait(peers_pb2.Request(id=PING_NUMBER))
+
+    async def _receive(self, stream: grpclib.client.Stream) -> None:
         async for batch in stream:
+            self.heard_s = time.monotonic()
             for reply in codec.unpack_replies(batch):
                 future = self.waiting.get(reply.id)
                 if future is not None and not future.done():
@@ -185,6 +203,12 @@
         self.channel.close()
 
 
+def _is_wanted(
+    request: peers_pb2.Request, waiting: dict[int, asyncio.Future[peers_pb2.Reply]]
+) -> bool:
+    return request.id == PING_NUMBER or request.id in waiting
+
+
 def _first(group: BaseExceptionGroup) -> BaseException:
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
--- a/src/mustardswitch/peers/server.py
+++ b/src/mustardswitch/peers/server.py
@@ -104,6 +104,9 @@
         try:
             async for batch in self.stream:
                 for request in codec.unpack_requests(batch):
+                    if request.id == client.PING_NUMBER:
+                        self.replies.put_nowait(peers_pb2.Reply(id=client.PING_NUMBER))
+                        continue
                     task = asyncio.create_task(self._answer(request))
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
--- a/src/mustardswitch_standins/links.py
+++ b/src/mustardswitch_standins/links.py
@@ -109,11 +109,11 @@
     ) -> None:
         there = self.rule(listener.source, listener.target)
         back = self.rule(listener.target, listener.source)
-        while there.cut or back.cut:
-            await asyncio.sleep(CUT_CHECK_S)
         try:
+            while there.cut or back.cut:
+                await asyncio.sleep(CUT_CHECK_S)
             far_reader, far_writer = await asyncio.open_connection(self.host, listener.target_port)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         connection = _Connection(listener=listener, near=writer, far=far_writer)
--- a/tests/decisions/test_group_safety.py
+++ b/tests/decisions/test_group_safety.py
@@ -11,7 +11,6 @@
 from tests.common import builders, group_world
 
 
-
 def _load(path):
     return ruamel.yaml.YAML(typ="safe").load(path)
 
