Keep databases without an arrival floor out of session tokens; operators' command line

A session that came without a token and only read with MAX_AGE got a low floor; its token carried that floor, and the next session took it for complete and never asked for the arrival floor. Found by logging every statement of the session that the checker named.

Change: a token carries only databases whose arrival floor is known. Document edits with merge, change ids and in-force check; mustardctl.

--- a/src/mustardswitch/callers/session.py
+++ b/src/mustardswitch/callers/session.py
@@ -169,13 +169,28 @@
             self.floors = self.floors.raised(database, position)
             self.arrived.add(database)
 
+    def _known_floors(self) -> positions.Floors:
+        """Return the floors that a token may carry.
+
+        A session that arrived without a token and only read with a stated age has a floor lower
+        than its own earlier writes. A token with that floor would keep the next session from
+        asking for the arrival floor, so such databases stay out of it.
+        """
+        return positions.Floors(
+            by_database={
+                database: position
+                for database, position in self.floors.by_database.items()
+                if database in self.arrived
+            }
+        )
+
     def _answer_variable(self, sql: str) -> typing.Any:
         match = _VARIABLE_SELECT.match(sql)
         if match is None:
             return None
         name = match.group(1).lower()
         if name == TOKEN_VARIABLE:
-            return [(self.codec.encode(self.floors),)], [f"@@{name}"]
+            return [(self.codec.encode(self._known_floors()),)], [f"@@{name}"]
         known = {
             "version": SERVER_VERSION,
             "version_comment": "mustardswitch",
--- a/src/mustardswitch/document/sections.py
+++ b/src/mustardswitch/document/sections.py
@@ -14,6 +14,7 @@
 from mustardswitch.internal import ids
 
 SECTION_PREFIX = "mustardswitch/sections/"
+RECENT_CHANGES = 20
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -25,14 +26,27 @@
     text: str
     change_id: str
     editor: str
+    recent: tuple["Change", ...] = ()
+
+
+class Change(pydantic.BaseModel):
+    """Who changed a section, and when (seconds of wall-clock time)."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    change_id: str
+    editor: str
+    at_s: int = 0
+    summary: str = ""
 
 
 class SectionEnvelope(pydantic.BaseModel):
-    """The stored form of a section: its text with the id of the change that wrote it."""
+    """The stored form of a section: its text with the changes that wrote it, latest last."""
 
     change_id: str
     editor: str
     text: str
+    recent: list[Change] = []
 
 
 def decode_section(name: ids.SectionName, revision: int, value: bytes) -> StoredSection:
@@ -54,12 +68,18 @@
         text=envelope.text,
         change_id=envelope.change_id,
         editor=envelope.editor,
+        recent=tuple(envelope.recent),
     )
 
 
-def encode_section(*, text: str, change_id: str, editor: str) -> bytes:
+def encode_section(
+    *, text: str, change_id: str, editor: str, recent: collections.abc.Sequence[Change] = ()
+) -> bytes:
     """Write the stored form of a section."""
-    return SectionEnvelope(change_id=change_id, editor=editor, text=text).model_dump_json().encode()
+    envelope = SectionEnvelope(
+        change_id=change_id, editor=editor, text=text, recent=list(recent)[-RECENT_CHANGES:]
+    )
+    return envelope.model_dump_json().encode()
 
 
 def load_yaml(name: ids.SectionName, text: str) -> ruamel.yaml.comments.CommentedMap:
--- /dev/null
+++ b/src/mustardswitch/operators/instances.py
@@ -0,0 +1,108 @@
+"""Asks instances for their status, and which revision of a section is in force on each."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import ssl
+
+import grpclib
+import grpclib.client
+import grpclib.exceptions
+
+from mustardswitch.instance import document_keeper
+from mustardswitch.internal import ids
+from mustardswitch.operators import errors
+from mustardswitch.peers import peers_grpc, peers_pb2
+from mustardswitch.platform import store
+
+STATUS_TIMEOUT_S = 1.0
+POLL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Progress:
+    """On which instances a revision is in force, and which could not be asked."""
+
+    in_force: frozenset[str]
+    waiting: frozenset[str]
+    unreachable: frozenset[str]
+
+
+async def read_status(
+    host: str, port: int, *, tls: ssl.SSLContext | None = None
+) -> peers_pb2.StatusReply:
+    """Ask one instance what it knows."""
+    channel = grpclib.client.Channel(host, port, ssl=tls)
+    try:
+        stub = peers_grpc.OperatorsStub(channel)
+        async with asyncio.timeout(STATUS_TIMEOUT_S):
+            return await stub.Status(peers_pb2.StatusRequest())
+    except (
+        OSError,
+        TimeoutError,
+        grpclib.GRPCError,
+        grpclib.exceptions.StreamTerminatedError,
+    ) as error:
+        raise errors.InstanceUnreachableError(
+            f"instance at {host}:{port} did not answer: {error!r}"
+        ) from error
+    finally:
+        channel.close()
+
+
+async def list_instances(client: store.Store) -> list[document_keeper.ListedInstance]:
+    """Read the platform's list of instances."""
+    snapshot = await client.read_prefix(document_keeper.INSTANCE_PREFIX)
+    return [
+        document_keeper.ListedInstance.model_validate_json(value.value or b"")
+        for value in snapshot.values
+    ]
+
+
+async def follow_revision(
+    listed: collections.abc.Sequence[document_keeper.ListedInstance],
+    name: ids.SectionName,
+    revision: int,
+    *,
+    within_s: float,
+    tls: ssl.SSLContext | None = None,
+) -> collections.abc.AsyncIterator[Progress]:
+    """Yield on how many instances a revision is in force, until on all or the time is up."""
+    ends_s = asyncio.get_running_loop().time() + within_s
+    while True:
+        progress = await _ask_all(listed, name, revision, tls)
+        yield progress
+        done = not progress.waiting and not progress.unreachable
+        if done or asyncio.get_running_loop().time() >= ends_s:
+            return
+        await asyncio.sleep(POLL_S)
+
+
+async def _ask_all(
+    listed: collections.abc.Sequence[document_keeper.ListedInstance],
+    name: ids.SectionName,
+    revision: int,
+    tls: ssl.SSLContext | None,
+) -> Progress:
+    answers = await asyncio.gather(
+        *(read_status(item.host, item.port, tls=tls) for item in listed), return_exceptions=True
+    )
+    in_force, waiting, unreachable = set(), set(), set()
+    for item, answer in zip(listed, answers, strict=True):
+        if isinstance(answer, errors.InstanceUnreachableError):
+            unreachable.add(item.instance)
+        elif isinstance(answer, BaseException):
+            raise answer
+        elif _revision_of(answer, name) >= revision:
+            in_force.add(item.instance)
+        else:
+            waiting.add(item.instance)
+    return Progress(
+        in_force=frozenset(in_force),
+        waiting=frozenset(waiting),
+        unreachable=frozenset(unreachable),
+    )
+
+
+def _revision_of(status: peers_pb2.StatusReply, name: ids.SectionName) -> int:
+    return next((item.revision for item in status.sections if item.name == name), 0)
--- /dev/null
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -0,0 +1,425 @@
+"""``mustardctl``: the command line of operators."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import difflib
+import enum
+import getpass
+import json
+import os
+import pathlib
+import sys
+import time
+import typing
+import uuid
+from typing import Annotated
+
+import rich.console
+import rich.table
+import typer
+from google.protobuf import json_format
+
+import mustardswitch
+from mustardswitch.document import errors as document_errors
+from mustardswitch.document import sections
+from mustardswitch.internal import ids
+from mustardswitch.operators import edits, instances
+from mustardswitch.operators import errors as operator_errors
+from mustardswitch.peers import peers_pb2
+from mustardswitch.platform import errors as platform_errors
+from mustardswitch.platform import store
+
+EXIT_REFUSED = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_NOT_EVERYWHERE = 5
+DEFAULT_WAIT_S = 10.0
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help="Edits the document of mustardswitch and shows its state.\n\n"
+    "Exit codes: 0 done, 2 refused with the reason shown, 3 conflict with another edit, "
+    "4 the store or the instance gave no answer, 5 applied and not yet in force everywhere.",
+)
+document_app = typer.Typer(no_args_is_help=True, help="Show, check and change the document.")
+app.add_typer(document_app, name="document")
+
+
+class Output(enum.Enum):
+    """How results are printed."""
+
+    TEXT = "text"
+    """For people."""
+    JSON = "json"
+    """For scripts."""
+
+
+StoreOption = Annotated[
+    str,
+    typer.Option(
+        "--store", envvar="MUSTARDCTL_STORE", help="IP address and port of the platform's store."
+    ),
+]
+OutputOption = Annotated[Output, typer.Option("--output", help="Form of the result.")]
+SectionArgument = Annotated[str, typer.Argument(help="Name of the section.")]
+WaitOption = Annotated[
+    float, typer.Option("--wait", help="Seconds to wait until it is in force everywhere.")
+]
+EditorOption = Annotated[
+    str, typer.Option("--as", envvar="MUSTARDCTL_EDITOR", help="Name shown in the history.")
+]
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"mustardctl {mustardswitch.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def _options(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=_show_version, is_eager=True, help="Show the version."),
+    ] = False,
+) -> None:
+    """Take the options that go before a command."""
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit():
+        typer.echo(f"address {text!r} is not HOST:PORT; write for example 10.0.0.5:2379", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    return host, int(port)
+
+
+def _open_store(address: str) -> store.Store:
+    host, port = _address(address)
+    return store.Store(host=host, port=port)
+
+
+def _run(work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
+    """Run a command and turn its errors into messages and exit codes."""
+    try:
+        return asyncio.run(work)
+    except document_errors.InvalidDocumentError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_REFUSED) from error
+    except document_errors.EditConflictError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_CONFLICT) from error
+    except (
+        document_errors.EditUnresolvedError,
+        platform_errors.PlatformError,
+        operator_errors.OperatorError,
+    ) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNAVAILABLE) from error
+
+
+async def _read_sections(address: str) -> edits.Sections:
+    client = _open_store(address)
+    try:
+        return await edits.DocumentStore(client=client).read_all()
+    finally:
+        client.close()
+
+
+def _require(found: edits.Sections, name: str) -> sections.StoredSection:
+    stored = found.get(ids.SectionName(name))
+    if stored is None:
+        known = ", ".join(sorted(found)) or "none"
+        typer.echo(f"section {name!r} does not exist; sections: {known}", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    return stored
+
+
+@document_app.command()
+def show(
+    address: StoreOption,
+    section: Annotated[str | None, typer.Argument(help="Section; all when left out.")] = None,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Show the document or one section."""
+    found = _run(_read_sections(address))
+    chosen = [_require(found, section)] if section else [found[name] for name in sorted(found)]
+    if output is Output.JSON:
+        typer.echo(json.dumps([_as_json(stored) for stored in chosen], indent=2))
+        return
+    for stored in chosen:
+        typer.echo(f"# section {stored.name}, revision {stored.revision}, by {stored.editor}")
+        typer.echo(stored.text.rstrip("\n"))
+
+
+def _as_json(stored: sections.StoredSection) -> dict[str, typing.Any]:
+    return {
+        "section": stored.name,
+        "revision": stored.revision,
+        "editor": stored.editor,
+        "change_id": stored.change_id,
+        "text": stored.text,
+    }
+
+
+@document_app.command()
+def check(address: StoreOption, section: SectionArgument, path: pathlib.Path) -> None:
+    """Check a file as the new text of a section, together with all other sections."""
+    found = _run(_read_sections(address))
+    name = ids.SectionName(section)
+    try:
+        edits.check_with(found, name, path.read_text(encoding="utf-8"))
+    except document_errors.InvalidDocumentError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_REFUSED) from error
+    typer.echo(f"section {section} is valid")
+
+
+@document_app.command()
+def diff(address: StoreOption, section: SectionArgument, path: pathlib.Path) -> None:
+    """Show what a file would change in a section."""
+    found = _run(_read_sections(address))
+    stored = found.get(ids.SectionName(section))
+    before = stored.text.splitlines(keepends=True) if stored else []
+    after = path.read_text(encoding="utf-8").splitlines(keepends=True)
+    console = rich.console.Console()
+    for line in difflib.unified_diff(before, after, f"{section} (in force)", str(path)):
+        style = {"+": "green", "-": "red", "@": "cyan"}.get(line[0])
+        console.print(line.rstrip("\n"), style=style, markup=False, highlight=False)
+
+
+@document_app.command()
+def history(
+    address: StoreOption, section: SectionArgument, output: OutputOption = Output.TEXT
+) -> None:
+    """Show the latest changes of a section."""
+    stored = _require(_run(_read_sections(address)), section)
+    if output is Output.JSON:
+        typer.echo(json.dumps([change.model_dump() for change in stored.recent], indent=2))
+        return
+    for change in stored.recent:
+        when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.at_s))
+        typer.echo(f"{when}Z  {change.editor}  {change.change_id}  {change.summary}")
+
+
+@document_app.command()
+def apply(
+    address: StoreOption,
+    section: SectionArgument,
+    path: pathlib.Path,
+    base: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Text that the file was made from; the one in force when left out."),
+    ] = None,
+    change_id: Annotated[
+        str | None, typer.Option(help="Id of a try to repeat after a lost answer.")
+    ] = None,
+    summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
+    editor: EditorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Make a file the new text of a section and wait until it is in force."""
+    text = path.read_text(encoding="utf-8")
+    base_text = base.read_text(encoding="utf-8") if base else None
+    wish = _Wish(
+        section=ids.SectionName(section),
+        text=text,
+        base=base_text,
+        change_id=change_id or uuid.uuid4().hex,
+        summary=summary,
+        editor=editor or getpass.getuser(),
+    )
+    _run(_apply(address, wish, wait_s, output))
+
+
+@document_app.command()
+def edit(
+    address: StoreOption,
+    section: SectionArgument,
+    summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
+    editor: EditorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+) -> None:
+    """Open a section in $EDITOR and apply the result."""
+    stored = _require(_run(_read_sections(address)), section)
+    text = typer.edit(stored.text, extension=".yaml", editor=os.environ.get("EDITOR"))
+    if text is None or text == stored.text:
+        typer.echo("nothing was changed")
+        return
+    wish = _Wish(
+        section=stored.name,
+        text=text,
+        base=stored.text,
+        change_id=uuid.uuid4().hex,
+        summary=summary,
+        editor=editor or getpass.getuser(),
+    )
+    _run(_apply(address, wish, wait_s, Output.TEXT))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Wish:
+    """What the operator wants to become of a section; no base means the text in force."""
+
+    section: ids.SectionName
+    text: str
+    base: str | None
+    change_id: str
+    summary: str
+    editor: str
+
+
+async def _apply(address: str, wish: _Wish, wait_s: float, output: Output) -> None:
+    client = _open_store(address)
+    try:
+        document = edits.DocumentStore(client=client)
+        found = await document.read_all()
+        known = found.get(wish.section)
+        from_current = wish.base is None or (known is not None and wish.base == known.text)
+        base_revision = known.revision if known and from_current else 0
+        applied = await document.apply(
+            edits.Edit(
+                name=wish.section,
+                base=wish.base if wish.base is not None else (known.text if known else ""),
+                base_revision=base_revision,
+                text=wish.text,
+                change_id=wish.change_id,
+                editor=wish.editor,
+                summary=wish.summary,
+            )
+        )
+        if output is Output.TEXT:
+            merged = ", merged with another edit" if applied.merged else ""
+            typer.echo(f"section {wish.section} is at revision {applied.revision}{merged}")
+        progress = await _wait_in_force(client, wish.section, applied.revision, wait_s, output)
+    finally:
+        client.close()
+    _report(applied, progress, output)
+
+
+async def _wait_in_force(
+    client: store.Store,
+    name: ids.SectionName,
+    revision: int,
+    wait_s: float,
+    output: Output,
+) -> instances.Progress:
+    listed = await instances.list_instances(client)
+    progress = instances.Progress(
+        in_force=frozenset(), waiting=frozenset(), unreachable=frozenset()
+    )
+    shown = -1
+    async for progress in instances.follow_revision(listed, name, revision, within_s=wait_s):
+        if output is Output.TEXT and sys.stdout.isatty() and len(progress.in_force) != shown:
+            shown = len(progress.in_force)
+            typer.echo(f"in force on {shown} of {len(listed)} instances")
+    return progress
+
+
+def _report(applied: edits.Applied, progress: instances.Progress, output: Output) -> None:
+    everywhere = not progress.waiting and not progress.unreachable
+    if output is Output.JSON:
+        body = {
+            "revision": applied.revision,
+            "merged": applied.merged,
+            "in_force": sorted(progress.in_force),
+            "waiting": sorted(progress.waiting),
+            "unreachable": sorted(progress.unreachable),
+        }
+        typer.echo(json.dumps(body, indent=2))
+    elif everywhere:
+        typer.echo(f"in force on all {len(progress.in_force)} instances")
+    else:
+        typer.echo(f"in force on {len(progress.in_force)} instances")
+        if progress.waiting:
+            typer.echo(f"not yet on: {', '.join(sorted(progress.waiting))}")
+        if progress.unreachable:
+            typer.echo(f"could not ask: {', '.join(sorted(progress.unreachable))}")
+    if not everywhere:
+        raise typer.Exit(EXIT_NOT_EVERYWHERE)
+
+
+@app.command()
+def status(
+    instance: Annotated[
+        str,
+        typer.Option(
+            "--instance",
+            envvar="MUSTARDCTL_INSTANCE",
+            help="IP address and peers' port of any one instance.",
+        ),
+    ],
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Show groups, terms, primaries, lags, connections and cut-off instances."""
+    host, port = _address(instance)
+    reply = _run(_gather_status(host, port))
+    if output is Output.JSON:
+        body = [json_format.MessageToDict(item, preserving_proto_field_name=True) for item in reply]
+        typer.echo(json.dumps(body, indent=2))
+        return
+    _print_status(reply)
+
+
+async def _gather_status(host: str, port: int) -> list[peers_pb2.StatusReply]:
+    """Ask one instance, then all that it knows; those that do not answer are left out."""
+    first = await instances.read_status(host, port)
+    others = [
+        (member.host, member.port)
+        for member in first.members
+        if member.instance != first.instance and member.state != "dead"
+    ]
+    answers = await asyncio.gather(
+        *(instances.read_status(*other) for other in others), return_exceptions=True
+    )
+    return [first, *(item for item in answers if isinstance(item, peers_pb2.StatusReply))]
+
+
+def _print_status(replies: list[peers_pb2.StatusReply]) -> None:
+    console = rich.console.Console()
+    first = replies[0]
+    answered = {reply.instance for reply in replies}
+    members = rich.table.Table("instance", "zone", "state", "answers", "store")
+    by_name = {reply.instance: reply for reply in replies}
+    for member in sorted(first.members, key=lambda item: (item.zone, item.instance)):
+        reply = by_name.get(member.instance)
+        state = "leaving" if member.leaving else member.state
+        reachable = "" if reply is None else ("yes" if reply.store_reachable else "no")
+        members.add_row(
+            member.instance,
+            member.zone,
+            state,
+            "yes" if member.instance in answered else "no",
+            reachable,
+        )
+    console.print(members)
+    groups = rich.table.Table(
+        "database", "term", "primary", "slot", "role", "position", "applied", "home", "connections"
+    )
+    for reply in sorted(replies, key=lambda item: item.instance):
+        for group in sorted(reply.groups, key=lambda item: item.database):
+            for slot in group.slots:
+                groups.add_row(
+                    group.database,
+                    str(group.term),
+                    group.primary,
+                    slot.slot,
+                    slot.role,
+                    f"{slot.log_end.term}:{slot.log_end.offset}",
+                    f"{slot.applied.term}:{slot.applied.offset}",
+                    reply.instance,
+                    str(group.connections),
+                )
+    console.print(groups)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/mustardswitch_standins/backend_server.py
+++ b/src/mustardswitch_standins/backend_server.py
@@ -91,6 +91,7 @@
         self.changed = asyncio.Event()
         self.connections = 0
         self.peak_connections = 0
+        self.reads = 0
         self.appended_at: collections.deque[float] = collections.deque()
         self.tasks: list[asyncio.Task[None]] = []
         self._replay()
@@ -418,6 +419,7 @@
     def _read(self, sql: str) -> object:
         if self.term is not None:
             self.slot.require_primary(self.term)
+        self.slot.reads += 1
         connection = self.slot.state.writer if self.in_transaction else self.slot.state.reader
         cursor = _execute(connection, sql)
         rows = cursor.fetchall()
@@ -539,6 +541,9 @@
         self.slot.statement_ms = statement_ms
         return {}
 
+    def _call_reads(self) -> dict:
+        return {"count": self.slot.reads}
+
     def _call_connections(self) -> dict:
         return {"now": self.slot.connections, "peak": self.slot.peak_connections}
 
--- a/src/mustardswitch_standins/fleet.py
+++ b/src/mustardswitch_standins/fleet.py
@@ -203,7 +203,7 @@
         command = [sys.executable, "-m", *arguments]
         log_path = self.directory / f"{name}.log"
         with log_path.open("ab") as log:
-            popen = subprocess.Popen(command, stdout=log, stderr=log, env=_environment())
+            popen = subprocess.Popen(command, stdout=log, stderr=log, env=environment())
         process = Process(name=name, command=command, popen=popen, log_path=log_path)
         self.processes[name] = process
         return process
@@ -393,7 +393,8 @@
         await self.links.close()
 
 
-def _environment() -> dict[str, str]:
+def environment() -> dict[str, str]:
+    """Return the environment that lets started processes find the packages."""
     source = str(pathlib.Path(__file__).resolve().parents[1])
     path = os.environ.get("PYTHONPATH")
     return {**os.environ, "PYTHONPATH": f"{source}:{path}" if path else source}
--- a/src/mustardswitch_standins/platform_store.py
+++ b/src/mustardswitch_standins/platform_store.py
@@ -151,7 +151,8 @@
             self._operate(operation)
             for operation in (request.success if succeeded else request.failure)
         ]
-        if self.state.faults.lose_answers > 0 and succeeded and responses:
+        sets_faults = any(item.request_put.key == FAULTS_KEY for item in request.success)
+        if self.state.faults.lose_answers > 0 and succeeded and not sets_faults:
             self.state.faults.lose_answers -= 1
             raise grpclib.GRPCError(grpclib.const.Status.UNAVAILABLE, "answer lost")
         await stream.send_message(
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -9,6 +9,9 @@
 
 from mustardswitch_standins import fleet, history, load
 
+SEEN_S = 0.5
+"""Seconds in which every home asks every slot at least once."""
+
 CASCADE = fleet.FleetSpec(zones=fleet.CASCADE_ZONES)
 LINKED = fleet.FleetSpec(
     zones=tuple(fleet.ZoneSpec(zone=zone.zone, region=zone.region) for zone in fleet.CASCADE_ZONES),
@@ -65,3 +68,21 @@
 def error_code(error: asyncmy.errors.MySQLError) -> int:
     """Return the error code that a caller was given."""
     return error.args[0]
+
+
+async def hold_replicas_back(
+    started: fleet.Fleet, database: str, *, apply_lag_ms: float = 0.0, receive_lag_ms: float = 0.0
+) -> None:
+    """Let replicas catch up and be seen so, then make them lag from now on."""
+    primary = await started.wait_primary(database)
+    replicas = [slot for slot in started.slots if slot.database == database and slot != primary]
+
+    async def caught_up() -> bool:
+        leader = await started.slot_call(primary, "status")
+        statuses = [await started.slot_call(slot, "status") for slot in replicas]
+        return all(status["applied"] == leader["log_end"] for status in statuses)
+
+    await eventually(caught_up)
+    await asyncio.sleep(SEEN_S)
+    for slot in replicas:
+        await started.slot_call(slot, "set_lag", receive_lag_ms, apply_lag_ms)
