Choose the test's zones by where the primary is; decision tests; prefer the larger region

Change: it reads in the zones of the replicas. A first primary is placed in the region with most slots, so that reads there need no link between regions.

--- a/src/mustardswitch/backends/group_home.py
+++ b/src/mustardswitch/backends/group_home.py
@@ -29,6 +29,7 @@
     endpoints: collections.abc.Mapping[ids.SlotId, connection.Endpoint]
     connections_per_slot: int
     leaving: frozenset[ids.SlotId]
+    preferred: frozenset[ids.SlotId]
     confirm_by_majority: bool
     replica_wait_s: float
     suspicion_s: float
@@ -112,6 +113,7 @@
             suspicion_s=self.policy.suspicion_s,
             rank=rank,
             leaving=self.policy.leaving,
+            preferred=self.policy.preferred,
             handover_owner=self.tracker.view.primary in self.pools,
         )
 
--- a/src/mustardswitch/instance/home_manager.py
+++ b/src/mustardswitch/instance/home_manager.py
@@ -1,6 +1,7 @@
 """Takes and releases the homes of slots as the document and the membership change."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import ssl
@@ -76,7 +77,7 @@
         if not own_slots:
             self._release(name)
             return
-        policy = self._policy(entry)
+        policy = self._policy(entry, document)
         home = self.homes.get(name)
         if home is not None and _needs_rebuild(home.policy, policy):
             self._release(name)
@@ -104,7 +105,9 @@
         home.start()
         return home
 
-    def _policy(self, entry: sections.DatabaseEntry) -> group_home.GroupPolicy:
+    def _policy(
+        self, entry: sections.DatabaseEntry, document: sections.Document
+    ) -> group_home.GroupPolicy:
         database, policy = entry.database, entry.policy
         return group_home.GroupPolicy(
             endpoints={slot: self._endpoint(place) for slot, place in entry.slots_by_id.items()},
@@ -112,6 +115,7 @@
                 connections=database.connections, slot_count=len(database.slots)
             ),
             leaving=frozenset(slot for slot, place in entry.slots_by_id.items() if place.leaving),
+            preferred=_in_largest_region(entry, document),
             confirm_by_majority=policy.confirmation is models.Confirmation.MAJORITY,
             replica_wait_s=policy.replica_wait_ms / 1000.0,
             suspicion_s=policy.suspicion_ms / 1000.0,
@@ -190,6 +194,18 @@
     )
 
 
+def _in_largest_region(
+    entry: sections.DatabaseEntry, document: sections.Document
+) -> frozenset[ids.SlotId]:
+    """Return the slots in the region that holds most slots of the group."""
+    by_region = collections.defaultdict(set)
+    for slot, place in entry.slots_by_id.items():
+        region = document.region_by_zone.get(ids.ZoneName(place.zone), ids.RegionName(""))
+        by_region[region].add(slot)
+    largest = max(sorted(by_region), key=lambda region: len(by_region[region]))
+    return frozenset(by_region[largest])
+
+
 def _needs_rebuild(known: group_home.GroupPolicy, wanted: group_home.GroupPolicy) -> bool:
     return (
         known.endpoints != wanted.endpoints
--- a/src/mustardswitch/internal/failover.py
+++ b/src/mustardswitch/internal/failover.py
@@ -164,6 +164,9 @@
     rank: int
     """Place of this instance among the homes of the group; lower ones act first."""
     leaving: frozenset[ids.SlotId] = frozenset()
+    preferred: frozenset[ids.SlotId] = frozenset()
+    """Slots in the region that holds most of the group: from there most reads and confirmations
+    stay off the link between regions."""
     handover_owner: bool = False
     """Whether this instance is the home of the primary and may plan a change."""
 
@@ -353,6 +356,7 @@
         return _Fitness(
             log_end=status.log_end,
             stays=status.slot not in self.settings.leaving,
+            preferred=status.slot in self.settings.preferred,
             slot=status.slot,
         )
 
@@ -394,10 +398,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
 class _Fitness:
-    """The highest log wins; among equal ones a slot that stays wins."""
+    """The highest log wins; among equal ones a slot that stays, then a preferred one."""
 
     log_end: positions.Position
     stays: bool
+    preferred: bool
     slot: ids.SlotId
 
 
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -86,3 +86,9 @@
     await asyncio.sleep(SEEN_S)
     for slot in replicas:
         await started.slot_call(slot, "set_lag", receive_lag_ms, apply_lag_ms)
+
+
+async def zones_of_replicas(started: fleet.Fleet, database: str) -> list[str]:
+    """Return the zones whose slot does not lead."""
+    primary = await started.wait_primary(database)
+    return [slot.zone for slot in started.slots if slot.database == database and slot != primary]
--- /dev/null
+++ b/tests/decisions/test_routing_and_homes.py
@@ -0,0 +1,99 @@
+"""Which slots are asked, and which instance is their home."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardswitch.internal import homes, ids, outcomes, routing
+
+PLACES = [
+    routing.SlotPlace(
+        slot=ids.SlotId(slot),
+        zone=ids.ZoneName(zone),
+        region=ids.RegionName(region),
+        leaving=False,
+    )
+    for slot, zone, region in (
+        ("a", "puget-a", "puget"),
+        ("b", "puget-b", "puget"),
+        ("c", "willamette-a", "willamette"),
+    )
+]
+READ = outcomes.StatementKind.READ
+
+
+def _ask(kind=READ, zone="puget-a", region="puget", primary="a", replicas=True, **more):
+    question = routing.RoutingQuestion(
+        kind=kind,
+        zone=ids.ZoneName(zone),
+        region=ids.RegionName(region),
+        primary=primary,
+        prefer_replicas=replicas,
+        **more,
+    )
+    return routing.candidate_slots(PLACES, question)
+
+
+@pytest.mark.parametrize(
+    "question, slots",
+    [
+        ({"zone": "puget-a"}, ["b", "a", "c"]),
+        ({"zone": "puget-b"}, ["b", "a", "c"]),
+        ({"zone": "willamette-a", "region": "willamette"}, ["c", "b", "a"]),
+        ({"zone": "puget-a", "replicas": False}, ["a", "b", "c"]),
+        ({"refused": frozenset({"b"})}, ["a", "c"]),
+        ({"unreachable": frozenset({"b"})}, ["a", "c", "b"]),
+        ({"kind": outcomes.StatementKind.WRITE}, ["a"]),
+        ({"kind": outcomes.StatementKind.WRITE, "primary": None}, ["a", "b", "c"]),
+        ({"kind": outcomes.StatementKind.BEGIN, "refused": frozenset({"a"})}, ["b", "c"]),
+    ],
+)
+def test_orders_slots(question, slots):
+    assert _ask(**question) == slots
+
+
+def _candidates(count, zone="z"):
+    return [
+        homes.Candidate(
+            instance=ids.InstanceId(f"i{number}"),
+            zone=ids.ZoneName(zone),
+            region=ids.RegionName("r"),
+        )
+        for number in range(count)
+    ]
+
+
+@given(st.integers(2, 30), st.integers(0, 29))
+def test_moves_only_the_slots_of_an_instance_that_leaves(count, gone):
+    slots = [f"slot{number}" for number in range(60)]
+    candidates = _candidates(count)
+    leaving = candidates[gone % count].instance
+    rest = [candidate for candidate in candidates if candidate.instance != leaving]
+    for slot in slots:
+        before = homes.ranked(candidates, slot)[0]
+        after = homes.ranked(rest, slot)[0]
+        assert after == before or before == leaving
+
+
+def test_prefers_the_zone_of_the_slot_then_its_region():
+    candidates = [
+        *_candidates(3, zone="far"),
+        homes.Candidate(
+            instance=ids.InstanceId("near"), zone=ids.ZoneName("near"), region=ids.RegionName("r")
+        ),
+    ]
+    order = homes.homes_of_slot(
+        candidates,
+        slot=ids.SlotId("s"),
+        zone=ids.ZoneName("near"),
+        region=ids.RegionName("r"),
+    )
+    assert order[0] == "near"
+    assert len(order) == 4
+
+
+@given(st.integers(12, 500), st.integers(1, 7))
+def test_shares_add_up_to_no_more_than_the_connections(connections, slot_count):
+    share = homes.statement_connections(connections=connections, slot_count=slot_count)
+    controls = min(slot_count, 3) * slot_count
+    assert share == 1 or share * slot_count + controls < connections
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -53,11 +53,12 @@
 async def test_token_of_a_session_that_only_read_aged_data_does_not_hide_own_writes(tmp_path):
     async with processes.running(processes.CASCADE, tmp_path) as started:
         await processes.hold_replicas_back(started, "orders", apply_lag_ms=60_000)
+        replica_zones = await processes.zones_of_replicas(started, "orders")
         writer = await processes.caller(started.entries[0])
         await writer.run("INSERT INTO effects VALUES ('s', 'mine')")
-        browser = await processes.caller(started.entry_in("willamette-a"))
+        browser = await processes.caller(started.entry_in(replica_zones[0]))
         assert await browser.run("SELECT /*+ MAX_AGE(600) */ op FROM effects") == []
         ((token,),) = await browser.run("SELECT @@mustardswitch_session_token")
-        roamed = await processes.caller(started.entry_in("puget-a"))
+        roamed = await processes.caller(started.entry_in(replica_zones[1]))
         await roamed.run(f"SET mustardswitch_session_token = '{token}'")
         assert await roamed.run("SELECT op FROM effects") == [("mine",)]
