Tell a lost BEGIN as not run; tests of outcomes with broken links

Cause: BEGIN whose answer was lost was told as unknown, although a transaction without COMMIT has no effect. Found by test_told_not_run_did_not_run_when_the_link_is_cut[BEGIN]. Ruled out: repeating BEGIN under the same id (its first home may still hold that id). Change: a lost BEGIN is told as not run. The test asserts on the statement that failed, since a COMMIT sent into a broken link is unknown. One failure of test_never_repeats_a_write_without_a_request_id is not yet explained and is being rerun.

--- a/src/mustardswitch/instance/router.py
+++ b/src/mustardswitch/instance/router.py
@@ -291,7 +291,7 @@
     async def run(self) -> outcomes.StatementReply:
         """Offer the statement to one slot after another until it ran or must not be repeated."""
         reply = await self._try_in_turn()
-        if reply.outcome is outcomes.Outcome.UNKNOWN and self._only_reads:
+        if reply.outcome is outcomes.Outcome.UNKNOWN and self._has_no_effect:
             return dataclasses.replace(reply, outcome=outcomes.Outcome.NOT_RUN)
         if reply.outcome is outcomes.Outcome.NOT_RUN and self.may_have_run:
             return dataclasses.replace(reply, outcome=outcomes.Outcome.UNKNOWN)
@@ -301,6 +301,14 @@
     def _only_reads(self) -> bool:
         return self.statement.kind is outcomes.StatementKind.READ
 
+    @property
+    def _has_no_effect(self) -> bool:
+        """Whether the statement by itself changes nothing, also when its answer was lost.
+
+        A transaction whose BEGIN got no answer is rolled back by its home when the link breaks.
+        """
+        return self._only_reads or self.statement.kind is outcomes.StatementKind.BEGIN
+
     async def _try_in_turn(self) -> outcomes.StatementReply:
         self.router.budget.record_first_try()
         reply = outcomes.not_run(outcomes.Reason.UNREACHABLE, "no slot may take it")
@@ -316,7 +324,7 @@
             term_before = self._known_term()
             reply = await self._offer(slots[0])
             redirected = self._was_redirected(reply, term_before)
-            if reply.outcome is outcomes.Outcome.UNKNOWN and not self._only_reads:
+            if reply.outcome is outcomes.Outcome.UNKNOWN and not self._has_no_effect:
                 self.may_have_run = True
             if not self._may_repeat(reply):
                 return reply
--- a/src/mustardswitch_standins/backend_server.py
+++ b/src/mustardswitch_standins/backend_server.py
@@ -92,6 +92,7 @@
         self.connections = 0
         self.peak_connections = 0
         self.reads = 0
+        self.commits_to_lose = 0
         self.appended_at: collections.deque[float] = collections.deque()
         self.tasks: list[asyncio.Task[None]] = []
         self._replay()
@@ -331,6 +332,7 @@
 
     async def init(self, connection: mysql_mimic.connection.Connection) -> None:
         """Take one of the slot's connections, at the price of a new connection."""
+        self.connection = connection
         self.completion = completions.install(connection)
         if self.username != REPLICATION_USER:
             self.slot.connections += 1
@@ -399,6 +401,9 @@
                 self._end_transaction(keep=False)
                 raise
         position = self._end_transaction(keep=keep)
+        if keep and self.slot.commits_to_lose > 0:
+            self.slot.commits_to_lose -= 1
+            self.connection.stream.writer.transport.abort()
         return self._done(NOTHING_WRITTEN, position)
 
     def _end_transaction(self, *, keep: bool) -> positions.Position:
@@ -541,6 +546,10 @@
         self.slot.statement_ms = statement_ms
         return {}
 
+    def _call_lose_commits(self, count: int) -> dict:
+        self.slot.commits_to_lose = count
+        return {}
+
     def _call_reads(self) -> dict:
         return {"count": self.slot.reads}
 
