Roll back a transaction whose instance is lost during BEGIN; TLS with keys replaced in place

Found from the log: the primary's home had 'no answer within 4.974 s' while no slot was cut. Ruled out: the retry budget (spent only afterwards), slow reconnects (each took about 3 ms). Change: the owner of a stream is an object that is marked gone; BEGIN ends at once for a gone owner. TLS for callers, peers and backends, SIGHUP reloads. The codec's STARTTLS lost a greeting that came with the request; the stream feeds it on. Test ports lie outside the ephemeral range.

--- a/src/mustardswitch/backends/group_home.py
+++ b/src/mustardswitch/backends/group_home.py
@@ -161,7 +161,7 @@
             self.writes_allowed.clear()
 
     async def execute(
-        self, request: outcomes.StatementRequest, *, owner: str
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
         """Run one statement for a caller of the instance ``owner``."""
         self.in_flight += 1
@@ -196,10 +196,9 @@
         if self.open_transactions.remove(transaction):
             transaction.pool.release(transaction.used, clean=clean)
 
-    def abandon_owner(self, owner: str) -> None:
+    def abandon_owner(self, owner: transactions.Owner) -> None:
         """Roll back what the callers of a lost instance left open."""
         for transaction in self.open_transactions.of_owner(owner):
-            transaction.abandoned = True
             if not transaction.busy:
                 self.end_transaction(transaction, clean=False)
 
--- a/src/mustardswitch/backends/statement_runner.py
+++ b/src/mustardswitch/backends/statement_runner.py
@@ -34,7 +34,7 @@
         self.home = home
 
     async def run(
-        self, request: outcomes.StatementRequest, *, owner: str
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
         """Run one statement of a caller at the instance ``owner``."""
         run = _Run(home=self.home, request=request, owner=owner)
@@ -51,7 +51,11 @@
     """One statement on its way through the home."""
 
     def __init__(
-        self, *, home: "group_home.GroupHome", request: outcomes.StatementRequest, owner: str
+        self,
+        *,
+        home: "group_home.GroupHome",
+        request: outcomes.StatementRequest,
+        owner: transactions.Owner,
     ) -> None:
         self.home = home
         self.request = request
@@ -362,6 +366,9 @@
         except BaseException:
             self.pool.release(used, clean=False)
             raise
+        if self.owner.gone:
+            self.pool.release(used, clean=False)
+            return self._lost("its caller's instance is gone")
         self.home.open_transactions.add(
             transactions.OpenTransaction(
                 transaction=self.request.transaction,
@@ -396,7 +403,7 @@
         finally:
             transaction.busy = False
             transaction.last_used_s = time.monotonic()
-            if transaction.abandoned:
+            if transaction.owner.gone:
                 self.home.end_transaction(transaction, clean=False)
 
     def _lost(self, why: str) -> outcomes.StatementReply:
--- a/src/mustardswitch/backends/transactions.py
+++ b/src/mustardswitch/backends/transactions.py
@@ -6,20 +6,30 @@
 from mustardswitch.internal import ids
 
 
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class Owner:
+    """Whoever sends the statements of transactions: this instance, or one stream of a peer."""
+
+    name: str
+    gone: bool = False
+    """Whether nobody will end its transactions any more."""
+
+
+LOCAL_OWNER = Owner(name="local")
+
+
 @dataclasses.dataclass(eq=False, kw_only=True, slots=True)
 class OpenTransaction:
     """A transaction and the connection that runs it."""
 
     transaction: ids.TransactionId
-    owner: str
+    owner: Owner
     pool: slot_pool.SlotPool
     used: connection.BackendConnection
     term: ids.Term
     last_used_s: float
     busy: bool = False
     """Whether a statement of it is out."""
-    abandoned: bool = False
-    """Whether its caller's instance has gone, so that nobody will end it."""
 
 
 class OpenTransactions:
@@ -32,18 +42,18 @@
         """Keep a new transaction."""
         self.by_id[transaction.transaction] = transaction
 
-    def get(self, transaction: ids.TransactionId, *, owner: str) -> OpenTransaction | None:
+    def get(self, transaction: ids.TransactionId, *, owner: Owner) -> OpenTransaction | None:
         """Return a transaction of ``owner``; nobody else may use it."""
         found = self.by_id.get(transaction)
-        return found if found is not None and found.owner == owner else None
+        return found if found is not None and found.owner is owner else None
 
     def remove(self, transaction: OpenTransaction) -> bool:
         """Forget a transaction; false when it was forgotten already."""
         return self.by_id.pop(transaction.transaction, None) is not None
 
-    def of_owner(self, owner: str) -> list[OpenTransaction]:
+    def of_owner(self, owner: Owner) -> list[OpenTransaction]:
         """Return the transactions of one instance's callers."""
-        return [found for found in self.by_id.values() if found.owner == owner]
+        return [found for found in self.by_id.values() if found.owner is owner]
 
     def expired(self, *, now_s: float, idle_s: float) -> list[OpenTransaction]:
         """Return the transactions that were idle too long."""
--- a/src/mustardswitch/callers/streams.py
+++ b/src/mustardswitch/callers/streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ssl
 import struct
 
 from mysql_mimic import errors as mimic_errors
@@ -39,10 +40,29 @@
         self.write_text_rows = self.codec.write_text_rows
         self.drain = self.codec.drain
         self.reset_seq = self.codec.reset_seq
-        self.start_tls = self.codec.start_tls
         self.max_packet_bytes = max_packet_bytes
         self.waiting_for_command = False
 
+    async def start_tls(self, context: ssl.SSLContext) -> None:
+        """Go on over TLS.
+
+        A caller may send its TLS greeting right behind the request for TLS, so that both arrive
+        together; the codec's own method loses the greeting then, and the handshake never ends.
+        """
+        loop = asyncio.get_running_loop()
+        plain = self.writer.transport
+        protocol = plain.get_protocol()
+        early = bytes(self.reader._buffer)
+        self.reader._buffer.clear()
+        upgrade = asyncio.create_task(loop.start_tls(plain, protocol, context, server_side=True))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        if early:
+            _feed(plain.get_protocol(), early)
+        secure = await upgrade
+        self.writer._transport = secure
+        self.reader._transport = secure
+
     async def read(self) -> bytes:
         """Read one packet; a caller that went away ends the connection quietly."""
         self.waiting_for_command = self.seq.value == 0
@@ -92,3 +112,12 @@
         await self.write(packets.make_error(msg=message, code=code))
         if self.writer.can_write_eof():
             self.writer.write_eof()
+
+
+def _feed(protocol: asyncio.BufferedProtocol, data: bytes) -> None:
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -64,6 +64,8 @@
     """A peer could not be authenticated."""
     KEYS_RELOADED = EventKind(700, logbook.INFO, "keys reloaded")
     """TLS keys were read again."""
+    KEYS_REJECTED = EventKind(701, logbook.ERROR, "keys rejected")
+    """TLS files cannot be used; the old keys stay in force."""
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/mustardswitch/instance/home_manager.py
+++ b/src/mustardswitch/instance/home_manager.py
@@ -8,7 +8,7 @@
 import time
 
 from mustardswitch import metrics
-from mustardswitch.backends import connection, failover_driver, group_home
+from mustardswitch.backends import connection, failover_driver, group_home, transactions
 from mustardswitch.document import models, sections
 from mustardswitch.internal import groups, homes, ids, outcomes
 
@@ -144,7 +144,7 @@
         task.add_done_callback(self.closing.discard)
 
     async def execute(
-        self, request: outcomes.StatementRequest, *, owner: str
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
         """Run a statement on a slot of this home."""
         home = self.homes.get(request.database)
@@ -160,8 +160,9 @@
             )
         return await home.execute(request, owner=owner)
 
-    def peer_left(self, owner: str) -> None:
+    def peer_left(self, owner: transactions.Owner) -> None:
         """Roll back what the callers of a lost instance left open."""
+        owner.gone = True
         for home in self.homes.values():
             home.abandon_owner(owner)
 
--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -6,7 +6,8 @@
 import random
 import time
 
-from mustardswitch import events, metrics, settings
+from mustardswitch import events, metrics, settings, tls
+from mustardswitch.backends import transactions
 from mustardswitch.document import sections
 from mustardswitch.instance import directory, document_keeper, home_manager, router
 from mustardswitch.internal import (
@@ -32,7 +33,7 @@
 class Node:
     """One entry instance without its listening sockets."""
 
-    def __init__(self, *, config: settings.Settings, tls: settings.LoadedTls) -> None:
+    def __init__(self, *, config: settings.Settings, contexts: tls.LoadedTls) -> None:
         self.config = config
         self.registry = metrics.Registry()
         advertised = config.advertise or config.peers
@@ -47,7 +48,7 @@
             incarnation=int(time.time() * 1000),
         )
         source = random.Random(f"{config.instance}{self.own.incarnation}")
-        self.links = client.PeerLinks(own=config.instance_id, tls=tls.peers_client)
+        self.links = client.PeerLinks(own=config.instance_id, tls=contexts.peers_client)
         self.peers = directory.Directory(
             own=self.own,
             links=self.links,
@@ -72,7 +73,7 @@
                 user=config.backend_user,
                 password=config.backend_password,
                 translate=config.translate,
-                tls=tls.backends_client,
+                tls=contexts.backends_client,
             ),
             world=self,
             on_view=self._view_changed,
@@ -189,7 +190,7 @@
     # What peers ask (peers.server.PeerWork)
 
     async def execute_for_peer(
-        self, request: outcomes.StatementRequest, *, owner: str
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
         """Run a statement that a peer forwarded."""
         return await self.manager.execute(request, owner=owner)
@@ -203,7 +204,7 @@
             return None
         return await home.arrival_floor(deadline_s=time.monotonic() + deadline_s)
 
-    def peer_left(self, owner: str) -> None:
+    def peer_left(self, owner: transactions.Owner) -> None:
         """Roll back what a lost peer left open."""
         self.manager.peer_left(owner)
 
--- a/src/mustardswitch/instance/router.py
+++ b/src/mustardswitch/instance/router.py
@@ -8,6 +8,7 @@
 import time
 
 from mustardswitch import metrics
+from mustardswitch.backends import transactions
 from mustardswitch.document import models, sections
 from mustardswitch.instance import directory, home_manager
 from mustardswitch.internal import groups, ids, membership, outcomes, positions, retries, routing
@@ -16,7 +17,6 @@
 AVOID_S = 1.0
 HOMES_TRIED = 2
 VIEW_WAIT_S = 0.1
-LOCAL_OWNER = "local"
 
 _RETRIED = frozenset(
     {
@@ -137,7 +137,7 @@
         """Run a statement of an open transaction at the transaction's home, without retries."""
         request = self.request(statement, home.slot)
         if home.instance == self.own.instance:
-            return await self.manager.execute(request, owner=LOCAL_OWNER)
+            return await self.manager.execute(request, owner=transactions.LOCAL_OWNER)
         member = self.peers.membership.members.get(home.instance)
         if member is None:
             return _transaction_lost("its home is gone")
@@ -405,7 +405,7 @@
         request = router.request(self.statement, slot)
         if instance == router.own.instance:
             self.answered_by = TransactionHome(instance=instance, generation=0, slot=slot)
-            return await router.manager.execute(request, owner=LOCAL_OWNER)
+            return await router.manager.execute(request, owner=transactions.LOCAL_OWNER)
         member = router.peers.membership.members.get(instance)
         if member is None:
             return outcomes.not_run(outcomes.Reason.UNREACHABLE, f"{instance} is gone")
--- a/src/mustardswitch/peers/server.py
+++ b/src/mustardswitch/peers/server.py
@@ -6,6 +6,7 @@
 
 import grpclib.server
 
+from mustardswitch.backends import transactions
 from mustardswitch.internal import ids, outcomes, positions
 from mustardswitch.peers import client, codec, peers_grpc, peers_pb2
 
@@ -14,7 +15,7 @@
     """What the server needs from the instance."""
 
     async def execute_for_peer(
-        self, request: outcomes.StatementRequest, *, owner: str
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
         """Run a statement on a slot of this home."""
 
@@ -23,7 +24,7 @@
     ) -> positions.Position | None:
         """Ask a group for an arrival floor."""
 
-    def peer_left(self, owner: str) -> None:
+    def peer_left(self, owner: transactions.Owner) -> None:
         """Roll back what a lost peer left open."""
 
     def answer_gossip(self, message: peers_pb2.GossipMessage) -> peers_pb2.GossipMessage:
@@ -64,7 +65,7 @@
         exchange = _Exchange(
             work=self.work,
             stream=stream,
-            owner=f"{instance}#{next(self.streams)}",
+            owner=transactions.Owner(name=f"{instance}#{next(self.streams)}"),
             compress=compress,
         )
         await exchange.run()
@@ -88,7 +89,7 @@
         *,
         work: PeerWork,
         stream: grpclib.server.Stream,
-        owner: str,
+        owner: transactions.Owner,
         compress: bool,
     ) -> None:
         self.work = work
--- a/src/mustardswitch/programs/mustardctl.py
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import ssl
 import sys
 import time
 import typing
@@ -21,6 +22,7 @@
 from google.protobuf import json_format
 
 import mustardswitch
+from mustardswitch import settings, tls
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import sections
 from mustardswitch.internal import ids
@@ -63,6 +65,14 @@
     ),
 ]
 OutputOption = Annotated[Output, typer.Option("--output", help="Form of the result.")]
+TlsOption = Annotated[
+    list[pathlib.Path] | None,
+    typer.Option(
+        "--tls",
+        envvar="MUSTARDCTL_TLS",
+        help="Given three times: certificate, key and authority to reach instances with.",
+    ),
+]
 SectionArgument = Annotated[str, typer.Argument(help="Name of the section.")]
 WaitOption = Annotated[
     float, typer.Option("--wait", help="Seconds to wait until it is in force everywhere.")
@@ -101,6 +111,22 @@
     return store.Store(host=host, port=port)
 
 
+def _context(files: list[pathlib.Path] | None) -> ssl.SSLContext | None:
+    if not files:
+        return None
+    if len(files) != 3:
+        typer.echo("--tls is given three times: certificate, key and authority", err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    certificate, key, authority = files
+    try:
+        return tls.operator_context(
+            settings.TlsFiles(certificate=certificate, key=key, authority=authority)
+        )
+    except tls.TlsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_REFUSED) from error
+
+
 def _run(work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
     """Run a command and turn its errors into messages and exit codes."""
     try:
@@ -219,6 +245,7 @@
     summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
     editor: EditorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
+    files: TlsOption = None,
     output: OutputOption = Output.TEXT,
 ) -> None:
     """Make a file the new text of a section and wait until it is in force."""
@@ -232,7 +259,7 @@
         summary=summary,
         editor=editor or getpass.getuser(),
     )
-    _run(_apply(address, wish, wait_s, output))
+    _run(_apply(address, wish, _Wait(seconds=wait_s, tls=_context(files)), output))
 
 
 @document_app.command()
@@ -242,6 +269,7 @@
     summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
     editor: EditorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
+    files: TlsOption = None,
 ) -> None:
     """Open a section in $EDITOR and apply the result."""
     stored = _require(_run(_read_sections(address)), section)
@@ -257,7 +285,7 @@
         summary=summary,
         editor=editor or getpass.getuser(),
     )
-    _run(_apply(address, wish, wait_s, Output.TEXT))
+    _run(_apply(address, wish, _Wait(seconds=wait_s, tls=_context(files)), Output.TEXT))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -272,7 +300,15 @@
     editor: str
 
 
-async def _apply(address: str, wish: _Wish, wait_s: float, output: Output) -> None:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Wait:
+    """How long to wait until an edit is in force, and how to reach the instances."""
+
+    seconds: float
+    tls: ssl.SSLContext | None
+
+
+async def _apply(address: str, wish: _Wish, wait: _Wait, output: Output) -> None:
     client = _open_store(address)
     try:
         document = edits.DocumentStore(client=client)
@@ -294,7 +330,7 @@
         if output is Output.TEXT:
             merged = ", merged with another edit" if applied.merged else ""
             typer.echo(f"section {wish.section} is at revision {applied.revision}{merged}")
-        progress = await _wait_in_force(client, wish.section, applied.revision, wait_s, output)
+        progress = await _wait_in_force(client, wish.section, applied.revision, wait, output)
     finally:
         client.close()
     _report(applied, progress, output)
@@ -304,7 +340,7 @@
     client: store.Store,
     name: ids.SectionName,
     revision: int,
-    wait_s: float,
+    wait: _Wait,
     output: Output,
 ) -> instances.Progress:
     listed = await instances.list_instances(client)
@@ -312,7 +348,9 @@
         in_force=frozenset(), waiting=frozenset(), unreachable=frozenset()
     )
     shown = -1
-    async for progress in instances.follow_revision(listed, name, revision, within_s=wait_s):
+    async for progress in instances.follow_revision(
+        listed, name, revision, within_s=wait.seconds, tls=wait.tls
+    ):
         if output is Output.TEXT and sys.stdout.isatty() and len(progress.in_force) != shown:
             shown = len(progress.in_force)
             typer.echo(f"in force on {shown} of {len(listed)} instances")
@@ -352,11 +390,12 @@
             help="IP address and peers' port of any one instance.",
         ),
     ],
+    files: TlsOption = None,
     output: OutputOption = Output.TEXT,
 ) -> None:
     """Show groups, terms, primaries, lags, connections and cut-off instances."""
     host, port = _address(instance)
-    reply = _run(_gather_status(host, port))
+    reply = _run(_gather_status(host, port, _context(files)))
     if output is Output.JSON:
         body = [json_format.MessageToDict(item, preserving_proto_field_name=True) for item in reply]
         typer.echo(json.dumps(body, indent=2))
@@ -364,16 +403,18 @@
     _print_status(reply)
 
 
-async def _gather_status(host: str, port: int) -> list[peers_pb2.StatusReply]:
+async def _gather_status(
+    host: str, port: int, context: ssl.SSLContext | None
+) -> list[peers_pb2.StatusReply]:
     """Ask one instance, then all that it knows; those that do not answer are left out."""
-    first = await instances.read_status(host, port)
+    first = await instances.read_status(host, port, tls=context)
     others = [
         (member.host, member.port)
         for member in first.members
         if member.instance != first.instance and member.state != "dead"
     ]
     answers = await asyncio.gather(
-        *(instances.read_status(*other) for other in others), return_exceptions=True
+        *(instances.read_status(*other, tls=context) for other in others), return_exceptions=True
     )
     return [first, *(item for item in answers if isinstance(item, peers_pb2.StatusReply))]
 
--- a/src/mustardswitch/programs/mustardswitchd.py
+++ b/src/mustardswitch/programs/mustardswitchd.py
@@ -10,7 +10,7 @@
 import typer
 
 import mustardswitch
-from mustardswitch import events, settings
+from mustardswitch import events, settings, tls
 from mustardswitch.callers import server as caller_server
 from mustardswitch.instance import node
 from mustardswitch.peers import server as peer_server
@@ -54,10 +54,19 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from error
 
 
+def _load_tls(config: settings.Settings) -> tls.LoadedTls:
+    try:
+        return tls.load(config.tls)
+    except tls.TlsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from error
+
+
 @app.command()
 def check(path: SettingsPath) -> None:
-    """Check a settings file and start nothing."""
+    """Check a settings file and its TLS files, and start nothing."""
     config = _load(path)
+    _load_tls(config)
     typer.echo(f"settings are usable: instance {config.instance} in zone {config.zone}")
 
 
@@ -65,15 +74,26 @@
 def run(path: SettingsPath) -> None:
     """Serve callers until SIGTERM, then drain and stop."""
     config = _load(path)
+    contexts = _load_tls(config)
     with events.stderr_handler().applicationbound():
-        asyncio.run(_Daemon(config=config).run())
+        asyncio.run(_Daemon(config=config, contexts=contexts).run())
 
 
 class _Daemon:
     """The life of one entry instance."""
 
-    def __init__(self, *, config: settings.Settings) -> None:
+    def __init__(self, *, config: settings.Settings, contexts: tls.LoadedTls) -> None:
         self.config = config
+        self.contexts = contexts
+
+    def _reload_keys(self) -> None:
+        """Read the TLS files again; unusable ones leave the old keys in force."""
+        try:
+            tls.reload(self.contexts, self.config.tls)
+        except tls.TlsError as error:
+            events.log(events.Event.KEYS_REJECTED, error=error)
+        else:
+            events.log(events.Event.KEYS_RELOADED)
 
     async def run(self) -> None:
         """Start everything, wait for a signal, drain and stop."""
@@ -81,10 +101,11 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopped.set)
-        tls = settings.LoadedTls()
-        entry = node.Node(config=self.config, tls=tls)
+        contexts = self.contexts
+        loop.add_signal_handler(signal.SIGHUP, self._reload_keys)
+        entry = node.Node(config=self.config, contexts=contexts)
         callers = caller_server.CallerServer(
-            entry=entry, config=self.config, tls=tls.callers_server
+            entry=entry, config=self.config, tls=contexts.callers_server
         )
         peers = grpclib.server.Server(
             [peer_server.PeerService(work=entry), peer_server.OperatorService(work=entry)]
@@ -93,7 +114,9 @@
             is_ready=lambda: entry.is_ready and not stopped.is_set(),
             render_metrics=entry.registry.render,
         )
-        await peers.start(self.config.peers.address, self.config.peers.port, ssl=tls.peers_server)
+        await peers.start(
+            self.config.peers.address, self.config.peers.port, ssl=contexts.peers_server
+        )
         entry.start()
         gauges = asyncio.create_task(_update_gauges(entry, callers))
         await callers.start()
--- a/src/mustardswitch/settings.py
+++ b/src/mustardswitch/settings.py
@@ -1,9 +1,7 @@
 """Settings of an entry instance, read from a YAML file."""
 
-import dataclasses
 import functools
 import pathlib
-import ssl
 
 import pydantic
 import ruamel.yaml
@@ -109,16 +107,6 @@
         return ids.InstanceId(self.instance)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LoadedTls:
-    """The TLS contexts made from the settings; None speaks without TLS."""
-
-    callers_server: ssl.SSLContext | None = None
-    peers_server: ssl.SSLContext | None = None
-    peers_client: ssl.SSLContext | None = None
-    backends_client: ssl.SSLContext | None = None
-
-
 def parse_settings(text: str, *, source: str) -> Settings:
     """Check settings; raises SettingsError that names file, field, value and remedy."""
     try:
--- a/src/mustardswitch_standins/fleet.py
+++ b/src/mustardswitch_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -105,18 +106,30 @@
     health_port: int
 
 
+# Ports below the range from which the system takes the source ports of outgoing connections.
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+_next_port = itertools.count(os.getpid() * 131)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing uses now."""
-    held = []
-    for _ in range(count):
-        holder = socket.socket()
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind((HOST, 0))
-        held.append(holder)
-    ports = [holder.getsockname()[1] for holder in held]
-    for holder in held:
-        holder.close()
-    return ports
+    """Return ports that nothing uses now and that no outgoing connection will take."""
+    found: list[int] = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_next_port) % PORT_COUNT
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 class Fleet:
@@ -131,6 +144,8 @@
         self.slots: list[SlotSpec] = []
         self.entries: list[EntrySpec] = []
         self.platform_port = 0
+        self.entry_settings: dict[str, dict] = {}
+        """Further settings of single entry instances."""
         self._plan()
 
     def _plan(self) -> None:
@@ -242,6 +257,7 @@
                 for (source, port), via in self.link_ports.items()
                 if source == entry.zone
             ],
+            **self.entry_settings.get(entry.instance, {}),
             **changes,
         }
         path = self.directory / f"{entry.instance}.yaml"
--- a/tests/processes/test_statements.py
+++ b/tests/processes/test_statements.py
@@ -76,9 +76,7 @@
     async with processes.running(processes.CASCADE, tmp_path) as started:
         callers = [await processes.caller(entry) for entry in started.entries]
         for number in range(10):
-            sql = (
-                f"INSERT /*+ REQUEST_ID('r{number}') */ INTO effects VALUES ('s', 'op{number}')"
-            )
+            sql = f"INSERT /*+ REQUEST_ID('r{number}') */ INTO effects VALUES ('s', 'op{number}')"
             await asyncio.gather(*(caller.run(sql) for caller in callers))
         rows = collections.Counter(await load.final_rows(callers[0].port, "orders"))
         assert rows == {f"op{number}": 1 for number in range(10)}
@@ -256,3 +254,19 @@
             vanishing.drop()
             task.cancel()
         assert len(await writer.run("SELECT op FROM effects")) == 200
+
+
+async def test_rolls_back_a_transaction_whose_instance_was_lost_during_begin(tmp_path):
+    async with processes.running(processes.LINKED, tmp_path) as started:
+        near, far = await _started_pair(started)
+        primary = await started.wait_primary("orders")
+        zone = (await processes.zones_of_replicas(started, "orders"))[0]
+        await started.slot_call(primary, "set_statement_time", 400)
+        lost = asyncio.create_task(far.run("BEGIN"))
+        await asyncio.sleep(0.2)
+        started.links.break_connections(zone, primary.zone)
+        with pytest.raises(load.CALL_ERRORS):
+            await lost
+        await asyncio.sleep(0.5)
+        await started.slot_call(primary, "set_statement_time", 0)
+        await near.run("INSERT /*+ DEADLINE(1) */ INTO effects VALUES ('s', 'a')")
