Answer prepared statements with typed values; cut-off zones and listed leavers tested

Cause: answers of prepared statements were not encoded (text cells met the binary encoder), and the codec sent an EOF packet after parameter definitions that callers with CLIENT_DEPRECATE_EOF read as the next answer ('sequence number wrong - got 3 expected 1'). Ruled out: our packet stream (its sequence numbers are the codec's). Change: cells are turned into typed values; the EOF packet is left out where it is deprecated.

--- a/src/mustardswitch/callers/server.py
+++ b/src/mustardswitch/callers/server.py
@@ -11,7 +11,7 @@
 from mysql_mimic import errors as mimic_errors
 
 from mustardswitch import settings
-from mustardswitch.callers import errors, logins, session, streams
+from mustardswitch.callers import connections, errors, logins, session, streams
 from mustardswitch.instance import node
 from mustardswitch.internal import statements, tokens
 
@@ -50,7 +50,7 @@
         caller = session.CallerSession(
             entry=self.entry, codec=self.codec, classifier=self.classifier
         )
-        connection = mimic_connection.Connection(
+        connection = connections.CallerConnection(
             stream=stream,
             session=caller,
             control=self.control,
--- a/src/mustardswitch/callers/session.py
+++ b/src/mustardswitch/callers/session.py
@@ -406,10 +406,34 @@
         self._show_transaction(False)
 
 
-def _encode_text(column: mimic_results.ResultColumn, value: typing.Any) -> bytes:
+_INTEGER_TYPES = frozenset(
+    {
+        mimic_types.ColumnType.TINY,
+        mimic_types.ColumnType.SHORT,
+        mimic_types.ColumnType.INT24,
+        mimic_types.ColumnType.LONG,
+        mimic_types.ColumnType.LONGLONG,
+        mimic_types.ColumnType.YEAR,
+    }
+)
+_FLOAT_TYPES = frozenset({mimic_types.ColumnType.FLOAT, mimic_types.ColumnType.DOUBLE})
+
+
+def _encode_text(column: mimic_results.ResultColumn, value: bytes) -> bytes:
+    """Pass a cell on as the backend server sent it."""
     return value
 
 
+def _encode_binary(column: mimic_results.ResultColumn, value: bytes) -> bytes:
+    """Encode a cell for a prepared statement, whose protocol carries typed values."""
+    plain = mimic_results.ResultColumn(name=column.name, type=column.type)
+    if column.type in _INTEGER_TYPES:
+        return plain.binary_encode(int(value))
+    if column.type in _FLOAT_TYPES:
+        return plain.binary_encode(float(value))
+    return plain.binary_encode(value)
+
+
 @functools.lru_cache(maxsize=COLUMN_CACHE_ENTRIES)
 def _columns(columns: tuple[outcomes.Column, ...]) -> list[mimic_results.ResultColumn]:
     return [_column(column) for column in columns]
@@ -420,4 +444,5 @@
         name=column.name,
         type=mimic_types.ColumnType(column.type_code),
         text_encoder=_encode_text,
+        binary_encoder=_encode_binary,
     )
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,8 +1,11 @@
 """The whole path with real processes."""
 
+import asyncio
+
 import pytest
 
-from mustardswitch_standins import load
+from mustardswitch.operators import instances
+from mustardswitch_standins import fleet, load
 from tests.common import processes
 
 
@@ -62,3 +65,63 @@
         roamed = await processes.caller(started.entry_in(replica_zones[1]))
         await roamed.run(f"SET mustardswitch_session_token = '{token}'")
         assert await roamed.run("SELECT op FROM effects") == [("mine",)]
+
+
+async def test_answers_prepared_statements_with_typed_values(tmp_path):
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        entry = started.entries[0]
+        caller = await processes.caller(entry)
+        await caller.run("CREATE TABLE kinds (a INTEGER, b TEXT, c REAL)")
+        await caller.run("INSERT INTO kinds VALUES (7, 'rye', 1.5), (NULL, NULL, NULL)")
+        statement = await caller.connection.prepare(
+            "SELECT a, b, c FROM kinds WHERE a = ? OR a IS NULL"
+        )
+        result = await statement.execute((7,))
+        rows = result.rows
+        assert sorted(map(str, rows)) == ["(7, 'rye', 1.5)", "(None, None, None)"]
+
+
+async def test_serves_what_it_can_in_a_zone_that_is_cut_off(tmp_path):
+    async with processes.running(processes.LINKED, tmp_path) as started:
+        zones = await processes.zones_of_replicas(started, "orders")
+        cut_off = started.entry_in(zones[0])
+        with_token = await processes.caller(cut_off)
+        await with_token.run("INSERT INTO effects VALUES ('s', 'a')")
+        assert await with_token.run("SELECT op FROM effects") == [("a",)]
+        started.links.isolate(
+            zones[0], [zone.zone for zone in started.spec.zones if zone.zone != zones[0]]
+        )
+        started.links.cut_both(zones[0], "platform")
+        await asyncio.sleep(1.5)
+        assert await with_token.run("SELECT op FROM effects") == [("a",)]
+        without = await processes.caller(cut_off)
+        assert await without.run("SELECT /*+ MAX_AGE(60) */ op FROM effects") == [("a",)]
+        for sql in (
+            "SELECT /*+ DEADLINE(1) */ op FROM effects",
+            "SELECT /*+ DEADLINE(1) MAX_AGE(0.2) */ op FROM effects",
+        ):
+            with pytest.raises(load.CALL_ERRORS) as raised:
+                await without.run(sql)
+            assert load.told_of(raised.value) is load.history.Told.NOT_RUN
+
+
+async def test_moves_homes_away_from_an_instance_that_the_platform_lists_as_leaving(tmp_path):
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        entries = [entry for entry in started.entries if entry.zone == "puget-a"]
+
+        async def homes(entry):
+            status = await instances.read_status(fleet.HOST, entry.peers_port)
+            return len(status.groups)
+
+        (holder,) = [entry for entry in entries if await homes(entry)]
+        client = started.open_store()
+        await started.list_instance(client, holder, leaving=True)
+        client.close()
+        other = next(entry for entry in entries if entry != holder)
+
+        async def moved():
+            return await homes(holder) == 0 and await homes(other) == 1
+
+        await processes.eventually(moved)
+        caller = await processes.caller(holder)
+        await caller.run("INSERT INTO effects VALUES ('s', 'a')")
