--- /dev/null
+++ b/src/mustardswitch/backends/read_run.py
@@ -0,0 +1,97 @@
+"""Runs reads at a slot that has reached the session's floor or the stated age."""
+
+import time
+
+from mustardswitch.backends import connection, errors, statement_run, waiters
+from mustardswitch.internal import outcomes
+
+LAG_MARGIN_S = 0.3
+
+
+class ReadRun(statement_run.StatementRun):
+    """One read outside a transaction."""
+
+    async def read(self) -> outcomes.StatementReply:
+        """Read at a slot that has reached the session's floor or the stated age."""
+        if self.pool is None:
+            return self.no_home()
+        leaving = self.request.slot in self.home.policy.leaving
+        if leaving and self.request.slot != self.home.tracker.view.primary:
+            return outcomes.not_run(outcomes.Reason.LEAVING, f"slot {self.request.slot} is leaving")
+        reply = await self._read_once()
+        if reply.reason is not outcomes.Reason.BEHIND or self.request.floor is None:
+            return reply
+        wait_s = min(self.home.policy.replica_wait_s, self.left_s)
+        if self._lags_too_far(wait_s):
+            return reply
+        reached = await self.home.waiters.applied(
+            self.request.slot, self.request.floor, deadline_s=time.monotonic() + wait_s
+        )
+        if reached is not waiters.WaitOutcome.REACHED:
+            return reply
+        return await self._read_once()
+
+    def _lags_too_far(self, wait_s: float) -> bool:
+        """Tell whether the slot was last seen so far behind that waiting is of no use."""
+        seen = self.home.tracker.observations.get(self.request.slot)
+        if seen is None or self.request.slot == self.home.tracker.view.primary:
+            return False
+        lag_s = self.home.tracker.age_s(seen.status.applied, now_s=seen.asked_s)
+        return LAG_MARGIN_S + wait_s < lag_s < float("inf")
+
+    async def _read_once(self) -> outcomes.StatementReply:
+        view = self.home.tracker.view
+        leads = view.primary == self.request.slot
+        asked_s = time.monotonic()
+        try:
+            used = await self.pool.acquire(self.use())
+        except errors.PoolRefusedError as error:
+            return statement_run.pool_refusal(error)
+        began_s = time.monotonic()
+        try:
+            await used.use_term(view.term if leads else connection.NO_TERM, timeout_s=self.left_s)
+            execution = await used.execute(self.request.sql, timeout_s=self.left_s)
+        except errors.NotPrimaryError as error:
+            return outcomes.not_run(outcomes.Reason.NOT_PRIMARY, str(error))
+        except errors.DatabaseRejectedError as error:
+            return self.failed(error)
+        except errors.ConnectionBrokenError as error:
+            self.pool.record_timeout()
+            return outcomes.not_run(outcomes.Reason.DISCONNECTED, str(error))
+        finally:
+            self.pool.record(time.monotonic() - began_s)
+            self.pool.release(used, clean=not used.broken)
+        return await self._judge_read(execution, leads=leads, asked_s=asked_s)
+
+    async def _judge_read(
+        self, execution: connection.Execution, *, leads: bool, asked_s: float
+    ) -> outcomes.StatementReply:
+        """Refuse what the read showed when it is behind, or not certain to stay."""
+        shown = execution.position
+        tracker = self.home.tracker
+        tracker.note_held(self.request.slot, shown)
+        floor = self.request.floor
+        if floor is not None and shown < floor:
+            return outcomes.not_run(
+                outcomes.Reason.BEHIND,
+                f"slot {self.request.slot} shows {shown}, the session needs {floor}",
+            )
+        max_age_s = self.request.max_age_s
+        if max_age_s is not None and tracker.age_s(shown, now_s=asked_s) > max_age_s:
+            return outcomes.not_run(
+                outcomes.Reason.BEHIND,
+                f"slot {self.request.slot} may be older than {max_age_s} s",
+            )
+        if not tracker.is_confirmed(shown):
+            outcome = await self.home.waiters.confirmed(shown, deadline_s=self.deadline_s)
+            if outcome is not waiters.WaitOutcome.REACHED:
+                return outcomes.not_run(
+                    outcomes.Reason.UNCONFIRMED,
+                    f"no majority confirmed what slot {self.request.slot} shows",
+                )
+        return outcomes.StatementReply(
+            outcome=outcomes.Outcome.RAN,
+            result=execution.result,
+            position=shown,
+            served_by_replica=not leads,
+        )
--- a/src/mustardswitch/instance/directory.py
+++ b/src/mustardswitch/instance/directory.py
@@ -61,7 +61,7 @@
         for record in changed:
             self._dispatch(record)
         if urgent and any(record.key.startswith(URGENT_KINDS) for record in changed):
-            self._push_now()
+            self.push_now()
 
     def _dispatch(self, record: gossip.Record) -> None:
         kind = record.key.partition("/")[0]
@@ -71,7 +71,7 @@
         elif kind in self.handlers:
             self.handlers[kind](record)
 
-    def _push_now(self) -> None:
+    def push_now(self) -> None:
         """Pass urgent records on without waiting for the period."""
         for member in self.membership.choose_eager():
             self._start(self._exchange(member))
@@ -169,7 +169,7 @@
         self.membership.declare_dead(instance, now_ms=int(time.time() * 1000))
         events.log(events.Event.MEMBER_DEAD, instance=instance)
         self.on_members()
-        self._push_now()
+        self.push_now()
 
     async def _ping_through_helpers(self, member: membership.Member) -> None:
         helpers = self.membership.helpers_for(member.instance, HELPERS)
--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -276,7 +276,7 @@
         """Announce the leave, let others take the homes over, and finish what is in flight."""
         events.log(events.Event.DRAINING, instance=self.own.instance)
         self.peers.membership.announce_leaving()
-        self.peers._push_now()
+        self.peers.push_now()
         await asyncio.sleep(LEAVE_SPREAD_S)
         self.manager.draining = True
         while not self.manager.is_idle and time.monotonic() < deadline_s:
--- a/src/mustardswitch_standins/control_cost.py
+++ b/src/mustardswitch_standins/control_cost.py
@@ -17,6 +17,7 @@
 
 from mustardswitch import settings, tls
 from mustardswitch.instance import node
+from mustardswitch.operators import instances
 from mustardswitch.peers import server as peer_server
 from mustardswitch_standins import fleet, platform_store
 
@@ -192,3 +193,34 @@
 
 async def _no_homes(*_arguments: object) -> None:
     """Leave slot control out, which is measured with real slots."""
+
+
+async def measure_slots(*, databases: int, seconds: float) -> str:
+    """Watch an idle Cascade fleet with real slots, by the number of databases."""
+    names = tuple(f"db{number}" for number in range(databases))
+    spec = fleet.FleetSpec(zones=fleet.CASCADE_ZONES, databases=names)
+    with tempfile.TemporaryDirectory() as directory:
+        async with fleet.running(spec, pathlib.Path(directory)) as started:
+            await asyncio.sleep(SETTLE_S)
+            processes = [
+                psutil.Process(started.processes[entry.instance].popen.pid)
+                for entry in started.entries
+            ]
+            before_s = [_cpu_s(process) for process in processes]
+            await asyncio.sleep(seconds)
+            percents = [
+                100.0 * (_cpu_s(process) - before) / seconds
+                for process, before in zip(processes, before_s, strict=True)
+            ]
+            statuses = [
+                await instances.read_status(fleet.HOST, entry.peers_port)
+                for entry in started.entries
+            ]
+            homes = sum(len(status.groups) for status in statuses)
+            memory_mb = sum(process.memory_info().rss for process in processes) / 1e6
+    count = len(percents)
+    return (
+        f"{databases} databases, {count} instances, {homes} group homes: "
+        f"{sum(percents) / count:.2f} % of a core and {memory_mb / count:.1f} MB an instance, "
+        f"{homes / count:.2f} group homes an instance"
+    )
--- a/src/mustardswitch_standins/load_program.py
+++ b/src/mustardswitch_standins/load_program.py
@@ -66,6 +66,15 @@
     )
 
 
+@app.command()
+def slots(
+    databases: Annotated[int, typer.Option(help="Databases, each with three slots.")] = 3,
+    seconds: Annotated[float, typer.Option(help="How long to watch them idle.")] = 10.0,
+) -> None:
+    """Processor time and memory of idle instances, by the number of groups that they watch."""
+    print(asyncio.run(control_cost.measure_slots(databases=databases, seconds=seconds)))
+
+
 def main() -> None:
     """Run the command line."""
     app()
