Hold back errors that show an unconfirmed write; one-way cuts and a slow store tested

Cause: a duplicate key at the primary shows somebody's write that may not be confirmed; the error was passed on at once. A recorded write that the database rejected cost its connection. Ruled out: holding back errors of reads (they show no rows). Change: after an error the primary is asked for its position, which must be confirmed first; a rejected recorded write is rolled back and its connection kept.

--- a/src/mustardswitch/backends/statement_run.py
+++ b/src/mustardswitch/backends/statement_run.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import functools
 import time
 import typing
@@ -23,6 +24,8 @@
 if typing.TYPE_CHECKING:
     from mustardswitch.backends import group_home
 
+POSITION_QUESTION = "SELECT 1"
+
 
 class StatementRun:
     """One statement on its way through the home."""
@@ -74,6 +77,25 @@
             failure=outcomes.DatabaseFailure(code=error.code, message=error.message),
         )
 
+    async def failed_at_primary(
+        self, used: connection.BackendConnection, error: errors.DatabaseRejectedError
+    ) -> outcomes.StatementReply:
+        """Pass the database's error on once what it shows is certain to stay.
+
+        An error such as a duplicate key shows a write of somebody else, which may not be
+        confirmed yet and could be lost with the primary.
+        """
+        try:
+            shown = await used.execute(POSITION_QUESTION, timeout_s=self.left_s)
+        except errors.BackendError as failure:
+            return outcomes.not_run(outcomes.Reason.DISCONNECTED, str(failure))
+        outcome = await self.home.waiters.confirmed(shown.position, deadline_s=self.deadline_s)
+        if outcome is not waiters.WaitOutcome.REACHED:
+            return outcomes.not_run(
+                outcomes.Reason.UNCONFIRMED, f"no majority confirmed what the error shows: {error}"
+            )
+        return dataclasses.replace(self.failed(error), position=shown.position)
+
     async def refuse_write(self) -> outcomes.StatementReply | None:
         """Return why a write may not start here, or None when it may."""
         if self.pool is None:
@@ -119,7 +141,7 @@
     async def confirm(self, reply: outcomes.StatementReply) -> outcomes.StatementReply:
         """Hold an acknowledgement back until a majority holds the write."""
         position = reply.position
-        if reply.outcome is not outcomes.Outcome.RAN or position is None:
+        if reply.outcome is not outcomes.Outcome.RAN or position is None or reply.failure:
             return reply
         home = self.home
         home.tracker.note_held(self.request.slot, position)
--- a/src/mustardswitch/backends/transaction_run.py
+++ b/src/mustardswitch/backends/transaction_run.py
@@ -92,7 +92,7 @@
             if error.code == connection.TRANSACTION_EXPIRED_CODE:
                 self.home.end_transaction(transaction, clean=False)
                 return self.lost(str(error))
-            return self.failed(error)
+            return await self._failed_inside(transaction, error)
         except errors.BackendError as error:
             self.home.end_transaction(transaction, clean=False)
             return self.lost(str(error))
@@ -100,6 +100,16 @@
             return outcomes.StatementReply(outcome=outcomes.Outcome.RAN, result=execution.result)
         return await self._confirm_shown(transaction, execution)
 
+    async def _failed_inside(
+        self, transaction: transactions.OpenTransaction, error: errors.DatabaseRejectedError
+    ) -> outcomes.StatementReply:
+        """Pass an error on; a transaction whose state is not certain is rolled back."""
+        reply = await self.failed_at_primary(transaction.used, error)
+        if reply.outcome is outcomes.Outcome.RAN:
+            return reply
+        self.home.end_transaction(transaction, clean=False)
+        return self.lost(reply.detail)
+
     async def _confirm_shown(
         self, transaction: transactions.OpenTransaction, execution: connection.Execution
     ) -> outcomes.StatementReply:
--- a/src/mustardswitch/backends/write_run.py
+++ b/src/mustardswitch/backends/write_run.py
@@ -42,7 +42,7 @@
         except errors.NotPrimaryError as error:
             return outcomes.not_run(outcomes.Reason.NOT_PRIMARY, str(error))
         except errors.DatabaseRejectedError as error:
-            return self.failed(error)
+            return await self.failed_at_primary(used, error)
         except errors.NothingSentError as error:
             return outcomes.not_run(outcomes.Reason.DISCONNECTED, str(error))
         except errors.ConnectionBrokenError as error:
@@ -50,6 +50,19 @@
             return outcomes.unknown(outcomes.Reason.DISCONNECTED, str(error))
         return self.ran(execution)
 
+    async def _roll_back_failed(
+        self, used: connection.BackendConnection, error: errors.DatabaseRejectedError
+    ) -> outcomes.StatementReply:
+        """End the transaction of a recorded write that the database rejected."""
+        if error.code == connection.TRANSACTION_EXPIRED_CODE:
+            return outcomes.not_run(outcomes.Reason.TRANSACTION_LOST, str(error))
+        try:
+            await used.execute("ROLLBACK", timeout_s=self.left_s)
+        except errors.BackendError as failure:
+            used.broken = True
+            return outcomes.not_run(outcomes.Reason.DISCONNECTED, str(failure))
+        return await self.failed_at_primary(used, error)
+
     async def _write_recorded(
         self, used: connection.BackendConnection, term: ids.Term
     ) -> outcomes.StatementReply:
@@ -73,10 +86,7 @@
         except errors.NotPrimaryError as error:
             return outcomes.not_run(outcomes.Reason.NOT_PRIMARY, str(error))
         except errors.DatabaseRejectedError as error:
-            used.broken = True
-            if error.code == connection.TRANSACTION_EXPIRED_CODE:
-                return outcomes.not_run(outcomes.Reason.TRANSACTION_LOST, str(error))
-            return self.failed(error)
+            return await self._roll_back_failed(used, error)
         except errors.ConnectionBrokenError as error:
             self.pool.record_timeout()
             if commit_sent:
--- a/tests/processes/test_primary_failures.py
+++ b/tests/processes/test_primary_failures.py
@@ -1,6 +1,7 @@
 """Primaries that die, freeze or are cut off, with the platform's store up and down."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -156,3 +157,49 @@
                 await started.slot_call(slot, "set_lag", 0, 2500)
         await _run_load(started, log)
         assert await processes.judge(started, log) == []
+
+
+@pytest.mark.parametrize("inward", [True, False])
+async def test_stays_honest_when_one_direction_is_cut(tmp_path, inward):
+    log = history.History()
+    async with processes.running(processes.LINKED, tmp_path) as started:
+        primary = await started.wait_primary("orders")
+        others = [zone.zone for zone in started.spec.zones if zone.zone != primary.zone]
+
+        async def cut():
+            await asyncio.sleep(1.0)
+            for other in others:
+                pair = (other, primary.zone) if inward else (primary.zone, other)
+                started.links.cut(*pair)
+            await asyncio.sleep(3.0)
+            started.links.heal()
+
+        await asyncio.gather(_run_load(started, log, seconds=6.0), cut())
+        await asyncio.sleep(1.0)
+        assert await processes.judge(started, log) == []
+
+
+async def test_changes_the_primary_while_the_store_is_slow(tmp_path):
+    log = history.History()
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        client = started.open_store()
+        value = json.dumps({"delay_ms": 3000}).encode()
+        await client.compare_and_swap("standin/faults", value, expected_revision=0)
+        client.close()
+        primary = await started.wait_primary("orders")
+        started.processes[primary.slot].kill()
+        await _run_load(started, log)
+        assert processes.told(log)[history.Told.RAN] > 50
+        assert await processes.judge(started, log) == []
+
+
+async def test_holds_an_error_back_that_shows_an_unconfirmed_write(tmp_path):
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        caller = await processes.caller(started.entries[0])
+        await caller.run("CREATE TABLE keyed (id INTEGER PRIMARY KEY)")
+        await processes.hold_replicas_back(started, "orders", receive_lag_ms=60_000)
+        insert = "INSERT /*+ DEADLINE(0.5) */ INTO keyed VALUES (1)"
+        for told in (history.Told.UNKNOWN, history.Told.NOT_RUN):
+            with pytest.raises(load.CALL_ERRORS) as raised:
+                await caller.run(insert)
+            assert load.told_of(raised.value) is told
--- a/tests/processes/test_statements.py
+++ b/tests/processes/test_statements.py
@@ -83,6 +83,17 @@
         assert rows == {f"op{number}": 1 for number in range(10)}
 
 
+async def test_does_not_remember_a_request_that_the_database_rejected(tmp_path):
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        caller = await processes.caller(started.entries[0])
+        await caller.run("CREATE TABLE keyed (id INTEGER PRIMARY KEY)")
+        await caller.run("INSERT INTO keyed VALUES (1)")
+        duplicate = await _code(caller, "INSERT /*+ REQUEST_ID('k') */ INTO keyed VALUES (1)")
+        assert duplicate == 1062
+        await caller.run("INSERT /*+ REQUEST_ID('k') */ INTO keyed VALUES (2)")
+        assert await caller.run("SELECT id FROM keyed ORDER BY id") == [(1,), (2,)]
+
+
 async def test_finds_a_request_id_again_after_a_failover(tmp_path):
     async with processes.running(processes.CASCADE, tmp_path) as started:
         caller = await processes.caller(started.entries[0])
