Take homes only after a peer has answered; the platform's list in a module of its own

Cause: test_holds_no_more_connections_than_the_document_allows failed in a full run: an instance that starts knows only itself, takes every home and connects to every slot until gossip tells it better. Ruled out: the shares (they add up to 24 of 25, test_shares_add_up_to_no_more_than_the_connections). Change: homes wait for the first exchange with a peer (3 s at most, none when the list holds nobody else); connections are opened ahead after 1 s as home.

--- a/src/mustardswitch/backends/group_home.py
+++ b/src/mustardswitch/backends/group_home.py
@@ -29,6 +29,7 @@
 
 TRANSACTION_CHECK_S = 0.5
 TRANSACTION_IDLE_S = 10.0
+WARM_DELAY_S = 1.0
 ALERT_HEARTBEAT_S = 0.1
 PRIMARY_HEARTBEAT_S = 0.25
 REPLICA_HEARTBEAT_S = 0.5
@@ -134,7 +135,7 @@
                 endpoint=self.policy.endpoints[slot], size=self.policy.connections_per_slot
             )
             self.pools[slot] = pool
-            pool.warm()
+            asyncio.get_running_loop().call_later(WARM_DELAY_S, pool.warm)
             events.log(events.Event.HOME_TAKEN, database=self.database, slot=slot)
         for slot in set(self.pools) - wanted:
             self.pools.pop(slot).close()
--- a/src/mustardswitch/instance/directory.py
+++ b/src/mustardswitch/instance/directory.py
@@ -37,6 +37,7 @@
         self.on_members: collections.abc.Callable[[], None] = lambda: None
         self.started_s = time.monotonic()
         self.rounds = 0
+        self.exchanges = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -134,6 +135,7 @@
         self._take_over(codec.decode_records(answer.records), learned=True)
         if answer.buckets:
             await self._repair(link, list(answer.buckets))
+        self.exchanges += 1
 
     async def _repair(self, link: client.PeerLink, buckets: list[bytes]) -> None:
         """Send what the partner's digests show it to lack, and get what this table lacks."""
--- a/src/mustardswitch/instance/document_keeper.py
+++ b/src/mustardswitch/instance/document_keeper.py
@@ -16,29 +16,17 @@
 from mustardswitch.document import models, sections
 from mustardswitch.internal import gossip, homes, ids, membership
 from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import store
+from mustardswitch.platform import instances, store
 
 SECTION_KIND = "section/"
 LISTED_KIND = "listed/"
-INSTANCE_PREFIX = "platform/instances/"
 WATCHERS_PER_ZONE = 2
 STORE_RETRY_S = 0.5
 WATCH_CHECK_S = 1.0
 REREAD_S = 30.0
 
 
-class ListedInstance(pydantic.BaseModel):
-    """One entry of the platform's list of instances."""
-
-    instance: str
-    zone: str
-    region: str
-    host: str
-    port: int
-    leaving: bool = False
-
-
-def listed_member(listed: ListedInstance) -> membership.Member:
+def listed_member(listed: instances.ListedInstance) -> membership.Member:
     """Turn a list entry into a member that nobody has heard yet (incarnation 0)."""
     return membership.Member(
         instance=ids.InstanceId(listed.instance),
@@ -90,8 +78,9 @@
         self.parsed: dict[ids.SectionName, _ParsedSection] = {}
         self.valid_texts: dict[ids.SectionName, str] = {}
         self.document = sections.Document(sections={})
-        self.listed: dict[ids.InstanceId, ListedInstance] = {}
+        self.listed: dict[ids.InstanceId, instances.ListedInstance] = {}
         self.store_reachable = False
+        self.knows_list = False
 
     @property
     def is_watcher(self) -> bool:
@@ -154,7 +143,7 @@
         name = ids.InstanceId(record.key.removeprefix(LISTED_KIND))
         if record.payload:
             try:
-                self.listed[name] = ListedInstance.model_validate_json(record.payload)
+                self.listed[name] = instances.ListedInstance.model_validate_json(record.payload)
             except pydantic.ValidationError as error:
                 events.log(events.Event.SECTION_REJECTED, section=record.key, error=error)
                 return
@@ -171,7 +160,7 @@
             try:
                 async with asyncio.TaskGroup() as tasks:
                     tasks.create_task(self._follow(sections.SECTION_PREFIX, SECTION_KIND))
-                    tasks.create_task(self._follow(INSTANCE_PREFIX, LISTED_KIND))
+                    tasks.create_task(self._follow(instances.INSTANCE_PREFIX, LISTED_KIND))
                     tasks.create_task(self._stop_when_replaced())
             except* platform_errors.PlatformError as failures:
                 self._note_unavailable(failures)
@@ -226,6 +215,7 @@
             if key not in present
         ]
         self.spread([*records, *gone], learned=True)
+        self.knows_list = self.knows_list or kind == LISTED_KIND
 
 
 class _NoLongerWatcher(Exception):
--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -7,7 +7,7 @@
 import time
 
 from mustardswitch import events, metrics, settings, tls
-from mustardswitch.backends import transactions
+from mustardswitch.backends import group_home, transactions
 from mustardswitch.document import sections
 from mustardswitch.instance import directory, document_keeper, home_manager, router
 from mustardswitch.internal import (
@@ -20,11 +20,13 @@
     positions,
 )
 from mustardswitch.peers import client, codec, errors, peers_pb2
-from mustardswitch.platform import failover_leases, store
+from mustardswitch.platform import failover_leases, instances, store
 
 VIEW_KIND = "group/"
 REACH_TIMEOUT_S = 0.12
 RECONCILE_DELAY_S = 0.02
+JOIN_S = 3.0
+JOIN_CHECK_S = 0.05
 RESTART_DELAY_S = 0.5
 LEAVE_SPREAD_S = 0.3
 IDLE_CHECK_S = 0.02
@@ -131,8 +133,22 @@
         self.router.members_changed()
         self.reconcile_wanted.set()
 
+    async def _join(self) -> None:
+        """Wait until a peer has answered, before homes are taken.
+
+        An instance that knows only itself would take every home at once and connect to every
+        slot, past the connections that the document allows.
+        """
+        ends_s = time.monotonic() + JOIN_S
+        while time.monotonic() < ends_s:
+            alone = self.keeper.knows_list and len(self.peers.membership.members) == 1
+            if self.peers.exchanges or alone:
+                return
+            await asyncio.sleep(JOIN_CHECK_S)
+
     async def _reconcile(self) -> None:
         """Recompute homes, once for all changes that came together."""
+        await self._join()
         while True:
             await self.reconcile_wanted.wait()
             await asyncio.sleep(RECONCILE_DELAY_S)
@@ -310,7 +326,7 @@
 def _seeds(config: settings.Settings) -> list[membership.Member]:
     return [
         document_keeper.listed_member(
-            document_keeper.ListedInstance(
+            instances.ListedInstance(
                 instance=seed.instance,
                 zone=seed.zone,
                 region=seed.region,
@@ -331,7 +347,7 @@
     )
 
 
-def _group_state(home: home_manager.group_home.GroupHome) -> peers_pb2.GroupState:
+def _group_state(home: group_home.GroupHome) -> peers_pb2.GroupState:
     now_s = time.monotonic()
     view = home.tracker.view
     return peers_pb2.GroupState(
--- a/src/mustardswitch/operators/instances.py
+++ b/src/mustardswitch/operators/instances.py
@@ -9,10 +9,10 @@
 import grpclib.client
 import grpclib.exceptions
 
-from mustardswitch.instance import document_keeper
 from mustardswitch.internal import ids
 from mustardswitch.operators import errors
 from mustardswitch.peers import peers_grpc, peers_pb2
+from mustardswitch.platform import instances as listed_instances
 from mustardswitch.platform import store
 
 STATUS_TIMEOUT_S = 1.0
@@ -50,17 +50,17 @@
         channel.close()
 
 
-async def list_instances(client: store.Store) -> list[document_keeper.ListedInstance]:
+async def list_instances(client: store.Store) -> list[listed_instances.ListedInstance]:
     """Read the platform's list of instances."""
-    snapshot = await client.read_prefix(document_keeper.INSTANCE_PREFIX)
+    snapshot = await client.read_prefix(listed_instances.INSTANCE_PREFIX)
     return [
-        document_keeper.ListedInstance.model_validate_json(value.value or b"")
+        listed_instances.ListedInstance.model_validate_json(value.value or b"")
         for value in snapshot.values
     ]
 
 
 async def follow_revision(
-    listed: collections.abc.Sequence[document_keeper.ListedInstance],
+    listed: collections.abc.Sequence[listed_instances.ListedInstance],
     name: ids.SectionName,
     revision: int,
     *,
@@ -79,7 +79,7 @@
 
 
 async def _ask_all(
-    listed: collections.abc.Sequence[document_keeper.ListedInstance],
+    listed: collections.abc.Sequence[listed_instances.ListedInstance],
     name: ids.SectionName,
     revision: int,
     tls: ssl.SSLContext | None,
