--- a/src/mustardswitch/backends/connection.py
+++ b/src/mustardswitch/backends/connection.py
@@ -22,7 +22,6 @@
 NOT_PRIMARY_CODE = 1290
 DUPLICATE_KEY_CODE = 1062
 TRANSACTION_EXPIRED_CODE = 1205
-TOO_MANY_CONNECTIONS_CODE = 1040
 # The client library raises this one only before it writes the statement.
 SERVER_GONE_CODE = 2006
 FIRST_CLIENT_CODE = 2000
--- a/src/mustardswitch/backends/group_home.py
+++ b/src/mustardswitch/backends/group_home.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 
-from mustardswitch import events, metrics, tracing
+from mustardswitch import events, metrics, tasks, tracing
 from mustardswitch.backends import (
     connection,
     errors,
@@ -290,9 +290,7 @@
 
     async def close(self) -> None:
         """Stop watching and close every connection."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await tasks.end_all(self.tasks)
         for pool in self.pools.values():
             pool.close()
         for transaction in list(self.open_transactions.by_id.values()):
--- a/src/mustardswitch/backends/slot_control.py
+++ b/src/mustardswitch/backends/slot_control.py
@@ -76,10 +76,6 @@
         self.asked_now = True
         self.wake.set()
 
-    def nudge(self) -> None:
-        """Look again at which position is wanted."""
-        self.wake.set()
-
     async def command(self, procedure: str, *arguments: object) -> GroupAnswer:
         """Send a group command; raises BackendUnreachableError when no answer comes."""
         answer = await self.query(procedure, *arguments)
--- a/src/mustardswitch/backends/slot_pool.py
+++ b/src/mustardswitch/backends/slot_pool.py
@@ -43,7 +43,6 @@
         self.closed = False
         self.failures = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.refused = 0
 
     def __repr__(self) -> str:
         return f"SlotPool(endpoint={self.endpoint!r}, size={self.size!r})"
@@ -117,7 +116,6 @@
         if not self.queue.offer(
             waiting, now_s=now_s, service_s=service_s, concurrency=self.limit.allowed
         ):
-            self.refused += 1
             raise errors.PoolRefusedError(f"{self.queue.length} statements are waiting")
         try:
             async with asyncio.timeout(use.deadline_s - now_s):
--- a/src/mustardswitch/backends/statement_run.py
+++ b/src/mustardswitch/backends/statement_run.py
@@ -143,18 +143,24 @@
         position = reply.position
         if reply.outcome is not outcomes.Outcome.RAN or position is None or reply.failure:
             return reply
-        home = self.home
-        home.tracker.note_held(self.request.slot, position)
-        if not home.policy.confirm_by_majority:
-            outcome = await home.waiters.term_held(
-                position.term, since_s=time.monotonic(), deadline_s=self.deadline_s
-            )
-        else:
-            outcome = await home.waiters.confirmed(position, deadline_s=self.deadline_s)
+        self.home.tracker.note_held(self.request.slot, position)
+        started_s = time.monotonic()
+        outcome = await self._wait_for_confirmation(position, started_s)
+        self.home.registry.record_seconds("confirmation", time.monotonic() - started_s)
         if outcome is waiters.WaitOutcome.REACHED:
             return reply
         return await self._resolve_unconfirmed(reply, position)
 
+    async def _wait_for_confirmation(
+        self, position: positions.Position, started_s: float
+    ) -> waiters.WaitOutcome:
+        """Wait as the section says: for a majority's logs, or for a majority's promise."""
+        if self.home.policy.confirm_by_majority:
+            return await self.home.waiters.confirmed(position, deadline_s=self.deadline_s)
+        return await self.home.waiters.term_held(
+            position.term, since_s=started_s, deadline_s=self.deadline_s
+        )
+
     async def _resolve_unconfirmed(
         self, reply: outcomes.StatementReply, position: positions.Position
     ) -> outcomes.StatementReply:
--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from mustardswitch import events, metrics, settings, tls
+from mustardswitch import events, metrics, settings, tasks, tls
 from mustardswitch.backends import group_home, transactions
 from mustardswitch.document import sections
 from mustardswitch.instance import directory, document_keeper, home_manager, router
@@ -300,9 +300,7 @@
 
     async def close(self) -> None:
         """Stop the tasks and close every connection."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await tasks.end_all(self.tasks)
         await self.manager.close()
         await self.links.close()
         self.store.close()
--- a/src/mustardswitch/internal/errors.py
+++ b/src/mustardswitch/internal/errors.py
@@ -19,7 +19,3 @@
 
 class UnsupportedStatementError(DecisionError):
     """Raised when a statement would break the guarantees and is refused before it runs."""
-
-
-class BudgetExhaustedError(DecisionError):
-    """Raised when no further retry is allowed."""
--- a/src/mustardswitch/internal/failover.py
+++ b/src/mustardswitch/internal/failover.py
@@ -221,7 +221,7 @@
             return self.lease_answered(now_s, LeaseAnswer.UNAVAILABLE)
         if self.phase is Phase.FENCING:
             return self._choose(now_s, final=True)
-        return self._give_up(now_s)
+        return self._finish(now_s)
 
     def _consider(self, now_s: float) -> list[Command]:
         if now_s < self.not_before_s or not self._majority_in_reach(now_s):
@@ -315,7 +315,7 @@
         if self.phase is not Phase.ASKING:
             return []
         if primary_reached or not self._primary_suspected(now_s):
-            return self._give_up(now_s)
+            return self._finish(now_s)
         self._enter(Phase.CLAIMING, now_s + LEASE_ANSWER_S)
         return [ClaimLease()]
 
@@ -325,7 +325,7 @@
             return []
         self.holds_lease = answer is LeaseAnswer.GRANTED
         if answer is LeaseAnswer.HELD:
-            return self._give_up(now_s)
+            return self._finish(now_s)
         promised = [
             observation.status.promised for observation in self.tracker.observations.values()
         ]
@@ -347,7 +347,7 @@
         everybody = len(self.fenced) == len(self.tracker.slots)
         waits_for_more = self.handing_over and not everybody and not final
         if len(self.fenced) < self.tracker.majority or waits_for_more:
-            return self._give_up(now_s) if final else []
+            return self._finish(now_s) if final else []
         best = max(self.fenced.values(), key=self._fitness)
         self.chosen = best.slot
         self._enter(Phase.PROMOTING, now_s + PROMOTE_ANSWER_S)
@@ -366,7 +366,7 @@
         if self.phase is not Phase.PROMOTING or event.term != self.term:
             return []
         if not event.accepted or event.status.slot != self.chosen:
-            return self._give_up(now_s)
+            return self._finish(now_s)
         view = groups.GroupView(database=self.tracker.database, term=self.term, primary=self.chosen)
         self.tracker.adopt(view)
         followers = [
@@ -379,9 +379,6 @@
         self.phase = phase
         self.phase_ends_s = ends_s
 
-    def _give_up(self, now_s: float) -> list[Command]:
-        return self._finish(now_s)
-
     def _finish(self, now_s: float) -> list[Command]:
         commands: list[Command] = []
         if self.handing_over:
--- a/src/mustardswitch/peers/client.py
+++ b/src/mustardswitch/peers/client.py
@@ -1,7 +1,6 @@
 """Links to other instances: one batched stream per peer for statements, calls for gossip."""
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import ssl
@@ -11,6 +10,7 @@
 import grpclib.client
 import grpclib.exceptions
 
+from mustardswitch import tasks
 from mustardswitch.internal import ids, outcomes, positions
 from mustardswitch.peers import codec, errors, peers_grpc, peers_pb2
 
@@ -114,10 +114,10 @@
                 await self.channel.__connect__()
             async with self.stub.Exchange.open(metadata=metadata) as stream:
                 await stream.send_request()
-                async with asyncio.TaskGroup() as tasks:
-                    tasks.create_task(self._send(stream))
-                    tasks.create_task(self._receive(stream))
-                    tasks.create_task(self._watch_silence())
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._send(stream))
+                    group.create_task(self._receive(stream))
+                    group.create_task(self._watch_silence())
         except* (*_TRANSPORT_ERRORS, TimeoutError) as failures:
             self._fail(_first(failures))
         else:
@@ -197,9 +197,7 @@
     async def close(self) -> None:
         """Close the connection."""
         if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+            await tasks.end_all([self.task])
         self.channel.close()
 
 
--- a/src/mustardswitch_standins/processes.py
+++ b/src/mustardswitch_standins/processes.py
@@ -14,3 +14,5 @@
         loop.add_signal_handler(number, stopped.set)
     print(f"ready {kind} {name}", flush=True)
     await stopped.wait()
+    # The codec's server reports every connection that is open at the end as a failed callback.
+    loop.set_exception_handler(lambda _loop, _context: None)
--- a/tests/decisions/test_reference.py
+++ b/tests/decisions/test_reference.py
@@ -2,6 +2,7 @@
 
 import importlib.util
 import pathlib
+import re
 
 import pytest
 
@@ -49,3 +50,26 @@
     spec.loader.exec_module(module)
     for name, text in module.pages().items():
         assert (DOCS / name).read_text() == text, f"run docs/generate_reference.py for {name}"
+
+
+ROOT = DOCS.parent
+PAGES = [ROOT / "README.md", *sorted(DOCS.glob("*.md"))]
+
+
+def _sources():
+    return "\n".join(path.read_text() for path in (ROOT / "tests").rglob("*.py"))
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_names_in_the_pages_exist(page):
+    text = page.read_text()
+    tests = _sources()
+    for name in re.findall(r"`(test_\w+)`", text):
+        assert f"def {name}" in tests or f"{name} =" in tests or f"/{name}" in text, name
+    for trace in re.findall(r"`(group_\w+)`", text):
+        assert (ROOT / "tests" / "traces" / f"{trace}.yaml").exists(), trace
+    for path in re.findall(r"`([\w/]+/\w+\.py)`", text):
+        found = [ROOT / path, ROOT / "src" / path, ROOT / "src" / "mustardswitch" / path]
+        assert any(candidate.exists() for candidate in found), path
+    for link in re.findall(r"\]\(([\w/.]+\.md)\)", text):
+        assert (page.parent / link).exists(), link
--- a/tests/processes/test_instances.py
+++ b/tests/processes/test_instances.py
@@ -199,3 +199,14 @@
         )
         answers = [await started.slot_call(slot, "connections") for slot in started.slots]
         assert sum(answer["peak"] for answer in answers) <= started.spec.connections
+
+
+async def test_stops_when_the_platform_and_the_slots_go_away_at_the_same_moment(tmp_path):
+    async with processes.running(processes.CASCADE, tmp_path) as started:
+        for name in ("platform", *(slot.slot for slot in started.slots)):
+            started.processes[name].terminate()
+        for entry in started.entries:
+            started.processes[entry.instance].terminate()
+        for entry in started.entries:
+            code = await asyncio.to_thread(started.processes[entry.instance].popen.wait, 20)
+            assert code == 0
