--- a/src/mustardswitch/programs/mustardctl.py
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -21,7 +21,6 @@
 import typer
 from google.protobuf import json_format
 
-import mustardswitch
 from mustardswitch import settings, tls
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import sections
@@ -31,6 +30,7 @@
 from mustardswitch.peers import peers_pb2
 from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import store
+from mustardswitch.programs import version_option
 
 EXIT_REFUSED = 2
 EXIT_CONFLICT = 3
@@ -74,6 +74,9 @@
     ),
 ]
 SectionArgument = Annotated[str, typer.Argument(help="Name of the section.")]
+FileArgument = Annotated[
+    pathlib.Path, typer.Argument(exists=True, dir_okay=False, help="YAML file with the text.")
+]
 WaitOption = Annotated[
     float, typer.Option("--wait", help="Seconds to wait until it is in force everywhere.")
 ]
@@ -82,19 +85,8 @@
 ]
 
 
-def _show_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(f"mustardctl {mustardswitch.__version__}")
-        raise typer.Exit
-
-
 @app.callback()
-def _options(
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=_show_version, is_eager=True, help="Show the version."),
-    ] = False,
-) -> None:
+def _options(version: version_option.VersionOption = False) -> None:
     """Take the options that go before a command."""
 
 
@@ -191,7 +183,7 @@
 
 
 @document_app.command()
-def check(address: StoreOption, section: SectionArgument, path: pathlib.Path) -> None:
+def check(address: StoreOption, section: SectionArgument, path: FileArgument) -> None:
     """Check a file as the new text of a section, together with all other sections."""
     found = _run(_read_sections(address))
     name = ids.SectionName(section)
@@ -204,7 +196,7 @@
 
 
 @document_app.command()
-def diff(address: StoreOption, section: SectionArgument, path: pathlib.Path) -> None:
+def diff(address: StoreOption, section: SectionArgument, path: FileArgument) -> None:
     """Show what a file would change in a section."""
     found = _run(_read_sections(address))
     stored = found.get(ids.SectionName(section))
@@ -234,7 +226,7 @@
 def apply(
     address: StoreOption,
     section: SectionArgument,
-    path: pathlib.Path,
+    path: FileArgument,
     base: Annotated[
         pathlib.Path | None,
         typer.Option(help="Text that the file was made from; the one in force when left out."),
--- a/src/mustardswitch/programs/mustardswitchd.py
+++ b/src/mustardswitch/programs/mustardswitchd.py
@@ -9,12 +9,11 @@
 import grpclib.server
 import typer
 
-import mustardswitch
 from mustardswitch import events, settings, tls, tracing
 from mustardswitch.callers import server as caller_server
 from mustardswitch.instance import node
 from mustardswitch.peers import server as peer_server
-from mustardswitch.programs import health
+from mustardswitch.programs import health, version_option
 
 EXIT_BAD_SETTINGS = 2
 GAUGE_INTERVAL_S = 1.0
@@ -27,19 +26,8 @@
 )
 
 
-def _show_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(f"mustardswitchd {mustardswitch.__version__}")
-        raise typer.Exit
-
-
 @app.callback()
-def _options(
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=_show_version, is_eager=True, help="Show the version."),
-    ] = False,
-) -> None:
+def _options(version: version_option.VersionOption = False) -> None:
     """Take the options that go before a command."""
 
 
--- a/tests/processes/test_instances.py
+++ b/tests/processes/test_instances.py
@@ -36,6 +36,11 @@
         assert await other.run("SELECT op FROM effects") == [("whole",)]
 
 
+def _second_instances(started):
+    """Return the callers' ports of one instance in each zone that stays up."""
+    return [started.entry_in(zone.zone, 1).callers_port for zone in started.spec.zones]
+
+
 async def test_serves_on_when_instances_are_killed(tmp_path):
     log = history.History()
     async with processes.running(processes.CASCADE, tmp_path) as started:
@@ -45,7 +50,7 @@
             for zone in ("puget-a", "puget-b"):
                 started.processes[started.entry_in(zone).instance].kill()
 
-        survivors = [started.entry_in(zone.zone, 1).callers_port for zone in started.spec.zones]
+        survivors = _second_instances(started)
         load_run = load.run_sessions(
             ports=survivors,
             database="orders",
@@ -72,7 +77,7 @@
             await asyncio.sleep(4.0)
             frozen.resume()
 
-        survivors = [started.entry_in(zone.zone, 1).callers_port for zone in started.spec.zones]
+        survivors = _second_instances(started)
         load_run = load.run_sessions(
             ports=survivors,
             database="orders",
