--- a/src/mustardswitch/__init__.py
+++ b/src/mustardswitch/__init__.py
@@ -1,3 +1,3 @@
-"""A database proxy that keeps every session's reads honest and every write single."""
+"""A database proxy with session consistency."""
 
 __version__ = "0.1.0"
--- a/src/mustardswitch/backends/failover_driver.py
+++ b/src/mustardswitch/backends/failover_driver.py
@@ -11,7 +11,7 @@
 from mustardswitch.internal import confirmations, failover, groups, ids
 
 TICK_S = 0.05
-CALM_TICK_S = 0.1
+WATCHING_TICK_S = 0.1
 
 
 class FailoverWorld(typing.Protocol):
@@ -56,8 +56,8 @@
         try:
             while True:
                 self.handle(failover.Tick())
-                calm = self.machine.phase is failover.Phase.WATCHING
-                await asyncio.sleep(CALM_TICK_S if calm else TICK_S)
+                watching = self.machine.phase is failover.Phase.WATCHING
+                await asyncio.sleep(WATCHING_TICK_S if watching else TICK_S)
         finally:
             for task in self.tasks:
                 task.cancel()
--- a/src/mustardswitch/instance/directory.py
+++ b/src/mustardswitch/instance/directory.py
@@ -66,8 +66,8 @@
         changed = self.table.merge(records, fleet_size=fleet_size)
         for record in changed:
             self._dispatch(record)
-        news = any(record.key.startswith(URGENT_KINDS) for record in changed)
-        if news and (not learned or self._is_settled()):
+        has_urgent = any(record.key.startswith(URGENT_KINDS) for record in changed)
+        if has_urgent and (not learned or self._is_settled()):
             self.push_now()
 
     def _is_settled(self) -> bool:
