--- a/src/mustardswitch/callers/server.py
+++ b/src/mustardswitch/callers/server.py
@@ -98,11 +98,10 @@
                 if caller in dismissed or not _is_idle(caller, stream):
                     continue
                 dismissed.add(caller)
-                with contextlib.suppress(ConnectionError, RuntimeError):
-                    await stream.dismiss(
-                        "NOT RUN: leaving: this instance is draining; connect again",
-                        errors.CallerErrorCode.NOT_RUN_LEAVING,
-                    )
+                await stream.dismiss(
+                    "NOT RUN: leaving: this instance is draining; connect again",
+                    errors.CallerErrorCode.NOT_RUN_LEAVING,
+                )
             if dismissed >= set(self.open):
                 break
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/src/mustardswitch/callers/streams.py
+++ b/src/mustardswitch/callers/streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import ssl
 import struct
 
@@ -106,12 +107,14 @@
         """Answer the statement that the caller sends next with an error, and send no more.
 
         Closing the socket instead could discard the error together with a statement that had
-        already arrived, and the caller would not know that it did not run.
+        already arrived, and the caller would not know that it did not run. A caller that has gone
+        away meanwhile needs no answer.
         """
         self.seq.value = FIRST_REPLY_SEQUENCE
-        await self.write(packets.make_error(msg=message, code=code))
-        if self.writer.can_write_eof():
-            self.writer.write_eof()
+        with contextlib.suppress(OSError, RuntimeError):
+            await self.write(packets.make_error(msg=message, code=code))
+            if self.writer.can_write_eof():
+                self.writer.write_eof()
 
 
 def _feed(protocol: asyncio.BufferedProtocol, data: bytes) -> None:
