Refuse for the pool in one place; forget what no longer is to be avoided

Cause: found on reading the whole change. Three runs of statements turned a pool's refusal into a reply in the same five lines. The router kept two maps of the same logic, for instances and for slots; after the first failure they never shrank and were walked for every statement. Ruled out: leaving the maps and clearing them on a change of members (failures come without one). Change: the statement runner turns refusals; internal/avoidance.py serves both maps and drops what has passed. No outcome, bound or check is changed. The whole suite has not been run on this commit yet.

--- a/src/mustardswitch/backends/read_run.py
+++ b/src/mustardswitch/backends/read_run.py
@@ -43,10 +43,7 @@
         view = self.home.tracker.view
         leads = view.primary == self.request.slot
         asked_s = time.monotonic()
-        try:
-            used = await self.pool.acquire(self.use())
-        except errors.PoolRefusedError as error:
-            return statement_run.pool_refusal(error)
+        used = await self.pool.acquire(self.use())
         began_s = time.monotonic()
         try:
             await used.use_term(view.term if leads else connection.NO_TERM, timeout_s=self.left_s)
--- a/src/mustardswitch/backends/statement_run.py
+++ b/src/mustardswitch/backends/statement_run.py
@@ -189,10 +189,3 @@
         except errors.BackendError:
             return None
         return position.offset <= answer["offset"]
-
-
-def pool_refusal(error: errors.PoolRefusedError) -> outcomes.StatementReply:
-    """Build the reply for a statement that got no connection."""
-    if isinstance(error, errors.PoolUnreachableError):
-        return outcomes.not_run(outcomes.Reason.UNREACHABLE, str(error))
-    return outcomes.not_run(outcomes.Reason.OVERLOADED, str(error))
--- a/src/mustardswitch/backends/statement_runner.py
+++ b/src/mustardswitch/backends/statement_runner.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from mustardswitch.backends import read_run, transaction_run, transactions, write_run
+from mustardswitch.backends import errors, read_run, transaction_run, transactions, write_run
 from mustardswitch.internal import outcomes
 
 if typing.TYPE_CHECKING:
@@ -18,7 +18,17 @@
     async def run(
         self, request: outcomes.StatementRequest, *, owner: transactions.Owner
     ) -> outcomes.StatementReply:
-        """Run one statement of a caller that ``owner`` speaks for."""
+        """Run one statement; a pool that refuses it has sent nothing, so it is not run."""
+        try:
+            return await self._run(request, owner=owner)
+        except errors.PoolUnreachableError as error:
+            return outcomes.not_run(outcomes.Reason.UNREACHABLE, str(error))
+        except errors.PoolRefusedError as error:
+            return outcomes.not_run(outcomes.Reason.OVERLOADED, str(error))
+
+    async def _run(
+        self, request: outcomes.StatementRequest, *, owner: transactions.Owner
+    ) -> outcomes.StatementReply:
         if request.kind is outcomes.StatementKind.BEGIN:
             begun = transaction_run.TransactionRun(home=self.home, request=request, owner=owner)
             return await begun.begin()
--- a/src/mustardswitch/backends/transaction_run.py
+++ b/src/mustardswitch/backends/transaction_run.py
@@ -24,10 +24,7 @@
         if refusal is not None:
             return refusal
         term = self.home.tracker.view.term
-        try:
-            used = await self.pool.acquire(self.use())
-        except errors.PoolRefusedError as error:
-            return statement_run.pool_refusal(error)
+        used = await self.pool.acquire(self.use())
         try:
             await used.use_term(term, timeout_s=self.left_s)
             execution = await used.execute("BEGIN", timeout_s=self.left_s)
--- a/src/mustardswitch/backends/write_run.py
+++ b/src/mustardswitch/backends/write_run.py
@@ -15,10 +15,7 @@
         if refusal is not None:
             return refusal
         term = self.home.tracker.view.term
-        try:
-            used = await self.pool.acquire(self.use())
-        except errors.PoolRefusedError as error:
-            return statement_run.pool_refusal(error)
+        used = await self.pool.acquire(self.use())
         began_s = time.monotonic()
         try:
             if self.request.request_id is None:
--- a/src/mustardswitch/instance/router.py
+++ b/src/mustardswitch/instance/router.py
@@ -11,7 +11,16 @@
 from mustardswitch.backends import transactions
 from mustardswitch.document import models, sections
 from mustardswitch.instance import directory, home_manager
-from mustardswitch.internal import groups, ids, membership, outcomes, positions, retries, routing
+from mustardswitch.internal import (
+    avoidance,
+    groups,
+    ids,
+    membership,
+    outcomes,
+    positions,
+    retries,
+    routing,
+)
 from mustardswitch.peers import client, errors
 
 AVOID_S = 1.0
@@ -88,8 +97,12 @@
         self.view_changed: collections.defaultdict[ids.DatabaseName, asyncio.Event] = (
             collections.defaultdict(asyncio.Event)
         )
-        self.avoided_until_s: dict[ids.InstanceId, float] = {}
-        self.slots_avoided_until_s: dict[ids.SlotId, float] = {}
+        self.avoided_instances: avoidance.Avoidance[ids.InstanceId] = avoidance.Avoidance(
+            duration_s=AVOID_S
+        )
+        self.avoided_slots: avoidance.Avoidance[ids.SlotId] = avoidance.Avoidance(
+            duration_s=AVOID_S
+        )
         self.budget = retries.RetryBudget()
         self.floor_questions: dict[ids.DatabaseName, _FloorQuestion] = {}
 
@@ -197,10 +210,8 @@
             candidates = self.peers.membership.candidates()
             everybody = home_manager.homes_for(self.document, entry, slot, candidates)
             ranked = self.ranked_homes[slot] = everybody[: HOMES_TRIED + 1]
-        if not self.avoided_until_s:
-            return ranked
-        now_s = time.monotonic()
-        return sorted(ranked, key=lambda instance: self.avoided_until_s.get(instance, 0.0) > now_s)
+        avoided = self.avoided_instances.active(now_s=time.monotonic())
+        return sorted(ranked, key=avoided.__contains__) if avoided else ranked
 
     async def arrival_floor(
         self, database: ids.DatabaseName, *, deadline_s: float
@@ -260,18 +271,9 @@
                 self.note_peer_failure(instance, error)
         return None
 
-    def unreachable_slots(self) -> frozenset[ids.SlotId]:
-        """Return the slots that were out of reach a moment ago."""
-        if not self.slots_avoided_until_s:
-            return frozenset()
-        now_s = time.monotonic()
-        return frozenset(
-            slot for slot, until_s in self.slots_avoided_until_s.items() if until_s > now_s
-        )
-
     def note_peer_failure(self, instance: ids.InstanceId, error: errors.PeerError) -> None:
         """Avoid a peer for a while; one whose process is gone is declared dead."""
-        self.avoided_until_s[instance] = time.monotonic() + AVOID_S
+        self.avoided_instances.add(instance, now_s=time.monotonic())
         if isinstance(error, errors.PeerRefusedError):
             self.peers.note_refused(instance)
 
@@ -355,7 +357,7 @@
                 return reply
             self.refused.add(slots[0])
             if reply.reason in (outcomes.Reason.UNREACHABLE, outcomes.Reason.DISCONNECTED):
-                self.router.slots_avoided_until_s[slots[0]] = time.monotonic() + AVOID_S
+                self.router.avoided_slots.add(slots[0], now_s=time.monotonic())
             if time.monotonic() >= self.statement.deadline_s:
                 return _out_of_time(reply)
             if redirected:
@@ -373,7 +375,7 @@
             primary=view.primary if view else None,
             prefer_replicas=preference is models.ReadPreference.REPLICAS_IN_REGION,
             refused=frozenset(self.refused),
-            unreachable=self.router.unreachable_slots(),
+            unreachable=self.router.avoided_slots.active(now_s=time.monotonic()),
         )
         return routing.candidate_slots(self.router.places_of(self.entry), question)
 
