Check sections that arrive together once, not once each

Cause: found on reading the whole change: the document keeper checked all sections for each section that arrived, the square of their number, blocking the instance at its start. Ruled out: parsing (parsed sections are kept already). Change: one check after all records of a message; if they do not fit together, each changed one is tried on the good ones, as before.

--- a/src/mustardswitch/instance/document_keeper.py
+++ b/src/mustardswitch/instance/document_keeper.py
@@ -75,6 +75,7 @@
         self.on_document = on_document
         self.on_listed = on_listed
         self.stored: dict[ids.SectionName, sections.StoredSection] = {}
+        self.changed: set[ids.SectionName] = set()
         self.parsed: dict[ids.SectionName, _ParsedSection] = {}
         self.valid_texts: dict[ids.SectionName, str] = {}
         self.document = sections.Document(sections={})
@@ -100,8 +101,7 @@
         name = ids.SectionName(record.key.removeprefix(SECTION_KIND))
         if not record.payload:
             self.stored.pop(name, None)
-            others = {key: text for key, text in self.valid_texts.items() if key != name}
-            self._put_in_force(others)
+            self._check_soon(name)
             return
         try:
             stored = sections.decode_section(name, record.version, record.payload)
@@ -109,21 +109,43 @@
             events.log(events.Event.SECTION_REJECTED, section=name, error=error)
             return
         self.stored[name] = stored
-        self._put_in_force({**self.valid_texts, name: stored.text})
+        self._check_soon(name)
 
-    def _put_in_force(self, texts: dict[ids.SectionName, str]) -> None:
-        """Check all sections; ones that do not fit together keep their last good text."""
-        complete = {**texts, **{name: stored.text for name, stored in self.stored.items()}}
-        for candidate in (complete, texts):
-            try:
-                parsed = {name: self._parse(name, text) for name, text in candidate.items()}
-                problems = _blocking(sections.check_together(parsed, candidate), parsed)
-            except document_errors.InvalidDocumentError as error:
-                problems = error.problems
-            if not problems:
-                self._install(candidate, sections.Document(sections=parsed))
-                return
-        events.log(events.Event.SECTION_REJECTED, error="; ".join(map(str, problems)))
+    def _check_soon(self, name: ids.SectionName) -> None:
+        """Check once for all sections that arrive together.
+
+        Checking all sections for each one that arrives takes the square of their number, during
+        which an instance that starts answers nobody.
+        """
+        if not self.changed:
+            asyncio.get_running_loop().call_soon(self._check_changed)
+        self.changed.add(name)
+
+    def _check_changed(self) -> None:
+        """Put all sections in force, or else each changed one that fits the good ones."""
+        changed, self.changed = self.changed, set()
+        complete = {name: stored.text for name, stored in self.stored.items()}
+        if not self._try(complete):
+            return
+        for name in sorted(changed):
+            texts = {key: text for key, text in self.valid_texts.items() if key != name}
+            if name in complete:
+                texts[name] = complete[name]
+            problems = self._try(texts)
+            if problems:
+                shown = "; ".join(map(str, problems))
+                events.log(events.Event.SECTION_REJECTED, section=name, error=shown)
+
+    def _try(self, texts: dict[ids.SectionName, str]) -> list[document_errors.Problem]:
+        """Put texts in force if they are valid together, or return what is wrong."""
+        try:
+            parsed = {name: self._parse(name, text) for name, text in texts.items()}
+            problems = _blocking(sections.check_together(parsed, texts), parsed)
+        except document_errors.InvalidDocumentError as error:
+            return error.problems
+        if not problems:
+            self._install(texts, sections.Document(sections=parsed))
+        return problems
 
     def _parse(self, name: ids.SectionName, text: str) -> models.Section:
         """Parse a section, or return it as parsed before when its text is the same."""
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -1,6 +1,6 @@
 """Builders of test data."""
 
-from mustardswitch.internal import confirmations, groups, ids, positions
+from mustardswitch.internal import confirmations, groups, ids, membership, positions
 
 DATABASE = ids.DatabaseName("orders")
 SLOTS = (ids.SlotId("a"), ids.SlotId("b"), ids.SlotId("c"))
@@ -45,3 +45,17 @@
 def tracker(slots: tuple[ids.SlotId, ...] = SLOTS) -> confirmations.GroupTracker:
     """Build a tracker that has seen nothing."""
     return confirmations.GroupTracker(database=DATABASE, slots=slots)
+
+
+def member(name: str, zone: str = "z", incarnation: int = 1) -> membership.Member:
+    """Build a live instance."""
+    return membership.Member(
+        instance=ids.InstanceId(name),
+        zone=ids.ZoneName(zone),
+        region=ids.RegionName("r"),
+        host="127.0.0.1",
+        port=1,
+        state=membership.MemberState.ALIVE,
+        leaving=False,
+        incarnation=incarnation,
+    )
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from mustardswitch.internal import gossip, ids, membership
+from tests.common import builders
 
 
 def _record(key, version, payload=b"x"):
@@ -22,13 +23,13 @@
         for zone in range(zones):
             for number in range(per_zone):
                 name = ids.InstanceId(f"z{zone}-{number}")
-                own = _member(name, f"z{zone}")
+                own = builders.member(name, f"z{zone}")
                 table = gossip.RecordTable()
                 node = membership.Membership(
                     own=own, table=table, source=random.Random(f"{seed}{name}")
                 )
                 self.nodes[name] = node
-        listed = [_member(name, node.own.zone, 0) for name, node in self.nodes.items()]
+        listed = [builders.member(name, node.own.zone, 0) for name, node in self.nodes.items()]
         for node in self.nodes.values():
             node.add_listed(listed, frozenset())
 
@@ -62,19 +63,6 @@
         }
 
 
-def _member(name, zone, incarnation=1):
-    return membership.Member(
-        instance=ids.InstanceId(name),
-        zone=ids.ZoneName(zone),
-        region=ids.RegionName("r"),
-        host="127.0.0.1",
-        port=1,
-        state=membership.MemberState.ALIVE,
-        leaving=False,
-        incarnation=incarnation,
-    )
-
-
 @given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 9)), max_size=30))
 def test_keeps_the_highest_version_in_any_order(updates):
     table = gossip.RecordTable()
@@ -136,8 +124,10 @@
 
 def _pair():
     table = gossip.RecordTable()
-    node = membership.Membership(own=_member("me", "z"), table=table, source=random.Random(1))
-    other = membership.encode_member(_member("other", "z"))
+    node = membership.Membership(
+        own=builders.member("me", "z"), table=table, source=random.Random(1)
+    )
+    other = membership.encode_member(builders.member("other", "z"))
     table.put(other, fleet_size=2)
     node.apply_record(other, now_s=0.0)
     return node
@@ -147,7 +137,7 @@
     node = _pair()
     node.ping_failed(ids.InstanceId("other"), now_s=1.0, now_ms=1000)
     assert node.expire_suspicions(now_s=1.0, now_ms=1000) == []
-    objected = membership.encode_member(_member("other", "z", incarnation=2))
+    objected = membership.encode_member(builders.member("other", "z", incarnation=2))
     node.table.put(objected, fleet_size=2)
     node.apply_record(objected, now_s=1.2)
     assert node.expire_suspicions(now_s=9.0, now_ms=9000) == []
@@ -158,7 +148,7 @@
 
 def test_objects_to_a_claim_about_itself():
     node = _pair()
-    claim = membership.encode_member(_member("me", "z", incarnation=7))
+    claim = membership.encode_member(builders.member("me", "z", incarnation=7))
     node.apply_record(claim, now_s=0.0)
     assert node.own.incarnation == 8
     assert node.table.get("member/me").version > claim.version
