Let the trace test wait until the entry knows the primary

Its spans show that the write came 50 ms after the start, before any home had learned who leads, so that the entry asked the home of each slot in turn; one backend span, nothing run twice. Conclusion: the case is allowed and the test was at fault.

--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -7,6 +7,7 @@
 
 import asyncmy
 
+from mustardswitch.operators import instances
 from mustardswitch_standins import fleet, history, load
 
 SEEN_S = 0.5
@@ -88,6 +89,20 @@
         await started.slot_call(slot, "set_lag", receive_lag_ms, apply_lag_ms)
 
 
+async def wait_until_known(started: fleet.Fleet, zone: str, primary: fleet.SlotSpec) -> None:
+    """Wait until the first instance of a zone knows who leads.
+
+    Before, it asks the homes of all slots in turn, which is right and no matter of most tests.
+    """
+
+    async def knows() -> bool:
+        entry = started.entry_in(zone)
+        status = await instances.read_status(fleet.HOST, entry.peers_port)
+        return any(view.primary == primary.slot for view in status.views)
+
+    await eventually(knows)
+
+
 async def zones_of_replicas(started: fleet.Fleet, database: str) -> list[str]:
     """Return the zones whose slot does not lead."""
     primary = await started.wait_primary(database)
--- a/tests/processes/test_observability.py
+++ b/tests/processes/test_observability.py
@@ -29,6 +29,7 @@
         await started.start()
         primary = await started.wait_primary("orders")
         zone = next(zone.zone for zone in spec.zones if zone.zone != primary.zone)
+        await processes.wait_until_known(started, zone, primary)
         caller = await processes.caller(started.entry_in(zone))
         await caller.run("CREATE TABLE traced (a INTEGER)")
         for entry in started.entries:
--- a/tests/processes/test_statements.py
+++ b/tests/processes/test_statements.py
@@ -8,7 +8,6 @@
 import pytest
 
 from mustardswitch.callers import errors as caller_errors
-from mustardswitch.operators import instances
 from mustardswitch_standins import fleet, history, load
 from tests.common import processes
 
@@ -279,18 +278,13 @@
         assert len(await writer.run("SELECT op FROM effects")) == 200
 
 
-async def _knows_primary(started, zone, primary):
-    status = await instances.read_status(fleet.HOST, started.entry_in(zone).peers_port)
-    return any(view.primary == primary.slot for view in status.views)
-
-
 async def test_rolls_back_a_transaction_whose_instance_was_lost_during_begin(tmp_path):
     async with processes.running(processes.LINKED, tmp_path) as started:
         near, far = await _started_pair(started)
         primary = await started.wait_primary("orders")
         zone = (await processes.zones_of_replicas(started, "orders"))[0]
         await started.slot_call(primary, "set_statement_time", 400)
-        await processes.eventually(lambda: _knows_primary(started, zone, primary))
+        await processes.wait_until_known(started, zone, primary)
         lost = asyncio.create_task(far.run("BEGIN"))
         await asyncio.sleep(0.2)
         started.links.break_connections(zone, primary.zone)
