--- a/src/mustardswitch/platform/etcd_grpc.py
+++ b/src/mustardswitch/etcd/etcd_grpc.py
@@ -9,7 +9,7 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
-from mustardswitch.platform import etcd_pb2
+from mustardswitch.etcd import etcd_pb2
 
 
 class KVBase(abc.ABC):
--- a/src/mustardswitch/platform/failover_leases.py
+++ b/src/mustardswitch/etcd/failover_leases.py
@@ -5,8 +5,8 @@
 
 import asyncio
 
+from mustardswitch.etcd import errors, store
 from mustardswitch.internal import failover, groups, ids
-from mustardswitch.platform import errors, store
 
 LEASE_TTL_S = 2
 CLAIM_TIMEOUT_S = 0.14
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/etcd/store.py
@@ -7,7 +7,7 @@
 import grpclib.client
 import grpclib.exceptions
 
-from mustardswitch.platform import errors, etcd_grpc, etcd_pb2
+from mustardswitch.etcd import errors, etcd_grpc, etcd_pb2
 
 CALL_TIMEOUT_S = 1.0
 
--- a/src/mustardswitch/instance/document_keeper.py
+++ b/src/mustardswitch/instance/document_keeper.py
@@ -14,9 +14,9 @@
 from mustardswitch import events
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import models, sections
+from mustardswitch.etcd import errors as platform_errors
+from mustardswitch.etcd import instances, store
 from mustardswitch.internal import gossip, homes, ids, membership
-from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import instances, store
 
 SECTION_KIND = "section/"
 LISTED_KIND = "listed/"
--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -9,6 +9,7 @@
 from mustardswitch import events, metrics, settings, tasks, tls
 from mustardswitch.backends import group_home, transactions
 from mustardswitch.document import sections
+from mustardswitch.etcd import failover_leases, instances, store
 from mustardswitch.instance import directory, document_keeper, home_manager, router
 from mustardswitch.internal import (
     failover,
@@ -20,7 +21,6 @@
     positions,
 )
 from mustardswitch.peers import client, codec, errors, peers_pb2
-from mustardswitch.platform import failover_leases, instances, store
 
 VIEW_KIND = "group/"
 REACH_TIMEOUT_S = 0.12
--- a/src/mustardswitch/operators/edits.py
+++ b/src/mustardswitch/operators/edits.py
@@ -7,9 +7,9 @@
 
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import merging, sections
+from mustardswitch.etcd import errors as platform_errors
+from mustardswitch.etcd import store
 from mustardswitch.internal import ids
-from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import store
 
 ATTEMPTS = 8
 RETRY_S = 0.25
--- a/src/mustardswitch/operators/instances.py
+++ b/src/mustardswitch/operators/instances.py
@@ -9,11 +9,11 @@
 import grpclib.client
 import grpclib.exceptions
 
+from mustardswitch.etcd import instances as listed_instances
+from mustardswitch.etcd import store
 from mustardswitch.internal import ids
 from mustardswitch.operators import errors
 from mustardswitch.peers import peers_grpc, peers_pb2
-from mustardswitch.platform import instances as listed_instances
-from mustardswitch.platform import store
 
 STATUS_TIMEOUT_S = 1.0
 POLL_S = 0.1
--- a/src/mustardswitch/programs/mustardctl.py
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -24,12 +24,12 @@
 from mustardswitch import settings, tls
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import sections
+from mustardswitch.etcd import errors as platform_errors
+from mustardswitch.etcd import store
 from mustardswitch.internal import ids
 from mustardswitch.operators import edits, instances
 from mustardswitch.operators import errors as operator_errors
 from mustardswitch.peers import peers_pb2
-from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import store
 from mustardswitch.programs import version_option
 
 EXIT_REFUSED = 2
--- a/src/mustardswitch_standins/fleet.py
+++ b/src/mustardswitch_standins/fleet.py
@@ -19,7 +19,7 @@
 import ruamel.yaml
 
 from mustardswitch.document import sections
-from mustardswitch.platform import store
+from mustardswitch.etcd import store
 from mustardswitch_standins import links
 
 HOST = "127.0.0.1"
--- a/src/mustardswitch_standins/platform_store.py
+++ b/src/mustardswitch_standins/platform_store.py
@@ -15,7 +15,7 @@
 import grpclib.const
 import grpclib.server
 
-from mustardswitch.platform import etcd_grpc, etcd_pb2
+from mustardswitch.etcd import etcd_grpc, etcd_pb2
 
 FAULTS_KEY = b"standin/faults"
 LEASE_CHECK_S = 0.1
--- a/tests/processes/test_document.py
+++ b/tests/processes/test_document.py
@@ -8,9 +8,9 @@
 import ruamel.yaml
 
 from mustardswitch.document import errors as document_errors
+from mustardswitch.etcd import store
 from mustardswitch.internal import ids
 from mustardswitch.operators import edits, instances
-from mustardswitch.platform import store
 from mustardswitch_standins import fleet
 from tests.common import processes
 
