Replace a primary that is gone from the list; keep shares of connections through an outage

The search for a leader reset the moment from which a loss counts, so a lost primary never became due. Also 1068 connections over the servers' limit: lapsed registrations made the others raise their shares. Ruled out: the votes (the primary was gone from the list, no vote was needed).

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -51,10 +51,18 @@
     ``opener`` opens one connection, or raises a ``BackendError``.
     """
 
-    def __init__(self, *, name: str, opener: Opener[Held], size: int) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        opener: Opener[Held],
+        size: int,
+        reopen_limit_s: float = MAX_REOPEN_DELAY_S,
+    ) -> None:
         self.name = name
         self.opener = opener
         self.size = size
+        self.reopen_limit_s = reopen_limit_s
         self.idle: collections.deque[Held] = collections.deque()
         self.holding_s = 0.0
         self.taken_at_s: dict[int, float] = {}
@@ -113,7 +121,7 @@
         self._open_missing(max(wanted, self.busy + self.queue.length))
 
     async def _wait_and_reopen(self, wanted: int) -> None:
-        delay_s = min(MAX_REOPEN_DELAY_S, REOPEN_DELAY_S * 2 ** min(self.failures, 5))
+        delay_s = min(self.reopen_limit_s, REOPEN_DELAY_S * 2 ** min(self.failures, 5))
         await asyncio.sleep(delay_s)
         if self.queue.length or self.held < 1:
             self._open_missing(wanted)
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -4,9 +4,11 @@
 import dataclasses
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import clock, ids, server_list
+from mustardswitch.internal import clock, connection_shares, ids, server_list
 from mustardswitch.proxy import ports, routes, service
 
+REFRESH_S = 2.0
+"""How often the shares of connections follow the instances, when nothing else changes."""
 DEFAULT_TRANSACTION_IDLE_S = 3.0
 """Used until a configuration is known."""
 
@@ -42,6 +44,8 @@
         self.instances: server_list.ServerList[ids.InstanceId, ids.ZoneName] = (
             server_list.ServerList()
         )
+        self.shares = connection_shares.ConnectionShares(started_s=clock.now_s())
+        self.refreshed_s = clock.now_s()
         self.votes: set[Vote] = set()
         self.claims: dict[ids.ServiceName, ids.InstanceId] = {}
         self.unfinished: set[ids.ServiceName] = set()
@@ -82,10 +86,17 @@
         )
         self.refresh()
 
+    def expire(self) -> None:
+        """Drop what did not come back after an outage; to be called at short intervals."""
+        now_s = clock.now_s()
+        dropped = self.servers.expire(now_s) | self.instances.expire(now_s)
+        if dropped or now_s - self.refreshed_s > REFRESH_S:
+            self.refresh()
+
     def refresh(self) -> None:
         """Let the services follow the servers, the limits and the number of instances."""
-        self.servers.expire(clock.now_s())
-        self.instances.expire(clock.now_s())
+        self.refreshed_s = clock.now_s()
+        self.shares.note_instances(self.instance_count, now_s=clock.now_s())
         by_service: dict[ids.ServiceName, list[ports.ServerEntry]] = {}
         for entry in self.servers.entries.values():
             by_service.setdefault(entry.service, []).append(entry)
@@ -105,9 +116,7 @@
         limits = self.configuration.services.get(name) if self.configuration else None
         if limits is None:
             return 1
-        return service.connection_share(
-            connections=limits.max_connections, instances=self.instance_count
-        )
+        return self.shares.share(connections=limits.max_connections, now_s=clock.now_s())
 
     @property
     def instance_count(self) -> int:
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -28,6 +28,8 @@
         self.changing: asyncio.Task[None] | None = None
         self.searching: asyncio.Task[None] | None = None
         self.leaderless_since_s: float | None = None
+        self.searched_at_s = float("-inf")
+        self.vote_at_s = float("-inf")
         self.due_since_s: float | None = None
         self.due_for: ids.ServerId | None = None
         self.retry_at_s = float("-inf")
@@ -63,8 +65,7 @@
             held_up_s = max(0.0, clock.now_s() - due_boot_s)
             if held_up_s > CHECK_S:
                 due_s, due_boot_s = loop.time(), clock.now_s()
-            if self.known.servers.expire(clock.now_s()):
-                self.known.refresh()
+            self.known.expire()
             for name, target in self.known.services.items():
                 watch = self.watches.setdefault(name, ServiceWatch(target=target))
                 self._judge(watch, held_up_s)
@@ -85,10 +86,11 @@
             return
         if watch.leaderless_since_s is None:
             watch.leaderless_since_s = now_s
-        overdue = now_s - watch.leaderless_since_s > LEADERLESS_S
+        known_s = max(watch.leaderless_since_s, watch.searched_at_s)
+        overdue = now_s - known_s > LEADERLESS_S
         idle = watch.searching is None or watch.searching.done()
         if overdue and idle and watch.target.servers:
-            watch.leaderless_since_s = now_s
+            watch.searched_at_s = now_s
             watch.searching = watch.target.start(watch.target.find_leader())
 
     # Voting
@@ -98,7 +100,8 @@
         wanted = None
         if leader is not None and contact is not None and suspicion.suspects(contact):
             wanted = leader.server
-        if wanted == watch.voted_for or (watch.voting is not None and not watch.voting.done()):
+        busy = watch.voting is not None and not watch.voting.done()
+        if wanted == watch.voted_for or busy or clock.now_s() < watch.vote_at_s:
             return
         if contact is not None:
             events.log(
@@ -122,6 +125,7 @@
                 await self.coordination.vote(watch.target.name, wanted)
         except errors.StoreError as error:
             watch.voted_for = before
+            watch.vote_at_s = clock.now_s() + RETRY_S
             events.log(events.Event.VOTE_FAILED, service=watch.target.name, reason=str(error))
 
     # Changing the primary
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -19,6 +19,8 @@
 after some of these."""
 AVOIDANCE_S = 0.5
 """How long a server that failed is asked last; a few times the detection of a broken connection."""
+REOPEN_LIMIT_S = 0.25
+"""Longest pause before a connection is tried again; a server that is back is used within this."""
 BEHIND_S = 0.15
 """How long a replica is taken to lack a position; a few times its usual lag."""
 
@@ -48,7 +50,10 @@
         self.behind_until_s = float("-inf")
         self.in_flight = 0
         self.pool: connection_pool.ConnectionPool[ports.Link] = connection_pool.ConnectionPool(
-            name=entry.server, opener=self._open, size=connections
+            name=entry.server,
+            opener=self._open,
+            size=connections,
+            reopen_limit_s=REOPEN_LIMIT_S,
         )
 
     def __repr__(self) -> str:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -24,8 +24,6 @@
 """Ten round trips between regions."""
 SETTLE_TIMEOUT_S = 1.0
 """Time for a last command on a connection; past it the connection is closed."""
-CONNECTION_RESERVE = 2
-"""Connections of a server left free for status questions and promotions."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,11 +42,6 @@
         return read_placement.Distance.FAR
 
 
-def connection_share(*, connections: int, instances: int) -> int:
-    """Return how many connections one of several instances may hold to a server."""
-    return max(1, (connections - CONNECTION_RESERVE) // max(1, instances))
-
-
 class Service:
     """What this instance knows of one service, and its connections to it."""
 
