--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -25,7 +25,7 @@
         self.name = name
         self.reader = reader
         self.writer = writer
-        self.broken = False
+        self.failed = False
         self.values: dict[str, str] = {}
         self.names = lines.ShapeNames()
         self.sent_at_s: collections.deque[float] = collections.deque()
@@ -33,6 +33,11 @@
     def __repr__(self) -> str:
         return f"BackendLink(name={self.name!r}, reader={self.reader!r}, writer={self.writer!r})"
 
+    @property
+    def broken(self) -> bool:
+        """Whether it failed, or the server has closed it."""
+        return self.failed or self.reader.at_eof() or self.writer.is_closing()
+
     @property
     def shapes(self) -> dict[requests.Shape, str]:
         """Shapes prepared on the connection."""
@@ -45,7 +50,7 @@
 
     def close(self) -> None:
         """Close the connection; the server rolls back what is open on it."""
-        self.broken = True
+        self.failed = True
         self.sent_at_s.clear()
         self.writer.transport.abort()
 
@@ -58,8 +63,7 @@
             self.values.clear()
 
     def _send(self, data: bytes) -> None:
-        if self.broken or self.writer.is_closing() or self.reader.at_eof():
-            self.broken = True
+        if self.broken:
             raise backend_errors.NothingSentError(f"server {self.name} closed the connection")
         self.writer.write(data)
         self.sent_at_s.append(clock.now_s())
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -61,7 +61,6 @@
 class Link(typing.Protocol):
     """A connection to a backend server; one task uses it at a time."""
 
-    broken: bool
     values: dict[str, str]
     """Session values in force on it."""
     shapes: collections.abc.MutableMapping[requests.Shape, str]
@@ -69,6 +68,10 @@
     unanswered_since_s: float | None
     """When the oldest command without an answer was sent (``clock.now_s``)."""
 
+    @property
+    def broken(self) -> bool:
+        """Whether it failed, or the server has closed it."""
+
     def close(self) -> None:
         """Close it; the server rolls back what is open on it."""
 
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -116,6 +116,7 @@
         while True:
             latest = await self._ask_all({successor})
             status = latest.get(successor)
+            paused = self._still_paused(paused)
             choice = promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="the successor does not answer"
             )
@@ -140,6 +141,7 @@
         paused: dict[ids.ServerId, promotion.ServerStatus] = {}
         started_s = clock.now_s()
         while True:
+            paused = self._still_paused(paused)
             paused |= await self._pause_all(expected - set(paused), term)
             choice = promotion.choose_after_failure(
                 expected=expected, paused=paused, leaving=self._leaving()
@@ -149,6 +151,16 @@
                 return choice
             await asyncio.sleep(POLL_S)
 
+    def _still_paused(
+        self, paused: collections.abc.Mapping[ids.ServerId, promotion.ServerStatus]
+    ) -> dict[ids.ServerId, promotion.ServerStatus]:
+        """Leave out replicas that may have restarted, which ends a pause."""
+        return {
+            name: status
+            for name, status in paused.items()
+            if name in self.links and not self.links[name].broken
+        }
+
     def _leaving(self) -> set[ids.ServerId]:
         return {known.server for known in self.target.servers.values() if known.entry.leaving}
 
--- /dev/null
+++ b/tests/common/proxy_world.py
@@ -0,0 +1,100 @@
+"""Builds a directory, sessions and watches in front of an in-memory group."""
+
+import asyncio
+import itertools
+
+from mustardswitch import metrics
+from mustardswitch.internal import clock, ids
+from mustardswitch.proxy import (
+    directory,
+    failover_watch,
+    requests,
+    routes,
+    service,
+    session,
+)
+from tests.common import database_group
+
+REGIONS = {
+    ids.ZoneName("a"): ids.RegionName("north"),
+    ids.ZoneName("b"): ids.RegionName("north"),
+    ids.ZoneName("c"): ids.RegionName("south"),
+}
+DATABASES = {kind: ids.DatabaseName(f"db-{kind.value}") for kind in requests.RouteKind}
+READ = requests.Plain(access=requests.Access.READ, arguments="item")
+WRITE = requests.Plain(access=requests.Access.WRITE, arguments="item data")
+
+
+def route(kind: requests.RouteKind, **changes: object) -> routes.Route:
+    """Build a route of a kind."""
+    fields = {
+        "database": DATABASES[kind],
+        "service": database_group.SERVICE,
+        "kind": kind,
+        "statement_timeout_s": 1.0,
+        "max_staleness_s": 0.0 if kind is requests.RouteKind.PRIMARY else 1.5,
+        "priority": 1,
+    }
+    return routes.Route(**{**fields, **changes})
+
+
+def configuration(version: int = 1, **changes: object) -> routes.Configuration:
+    """Build a configuration with a database of each kind."""
+    built = [route(kind, **changes) for kind in requests.RouteKind]
+    return routes.Configuration(
+        version=version,
+        routes={each.database: each for each in built},
+        services={
+            database_group.SERVICE: routes.ServiceLimits(
+                service=database_group.SERVICE, max_connections=40, synchronous_replicas=1
+            )
+        },
+        transaction_idle_s=0.3,
+    )
+
+
+class World:
+    """One instance in front of a group."""
+
+    def __init__(self, *, zone: str = "a", **changes: object) -> None:
+        self.group = database_group.Group()
+        self.promoter = database_group.FakePromoter(group=self.group)
+        self.coordination = database_group.FakeCoordination()
+        self.known = directory.Directory(
+            instance=ids.InstanceId("one"),
+            place=service.Place(zone=ids.ZoneName(zone), regions=REGIONS),
+            opener=self.group.open_link,
+            registry=metrics.Registry(),
+        )
+        self.known.instances.put(ids.InstanceId("one"), ids.ZoneName(zone))
+        self.watch = failover_watch.FailoverWatch(
+            known=self.known, coordination=self.coordination, promoter=self.promoter
+        )
+        self.requests = itertools.count(1)
+        self.list_servers()
+        self.known.configure(configuration(**changes))
+
+    def list_servers(self) -> None:
+        """Let the directory see the servers as they are."""
+        listed = {entry.server: entry for entry in self.group.entries()}
+        self.known.servers.replace(listed, clock.now_s())
+        self.known.refresh()
+
+    @property
+    def orders(self) -> service.Service:
+        """The one service."""
+        return self.known.services[database_group.SERVICE]
+
+    def open_session(self, kind: requests.RouteKind) -> session.Session:
+        """Open a session of a kind."""
+        return session.Session(directory=self.known, database=DATABASES[kind])
+
+    async def run(self, caller: session.Session, statement: requests.Statement) -> requests.Answer:
+        """Run one statement of a session."""
+        request = ids.RequestId(f"r{next(self.requests)}")
+        return await caller.handle(request, statement, first_byte_s=clock.now_s())
+
+    async def settle(self) -> None:
+        """Let work in the background end."""
+        while self.orders.tasks:
+            await asyncio.wait(set(self.orders.tasks))
--- /dev/null
+++ b/tests/decisions/test_read_placement.py
@@ -0,0 +1,71 @@
+"""Where reads go in calm times, and when a server is slow, full, behind or failing."""
+
+from mustardswitch.internal import alignment, ids, positions, read_placement
+
+ZONE, REGION, FAR = read_placement.Distance
+
+
+def _candidate(server, distance, **changes):
+    fields = {
+        "server": ids.ServerId(server),
+        "distance": distance,
+        "latency_s": 0.02,
+        "in_flight": 0,
+        "connections": 3,
+        "leads": False,
+        "avoided": False,
+    }
+    return read_placement.ReadCandidate(**{**fields, **changes})
+
+
+def _order(*candidates, floor=None):
+    return read_placement.order_for_read(candidates, floor)
+
+
+def test_a_calm_read_stays_in_the_zone():
+    order = _order(_candidate("far", FAR), _candidate("near", ZONE), _candidate("mid", REGION))
+    assert order == ["near", "mid", "far"]
+
+
+def test_a_read_spares_the_primary_of_the_zone_for_a_replica_as_near():
+    assert _order(_candidate("p", ZONE, leads=True), _candidate("r", ZONE))[0] == "r"
+
+
+def test_reads_leave_a_server_that_turned_slow():
+    slow = _candidate("near", ZONE, latency_s=0.2)
+    assert _order(slow, _candidate("mid", REGION))[0] == "mid"
+
+
+def test_a_burst_spreads_over_the_region_before_it_queues():
+    full = _candidate("near", ZONE, in_flight=6, latency_s=0.02)
+    assert _order(full, _candidate("mid", REGION))[0] == "mid"
+
+
+def test_a_server_that_failed_is_asked_last():
+    assert _order(_candidate("near", ZONE, avoided=True), _candidate("far", FAR))[0] == "far"
+
+
+def test_a_replica_that_lacks_the_floor_is_asked_after_those_that_may_hold_it():
+    floor = positions.Position(term=ids.Term(1), offset=ids.Offset(9))
+    lower = positions.Position(term=ids.Term(1), offset=ids.Offset(4))
+    near = _candidate("near", ZONE, behind=floor)
+    assert _order(near, _candidate("mid", REGION), floor=floor)[0] == "mid"
+    assert _order(near, _candidate("mid", REGION), floor=lower)[0] == "near"
+
+
+def test_a_connection_that_matches_needs_nothing():
+    found = alignment.align(held_values={"a": "1"}, held_shapes={"s"}, values={"a": "1"}, shape="s")
+    assert found.cost == 0
+
+
+def test_values_of_another_session_are_cleared_first():
+    found = alignment.align(
+        held_values={"a": "1", "b": "2"}, held_shapes={"s"}, values={"a": "1"}, shape="s"
+    )
+    assert found.forget
+    assert dict(found.values) == {"a": "1"}
+    assert found.shape == "s"
+    assert (
+        found.cost
+        > alignment.align(held_values={}, held_shapes=set(), values={"a": "1"}, shape="s").cost
+    )
--- /dev/null
+++ b/tests/proxy/test_sessions.py
@@ -0,0 +1,256 @@
+"""Sessions in front of an in-memory group: honest reads, single writes, true refusals."""
+
+import asyncio
+
+import pytest
+
+from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.proxy import requests
+from tests.common import database_group, proxy_world
+
+PRIMARY, BOUNDED, OWN = requests.RouteKind
+IDLE, OPEN, FAILED = requests.TransactionState
+
+
+async def test_a_write_runs_once_at_the_primary():
+    world = proxy_world.World()
+    answer = await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    assert answer.signature == "sig-server-a"
+    assert world.group.ran == ["r1"]
+
+
+async def test_a_session_reads_its_own_write_at_a_replica():
+    world = proxy_world.World(zone="b")
+    caller = world.open_session(OWN)
+    await world.run(caller, proxy_world.WRITE)
+    read = await world.run(caller, proxy_world.READ)
+    assert read.rows == ("1",)
+    assert world.group.statements[-1].server == "server-b"
+
+
+async def test_a_replica_that_lacks_an_own_write_is_passed_over():
+    world = proxy_world.World(zone="b")
+    caller = world.open_session(OWN)
+    world.group.servers[ids.ServerId("server-b")].deaf = True
+    await world.run(caller, proxy_world.WRITE)
+    read = await world.run(caller, proxy_world.READ)
+    assert read.rows == ("1",)
+    assert world.group.statements[-1].server != "server-b"
+
+
+async def test_a_read_of_stated_age_shows_what_was_acknowledged_before():
+    world = proxy_world.World(zone="b", max_staleness_s=0.2)
+    world.group.servers[ids.ServerId("server-b")].deaf = True
+    await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    await asyncio.sleep(0.3)
+    read = await world.run(world.open_session(BOUNDED), proxy_world.READ)
+    assert read.rows == ("1",)
+
+
+async def test_a_primary_read_is_not_served_by_a_former_primary():
+    world = proxy_world.World(zone="a")
+    await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    await world.settle()
+    former = world.group.servers[ids.ServerId("server-a")]
+    world.group.promote(ids.ServerId("server-b"))
+    former.deaf = True
+    world.group.commit(world.group.primary, "later")
+    reading = asyncio.create_task(world.run(world.open_session(PRIMARY), proxy_world.READ))
+    await asyncio.sleep(0.05)
+    world.list_servers()
+    read = await reading
+    assert read.rows == ("2",)
+    assert all(statement.server != "server-a" for statement in world.group.statements[1:])
+
+
+async def test_a_write_refused_by_a_former_primary_goes_to_the_new_one():
+    world = proxy_world.World()
+    world.group.promote(ids.ServerId("server-c"))
+    writing = asyncio.create_task(world.run(world.open_session(PRIMARY), proxy_world.WRITE))
+    await asyncio.sleep(0.05)
+    world.list_servers()
+    answer = await writing
+    assert answer.signature == "sig-server-c"
+    assert world.group.ran == ["r1"]
+
+
+async def test_a_write_without_an_answer_is_not_said_to_have_not_run():
+    world = proxy_world.World(statement_timeout_s=0.3)
+    for name in ("server-b", "server-c"):
+        world.group.servers[ids.ServerId(name)].deaf = True
+    answer = await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    assert answer.refusal is requests.Refusal.OUTCOME_UNKNOWN
+    assert world.group.ran == ["r1"]
+
+
+async def test_a_write_that_finds_no_primary_is_truly_not_run():
+    world = proxy_world.World(statement_timeout_s=0.3)
+    world.group.servers[ids.ServerId("server-a")].up = False
+    answer = await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    assert answer.refusal is requests.Refusal.OVERLOADED
+    assert world.group.ran == []
+
+
+async def test_a_server_without_room_is_asked_again():
+    world = proxy_world.World()
+    world.group.servers[ids.ServerId("server-a")].busy = 2
+    answer = await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    assert answer.succeeded
+    assert world.group.ran == ["r1"]
+
+
+async def test_a_transaction_stays_on_one_connection():
+    world = proxy_world.World()
+    caller = world.open_session(OWN)
+    began = await world.run(caller, requests.Begin(read_only=False))
+    assert began.state is OPEN
+    for statement in (proxy_world.WRITE, proxy_world.READ, proxy_world.WRITE):
+        assert (await world.run(caller, statement)).state is OPEN
+    committed = await world.run(caller, requests.Commit())
+    assert committed.succeeded and committed.state is IDLE
+    assert len({id(statement.link) for statement in world.group.statements}) == 1
+    assert world.group.acknowledged == ["r2", "r4"]
+
+
+async def test_a_transaction_that_loses_its_primary_is_aborted_and_keeps_nothing():
+    world = proxy_world.World()
+    caller = world.open_session(OWN)
+    await world.run(caller, requests.Begin(read_only=False))
+    await world.run(caller, proxy_world.WRITE)
+    world.group.promote(ids.ServerId("server-b"))
+    answer = await world.run(caller, proxy_world.WRITE)
+    assert answer.refusal in (requests.Refusal.READ_ONLY, requests.Refusal.ABORTED)
+    assert answer.state is FAILED
+    assert (await world.run(caller, proxy_world.READ)).refusal is requests.Refusal.MALFORMED
+    assert (await world.run(caller, requests.Rollback())).state is IDLE
+    assert world.group.acknowledged == []
+
+
+async def test_a_transaction_whose_first_statement_meets_a_former_primary_starts_over():
+    world = proxy_world.World()
+    caller = world.open_session(OWN)
+    await world.run(caller, requests.Begin(read_only=False))
+    world.group.promote(ids.ServerId("server-b"))
+    writing = asyncio.create_task(world.run(caller, proxy_world.WRITE))
+    await asyncio.sleep(0.05)
+    world.list_servers()
+    assert (await writing).succeeded
+    assert (await world.run(caller, requests.Commit())).succeeded
+    assert world.group.acknowledged == ["r2"]
+
+
+async def test_a_commit_without_an_answer_has_an_unknown_outcome():
+    world = proxy_world.World(statement_timeout_s=0.3)
+    caller = world.open_session(OWN)
+    await world.run(caller, requests.Begin(read_only=False))
+    await world.run(caller, proxy_world.WRITE)
+    for name in ("server-b", "server-c"):
+        world.group.servers[ids.ServerId(name)].deaf = True
+    committed = await world.run(caller, requests.Commit())
+    assert committed.refusal is requests.Refusal.OUTCOME_UNKNOWN
+    assert committed.state is IDLE
+
+
+async def test_an_idle_transaction_gives_its_connection_back():
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, requests.Begin(read_only=False))
+    await world.run(caller, proxy_world.WRITE)
+    await asyncio.sleep(0.4)
+    assert caller.transaction_state is FAILED
+    await world.settle()
+    assert world.orders.servers[ids.ServerId("server-a")].pool.busy == 0
+
+
+async def test_prepared_names_of_callers_do_not_collide():
+    world = proxy_world.World()
+    first, second = world.open_session(PRIMARY), world.open_session(PRIMARY)
+    name = ids.StatementName("s1")
+    reading = requests.Shape(access=requests.Access.READ, text="q1")
+    writing = requests.Shape(access=requests.Access.WRITE, text="q2")
+    await world.run(first, requests.Prepare(name=name, shape=reading))
+    await world.run(second, requests.Prepare(name=name, shape=writing))
+    await world.run(second, requests.Execute(name=name, arguments="item data"))
+    await world.run(first, requests.Execute(name=name, arguments="item"))
+    assert world.group.acknowledged == ["r3"]
+
+
+async def test_values_of_one_session_are_not_in_force_for_another():
+    world = proxy_world.World()
+    first, second = world.open_session(PRIMARY), world.open_session(PRIMARY)
+    await world.run(first, requests.SetValue(name="mode", value="1"))
+    await world.run(first, proxy_world.WRITE)
+    assert world.group.statements[-1].link.values == {"mode": "1"}
+    await world.run(second, proxy_world.WRITE)
+    assert world.group.statements[-1].link.values == {}
+
+
+async def test_a_dropped_database_is_refused_from_the_next_statement_on():
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    newer = proxy_world.configuration(version=2)
+    world.known.configure(
+        type(newer)(version=2, routes={}, services=newer.services, transaction_idle_s=1.0)
+    )
+    answer = await world.run(caller, proxy_world.WRITE)
+    assert answer.refusal is requests.Refusal.UNKNOWN_DATABASE
+    assert len(world.group.ran) == 1
+
+
+async def test_an_older_configuration_does_not_come_back():
+    world = proxy_world.World()
+    world.known.configure(proxy_world.configuration(version=5))
+    world.known.configure(proxy_world.configuration(version=3, statement_timeout_s=9.0))
+    assert world.known.configuration.version == 5
+
+
+async def test_a_leaving_replica_gets_no_reads():
+    world = proxy_world.World(zone="b")
+    world.group.servers[ids.ServerId("server-b")].leaving = True
+    world.list_servers()
+    for _ in range(5):
+        assert (await world.run(world.open_session(BOUNDED), proxy_world.READ)).succeeded
+    assert all(statement.server != "server-b" for statement in world.group.statements)
+
+
+async def test_a_server_started_anew_under_its_id_is_taken_for_a_new_one():
+    world = proxy_world.World()
+    before = world.orders.servers[ids.ServerId("server-b")]
+    entries = {entry.server: entry for entry in world.group.entries()}
+    reborn = entries[ids.ServerId("server-b")]
+    fields = {name: getattr(reborn, name) for name in reborn.__dataclass_fields__}
+    world.known.servers.put(reborn.server, type(reborn)(**{**fields, "started_ms": 2}))
+    world.known.refresh()
+    assert world.orders.servers[ids.ServerId("server-b")] is not before
+    assert before.pool.closed
+
+
+async def test_a_silent_replica_is_passed_over_within_its_patience():
+    world = proxy_world.World(zone="b")
+    caller = world.open_session(BOUNDED)
+    assert (await world.run(caller, proxy_world.READ)).succeeded
+    world.group.servers[ids.ServerId("server-b")].silent = True
+    started_s = clock.now_s()
+    answer = await world.run(caller, proxy_world.READ)
+    assert answer.succeeded
+    assert clock.now_s() - started_s < 0.9
+
+
+@pytest.mark.parametrize("kind", list(requests.RouteKind))
+async def test_every_kind_of_route_reads_after_a_promotion(kind):
+    world = proxy_world.World(zone="c")
+    caller = world.open_session(kind)
+    await world.run(world.open_session(PRIMARY), proxy_world.WRITE)
+    world.group.promote(ids.ServerId("server-b"))
+    world.list_servers()
+    assert world.group.servers[ids.ServerId("server-b")].role is promotion.Role.PRIMARY
+    assert (await world.run(caller, proxy_world.READ)).rows == ("1",)
+
+
+async def test_group_stand_in_loses_commits_when_a_deaf_replica_is_promoted():
+    group = database_group.Group()
+    group.servers[ids.ServerId("server-c")].deaf = True
+    group.commit(group.primary, "x")
+    group.promote(ids.ServerId("server-c"))
+    assert group.lost == ["x"]
--- /dev/null
+++ b/tests/proxy/test_takeover.py
@@ -0,0 +1,193 @@
+"""Changes of primary: nothing acknowledged is lost, and service comes back."""
+
+import asyncio
+
+import pytest
+
+from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.proxy import directory, requests, takeover
+from tests.common import database_group, proxy_world
+
+A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+PRIMARY = requests.RouteKind.PRIMARY
+
+
+async def _take_over(world: proxy_world.World, primary: ids.ServerId | None = A) -> bool:
+    return await takeover.run_claimed(
+        target=world.orders,
+        coordination=world.coordination,
+        promoter=world.promoter,
+        primary=primary,
+    )
+
+
+async def test_the_replica_with_the_longest_log_takes_over():
+    world = proxy_world.World()
+    world.group.servers[B].deaf = True
+    world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+    assert await _take_over(world)
+    assert world.group.primary.name == C
+    assert world.group.lost == []
+    assert not world.group.servers[B].paused_term
+
+
+async def test_nobody_is_promoted_while_a_replica_is_unheard(monkeypatch):
+    monkeypatch.setattr(takeover, "GATHER_LIMIT_S", 0.1)
+    world = proxy_world.World()
+    world.group.servers[B].deaf = True
+    world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+    world.group.servers[C].up = False
+    assert not await _take_over(world)
+    assert world.promoter.orders == []
+    assert not world.group.servers[B].paused_term
+    assert world.coordination.held == set()
+
+
+async def test_a_leaving_primary_hands_over_without_losing_a_commit():
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    world.group.commit(world.group.primary, "x")
+    assert await _take_over(world)
+    assert world.group.primary.name in (B, C)
+    assert world.group.lost == []
+
+
+async def test_a_handover_waits_until_the_successor_has_the_paused_logs(monkeypatch):
+    monkeypatch.setattr(takeover, "HANDOVER_LIMIT_S", 1.0)
+    world = proxy_world.World()
+    world.group.servers[B].deaf = world.group.servers[C].deaf = False
+    world.group.commit(world.group.primary, "x")
+    world.group.servers[B].log.clear()
+    world.group.servers[C].log.clear()
+    world.group.servers[B].deaf = True
+    world.group.commit(world.group.primary, "y")
+    world.group.servers[C].deaf = True
+    assert await _take_over(world)
+    assert world.group.primary.name == C
+    assert world.group.lost == []
+
+
+async def test_an_order_without_an_answer_is_repeated_for_the_same_server():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    world.promoter.lose_answers = 2
+    assert await _take_over(world)
+    assert {server for server, _ in world.promoter.orders} == {world.group.primary.name}
+
+
+async def test_a_holder_with_a_lower_token_changes_nothing():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    world.promoter.seen = 99
+    assert not await _take_over(world)
+    assert world.group.primary.name == A
+
+
+async def test_a_service_claimed_by_another_instance_is_left_alone():
+    world = proxy_world.World()
+    world.coordination.held.add(database_group.SERVICE)
+    assert not await _take_over(world)
+    assert world.promoter.orders == []
+
+
+async def test_a_primary_found_to_lead_already_is_kept():
+    world = proxy_world.World()
+    world.group.promote(B)
+    assert await _take_over(world)
+    assert world.promoter.orders == []
+    assert world.orders.leader.server == B
+
+
+async def _watch_until(world: proxy_world.World, reached, limit_s: float = 4.0) -> None:
+    watching = asyncio.create_task(world.watch.run())
+    try:
+        started_s = clock.now_s()
+        while not reached() and clock.now_s() - started_s < limit_s:
+            await asyncio.sleep(0.02)
+        assert reached()
+    finally:
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+
+
+async def test_a_primary_that_is_no_longer_listed_is_replaced():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    listed = {entry.server: entry for entry in world.group.entries() if entry.server != A}
+    world.known.servers.replace(listed, clock.now_s())
+    world.known.refresh()
+    await _watch_until(world, lambda: world.group.primary.name != A)
+    assert world.group.lost == []
+
+
+async def test_a_leaving_primary_is_replaced_by_the_watch():
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    await _watch_until(world, lambda: world.group.primary.name != A)
+
+
+async def test_a_crashed_primary_is_voted_for_and_replaced_when_votes_suffice():
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    world.group.servers[A].up = False
+
+    async def cast_votes():
+        while not world.coordination.votes:
+            await world.run(caller, proxy_world.WRITE)
+        world.known.votes.add(
+            directory.Vote(service=database_group.SERVICE, server=A, instance=world.known.instance)
+        )
+
+    casting = asyncio.create_task(cast_votes())
+    await _watch_until(world, lambda: world.group.primary.name != A, limit_s=8.0)
+    await casting
+    assert world.group.lost == []
+
+
+async def test_replicas_left_paused_by_a_dead_instance_are_resumed():
+    world = proxy_world.World()
+    world.group.servers[B].paused_term = 7
+    world.known.unfinished.add(database_group.SERVICE)
+    await _watch_until(world, lambda: not world.group.servers[B].paused_term)
+
+
+async def test_a_healthy_primary_is_left_alone():
+    world = proxy_world.World()
+    watching = asyncio.create_task(world.watch.run())
+    caller = world.open_session(PRIMARY)
+    for _ in range(20):
+        await world.run(caller, proxy_world.WRITE)
+        await asyncio.sleep(0.02)
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    assert world.promoter.orders == []
+    assert world.coordination.votes == []
+
+
+def _status(offset: int, role: promotion.Role = promotion.Role.REPLICA):
+    group = database_group.Group()
+    server = group.servers[B]
+    server.log = [database_group.LogEntry(term=1, data=str(n)) for n in range(offset)]
+    server.role = role
+    return group.status(server)
+
+
+@pytest.mark.parametrize("offsets, chosen", [((3, 5), C), ((5, 3), B), ((5, 5), B)])
+def test_the_highest_paused_log_is_chosen(offsets, chosen):
+    paused = {B: _status(offsets[0]), C: _status(offsets[1])}
+    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving=set())
+    assert choice.server == chosen
+
+
+def test_a_leaving_replica_is_chosen_only_when_its_log_alone_is_the_highest():
+    paused = {B: _status(5), C: _status(5)}
+    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving={B})
+    assert choice.server == C
+    paused = {B: _status(5), C: _status(3)}
+    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving={B})
+    assert choice.server == B
