Probe a silent primary over a fresh connection, and skip it in the takeover

Ruled out: the votes' quorum (no vote was cast). Change: the age of silence survives given-up connections; 0.25 s of silence starts a probe, 0.5 s with a failed probe a vote; the holder does not ask a primary again that is silent to itself. The new test fails without the change.

--- a/src/mustardswitch/internal/suspicion.py
+++ b/src/mustardswitch/internal/suspicion.py
@@ -13,6 +13,9 @@
 SILENCE_S = 0.5
 """Longest time a primary may leave a question unanswered; five times its usual longest work."""
 
+PROBE_AFTER_S = 0.25
+"""Silence after which a fresh connection is tried; longer than most work of the users' reads."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PrimaryContact:
@@ -20,6 +23,8 @@
 
     unanswered_s: float
     """Age of the oldest question without any answer since; 0 when there is none."""
+    failed_probes: int
+    """Questions over connections of their own, in a row, without an answer."""
     refused_connections: int
     """Connections in a row that were refused or reset."""
     listed: bool
@@ -36,11 +41,17 @@
 """Refused connections in a row that count as silence; one may be a reset of connections."""
 
 
+def needs_probe(contact: PrimaryContact) -> bool:
+    """Tell whether a question over a fresh connection should tell silence from one lost answer."""
+    return contact.unanswered_s >= PROBE_AFTER_S
+
+
 def suspects(contact: PrimaryContact) -> bool:
     """Tell whether this instance lacks the primary through no fault of its own."""
     if contact.other_answered_s > OTHERS_HEARD_S:
         return False
-    if contact.unanswered_s - contact.held_up_s >= SILENCE_S:
+    silent = contact.unanswered_s - contact.held_up_s >= SILENCE_S
+    if silent and contact.failed_probes > 0:
         return True
     if contact.refused_connections >= REFUSALS:
         return True
--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -51,7 +51,6 @@
     def close(self) -> None:
         """Close the connection; the server rolls back what is open on it."""
         self.failed = True
-        self.sent_at_s.clear()
         self.writer.transport.abort()
 
     def send(self, command: ports.Command, request: ids.RequestId | None = None) -> None:
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -28,6 +28,7 @@
         self.changing: asyncio.Task[None] | None = None
         self.searching: asyncio.Task[None] | None = None
         self.leaderless_since_s: float | None = None
+        self.probing: asyncio.Task[None] | None = None
         self.searched_at_s = float("-inf")
         self.vote_at_s = float("-inf")
         self.due_since_s: float | None = None
@@ -97,6 +98,8 @@
 
     def _vote(self, watch: ServiceWatch, leader: server.Server | None, held_up_s: float) -> None:
         contact = watch.target.contact(held_up_s=held_up_s)
+        if leader is not None and contact is not None and suspicion.needs_probe(contact):
+            self._probe(watch, leader)
         wanted = None
         if leader is not None and contact is not None and suspicion.suspects(contact):
             wanted = leader.server
@@ -115,6 +118,10 @@
         before, watch.voted_for = watch.voted_for, wanted
         watch.voting = watch.target.start(self._cast(watch, before, wanted))
 
+    def _probe(self, watch: ServiceWatch, leader: server.Server) -> None:
+        if watch.probing is None or watch.probing.done():
+            watch.probing = watch.target.start(watch.target.probe(leader))
+
     async def _cast(
         self, watch: ServiceWatch, before: ids.ServerId | None, wanted: ids.ServerId | None
     ) -> None:
@@ -189,6 +196,7 @@
             coordination=self.coordination,
             promoter=self.promoter,
             primary=None if primary == GONE else primary,
+            silent=primary == watch.voted_for,
         )
         watch.due_for = None
         if not done:
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -4,7 +4,7 @@
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors
-from mustardswitch.internal import clock, ids, positions, read_placement
+from mustardswitch.internal import clock, ids, positions, promotion, read_placement
 from mustardswitch.proxy import ports
 
 INITIAL_LATENCY_S = {
@@ -44,6 +44,8 @@
         self.measured_at_s = clock.now_s()
         self.answered_at_s = clock.now_s()
         self.opening_since_s: float | None = None
+        self.given_up_since_s: float | None = None
+        self.failed_probes = 0
         self.refused_connections = 0
         self.avoided_until_s = float("-inf")
         self.behind: positions.Position | None = None
@@ -73,10 +75,10 @@
             link = await self.opener(self.entry)
         except errors.ServerRefusedError:
             self.refused_connections += 1
-            self.note_failure()
+            self._give_up(self.opening_since_s)
             raise
         except errors.BackendError:
-            self.note_failure()
+            self._give_up(self.opening_since_s)
             raise
         else:
             self.note_answer()
@@ -91,6 +93,8 @@
         now_s = clock.now_s()
         self.answered_at_s = now_s
         self.refused_connections = 0
+        self.failed_probes = 0
+        self.given_up_since_s = None
         if latency_s is not None:
             known_s = self.current_latency_s(now_s)
             self.latency_s = known_s + LATENCY_WEIGHT * (latency_s - known_s)
@@ -100,6 +104,12 @@
         """Take a missing answer or connection into account."""
         self.avoided_until_s = clock.now_s() + AVOIDANCE_S
 
+    def _give_up(self, asked_s: float | None) -> None:
+        """Remember since when nothing was answered, also after the connection is closed."""
+        self.note_failure()
+        if asked_s is not None and self.given_up_since_s is None:
+            self.given_up_since_s = asked_s
+
     def note_behind(self, floor: positions.Position) -> None:
         """Take into account that the server's log lacks a position."""
         self.behind = floor
@@ -112,14 +122,20 @@
         return usual_s + (self.latency_s - usual_s) * faded
 
     def unanswered_s(self, now_s: float) -> float:
-        """Return the age of the oldest question that nothing came after; 0 without one."""
+        """Return the age of the oldest question that nothing came after; 0 without one.
+
+        A question whose connection was given up counts until the server answers anything.
+        """
         started = [
             link.unanswered_since_s
             for link in self.links
             if link.unanswered_since_s is not None and not link.broken
         ]
-        if self.opening_since_s is not None:
-            started.append(self.opening_since_s)
+        started += [
+            since_s
+            for since_s in (self.opening_since_s, self.given_up_since_s)
+            if since_s is not None
+        ]
         if not started:
             return 0.0
         oldest_s = min(started)
@@ -146,8 +162,25 @@
     def abandon(self, link: ports.Link) -> None:
         """Give a connection up whose answers cannot be trusted any more."""
         self.links.discard(link)
+        self._give_up(link.unanswered_since_s)
         self.pool.release(link, clean=False)
 
+    async def probe(self, timeout_s: float) -> promotion.ServerStatus | None:
+        """Ask the server about itself over a connection of its own; None without an answer."""
+        link: ports.Link | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self.opener(self.entry)
+                status = await link.status(timeout_s)
+        except (errors.BackendError, TimeoutError):
+            self.failed_probes += 1
+            return None
+        finally:
+            if link is not None:
+                link.close()
+        self.note_answer()
+        return status
+
     async def settle(self, link: ports.Link, command: ports.Command, timeout_s: float) -> None:
         """Run a last command on a connection, then give it back."""
         clean = False
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -20,6 +20,8 @@
 
 HISTORY_KEPT_S = 10.0
 """Longest age of data that reads can accept; several times that of the users' routes."""
+PROBE_TIMEOUT_S = 0.35
+"""A new connection and a question, with three round trips between regions, twice over."""
 STATUS_TIMEOUT_S = 0.4
 """Ten round trips between regions."""
 SETTLE_TIMEOUT_S = 1.0
@@ -197,6 +199,7 @@
         ]
         return suspicion.PrimaryContact(
             unanswered_s=leader.unanswered_s(now_s),
+            failed_probes=leader.failed_probes,
             refused_connections=leader.refused_connections,
             listed=True,
             other_answered_s=min(others, default=float("inf")),
@@ -244,6 +247,17 @@
             self.note_not_leading(asked.server, asked_s=asked_s)
         return status
 
+    async def probe(self, asked: server.Server) -> None:
+        """Ask a server that has been silent over a connection of its own."""
+        asked_s = clock.now_s()
+        status = await asked.probe(PROBE_TIMEOUT_S)
+        if status is None:
+            return
+        if status.role is promotion.Role.PRIMARY:
+            self.note_leading(asked.server, asked_s=asked_s, position=status.received)
+        else:
+            self.note_not_leading(asked.server, asked_s=asked_s)
+
     async def find_leader(self) -> None:
         """Ask all servers whether they lead, for example because the store's news are missing."""
         await asyncio.gather(*(self.ask_status(known) for known in self.servers.values()))
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -42,9 +42,10 @@
     def __repr__(self) -> str:
         return f"Takeover(target={self.target!r}, claim={self.claim!r}, promoter={self.promoter!r})"
 
-    async def run(self, primary: ids.ServerId | None) -> bool:
+    async def run(self, primary: ids.ServerId | None, *, silent: bool = False) -> bool:
         """Replace a primary; True when another server leads.
 
+        A silent one is known to give this instance no answer and is not asked.
         Replicas that were paused are resumed however it ends.
         """
         events.log(
@@ -55,7 +56,7 @@
         )
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT, reason="not decided")
         try:
-            choice = await self._decide(primary)
+            choice = await self._decide(primary, silent)
             done = False
             if choice.verdict is promotion.Verdict.PROMOTE:
                 done = await self._promote(choice.server)
@@ -81,8 +82,9 @@
 
     # Deciding
 
-    async def _decide(self, primary: ids.ServerId | None) -> promotion.Choice:
-        statuses = await self._ask_all(set(self.target.servers))
+    async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
+        asked = set(self.target.servers) - ({primary} if silent else set())
+        statuses = await self._ask_all(asked)
         led_by = [
             known for known, status in statuses.items() if status.role is promotion.Role.PRIMARY
         ]
@@ -292,6 +294,7 @@
     coordination: ports.Coordination,
     promoter: ports.Promoter,
     primary: ids.ServerId | None,
+    silent: bool = False,
 ) -> bool:
     """Claim a service and change its primary; False when it was not changed here."""
     try:
@@ -302,7 +305,9 @@
     if claim is None:
         return False
     try:
-        return await Takeover(target=target, claim=claim, promoter=promoter).run(primary)
+        return await Takeover(target=target, claim=claim, promoter=promoter).run(
+            primary, silent=silent
+        )
     finally:
         await _release(coordination, claim)
 
--- a/tests/decisions/test_leadership_and_lists.py
+++ b/tests/decisions/test_leadership_and_lists.py
@@ -82,6 +82,7 @@
 def _contact(**changes):
     fields = {
         "unanswered_s": 0.0,
+        "failed_probes": 1,
         "refused_connections": 0,
         "listed": True,
         "other_answered_s": 0.1,
@@ -96,6 +97,12 @@
     assert not suspicion.suspects(_contact(unanswered_s=0.3))
 
 
+def test_one_lost_answer_is_probed_and_not_taken_for_silence():
+    lost = _contact(unanswered_s=3.0, failed_probes=0)
+    assert suspicion.needs_probe(lost)
+    assert not suspicion.suspects(lost)
+
+
 def test_an_instance_that_was_held_up_suspects_nobody():
     assert not suspicion.suspects(_contact(unanswered_s=4.0, held_up_s=4.0))
 
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -191,3 +191,23 @@
     paused = {B: _status(5), C: _status(3)}
     choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving={B})
     assert choice.server == B
+
+
+async def test_a_primary_that_went_dark_is_suspected_though_its_connections_are_given_up():
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    other = world.open_session(requests.RouteKind.BOUNDED_STALENESS)
+    await world.run(caller, proxy_world.WRITE)
+    world.group.servers[A].silent = True
+    watching = asyncio.create_task(world.watch.run())
+    started_s = clock.now_s()
+    while not world.coordination.votes and clock.now_s() - started_s < 3.0:
+        await asyncio.gather(
+            world.run(world.open_session(PRIMARY), proxy_world.READ),
+            world.run(other, proxy_world.READ),
+        )
+    elapsed_s = clock.now_s() - started_s
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    assert world.coordination.votes == [(database_group.SERVICE, A)]
+    assert elapsed_s < 2.5
