Tell votes and new leaders by datagrams; a connection limit is an answer

Change: peers/datagrams.py repeats votes every 0.3 s and announces new leaders; a refused connection is an answer; lost and regained connections are logged (413, 414).

--- a/src/mustardswitch/backends/errors.py
+++ b/src/mustardswitch/backends/errors.py
@@ -13,6 +13,10 @@
     """Raised when no connection could be opened in time; nothing was sent."""
 
 
+class ConnectionLimitError(BackendUnreachableError):
+    """Raised when a backend server answered that it takes no more connections."""
+
+
 class ConnectionBrokenError(BackendError):
     """Raised when a connection broke, or an answer did not come, after something was sent."""
 
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -87,12 +87,18 @@
     """The other instances can see this one in the store."""
     REGISTRATION_LOST = EventKind(311, logbook.WARNING, "registration lost")
     """The lease of this instance has ended; it registers again."""
+    DATAGRAM_REJECTED = EventKind(312, logbook.WARNING, "datagram rejected")
+    """A datagram of another instance cannot be read."""
     SERVER_LISTED = EventKind(410, logbook.INFO, "server listed")
     """A backend server appeared in the platform's list."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
     """A backend server announced that it leaves; it gets no new work."""
     SERVER_GONE = EventKind(412, logbook.INFO, "server gone")
     """A backend server is not listed any more, or was started anew under its id."""
+    SERVER_LOST = EventKind(413, logbook.WARNING, "connection to server lost")
+    """No connection to a backend server could be opened, for the first time since one was."""
+    SERVER_REGAINED = EventKind(414, logbook.INFO, "connection to server regained")
+    """A backend server takes connections again."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
     """The latest evidence names another leader for a service."""
     PRIMARY_SUSPECTED = EventKind(511, logbook.WARNING, "primary suspected")
--- a/src/mustardswitch/peers/errors.py
+++ b/src/mustardswitch/peers/errors.py
@@ -15,3 +15,7 @@
 
 class PeerBrokenError(PeerError):
     """Raised when a request was sent to a peer and its answer did not come."""
+
+
+class InvalidDatagramError(PeerError):
+    """Raised when a datagram of another instance cannot be read."""
--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -99,8 +99,8 @@
             if answer is not None:
                 return answer
 
-    async def receive_start(self, timeout_s: float) -> str | None:
-        """Return why the server took no connection, or None when it did."""
+    async def receive_start(self, timeout_s: float) -> requests.Answer | None:
+        """Return the refusal of a server that took no connection, or None when it did."""
         decoder = lines.AnswerDecoder()
         try:
             async with asyncio.timeout(timeout_s):
@@ -110,7 +110,9 @@
             raise backend_errors.ConnectionBrokenError(f"server {self.name}: {error!r}") from error
         except errors.InvalidLineError as error:
             raise backend_errors.ConnectionBrokenError(f"server {self.name}: {error}") from error
-        return None if answer is not None else decoder.detail or "no answer"
+        if answer is not None:
+            return None
+        return requests.refuse(decoder.refusal or requests.Refusal.FAILED, decoder.detail)
 
     async def _ask(self, data: bytes, timeout_s: float) -> requests.Answer:
         self._send(data)
@@ -172,6 +174,7 @@
     except backend_errors.ConnectionBrokenError as error:
         raise backend_errors.BackendUnreachableError(str(error)) from error
     if refused is not None:
-        raise backend_errors.BackendUnreachableError(
-            f"server {entry.server} took no connection: {refused}"
-        )
+        kind = backend_errors.BackendUnreachableError
+        if refused.refusal is requests.Refusal.TOO_MANY_CONNECTIONS:
+            kind = backend_errors.ConnectionLimitError
+        raise kind(f"server {entry.server} took no connection: {refused.detail}")
--- a/src/mustardswitch/platform/coordination.py
+++ b/src/mustardswitch/platform/coordination.py
@@ -10,8 +10,10 @@
 
 from mustardswitch import events
 from mustardswitch.internal import ids
+from mustardswitch.peers import datagrams
+from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import store
-from mustardswitch.proxy import errors, ports
+from mustardswitch.proxy import directory, errors, ports
 
 PREFIX = "mustardswitch/"
 INSTANCES = f"{PREFIX}instances/"
@@ -29,15 +31,37 @@
 """Longer than a change of primary may take."""
 
 
+def encode_peer(peer: directory.Peer) -> bytes:
+    """Write what an instance registers itself with."""
+    return f"{peer.zone} {peer.address.host} {peer.address.port}".encode()
+
+
+def decode_peer(value: bytes) -> directory.Peer:
+    """Read what an instance registered itself with; raises InvalidRecordError."""
+    parts = value.decode(errors="replace").split(" ")
+    if len(parts) != 3 or not parts[2].isdigit():
+        raise platform_errors.InvalidRecordError("a registration has a zone, host and port")
+    return directory.Peer(
+        zone=ids.ZoneName(parts[0]),
+        address=datagrams.PeerAddress(host=parts[1], port=int(parts[2])),
+    )
+
+
 class Coordination:
     """Registration of this instance, its votes and its claims."""
 
     def __init__(
-        self, *, client: store.Store, instance: ids.InstanceId, zone: ids.ZoneName
+        self,
+        *,
+        client: store.Store,
+        instance: ids.InstanceId,
+        zone: ids.ZoneName,
+        peers: datagrams.PeerAddress,
     ) -> None:
         self.client = client
         self.instance = instance
         self.zone = zone
+        self.peers = peers
         self.lease = 0
 
     def __repr__(self) -> str:
@@ -63,7 +87,8 @@
 
     async def _register(self) -> None:
         lease = await self.client.grant_lease(REGISTRATION_TTL_S)
-        put = store.Put(key=f"{INSTANCES}{self.instance}", value=self.zone.encode(), lease=lease)
+        value = encode_peer(directory.Peer(zone=self.zone, address=self.peers))
+        put = store.Put(key=f"{INSTANCES}{self.instance}", value=value, lease=lease)
         if await self.client.change(expected={}, puts=[put]) is not None:
             self.lease = lease
             events.log(events.Event.REGISTERED, lease=lease)
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -132,7 +132,7 @@
             if item.value is None:
                 self.known.instances.remove(instance, clock.now_s())
             else:
-                self.known.instances.put(instance, ids.ZoneName(item.value.decode()))
+                self.known.instances.put(instance, coordination.decode_peer(item.value))
         elif key.startswith(coordination.VOTES):
             self._apply_vote(item)
         elif key.startswith(coordination.CLAIMS):
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -6,6 +6,7 @@
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import ids
+from mustardswitch.peers import datagrams
 from mustardswitch.platform import (
     backends,
     callers,
@@ -44,11 +45,23 @@
             registry=self.registry,
         )
         self.follower = follower.Follower(client=self.client, known=self.known)
+        peer_address = datagrams.PeerAddress(host=chosen.peers.host, port=chosen.peers.port)
         self.coordination = coordination.Coordination(
-            client=self.client, instance=chosen.instance, zone=chosen.zone
+            client=self.client,
+            instance=chosen.instance,
+            zone=chosen.zone,
+            peers=peer_address,
+        )
+        self.peers = datagrams.PeerDatagrams(
+            addresses=self.known.peer_addresses,
+            receiver=self.known.hear,
+            registry=self.registry,
         )
         self.watch = failover_watch.FailoverWatch(
-            known=self.known, coordination=self.coordination, promoter=self.promotions
+            known=self.known,
+            coordination=self.coordination,
+            promoter=self.promotions,
+            peers=self.peers,
         )
         self.callers = callers.CallerServer(opener=self._open_session, registry=self.registry)
         self.health = health.HealthServer(is_ready=self._is_ready, registry=self.registry)
@@ -75,6 +88,7 @@
         await self.health.start(self.chosen.health.host, self.chosen.health.port)
         if self.chosen.metrics is not None:
             await self.health.start(self.chosen.metrics.host, self.chosen.metrics.port)
+        await self.peers.start(self.coordination.peers)
         for work in (self.follower.run, self.coordination.run, self.watch.run):
             self.tasks.append(asyncio.create_task(_run_forever(work)))
         await self._start_accepting()
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -38,6 +38,8 @@
     """Where the balancer asks."""
     metrics: Address | None
     """Where metrics are served, besides the health address."""
+    peers: Address
+    """Where other instances send datagrams."""
     store: Address
     promotions: Address
     stop_grace_s: float
@@ -80,6 +82,7 @@
         callers=reader.address("callers"),
         health=reader.address("health"),
         metrics=reader.address("metrics") if fields.get("metrics") else None,
+        peers=reader.address("peers"),
         store=reader.address("store"),
         promotions=reader.address("promotions"),
         stop_grace_s=reader.seconds("stop_grace_s"),
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -5,8 +5,11 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import clock, connection_shares, ids, server_list
+from mustardswitch.peers import datagrams
 from mustardswitch.proxy import ports, routes, service
 
+TOLD_VOTE_S = 1.0
+"""How long a vote holds that its voter does not repeat; three datagrams may be lost."""
 REFRESH_S = 2.0
 """How often the shares of connections follow the instances, when nothing else changes."""
 DEFAULT_TRANSACTION_IDLE_S = 3.0
@@ -22,6 +25,14 @@
     instance: ids.InstanceId
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Peer:
+    """Another instance, as it registered itself."""
+
+    zone: ids.ZoneName
+    address: datagrams.PeerAddress | None = None
+
+
 class Directory:
     """The latest knowledge, from which services and routes follow."""
 
@@ -41,12 +52,12 @@
         self.servers: server_list.ServerList[ids.ServerId, ports.ServerEntry] = (
             server_list.ServerList()
         )
-        self.instances: server_list.ServerList[ids.InstanceId, ids.ZoneName] = (
-            server_list.ServerList()
-        )
+        self.instances: server_list.ServerList[ids.InstanceId, Peer] = server_list.ServerList()
         self.shares = connection_shares.ConnectionShares(started_s=clock.now_s())
         self.refreshed_s = clock.now_s()
         self.votes: set[Vote] = set()
+        self.told_votes: dict[Vote, float] = {}
+        """Votes that came from the voters themselves, and when."""
         self.claims: dict[ids.ServiceName, ids.InstanceId] = {}
         self.unfinished: set[ids.ServiceName] = set()
         """Services whose replicas may still be paused by a change that was not finished."""
@@ -127,6 +138,31 @@
         self, name: ids.ServiceName, server: ids.ServerId
     ) -> collections.abc.Set[ids.InstanceId]:
         """Return the instances that lack a primary."""
+        oldest_s = clock.now_s() - TOLD_VOTE_S
+        for vote in [vote for vote, told_s in self.told_votes.items() if told_s < oldest_s]:
+            del self.told_votes[vote]
         return {
-            vote.instance for vote in self.votes if vote.service == name and vote.server == server
+            vote.instance
+            for vote in (*self.votes, *self.told_votes)
+            if vote.service == name and vote.server == server
         }
+
+    def peer_addresses(self) -> list[datagrams.PeerAddress]:
+        """Return where the other instances take datagrams."""
+        return [
+            peer.address
+            for instance, peer in self.instances.entries.items()
+            if peer.address is not None and instance != self.instance
+        ]
+
+    def hear(self, news: datagrams.News) -> None:
+        """Take another instance's news into account."""
+        for each in news.lacking:
+            vote = Vote(service=each.service, server=each.server, instance=news.instance)
+            self.told_votes[vote] = clock.now_s()
+        if news.leading is None:
+            return
+        target = self.services.get(news.leading.service)
+        told = target.servers.get(news.leading.server) if target is not None else None
+        if told is not None and target.leader is not told:
+            target.start(target.check_leader(told))
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -4,6 +4,7 @@
 
 from mustardswitch import events
 from mustardswitch.internal import clock, homes, ids, promotion, suspicion
+from mustardswitch.peers import datagrams
 from mustardswitch.proxy import directory, errors, ports, server, service, takeover
 
 CHECK_S = 0.1
@@ -11,6 +12,8 @@
 RANK_DELAY_S = 0.15
 """How long each instance leaves a change to the one ranked before it; a call to the store and back
 between regions, a few times."""
+TELL_S = 0.3
+"""How often a vote is repeated; three times within the time for which it holds."""
 RETRY_S = 0.6
 """Pause after an attempt that changed nothing; about one promotion."""
 LEADERLESS_S = 0.3
@@ -23,6 +26,7 @@
 
     def __init__(self, *, target: service.Service) -> None:
         self.target = target
+        self.suspected: ids.ServerId | None = None
         self.voted_for: ids.ServerId | None = None
         self.voting: asyncio.Task[None] | None = None
         self.changing: asyncio.Task[None] | None = None
@@ -45,7 +49,10 @@
         known: directory.Directory,
         coordination: ports.Coordination,
         promoter: ports.Promoter,
+        peers: datagrams.PeerDatagrams | None = None,
     ) -> None:
+        self.peers = peers
+        self.told_at_s = float("-inf")
         self.known = known
         self.coordination = coordination
         self.promoter = promoter
@@ -70,6 +77,7 @@
             for name, target in self.known.services.items():
                 watch = self.watches.setdefault(name, ServiceWatch(target=target))
                 self._judge(watch, held_up_s)
+            self._tell_votes()
 
     def _judge(self, watch: ServiceWatch, held_up_s: float) -> None:
         leader = watch.target.leader
@@ -96,6 +104,26 @@
 
     # Voting
 
+    def _tell_votes(self) -> None:
+        """Repeat the votes of this instance to the others while they hold."""
+        lacking = [
+            datagrams.Lacking(service=name, server=watch.suspected)
+            for name, watch in self.watches.items()
+            if watch.suspected is not None
+        ]
+        now_s = clock.now_s()
+        for each in lacking:
+            vote = directory.Vote(
+                service=each.service, server=each.server, instance=self.known.instance
+            )
+            self.known.told_votes[vote] = now_s
+        if not lacking or self.peers is None or now_s - self.told_at_s < TELL_S:
+            return
+        self.told_at_s = now_s
+        for start in range(0, len(lacking), datagrams.MAX_ITEMS):
+            part = tuple(lacking[start : start + datagrams.MAX_ITEMS])
+            self.peers.send(datagrams.News(instance=self.known.instance, lacking=part))
+
     def _vote(self, watch: ServiceWatch, leader: server.Server | None, held_up_s: float) -> None:
         contact = watch.target.contact(held_up_s=held_up_s)
         if leader is not None and contact is not None and suspicion.needs_probe(contact):
@@ -103,6 +131,7 @@
         wanted = None
         if leader is not None and contact is not None and suspicion.suspects(contact):
             wanted = leader.server
+        watch.suspected = wanted
         busy = watch.voting is not None and not watch.voting.done()
         if wanted == watch.voted_for or busy or clock.now_s() < watch.vote_at_s:
             return
@@ -182,8 +211,8 @@
 
     def _rank(self, name: ids.ServiceName) -> int:
         candidates = [
-            homes.Candidate(instance=instance, zone=zone, region=ids.RegionName(""))
-            for instance, zone in self.known.instances.entries.items()
+            homes.Candidate(instance=instance, zone=peer.zone, region=ids.RegionName(""))
+            for instance, peer in self.known.instances.entries.items()
         ]
         ranked = homes.ranked(candidates, name)
         if self.known.instance not in ranked:
@@ -196,8 +225,13 @@
             coordination=self.coordination,
             promoter=self.promoter,
             primary=None if primary == GONE else primary,
-            silent=primary == watch.voted_for,
+            silent=primary == watch.suspected,
         )
+        if done and self.peers is not None and watch.target.leader is not None:
+            leading = datagrams.Lacking(
+                service=watch.target.name, server=watch.target.leader.server
+            )
+            self.peers.send(datagrams.News(instance=self.known.instance, leading=leading))
         watch.due_for = None
         if not done:
             watch.retry_at_s = clock.now_s() + RETRY_S
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mustardswitch import connection_pool
+from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
 from mustardswitch.internal import clock, ids, positions, promotion, read_placement
 from mustardswitch.proxy import ports
@@ -46,6 +46,7 @@
         self.opening_since_s: float | None = None
         self.given_up_since_s: float | None = None
         self.failed_probes = 0
+        self.lost = False
         self.refused_connections = 0
         self.avoided_until_s = float("-inf")
         self.behind: positions.Position | None = None
@@ -73,21 +74,47 @@
         self.opening_since_s = clock.now_s()
         try:
             link = await self.opener(self.entry)
-        except errors.ServerRefusedError:
+        except errors.ServerRefusedError as error:
             self.refused_connections += 1
             self._give_up(self.opening_since_s)
+            self._note_lost(error)
             raise
-        except errors.BackendError:
+        except errors.ConnectionLimitError as error:
+            self.note_answer()
+            self.note_failure()
+            self._note_lost(error)
+            raise
+        except errors.BackendError as error:
             self._give_up(self.opening_since_s)
+            self._note_lost(error)
             raise
         else:
             self.note_answer()
+            self._note_regained()
         finally:
             self.opening_since_s = None
         self.links = {known for known in self.links if not known.broken}
         self.links.add(link)
         return link
 
+    def _note_lost(self, error: errors.BackendError) -> None:
+        if self.lost:
+            return
+        self.lost = True
+        events.log(
+            events.Event.SERVER_LOST,
+            service=self.entry.service,
+            server=self.server,
+            connections=self.pool.held,
+            size=self.pool.size,
+            reason=str(error),
+        )
+
+    def _note_regained(self) -> None:
+        if self.lost:
+            self.lost = False
+            events.log(events.Event.SERVER_REGAINED, service=self.entry.service, server=self.server)
+
     def note_answer(self, latency_s: float | None = None) -> None:
         """Take an answer into account; ``latency_s`` is that of a read or write."""
         now_s = clock.now_s()
@@ -172,6 +199,9 @@
             async with asyncio.timeout(timeout_s):
                 link = await self.opener(self.entry)
                 status = await link.status(timeout_s)
+        except errors.ConnectionLimitError:
+            self.note_answer()
+            return None
         except (errors.BackendError, TimeoutError):
             self.failed_probes += 1
             return None
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -258,6 +258,10 @@
         else:
             self.note_not_leading(asked.server, asked_s=asked_s)
 
+    async def check_leader(self, told: server.Server) -> None:
+        """Ask a server that is said to lead."""
+        await self.ask_status(told)
+
     async def find_leader(self) -> None:
         """Ask all servers whether they lead, for example because the store's news are missing."""
         await asyncio.gather(*(self.ask_status(known) for known in self.servers.values()))
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -66,7 +66,7 @@
             opener=self.group.open_link,
             registry=metrics.Registry(),
         )
-        self.known.instances.put(ids.InstanceId("one"), ids.ZoneName(zone))
+        self.known.instances.put(ids.InstanceId("one"), directory.Peer(zone=ids.ZoneName(zone)))
         self.watch = failover_watch.FailoverWatch(
             known=self.known, coordination=self.coordination, promoter=self.promoter
         )
