Forward statements to homes when a server's connections do not suffice for every instance

Ruled out: connections on demand: 860 new ones a second cost servers about 10 of their 36 slots. Change: internal/forwarding.py chooses homes in each zone; statements go there as frames; a transaction keeps its connection; outcomes follow the same rules as towards servers. An instance that stops leaves the registry first. Watches wait longer and gather changes; failed renewals end a wait.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -89,6 +89,10 @@
     """The lease of this instance has ended; it registers again."""
     DATAGRAM_REJECTED = EventKind(312, logbook.WARNING, "datagram rejected")
     """A datagram of another instance cannot be read."""
+    FRAME_REJECTED = EventKind(313, logbook.WARNING, "frame rejected")
+    """A statement that another instance forwarded cannot be read."""
+    HOME_SKIPPED = EventKind(314, logbook.INFO, "home skipped")
+    """A home of a service gave no answer; the statement goes to another one if it may."""
     SERVER_LISTED = EventKind(410, logbook.INFO, "server listed")
     """A backend server appeared in the platform's list."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
--- /dev/null
+++ b/src/mustardswitch/internal/forwarding.py
@@ -0,0 +1,87 @@
+"""Which instances of a large fleet hold the connections to a service's servers.
+
+Answers the load pattern of more instances than a server takes connections: if each opened one when
+it needs it, servers would spend their time on connections that are refused or used once. Some
+instances of each availability zone are homes of a service and share its connections; the others
+forward to a home in their zone, where bytes are free. Weighed against connections on demand, which
+cost a server more than the statement that they carry.
+"""
+
+import collections.abc
+import dataclasses
+
+from mustardswitch.internal import homes, ids
+
+MIN_CONNECTIONS = 2
+"""With fewer to each server, one transaction of a caller holds up every other one."""
+HOME_CONNECTIONS = 3
+"""Connections of a home to each server; as many statements as a small server runs at once."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """How one service's connections are held."""
+
+    homes_by_zone: collections.abc.Mapping[ids.ZoneName, tuple[ids.InstanceId, ...]]
+    connections: int
+    """Connections of each home to each server."""
+
+    @property
+    def home_count(self) -> int:
+        """How many instances are homes."""
+        return sum(len(zone_homes) for zone_homes in self.homes_by_zone.values())
+
+    def is_home(self, instance: ids.InstanceId) -> bool:
+        """Tell whether an instance holds connections."""
+        return any(instance in zone_homes for zone_homes in self.homes_by_zone.values())
+
+
+def plan(
+    candidates: collections.abc.Sequence[homes.Candidate],
+    *,
+    service: ids.ServiceName,
+    connections: int,
+    instances: int,
+) -> Plan | None:
+    """Return the homes of a service, or None when every instance holds connections itself.
+
+    ``connections`` of each server are shared by ``instances``, which may be more than the present
+    candidates for a while.
+    """
+    if not candidates or connections // max(1, instances) >= MIN_CONNECTIONS:
+        return None
+    zones = sorted({candidate.zone for candidate in candidates})
+    per_zone = max(1, connections // (HOME_CONNECTIONS * len(zones)))
+    by_zone = {
+        zone: tuple(
+            homes.ranked([each for each in candidates if each.zone == zone], service)[:per_zone]
+        )
+        for zone in zones
+    }
+    return Plan(
+        homes_by_zone=by_zone,
+        connections=max(1, connections // (per_zone * len(zones))),
+    )
+
+
+def order_of_homes(
+    chosen: Plan,
+    *,
+    zone: ids.ZoneName,
+    regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName],
+    avoided: collections.abc.Container[ids.InstanceId],
+    start: int,
+) -> list[ids.InstanceId]:
+    """Return the homes to ask, the zone's first in turn, then the region's; avoided ones last."""
+    own = list(chosen.homes_by_zone.get(zone, ()))
+    if own:
+        turn = start % len(own)
+        own = own[turn:] + own[:turn]
+    region = regions.get(zone)
+    others = [
+        home
+        for other, zone_homes in chosen.homes_by_zone.items()
+        if other != zone and regions.get(other) == region
+        for home in zone_homes
+    ]
+    return sorted([*own, *others], key=lambda home: home in avoided)
--- a/src/mustardswitch/peers/errors.py
+++ b/src/mustardswitch/peers/errors.py
@@ -19,3 +19,7 @@
 
 class InvalidDatagramError(PeerError):
     """Raised when a datagram of another instance cannot be read."""
+
+
+class InvalidFrameError(PeerError):
+    """Raised when a frame of another instance cannot be read."""
--- /dev/null
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -0,0 +1,160 @@
+"""Statements that one instance forwards to another, as frames of JSON.
+
+A frame is its length in four bytes and an object. A connection carries one statement at a time; an
+open transaction keeps its connection.
+"""
+
+import asyncio
+import dataclasses
+import json
+
+from mustardswitch.internal import ids, positions
+from mustardswitch.peers import errors
+from mustardswitch.proxy import ports, requests
+
+MAX_FRAME_BYTES = 2 << 20
+"""The largest message of a caller, with room for what is sent along."""
+LENGTH_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnCommit:
+    """The latest commit of the caller's session at the service."""
+
+    position: positions.Position
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Forwarded:
+    """One statement, with all that its home needs to run it."""
+
+    request: ids.RequestId
+    database: ids.DatabaseName
+    command: requests.Plain | ports.RunPrepared | requests.Commit | requests.Rollback
+    age_s: float
+    """How long ago its first byte was read."""
+    values: dict[str, str]
+    own_commit: OwnCommit | None = None
+    begin: str = ""
+    """Begins a transaction first: ``read`` or ``write``."""
+
+
+def _encode_position(position: positions.Position | None) -> list[int] | None:
+    return None if position is None else [position.term, position.offset]
+
+
+def _decode_position(value: object) -> positions.Position | None:
+    if value is None:
+        return None
+    term, offset = value
+    return positions.Position(term=ids.Term(int(term)), offset=ids.Offset(int(offset)))
+
+
+def _encode_command(command: object) -> list[str]:
+    if isinstance(command, requests.Plain):
+        return ["plain", command.access.value, command.arguments]
+    if isinstance(command, ports.RunPrepared):
+        return ["prepared", command.shape.access.value, command.arguments, command.shape.text]
+    if isinstance(command, requests.Commit):
+        return ["commit"]
+    return ["rollback"]
+
+
+def _decode_command(
+    value: list[str],
+) -> requests.Plain | ports.RunPrepared | requests.Commit | requests.Rollback:
+    kind = value[0]
+    if kind == "commit":
+        return requests.Commit()
+    if kind == "rollback":
+        return requests.Rollback()
+    access = requests.Access(value[1])
+    if kind == "plain":
+        return requests.Plain(access=access, arguments=str(value[2]))
+    if kind == "prepared":
+        shape = requests.Shape(access=access, text=str(value[3]))
+        return ports.RunPrepared(shape=shape, arguments=str(value[2]))
+    raise ValueError(f"command {kind!r} is unknown")
+
+
+def encode_forwarded(forwarded: Forwarded) -> bytes:
+    """Write a statement as a frame."""
+    own = forwarded.own_commit
+    return _frame(
+        {
+            "request": forwarded.request,
+            "database": forwarded.database,
+            "command": _encode_command(forwarded.command),
+            "age_s": forwarded.age_s,
+            "values": forwarded.values,
+            "own": None if own is None else [_encode_position(own.position), own.age_s],
+            "begin": forwarded.begin,
+        }
+    )
+
+
+def decode_forwarded(body: bytes) -> Forwarded:
+    """Read a statement; raises InvalidFrameError."""
+    try:
+        fields = json.loads(body)
+        own = fields["own"]
+        return Forwarded(
+            request=ids.RequestId(str(fields["request"])),
+            database=ids.DatabaseName(str(fields["database"])),
+            command=_decode_command(fields["command"]),
+            age_s=float(fields["age_s"]),
+            values={str(name): str(value) for name, value in fields["values"].items()},
+            own_commit=(
+                None
+                if own is None
+                else OwnCommit(position=_decode_position(own[0]), age_s=float(own[1]))
+            ),
+            begin=str(fields["begin"]),
+        )
+    except (ValueError, TypeError, LookupError, AttributeError, RecursionError) as error:
+        raise errors.InvalidFrameError(f"a forwarded statement cannot be read: {error}") from error
+
+
+def encode_answer(answer: requests.Answer) -> bytes:
+    """Write an answer as a frame."""
+    return _frame(
+        {
+            "rows": answer.rows,
+            "signature": answer.signature,
+            "refusal": None if answer.refusal is None else answer.refusal.value,
+            "detail": answer.detail,
+            "state": answer.state.value,
+            "position": _encode_position(answer.position),
+        }
+    )
+
+
+def decode_answer(body: bytes) -> requests.Answer:
+    """Read an answer; raises InvalidFrameError."""
+    try:
+        fields = json.loads(body)
+        refusal = fields["refusal"]
+        return requests.Answer(
+            rows=tuple(str(row) for row in fields["rows"]),
+            signature=fields["signature"],
+            refusal=None if refusal is None else requests.Refusal(refusal),
+            detail=str(fields["detail"]),
+            state=requests.TransactionState(fields["state"]),
+            position=_decode_position(fields["position"]),
+        )
+    except (ValueError, TypeError, LookupError, AttributeError, RecursionError) as error:
+        raise errors.InvalidFrameError(f"an answer cannot be read: {error}") from error
+
+
+def _frame(fields: dict[str, object]) -> bytes:
+    body = json.dumps(fields, separators=(",", ":")).encode()
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    """Read the body of a frame; raises InvalidFrameError, EOFError or OSError."""
+    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    if length > MAX_FRAME_BYTES:
+        raise errors.InvalidFrameError(f"{length} bytes are more than {MAX_FRAME_BYTES}")
+    return await reader.readexactly(length)
--- /dev/null
+++ b/src/mustardswitch/peers/relay_server.py
@@ -0,0 +1,146 @@
+"""Runs the statements that other instances forward to this one, as a home of a service."""
+
+import asyncio
+import contextlib
+
+from mustardswitch import events, metrics
+from mustardswitch.internal import clock
+from mustardswitch.peers import datagrams, errors, relay_codec
+from mustardswitch.proxy import (
+    reading,
+    requests,
+    routes,
+    service,
+    session,
+    statement_context,
+    transaction,
+    writing,
+)
+
+
+class RelayServer:
+    """Runs the statements that other instances forward."""
+
+    def __init__(self, *, directory: session.Directory, registry: metrics.Registry) -> None:
+        self.directory = directory
+        self.registry = registry
+        self.server: asyncio.Server | None = None
+        self.running = 0
+
+    def __repr__(self) -> str:
+        return f"RelayServer(directory={self.directory!r})"
+
+    async def start(self, address: datagrams.PeerAddress) -> None:
+        """Accept other instances from now on."""
+        self.server = await asyncio.start_server(self._serve, address.host, address.port)
+
+    def close(self) -> None:
+        """Accept no more; what is open goes on."""
+        if self.server is not None:
+            self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        home = _HomeSession(directory=self.directory)
+        try:
+            while True:
+                forwarded = relay_codec.decode_forwarded(await relay_codec.read_frame(reader))
+                self.running += 1
+                try:
+                    answer = await home.run(forwarded)
+                finally:
+                    self.running -= 1
+                self.registry.count("statements_run_for_others")
+                writer.write(relay_codec.encode_answer(answer))
+                await writer.drain()
+        except (OSError, EOFError):
+            self.registry.count("relay_connections_ended")
+        except errors.InvalidFrameError as error:
+            events.log(events.Event.FRAME_REJECTED, reason=str(error))
+        finally:
+            home.close()
+            with contextlib.suppress(OSError):
+                writer.close()
+
+
+class _HomeSession:
+    """What is open on one connection of another instance."""
+
+    def __init__(self, *, directory: session.Directory) -> None:
+        self.directory = directory
+        self.transaction: transaction.Transaction | None = None
+        self.state = statement_context.SessionState()
+        self.pinned: service.Service | None = None
+
+    def close(self) -> None:
+        """Roll back what is open."""
+        if self.transaction is not None:
+            self.transaction.fail()
+
+    async def run(self, forwarded: relay_codec.Forwarded) -> requests.Answer:
+        """Run one forwarded statement."""
+        context = self._context(forwarded)
+        if context is None:
+            self.close()
+            self.transaction = None
+            return requests.refuse(
+                requests.Refusal.OVERLOADED, f"the home knows no database {forwarded.database}"
+            )
+        if forwarded.begin:
+            self.close()
+            self.transaction = transaction.Transaction(read_only=forwarded.begin == "read")
+        if self.transaction is not None:
+            return await self._run_in_transaction(context, forwarded)
+        command = forwarded.command
+        if isinstance(command, requests.Commit | requests.Rollback):
+            return requests.refuse(requests.Refusal.ABORTED, "the transaction is gone")
+        shape = getattr(command, "shape", None)
+        access = command.access if shape is None else shape.access
+        if access is requests.Access.WRITE:
+            return await writing.run_write(context, command, shape)
+        return await reading.ReadRun(context).run(command, shape)
+
+    async def _run_in_transaction(
+        self, context: statement_context.StatementContext, forwarded: relay_codec.Forwarded
+    ) -> requests.Answer:
+        command, current = forwarded.command, self.transaction
+        if isinstance(command, requests.Commit):
+            self.transaction = None
+            return await current.commit(context)
+        if isinstance(command, requests.Rollback):
+            self.transaction = None
+            current.fail()
+            return requests.Answer()
+        shape = getattr(command, "shape", None)
+        access = command.access if shape is None else shape.access
+        answer = await current.run(context, command, shape, access)
+        if current.failed:
+            self.transaction = None
+        return answer
+
+    def _context(
+        self, forwarded: relay_codec.Forwarded
+    ) -> statement_context.StatementContext | None:
+        route: routes.Route | None = self.directory.route(forwarded.database)
+        if route is None:
+            return None
+        if self.transaction is None:
+            self.pinned = self.directory.service(route.service)
+        if self.pinned is None:
+            return None
+        now_s = clock.now_s()
+        self.state.values = forwarded.values
+        self.state.commits.clear()
+        own = forwarded.own_commit
+        if own is not None:
+            self.state.commits[self.pinned.name] = statement_context.OwnCommit(
+                position=own.position, acknowledged_s=now_s - own.age_s
+            )
+        loop = asyncio.get_running_loop()
+        return statement_context.StatementContext(
+            request=forwarded.request,
+            session=self.state,
+            route=route,
+            service=self.pinned,
+            first_byte_s=now_s - forwarded.age_s,
+            deadline_s=loop.time() + route.statement_timeout_s - forwarded.age_s,
+        )
--- a/src/mustardswitch/platform/coordination.py
+++ b/src/mustardswitch/platform/coordination.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 import uuid
 
@@ -57,12 +58,15 @@
         instance: ids.InstanceId,
         zone: ids.ZoneName,
         peers: datagrams.PeerAddress,
+        doubt: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
+        self.doubt = doubt
         self.client = client
         self.instance = instance
         self.zone = zone
         self.peers = peers
         self.lease = 0
+        self.leaving = False
 
     def __repr__(self) -> str:
         return (
@@ -71,7 +75,7 @@
 
     async def run(self) -> None:
         """Keep this instance registered until cancelled."""
-        while True:
+        while not self.leaving:
             try:
                 if self.lease:
                     if not await self.client.keep_lease(self.lease):
@@ -83,6 +87,7 @@
                 await asyncio.sleep(KEEP_S)
             except errors.StoreError as error:
                 events.log(events.Event.STORE_CALL_FAILED, call="registration", reason=str(error))
+                self.doubt()
                 await asyncio.sleep(random.uniform(0.5, 1.5) * RETRY_S)
 
     async def _register(self) -> None:
@@ -95,6 +100,7 @@
 
     async def leave(self) -> None:
         """End the registration, so that the others share its connections at once."""
+        self.leaving = True
         lease, self.lease = self.lease, 0
         if lease:
             await self.client.end_lease(lease)
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -11,8 +11,12 @@
 
 EVERYTHING = ""
 """One watch over all keys costs one call where a watch for each prefix would cost three."""
-WATCH_WAIT_S = 4.0
-"""A dead connection is noticed after this; a waiting watch is priced as one call."""
+WATCH_WAIT_S = 12.0
+"""A waiting watch is priced as one call; renewals notice an outage sooner and end the wait."""
+GATHER_S = 0.03
+"""Pause between watches, so that changes made together come in one answer."""
+GATHER_PER_INSTANCE_S = 0.002
+"""More of it for each instance: a change of each one is news for all others."""
 RETRY_S = 0.3
 """Pause after a failed call, on average; it doubles up to the limit."""
 RETRY_LIMIT_S = 1.0
@@ -43,6 +47,9 @@
                     after = await self._load()
                 else:
                     after = await self._watch(after)
+                    await asyncio.sleep(
+                        GATHER_S + GATHER_PER_INSTANCE_S * self.known.instance_count
+                    )
                 retry_s = RETRY_S
             except errors.HistoryLostError as error:
                 events.log(events.Event.HISTORY_LOST, reason=str(error))
@@ -52,6 +59,10 @@
                 await asyncio.sleep(random.uniform(0.5, 1.0) * retry_s)
                 retry_s = min(RETRY_LIMIT_S, 2 * retry_s)
 
+    def doubt(self) -> None:
+        """End a wait, since another call just got no answer."""
+        self.client.watches.close()
+
     def _note_outage(self, why: str) -> None:
         if self.available:
             events.log(
--- a/src/mustardswitch/platform/http.py
+++ b/src/mustardswitch/platform/http.py
@@ -37,6 +37,8 @@
 
     def close(self) -> None:
         """Drop the connection; an answer on its way is lost."""
+        if self.reader is not None:
+            self.reader.feed_eof()
         if self.writer is not None:
             self.writer.transport.abort()
         self.reader = self.writer = self.protocol = None
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -6,7 +6,7 @@
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import ids
-from mustardswitch.peers import datagrams
+from mustardswitch.peers import datagrams, relay_client, relay_server
 from mustardswitch.platform import (
     backends,
     callers,
@@ -18,12 +18,16 @@
     settings,
     store,
 )
-from mustardswitch.proxy import directory, failover_watch, service, session
+from mustardswitch.proxy import directory, failover_watch, forwarded, service, session
 from mustardswitch.proxy import errors as proxy_errors
 
 ROTATION_S = 2.2
 """Time after which the balancer, which asks every second and goes by two answers, sends no more
 callers."""
+LAST_SHARE = 1.6
+"""End of the last statements, in halves of the grace; the rest is left for the end itself."""
+POLL_S = 0.05
+"""How often the end of forwarded statements is looked for."""
 RESTART_DELAY_S = 0.5
 """Pause before a task that failed through a defect is started again."""
 
@@ -38,12 +42,15 @@
         self.promotions = promotions.Promotions(
             host=chosen.promotions.host, port=chosen.promotions.port, instance=chosen.instance
         )
+        self.relays = relay_client.RelayClient()
         self.known = directory.Directory(
             instance=chosen.instance,
             place=service.Place(zone=chosen.zone, regions=chosen.regions),
             opener=backends.open_link,
             registry=self.registry,
+            forwarder=forwarded.Forwarder(client=self.relays),
         )
+        self.relay_server = relay_server.RelayServer(directory=self.known, registry=self.registry)
         self.follower = follower.Follower(client=self.client, known=self.known)
         peer_address = datagrams.PeerAddress(host=chosen.peers.host, port=chosen.peers.port)
         self.coordination = coordination.Coordination(
@@ -51,6 +58,7 @@
             instance=chosen.instance,
             zone=chosen.zone,
             peers=peer_address,
+            doubt=self.follower.doubt,
         )
         self.peers = datagrams.PeerDatagrams(
             addresses=self.known.peer_addresses,
@@ -89,6 +97,7 @@
         if self.chosen.metrics is not None:
             await self.health.start(self.chosen.metrics.host, self.chosen.metrics.port)
         await self.peers.start(self.coordination.peers)
+        await self.relay_server.start(self.coordination.peers)
         for work in (self.follower.run, self.coordination.run, self.watch.run):
             self.tasks.append(asyncio.create_task(_run_forever(work)))
         await self._start_accepting()
@@ -129,17 +138,15 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         half_s = self.chosen.stop_grace_s / 2
-        await self.callers.wait_until_empty(0)
+        await self._leave()
         await asyncio.sleep(min(ROTATION_S, half_s))
         self.callers.dismiss()
         await self.callers.wait_until_empty(began_s + half_s - loop.time())
         self.callers.end_transactions()
-        await self.callers.wait_until_empty(began_s + 1.6 * half_s - loop.time())
+        await self.callers.wait_until_empty(began_s + LAST_SHARE * half_s - loop.time())
         self.callers.close()
-        try:
-            await self.coordination.leave()
-        except proxy_errors.StoreError as error:
-            events.log(events.Event.STORE_CALL_FAILED, call="leave", reason=str(error))
+        while self.relay_server.running and loop.time() < began_s + LAST_SHARE * half_s:
+            await asyncio.sleep(POLL_S)
         events.log(
             events.Event.STOPPED,
             instance=self.chosen.instance,
@@ -147,6 +154,13 @@
         )
         await tasks.end_all(self.tasks)
 
+    async def _leave(self) -> None:
+        """Let the other instances forward elsewhere and share this one's connections."""
+        try:
+            await self.coordination.leave()
+        except proxy_errors.StoreError as error:
+            events.log(events.Event.STORE_CALL_FAILED, call="leave", reason=str(error))
+
 
 async def _run_forever(
     work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
@@ -154,7 +168,7 @@
     """Start a task again when a defect ends it, so that one fault does not end the instance."""
     while True:
         try:
-            await work()
+            return await work()
         except Exception as error:
             events.log(events.Event.TASK_FAILED, task=repr(work), error=repr(error))
             await asyncio.sleep(RESTART_DELAY_S)
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -4,9 +4,16 @@
 import dataclasses
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import clock, connection_shares, ids, server_list
+from mustardswitch.internal import (
+    clock,
+    connection_shares,
+    forwarding,
+    homes,
+    ids,
+    server_list,
+)
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import ports, routes, service
+from mustardswitch.proxy import forwarded, ports, routes, service, statement_context
 
 TOLD_VOTE_S = 1.0
 """How long a vote holds that its voter does not repeat; three datagrams may be lost."""
@@ -43,7 +50,10 @@
         place: service.Place,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
+        forwarder: forwarded.Forwarder | None = None,
     ) -> None:
+        self.forwarder = forwarder
+        self.plans: dict[ids.ServiceName, forwarding.Plan] = {}
         self.instance = instance
         self.place = place
         self.opener = opener
@@ -112,6 +122,7 @@
         for entry in self.servers.entries.values():
             by_service.setdefault(entry.service, []).append(entry)
         for name in set(by_service) | set(self.services):
+            self._plan(name)
             known = self.services.get(name)
             if known is None:
                 known = service.Service(
@@ -127,8 +138,51 @@
         limits = self.configuration.services.get(name) if self.configuration else None
         if limits is None:
             return 1
+        plan = self.plans.get(name)
+        if plan is not None:
+            return plan.connections if plan.is_home(self.instance) else 1
         return self.shares.share(connections=limits.max_connections, now_s=clock.now_s())
 
+    def _plan(self, name: ids.ServiceName) -> None:
+        """Choose the homes of a service whose connections do not suffice for all instances."""
+        limits = self.configuration.services.get(name) if self.configuration else None
+        if limits is None or self.forwarder is None:
+            return
+        plan = forwarding.plan(
+            [
+                homes.Candidate(
+                    instance=instance,
+                    zone=peer.zone,
+                    region=self.place.regions.get(peer.zone, ids.RegionName("")),
+                )
+                for instance, peer in self.instances.entries.items()
+            ],
+            service=name,
+            connections=limits.max_connections - connection_shares.RESERVE,
+            instances=self.shares.instances(now_s=clock.now_s()),
+        )
+        if plan is None:
+            self.plans.pop(name, None)
+        else:
+            self.plans[name] = plan
+
+    def homes_for(self, context: statement_context.StatementContext) -> list[forwarded.Home] | None:
+        """Return where a statement is forwarded to; None when this instance runs it itself."""
+        plan = self.plans.get(context.service.name)
+        if plan is None or plan.is_home(self.instance):
+            return None
+        addresses = {
+            instance: peer.address
+            for instance, peer in self.instances.entries.items()
+            if peer.address is not None
+        }
+        return self.forwarder.order(plan, context=context, addresses=addresses) or None
+
+    def contacts(self, name: ids.ServiceName) -> int:
+        """Return how many instances hold connections to a service."""
+        plan = self.plans.get(name)
+        return self.instance_count if plan is None else plan.home_count
+
     @property
     def instance_count(self) -> int:
         """How many instances serve, this one included."""
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -193,7 +193,7 @@
             return leader.server
         voters = self.known.voters(watch.target.name, leader.server)
         if voters and suspicion.votes_suffice(
-            votes=len(voters), instances=self.known.instance_count
+            votes=len(voters), instances=self.known.contacts(watch.target.name)
         ):
             return leader.server
         return None
--- /dev/null
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -0,0 +1,227 @@
+"""Statements of callers whose service is held by other instances.
+
+The rules of outcomes are those of a server: what was not sent was not run; a read or a statement of
+an open transaction without an answer kept nothing; a write or commit without one is unknown.
+"""
+
+import dataclasses
+
+from mustardswitch import events
+from mustardswitch.internal import avoidance, clock, forwarding, ids
+from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
+from mustardswitch.proxy import ports, requests, statement_context
+
+AVOIDANCE_S = 2.0
+"""How long a home that failed is asked last; it leaves the list soon after."""
+ANSWER_SLACK_S = 0.1
+"""Time over a statement's limit for the way to a home and back."""
+READ_PATIENCE_S = 0.7
+"""Time after which a read is given to another home; twice what a home gives a server."""
+
+OPEN, FAILED = requests.TransactionState.OPEN, requests.TransactionState.FAILED
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Home:
+    """An instance that runs statements of a service for others."""
+
+    instance: ids.InstanceId
+    address: datagrams.PeerAddress
+
+
+class Forwarder:
+    """Finds homes and forwards single statements."""
+
+    def __init__(self, *, client: relay_client.RelayClient) -> None:
+        self.client = client
+        self.avoided: avoidance.Avoidance[ids.InstanceId] = avoidance.Avoidance(
+            duration_s=AVOIDANCE_S
+        )
+        self.turn = 0
+
+    def __repr__(self) -> str:
+        return f"Forwarder(client={self.client!r})"
+
+    def order(
+        self,
+        plan: forwarding.Plan,
+        *,
+        context: statement_context.StatementContext,
+        addresses: dict[ids.InstanceId, datagrams.PeerAddress],
+    ) -> list[Home]:
+        """Return the homes to ask, in order."""
+        self.turn += 1
+        place = context.service.place
+        ordered = forwarding.order_of_homes(
+            plan,
+            zone=place.zone,
+            regions=place.regions,
+            avoided=self.avoided.active(now_s=clock.now_s()),
+            start=self.turn,
+        )
+        return [
+            Home(instance=home, address=addresses[home]) for home in ordered if home in addresses
+        ]
+
+    def note_failure(
+        self, home: Home, context: statement_context.StatementContext, why: str
+    ) -> None:
+        """Ask a home last for a while."""
+        self.avoided.add(home.instance, now_s=clock.now_s())
+        events.log(
+            events.Event.HOME_SKIPPED,
+            request=context.request,
+            service=context.service.name,
+            home=home.instance,
+            reason=why,
+        )
+
+    async def run_single(
+        self,
+        homes: list[Home],
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared,
+        access: requests.Access,
+    ) -> requests.Answer | None:
+        """Return the answer to a statement outside of a transaction; None when it was not sent."""
+        for home in homes:
+            if context.left_s <= 0:
+                break
+            try:
+                connection = await self.client.take(home.address)
+            except errors.PeerError as error:
+                self.note_failure(home, context, str(error))
+                continue
+            patience_s = context.left_s + ANSWER_SLACK_S
+            if access is requests.Access.READ:
+                patience_s = min(patience_s, READ_PATIENCE_S)
+            try:
+                answer = await connection.ask(build_message(context, command), patience_s)
+            except errors.PeerError as error:
+                self.note_failure(home, context, str(error))
+                if access is requests.Access.WRITE:
+                    return requests.refuse(requests.Refusal.OUTCOME_UNKNOWN, str(error))
+                continue
+            self.client.give_back(home.address, connection)
+            if answer.succeeded and access is requests.Access.WRITE:
+                context.session.note_commit(context.service.name, answer.position)
+            return answer
+        return None
+
+
+def build_message(
+    context: statement_context.StatementContext,
+    command: requests.Plain | ports.RunPrepared | requests.Commit | requests.Rollback,
+    begin: str = "",
+) -> relay_codec.Forwarded:
+    """Build what a home needs to run a statement."""
+    now_s = clock.now_s()
+    own = context.session.commits.get(context.service.name)
+    own_commit = None
+    if own is not None:
+        own_commit = relay_codec.OwnCommit(position=own.position, age_s=now_s - own.acknowledged_s)
+    return relay_codec.Forwarded(
+        request=context.request,
+        database=context.route.database,
+        command=command,
+        age_s=now_s - context.first_byte_s,
+        values=context.session.values,
+        own_commit=own_commit,
+        begin=begin,
+    )
+
+
+class ForwardedTransaction:
+    """A caller's transaction at a home; it begins at its first statement."""
+
+    def __init__(self, *, forwarder: Forwarder, homes: list[Home], read_only: bool) -> None:
+        self.forwarder = forwarder
+        self.homes = homes
+        self.read_only = read_only
+        self.failed = False
+        self.wrote = False
+        self.service = None
+        self.home: Home | None = None
+        self.connection: relay_client.RelayConnection | None = None
+
+    def __repr__(self) -> str:
+        return (
+            f"ForwardedTransaction(forwarder={self.forwarder!r}, homes={self.homes!r},"
+            f" read_only={self.read_only!r})"
+        )
+
+    async def run(
+        self,
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared,
+        shape: requests.Shape | None,
+        access: requests.Access,
+    ) -> requests.Answer:
+        """Run one statement of the transaction."""
+        begin = ""
+        if self.connection is None:
+            self.service = context.service
+            begin = "read" if self.read_only else "write"
+            await self._connect(context)
+        answer = await self._ask(context, command, begin)
+        if answer.succeeded:
+            self.wrote = self.wrote or access is requests.Access.WRITE
+            return dataclasses.replace(answer, state=OPEN)
+        self._end()
+        self.failed = True
+        return dataclasses.replace(answer, state=FAILED)
+
+    async def _connect(self, context: statement_context.StatementContext) -> None:
+        for home in self.homes:
+            try:
+                self.connection = await self.forwarder.client.take(home.address)
+            except errors.PeerError as error:
+                self.forwarder.note_failure(home, context, str(error))
+                continue
+            self.home = home
+            return
+
+    async def _ask(
+        self,
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared | requests.Commit,
+        begin: str,
+    ) -> requests.Answer:
+        if self.connection is None:
+            return requests.refuse(requests.Refusal.OVERLOADED, "no home is in reach")
+        try:
+            return await self.connection.ask(
+                build_message(context, command, begin), context.left_s + ANSWER_SLACK_S
+            )
+        except errors.PeerError as error:
+            self.forwarder.note_failure(self.home, context, str(error))
+            self.connection = None
+            return requests.refuse(requests.Refusal.ABORTED, str(error))
+
+    async def commit(self, context: statement_context.StatementContext) -> requests.Answer:
+        """Commit; without an answer the outcome is unknown if anything was written."""
+        begin = ""
+        if self.connection is None:
+            begin = "read" if self.read_only else "write"
+            await self._connect(context)
+        sent = self.connection is not None
+        answer = await self._ask(context, requests.Commit(), begin)
+        if sent and self.connection is None and self.wrote:
+            answer = dataclasses.replace(answer, refusal=requests.Refusal.OUTCOME_UNKNOWN)
+        if answer.succeeded and self.wrote:
+            context.session.note_commit(context.service.name, answer.position)
+        self._end()
+        return dataclasses.replace(answer, state=requests.TransactionState.IDLE)
+
+    def _end(self) -> None:
+        """Give the connection back; the home has ended the transaction."""
+        if self.connection is not None:
+            connection, self.connection = self.connection, None
+            self.forwarder.client.give_back(self.home.address, connection)
+
+    def fail(self) -> None:
+        """Roll back; the home does so when the connection is closed."""
+        self.failed = True
+        if self.connection is not None:
+            connection, self.connection = self.connection, None
+            connection.close()
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -8,6 +8,7 @@
 from mustardswitch import events, metrics
 from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import (
+    forwarded,
     ports,
     reading,
     requests,
@@ -32,6 +33,11 @@
     def service(self, name: ids.ServiceName) -> service.Service | None:
         """Return a service, or None when no server of it is known."""
 
+    forwarder: forwarded.Forwarder | None
+
+    def homes_for(self, context: statement_context.StatementContext) -> list[forwarded.Home] | None:
+        """Return where a statement is forwarded to; None when it is run here."""
+
     @property
     def transaction_idle_s(self) -> float:
         """How long a transaction may stay idle."""
@@ -44,7 +50,7 @@
         self.directory = directory
         self.database = database
         self.state = statement_context.SessionState()
-        self.transaction: transaction.Transaction | None = None
+        self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
 
     def __repr__(self) -> str:
@@ -139,6 +145,9 @@
         if isinstance(context, requests.Answer):
             ending.fail()
             return context
+        self.transaction = ending
+        self._place_transaction(context)
+        ending, self.transaction = self.transaction, None
         return await ending.commit(context)
 
     @_run.register
@@ -191,11 +200,29 @@
         if isinstance(context, requests.Answer):
             return context
         if self.transaction is not None:
+            self._place_transaction(context)
             return await self.transaction.run(context, command, shape, access)
+        homes = self.directory.homes_for(context)
+        if homes is not None:
+            answer = await self.directory.forwarder.run_single(homes, context, command, access)
+            if answer is not None:
+                return answer
         if access is requests.Access.WRITE:
             return await writing.run_write(context, command, shape)
         return await reading.ReadRun(context).run(command, shape)
 
+    def _place_transaction(self, context: statement_context.StatementContext) -> None:
+        """Choose where a transaction runs, at its first statement."""
+        if self.transaction.service is not None:
+            return
+        homes = self.directory.homes_for(context)
+        if homes is not None:
+            self.transaction = forwarded.ForwardedTransaction(
+                forwarder=self.directory.forwarder,
+                homes=homes,
+                read_only=self.transaction.read_only,
+            )
+
     def _context(
         self, request: ids.RequestId, first_byte_s: float
     ) -> statement_context.StatementContext | requests.Answer:
--- /dev/null
+++ b/tests/proxy/test_forwarding.py
@@ -0,0 +1,206 @@
+"""Forwarding to homes: fewer connections, the same promises."""
+
+import asyncio
+import contextlib
+import socket
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardswitch.internal import clock, forwarding, homes, ids
+from mustardswitch.peers import datagrams, errors, relay_client, relay_codec, relay_server
+from mustardswitch.proxy import directory, forwarded, ports, requests
+from tests.common import proxy_world
+
+PRIMARY, BOUNDED, OWN = requests.RouteKind
+ZONES = [ids.ZoneName(zone) for zone in "abc"]
+
+
+def _candidates(per_zone: int) -> list[homes.Candidate]:
+    return [
+        homes.Candidate(
+            instance=ids.InstanceId(f"{zone}{number}"), zone=zone, region=ids.RegionName("r")
+        )
+        for zone in ZONES
+        for number in range(per_zone)
+    ]
+
+
+def _plan(per_zone: int, connections: int) -> forwarding.Plan | None:
+    return forwarding.plan(
+        _candidates(per_zone),
+        service=ids.ServiceName("orders"),
+        connections=connections,
+        instances=3 * per_zone,
+    )
+
+
+def test_a_small_fleet_holds_its_connections_itself():
+    assert _plan(3, 21) is None
+
+
+def test_a_large_fleet_has_homes_in_every_zone_that_share_the_connections():
+    plan = _plan(22, 39)
+    assert set(plan.homes_by_zone) == set(ZONES)
+    assert plan.home_count * plan.connections <= 39
+    assert plan.connections >= forwarding.HOME_CONNECTIONS
+
+
+@given(per_zone=st.integers(1, 60), connections=st.integers(3, 300))
+def test_homes_never_exceed_the_connections_of_a_server(per_zone, connections):
+    plan = _plan(per_zone, connections)
+    if plan is not None and connections >= len(ZONES):
+        assert plan.home_count * plan.connections <= connections
+
+
+def test_homes_of_the_own_zone_are_asked_first_and_failed_ones_last():
+    plan = _plan(22, 39)
+    regions = {zone: ids.RegionName("r") for zone in ZONES}
+    own = plan.homes_by_zone[ZONES[0]]
+    order = forwarding.order_of_homes(
+        plan, zone=ZONES[0], regions=regions, avoided={own[0]}, start=0
+    )
+    assert order[0] in own[1:] and order[-1] == own[0]
+
+
+statements = st.one_of(
+    st.builds(requests.Plain, access=st.sampled_from(requests.Access), arguments=st.text()),
+    st.builds(
+        ports.RunPrepared,
+        shape=st.builds(requests.Shape, access=st.sampled_from(requests.Access), text=st.text()),
+        arguments=st.text(),
+    ),
+    st.builds(requests.Commit),
+    st.builds(requests.Rollback),
+)
+
+
+@given(statement=statements, values=st.dictionaries(st.text(), st.text()), age_s=st.floats(0, 9))
+def test_forwarded_statements_arrive_as_they_were_sent(statement, values, age_s):
+    sent = relay_codec.Forwarded(
+        request=ids.RequestId("r"),
+        database=ids.DatabaseName("d"),
+        command=statement,
+        age_s=age_s,
+        values=values,
+    )
+    body = relay_codec.encode_forwarded(sent)[relay_codec.LENGTH_BYTES :]
+    assert relay_codec.decode_forwarded(body) == sent
+
+
+@given(body=st.binary())
+def test_frames_that_cannot_be_read_raise_one_error(body):
+    for decode in (relay_codec.decode_forwarded, relay_codec.decode_answer):
+        with contextlib.suppress(errors.InvalidFrameError):
+            decode(body)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Fleet:
+    """An instance without connections of its own, and a home."""
+
+    def __init__(self) -> None:
+        self.home = proxy_world.World(zone="a")
+        self.entry = proxy_world.World(zone="a")
+        self.entry.group = self.home.group
+        self.address = datagrams.PeerAddress(host="127.0.0.1", port=_free_port())
+        self.server = relay_server.RelayServer(
+            directory=self.home.known, registry=self.home.known.registry
+        )
+        self.forwarder = forwarded.Forwarder(client=relay_client.RelayClient())
+        home_id = ids.InstanceId("home")
+        self.entry.known.forwarder = self.forwarder
+        self.entry.known.instances.put(
+            home_id, directory.Peer(zone=ids.ZoneName("a"), address=self.address)
+        )
+        self.entry.known.plans[self.entry.orders.name] = forwarding.Plan(
+            homes_by_zone={ids.ZoneName("a"): (home_id,)}, connections=3
+        )
+
+    async def __aenter__(self) -> "Fleet":
+        await self.server.start(self.address)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.forwarder.client.close()
+        self.server.close()
+
+
+async def test_a_forwarded_session_reads_its_own_writes():
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.SetValue(name="mode", value="1"))
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        read = await fleet.entry.run(caller, proxy_world.READ)
+        assert read.rows == ("1",)
+        assert fleet.home.group.statements[-1].link.values == {"mode": "1"}
+        assert all(not server.pool.held for server in fleet.entry.orders.servers.values())
+
+
+async def test_a_forwarded_transaction_stays_on_one_connection():
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        for statement in (proxy_world.WRITE, proxy_world.READ):
+            assert (await fleet.entry.run(caller, statement)).succeeded
+        other = await fleet.entry.run(fleet.entry.open_session(PRIMARY), proxy_world.WRITE)
+        assert other.succeeded
+        committed = await fleet.entry.run(caller, requests.Commit())
+        assert committed.succeeded
+        ran = fleet.home.group.statements
+        assert ran[0].link is ran[1].link is not ran[2].link
+
+
+async def test_a_home_that_is_gone_leaves_a_write_unknown_only_if_it_was_sent():
+    async with Fleet() as fleet:
+        fleet.server.close()
+        answer = await fleet.entry.run(fleet.entry.open_session(PRIMARY), proxy_world.WRITE)
+        assert answer.succeeded or answer.refusal is requests.Refusal.OVERLOADED
+
+
+async def test_a_silent_home_leaves_a_sent_write_unknown():
+    async def hold(reader, writer):
+        with contextlib.suppress(EOFError):
+            await reader.readexactly(1 << 20)
+
+    fleet = Fleet()
+    silent = await asyncio.start_server(hold, fleet.address.host, fleet.address.port)
+    answer = await fleet.entry.run(fleet.entry.open_session(PRIMARY), proxy_world.WRITE)
+    assert answer.refusal is requests.Refusal.OUTCOME_UNKNOWN
+    caller = fleet.entry.open_session(OWN)
+    await fleet.entry.run(caller, requests.Begin(read_only=False))
+    lost = await fleet.entry.run(caller, proxy_world.WRITE)
+    assert lost.refusal is requests.Refusal.ABORTED
+    fleet.forwarder.client.close()
+    silent.close()
+
+
+async def test_a_caller_that_leaves_inside_a_forwarded_transaction_is_rolled_back():
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        await fleet.entry.run(caller, proxy_world.WRITE)
+        caller.close()
+        started_s = clock.now_s()
+        home = fleet.home.orders.servers[ids.ServerId("server-a")].pool
+        while home.busy and clock.now_s() - started_s < 2.0:
+            await asyncio.sleep(0.01)
+        assert home.busy == 0
+        assert fleet.home.group.acknowledged == []
+
+
+def test_news_of_peers_arrive_as_they_were_sent():
+    lacking = datagrams.Lacking(service=ids.ServiceName("s"), server=ids.ServerId("i"))
+    news = datagrams.News(instance=ids.InstanceId("one"), lacking=(lacking,), leading=lacking)
+    assert datagrams.decode(datagrams.encode(news)) == news
+
+
+@given(data=st.binary())
+def test_datagrams_that_cannot_be_read_raise_one_error(data):
+    with contextlib.suppress(errors.InvalidDatagramError):
+        datagrams.decode(data)
