Ask replicas that stay behind less often, a slow home once, and close unused connections

Ruled out: connections (606 opened, none over the cap): the primary's slots bind while replicas lag. Change: the time without a new try doubles up to 1.2 s; a home that answered others meanwhile is waited for; connections unused for 5 s are closed; the pool prefers the one used last. Conclusion: tests replay both loads.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -66,6 +66,7 @@
         self.idle: collections.deque[Held] = collections.deque()
         self.holding_s = 0.0
         self.taken_at_s: dict[int, float] = {}
+        self.returned_at_s: dict[int, float] = {}
         self.busy = 0
         self.opening = 0
         self.limit = limits.ConcurrencyLimit(maximum=size)
@@ -182,8 +183,9 @@
         self.busy += 1
         chosen = self.idle[-1]
         if use is not None and use.fitness is not None:
-            chosen = max(self.idle, key=use.fitness)
+            chosen = max(reversed(self.idle), key=use.fitness)
         self.idle.remove(chosen)
+        self.returned_at_s.pop(id(chosen), None)
         self.taken_at_s[id(chosen)] = time.monotonic()
         return chosen
 
@@ -211,9 +213,18 @@
             used.close()
             self._open_missing(max(1, self.busy + self.queue.length))
         else:
+            self.returned_at_s[id(used)] = time.monotonic()
             self.idle.append(used)
         self._serve_queue()
 
+    def trim(self, *, idle_s: float) -> None:
+        """Close connections that were not used for a while, the longest unused first."""
+        oldest_s = time.monotonic() - idle_s
+        while self.idle and self.returned_at_s.get(id(self.idle[0]), oldest_s) < oldest_s:
+            closed = self.idle.popleft()
+            self.returned_at_s.pop(id(closed), None)
+            closed.close()
+
     def resize(self, size: int) -> None:
         """Hold up to ``size`` connections from now on; surplus idle ones are closed."""
         self.size = size
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -133,6 +133,7 @@
             elif known.connections != self._share(name):
                 known.resize(self._share(name))
             known.apply(by_service.get(name, ()))
+            known.trim()
 
     def _share(self, name: ids.ServiceName) -> int:
         limits = self.configuration.services.get(name) if self.configuration else None
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -4,6 +4,7 @@
 an open transaction without an answer kept nothing; a write or commit without one is unknown.
 """
 
+import asyncio
 import dataclasses
 
 from mustardswitch import events
@@ -15,8 +16,9 @@
 """How long a home that failed is asked last; it leaves the list soon after."""
 ANSWER_SLACK_S = 0.1
 """Time over a statement's limit for the way to a home and back."""
-READ_PATIENCE_S = 0.7
-"""Time after which a read is given to another home; twice what a home gives a server."""
+READ_PATIENCE_S = 0.5
+"""Time after which a read is given to another home, unless this one has answered others since: a
+home that is alive refuses in time itself, and a second try would only feed an overload."""
 
 OPEN, FAILED = requests.TransactionState.OPEN, requests.TransactionState.FAILED
 
@@ -37,6 +39,7 @@
         self.avoided: avoidance.Avoidance[ids.InstanceId] = avoidance.Avoidance(
             duration_s=AVOIDANCE_S
         )
+        self.heard_at_s: dict[ids.InstanceId, float] = {}
         self.turn = 0
 
     def __repr__(self) -> str:
@@ -92,22 +95,42 @@
             except errors.PeerError as error:
                 self.note_failure(home, context, str(error))
                 continue
-            patience_s = context.left_s + ANSWER_SLACK_S
-            if access is requests.Access.READ:
-                patience_s = min(patience_s, READ_PATIENCE_S)
             try:
-                answer = await connection.ask(build_message(context, command), patience_s)
+                answer = await self._ask(home, connection, context, command, access)
             except errors.PeerError as error:
                 self.note_failure(home, context, str(error))
                 if access is requests.Access.WRITE:
                     return requests.refuse(requests.Refusal.OUTCOME_UNKNOWN, str(error))
                 continue
+            self.heard_at_s[home.instance] = clock.now_s()
             self.client.give_back(home.address, connection)
             if answer.succeeded and access is requests.Access.WRITE:
                 context.session.note_commit(context.service.name, answer.position)
             return answer
         return None
 
+    async def _ask(
+        self,
+        home: Home,
+        connection: relay_client.RelayConnection,
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared,
+        access: requests.Access,
+    ) -> requests.Answer:
+        """Forward a statement; a read gives a silent home up early. Raises PeerError."""
+        sent_s = clock.now_s()
+        timeout_s = max(0.001, context.left_s) + ANSWER_SLACK_S
+        asking = asyncio.create_task(connection.ask(build_message(context, command), timeout_s))
+        try:
+            if access is requests.Access.READ and timeout_s > READ_PATIENCE_S:
+                await asyncio.wait({asking}, timeout=READ_PATIENCE_S)
+                silent = self.heard_at_s.get(home.instance, float("-inf")) < sent_s
+                if not asking.done() and silent:
+                    raise errors.PeerBrokenError("the home is silent")
+            return await asking
+        finally:
+            asking.cancel()
+
 
 def build_message(
     context: statement_context.StatementContext,
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -146,6 +146,8 @@
         finally:
             used.in_flight -= 1
         used.note_answer(clock.now_s() - started_s if answer.succeeded else None)
+        if answer.succeeded:
+            used.note_caught_up()
         if answer.refusal is requests.Refusal.UNKNOWN_STATEMENT:
             link.shapes.clear()
         used.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -23,6 +23,9 @@
 """Longest pause before a connection is tried again; a server that is back is used within this."""
 BEHIND_S = 0.15
 """How long a replica is taken to lack a position; a few times its usual lag."""
+BEHIND_LIMIT_S = 1.2
+"""Longest time without a new try, to which it doubles; about the age that reads accept, so that a
+replica that has caught up serves again before the positions asked for have moved on."""
 
 
 class Server:
@@ -51,6 +54,7 @@
         self.avoided_until_s = float("-inf")
         self.behind: positions.Position | None = None
         self.behind_until_s = float("-inf")
+        self.behind_for_s = BEHIND_S
         self.in_flight = 0
         self.pool: connection_pool.ConnectionPool[ports.Link] = connection_pool.ConnectionPool(
             name=entry.server,
@@ -140,7 +144,13 @@
     def note_behind(self, floor: positions.Position) -> None:
         """Take into account that the server's log lacks a position."""
         self.behind = floor
-        self.behind_until_s = clock.now_s() + BEHIND_S
+        self.behind_until_s = clock.now_s() + self.behind_for_s
+        self.behind_for_s = min(BEHIND_LIMIT_S, 2 * self.behind_for_s)
+
+    def note_caught_up(self) -> None:
+        """Take into account that the server's log held a position that was asked for."""
+        self.behind = None
+        self.behind_for_s = BEHIND_S
 
     def current_latency_s(self, now_s: float) -> float:
         """Return the smoothed latency, which nears the first guess while it is not measured."""
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -22,6 +22,9 @@
 """Longest age of data that reads can accept; several times that of the users' routes."""
 PROBE_TIMEOUT_S = 0.35
 """A new connection and a question, with three round trips between regions, twice over."""
+IDLE_CONNECTION_S = 5.0
+"""Time after which an unused connection is closed: what opening one costs, against what it keeps
+from others while it lingers after a crash."""
 STATUS_TIMEOUT_S = 0.4
 """Ten round trips between regions."""
 SETTLE_TIMEOUT_S = 1.0
@@ -131,6 +134,11 @@
         for known in self.servers.values():
             known.pool.resize(connections)
 
+    def trim(self) -> None:
+        """Close connections that are not needed now; others may need them, or a restart."""
+        for known in self.servers.values():
+            known.pool.trim(idle_s=IDLE_CONNECTION_S)
+
     def close(self) -> None:
         """Close idle connections."""
         for known in self.servers.values():
--- a/tests/decisions/test_read_placement.py
+++ b/tests/decisions/test_read_placement.py
@@ -1,6 +1,8 @@
 """Where reads go in calm times, and when a server is slow, full, behind or failing."""
 
-from mustardswitch.internal import alignment, ids, positions, read_placement
+from mustardswitch.internal import alignment, clock, ids, positions, read_placement
+from mustardswitch.proxy import server
+from tests.common import database_group
 
 ZONE, REGION, FAR = read_placement.Distance
 
@@ -69,3 +71,24 @@
         found.cost
         > alignment.align(held_values={}, held_shapes=set(), values={"a": "1"}, shape="s").cost
     )
+
+
+def test_replicas_that_stay_behind_are_asked_less_and_less_until_one_has_caught_up(monkeypatch):
+    """Replays a replica that lags for seconds: reads went to it again every 0.15 s."""
+    now = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: now[0])
+    floor = positions.Position(term=ids.Term(1), offset=ids.Offset(9))
+    group = database_group.Group()
+    known = server.Server(
+        entry=group.entries()[1], distance=ZONE, opener=group.open_link, connections=1
+    )
+    asked = 0
+    for _ in range(600):
+        now[0] += 0.01
+        if known.read_candidate(leads=False).behind is None:
+            asked += 1
+            known.note_behind(floor)
+    assert asked <= 8
+    known.note_caught_up()
+    known.note_behind(floor)
+    assert known.behind_until_s - now[0] < 0.2
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -204,3 +204,16 @@
 def test_datagrams_that_cannot_be_read_raise_one_error(data):
     with contextlib.suppress(errors.InvalidDatagramError):
         datagrams.decode(data)
+
+
+async def test_a_slow_home_that_answers_others_is_not_asked_twice():
+    """Replays an overload: homes answered late, reads went to a second home and doubled it."""
+    async with Fleet() as fleet:
+        for name in fleet.home.group.servers.values():
+            name.slow_s = 0.25
+        reads = [
+            fleet.entry.run(fleet.entry.open_session(BOUNDED), proxy_world.READ) for _ in range(6)
+        ]
+        answers = await asyncio.gather(*reads)
+        assert all(answer.succeeded for answer in answers)
+        assert not fleet.forwarder.avoided.active(now_s=clock.now_s())
