Lose no connection that is handed out as its waiter gives up; leave one to short statements

A waiter whose time ends in the moment in which it is given a connection never gave it back: under overload pools shrank for good. Transactions that pause held most of the rest. Also the follower failed when a wait was ended from outside. Change: what a waiter did not take goes back; with three connections or more one is left to short statements, which go first at the same priority; holding times are kept apart; HTTP calls keep their own connection while it is replaced.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -41,10 +41,18 @@
     deadline_s: float
     patient: bool = False
     """Whether to wait while the server is out of reach, until its role is known to be lost."""
+    holds: bool = False
+    """Whether the connection is kept while its user pauses, as a transaction does."""
     fitness: collections.abc.Callable[[typing.Any], int] | None = None
     """Ranks idle connections for this use, the largest first; None takes the last one used."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Taken:
+    at_s: float
+    holds: bool
+
+
 class ConnectionPool(typing.Generic[Held]):
     """Holds up to ``size`` connections to a backend server.
 
@@ -64,8 +72,9 @@
         self.size = size
         self.reopen_limit_s = reopen_limit_s
         self.idle: collections.deque[Held] = collections.deque()
-        self.holding_s = 0.0
-        self.taken_at_s: dict[int, float] = {}
+        self.holding_s = {False: 0.0, True: 0.0}
+        self.taken: dict[int, _Taken] = {}
+        self.held_by_holders = 0
         self.returned_at_s: dict[int, float] = {}
         self.busy = 0
         self.opening = 0
@@ -73,6 +82,9 @@
         self.queue: limits.AdmissionQueue[asyncio.Future[Held]] = limits.AdmissionQueue(
             max_length=size * QUEUE_PER_CONNECTION
         )
+        self.holders: limits.AdmissionQueue[asyncio.Future[Held]] = limits.AdmissionQueue(
+            max_length=size * QUEUE_PER_CONNECTION
+        )
         self.patient: set[asyncio.Future[Held]] = set()
         self.closed = False
         self.failures = 0
@@ -86,6 +98,11 @@
         """How many connections are open or being opened."""
         return len(self.idle) + self.busy + self.opening
 
+    @property
+    def waiting(self) -> int:
+        """How many statements wait for a connection."""
+        return self.queue.length + self.holders.length
+
     def warm(self) -> None:
         """Open the first connections ahead of the first statement."""
         self._open_missing(min(self.size, 2))
@@ -119,21 +136,22 @@
             return
         self.idle.append(opened)
         self._serve_queue()
-        self._open_missing(max(wanted, self.busy + self.queue.length))
+        self._open_missing(max(wanted, self.busy + self.waiting))
 
     async def _wait_and_reopen(self, wanted: int) -> None:
         delay_s = min(self.reopen_limit_s, REOPEN_DELAY_S * 2 ** min(self.failures, 5))
         await asyncio.sleep(delay_s)
-        if self.queue.length or self.held < 1:
+        if self.waiting or self.held < 1:
             self._open_missing(wanted)
 
     async def acquire(self, use: PoolUse) -> Held:
         """Return a connection; PoolRefusedError means the deadline cannot be met."""
         if self.closed:
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
-        if self.idle and self.busy < self.limit.allowed and not self.queue.length:
+        room = self.busy < self.limit.allowed and not self.waiting
+        if self.idle and room and (not use.holds or self._holder_room()):
             return self._hand_out(use)
-        self._open_missing(self.busy + self.queue.length + 1)
+        self._open_missing(self.busy + self.waiting + 1)
         return await self._wait_in_queue(use)
 
     async def _wait_in_queue(self, use: PoolUse) -> Held:
@@ -145,65 +163,83 @@
         waiting = limits.Waiting(
             ticket=future, caller=use.caller, priority=use.priority, deadline_s=use.deadline_s
         )
-        service_s = self.holding_s or self.limit.average_s or INITIAL_SERVICE_S
+        service_s = self.holding_s[use.holds] or self.limit.average_s or INITIAL_SERVICE_S
         now_s = time.monotonic()
-        if not self.queue.offer(
-            waiting, now_s=now_s, service_s=service_s, concurrency=self.limit.allowed
-        ):
-            raise errors.PoolRefusedError(f"{self.queue.length} statements are waiting")
+        queue = self.holders if use.holds else self.queue
+        concurrency = max(1, self.limit.allowed - (0 if use.holds else self.held_by_holders))
+        if not queue.offer(waiting, now_s=now_s, service_s=service_s, concurrency=concurrency):
+            raise errors.PoolRefusedError(f"{queue.length} statements are waiting")
+        self._serve_queue()
+        received: Held | None = None
         try:
             async with asyncio.timeout(use.deadline_s - now_s):
-                return await future
+                received = await future
+            return received
         except TimeoutError as error:
             raise errors.PoolRefusedError("no connection became free in time") from error
         finally:
             self.patient.discard(future)
-            self._abandon(future)
+            if received is None:
+                self._abandon(future)
 
     def _abandon(self, future: asyncio.Future[Held]) -> None:
-        """Take back what a waiter that left did not take."""
-        if self.queue.remove(future):
+        """Take back what a waiter that left did not take.
+
+        A connection may be handed out in the moment in which the waiter's time ends.
+        """
+        if self.queue.remove(future) or self.holders.remove(future):
             return
-        handed_out = future.done() and not future.cancelled() and future.exception() is None
-        if handed_out and asyncio.current_task().cancelling():
+        if future.done() and not future.cancelled() and future.exception() is None:
             self.release(future.result(), clean=True)
 
     def reject_waiters(self, why: str, *, patient: bool) -> None:
         """Send waiting statements elsewhere; patient ones only when ``patient`` is true."""
-        kept = []
-        while (waiting := self.queue.take()) is not None:
-            if waiting.ticket in self.patient and not patient:
-                kept.append(waiting)
-            elif not waiting.ticket.done():
-                waiting.ticket.set_exception(errors.PoolUnreachableError(why))
-        for waiting in kept:
-            self.queue.restore(waiting)
-
-    def _hand_out(self, use: PoolUse | None = None) -> Held:
+        for queue in (self.queue, self.holders):
+            kept = []
+            while (waiting := queue.take()) is not None:
+                if waiting.ticket in self.patient and not patient:
+                    kept.append(waiting)
+                elif not waiting.ticket.done():
+                    waiting.ticket.set_exception(errors.PoolUnreachableError(why))
+            for waiting in kept:
+                queue.restore(waiting)
+
+    def _holder_room(self) -> bool:
+        """Whether one more user may hold a connection for long."""
+        return self.held_by_holders < limits.holder_limit(self.limit.allowed)
+
+    def _hand_out(self, use: PoolUse | None = None, *, holds: bool = False) -> Held:
+        holds = use.holds if use is not None else holds
         self.busy += 1
         chosen = self.idle[-1]
         if use is not None and use.fitness is not None:
             chosen = max(reversed(self.idle), key=use.fitness)
         self.idle.remove(chosen)
         self.returned_at_s.pop(id(chosen), None)
-        self.taken_at_s[id(chosen)] = time.monotonic()
+        self.taken[id(chosen)] = _Taken(at_s=time.monotonic(), holds=holds)
+        self.held_by_holders += holds
         return chosen
 
     def _record_holding(self, used: Held) -> None:
-        taken_at_s = self.taken_at_s.pop(id(used), None)
-        if taken_at_s is None:
+        taken = self.taken.pop(id(used), None)
+        if taken is None:
             return
-        held_s = time.monotonic() - taken_at_s
-        self.holding_s = self.holding_s or held_s
-        self.holding_s += HOLDING_WEIGHT * (held_s - self.holding_s)
+        self.held_by_holders -= taken.holds
+        held_s = time.monotonic() - taken.at_s
+        known_s = self.holding_s[taken.holds] or held_s
+        self.holding_s[taken.holds] = known_s + HOLDING_WEIGHT * (held_s - known_s)
 
     def _serve_queue(self) -> None:
         while self.idle and self.busy < self.limit.allowed:
-            waiting = self.queue.take()
+            holds = limits.holder_goes_first(
+                short=self.queue.next_priority(),
+                holder=self.holders.next_priority() if self._holder_room() else None,
+            )
+            waiting = (self.holders if holds else self.queue).take()
             if waiting is None:
                 return
             if not waiting.ticket.done():
-                waiting.ticket.set_result(self._hand_out())
+                waiting.ticket.set_result(self._hand_out(holds=holds))
 
     def release(self, used: Held, *, clean: bool) -> None:
         """Give a connection back; one that is not provably clean is closed."""
@@ -211,7 +247,7 @@
         self._record_holding(used)
         if not clean or used.broken or self.closed:
             used.close()
-            self._open_missing(max(1, self.busy + self.queue.length))
+            self._open_missing(max(1, self.busy + self.waiting))
         else:
             self.returned_at_s[id(used)] = time.monotonic()
             self.idle.append(used)
@@ -229,7 +265,7 @@
         """Hold up to ``size`` connections from now on; surplus idle ones are closed."""
         self.size = size
         self.limit.resize(size)
-        self.queue.max_length = size * QUEUE_PER_CONNECTION
+        self.queue.max_length = self.holders.max_length = size * QUEUE_PER_CONNECTION
         while self.idle and self.held > size:
             self.idle.popleft().close()
         self._serve_queue()
--- a/src/mustardswitch/internal/limits.py
+++ b/src/mustardswitch/internal/limits.py
@@ -87,6 +87,29 @@
     deadline_s: float
 
 
+HOLDERS_FROM = 3
+"""Connections from which on one is left to statements that do not hold it."""
+
+
+def holder_limit(connections: int) -> int:
+    """Return how many connections transactions may hold at once.
+
+    Answers the load pattern of replicas that lag: everything needs the primary, transactions pause
+    on most of its connections, and short statements, of which a connection serves ten times as
+    many, would be refused.
+    """
+    return connections - 1 if connections >= HOLDERS_FROM else connections
+
+
+def holder_goes_first(*, short: int | None, holder: int | None) -> bool:
+    """Tell whether a transaction that waits is served before a short statement that waits.
+
+    Both are given by the priority of the next one, None when none waits; at the same priority the
+    short statement goes first.
+    """
+    return holder is not None and (short is None or holder < short)
+
+
 class AdmissionQueue(typing.Generic[Ticket]):
     """Waiting statements by priority, round robin between callers.
 
@@ -134,6 +157,10 @@
         callers.setdefault(waiting.caller, collections.deque()).append(waiting)
         self.length += 1
 
+    def next_priority(self) -> int | None:
+        """Return the priority of the statement whose turn it is; None when none waits."""
+        return next((priority for priority, callers in self.queues.items() if callers), None)
+
     def take(self) -> Waiting[Ticket] | None:
         """Remove the statement whose turn it is."""
         for callers in self.queues.values():
--- a/src/mustardswitch/platform/http.py
+++ b/src/mustardswitch/platform/http.py
@@ -78,29 +78,32 @@
             self.close()
             self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
             self.protocol = h11.Connection(h11.CLIENT)
+        reader, protocol = self.reader, self.protocol
         fields = [("Host", f"{self.host}:{self.port}"), ("Content-Length", str(len(body)))]
         if body:
             fields.append(("Content-Type", "application/json"))
         request = h11.Request(method=method, target=target, headers=[*fields, *headers])
-        data = self.protocol.send(request)
+        data = protocol.send(request)
         if body:
-            data += self.protocol.send(h11.Data(data=body))
-        data += self.protocol.send(h11.EndOfMessage())
+            data += protocol.send(h11.Data(data=body))
+        data += protocol.send(h11.EndOfMessage())
         self.writer.write(data)
-        response = await self._read_response()
-        if self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE:
-            self.protocol.start_next_cycle()
+        response = await self._read_response(reader, protocol)
+        if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+            protocol.start_next_cycle()
         else:
             self.close()
         return response
 
-    async def _read_response(self) -> Response:
+    async def _read_response(
+        self, reader: asyncio.StreamReader, protocol: h11.Connection
+    ) -> Response:
         status = 0
         parts: list[bytes] = []
         while True:
-            event = self.protocol.next_event()
+            event = protocol.next_event()
             if event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.reader.read(READ_BYTES))
+                protocol.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -181,7 +181,7 @@
         self, statement: requests.Plain | ports.RunPrepared, shape: requests.Shape | None
     ) -> requests.Answer | None:
         try:
-            pinned = await begin_at_leader(self.context, shape)
+            pinned = await begin_at_leader(self.context, shape, holds=False)
         except errors.ProxyError as error:
             self.last_refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
             return None
@@ -238,7 +238,7 @@
             if self.context.left_s <= 0 or used.server not in self.service.servers:
                 break
             try:
-                link = await self.context.acquire(used, shape)
+                link = await self.context.acquire(used, shape, holds=True)
                 answer = await self.context.enter(used, link, shape=shape, begin=begin)
             except errors.NotSentError as error:
                 self._note_skipped(used, str(error))
@@ -252,7 +252,10 @@
 
 
 async def begin_at_leader(
-    context: statement_context.StatementContext, shape: requests.Shape | None
+    context: statement_context.StatementContext,
+    shape: requests.Shape | None,
+    *,
+    holds: bool = True,
 ) -> PinnedLink:
     """Begin a transaction at the leader, asking again while it changes.
 
@@ -261,7 +264,7 @@
     while True:
         used = await context.service.wait_leader(context.deadline_s)
         try:
-            link = await context.acquire(used, shape)
+            link = await context.acquire(used, shape, holds=holds)
             asked_s = clock.now_s()
             answer = await context.enter(
                 used, link, shape=shape, begin=ports.BeginAt(read_only=False)
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -57,14 +57,18 @@
         """Seconds left to the deadline."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
-    def use(self, shape: requests.Shape | None) -> connection_pool.PoolUse:
+    def use(self, shape: requests.Shape | None, *, holds: bool) -> connection_pool.PoolUse:
         """Describe the statement to a pool."""
 
         def fitness(link: ports.Link) -> int:
             return -self.alignment(link, shape).cost
 
         return connection_pool.PoolUse(
-            caller="", priority=self.route.priority, deadline_s=self.deadline_s, fitness=fitness
+            caller="",
+            priority=self.route.priority,
+            deadline_s=self.deadline_s,
+            holds=holds,
+            fitness=fitness,
         )
 
     def alignment(
@@ -78,10 +82,15 @@
             shape=shape,
         )
 
-    async def acquire(self, used: server.Server, shape: requests.Shape | None) -> ports.Link:
-        """Return a connection of a server; raises NotSentError."""
+    async def acquire(
+        self, used: server.Server, shape: requests.Shape | None, *, holds: bool = False
+    ) -> ports.Link:
+        """Return a connection of a server; raises NotSentError.
+
+        A transaction ``holds`` it while its caller pauses.
+        """
         try:
-            return await used.pool.acquire(self.use(shape))
+            return await used.pool.acquire(self.use(shape, holds=holds))
         except backend_errors.BackendError as error:
             raise errors.NotSentError(f"server {used.server}: {error}") from error
 
