--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -91,9 +91,9 @@
         listed = {item.key for item in listing.items}
         missing = [key for key in self.revisions if key not in listed]
         for key in missing:
-            self._apply(store.Item(key=key, value=None, revision=listing.revision))
+            self.apply(store.Item(key=key, value=None, revision=listing.revision))
         for item in listing.items:
-            self._apply(item)
+            self.apply(item)
         self.known.refresh()
         self._note_loaded()
         return listing.revision
@@ -102,7 +102,7 @@
         listing = await self.client.watch(EVERYTHING, after=after, wait_s=WATCH_WAIT_S)
         self._note_available()
         for item in listing.items:
-            self._apply(item)
+            self.apply(item)
         if listing.items:
             self.known.refresh()
             self._note_loaded()
@@ -112,7 +112,7 @@
         if self.known.configuration is not None:
             self.loaded.set()
 
-    def _apply(self, item: store.Item) -> None:
+    def apply(self, item: store.Item) -> None:
         """Apply a change unless a later one of its key is applied already."""
         if item.revision < self.revisions.get(item.key, 0):
             return
--- /dev/null
+++ b/src/mustardswitch_standins/users_databases.py
@@ -0,0 +1,178 @@
+"""A stand-in for the users' databases: a group in memory behind the line protocol."""
+
+import asyncio
+import json
+
+from mustardswitch.backends import errors
+from mustardswitch.internal import ids, positions
+from mustardswitch.proxy import ports, requests
+from mustardswitch_standins import database_group, users_store
+
+ANSWER_TIMEOUT_S = 5.0
+REFUSALS = {
+    requests.Refusal.OVERLOADED: "BUSY",
+    requests.Refusal.BEHIND: "LAGGING",
+    requests.Refusal.READ_ONLY: "READONLY",
+}
+STATES = {
+    requests.TransactionState.IDLE: "I",
+    requests.TransactionState.OPEN: "T",
+    requests.TransactionState.FAILED: "E",
+}
+
+
+class UsersDatabases:
+    """Listens for every server of a group, and lists them in the store."""
+
+    def __init__(self, *, group: database_group.Group) -> None:
+        self.group = group
+        self.listeners: list[asyncio.Server] = []
+        self.ports: dict[ids.ServerId, int] = {}
+        self.writers: dict[ids.ServerId, list[asyncio.StreamWriter]] = {}
+
+    async def start(self) -> None:
+        """Listen from now on."""
+        for server in self.group.servers.values():
+            listener = await asyncio.start_server(self._accept(server), "127.0.0.1", 0)
+            self.listeners.append(listener)
+            self.ports[server.name] = listener.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening."""
+        for listener in self.listeners:
+            listener.close()
+
+    def list_servers(self, store: users_store.UsersStore) -> None:
+        """Write the entries of all servers that run, and remove the others'."""
+        for server in self.group.servers.values():
+            key = f"servers/{server.name}"
+            entry = {
+                "service": database_group.SERVICE,
+                "addr": f"127.0.0.1:{self.ports[server.name]}",
+                "zone": server.zone,
+                "version": "v1",
+                "slots": 3,
+                "state": "draining" if server.leaving else "ready",
+                "warmup_left_ms": 0,
+                "db_role": server.role.value,
+                "born": 1,
+                "seq": 1,
+            }
+            if server.up:
+                store.put(key, json.dumps(entry).encode())
+            else:
+                store.delete(key)
+
+    def crash(self, name: ids.ServerId) -> None:
+        """Let a server die; its connections break."""
+        self.group.servers[name].up = False
+        for writer in self.writers.pop(name, []):
+            writer.transport.abort()
+
+    def _accept(self, server: database_group.FakeServer):
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.writers.setdefault(server.name, []).append(writer)
+            try:
+                await self._serve(server, reader, writer)
+            except (OSError, EOFError, errors.BackendError):
+                return
+            finally:
+                writer.close()
+
+        return serve
+
+    async def _serve(
+        self,
+        server: database_group.FakeServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        start = (await reader.readuntil(b"\r\n")).decode().split()
+        if not server.up or start[-1] != server.name:
+            writer.write(b"ERROR WRONGNODE -\r\n")
+            return
+        writer.write(f"READY I {_position(server)}\r\n".encode())
+        link = database_group.FakeLink(group=self.group, server=server)
+        names: dict[str, requests.Access] = {}
+        while True:
+            line = (await reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
+            if line == "TERMINATE":
+                return
+            _, request, text = line.split(" ", 2)
+            writer.write(await self._answer(server, link, names, request, text))
+
+    async def _answer(
+        self,
+        server: database_group.FakeServer,
+        link: database_group.FakeLink,
+        names: dict[str, requests.Access],
+        request: str,
+        text: str,
+    ) -> bytes:
+        word, _, rest = text.partition(" ")
+        if word in ("STATUS", "PAUSE", "RESUME"):
+            if word == "PAUSE":
+                await link.pause(ids.Term(int(rest)), ANSWER_TIMEOUT_S)
+            elif word == "RESUME":
+                await link.resume(ANSWER_TIMEOUT_S)
+            status = await link.status(ANSWER_TIMEOUT_S)
+            row = f"{status.role.value} {status.term} {_position(server)} 0 1 0 1"
+            return f"DATAROW {row}\r\nCOMPLETE -\r\nREADY I {_position(server)}\r\n".encode()
+        if word == "PREPARE":
+            name, access, _ = rest.split(" ", 2)
+            names[name] = requests.Access(access.lower())
+        link.send(_command(text, names), None if request == "-" else ids.RequestId(request))
+        return _encode(await link.receive(ANSWER_TIMEOUT_S), server)
+
+
+def _position(server: database_group.FakeServer) -> str:
+    return f"{server.position.term}.{server.position.offset}"
+
+
+def _command(text: str, names: dict[str, requests.Access]) -> ports.Command:
+    word, _, rest = text.partition(" ")
+    floor = None
+    if word == "AFTER":
+        place, _, text = rest.partition(" ")
+        term, _, offset = place.partition(".")
+        floor = positions.Position(term=ids.Term(int(term)), offset=ids.Offset(int(offset)))
+        word, _, rest = text.partition(" ")
+    if word == "BEGIN":
+        return ports.BeginAt(read_only=rest == "READ", floor=floor)
+    simple = {
+        "COMMIT": requests.Commit(),
+        "ROLLBACK": requests.Rollback(),
+        "RESET": ports.ForgetSession(),
+    }
+    if word in simple:
+        return simple[word]
+    if word == "SET":
+        name, _, value = rest.partition(" ")
+        return requests.SetValue(name=name, value=value)
+    if word == "PREPARE":
+        shape = requests.Shape(access=requests.Access.READ, text=rest)
+        return ports.HoldShape(shape=shape)
+    access = names[rest.partition(" ")[0]] if word == "EXECUTE" else requests.Access(word.lower())
+    plain = requests.Plain(access=access, arguments=rest)
+    return plain if floor is None else ports.ReadAt(statement=plain, floor=floor)
+
+
+def _encode(answer: requests.Answer, server: database_group.FakeServer) -> bytes:
+    rows = "".join(f"DATAROW {row}\r\n" for row in answer.rows)
+    if answer.refusal is None:
+        end = f"COMPLETE {answer.signature or '-'}\r\n"
+    else:
+        end = f"ERROR {REFUSALS.get(answer.refusal, 'FAILED')} -\r\n"
+    ready = f"READY {STATES[answer.state]} {_position(server)}\r\n"
+    return f"{rows}{end}{ready}".encode()
+
+
+def promoter(databases: UsersDatabases) -> users_store.Promote:
+    """Build the store's promotion call for a group."""
+
+    def promote(service: str, server: str, token: int) -> bool:
+        del token
+        name = ids.ServerId(server)
+        return service == database_group.SERVICE and databases.group.promote(name)
+
+    return promote
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -13,7 +13,7 @@
     service,
     session,
 )
-from tests.common import database_group
+from mustardswitch_standins import database_group
 
 REGIONS = {
     ids.ZoneName("a"): ids.RegionName("north"),
--- a/tests/decisions/test_read_placement.py
+++ b/tests/decisions/test_read_placement.py
@@ -2,7 +2,7 @@
 
 from mustardswitch.internal import alignment, clock, ids, positions, read_placement
 from mustardswitch.proxy import server
-from tests.common import database_group
+from mustardswitch_standins import database_group
 
 ZONE, REGION, FAR = read_placement.Distance
 
--- /dev/null
+++ b/tests/platform/test_records_and_settings.py
@@ -0,0 +1,189 @@
+"""Records of the store and settings: what is wrong is named, what was known stays."""
+
+import json
+import pathlib
+
+import pytest
+
+from mustardswitch import metrics
+from mustardswitch.internal import ids, promotion
+from mustardswitch.peers import datagrams
+from mustardswitch.platform import coordination, errors, follower, records, settings, store
+from mustardswitch.proxy import directory, requests, service
+
+ENTRY = {
+    "service": "huvo11a",
+    "addr": "10.128.0.9:8080",
+    "zone": "puget-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "db_role": "replica",
+    "born": 1700000000000,
+    "seq": 4,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "fiti832",
+    "prefix": "/",
+    "type": "read_your_writes",
+    "timeout_ms": 800,
+    "target_latency_ms": 1000,
+    "priority": 2,
+    "service": "huvo11a",
+    "max_staleness_ms": 2500,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "huvo11a", "max_conns": 23, "sync_replicas": 1}],
+    "limits": {"tx_idle_ms": 3000},
+}
+
+
+def _encode(record: dict, **changes: object) -> bytes:
+    return json.dumps({**record, **changes}).encode()
+
+
+def test_reads_the_entry_of_a_server():
+    entry = records.decode_server("servers/i-1", _encode(ENTRY), 5)
+    assert entry.server == "i-1"
+    assert (entry.host, entry.port) == ("10.128.0.9", 8080)
+    assert entry.role is promotion.Role.REPLICA
+    assert entry.started_ms == 1700000000000
+    assert not entry.leaving
+
+
+@pytest.mark.parametrize(
+    "changes, words",
+    [
+        ({"addr": 5}, "field addr"),
+        ({"addr": "nowhere"}, "give IP:PORT"),
+        ({"state": "resting"}, "one of ready, draining"),
+        ({"db_role": None}, "one of primary, replica"),
+        ({"slots": "3"}, "field slots"),
+        ({"born": 1.5}, "field born"),
+        ({"service": "a b"}, "no blanks"),
+    ],
+)
+def test_rejects_a_broken_entry_naming_place_and_remedy(changes, words):
+    with pytest.raises(errors.InvalidRecordError) as raised:
+        records.decode_server("servers/i-1", _encode(ENTRY, **changes), 5)
+    assert words in str(raised.value)
+    assert "i-1" in str(raised.value)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"5", b"{", b"null"])
+def test_rejects_what_is_no_record(value):
+    with pytest.raises(errors.InvalidRecordError):
+        records.decode_server("servers/i-1", value, 5)
+    with pytest.raises(errors.InvalidRecordError):
+        records.decode_configuration(value)
+
+
+def test_reads_the_operators_configuration():
+    decoded = records.decode_configuration(_encode(CONFIGURATION))
+    route = decoded.routes[ids.DatabaseName("fiti832")]
+    assert route.kind is requests.RouteKind.READ_YOUR_WRITES
+    assert route.statement_timeout_s == 0.8
+    assert route.max_staleness_s == 2.5
+    assert decoded.services[ids.ServiceName("huvo11a")].max_connections == 23
+    assert decoded.transaction_idle_s == 3.0
+
+
+@pytest.fixture
+def followed() -> follower.Follower:
+    async def open_nothing(entry):
+        raise AssertionError("nothing is opened here")
+
+    known = directory.Directory(
+        instance=ids.InstanceId("one"),
+        place=service.Place(zone=ids.ZoneName("puget-a"), regions={}),
+        opener=open_nothing,
+        registry=metrics.Registry(),
+    )
+    return follower.Follower(client=store.Store(host="127.0.0.1", port=1), known=known)
+
+
+def _item(key: str, value: bytes | None, revision: int) -> store.Item:
+    return store.Item(key=key, value=value, revision=revision)
+
+
+def test_a_broken_record_takes_nothing_away(followed):
+    followed.apply(_item("servers/i-1", _encode(ENTRY), 5))
+    followed.apply(_item("servers/i-1", b"broken", 6))
+    assert followed.known.servers.entries["i-1"].revision == 5
+    assert followed.known.registry.total("records_rejected") == 1
+
+
+def test_a_late_older_change_is_not_applied(followed):
+    followed.apply(_item("servers/i-1", _encode(ENTRY, db_role="primary"), 9))
+    followed.apply(_item("servers/i-1", _encode(ENTRY), 5))
+    assert followed.known.servers.entries["i-1"].role is promotion.Role.PRIMARY
+    followed.apply(_item("servers/i-1", None, 7))
+    assert "i-1" in followed.known.servers.entries
+
+
+def test_an_older_configuration_is_not_applied(followed):
+    followed.apply(_item("op/config", _encode(CONFIGURATION, version=9), 9))
+    followed.apply(_item("op/config", _encode(CONFIGURATION, version=8), 10))
+    assert followed.known.configuration.version == 9
+
+
+def test_registrations_votes_and_claims_are_followed(followed):
+    address = datagrams.PeerAddress(host="10.0.0.1", port=7455)
+    peer = directory.Peer(zone=ids.ZoneName("puget-a"), address=address)
+    key = f"{coordination.INSTANCES}two"
+    followed.apply(_item(key, coordination.encode_peer(peer), 3))
+    assert followed.known.instances.entries["two"] == peer
+    followed.apply(_item(f"{coordination.VOTES}orders/i-1/two", b"", 4))
+    assert followed.known.voters(ids.ServiceName("orders"), ids.ServerId("i-1")) == {"two"}
+    followed.apply(_item(f"{coordination.CLAIMS}orders", b"two abc", 5))
+    assert followed.known.claims["orders"] == "two"
+    followed.apply(_item(f"{coordination.CLAIMS}orders", None, 6))
+    assert not followed.known.claims
+
+
+SETTINGS = """
+instance: one
+zone: puget-a
+regions: {"puget-a": "puget"}
+callers: 10.0.0.1:8784
+health: 10.0.0.1:8785
+metrics: ""
+peers: 10.0.0.1:7455
+store: 10.0.0.2:8783
+promotions: 10.0.0.3:8783
+stop_grace_s: 6
+"""
+
+
+def test_reads_settings():
+    read = settings.parse_settings(SETTINGS, source="s.yaml")
+    assert read.callers == settings.Address(host="10.0.0.1", port=8784)
+    assert read.metrics is None
+    assert read.stop_grace_s == 6.0
+
+
+@pytest.mark.parametrize(
+    "before, after, words",
+    [
+        ("instance: one", "instance: a/b", "field instance"),
+        ("10.0.0.2:8783", "10.0.0.2", "field store"),
+        ("stop_grace_s: 6", "stop_grace_s: -1", "seconds above 0"),
+        ("zone: puget-a", "zones: x", "field zone"),
+        ("instance: one", "instance: [", "not valid YAML"),
+    ],
+)
+def test_rejects_bad_settings_naming_place_and_remedy(before, after, words):
+    with pytest.raises(errors.SettingsError) as raised:
+        settings.parse_settings(SETTINGS.replace(before, after), source="s.yaml")
+    assert words in str(raised.value)
+    assert "s.yaml" in str(raised.value)
+
+
+def test_the_template_names_every_setting():
+    template = pathlib.Path(__file__).parents[2] / "deploy" / "settings.yaml"
+    named = {line.partition(":")[0] for line in template.read_text().splitlines()}
+    assert named == {line.partition(":")[0] for line in SETTINGS.strip().splitlines()}
--- a/tests/proxy/test_promotion_safety.py
+++ b/tests/proxy/test_promotion_safety.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from mustardswitch.internal import ids, promotion
-from tests.common import database_group
+from mustardswitch_standins import database_group
 
 NAMES = [ids.ServerId(f"server-{zone}") for zone in "abc"]
 names = st.sampled_from(NAMES)
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -6,7 +6,8 @@
 
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.proxy import requests
-from tests.common import database_group, proxy_world
+from mustardswitch_standins import database_group
+from tests.common import proxy_world
 
 PRIMARY, BOUNDED, OWN = requests.RouteKind
 IDLE, OPEN, FAILED = requests.TransactionState
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -6,7 +6,8 @@
 
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.proxy import directory, requests, takeover
-from tests.common import database_group, proxy_world
+from mustardswitch_standins import database_group
+from tests.common import proxy_world
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
 PRIMARY = requests.RouteKind.PRIMARY
