--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -136,6 +136,9 @@
     LINE_REJECTED = EventKind(614, logbook.INFO, "line rejected")
     """A caller's line cannot be understood; its connection is closed."""
 
+    STATEMENT_SLOW = EventKind(615, logbook.INFO, "statement slow")
+    """A statement succeeded late; lines with its id before this one tell what it waited for."""
+
 
 def log(event: Event, **fields: object) -> None:
     """Log one event with its fields."""
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -20,6 +20,8 @@
 )
 
 OK = requests.Answer()
+SLOW_S = 0.5
+"""Time after which a success is logged; near the users' strictest aim of 0.6 s."""
 
 
 class Directory(typing.Protocol):
@@ -286,6 +288,15 @@
                 reason=answer.detail,
                 elapsed_s=round(elapsed_s, 4),
             )
+        elif elapsed_s > SLOW_S:
+            events.log(
+                events.Event.STATEMENT_SLOW,
+                request=request,
+                database=self.database,
+                statement=type(statement).__name__.lower(),
+                elapsed_s=round(elapsed_s, 4),
+                position=answer.position,
+            )
 
 
 SessionOpener = collections.abc.Callable[[ids.DatabaseName], Session | None]
--- a/tests/decisions/test_reference.py
+++ b/tests/decisions/test_reference.py
@@ -53,7 +53,7 @@
 
 
 ROOT = DOCS.parent
-PAGES = [ROOT / "README.md", *sorted(DOCS.glob("*.md"))]
+PAGES = [ROOT / "README.md", ROOT / "DEVELOPERS.md", *sorted(DOCS.glob("*.md"))]
 
 
 def _sources():
