--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -95,6 +95,7 @@
         self.deployment = users_deployment.Deployment(directory)
         self.instances: dict[str, users_deployment.Instance] = {}
         self.observed = Observed()
+        self.replaced: set[int] = set()
         self.sessions = 0
         self.requests = 0
 
@@ -199,8 +200,9 @@
         instance = self.instances[name]
         if instance.process.returncode is None:
             instance.process.send_signal(number)
-        await instance.process.communicate()
-        if self.instances.get(name) is instance:
+        await instance.process.wait()
+        if instance.process.pid not in self.replaced:
+            self.replaced.add(instance.process.pid)
             self.instances[name] = await self.deployment.start_instance(name)
 
     async def _kill(self) -> None:
--- a/src/mustardswitch_standins/users_deployment.py
+++ b/src/mustardswitch_standins/users_deployment.py
@@ -69,12 +69,14 @@
 promotions: 127.0.0.1:{self.store_port}
 stop_grace_s: 3
 """)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(LAUNCHER),
-            env={"MUSTARDSWITCH_BOOT": str(settings), "PATH": "/usr/bin:/bin"},
-            stdout=asyncio.subprocess.PIPE,
-        )
+        instance.log = self.directory / f"{name}-{len(self.processes)}.log"
+        with instance.log.open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(LAUNCHER),
+                env={"MUSTARDSWITCH_BOOT": str(settings), "PATH": "/usr/bin:/bin"},
+                stdout=log,
+            )
         self.processes.append(process)
         instance.process = process
         await asyncio.wait_for(instance.wait_ready(), START_S)
@@ -85,7 +87,7 @@
         for process in self.processes:
             if process.returncode is None:
                 process.kill()
-            await process.communicate()
+            await process.wait()
         self.databases.close()
         self.store.close()
 
@@ -98,6 +100,8 @@
         self.callers = callers
         self.health = health
         self.process: asyncio.subprocess.Process | None = None
+        self.log: pathlib.Path | None = None
+        """Where its standard output goes."""
 
     async def get(self, path: str) -> tuple[int, str]:
         """Ask the health address; returns status and body."""
--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -105,9 +105,9 @@
     instance.process.send_signal(signal.SIGTERM)
     for answer in await asyncio.gather(*asking):
         assert answer[-2].startswith("COMPLETE sig")
-    output, _ = await asyncio.wait_for(instance.process.communicate(), 30.0)
+    await asyncio.wait_for(instance.process.wait(), 30.0)
     assert instance.process.returncode == 0
-    events = [json.loads(line)["event"] for line in output.decode().splitlines()]
+    events = [json.loads(line)["event"] for line in instance.log.read_text().splitlines()]
     assert 100 in events and 101 in events and 102 in events
 
 
