End the soak's callers for certain; measured figures of the platform

Ruled out: an instance that does not stop (all had ended). Change: tasks.end_all, which cancels again; PERFORMANCE and PLATFORM say what was measured, what binds and what was not played.

--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 
+from mustardswitch import tasks
 from mustardswitch_standins import users_deployment
 
 INSTANCES = 3
@@ -111,9 +112,7 @@
             await self._break_things()
             await self._heal()
         finally:
-            for task in background:
-                task.cancel()
-            await asyncio.gather(*background, return_exceptions=True)
+            await tasks.end_all(background)
             await self.deployment.stop()
         group = self.deployment.group
         log = [entry.data for entry in group.primary.log]
