Tell a caller that its transaction was rolled back while it paused

A stop (or the idle limit) ends a transaction while its caller pauses; a commit after that was answered as the end of a transaction that the caller knew had failed: a success without a signature. Ruled out: the database (it ran the statement) and forwarding (not in use there). Change: the first statement after a failure that was not told is refused as aborted.

--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -54,6 +54,8 @@
         self.state = statement_context.SessionState()
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
+        self.failure_told = False
+        """Whether the caller knows that its transaction failed, which may happen while it pauses."""
 
     def __repr__(self) -> str:
         return f"Session(directory={self.directory!r}, database={self.database!r})"
@@ -75,6 +77,7 @@
             self.idle_timer.cancel()
             self.idle_timer = None
         answer = await self._dispatch(request, statement, first_byte_s)
+        self.failure_told = answer.state is requests.TransactionState.FAILED
         if self.transaction is not None and not self.transaction.failed:
             self.idle_timer = asyncio.get_running_loop().call_later(
                 self.directory.transaction_idle_s, self._expire
@@ -100,9 +103,10 @@
     async def _dispatch(
         self, request: ids.RequestId, statement: requests.Statement, first_byte_s: float
     ) -> requests.Answer:
-        if self.transaction_state is requests.TransactionState.FAILED and not isinstance(
-            statement, requests.Commit | requests.Rollback
-        ):
+        failed = self.transaction_state is requests.TransactionState.FAILED
+        if failed and not self.failure_told and not isinstance(statement, requests.Rollback):
+            return self._tell_failure(statement)
+        if failed and not isinstance(statement, requests.Commit | requests.Rollback):
             return requests.refuse(
                 requests.Refusal.MALFORMED,
                 "the transaction failed; end it first",
@@ -110,6 +114,16 @@
             )
         return await self._run(statement, request, first_byte_s)
 
+    def _tell_failure(self, statement: requests.Statement) -> requests.Answer:
+        """Refuse the first statement after a failure that the caller has not seen."""
+        state = requests.TransactionState.FAILED
+        if isinstance(statement, requests.Commit):
+            self.transaction = None
+            state = requests.TransactionState.IDLE
+        return requests.refuse(
+            requests.Refusal.ABORTED, "the transaction was rolled back while it paused", state=state
+        )
+
     @functools.singledispatchmethod
     async def _run(
         self, statement: requests.Statement, request: ids.RequestId, first_byte_s: float
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -255,3 +255,22 @@
     group.commit(group.primary, "x")
     group.promote(ids.ServerId("server-c"))
     assert group.lost == ["x"]
+
+
+@pytest.mark.parametrize("statement", [requests.Commit(), proxy_world.READ])
+async def test_a_transaction_that_failed_while_it_paused_never_seems_to_succeed(statement):
+    """Replays Solarloaf trouble-2, seed 676297774166: a commit after a stop had ended it."""
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, requests.Begin(read_only=False))
+    await world.run(caller, proxy_world.WRITE)
+    caller.transaction.fail()
+    answer = await world.run(caller, statement)
+    assert answer.refusal is requests.Refusal.ABORTED
+    if isinstance(statement, requests.Commit):
+        assert answer.state is IDLE
+        assert caller.transaction is None
+    else:
+        assert answer.state is FAILED
+        assert (await world.run(caller, requests.Commit())).state is IDLE
+    assert world.group.acknowledged == []
