--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -55,7 +55,7 @@
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
         self.failure_told = False
-        """Whether the caller knows that its transaction failed, which may happen while it pauses."""
+        """Whether the caller knows that its transaction failed; it may fail while it pauses."""
 
     def __repr__(self) -> str:
         return f"Session(directory={self.directory!r}, database={self.database!r})"
