One exchange for reads, one note of a status; drop what nothing used

Cause: reading the whole change: ReadRun sent a read in two places with the same handling of failures, ask_status and probe noted a status twice, check_leader only called ask_status, a counter of waiters and PositionHistory.clear had no reader, and a commit took its transaction out and put it back. Ruled out: joining the writes' and transactions' exchanges: their outcomes differ. Change: ReadRun._send, Service._note_status; the rest removed. One behaviour differs: a commit's context is now that of the transaction's own service also when its route was changed meanwhile; before, what the commit's answer proved about the leader was noted at the new route's service.

--- a/src/mustardswitch/internal/position_history.py
+++ b/src/mustardswitch/internal/position_history.py
@@ -52,10 +52,6 @@
         ]
         self.observations = [*kept, observation, *self.observations[index:]]
 
-    def clear(self) -> None:
-        """Forget everything, for example because the service has other servers now."""
-        self.observations = []
-
     def floor(self, *, not_before_s: float) -> positions.Position | None:
         """Return the lowest position that covers all commits acknowledged before a moment.
 
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -220,4 +220,4 @@
         target = self.services.get(news.leading.service)
         told = target.servers.get(news.leading.server) if target is not None else None
         if told is not None and target.leader is not told:
-            target.start(target.check_leader(told))
+            target.start(target.ask_status(told))
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -127,10 +127,10 @@
             return None
         return await self._exchange(used, link, command)
 
-    async def _exchange(
-        self, used: server.Server, link: ports.Link, command: ports.ReadAt
+    async def _send(
+        self, used: server.Server, link: ports.Link, command: ports.Command
     ) -> requests.Answer | None:
-        started_s = clock.now_s()
+        """Send the read; None when no answer came, after which the connection was given up."""
         used.in_flight += 1
         try:
             link.send(command, self.context.request)
@@ -145,11 +145,20 @@
             raise
         finally:
             used.in_flight -= 1
+        if answer.refusal is requests.Refusal.UNKNOWN_STATEMENT:
+            link.shapes.clear()
+        return answer
+
+    async def _exchange(
+        self, used: server.Server, link: ports.Link, command: ports.ReadAt
+    ) -> requests.Answer | None:
+        started_s = clock.now_s()
+        answer = await self._send(used, link, command)
+        if answer is None:
+            return None
         used.note_answer(clock.now_s() - started_s if answer.succeeded else None)
         if answer.succeeded:
             used.note_caught_up()
-        if answer.refusal is requests.Refusal.UNKNOWN_STATEMENT:
-            link.shapes.clear()
         used.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
         return answer
 
@@ -187,20 +196,9 @@
             return None
         used, link = pinned.used, pinned.link
         started_s = clock.now_s()
-        used.in_flight += 1
-        try:
-            link.send(statement, self.context.request)
-            answer = await link.receive(self.context.patience_s(used))
-        except backend_errors.BackendError as error:
-            used.note_failure()
-            used.abandon(link)
-            self._note_skipped(used, str(error))
+        answer = await self._send(used, link, statement)
+        if answer is None:
             return None
-        except BaseException:
-            used.abandon(link)
-            raise
-        finally:
-            used.in_flight -= 1
         self.service.roll_back(used, link)
         if answer.succeeded:
             used.note_answer(clock.now_s() - started_s)
@@ -208,8 +206,6 @@
             return dataclasses.replace(answer, state=requests.TransactionState.IDLE)
         if answer.refusal is requests.Refusal.READ_ONLY:
             self.service.note_not_leading(used.server, asked_s=started_s)
-        if answer.refusal is requests.Refusal.UNKNOWN_STATEMENT:
-            link.shapes.clear()
         self._is_final(used, answer, None)
         self.last_refusal = dataclasses.replace(answer, state=requests.TransactionState.IDLE)
         return None
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -69,7 +69,6 @@
         self.changed = asyncio.Event()
         self.refreshing: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.waiting_for_leader = 0
         self.known_leader: ids.ServerId | None = None
 
     def __repr__(self) -> str:
@@ -183,18 +182,14 @@
     async def wait_leader(self, deadline_s: float) -> server.Server:
         """Return the leader, or wait for one until a monotonic time; raises NoLeaderError."""
         loop = asyncio.get_running_loop()
-        self.waiting_for_leader += 1
-        try:
-            while (found := self.leader) is None:
-                changed = self.changed
-                try:
-                    async with asyncio.timeout(deadline_s - loop.time()):
-                        await changed.wait()
-                except TimeoutError as error:
-                    raise errors.NoLeaderError(f"no server leads service {self.name}") from error
-            return found
-        finally:
-            self.waiting_for_leader -= 1
+        while (found := self.leader) is None:
+            changed = self.changed
+            try:
+                async with asyncio.timeout(deadline_s - loop.time()):
+                    await changed.wait()
+            except TimeoutError as error:
+                raise errors.NoLeaderError(f"no server leads service {self.name}") from error
+        return found
 
     def contact(self, *, held_up_s: float) -> suspicion.PrimaryContact | None:
         """Describe this instance's contact with the leader; None without a leader."""
@@ -249,26 +244,23 @@
             raise
         asked.note_answer()
         asked.pool.release(link, clean=True)
+        self._note_status(asked, status, asked_s)
+        return status
+
+    def _note_status(
+        self, asked: server.Server, status: promotion.ServerStatus, asked_s: float
+    ) -> None:
         if status.role is promotion.Role.PRIMARY:
             self.note_leading(asked.server, asked_s=asked_s, position=status.received)
         else:
             self.note_not_leading(asked.server, asked_s=asked_s)
-        return status
 
     async def probe(self, asked: server.Server) -> None:
         """Ask a server that has been silent over a connection of its own."""
         asked_s = clock.now_s()
         status = await asked.probe(PROBE_TIMEOUT_S)
-        if status is None:
-            return
-        if status.role is promotion.Role.PRIMARY:
-            self.note_leading(asked.server, asked_s=asked_s, position=status.received)
-        else:
-            self.note_not_leading(asked.server, asked_s=asked_s)
-
-    async def check_leader(self, told: server.Server) -> None:
-        """Ask a server that is said to lead."""
-        await self.ask_status(told)
+        if status is not None:
+            self._note_status(asked, status, asked_s)
 
     async def find_leader(self) -> None:
         """Ask all servers whether they lead, for example because the store's news are missing."""
@@ -276,7 +268,7 @@
 
     # Work in the background
 
-    def start(self, work: collections.abc.Coroutine[None, None, None]) -> asyncio.Task[None]:
+    def start(self, work: collections.abc.Coroutine[None, None, object]) -> asyncio.Task:
         """Run work that nobody waits for."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import functools
 import typing
 
@@ -152,16 +153,16 @@
     async def _(
         self, statement: requests.Commit, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
-        ending, self.transaction = self.transaction, None
-        if ending is None:
+        if self.transaction is None:
             return self._refuse_malformed("no transaction is open")
-        if ending.failed:
+        if self.transaction.failed:
+            self.transaction = None
             return OK
         context = self._context(request, first_byte_s)
         if isinstance(context, requests.Answer):
-            ending.fail()
-            return context
-        self.transaction = ending
+            self.transaction.fail()
+            self.transaction = None
+            return dataclasses.replace(context, state=requests.TransactionState.IDLE)
         self._place_transaction(context)
         ending, self.transaction = self.transaction, None
         return await ending.commit(context)
