Bound a change of primary by its claim, and resume what earlier holders left paused

Cause: a holder that was frozen or whose orders stayed unanswered went on past the 7 s of its claim (up to 12 orders of a second each) and resumed replicas at the end, also those that the next holder had paused to compare logs: a primary that was cut off could then have commits confirmed that the promoted log lacks. And an attempt that found another server leading resumed nothing but deleted the mark that tells the others to, so replicas of a dead holder stayed paused.

Change: a claim knows when it lapses, counted from before the store was asked, on the clock that counts suspension; past it (less 0.5 s) a holder pauses, promotes and resumes nothing. Every attempt resumes all servers but a silent primary.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -125,6 +125,8 @@
     """The replicas are resumed and the claim is given back."""
     TAKEOVER_CLEANED = EventKind(520, logbook.WARNING, "takeover of a dead instance cleaned up")
     """Replicas that another instance left paused are resumed."""
+    CLAIM_LAPSED = EventKind(521, logbook.WARNING, "claim lapsed during a takeover")
+    """The next holder of the claim resumes the replicas."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement refused")
     """A statement has no result; the fields tell why and after how long."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- a/src/mustardswitch/platform/coordination.py
+++ b/src/mustardswitch/platform/coordination.py
@@ -10,7 +10,7 @@
 import uuid
 
 from mustardswitch import events
-from mustardswitch.internal import ids
+from mustardswitch.internal import clock, ids
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import store
@@ -131,6 +131,7 @@
         The revision is unique and rises with each claim. An earlier claim by this instance whose
         answer was lost is found by reading and taken over.
         """
+        lapses_s = clock.now_s() + CLAIM_TTL_S
         lease = await self.client.grant_lease(CLAIM_TTL_S)
         value = f"{self.instance} {uuid.uuid4().hex}".encode()
         key = f"{CLAIMS}{service}"
@@ -149,7 +150,7 @@
         if revision is None:
             await self.client.end_lease(lease)
             return None
-        return ports.Claim(service=service, fencing_token=revision, lease=lease)
+        return ports.Claim(service=service, fencing_token=revision, lapses_s=lapses_s, lease=lease)
 
     async def release(self, claim: ports.Claim) -> None:
         """Give a claim back; the mark goes only if nobody claimed since."""
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -146,6 +146,8 @@
 
     service: ids.ServiceName
     fencing_token: int
+    lapses_s: float
+    """When another instance may hold it at the earliest (``clock.now_s``)."""
     lease: int = 0
 
 
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -23,8 +23,9 @@
 """Pause between questions to a server that is catching up or about to lead."""
 LEAD_LIMIT_S = 4.0
 """Time for a promoted server to lead; a few times the platform's usual time."""
-PROMOTE_ATTEMPTS = 12
-"""Orders of one promotion; an order without an answer is repeated for the same server only."""
+CLAIM_MARGIN_S = 0.5
+"""How long before its claim lapses a holder acts for the last time; an order on its way between
+regions or to a slow platform."""
 
 
 class Takeover:
@@ -37,7 +38,6 @@
         self.claim = claim
         self.promoter = promoter
         self.links: dict[ids.ServerId, ports.Link] = {}
-        self.paused: set[ids.ServerId] = set()
 
     def __repr__(self) -> str:
         return f"Takeover(target={self.target!r}, claim={self.claim!r}, promoter={self.promoter!r})"
@@ -46,7 +46,8 @@
         """Replace a primary; True when another server leads.
 
         A silent one is known to give this instance no answer and is not asked.
-        Replicas that were paused are resumed however it ends.
+        All others are resumed however it ends, also those that an earlier holder left paused; but
+        not once the claim has lapsed, since they may be paused for the next holder by then.
         """
         events.log(
             events.Event.TAKEOVER_STARTED,
@@ -64,7 +65,8 @@
                 await self.target.find_leader()
                 done = True
         finally:
-            await asyncio.shield(self._resume_all())
+            silent_ones = {primary} if silent and choice.server != primary else set()
+            await asyncio.shield(self._resume(set(self.target.servers) - silent_ones))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -77,8 +79,11 @@
 
     async def resume_leftovers(self) -> None:
         """Resume replicas that an instance left paused when it died."""
-        self.paused = set(self.target.servers)
-        await self._resume_all()
+        await self._resume(set(self.target.servers))
+
+    def _holds_claim(self) -> bool:
+        """Tell whether no other instance can have claimed the service yet."""
+        return clock.now_s() + CLAIM_MARGIN_S < self.claim.lapses_s
 
     # Deciding
 
@@ -190,7 +195,8 @@
         async def pause(link: ports.Link) -> promotion.ServerStatus:
             return await link.pause(term, ASK_TIMEOUT_S)
 
-        self.paused |= servers
+        if not self._holds_claim():
+            return {}
         return await self._gather(servers, pause)
 
     async def _gather(
@@ -222,7 +228,9 @@
                 group.create_task(ask_one(name))
         return answers
 
-    async def _resume_all(self) -> None:
+    async def _resume(self, servers: collections.abc.Set[ids.ServerId]) -> None:
+        """Resume servers, and close the connections of this attempt."""
+
         async def resume(name: ids.ServerId) -> None:
             known = self.target.servers.get(name)
             if known is None:
@@ -238,9 +246,16 @@
                     reason=f"not resumed: {error}",
                 )
 
-        async with asyncio.TaskGroup() as group:
-            for name in self.paused:
-                group.create_task(resume(name))
+        if self._holds_claim():
+            async with asyncio.TaskGroup() as group:
+                for name in servers:
+                    group.create_task(resume(name))
+        else:
+            events.log(
+                events.Event.CLAIM_LAPSED,
+                service=self.target.name,
+                fencing_token=self.claim.fencing_token,
+            )
         for link in self.links.values():
             with contextlib.suppress(backend_errors.BackendError):
                 link.close()
@@ -249,7 +264,8 @@
     # Promoting
 
     async def _promote(self, successor: ids.ServerId) -> bool:
-        for _ in range(PROMOTE_ATTEMPTS):
+        """Order a promotion; without an answer the order is repeated for the same server only."""
+        while self._holds_claim():
             outcome = await self.promoter.promote(
                 service=self.target.name,
                 server=successor,
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -339,6 +339,10 @@
     return None
 
 
+CLAIM_S = 7.0
+"""How long a claim holds; as in the platform's adapter."""
+
+
 class FakePromoter:
     """The platform's promotion call, with fencing tokens."""
 
@@ -347,6 +351,8 @@
         self.seen = 0
         self.orders: list[tuple[ids.ServerId, int]] = []
         self.lose_answers = 0
+        self.carries_out = True
+        """Whether an order whose answer is lost is carried out all the same."""
 
     async def promote(
         self, *, service: ids.ServiceName, server: ids.ServerId, fencing_token: int
@@ -356,7 +362,7 @@
         if fencing_token < self.seen:
             return ports.PromotionOutcome.REJECTED
         self.seen = fencing_token
-        done = self.group.promote(server)
+        done = self.carries_out and self.group.promote(server)
         if self.lose_answers:
             self.lose_answers -= 1
             return ports.PromotionOutcome.UNKNOWN
@@ -371,6 +377,7 @@
         self.held: set[ids.ServiceName] = set()
         self.votes: list[tuple[ids.ServiceName, ids.ServerId]] = []
         self.released: list[ports.Claim] = []
+        self.claim_s = CLAIM_S
 
     async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
         """Claim a service unless it is held."""
@@ -378,7 +385,11 @@
             return None
         self.held.add(service)
         self.revision += 1
-        return ports.Claim(service=service, fencing_token=self.revision)
+        return ports.Claim(
+            service=service,
+            fencing_token=self.revision,
+            lapses_s=clock.now_s() + self.claim_s,
+        )
 
     async def release(self, claim: ports.Claim) -> None:
         """Give a claim back."""
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -87,6 +87,52 @@
     assert world.group.primary.name == A
 
 
+async def test_replicas_left_paused_are_resumed_though_another_server_leads_already():
+    world = proxy_world.World()
+    world.group.promote(C)
+    world.group.servers[B].paused_term = 7
+    assert await _take_over(world)
+    assert not world.group.servers[B].paused_term
+
+
+async def test_a_successor_left_paused_takes_over_from_a_leaving_primary(monkeypatch):
+    monkeypatch.setattr(takeover, "HANDOVER_LIMIT_S", 0.5)
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    for replica in (B, C):
+        world.group.servers[replica].paused_term = 7
+    world.group.servers[B].log.append(database_group.LogEntry(term=1, data="sent by A"))
+    world.group.servers[A].log.append(database_group.LogEntry(term=1, data="sent by A"))
+    assert await _take_over(world)
+    assert world.group.lost == []
+
+
+async def test_a_holder_whose_claim_has_lapsed_neither_promotes_nor_resumes():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    world.coordination.claim_s = 0.0
+    world.group.servers[B].paused_term = 7
+    assert not await _take_over(world)
+    assert world.promoter.orders == []
+    assert world.group.servers[B].paused_term == 7
+
+
+async def test_a_holder_held_up_past_its_claim_leaves_the_replicas_to_the_next_holder():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    world.coordination.claim_s = 0.8
+    world.promoter.lose_answers = 99
+    world.promoter.carries_out = False
+    assert not await _take_over(world)
+    assert world.group.servers[B].paused_term and world.group.servers[C].paused_term
+    world.coordination.claim_s = database_group.CLAIM_S
+    world.promoter.lose_answers = 0
+    world.promoter.carries_out = True
+    assert await _take_over(world)
+    assert not world.group.servers[B].paused_term and not world.group.servers[C].paused_term
+
+
 async def test_a_service_claimed_by_another_instance_is_left_alone():
     world = proxy_world.World()
     world.coordination.held.add(database_group.SERVICE)
