--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -1,11 +1,12 @@
 """Sessions in front of an in-memory group: honest reads, single writes, true refusals."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from mustardswitch.internal import clock, ids, promotion
-from mustardswitch.proxy import requests
+from mustardswitch.proxy import requests, routes
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
 
@@ -199,6 +200,19 @@
     assert len(world.group.ran) == 1
 
 
+async def test_a_transaction_commits_where_it_ran_though_its_route_changed():
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, requests.Begin(read_only=False))
+    await world.run(caller, proxy_world.WRITE)
+    archive = ids.ServiceName("archive")
+    newer = proxy_world.configuration(version=2, service=archive)
+    limits = routes.ServiceLimits(service=archive, max_connections=40, synchronous_replicas=1)
+    world.known.configure(dataclasses.replace(newer, services={**newer.services, archive: limits}))
+    assert (await world.run(caller, requests.Commit())).succeeded
+    assert world.group.acknowledged == ["r2"]
+
+
 async def test_an_older_configuration_does_not_come_back():
     world = proxy_world.World()
     world.known.configure(proxy_world.configuration(version=5))
