After a loss of power leave room for the connections that servers still keep

Change: for 3 s after its start an instance plans with half of a server's connections; on this site one home a zone then serves for the others.

--- a/src/mustardswitch/internal/connection_shares.py
+++ b/src/mustardswitch/internal/connection_shares.py
@@ -3,6 +3,9 @@
 Answers the load pattern of an outage of the store: the registrations of living instances lapse, and
 instances that then took their share would push each other over the server's limit. A share shrinks
 at once when instances come, and grows only when they have been gone for a while.
+
+And that of a loss of power: a server keeps connections whose other end went without a word for a
+while, so an instance that has just started leaves half of its servers' connections to them.
 """
 
 import collections
@@ -15,6 +18,8 @@
 """Time in which all instances of a fleet that starts at once have registered."""
 ASSUMED_INSTANCES = 12
 """Instances assumed during the start; a little more than today's fleets have."""
+LINGER_S = 3.0
+"""How long a server keeps a connection whose other end went without a word."""
 
 
 class ConnectionShares:
@@ -42,6 +47,12 @@
         assumed = ASSUMED_INSTANCES if now_s - self.started_s < START_S else 1
         return max([latest, assumed, *recent])
 
+    def usable(self, *, connections: int, now_s: float) -> int:
+        """Return how many of a server's connections all instances may hold together."""
+        shared = connections - RESERVE
+        return shared // 2 if now_s - self.started_s < LINGER_S else shared
+
     def share(self, *, connections: int, now_s: float) -> int:
         """Return this instance's share of a server's connections."""
-        return max(1, (connections - RESERVE) // self.instances(now_s=now_s))
+        usable = self.usable(connections=connections, now_s=now_s)
+        return max(1, usable // self.instances(now_s=now_s))
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -149,6 +149,7 @@
         limits = self.configuration.services.get(name) if self.configuration else None
         if limits is None or self.forwarder is None:
             return
+        now_s = clock.now_s()
         plan = forwarding.plan(
             [
                 homes.Candidate(
@@ -159,8 +160,8 @@
                 for instance, peer in self.instances.entries.items()
             ],
             service=name,
-            connections=limits.max_connections - connection_shares.RESERVE,
-            instances=self.shares.instances(now_s=clock.now_s()),
+            connections=self.shares.usable(connections=limits.max_connections, now_s=now_s),
+            instances=self.shares.instances(now_s=now_s),
         )
         if plan is None:
             self.plans.pop(name, None)
--- a/tests/decisions/test_leadership_and_lists.py
+++ b/tests/decisions/test_leadership_and_lists.py
@@ -1,6 +1,14 @@
 """Who leads, which servers are listed, and how connections are shared."""
 
-from mustardswitch.internal import connection_shares, ids, leadership, server_list, suspicion
+from mustardswitch.internal import (
+    connection_shares,
+    forwarding,
+    homes,
+    ids,
+    leadership,
+    server_list,
+    suspicion,
+)
 
 OLD, NEW = ids.ServerId("old"), ids.ServerId("new")
 
@@ -79,6 +87,31 @@
     assert shares.share(connections=23, now_s=1.0) == 1
 
 
+def test_instances_back_from_a_loss_of_power_leave_room_for_their_former_connections():
+    """Replays Solarloaf trouble-2: nine instances held 18 of 23 connections as the power went."""
+    shares = connection_shares.ConnectionShares(started_s=0.0)
+    shares.note_instances(9, now_s=0.2)
+    candidates = [
+        homes.Candidate(
+            instance=ids.InstanceId(f"{zone}-{number}"),
+            zone=ids.ZoneName(zone),
+            region=ids.RegionName("north"),
+        )
+        for zone, count in (("a", 4), ("b", 3), ("c", 2))
+        for number in range(count)
+    ]
+    plan = forwarding.plan(
+        candidates,
+        service=ids.ServiceName("orders"),
+        connections=shares.usable(connections=23, now_s=0.2),
+        instances=shares.instances(now_s=0.2),
+    )
+    free = 23 - 18
+    assert plan.home_count <= free
+    assert all(plan.homes_by_zone.values())
+    assert shares.usable(connections=23, now_s=connection_shares.LINGER_S) == 21
+
+
 def _contact(**changes):
     fields = {
         "unanswered_s": 0.0,
