Reject at once what the primary cannot serve in time

Asking again cannot help: whoever comes later has more time left and takes the room.

Change: a full queue is an error of its own; at the primary it ends the statement at once. Test: 400 statements in 2 s at a primary that serves a third; each asks the primary once (failed first with both kinds of statement).

--- a/src/mustardswitch/backends/errors.py
+++ b/src/mustardswitch/backends/errors.py
@@ -42,5 +42,9 @@
     """Raised when a pool cannot serve a statement before its deadline; nothing was sent."""
 
 
+class PoolFullError(PoolRefusedError):
+    """Raised at once when more statements wait than the pool can serve before the deadline."""
+
+
 class PoolUnreachableError(PoolRefusedError):
     """Raised when a pool's slot went out of reach, or lost its role, while a statement waited."""
--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -168,7 +168,7 @@
         queue = self.holders if use.holds else self.queue
         concurrency = max(1, self.limit.allowed - (0 if use.holds else self.held_by_holders))
         if not queue.offer(waiting, now_s=now_s, service_s=service_s, concurrency=concurrency):
-            raise errors.PoolRefusedError(f"{queue.length} statements are waiting")
+            raise errors.PoolFullError(f"{queue.length} statements are waiting")
         self._serve_queue()
         received: Held | None = None
         try:
--- a/src/mustardswitch/proxy/errors.py
+++ b/src/mustardswitch/proxy/errors.py
@@ -15,3 +15,10 @@
 
 class NotSentError(ProxyError):
     """Raised when a statement could not be sent to any server; it was certainly not run."""
+
+
+class NoRoomError(NotSentError):
+    """Raised when more statements wait for a server than it can serve before the deadline.
+
+    Waiting longer does not help: those that come later have more time left, so they take the room.
+    """
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -35,6 +35,7 @@
         self.context = context
         self.service = context.service
         self.last_refusal: requests.Answer | None = None
+        self.leader_is_full = False
 
     # Floors
 
@@ -91,11 +92,11 @@
             answer = None
             if floor is not None:
                 answer = await self._run_at_replicas(statement, shape, floor)
-            if answer is None:
+            if answer is None and not self.leader_is_full:
                 answer = await self._run_at_leader(statement, shape)
             if answer is not None:
                 return answer
-            if not await self.context.pause():
+            if self.leader_is_full or not await self.context.pause():
                 return self.last_refusal or requests.refuse(
                     requests.Refusal.OVERLOADED, "no server could serve the read in time"
                 )
@@ -124,6 +125,8 @@
             await self.context.enter(used, link, shape=shape)
         except errors.NotSentError as error:
             self._note_skipped(used, str(error))
+            if isinstance(error, errors.NoRoomError) and used is self.service.leader:
+                self._note_full(error)
             return None
         return await self._exchange(used, link, command)
 
@@ -175,6 +178,10 @@
         self._note_skipped(used, answer.detail or str(answer.refusal))
         return False
 
+    def _note_full(self, error: errors.NoRoomError) -> None:
+        self.leader_is_full = True
+        self.last_refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
+
     def _note_skipped(self, used: server.Server, why: str) -> None:
         self.service.registry.count("reads_moved_on")
         events.log(
@@ -191,6 +198,9 @@
     ) -> requests.Answer | None:
         try:
             pinned = await begin_at_leader(self.context, shape, holds=False)
+        except errors.NoRoomError as error:
+            self._note_full(error)
+            return None
         except errors.ProxyError as error:
             self.last_refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
             return None
@@ -222,6 +232,8 @@
                     return pinned
             try:
                 return await begin_at_leader(self.context, shape)
+            except errors.NoRoomError:
+                raise
             except errors.NotSentError:
                 if not await self.context.pause():
                     raise
@@ -255,7 +267,8 @@
 ) -> PinnedLink:
     """Begin a transaction at the leader, asking again while it changes.
 
-    Raises NoLeaderError or NotSentError when none could be begun before the deadline.
+    Raises NoLeaderError or NotSentError when none could be begun before the deadline, and at once
+    NoRoomError when the leader is full.
     """
     while True:
         used = await context.service.wait_leader(context.deadline_s)
@@ -265,6 +278,8 @@
             answer = await context.enter(
                 used, link, shape=shape, begin=ports.BeginAt(read_only=False)
             )
+        except errors.NoRoomError:
+            raise
         except errors.NotSentError:
             if not await context.pause():
                 raise
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -85,12 +85,14 @@
     async def acquire(
         self, used: server.Server, shape: requests.Shape | None, *, holds: bool = False
     ) -> ports.Link:
-        """Return a connection of a server; raises NotSentError.
+        """Return a connection of a server; raises NotSentError, as NoRoomError when it is full.
 
         A transaction ``holds`` it while its caller pauses.
         """
         try:
             return await used.pool.acquire(self.use(shape, holds=holds))
+        except backend_errors.PoolFullError as error:
+            raise errors.NoRoomError(f"server {used.server}: {error}") from error
         except backend_errors.BackendError as error:
             raise errors.NotSentError(f"server {used.server}: {error}") from error
 
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -25,7 +25,7 @@
             used = await context.service.wait_leader(context.deadline_s)
             link = await context.acquire(used, shape)
             await context.enter(used, link, shape=shape)
-        except errors.NoLeaderError as error:
+        except (errors.NoLeaderError, errors.NoRoomError) as error:
             return requests.refuse(requests.Refusal.OVERLOADED, str(error))
         except errors.NotSentError as error:
             refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -12,6 +12,8 @@
 
 PRIMARY, BOUNDED, OWN = requests.RouteKind
 IDLE, OPEN, FAILED = requests.TransactionState
+CROWD = 400
+"""Statements in two seconds, of which a primary with three connections serves about a third."""
 
 
 async def test_a_write_runs_once_at_the_primary():
@@ -101,6 +103,32 @@
     assert world.group.ran == ["r1"]
 
 
+@pytest.mark.parametrize("kind, statement", [(PRIMARY, proxy_world.READ), (OWN, proxy_world.WRITE)])
+async def test_what_the_primary_cannot_serve_in_time_is_refused_at_once(kind, statement):
+    """Replays Solarloaf grown scale-1: both replicas lag and the primary gets twice its load."""
+    world = proxy_world.World()
+    world.group.servers[ids.ServerId("server-a")].slow_s = 0.05
+    await world.run(world.open_session(kind), statement)
+    pool = world.orders.leader.pool
+    acquire, asked = pool.acquire, []
+
+    async def count_acquire(use):
+        asked.append(use)
+        return await acquire(use)
+
+    pool.acquire = count_acquire
+
+    async def call(wait_s: float) -> requests.Answer:
+        await asyncio.sleep(wait_s)
+        return await world.run(world.open_session(kind), statement)
+
+    answers = await asyncio.gather(*(call(number / 200) for number in range(CROWD)))
+    refused = [answer for answer in answers if not answer.succeeded]
+    assert 0 < len(refused) < CROWD
+    assert {answer.refusal for answer in refused} == {requests.Refusal.OVERLOADED}
+    assert len(asked) == CROWD
+
+
 async def test_a_transaction_stays_on_one_connection():
     world = proxy_world.World()
     caller = world.open_session(OWN)
