--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -172,6 +172,8 @@
 fails."""
 LINE_BURST = 400.0
 """Lines that may be written at once, enough for the start or a failover."""
+DROPPED_EVERY_S = 1.0
+"""How often the number of dropped lines is told, so that telling takes no place of other lines."""
 
 
 class BoundedHandler(logbook.Handler):
@@ -187,6 +189,7 @@
         self.tokens = LINE_BURST
         self.filled_at_s = time.monotonic()
         self.dropped = 0
+        self.told_at_s = float("-inf")
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
@@ -199,9 +202,10 @@
             self.dropped += 1
             return
         self.tokens -= 1.0
-        if self.dropped:
+        if self.dropped and now_s - self.told_at_s >= DROPPED_EVERY_S:
             self._write(_dropped_line(self.dropped))
             self.dropped = 0
+            self.told_at_s = now_s
         self._write(self.format(record))
 
     def _write(self, line: str) -> None:
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -54,6 +54,9 @@
                 await writer.drain()
         except (OSError, EOFError):
             self.registry.count("relay_connections_ended")
+        except asyncio.CancelledError:
+            # asyncio.streams reports a cancelled handler as a failure.
+            self.registry.count("relay_connections_cancelled")
         except errors.InvalidFrameError as error:
             events.log(events.Event.FRAME_REJECTED, reason=str(error))
         finally:
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -217,3 +217,21 @@
         answers = await asyncio.gather(*reads)
         assert all(answer.succeeded for answer in answers)
         assert not fleet.forwarder.avoided.active(now_s=clock.now_s())
+
+
+def test_a_home_that_stops_reports_no_failure_of_its_open_connections():
+    reported = []
+
+    async def stop_with_an_open_connection():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: reported.append(context)
+        )
+        async with Fleet() as fleet:
+            caller = fleet.entry.open_session(PRIMARY)
+            assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+            await asyncio.sleep(0.05)
+
+    asyncio.run(stop_with_an_open_connection())
+    assert reported == []
