Send the end of a read's transaction at the primary with the read

Cause: a read that only the primary may serve begins a transaction, reads and rolls back, each after the answer before: three round trips of 40 ms between regions on a connection, of which a home has 3. Change: the end goes out with the read. The beginning stays ahead of it: if it is refused, a read sent with it would run on a log that may lack commits.

--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -131,12 +131,22 @@
         return await self._exchange(used, link, command)
 
     async def _send(
-        self, used: server.Server, link: ports.Link, command: ports.Command
+        self,
+        used: server.Server,
+        link: ports.Link,
+        command: ports.Command,
+        *,
+        last: ports.Command | None = None,
     ) -> requests.Answer | None:
-        """Send the read; None when no answer came, after which the connection was given up."""
+        """Send the read; None when no answer came, after which the connection was given up.
+
+        A ``last`` command is sent with it, and its answer left to come.
+        """
         used.in_flight += 1
         try:
             link.send(command, self.context.request)
+            if last is not None:
+                link.send(last)
             answer = await link.receive(self.context.patience_s(used))
         except backend_errors.BackendError as error:
             used.note_failure()
@@ -206,10 +216,10 @@
             return None
         used, link = pinned.used, pinned.link
         started_s = clock.now_s()
-        answer = await self._send(used, link, statement)
+        answer = await self._send(used, link, statement, last=requests.Rollback())
         if answer is None:
             return None
-        self.service.roll_back(used, link)
+        self.service.roll_back(used, link, sent=True)
         if answer.succeeded:
             used.note_answer(clock.now_s() - started_s)
             self.service.note_leading(used.server, asked_s=started_s, position=answer.position)
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -221,11 +221,14 @@
         self.note_answer()
         return status
 
-    async def settle(self, link: ports.Link, command: ports.Command, timeout_s: float) -> None:
-        """Run a last command on a connection, then give it back."""
+    async def settle(
+        self, link: ports.Link, command: ports.Command | None, timeout_s: float
+    ) -> None:
+        """Run a last command on a connection, None if it is sent already, then give it back."""
         clean = False
         try:
-            link.send(command)
+            if command is not None:
+                link.send(command)
             answer = await link.receive(timeout_s)
             clean = answer.succeeded
         except errors.BackendError:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -275,6 +275,7 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    def roll_back(self, used: server.Server, link: ports.Link) -> None:
-        """End a transaction of a connection and give it back."""
-        self.start(used.settle(link, requests.Rollback(), SETTLE_TIMEOUT_S))
+    def roll_back(self, used: server.Server, link: ports.Link, *, sent: bool = False) -> None:
+        """End a transaction of a connection and give it back; ``sent`` if only its answer lacks."""
+        command = None if sent else requests.Rollback()
+        self.start(used.settle(link, command, SETTLE_TIMEOUT_S))
