Finish a change of primary whose order had no answer

If its holder's claim lapses, the primary is back and another instance only resumes the replicas, commits go on, and the late order then promotes a replica that may lack them: its token is still the highest seen.

Change: an order without an answer is marked in the store; whoever cleans up hands over to a successor under a higher fencing token, so that the late order is refused. Test: fails when the cleaner only resumes (checked).

--- a/src/mustardswitch/platform/coordination.py
+++ b/src/mustardswitch/platform/coordination.py
@@ -152,10 +152,30 @@
             return None
         return ports.Claim(service=service, fencing_token=revision, lapses_s=lapses_s, lease=lease)
 
-    async def release(self, claim: ports.Claim) -> None:
-        """Give a claim back; the mark goes only if nobody claimed since."""
+    async def note_ordered(self, claim: ports.Claim) -> None:
+        """Mark an order without an answer, unless somebody claimed since."""
+        await self.client.change(
+            expected={f"{CLAIMS}{claim.service}": claim.fencing_token}, puts=[_mark(claim)]
+        )
+
+    async def release(self, claim: ports.Claim, *, leftover: ports.Leftover | None = None) -> None:
+        """Give a claim back; the mark goes or changes only if nobody claimed since."""
         key = f"{CLAIMS}{claim.service}"
+        ordered = leftover is ports.Leftover.ORDERED
         await self.client.change(
             expected={key: claim.fencing_token},
-            deletes=[key, f"{UNFINISHED}{claim.service}"],
+            puts=[_mark(claim)] if ordered else [],
+            deletes=[key] if leftover else [key, f"{UNFINISHED}{claim.service}"],
         )
+
+
+def _mark(claim: ports.Claim) -> store.Put:
+    return store.Put(
+        key=f"{UNFINISHED}{claim.service}", value=ports.Leftover.ORDERED.value.encode()
+    )
+
+
+def decode_leftover(value: bytes) -> ports.Leftover:
+    """Read the mark of an unfinished change; a claim's own value stands for paused replicas."""
+    ordered = value == ports.Leftover.ORDERED.value.encode()
+    return ports.Leftover.ORDERED if ordered else ports.Leftover.PAUSED
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -152,9 +152,9 @@
         elif key.startswith(coordination.UNFINISHED):
             service = ids.ServiceName(key.removeprefix(coordination.UNFINISHED))
             if item.value is None:
-                self.known.unfinished.discard(service)
+                self.known.unfinished.pop(service, None)
             else:
-                self.known.unfinished.add(service)
+                self.known.unfinished[service] = coordination.decode_leftover(item.value)
 
     def _apply_server(self, item: store.Item) -> None:
         if item.value is None:
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -69,7 +69,7 @@
         self.told_votes: dict[Vote, float] = {}
         """Votes that came from the voters themselves, and when."""
         self.claims: dict[ids.ServiceName, ids.InstanceId] = {}
-        self.unfinished: set[ids.ServiceName] = set()
+        self.unfinished: dict[ids.ServiceName, ports.Leftover] = {}
         """Services whose replicas may still be paused by a change that was not finished."""
         self.services: dict[ids.ServiceName, service.Service] = {}
 
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -181,7 +181,10 @@
             watch.retry_at_s = now_s + RETRY_S + delay_s
             watch.changing = watch.target.start(
                 takeover.clean_up(
-                    target=watch.target, coordination=self.coordination, promoter=self.promoter
+                    target=watch.target,
+                    coordination=self.coordination,
+                    promoter=self.promoter,
+                    leftover=self.known.unfinished[watch.target.name],
                 )
             )
 
@@ -226,6 +229,7 @@
             promoter=self.promoter,
             primary=None if primary == GONE else primary,
             silent=primary == watch.suspected,
+            leftover=self.known.unfinished.get(watch.target.name),
         )
         if done and self.peers is not None and watch.target.leader is not None:
             leading = datagrams.Lacking(
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -151,14 +151,26 @@
     lease: int = 0
 
 
+class Leftover(enum.Enum):
+    """What a change of primary that was begun and not ended may leave behind."""
+
+    PAUSED = "paused"
+    """Replicas that were paused."""
+    ORDERED = "ordered"
+    """An order without an answer besides, which may be carried out much later."""
+
+
 class Coordination(typing.Protocol):
     """What instances agree on through the platform's store; calls raise ``StoreError``."""
 
     async def claim(self, service: ids.ServiceName) -> Claim | None:
         """Claim a service's failover; None when another instance holds it."""
 
-    async def release(self, claim: Claim) -> None:
-        """Give a claim back after its replicas were resumed."""
+    async def note_ordered(self, claim: Claim) -> None:
+        """Let the others know that an order under a claim has no answer."""
+
+    async def release(self, claim: Claim, *, leftover: Leftover | None = None) -> None:
+        """Give a claim back; what it leaves behind stays known to the others."""
 
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Tell the other instances that this one lacks a primary."""
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -32,15 +32,25 @@
     """One attempt to change the primary of a service under a claim."""
 
     def __init__(
-        self, *, target: service.Service, claim: ports.Claim, promoter: ports.Promoter
+        self,
+        *,
+        target: service.Service,
+        claim: ports.Claim,
+        coordination: ports.Coordination,
+        promoter: ports.Promoter,
     ) -> None:
         self.target = target
         self.claim = claim
+        self.coordination = coordination
         self.promoter = promoter
         self.links: dict[ids.ServerId, ports.Link] = {}
+        self.order_unanswered = False
 
     def __repr__(self) -> str:
-        return f"Takeover(target={self.target!r}, claim={self.claim!r}, promoter={self.promoter!r})"
+        return (
+            f"Takeover(target={self.target!r}, claim={self.claim!r},"
+            f" coordination={self.coordination!r}, promoter={self.promoter!r})"
+        )
 
     async def run(self, primary: ids.ServerId | None, *, silent: bool = False) -> bool:
         """Replace a primary; True when another server leads.
@@ -278,6 +288,8 @@
                 fencing_token=self.claim.fencing_token,
                 outcome=outcome.value,
             )
+            if outcome is ports.PromotionOutcome.UNKNOWN:
+                await self._note_unanswered()
             if outcome is ports.PromotionOutcome.REJECTED:
                 return False
             if outcome is ports.PromotionOutcome.ACCEPTED:
@@ -287,6 +299,15 @@
                 return True
         return False
 
+    async def _note_unanswered(self) -> None:
+        if self.order_unanswered:
+            return
+        self.order_unanswered = True
+        try:
+            await self.coordination.note_ordered(self.claim)
+        except errors.StoreError as error:
+            events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
+
     async def _await_lead(self, successor: ids.ServerId) -> bool:
         started_s = clock.now_s()
         while clock.now_s() - started_s < LEAD_LIMIT_S:
@@ -311,43 +332,73 @@
     promoter: ports.Promoter,
     primary: ids.ServerId | None,
     silent: bool = False,
+    leftover: ports.Leftover | None = None,
 ) -> bool:
-    """Claim a service and change its primary; False when it was not changed here."""
-    try:
-        claim = await coordination.claim(target.name)
-    except errors.StoreError as error:
-        events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
-        return False
+    """Claim a service and change its primary; False when it was not changed here.
+
+    ``leftover`` is what an earlier change is known to have left behind.
+    """
+    claim = await _claim(target, coordination)
     if claim is None:
         return False
+    attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
+    done = False
     try:
-        return await Takeover(target=target, claim=claim, promoter=promoter).run(
-            primary, silent=silent
-        )
+        done = await attempt.run(primary, silent=silent)
+        return done
     finally:
-        await _release(coordination, claim)
+        ordered = attempt.order_unanswered or leftover is ports.Leftover.ORDERED
+        await _release(
+            coordination, claim, ports.Leftover.ORDERED if ordered and not done else None
+        )
 
 
 async def clean_up(
-    *, target: service.Service, coordination: ports.Coordination, promoter: ports.Promoter
+    *,
+    target: service.Service,
+    coordination: ports.Coordination,
+    promoter: ports.Promoter,
+    leftover: ports.Leftover,
 ) -> None:
-    """Resume the replicas of a change that its holder did not finish."""
-    try:
-        claim = await coordination.claim(target.name)
-    except errors.StoreError as error:
-        events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
+    """End what the holder of an earlier claim did not.
+
+    An order without an answer may still be carried out, and would promote a replica that lacks
+    what was committed since. Only a later promotion, with a higher fencing token, prevents that.
+    """
+    events.log(events.Event.TAKEOVER_CLEANED, service=target.name, leftover=leftover.value)
+    if leftover is ports.Leftover.ORDERED:
+        leader = target.leader
+        await run_claimed(
+            target=target,
+            coordination=coordination,
+            promoter=promoter,
+            primary=leader.server if leader is not None else None,
+            leftover=leftover,
+        )
         return
+    claim = await _claim(target, coordination)
     if claim is None:
         return
-    events.log(events.Event.TAKEOVER_CLEANED, service=target.name)
     try:
-        await Takeover(target=target, claim=claim, promoter=promoter).resume_leftovers()
+        await Takeover(
+            target=target, claim=claim, coordination=coordination, promoter=promoter
+        ).resume_leftovers()
     finally:
-        await _release(coordination, claim)
+        await _release(coordination, claim, None)
 
 
-async def _release(coordination: ports.Coordination, claim: ports.Claim) -> None:
+async def _claim(target: service.Service, coordination: ports.Coordination) -> ports.Claim | None:
+    try:
+        return await coordination.claim(target.name)
+    except errors.StoreError as error:
+        events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
+        return None
+
+
+async def _release(
+    coordination: ports.Coordination, claim: ports.Claim, leftover: ports.Leftover | None
+) -> None:
     try:
-        await coordination.release(claim)
+        await coordination.release(claim, leftover=leftover)
     except errors.StoreError as error:
         events.log(events.Event.CLAIM_FAILED, service=claim.service, reason=str(error))
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -351,6 +351,8 @@
         self.seen = 0
         self.orders: list[tuple[ids.ServerId, int]] = []
         self.lose_answers = 0
+        self.late: list[tuple[ids.ServerId, int]] = []
+        """Orders without an answer that were not carried out yet."""
         self.carries_out = True
         """Whether an order whose answer is lost is carried out all the same."""
 
@@ -359,13 +361,25 @@
     ) -> ports.PromotionOutcome:
         """Let a server lead unless a higher token was seen."""
         self.orders.append((server, fencing_token))
-        if fencing_token < self.seen:
-            return ports.PromotionOutcome.REJECTED
-        self.seen = fencing_token
-        done = self.carries_out and self.group.promote(server)
         if self.lose_answers:
             self.lose_answers -= 1
+            if self.carries_out:
+                self._carry_out(server, fencing_token)
+            else:
+                self.late.append((server, fencing_token))
             return ports.PromotionOutcome.UNKNOWN
+        return self._carry_out(server, fencing_token)
+
+    def carry_out_late(self) -> None:
+        """Carry out the orders that were held back."""
+        while self.late:
+            self._carry_out(*self.late.pop(0))
+
+    def _carry_out(self, server: ids.ServerId, fencing_token: int) -> ports.PromotionOutcome:
+        if fencing_token < self.seen:
+            return ports.PromotionOutcome.REJECTED
+        self.seen = fencing_token
+        done = self.group.promote(server)
         return ports.PromotionOutcome.ACCEPTED if done else ports.PromotionOutcome.REJECTED
 
 
@@ -378,6 +392,8 @@
         self.votes: list[tuple[ids.ServiceName, ids.ServerId]] = []
         self.released: list[ports.Claim] = []
         self.claim_s = CLAIM_S
+        self.leftovers: dict[ids.ServiceName, ports.Leftover] = {}
+        """Marks of unfinished changes; may be shared with a directory."""
 
     async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
         """Claim a service unless it is held."""
@@ -385,16 +401,26 @@
             return None
         self.held.add(service)
         self.revision += 1
+        self.leftovers[service] = ports.Leftover.PAUSED
         return ports.Claim(
             service=service,
             fencing_token=self.revision,
             lapses_s=clock.now_s() + self.claim_s,
         )
 
-    async def release(self, claim: ports.Claim) -> None:
-        """Give a claim back."""
+    async def note_ordered(self, claim: ports.Claim) -> None:
+        """Mark an order without an answer."""
+        self.leftovers[claim.service] = ports.Leftover.ORDERED
+
+    async def release(self, claim: ports.Claim, *, leftover: ports.Leftover | None = None) -> None:
+        """Give a claim back; one that has lapsed changes no mark."""
         self.held.discard(claim.service)
         self.released.append(claim)
+        if clock.now_s() >= claim.lapses_s:
+            return
+        self.leftovers.pop(claim.service, None)
+        if leftover is not None:
+            self.leftovers[claim.service] = leftover
 
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Note a vote."""
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mustardswitch.internal import clock, ids, promotion
-from mustardswitch.proxy import directory, requests, takeover
+from mustardswitch.proxy import directory, ports, requests, takeover
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
 
@@ -133,6 +133,32 @@
     assert not world.group.servers[B].paused_term and not world.group.servers[C].paused_term
 
 
+async def test_an_order_that_is_carried_out_late_loses_no_commit():
+    """The primary was cut off, a promotion got no answer, and the cut healed."""
+    world = proxy_world.World()
+    world.known.unfinished = world.coordination.leftovers
+    world.group.servers[A].silent = True
+    world.coordination.claim_s = 1.6
+    world.promoter.lose_answers, world.promoter.carries_out = 99, False
+    assert not await _take_over(world)
+    ordered = world.promoter.late[0][0]
+    world.group.servers[A].silent = False
+    world.promoter.lose_answers = 0
+    world.coordination.claim_s = database_group.CLAIM_S
+    await _watch_until(world, lambda: not world.coordination.leftovers)
+    world.group.servers[ordered].deaf = True
+    world.group.commit(world.group.primary, "x")
+    world.promoter.carry_out_late()
+    assert world.group.lost == []
+
+
+async def test_an_order_that_was_answered_leaves_nothing_to_end():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    assert await _take_over(world)
+    assert world.coordination.leftovers == {}
+
+
 async def test_a_service_claimed_by_another_instance_is_left_alone():
     world = proxy_world.World()
     world.coordination.held.add(database_group.SERVICE)
@@ -199,7 +225,7 @@
 async def test_replicas_left_paused_by_a_dead_instance_are_resumed():
     world = proxy_world.World()
     world.group.servers[B].paused_term = 7
-    world.known.unfinished.add(database_group.SERVICE)
+    world.known.unfinished[database_group.SERVICE] = ports.Leftover.PAUSED
     await _watch_until(world, lambda: not world.group.servers[B].paused_term)
 
 
