Stand-in store: one revision for all keys of one change

With one revision a key, the stand-in refused every claim that was given back, so no test saw a mark go. A test now follows a claim, its mark and the next holder.

--- a/src/mustardswitch_standins/users_store.py
+++ b/src/mustardswitch_standins/users_store.py
@@ -51,6 +51,9 @@
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key."""
         self.revision += 1
+        self._put(key, value, lease)
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
         known = self.keys.get(key)
         created = known.created if known else self.revision
         self.keys[key] = Key(value=value, revision=self.revision, created=created, lease=lease)
@@ -58,8 +61,11 @@
 
     def delete(self, key: str) -> None:
         """Remove a key."""
+        self.revision += 1
+        self._delete(key)
+
+    def _delete(self, key: str) -> None:
         if self.keys.pop(key, None) is not None:
-            self.revision += 1
             self._note({"key": key, "revision": self.revision, "deleted": True})
 
     def _note(self, event: dict) -> None:
@@ -183,10 +189,11 @@
         for put in fields["puts"]:
             if put.get("lease") and put["lease"] not in self.leases:
                 return 404, {}
+        self.revision += 1
         for put in fields["puts"]:
-            self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+            self._put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
         for key in fields["deletes"]:
-            self.delete(key)
+            self._delete(key)
         return 200, {"revision": self.revision}
 
 
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -11,7 +11,7 @@
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import coordination, errors, follower, records, settings, store
-from mustardswitch.proxy import directory, requests, service
+from mustardswitch.proxy import directory, ports, requests, service
 from mustardswitch_standins import users_store
 
 ENTRY = {
@@ -176,6 +176,40 @@
     assert elapsed_s < 4.0
 
 
+async def test_a_claim_given_back_leaves_the_mark_of_an_order_without_an_answer():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    stand_in = users_store.UsersStore(promote=lambda service, server, token: False)
+    await stand_in.start(port)
+    client = store.Store(host="127.0.0.1", port=port)
+    first, second = (
+        coordination.Coordination(
+            client=client,
+            instance=ids.InstanceId(name),
+            zone=ids.ZoneName("a"),
+            peers=datagrams.PeerAddress(host="127.0.0.1", port=1),
+        )
+        for name in ("one", "two")
+    )
+    orders = ids.ServiceName("orders")
+    mark = f"{coordination.UNFINISHED}orders"
+    claim = await first.claim(orders)
+    assert await second.claim(orders) is None
+    assert coordination.decode_leftover((await client.read(mark)).value) is ports.Leftover.PAUSED
+    await first.note_ordered(claim)
+    assert coordination.decode_leftover((await client.read(mark)).value) is ports.Leftover.ORDERED
+    await first.release(claim, leftover=ports.Leftover.ORDERED)
+    later = await second.claim(orders)
+    assert later.fencing_token > claim.fencing_token
+    await first.release(claim)
+    assert (await client.read(mark)) is not None
+    await second.release(later)
+    assert await client.read(mark) is None
+    client.close()
+    stand_in.close()
+
+
 SETTINGS = """
 instance: one
 zone: puget-a
