Pass over homes that lack a database, and take forwarded work only with a configuration

Change: forwarding is accepted once the configuration is known; a home that lacks a database is passed over; in a transaction, which it has rolled back, the caller is told so. Tests: the first failed before; the second keeps the caller from hearing that its database is unknown.

--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -86,7 +86,8 @@
             self.close()
             self.transaction = None
             return requests.refuse(
-                requests.Refusal.OVERLOADED, f"the home knows no database {forwarded.database}"
+                requests.Refusal.UNKNOWN_DATABASE,
+                f"the home knows no database {forwarded.database}",
             )
         if forwarded.begin:
             self.close()
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -97,7 +97,6 @@
         if self.chosen.metrics is not None:
             await self.health.start(self.chosen.metrics.host, self.chosen.metrics.port)
         await self.peers.start(self.coordination.peers)
-        await self.relay_server.start(self.coordination.peers)
         for work in (self.follower.run, self.coordination.run, self.watch.run):
             self.tasks.append(asyncio.create_task(_run_forever(work)))
         await self._start_accepting()
@@ -109,6 +108,7 @@
         stopping = asyncio.create_task(self.stopping.wait())
         await asyncio.wait({loaded, stopping}, return_when=asyncio.FIRST_COMPLETED)
         if loaded.done():
+            await self.relay_server.start(self.coordination.peers)
             await self.callers.start(self.chosen.callers.host, self.chosen.callers.port)
             self.accepting = True
             events.log(
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -104,6 +104,9 @@
                 continue
             self.heard_at_s[home.instance] = clock.now_s()
             self.client.give_back(home.address, connection)
+            if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
+                self.note_failure(home, context, answer.detail)
+                continue
             if answer.succeeded and access is requests.Access.WRITE:
                 context.session.note_commit(context.service.name, answer.position)
             return answer
@@ -213,13 +216,18 @@
         if self.connection is None:
             return requests.refuse(requests.Refusal.OVERLOADED, "no home is in reach")
         try:
-            return await self.connection.ask(
+            answer = await self.connection.ask(
                 build_message(context, command, begin), context.left_s + ANSWER_SLACK_S
             )
         except errors.PeerError as error:
             self.forwarder.note_failure(self.home, context, str(error))
             self.connection = None
             return requests.refuse(requests.Refusal.ABORTED, str(error))
+        if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
+            # The home's configuration is another one than this instance's; it has rolled back.
+            self.forwarder.note_failure(self.home, context, answer.detail)
+            return requests.refuse(requests.Refusal.ABORTED, answer.detail)
+        return answer
 
     async def commit(self, context: statement_context.StatementContext) -> requests.Answer:
         """Commit; without an answer the outcome is unknown if anything was written."""
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 
 from hypothesis import given
@@ -156,6 +157,28 @@
         assert ran[0].link is ran[1].link is not ran[2].link
 
 
+async def test_a_home_that_lacks_a_new_database_is_passed_over():
+    """Replays Solarloaf grown scale-1: homes that had just started refused for seconds."""
+    async with Fleet() as fleet:
+        known = fleet.home.known.configuration
+        fleet.home.known.configuration = dataclasses.replace(known, routes={})
+        caller = fleet.entry.open_session(OWN)
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        assert any(server.pool.held for server in fleet.entry.orders.servers.values())
+
+
+async def test_a_transaction_whose_home_lacks_the_database_is_rolled_back_not_unknown():
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        known = fleet.home.known.configuration
+        fleet.home.known.configuration = dataclasses.replace(known, routes={})
+        answer = await fleet.entry.run(caller, requests.Commit())
+        assert answer.refusal is requests.Refusal.ABORTED
+        assert fleet.home.group.acknowledged == []
+
+
 async def test_a_home_that_is_gone_leaves_a_write_unknown_only_if_it_was_sent():
     async with Fleet() as fleet:
         fleet.server.close()
