--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -16,7 +16,7 @@
 of 1 s for its answer it stays under the 4 s in which a configuration is to be in force."""
 GATHER_S = 0.03
 """Pause between watches, so that changes made together come in one answer."""
-GATHER_PER_INSTANCE_S = 0.004
+GATHER_PER_INSTANCE_S = 0.008
 """More of it for each instance: a change of each one is news for all others."""
 RETRY_S = 0.3
 """Pause after a failed call, on average; it doubles up to the limit."""
