Keep the mark of an unanswered order while nobody knows who leads

Found by reading: the cleaner took any server that leads for a successor then and deleted the mark without raising the fencing token. Test failed first.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -367,14 +367,14 @@
     """
     events.log(events.Event.TAKEOVER_CLEANED, service=target.name, leftover=leftover.value)
     if leftover is ports.Leftover.ORDERED:
-        leader = target.leader
-        await run_claimed(
-            target=target,
-            coordination=coordination,
-            promoter=promoter,
-            primary=leader.server if leader is not None else None,
-            leftover=leftover,
-        )
+        if target.leader is not None:
+            await run_claimed(
+                target=target,
+                coordination=coordination,
+                promoter=promoter,
+                primary=target.leader.server,
+                leftover=leftover,
+            )
         return
     claim = await _claim(target, coordination)
     if claim is None:
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -152,6 +152,20 @@
     assert world.group.lost == []
 
 
+async def test_an_order_stays_marked_while_nobody_knows_who_leads():
+    world = proxy_world.World()
+    world.known.unfinished = world.coordination.leftovers
+    world.coordination.leftovers[database_group.SERVICE] = ports.Leftover.ORDERED
+    world.orders.leadership.forget(A)
+    await takeover.clean_up(
+        target=world.orders,
+        coordination=world.coordination,
+        promoter=world.promoter,
+        leftover=ports.Leftover.ORDERED,
+    )
+    assert world.coordination.leftovers[database_group.SERVICE] is ports.Leftover.ORDERED
+
+
 async def test_an_order_that_was_answered_leaves_nothing_to_end():
     world = proxy_world.World()
     world.group.servers[A].up = False
