Soak: links that cut, delay and reset, and orders to promote that come late

The servers are listed behind a loopback link: cut in one direction or both for up to 2 s, delayed by up to 0.4 s, reset; orders to promote stay without an answer and are carried out 0.5 to 6 s later.

--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -14,6 +14,7 @@
 import time
 
 from mustardswitch import tasks
+from mustardswitch.internal import ids
 from mustardswitch_standins import users_deployment
 
 INSTANCES = 3
@@ -183,6 +184,10 @@
             self._store_outage,
             self._crash_server,
             self._deafen,
+            self._cut,
+            self._delay,
+            self._reset,
+            self._lose_orders,
         ]
         end_s = time.monotonic() + self.seconds
         running: set[asyncio.Task[None]] = set()
@@ -239,6 +244,33 @@
         server.deaf = False
         group.catch_up(server)
 
+    def _pick_server(self) -> ids.ServerId:
+        return self.random.choice(list(self.deployment.group.servers))
+
+    async def _cut(self) -> None:
+        """Let nothing pass between the instances and a server, in one direction or both."""
+        links, server = self.deployment.links, self._pick_server()
+        there, back = self.random.choice([(True, False), (False, True), (True, True)])
+        links.rule(users_deployment.INSTANCES, server).cut = there
+        links.rule(server, users_deployment.INSTANCES).cut = back
+        await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        links.heal()
+
+    async def _delay(self) -> None:
+        rule = self.deployment.links.rule(self._pick_server(), users_deployment.INSTANCES)
+        rule.delay_s = self.random.uniform(0.02, 0.4)
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
+        rule.delay_s = 0.0
+
+    async def _reset(self) -> None:
+        self.deployment.links.break_connections(users_deployment.INSTANCES, self._pick_server())
+
+    async def _lose_orders(self) -> None:
+        """Carry orders to promote out late and without an answer."""
+        self.deployment.store.orders_late_s = self.random.uniform(0.5, 6.0)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        self.deployment.store.orders_late_s = None
+
     async def _heal(self) -> None:
         """Let everything come back, and expect a write to be served."""
         writes = len(self.observed.writes)
--- a/src/mustardswitch_standins/users_databases.py
+++ b/src/mustardswitch_standins/users_databases.py
@@ -74,7 +74,7 @@
             self.writers.setdefault(server.name, []).append(writer)
             try:
                 await self._serve(server, reader, writer)
-            except (OSError, EOFError, errors.BackendError):
+            except (OSError, EOFError, errors.BackendError, asyncio.CancelledError):
                 return
             finally:
                 writer.close()
--- a/src/mustardswitch_standins/users_deployment.py
+++ b/src/mustardswitch_standins/users_deployment.py
@@ -6,10 +6,12 @@
 import socket
 import sys
 
-from mustardswitch_standins import database_group, users_databases, users_store
+from mustardswitch_standins import database_group, links, users_databases, users_store
 
 LAUNCHER = pathlib.Path(__file__).parents[1] / "run_platform_instance.py"
 START_S = 120.0
+INSTANCES = "instances"
+"""The side of the instances on the links to the servers."""
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -44,11 +46,18 @@
         self.databases = users_databases.UsersDatabases(group=self.group)
         self.store = users_store.UsersStore(promote=users_databases.promoter(self.databases))
         self.store_port = _free_port()
+        self.links = links.LinkSet()
         self.processes: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> None:
         """Start the stand-ins, with every server listed and a configuration in the store."""
         await self.databases.start()
+        for server, port in self.databases.ports.items():
+            listener = links.Listener(
+                source=INSTANCES, target=server, port=_free_port(), target_port=port
+            )
+            await self.links.listen(listener)
+            self.databases.ports[server] = listener.port
         await self.store.start(self.store_port)
         self.databases.list_servers(self.store)
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
@@ -88,6 +97,7 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        await self.links.close()
         self.databases.close()
         self.store.close()
 
--- a/src/mustardswitch_standins/users_store.py
+++ b/src/mustardswitch_standins/users_store.py
@@ -37,6 +37,8 @@
         self.down = False
         self.deaf = False
         """Whether watches that come now hear nothing until their wait ends."""
+        self.orders_late_s: float | None = None
+        """Time after which orders to promote are carried out, without an answer."""
         self.tokens: dict[str, int] = {}
         self.server: asyncio.Server | None = None
 
@@ -115,7 +117,7 @@
                     + protocol.send(h11.EndOfMessage())
                 )
                 protocol.start_next_cycle()
-        except (OSError, h11.ProtocolError):
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
             return
         finally:
             writer.close()
@@ -145,7 +147,12 @@
             self._end(int(path.rpartition("/")[2]))
             return 200, {}
         if path == "/promote":
-            return self._promote(fields, int(headers["fencing-token"]))
+            token = int(headers["fencing-token"])
+            if self.orders_late_s is None:
+                return self._promote(fields, token)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.orders_late_s, self._promote, fields, token)
+            raise OSError("the answer is lost")
         return 404, {}
 
     def _keep(self, lease: int) -> tuple[int, dict]:
