Change no primary before every living server has had time to be listed

The store had been out at 33.7 s, leases lapsed, and power went. An instance that started at 36.58 s read a list with one server of three, took the primary for gone at 37.05 s and promoted the one replica that it saw; the primary and the other replica were listed again at 37.66 s. An instance that had run before keeps lapsed entries for 2 s; a new one had nothing to keep.

Change: no change of primary until 2 s after the first reading of the list.

--- a/src/mustardswitch/internal/server_list.py
+++ b/src/mustardswitch/internal/server_list.py
@@ -1,7 +1,8 @@
 """The platform's list of servers, across outages of its store.
 
 Answers the load pattern after an outage: entries of living servers lapsed meanwhile and come back
-within two seconds. Dropping them at once would take all servers away from all callers.
+within two seconds. Dropping them at once would take all servers away from all callers. An instance
+that starts then has nothing to remember: what it reads first may lack servers that live.
 """
 
 import collections.abc
@@ -22,6 +23,11 @@
         self.lapsed: set[Key] = set()
         self.outage = False
         self.returned_at_s = float("-inf")
+        self.read_since_s = float("inf")
+
+    def is_complete(self, now_s: float) -> bool:
+        """Tell whether every server that lives has had time to be listed since the first reading."""
+        return now_s >= self.read_since_s + RETURN_S
 
     def note_outage(self) -> None:
         """Take into account that the store does not answer."""
@@ -29,6 +35,7 @@
 
     def note_return(self, now_s: float) -> None:
         """Take into account that the store answers."""
+        self.read_since_s = min(self.read_since_s, now_s)
         if self.outage:
             self.outage = False
             self.returned_at_s = now_s
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -174,6 +174,9 @@
             watch.due_since_s = now_s
         if watch.target.name in self.known.claims or now_s < watch.retry_at_s:
             return
+        if not self.known.servers.is_complete(now_s):
+            # A replica that is not listed yet could confirm commits that the promoted log lacks.
+            return
         delay_s = RANK_DELAY_S * self._rank(watch.target.name)
         if due_for is not None and now_s >= watch.due_since_s + delay_s:
             watch.changing = watch.target.start(self._change(watch, due_for))
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -4,7 +4,7 @@
 import itertools
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import clock, ids, server_list
 from mustardswitch.proxy import (
     directory,
     failover_watch,
@@ -71,6 +71,7 @@
             known=self.known, coordination=self.coordination, promoter=self.promoter
         )
         self.requests = itertools.count(1)
+        self.known.servers.note_return(clock.now_s() - server_list.RETURN_S)
         self.list_servers()
         self.known.configure(configuration(**changes))
 
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, ids, promotion, server_list
 from mustardswitch.proxy import directory, ports, requests, takeover
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
@@ -210,6 +210,29 @@
     assert world.group.lost == []
 
 
+async def test_an_instance_that_just_started_waits_until_all_servers_are_listed():
+    """Replays Solarloaf grown, hunt-e691-3: one replica was listed after an outage and was promoted.
+
+    The primary and the other replica went on with commits meanwhile.
+    """
+    world = proxy_world.World()
+    world.known.servers = server_list.ServerList()
+    world.known.servers.note_return(clock.now_s())
+    entries = {entry.server: entry for entry in world.group.entries()}
+    world.known.servers.replace({B: entries[B]}, clock.now_s())
+    world.known.refresh()
+    watching = asyncio.create_task(world.watch.run())
+    await asyncio.sleep(1.2)
+    world.group.servers[B].deaf = True
+    world.group.commit(world.group.primary, "x")
+    world.list_servers()
+    await asyncio.sleep(0.5)
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    assert world.promoter.orders == []
+    assert world.group.lost == []
+
+
 async def test_a_leaving_primary_is_replaced_by_the_watch():
     world = proxy_world.World()
     world.group.servers[A].leaving = True
