--- a/src/mustardswitch/internal/server_list.py
+++ b/src/mustardswitch/internal/server_list.py
@@ -26,7 +26,7 @@
         self.read_since_s = float("inf")
 
     def is_complete(self, now_s: float) -> bool:
-        """Tell whether every server that lives has had time to be listed since the first reading."""
+        """Tell whether every living server has had time to be listed since the first reading."""
         return now_s >= self.read_since_s + RETURN_S
 
     def note_outage(self) -> None:
