--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -211,9 +211,9 @@
 
 
 async def test_an_instance_that_just_started_waits_until_all_servers_are_listed():
-    """Replays Solarloaf grown, hunt-e691-3: one replica was listed after an outage and was promoted.
+    """Replays Solarloaf grown, hunt-e691-3: only one replica was listed after an outage.
 
-    The primary and the other replica went on with commits meanwhile.
+    It was promoted while the primary and the other replica went on with commits.
     """
     world = proxy_world.World()
     world.known.servers = server_list.ServerList()
