One way to run a statement here, to refuse it, and to ask servers in turn

Found by reading the change once more; behaviour stays as it is: - shape and access of a statement were passed beside it through nine functions, though it holds both, and the choice between read and write stood in the session and in the home: single.run_here. - two loops over the servers of a read were twins; the outer loop of a transaction's beginning could never turn (the inner one ends when no time is left). - three refusals of a session were one; servers without a silent primary were worked out twice. - each forwarded statement built the addresses of all instances, and each watch ranked all instances for every service ten times a second: both only as needed now, from one list of candidates.

--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -7,14 +7,13 @@
 from mustardswitch.internal import clock
 from mustardswitch.peers import datagrams, errors, relay_codec
 from mustardswitch.proxy import (
-    reading,
     requests,
     routes,
     service,
     session,
+    single,
     statement_context,
     transaction,
-    writing,
 )
 
 
@@ -97,11 +96,7 @@
         command = forwarded.command
         if isinstance(command, requests.Commit | requests.Rollback):
             return requests.refuse(requests.Refusal.ABORTED, "the transaction is gone")
-        shape = getattr(command, "shape", None)
-        access = command.access if shape is None else shape.access
-        if access is requests.Access.WRITE:
-            return await writing.run_write(context, command, shape)
-        return await reading.ReadRun(context).run(command, shape)
+        return await single.run_here(context, command)
 
     async def _run_in_transaction(
         self, context: statement_context.StatementContext, forwarded: relay_codec.Forwarded
@@ -114,9 +109,7 @@
             self.transaction = None
             current.fail()
             return requests.Answer()
-        shape = getattr(command, "shape", None)
-        access = command.access if shape is None else shape.access
-        answer = await current.run(context, command, shape, access)
+        answer = await current.run(context, command)
         if current.failed:
             self.transaction = None
         return answer
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -144,6 +144,17 @@
             return plan.connections if plan.is_home(self.instance) else 1
         return self.shares.share(connections=limits.max_connections, now_s=clock.now_s())
 
+    def candidates(self) -> list[homes.Candidate]:
+        """Return the instances that may hold connections or change a primary."""
+        return [
+            homes.Candidate(
+                instance=instance,
+                zone=peer.zone,
+                region=self.place.regions.get(peer.zone, ids.RegionName("")),
+            )
+            for instance, peer in self.instances.entries.items()
+        ]
+
     def _plan(self, name: ids.ServiceName) -> None:
         """Choose the homes of a service whose connections do not suffice for all instances."""
         limits = self.configuration.services.get(name) if self.configuration else None
@@ -151,14 +162,7 @@
             return
         now_s = clock.now_s()
         plan = forwarding.plan(
-            [
-                homes.Candidate(
-                    instance=instance,
-                    zone=peer.zone,
-                    region=self.place.regions.get(peer.zone, ids.RegionName("")),
-                )
-                for instance, peer in self.instances.entries.items()
-            ],
+            self.candidates(),
             service=name,
             connections=self.shares.usable(connections=limits.max_connections, now_s=now_s),
             instances=self.shares.instances(now_s=now_s),
@@ -173,12 +177,12 @@
         plan = self.plans.get(context.service.name)
         if plan is None or plan.is_home(self.instance):
             return None
-        addresses = {
-            instance: peer.address
-            for instance, peer in self.instances.entries.items()
-            if peer.address is not None
-        }
-        return self.forwarder.order(plan, context=context, addresses=addresses) or None
+        peers = self.instances.entries
+        return [
+            forwarded.Home(instance=home, address=peers[home].address)
+            for home in self.forwarder.order(plan, place=self.place)
+            if home in peers and peers[home].address is not None
+        ] or None
 
     def contacts(self, name: ids.ServiceName) -> int:
         """Return how many instances hold connections to a service."""
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -177,10 +177,14 @@
         if not self.known.servers.is_complete(now_s):
             # A replica that is not listed yet could confirm commits that the promoted log lacks.
             return
+        unfinished = watch.target.name in self.known.unfinished
+        if due_for is None and not unfinished:
+            return
         delay_s = RANK_DELAY_S * self._rank(watch.target.name)
-        if due_for is not None and now_s >= watch.due_since_s + delay_s:
-            watch.changing = watch.target.start(self._change(watch, due_for))
-        elif watch.target.name in self.known.unfinished and due_for is None:
+        if due_for is not None:
+            if now_s >= watch.due_since_s + delay_s:
+                watch.changing = watch.target.start(self._change(watch, due_for))
+        else:
             watch.retry_at_s = now_s + RETRY_S + delay_s
             watch.changing = watch.target.start(
                 takeover.clean_up(
@@ -216,11 +220,7 @@
         return GONE
 
     def _rank(self, name: ids.ServiceName) -> int:
-        candidates = [
-            homes.Candidate(instance=instance, zone=peer.zone, region=ids.RegionName(""))
-            for instance, peer in self.known.instances.entries.items()
-        ]
-        ranked = homes.ranked(candidates, name)
+        ranked = homes.ranked(self.known.candidates(), name)
         if self.known.instance not in ranked:
             return len(ranked)
         return ranked.index(self.known.instance)
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -10,7 +10,7 @@
 from mustardswitch import events
 from mustardswitch.internal import avoidance, clock, forwarding, ids
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
-from mustardswitch.proxy import ports, requests, statement_context
+from mustardswitch.proxy import ports, requests, service, statement_context
 
 AVOIDANCE_S = 2.0
 """How long a home that failed is asked last; it leaves the list soon after."""
@@ -45,26 +45,16 @@
     def __repr__(self) -> str:
         return f"Forwarder(client={self.client!r})"
 
-    def order(
-        self,
-        plan: forwarding.Plan,
-        *,
-        context: statement_context.StatementContext,
-        addresses: dict[ids.InstanceId, datagrams.PeerAddress],
-    ) -> list[Home]:
+    def order(self, plan: forwarding.Plan, *, place: service.Place) -> list[ids.InstanceId]:
         """Return the homes to ask, in order."""
         self.turn += 1
-        place = context.service.place
-        ordered = forwarding.order_of_homes(
+        return forwarding.order_of_homes(
             plan,
             zone=place.zone,
             regions=place.regions,
             avoided=self.avoided.active(now_s=clock.now_s()),
             start=self.turn,
         )
-        return [
-            Home(instance=home, address=addresses[home]) for home in ordered if home in addresses
-        ]
 
     def note_failure(
         self, home: Home, context: statement_context.StatementContext, why: str
@@ -84,7 +74,6 @@
         homes: list[Home],
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared,
-        access: requests.Access,
     ) -> requests.Answer | None:
         """Return the answer to a statement outside of a transaction; None when it was not sent."""
         for home in homes:
@@ -96,10 +85,10 @@
                 self.note_failure(home, context, str(error))
                 continue
             try:
-                answer = await self._ask(home, connection, context, command, access)
+                answer = await self._ask(home, connection, context, command)
             except errors.PeerError as error:
                 self.note_failure(home, context, str(error))
-                if access is requests.Access.WRITE:
+                if command.access is requests.Access.WRITE:
                     return requests.refuse(requests.Refusal.OUTCOME_UNKNOWN, str(error))
                 continue
             self.heard_at_s[home.instance] = clock.now_s()
@@ -107,7 +96,7 @@
             if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
                 self.note_failure(home, context, answer.detail)
                 continue
-            if answer.succeeded and access is requests.Access.WRITE:
+            if answer.succeeded and command.access is requests.Access.WRITE:
                 context.session.note_commit(context.service.name, answer.position)
             return answer
         return None
@@ -118,14 +107,13 @@
         connection: relay_client.RelayConnection,
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared,
-        access: requests.Access,
     ) -> requests.Answer:
         """Forward a statement; a read gives a silent home up early. Raises PeerError."""
         sent_s = clock.now_s()
         timeout_s = max(0.001, context.left_s) + ANSWER_SLACK_S
         asking = asyncio.create_task(connection.ask(build_message(context, command), timeout_s))
         try:
-            if access is requests.Access.READ and timeout_s > READ_PATIENCE_S:
+            if command.access is requests.Access.READ and timeout_s > READ_PATIENCE_S:
                 await asyncio.wait({asking}, timeout=READ_PATIENCE_S)
                 silent = self.heard_at_s.get(home.instance, float("-inf")) < sent_s
                 if not asking.done() and silent:
@@ -180,8 +168,6 @@
         self,
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared,
-        shape: requests.Shape | None,
-        access: requests.Access,
     ) -> requests.Answer:
         """Run one statement of the transaction."""
         begin = ""
@@ -191,7 +177,7 @@
             await self._connect(context)
         answer = await self._ask(context, command, begin)
         if answer.succeeded:
-            self.wrote = self.wrote or access is requests.Access.WRITE
+            self.wrote = self.wrote or command.access is requests.Access.WRITE
             return dataclasses.replace(answer, state=OPEN)
         self._end()
         self.failed = True
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -32,6 +32,11 @@
     shape: requests.Shape
     arguments: str
 
+    @property
+    def access(self) -> requests.Access:
+        """What it does to the data."""
+        return self.shape.access
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HoldShape:
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from mustardswitch import events
@@ -81,19 +82,25 @@
             for chosen in read_placement.order_for_read(candidates, floor)
         ]
 
+    def _in_turn(self, floor: positions.Position) -> collections.abc.Iterator[server.Server]:
+        """Yield the servers to ask, while time is left."""
+        for used in self._order(floor):
+            if self.context.left_s <= 0 or used.server not in self.service.servers:
+                return
+            used.note_asked(floor)
+            yield used
+
     # One read
 
-    async def run(
-        self, statement: requests.Plain | ports.RunPrepared, shape: requests.Shape | None
-    ) -> requests.Answer:
+    async def run(self, statement: requests.Plain | ports.RunPrepared) -> requests.Answer:
         """Return the answer to the read."""
         while True:
             floor = await self._floor()
             answer = None
             if floor is not None:
-                answer = await self._run_at_replicas(statement, shape, floor)
+                answer = await self._run_at_replicas(statement, floor)
             if answer is None and not self.leader_is_full:
-                answer = await self._run_at_leader(statement, shape)
+                answer = await self._run_at_leader(statement)
             if answer is not None:
                 return answer
             if self.leader_is_full or not await self.context.pause():
@@ -102,25 +109,18 @@
                 )
 
     async def _run_at_replicas(
-        self,
-        statement: requests.Plain | ports.RunPrepared,
-        shape: requests.Shape | None,
-        floor: positions.Position,
+        self, statement: requests.Plain | ports.RunPrepared, floor: positions.Position
     ) -> requests.Answer | None:
-        for used in self._order(floor):
-            if self.context.left_s <= 0 or used.server not in self.service.servers:
-                break
-            command = ports.ReadAt(statement=statement, floor=floor)
-            used.note_asked(floor)
-            answer = await self._ask(used, command, shape)
+        command = ports.ReadAt(statement=statement, floor=floor)
+        for used in self._in_turn(floor):
+            answer = await self._ask(used, command)
             if answer is not None and self._is_final(used, answer, floor):
                 return answer
         return None
 
-    async def _ask(
-        self, used: server.Server, command: ports.ReadAt, shape: requests.Shape | None
-    ) -> requests.Answer | None:
+    async def _ask(self, used: server.Server, command: ports.ReadAt) -> requests.Answer | None:
         """Ask one server; None when it gave no answer."""
+        shape = command.statement.shape
         try:
             link = await self.context.acquire(used, shape)
             await self.context.enter(used, link, shape=shape)
@@ -205,10 +205,10 @@
         )
 
     async def _run_at_leader(
-        self, statement: requests.Plain | ports.RunPrepared, shape: requests.Shape | None
+        self, statement: requests.Plain | ports.RunPrepared
     ) -> requests.Answer | None:
         try:
-            pinned = await begin_at_leader(self.context, shape, holds=False)
+            pinned = await begin_at_leader(self.context, statement.shape, holds=False)
         except errors.NoRoomError as error:
             self._note_full(error)
             return None
@@ -235,28 +235,18 @@
 
     async def begin(self, shape: requests.Shape | None) -> PinnedLink:
         """Begin a transaction on a server whose log holds the floor; raises ProxyError."""
-        while True:
-            floor = await self._floor()
-            if floor is not None:
-                pinned = await self._begin_at_replicas(shape, floor)
-                if pinned is not None:
-                    return pinned
-            try:
-                return await begin_at_leader(self.context, shape)
-            except errors.NoRoomError:
-                raise
-            except errors.NotSentError:
-                if not await self.context.pause():
-                    raise
+        floor = await self._floor()
+        if floor is not None:
+            pinned = await self._begin_at_replicas(shape, floor)
+            if pinned is not None:
+                return pinned
+        return await begin_at_leader(self.context, shape)
 
     async def _begin_at_replicas(
         self, shape: requests.Shape | None, floor: positions.Position
     ) -> PinnedLink | None:
         begin = ports.BeginAt(read_only=True, floor=floor)
-        for used in self._order(floor):
-            if self.context.left_s <= 0 or used.server not in self.service.servers:
-                break
-            used.note_asked(floor)
+        for used in self._in_turn(floor):
             try:
                 link = await self.context.acquire(used, shape, holds=True)
                 answer = await self.context.enter(used, link, shape=shape, begin=begin)
--- a/src/mustardswitch/proxy/requests.py
+++ b/src/mustardswitch/proxy/requests.py
@@ -51,6 +51,11 @@
     arguments: str
     """What is read, or what is written and the data; passed on unchanged."""
 
+    @property
+    def shape(self) -> None:
+        """The shape that a connection has to hold for it: none."""
+        return None
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SetValue:
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -11,13 +11,12 @@
 from mustardswitch.proxy import (
     forwarded,
     ports,
-    reading,
     requests,
     routes,
     service,
+    single,
     statement_context,
     transaction,
-    writing,
 )
 
 OK = requests.Answer()
@@ -136,7 +135,7 @@
         self, statement: requests.Begin, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
         if self.transaction is not None:
-            return self._refuse_malformed("a transaction is open already")
+            return self._refuse(requests.Refusal.MALFORMED, "a transaction is open already")
         self.transaction = transaction.Transaction(read_only=statement.read_only)
         return requests.Answer(state=requests.TransactionState.OPEN)
 
@@ -154,7 +153,7 @@
         self, statement: requests.Commit, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
         if self.transaction is None:
-            return self._refuse_malformed("no transaction is open")
+            return self._refuse(requests.Refusal.MALFORMED, "no transaction is open")
         if self.transaction.failed:
             self.transaction = None
             return OK
@@ -193,7 +192,7 @@
     async def _(
         self, statement: requests.Plain, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
-        return await self._forward(statement, None, statement.access, request, first_byte_s)
+        return await self._forward(statement, request, first_byte_s)
 
     @_run.register
     async def _(
@@ -203,13 +202,11 @@
         if shape is None:
             return self._refuse_unknown(statement.name)
         command = ports.RunPrepared(shape=shape, arguments=statement.arguments)
-        return await self._forward(command, shape, shape.access, request, first_byte_s)
+        return await self._forward(command, request, first_byte_s)
 
     async def _forward(
         self,
         command: requests.Plain | ports.RunPrepared,
-        shape: requests.Shape | None,
-        access: requests.Access,
         request: ids.RequestId,
         first_byte_s: float,
     ) -> requests.Answer:
@@ -218,15 +215,13 @@
             return context
         if self.transaction is not None:
             self._place_transaction(context)
-            return await self.transaction.run(context, command, shape, access)
+            return await self.transaction.run(context, command)
         homes = self.directory.homes_for(context)
         if homes is not None:
-            answer = await self.directory.forwarder.run_single(homes, context, command, access)
+            answer = await self.directory.forwarder.run_single(homes, context, command)
             if answer is not None:
                 return answer
-        if access is requests.Access.WRITE:
-            return await writing.run_write(context, command, shape)
-        return await reading.ReadRun(context).run(command, shape)
+        return await single.run_here(context, command)
 
     def _place_transaction(self, context: statement_context.StatementContext) -> None:
         """Choose where a transaction runs, at its first statement."""
@@ -248,14 +243,10 @@
         pinned = self.transaction.service if self.transaction is not None else None
         found = pinned or (self.directory.service(route.service) if route is not None else None)
         if route is None or found is None:
-            if self.transaction is not None:
-                self.transaction.fail()
             refusal = (
                 requests.Refusal.UNKNOWN_DATABASE if route is None else requests.Refusal.OVERLOADED
             )
-            return requests.refuse(
-                refusal, f"database {self.database}", state=self.transaction_state
-            )
+            return self._refuse(refusal, f"database {self.database}")
         waited_s = clock.now_s() - first_byte_s
         return statement_context.StatementContext(
             request=request,
@@ -266,18 +257,15 @@
             deadline_s=asyncio.get_running_loop().time() + route.statement_timeout_s - waited_s,
         )
 
-    def _refuse_malformed(self, why: str) -> requests.Answer:
+    def _refuse(self, refusal: requests.Refusal, why: str) -> requests.Answer:
+        """Refuse a statement, which fails an open transaction."""
         if self.transaction is not None:
             self.transaction.fail()
-        return requests.refuse(requests.Refusal.MALFORMED, why, state=self.transaction_state)
+        return requests.refuse(refusal, why, state=self.transaction_state)
 
     def _refuse_unknown(self, name: ids.StatementName) -> requests.Answer:
-        if self.transaction is not None:
-            self.transaction.fail()
-        return requests.refuse(
-            requests.Refusal.UNKNOWN_STATEMENT,
-            f"no statement is prepared as {name}",
-            state=self.transaction_state,
+        return self._refuse(
+            requests.Refusal.UNKNOWN_STATEMENT, f"no statement is prepared as {name}"
         )
 
     def _record(
--- /dev/null
+++ b/src/mustardswitch/proxy/single.py
@@ -0,0 +1,12 @@
+"""Runs one statement outside of a transaction over this instance's own connections."""
+
+from mustardswitch.proxy import ports, reading, requests, statement_context, writing
+
+
+async def run_here(
+    context: statement_context.StatementContext, statement: requests.Plain | ports.RunPrepared
+) -> requests.Answer:
+    """Return the answer to a read or write."""
+    if statement.access is requests.Access.WRITE:
+        return await writing.run_write(context, statement)
+    return await reading.ReadRun(context).run(statement)
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -75,8 +75,7 @@
                 await self.target.find_leader()
                 done = True
         finally:
-            silent_ones = {primary} if silent and choice.server != primary else set()
-            await asyncio.shield(self._resume(set(self.target.servers) - silent_ones))
+            await asyncio.shield(self._resume(self._answering(primary, silent)))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -97,9 +96,12 @@
 
     # Deciding
 
+    def _answering(self, primary: ids.ServerId | None, silent: bool) -> set[ids.ServerId]:
+        """Return the servers listed now, without a primary that is known to be silent."""
+        return set(self.target.servers) - ({primary} if silent else set())
+
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
-        asked = set(self.target.servers) - ({primary} if silent else set())
-        statuses = await self._ask_all(asked)
+        statuses = await self._ask_all(self._answering(primary, silent))
         led_by = [
             known for known, status in statuses.items() if status.role is promotion.Role.PRIMARY
         ]
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -29,20 +29,18 @@
         self,
         context: statement_context.StatementContext,
         statement: requests.Plain | ports.RunPrepared,
-        shape: requests.Shape | None,
-        access: requests.Access,
     ) -> requests.Answer:
         """Run one statement in the transaction."""
-        if access is requests.Access.WRITE and self.read_only:
+        if statement.access is requests.Access.WRITE and self.read_only:
             self.fail()
             return requests.refuse(
                 requests.Refusal.READ_ONLY, "the transaction only reads", state=FAILED
             )
         while True:
-            refused = await self._ensure_begun(context, shape)
+            refused = await self._ensure_begun(context, statement.shape)
             if refused is not None:
                 return refused
-            answer = await self._send(context, statement, access)
+            answer = await self._send(context, statement)
             lost_lead = answer.refusal is requests.Refusal.READ_ONLY and self.statements == 0
             if lost_lead and await context.pause():
                 self._drop()
@@ -77,13 +75,12 @@
         self,
         context: statement_context.StatementContext,
         statement: requests.Plain | ports.RunPrepared,
-        access: requests.Access,
     ) -> requests.Answer:
         """Send a statement, and again while the server has no room for it."""
         while True:
             answer = await self._send_once(context, statement)
             if answer.succeeded:
-                self.wrote = self.wrote or access is requests.Access.WRITE
+                self.wrote = self.wrote or statement.access is requests.Access.WRITE
             again = answer.refusal is requests.Refusal.OVERLOADED and answer.state is OPEN
             if not (again and self.pinned is not None and await context.pause()):
                 return answer
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -16,15 +16,14 @@
 async def run_write(
     context: statement_context.StatementContext,
     statement: requests.Plain | ports.RunPrepared,
-    shape: requests.Shape | None,
 ) -> requests.Answer:
     """Return the answer to a write; one without an answer has an unknown outcome."""
     refusal = requests.refuse(requests.Refusal.OVERLOADED, "no time is left")
     while True:
         try:
             used = await context.service.wait_leader(context.deadline_s)
-            link = await context.acquire(used, shape)
-            await context.enter(used, link, shape=shape)
+            link = await context.acquire(used, statement.shape)
+            await context.enter(used, link, shape=statement.shape)
         except (errors.NoLeaderError, errors.NoRoomError) as error:
             return requests.refuse(requests.Refusal.OVERLOADED, str(error))
         except errors.NotSentError as error:
