One server of pages, one way to keep a task running, one free port

Readiness and metrics were served by two HTTP servers of the same h11 loop, one a side of the product; a page function, headers and a time limit are what differed.

--- a/src/mustardswitch/instance/node.py
+++ b/src/mustardswitch/instance/node.py
@@ -1,8 +1,6 @@
 """Puts the parts of one entry instance together."""
 
 import asyncio
-import collections.abc
-import contextlib
 import random
 import time
 
@@ -27,7 +25,6 @@
 RECONCILE_DELAY_S = 0.02
 JOIN_S = 3.0
 JOIN_CHECK_S = 0.05
-RESTART_DELAY_S = 0.5
 LEAVE_SPREAD_S = 0.3
 IDLE_CHECK_S = 0.02
 LONG_SILENCE_S = 1e6
@@ -281,7 +278,7 @@
             ("document", self.keeper.run),
             ("reconcile", self._reconcile),
         ):
-            self.tasks.append(asyncio.create_task(_kept_running(name, work)))
+            self.tasks.append(asyncio.create_task(tasks.keep_running(name, work)))
 
     @property
     def is_ready(self) -> bool:
@@ -306,21 +303,6 @@
         self.store.close()
 
 
-async def _kept_running(
-    name: str, work: collections.abc.Callable[[], collections.abc.Coroutine]
-) -> None:
-    """Run a task again after a defect, so that one fault does not stop the instance."""
-    while True:
-        try:
-            await work()
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            events.log(events.Event.TASK_FAILED, task=name, error=repr(error))
-        with contextlib.suppress(TimeoutError):
-            await asyncio.sleep(RESTART_DELAY_S)
-
-
 def _seeds(config: settings.Settings) -> list[membership.Member]:
     return [
         document_keeper.listed_member(
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -1,7 +1,6 @@
 """Puts an instance on the platform together, and takes it apart on SIGTERM."""
 
 import asyncio
-import collections.abc
 import signal
 
 from mustardswitch import events, metrics, tasks
@@ -28,8 +27,6 @@
 """End of the last statements, in halves of the grace; the rest is left for the end itself."""
 POLL_S = 0.05
 """How often the end of forwarded statements is looked for."""
-RESTART_DELAY_S = 0.5
-"""Pause before a task that failed through a defect is started again."""
 
 
 class Instance:
@@ -72,7 +69,7 @@
             peers=self.peers,
         )
         self.callers = callers.CallerServer(opener=self._open_session, registry=self.registry)
-        self.health = health.HealthServer(is_ready=self._is_ready, registry=self.registry)
+        self.health = health.build_server(is_ready=self._is_ready, registry=self.registry)
         self.stopping = asyncio.Event()
         self.accepting = False
         self.tasks: list[asyncio.Task[None]] = []
@@ -97,8 +94,12 @@
         if self.chosen.metrics is not None:
             await self.health.start(self.chosen.metrics.host, self.chosen.metrics.port)
         await self.peers.start(self.coordination.peers)
-        for work in (self.follower.run, self.coordination.run, self.watch.run):
-            self.tasks.append(asyncio.create_task(_run_forever(work)))
+        for name, work in (
+            ("follower", self.follower.run),
+            ("registration", self.coordination.run),
+            ("failover watch", self.watch.run),
+        ):
+            self.tasks.append(asyncio.create_task(tasks.keep_running(name, work)))
         await self._start_accepting()
         await self.stopping.wait()
         await self._stop()
@@ -160,15 +161,3 @@
             await self.coordination.leave()
         except proxy_errors.StoreError as error:
             events.log(events.Event.STORE_CALL_FAILED, call="leave", reason=str(error))
-
-
-async def _run_forever(
-    work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-) -> None:
-    """Start a task again when a defect ends it, so that one fault does not end the instance."""
-    while True:
-        try:
-            return await work()
-        except Exception as error:
-            events.log(events.Event.TASK_FAILED, task=repr(work), error=repr(error))
-            await asyncio.sleep(RESTART_DELAY_S)
--- a/src/mustardswitch/programs/mustardswitchd.py
+++ b/src/mustardswitch/programs/mustardswitchd.py
@@ -100,9 +100,9 @@
         peers = grpclib.server.Server(
             [peer_server.PeerService(work=entry), peer_server.OperatorService(work=entry)]
         )
-        probe = health.HealthServer(
+        probe = health.build_server(
             is_ready=lambda: entry.is_ready and not stopped.is_set(),
-            render_metrics=entry.registry.render,
+            registry=entry.registry,
         )
         await peers.start(
             self.config.peers.address, self.config.peers.port, ssl=contexts.peers_server
@@ -110,7 +110,7 @@
         entry.start()
         gauges = asyncio.create_task(_update_gauges(entry, callers))
         await callers.start()
-        await probe.start(host=self.config.health.address, port=self.config.health.port)
+        await probe.start(self.config.health.address, self.config.health.port)
         events.log(events.Event.STARTED, instance=self.config.instance, zone=self.config.zone)
         await stopped.wait()
         deadline_s = time.monotonic() + self.config.drain_s
--- a/src/mustardswitch/tasks.py
+++ b/src/mustardswitch/tasks.py
@@ -1,9 +1,25 @@
-"""Ends tasks for certain."""
+"""Keeps tasks running, and ends them for certain."""
 
 import asyncio
 import collections.abc
 
+from mustardswitch import events
+
 CANCEL_AGAIN_S = 0.2
+RESTART_DELAY_S = 0.5
+"""Pause before a task that failed through a defect is started again."""
+
+
+async def keep_running(
+    name: str, work: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+) -> None:
+    """Run a task again after a defect, so that one fault does not stop the instance."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            events.log(events.Event.TASK_FAILED, task=name, error=repr(error))
+        await asyncio.sleep(RESTART_DELAY_S)
 
 
 async def end_all(tasks: collections.abc.Iterable[asyncio.Task]) -> None:
--- a/src/mustardswitch_standins/users_deployment.py
+++ b/src/mustardswitch_standins/users_deployment.py
@@ -31,7 +31,8 @@
 }
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Return a port of the loopback address on which nothing listens."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
@@ -45,7 +46,7 @@
         self.group = database_group.Group()
         self.databases = users_databases.UsersDatabases(group=self.group)
         self.store = users_store.UsersStore(promote=users_databases.promoter(self.databases))
-        self.store_port = _free_port()
+        self.store_port = free_port()
         self.links = links.LinkSet()
         self.processes: list[asyncio.subprocess.Process] = []
 
@@ -54,7 +55,7 @@
         await self.databases.start()
         for server, port in self.databases.ports.items():
             listener = links.Listener(
-                source=INSTANCES, target=server, port=_free_port(), target_port=port
+                source=INSTANCES, target=server, port=free_port(), target_port=port
             )
             await self.links.listen(listener)
             self.databases.ports[server] = listener.port
@@ -64,7 +65,7 @@
 
     async def start_instance(self, name: str) -> "Instance":
         """Start an instance and wait until it is ready."""
-        instance = Instance(name=name, callers=_free_port(), health=_free_port())
+        instance = Instance(name=name, callers=free_port(), health=free_port())
         settings = self.directory / f"{name}.yaml"
         settings.write_text(f"""
 instance: {name}
@@ -73,7 +74,7 @@
 callers: 127.0.0.1:{instance.callers}
 health: 127.0.0.1:{instance.health}
 metrics: ""
-peers: 127.0.0.1:{_free_port()}
+peers: 127.0.0.1:{free_port()}
 store: 127.0.0.1:{self.store_port}
 promotions: 127.0.0.1:{self.store_port}
 stop_grace_s: 3
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import pathlib
-import socket
 
 import pytest
 
@@ -12,7 +11,7 @@
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import coordination, errors, follower, records, settings, store
 from mustardswitch.proxy import directory, ports, requests, service
-from mustardswitch_standins import users_store
+from mustardswitch_standins import users_deployment, users_store
 
 ENTRY = {
     "service": "huvo11a",
@@ -150,9 +149,7 @@
 
 async def test_a_change_that_a_watch_did_not_hear_is_in_force_within_four_seconds(followed):
     """Replays Solarloaf grown scale-1: a change was made while the store dropped its history."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = users_deployment.free_port()
     stand_in = users_store.UsersStore(promote=lambda service, server, token: False)
     await stand_in.start(port)
     stand_in.put("op/config", _encode(CONFIGURATION))
@@ -177,9 +174,7 @@
 
 
 async def test_a_claim_given_back_leaves_the_mark_of_an_order_without_an_answer():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = users_deployment.free_port()
     stand_in = users_store.UsersStore(promote=lambda service, server, token: False)
     await stand_in.start(port)
     client = store.Store(host="127.0.0.1", port=port)
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,6 +10,7 @@
 from mustardswitch.internal import clock, forwarding, homes, ids
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec, relay_server
 from mustardswitch.proxy import directory, forwarded, ports, requests
+from mustardswitch_standins import users_deployment
 from tests.common import proxy_world
 
 PRIMARY, BOUNDED, OWN = requests.RouteKind
@@ -96,12 +96,6 @@
             decode(body)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Fleet:
     """An instance without connections of its own, and a home."""
 
@@ -109,7 +103,7 @@
         self.home = proxy_world.World(zone="a")
         self.entry = proxy_world.World(zone="a")
         self.entry.group = self.home.group
-        self.address = datagrams.PeerAddress(host="127.0.0.1", port=_free_port())
+        self.address = datagrams.PeerAddress(host="127.0.0.1", port=users_deployment.free_port())
         self.server = relay_server.RelayServer(
             directory=self.home.known, registry=self.home.known.registry
         )
