--- a/src/mustardswitch/internal/failover.py
+++ b/src/mustardswitch/internal/failover.py
@@ -21,6 +21,9 @@
 """Seconds to wait for the slots to promise a term."""
 PROMOTE_ANSWER_TIMEOUT_S = 0.4
 """Seconds to wait for the chosen slot's answer to the promotion request."""
+MAX_PENDING_FENCE_S = FENCE_ANSWER_TIMEOUT_S + PROMOTE_ANSWER_TIMEOUT_S
+"""Seconds from a fence within which its proposer still promotes a slot. A fence without a promotion
+counts as abandoned only after them."""
 RETRY_S = 0.3
 """Seconds after an attempt before the next one, at rank 0; each rank adds as much."""
 RANK_DELAY_S = 0.15
@@ -196,6 +199,10 @@
         self.suspected_since_s: float | None = None
         self.next_attempt_s = float("-inf")
         self.refused_since_s: float | None = None
+        self.highest_promised = ids.Term(0)
+        """The highest term that a slot reported to have promised."""
+        self.highest_promised_since_s = float("-inf")
+        """When that term was first reported."""
         self.term = ids.Term(0)
         self.fenced: dict[ids.SlotId, groups.SlotStatus] = {}
         self.chosen: ids.SlotId | None = None
@@ -223,6 +230,7 @@
     def tick(self, now_s: float) -> list[Command]:
         """Start an attempt when one is due, or end a step whose answers did not come in time."""
         self.watching_since_s = min(self.watching_since_s, now_s)
+        self._note_promises(now_s)
         if self.phase is Phase.WATCHING:
             return [*self._repairs(now_s), *self._start_if_due(now_s)]
         if now_s < self.phase_ends_s:
@@ -235,6 +243,12 @@
             return self._choose(now_s, final=True)
         return self._finish(now_s)
 
+    def _note_promises(self, now_s: float) -> None:
+        for observation in self.tracker.observations.values():
+            if observation.status.promised > self.highest_promised:
+                self.highest_promised = observation.status.promised
+                self.highest_promised_since_s = now_s
+
     def _start_if_due(self, now_s: float) -> list[Command]:
         if now_s < self.next_attempt_s or not self._majority_reachable(now_s):
             return []
@@ -267,14 +281,23 @@
         recent = self._recent_statuses(now_s)
         highest = max((status.promised for status in recent), default=ids.Term(0))
         if primary is None or highest > self.tracker.view.term:
-            return self._has_no_primary(recent, highest)
+            return self._has_no_primary(now_s, recent, highest)
         observation = self.tracker.observations.get(primary)
         if observation is not None and now_s - observation.answered_at_s <= PRIMARY_MAX_AGE_S:
             return observation.status.role is not groups.SlotRole.PRIMARY
         return self._silent_long_enough(now_s, observation) and not self._reached_by_replica(recent)
 
-    def _has_no_primary(self, recent: list[groups.SlotStatus], highest: ids.Term) -> bool:
-        """Return whether the latest fence has led to no promotion, or the group is new."""
+    def _has_no_primary(
+        self, now_s: float, recent: list[groups.SlotStatus], highest: ids.Term
+    ) -> bool:
+        """Return whether the latest fence has led to no promotion, or the group is new.
+
+        Statuses that arrive late show a fence before its promotion, so its proposer is given the
+        time that a promotion may take.
+        """
+        pending_s = now_s - self.highest_promised_since_s
+        if highest > 0 and pending_s < MAX_PENDING_FENCE_S:
+            return False
         return not any(
             status.promised == highest and status.role is not groups.SlotRole.FENCED
             for status in recent
--- a/tests/decisions/test_group_safety.py
+++ b/tests/decisions/test_group_safety.py
@@ -185,6 +185,30 @@
     assert ids.SlotId(replica) in tracker.observations
 
 
+def test_does_not_take_over_a_fence_whose_promotion_is_not_visible_yet():
+    world = group_world.GroupWorld()
+    second = world.gateways[1]
+    for slot in builders.SLOTS:
+        world.slots[slot].fence(1, world.gateways[0].name)
+    for _ in range(10):
+        for slot in builders.SLOTS:
+            world.poll(1, slot)
+        world.tick(1)
+        world.advance(0.05)
+    assert second.commands == []
+    world.slots[builders.SLOTS[0]].promote(1, world.gateways[0].name)
+    world.run(1, 2.0)
+    assert {world.slots[slot].promised for slot in builders.SLOTS} == {1}
+
+
+def test_takes_over_a_fence_whose_proposer_never_promotes():
+    world = group_world.GroupWorld()
+    for slot in builders.SLOTS:
+        world.slots[slot].fence(1, world.gateways[0].name)
+    world.run(1, 2.5)
+    assert world.latest_primary() is not None
+
+
 def test_does_not_raise_terms_without_a_majority():
     world = group_world.GroupWorld()
     world.run(0, 1.0)
