Run a transaction to its end at a gateway that was released

Cause: GatewayManager dropped a gateway as soon as another instance took its slots over. Change: released gateways are kept until they are idle.

--- a/src/mustardswitch/instance/gateway_manager.py
+++ b/src/mustardswitch/instance/gateway_manager.py
@@ -47,7 +47,8 @@
         self.on_view = on_view
         self.registry = registry
         self.gateways: dict[ids.DatabaseName, group_gateway.GroupGateway] = {}
-        self.closing: set[asyncio.Task[None]] = set()
+        self.released: dict[group_gateway.GroupGateway, asyncio.Task[None]] = {}
+        """Gateways that finish their statements and transactions, and the tasks that close them."""
         self.draining = False
 
     async def reconcile(
@@ -146,20 +147,42 @@
         if gateway is None:
             return
         task = asyncio.create_task(_close_when_idle(gateway))
-        self.closing.add(task)
-        task.add_done_callback(self.closing.discard)
+        self.released[gateway] = task
+        task.add_done_callback(lambda _: self.released.pop(gateway, None))
+
+    def _gateway_of_transaction(
+        self, request: outcomes.StatementRequest, owner: transactions.TransactionOwner
+    ) -> group_gateway.GroupGateway | None:
+        """Return the released gateway at which a transaction is still open; None without one."""
+        if request.transaction is None or request.kind is outcomes.StatementKind.BEGIN:
+            return None
+        for gateway in self.released:
+            if gateway.open_transactions.get(request.transaction, owner=owner) is not None:
+                return gateway
+        return None
 
     async def execute(
         self, request: outcomes.StatementRequest, *, owner: transactions.TransactionOwner
     ) -> outcomes.StatementReply:
-        """Run a statement on a slot that this instance is the gateway of."""
-        gateway = self.gateways.get(request.database)
+        """Run a statement on a slot that this instance is the gateway of.
+
+        The statements of a transaction run at the gateway that opened it, also after its release.
+        """
+        gateway = self._gateway_of_transaction(request, owner) or self.gateways.get(
+            request.database
+        )
+        starts_work = request.transaction is None or request.kind is outcomes.StatementKind.BEGIN
+        if gateway is None and not starts_work:
+            return outcomes.not_run(
+                outcomes.Reason.TRANSACTION_LOST,
+                f"the transaction was rolled back: instance {self.instance} is no longer a gateway"
+                f" of database {request.database}",
+            )
         if gateway is None:
             return outcomes.not_run(
                 outcomes.Reason.UNREACHABLE,
                 f"instance {self.instance} is not a gateway of database {request.database}",
             )
-        starts_work = request.transaction is None or request.kind is outcomes.StatementKind.BEGIN
         if self.draining and starts_work:
             return outcomes.not_run(
                 outcomes.Reason.LEAVING, f"instance {self.instance} is draining"
@@ -169,20 +192,21 @@
     def peer_disconnected(self, owner: transactions.TransactionOwner) -> None:
         """Roll back the open transactions of an owner that disconnected."""
         owner.disconnected = True
-        for gateway in self.gateways.values():
+        for gateway in (*self.gateways.values(), *self.released):
             gateway.roll_back_owner(owner)
 
     @property
     def is_idle(self) -> bool:
         """Whether no gateway has a statement in flight or an open transaction."""
-        return all(gateway.is_idle for gateway in self.gateways.values())
+        return all(gateway.is_idle for gateway in (*self.gateways.values(), *self.released))
 
     async def close(self) -> None:
         """Close every gateway."""
         for name in list(self.gateways):
             await self.gateways.pop(name).close()
-        for task in list(self.closing):
+        for gateway, task in list(self.released.items()):
             task.cancel()
+            await gateway.close()
 
 
 def gateways_for(
