Follow the store through relays in zones of four instances or more

Change: two or more relays a zone watch the store, the others follow a relay over a compressed stream; calls to the store end when nothing arrives, not after a total time. Values of any bytes under any key no longer end the follower. Not measured yet.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -93,6 +93,8 @@
     """A statement that another instance forwarded cannot be decoded."""
     HOME_SKIPPED = EventKind(314, logbook.INFO, "gateway skipped")
     """A gateway of a service did not answer; the statement is sent to another one if allowed."""
+    RELAY_SKIPPED = EventKind(315, logbook.INFO, "relay skipped")
+    """A relay of the store's records did not answer or lost the store; another source is used."""
     SERVER_LISTED = EventKind(410, logbook.INFO, "server listed")
     """A backend server appeared in the platform's list."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
--- /dev/null
+++ b/src/mustardswitch/peers/record_codec.py
@@ -0,0 +1,127 @@
+"""Codec of the store's records that one instance passes on to the instances that follow it.
+
+A request is one frame. Its answer is two frames: a header, and the items, compressed, since a
+configuration may have hundreds of kilobytes and links between instances are narrow.
+"""
+
+import dataclasses
+import json
+import zlib
+
+from mustardswitch.internal import change_log
+from mustardswitch.peers import errors, relay_codec
+
+REQUEST_PREFIX = b'{"records":'
+"""Distinguishes a request for records from a forwarded statement."""
+MAX_ITEMS_BYTES = 16 << 20
+"""Longest decompressed list of items; several of the store's largest values."""
+COMPRESSION_LEVEL = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecordRequest:
+    """Asks for the changes after a revision, waiting up to ``wait_s`` seconds for one."""
+
+    after: int | None
+    """None asks for all records."""
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecordHeader:
+    """How current an answer is."""
+
+    available: bool
+    """Whether the sender follows the store now."""
+    age_s: float
+    """Seconds since the store last confirmed that the sender's records were current."""
+    revision: int
+    complete: bool
+    """Whether the items are all records."""
+
+
+def encode_request(request: RecordRequest) -> bytes:
+    """Encode a request as a frame."""
+    fields = {"records": {"after": request.after, "wait_s": request.wait_s}}
+    return relay_codec.encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+
+
+def is_request(body: bytes) -> bool:
+    """Return whether the body of a frame is a request for records."""
+    return body.startswith(REQUEST_PREFIX)
+
+
+def decode_request(body: bytes) -> RecordRequest:
+    """Decode the body of a request's frame; raises InvalidFrameError."""
+    try:
+        fields = json.loads(body)["records"]
+        after = fields["after"]
+        return RecordRequest(
+            after=None if after is None else int(after), wait_s=float(fields["wait_s"])
+        )
+    except (ValueError, TypeError, LookupError, RecursionError, OverflowError) as error:
+        raise errors.InvalidFrameError(f"invalid request for records: {error}") from error
+
+
+def encode_header(header: RecordHeader) -> bytes:
+    """Encode the header of an answer as a frame."""
+    fields = {
+        "available": header.available,
+        "age_s": header.age_s,
+        "revision": header.revision,
+        "complete": header.complete,
+    }
+    return relay_codec.encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+
+
+def decode_header(body: bytes) -> RecordHeader:
+    """Decode the body of a header's frame; raises InvalidFrameError."""
+    try:
+        fields = json.loads(body)
+        return RecordHeader(
+            available=bool(fields["available"]),
+            age_s=float(fields["age_s"]),
+            revision=int(fields["revision"]),
+            complete=bool(fields["complete"]),
+        )
+    except (ValueError, TypeError, LookupError, RecursionError, OverflowError) as error:
+        raise errors.InvalidFrameError(f"invalid header of records: {error}") from error
+
+
+def encode_items(items: tuple[change_log.Item, ...]) -> bytes:
+    """Encode items as a frame.
+
+    Values may hold any bytes and are written as Latin-1 text, which compresses better than base64.
+    """
+    rows = [
+        [item.key, item.revision, None if item.value is None else item.value.decode("latin-1")]
+        for item in items
+    ]
+    body = json.dumps(rows, separators=(",", ":")).encode()
+    return relay_codec.encode_frame(zlib.compress(body, COMPRESSION_LEVEL))
+
+
+def decode_items(body: bytes) -> tuple[change_log.Item, ...]:
+    """Decode the body of the items' frame; raises InvalidFrameError."""
+    try:
+        decompressor = zlib.decompressobj()
+        text = decompressor.decompress(body, MAX_ITEMS_BYTES)
+        if decompressor.unconsumed_tail:
+            raise errors.InvalidFrameError(f"the records exceed {MAX_ITEMS_BYTES} bytes")
+        return tuple(
+            change_log.Item(
+                key=str(key),
+                revision=int(revision),
+                value=None if value is None else value.encode("latin-1"),
+            )
+            for key, revision, value in json.loads(text)
+        )
+    except (
+        zlib.error,
+        ValueError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+        OverflowError,
+    ) as error:
+        raise errors.InvalidFrameError(f"invalid records: {error}") from error
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -81,7 +81,7 @@
 def encode_forwarded(forwarded: ForwardedStatement) -> bytes:
     """Encode a statement as a frame."""
     session_commit = forwarded.session_commit
-    return _encode_frame(
+    return _encode_fields(
         {
             "request": forwarded.request,
             "database": forwarded.database,
@@ -124,7 +124,7 @@
 
 def encode_answer(answer: requests.Answer) -> bytes:
     """Encode an answer as a frame."""
-    return _encode_frame(
+    return _encode_fields(
         {
             "rows": answer.rows,
             "signature": answer.signature,
@@ -153,8 +153,12 @@
         raise errors.InvalidFrameError(f"invalid answer: {error}") from error
 
 
-def _encode_frame(fields: dict[str, object]) -> bytes:
-    body = json.dumps(fields, separators=(",", ":")).encode()
+def _encode_fields(fields: dict[str, object]) -> bytes:
+    return encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+
+
+def encode_frame(body: bytes) -> bytes:
+    """Return a frame that holds ``body``."""
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -5,7 +5,7 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import clock
-from mustardswitch.peers import datagrams, errors, relay_codec
+from mustardswitch.peers import datagrams, errors, record_codec, record_relay, relay_codec
 from mustardswitch.proxy import (
     local_run,
     requests,
@@ -18,11 +18,21 @@
 
 
 class RelayServer:
-    """Runs the statements that other instances forward; ``running`` counts those in progress."""
-
-    def __init__(self, *, directory: session.Directory, registry: metrics.Registry) -> None:
+    """Runs the statements that other instances forward, and passes the store's records on to them.
+
+    ``running`` counts the statements in progress.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: session.Directory,
+        registry: metrics.Registry,
+        feed: record_relay.RecordFeed | None = None,
+    ) -> None:
         self.directory = directory
         self.registry = registry
+        self.feed = feed or record_relay.RecordFeed()
         self.server: asyncio.Server | None = None
         self.running = 0
 
@@ -42,7 +52,12 @@
         gateway_session = _GatewaySession(directory=self.directory)
         try:
             while True:
-                forwarded = relay_codec.decode_forwarded(await relay_codec.read_frame(reader))
+                body = await relay_codec.read_frame(reader)
+                if record_codec.is_request(body):
+                    writer.write(await self.feed.answer(record_codec.decode_request(body)))
+                    await writer.drain()
+                    continue
+                forwarded = relay_codec.decode_forwarded(body)
                 self.running += 1
                 try:
                     answer = await gateway_session.run(forwarded)
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -1,12 +1,12 @@
-"""Follows the store with one watch, and applies its changes to the directory."""
+"""Follows the store, itself or through a relay, and applies its changes to the directory."""
 
 import asyncio
 import random
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import change_log, clock, ids
 from mustardswitch.platform import coordination, errors, records, store
-from mustardswitch.proxy import directory
+from mustardswitch.proxy import directory, relay_source
 from mustardswitch.proxy import errors as proxy_errors
 
 ALL_KEYS = ""
@@ -17,8 +17,9 @@
 configuration must be in force."""
 BATCH_DELAY_S = 0.03
 """Pause between watches, so that changes made together arrive in one answer."""
-BATCH_DELAY_PER_INSTANCE_S = 0.008
-"""Added to the pause for each instance, since all instances receive the changes of each one."""
+BATCH_DELAY_PER_WATCH_S = 0.008
+"""Added to the pause for each instance that watches the store, since each change is one call of
+every one of them."""
 RETRY_S = 0.3
 """Longest pause after the first failed call, jittered down to half; it doubles up to the limit."""
 RETRY_LIMIT_S = 1.0
@@ -28,9 +29,18 @@
 class Follower:
     """Keeps the directory up to date with the store, across lost history and outages."""
 
-    def __init__(self, *, client: store.Store, directory: directory.Directory) -> None:
+    def __init__(
+        self,
+        *,
+        client: store.Store,
+        directory: directory.Directory,
+        relays: relay_source.RelaySource | None = None,
+    ) -> None:
         self.client = client
         self.directory = directory
+        self.relays = relays or relay_source.RelaySource(directory=directory)
+        self.applied_revision = 0
+        """Every change up to this revision has been applied."""
         self.revisions: dict[str, int] = {}
         self.loaded = asyncio.Event()
         self.available = True
@@ -49,9 +59,6 @@
                     after = await self._load()
                 else:
                     after = await self._watch(after)
-                    await asyncio.sleep(
-                        BATCH_DELAY_S + BATCH_DELAY_PER_INSTANCE_S * self.directory.instance_count
-                    )
                 retry_s = RETRY_S
             except errors.HistoryLostError as error:
                 events.log(events.Event.HISTORY_LOST, reason=str(error))
@@ -75,6 +82,7 @@
         self.available = False
         self.directory.servers.note_outage()
         self.directory.instances.note_outage()
+        self.relays.note_outage()
 
     def _note_available(self) -> None:
         if not self.available:
@@ -88,33 +96,49 @@
         self.directory.instances.note_recovery(self.last_available_s)
 
     async def _load(self) -> int:
-        listing = await self.client.list_all(ALL_KEYS)
-        self._note_available()
-        listed = {item.key for item in listing.items}
-        missing = [key for key in self.revisions if key not in listed]
-        for key in missing:
-            self.apply(store.Item(key=key, value=None, revision=listing.revision))
-        for item in listing.items:
-            self.apply(item)
-        self.directory.refresh()
-        self._note_loaded()
-        return listing.revision
+        if not self.directory.instances.entries:
+            listed = await self.client.list_all(coordination.INSTANCES)
+            for item in listed.items:
+                self.apply(item)
+        listing = await self.relays.load(not_before=self.applied_revision)
+        if listing is None:
+            listing = await self.client.list_all(ALL_KEYS)
+            self.relays.publish(listing)
+        return self._apply_listing(listing)
 
     async def _watch(self, after: int) -> int:
-        listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
+        listing = await self.relays.watch(after)
+        pause_s = BATCH_DELAY_S
+        if listing is None:
+            listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
+            self.relays.publish(listing)
+            pause_s += BATCH_DELAY_PER_WATCH_S * self.relays.store_follower_count
+        after = self._apply_listing(listing)
+        await asyncio.sleep(pause_s)
+        return after
+
+    def _apply_listing(self, listing: change_log.Listing) -> int:
         self._note_available()
+        if listing.revision < self.applied_revision:
+            # A relay that is behind this instance; its answer could bring removed keys back.
+            return self.applied_revision
+        if listing.complete:
+            listed = {item.key for item in listing.items}
+            for key in [key for key in self.revisions if key not in listed]:
+                self.apply(change_log.Item(key=key, value=None, revision=listing.revision))
         for item in listing.items:
             self.apply(item)
-        if listing.items:
+        if listing.items or listing.complete:
             self.directory.refresh()
             self._note_loaded()
-        return max(after, listing.revision)
+        self.applied_revision = listing.revision
+        return listing.revision
 
     def _note_loaded(self) -> None:
         if self.directory.configuration is not None:
             self.loaded.set()
 
-    def apply(self, item: store.Item) -> None:
+    def apply(self, item: change_log.Item) -> None:
         """Apply a change unless a later change of its key was applied before.
 
         An invalid record is logged and counted, and the last valid record of its key stays in
@@ -128,7 +152,7 @@
             self.revisions[item.key] = item.revision
         try:
             self._apply_record(item)
-        except errors.InvalidRecordError as error:
+        except (errors.InvalidRecordError, ValueError, TypeError, RecursionError) as error:
             self.directory.registry.count("records_rejected")
             events.log(
                 events.Event.RECORD_REJECTED,
@@ -137,7 +161,7 @@
                 reason=str(error),
             )
 
-    def _apply_record(self, item: store.Item) -> None:
+    def _apply_record(self, item: change_log.Item) -> None:
         key = item.key
         if key == records.CONFIGURATION_KEY:
             if item.value is not None:
@@ -161,7 +185,7 @@
             else:
                 self.directory.unfinished[service] = coordination.decode_unfinished(item.value)
 
-    def _apply_server(self, item: store.Item) -> None:
+    def _apply_server(self, item: change_log.Item) -> None:
         if item.value is None:
             server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
             self.directory.servers.remove(server, clock.now_s())
@@ -169,7 +193,7 @@
             entry = records.decode_server(item.key, item.value, item.revision)
             self.directory.servers.put(entry.server, entry)
 
-    def _apply_vote(self, item: store.Item) -> None:
+    def _apply_vote(self, item: change_log.Item) -> None:
         parts = item.key.removeprefix(coordination.VOTES).split("/")
         if len(parts) != 3:
             raise errors.InvalidRecordError(
@@ -185,7 +209,7 @@
         else:
             self.directory.votes.add(vote)
 
-    def _apply_claim(self, item: store.Item) -> None:
+    def _apply_claim(self, item: change_log.Item) -> None:
         service = ids.ServiceName(item.key.removeprefix(coordination.CLAIMS))
         if item.value is None:
             self.directory.claims.pop(service, None)
--- a/src/mustardswitch/platform/http.py
+++ b/src/mustardswitch/platform/http.py
@@ -54,12 +54,13 @@
     ) -> Response:
         """Send a request and return the response.
 
-        Raises CallError when the connection fails or ``timeout_s`` passes.
+        Raises CallError when the connection fails or nothing arrives for ``timeout_s``. A large
+        response may take longer on a narrow link; sending it again would only add to the traffic.
         """
         async with self.lock:
             try:
-                async with asyncio.timeout(timeout_s):
-                    return await self._exchange(method, target, body, headers)
+                async with asyncio.timeout(timeout_s) as timer:
+                    return await self._exchange(method, target, body, headers, timer, timeout_s)
             except TimeoutError as error:
                 self.close()
                 raise errors.CallError(f"{method} {target}: no response in time") from error
@@ -76,6 +77,8 @@
         target: str,
         body: bytes,
         headers: collections.abc.Sequence[tuple[str, str]],
+        timer: asyncio.Timeout,
+        timeout_s: float,
     ) -> Response:
         if self.writer is None or self.reader is None or self.reader.at_eof():
             self.close()
@@ -91,7 +94,7 @@
             data += protocol.send(h11.Data(data=body))
         data += protocol.send(h11.EndOfMessage())
         self.writer.write(data)
-        response = await self._read_response(reader, protocol)
+        response = await self._read_response(reader, protocol, timer, timeout_s)
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             protocol.start_next_cycle()
         else:
@@ -99,14 +102,20 @@
         return response
 
     async def _read_response(
-        self, reader: asyncio.StreamReader, protocol: h11.Connection
+        self,
+        reader: asyncio.StreamReader,
+        protocol: h11.Connection,
+        timer: asyncio.Timeout,
+        timeout_s: float,
     ) -> Response:
+        loop = asyncio.get_running_loop()
         status = 0
         parts: list[bytes] = []
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
                 protocol.receive_data(await reader.read(READ_BYTES))
+                timer.reschedule(loop.time() + timeout_s)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -17,7 +17,14 @@
     settings,
     store,
 )
-from mustardswitch.proxy import directory, failover_watch, forwarded, service, session
+from mustardswitch.proxy import (
+    directory,
+    failover_watch,
+    forwarded,
+    relay_source,
+    service,
+    session,
+)
 from mustardswitch.proxy import errors as proxy_errors
 
 BALANCER_REMOVAL_S = 2.2
@@ -48,10 +55,13 @@
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
         )
+        self.records = relay_source.RelaySource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
-            directory=self.directory, registry=self.registry
+            directory=self.directory, registry=self.registry, feed=self.records.feed
+        )
+        self.follower = follower.Follower(
+            client=self.client, directory=self.directory, relays=self.records
         )
-        self.follower = follower.Follower(client=self.client, directory=self.directory)
         peer_address = datagrams.PeerAddress(host=config.peers.host, port=config.peers.port)
         self.coordination = coordination.Coordination(
             client=self.client,
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -6,6 +6,7 @@
 import json
 import urllib.parse
 
+from mustardswitch.internal import change_log
 from mustardswitch.platform import errors, http
 from mustardswitch.proxy import errors as proxy_errors
 
@@ -15,24 +16,6 @@
 """Time beyond the wait of a watch after which its connection is considered dead."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Item:
-    """The last write of a key, or its removal."""
-
-    key: str
-    value: bytes | None
-    """None when the key was removed."""
-    revision: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Listing:
-    """Items, and a revision; a watch that starts after it misses no change."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Put:
     """A key to write, bound to a lease unless ``lease`` is 0."""
@@ -42,9 +25,9 @@
     lease: int = 0
 
 
-def _item(record: collections.abc.Mapping[str, object]) -> Item:
+def _item(record: collections.abc.Mapping[str, object]) -> change_log.Item:
     value = None if record.get("deleted") else base64.b64decode(record.get("value", ""))
-    return Item(key=record["key"], value=value, revision=record["revision"])
+    return change_log.Item(key=record["key"], value=value, revision=record["revision"])
 
 
 class Store:
@@ -88,19 +71,19 @@
             raise proxy_errors.StoreError(f"{method} {path}: status {response.status}")
         return response.status, decoded if isinstance(decoded, dict) else {}
 
-    async def read(self, key: str) -> Item | None:
+    async def read(self, key: str) -> change_log.Item | None:
         """Return the item of a key, or None when the key does not exist."""
         status, body = await self._call("GET", "/kv-key", query={"key": key})
         if status == 404:
             return None
         return _item(_expect(status, body, "/kv-key"))
 
-    async def list_all(self, prefix: str) -> Listing:
+    async def list_all(self, prefix: str) -> change_log.Listing:
         """Return all keys under a prefix, with the store's revision at the first page.
 
         The pages are read one after the other and form no consistent snapshot.
         """
-        items: list[Item] = []
+        items: list[change_log.Item] = []
         revision: int | None = None
         query: dict[str, object] = {"prefix": prefix}
         while True:
@@ -109,10 +92,12 @@
             items += [_item(record) for record in page["items"]]
             revision = page["store_revision"] if revision is None else revision
             if not page.get("has_more") or not page["items"]:
-                return Listing(items=tuple(items), revision=revision)
+                return change_log.Listing(
+                    items=tuple(items), revision=revision, complete=prefix == ""
+                )
             query["after"] = items[-1].key
 
-    async def watch(self, prefix: str, *, after: int, wait_s: float) -> Listing:
+    async def watch(self, prefix: str, *, after: int, wait_s: float) -> change_log.Listing:
         """Return the changes after a revision, or none when ``wait_s`` passes first.
 
         Raises HistoryLostError when the store has dropped them.
@@ -130,7 +115,7 @@
                 f"changes after revision {after} are no longer in the history"
             )
         page = _expect(status, body, "/kv-watch")
-        return Listing(
+        return change_log.Listing(
             items=tuple(_item(record) for record in page.get("events", ())),
             revision=page["store_revision"],
         )
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import change_log, clock, ids, promotion
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import coordination, errors, follower, records, settings, store
 from mustardswitch.proxy import directory, ports, requests, service
@@ -108,8 +108,8 @@
     return follower.Follower(client=store.Store(host="127.0.0.1", port=1), directory=empty)
 
 
-def _item(key: str, value: bytes | None, revision: int) -> store.Item:
-    return store.Item(key=key, value=value, revision=revision)
+def _item(key: str, value: bytes | None, revision: int) -> change_log.Item:
+    return change_log.Item(key=key, value=value, revision=revision)
 
 
 def test_an_invalid_record_leaves_the_last_valid_one_in_effect(followed):
