Count replicas whose entries expired lately among those that may hold commits

Change: a replica that vanished from the list without announcing it stays among the expected ones for 6 s; it is queried at its last address, and promoted if its log is the highest.

--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -28,6 +28,9 @@
 connection that other instances cannot use while it lingers after a crash."""
 STATUS_TIMEOUT_S = 0.4
 """Time for a status query over a pooled connection; ten round trips between regions."""
+UNLISTED_RETENTION_S = 6.0
+"""Time for which a replica that is no longer listed, without having announced that it leaves, may
+still be running: twice the time after which a silent server's entry expires."""
 FINISH_TIMEOUT_S = 1.0
 """Time for the answer to the last command on a connection before it returns to the pool; without an
 answer by then the connection is closed."""
@@ -52,6 +55,17 @@
         return read_placement.Distance.OTHER_REGION
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnlistedReplica:
+    """A replica whose entry expired at ``since_s`` (``clock.now_s``)."""
+
+    backend: server.Server
+    since_s: float
+
+
+NOT_LISTED = "not listed"
+
+
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -69,6 +83,8 @@
         self.registry = registry
         self.connections = 1
         self.servers: dict[ids.ServerId, server.Server] = {}
+        self.unlisted: dict[ids.ServerId, UnlistedReplica] = {}
+        """Replicas whose entries expired lately."""
         self.leadership = leadership.Leadership()
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
         self.changed = asyncio.Event()
@@ -86,10 +102,12 @@
     def apply(self, entries: collections.abc.Iterable[ports.ServerEntry]) -> None:
         """Update the servers to the platform's list of this service."""
         listed = {entry.server: entry for entry in entries}
+        for name in set(self.unlisted) & set(listed):
+            del self.unlisted[name]
         for backend in list(self.servers.values()):
             entry = listed.get(backend.server)
             if entry is None or entry.started_ms != backend.entry.started_ms:
-                self._remove(backend, "not listed" if entry is None else "started anew")
+                self._remove(backend, NOT_LISTED if entry is None else "started anew")
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
@@ -130,10 +148,24 @@
 
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
+        expired = why == NOT_LISTED and not backend.entry.leaving
+        if expired and backend.entry.role is promotion.Role.REPLICA:
+            self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=clock.now_s())
         self.leadership.forget(backend.server)
         backend.close()
         events.log(events.Event.SERVER_GONE, service=self.name, server=backend.server, reason=why)
 
+    def unlisted_replicas(self) -> dict[ids.ServerId, server.Server]:
+        """Return the replicas whose entries expired within ``UNLISTED_RETENTION_S``.
+
+        A replica that is cut off from the store loses its entry, and may still confirm commits.
+        """
+        oldest_s = clock.now_s() - UNLISTED_RETENTION_S
+        self.unlisted = {
+            name: replica for name, replica in self.unlisted.items() if replica.since_s > oldest_s
+        }
+        return {name: replica.backend for name, replica in self.unlisted.items()}
+
     def resize(self, connections: int) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
         self.connections = connections
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -91,7 +91,7 @@
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
-        await self._resume(set(self.target.servers))
+        await self._resume(self._known())
 
     def _holds_claim(self) -> bool:
         """Return whether no other instance can hold the claim yet."""
@@ -100,8 +100,18 @@
     # Deciding
 
     def _answering(self, primary: ids.ServerId | None, silent: bool) -> set[ids.ServerId]:
-        """Return the servers listed now, without a ``silent`` primary."""
-        return set(self.target.servers) - ({primary} if silent else set())
+        """Return the servers that may answer: all but a ``silent`` primary."""
+        return self._known() - ({primary} if silent else set())
+
+    def _known(self) -> set[ids.ServerId]:
+        """Return the servers listed now, and replicas whose entries expired lately.
+
+        The latter may hold commits that no listed server has.
+        """
+        return set(self.target.servers) | set(self.target.unlisted_replicas())
+
+    def _server(self, name: ids.ServerId) -> server.Server | None:
+        return self.target.servers.get(name) or self.target.unlisted_replicas().get(name)
 
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
         statuses = await self._query_all(self._answering(primary, silent))
@@ -126,8 +136,12 @@
         statuses: collections.abc.Mapping[ids.ServerId, promotion.ServerStatus],
         term: ids.Term,
     ) -> promotion.Choice:
-        expected = set(self.target.servers) - {primary}
-        replicas = {name: status for name, status in statuses.items() if name != primary}
+        expected = self._known() - {primary}
+        replicas = {
+            name: status
+            for name, status in statuses.items()
+            if name != primary and name in self.target.servers
+        }
         successor = promotion.choose_successor(replicas=replicas, leaving=self._leaving())
         if successor is None:
             return promotion.Choice(
@@ -159,7 +173,7 @@
     async def _decide_after_failure(
         self, primary: ids.ServerId | None, term: ids.Term
     ) -> promotion.Choice:
-        expected = set(self.target.servers) - {primary}
+        expected = self._known() - {primary}
         paused: dict[ids.ServerId, promotion.ServerStatus] = {}
         started_s = clock.now_s()
         while True:
@@ -228,7 +242,7 @@
         answers: dict[ids.ServerId, promotion.ServerStatus] = {}
 
         async def query_one(name: ids.ServerId) -> None:
-            backend = self.target.servers.get(name)
+            backend = self._server(name)
             if backend is None:
                 return
             try:
@@ -250,7 +264,7 @@
         """Resume servers while the claim holds, and close the connections of this attempt."""
 
         async def resume(name: ids.ServerId) -> None:
-            backend = self.target.servers.get(name)
+            backend = self._server(name)
             if backend is None:
                 return
             try:
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mustardswitch.internal import clock, ids, promotion, registration_list
-from mustardswitch.proxy import directory, ports, requests, takeover
+from mustardswitch.proxy import directory, ports, requests, service, takeover
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
 
@@ -46,6 +46,62 @@
     assert world.coordination.claimed == set()
 
 
+def _expire_entry(world, server):
+    world.directory.servers.replace(
+        {entry.server: entry for entry in world.group.entries() if entry.server != server},
+        clock.now_s(),
+    )
+    world.directory.refresh()
+
+
+def _commit_on_primary_and_c(world):
+    world.group.servers[B].not_receiving = True
+    world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+
+
+async def test_no_server_is_promoted_while_a_replica_whose_entry_expired_may_hold_more(monkeypatch):
+    """Reproduces Himshilp grown trouble-1: a full link between regions kept the heartbeats of the
+    primary and of the only replica with the last commits from the store. Both entries expired, and
+    the remaining replica was promoted without these commits.
+    """
+    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    world = proxy_world.World()
+    _commit_on_primary_and_c(world)
+    world.group.servers[C].up = False
+    _expire_entry(world, C)
+    assert not await _take_over(world)
+    assert world.promoter.promotion_requests == []
+
+
+async def test_a_replica_whose_entry_expired_takes_over_if_it_answers():
+    world = proxy_world.World()
+    _commit_on_primary_and_c(world)
+    _expire_entry(world, C)
+    await _take_over(world)
+    assert world.group.primary.name == C
+    assert world.group.lost == []
+
+
+async def test_a_replica_that_stays_unlisted_is_taken_as_gone(monkeypatch):
+    monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 0.0)
+    world = proxy_world.World()
+    world.group.servers[A].up = world.group.servers[C].up = False
+    _expire_entry(world, C)
+    assert await _take_over(world)
+    assert world.group.primary.name == B
+
+
+async def test_a_replica_that_left_as_announced_is_not_waited_for():
+    world = proxy_world.World()
+    world.group.servers[C].leaving = True
+    world.list_servers()
+    world.group.servers[A].up = world.group.servers[C].up = False
+    _expire_entry(world, C)
+    assert await _take_over(world)
+    assert world.group.primary.name == B
+
+
 async def test_a_leaving_primary_hands_over_without_losing_a_commit():
     world = proxy_world.World()
     world.group.servers[A].leaving = True
