--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -59,7 +59,7 @@
         return RecordRequest(
             after=None if after is None else int(after), wait_s=float(fields["wait_s"])
         )
-    except (ValueError, TypeError, LookupError, RecursionError, OverflowError) as error:
+    except relay_codec.MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid request for records: {error}") from error
 
 
@@ -84,7 +84,7 @@
             revision=int(fields["revision"]),
             complete=bool(fields["complete"]),
         )
-    except (ValueError, TypeError, LookupError, RecursionError, OverflowError) as error:
+    except relay_codec.MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid header of records: {error}") from error
 
 
@@ -116,12 +116,5 @@
             )
             for key, revision, value in json.loads(text)
         )
-    except (
-        zlib.error,
-        ValueError,
-        TypeError,
-        AttributeError,
-        RecursionError,
-        OverflowError,
-    ) as error:
+    except (zlib.error, *relay_codec.MALFORMED) as error:
         raise errors.InvalidFrameError(f"invalid records: {error}") from error
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -15,6 +15,15 @@
 MAX_FRAME_BYTES = 2 << 20
 """Holds a caller's largest message and the fields that are sent along with it."""
 LENGTH_BYTES = 4
+MALFORMED = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    RecursionError,
+    OverflowError,
+)
+"""What reading a frame of an unexpected shape raises; OverflowError for an infinite number."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -118,7 +127,7 @@
             ),
             begin=str(fields["begin"]),
         )
-    except (ValueError, TypeError, LookupError, AttributeError, RecursionError) as error:
+    except MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid forwarded statement: {error}") from error
 
 
@@ -149,7 +158,7 @@
             state=requests.TransactionState(fields["state"]),
             position=_decode_position(fields["position"]),
         )
-    except (ValueError, TypeError, LookupError, AttributeError, RecursionError) as error:
+    except MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid answer: {error}") from error
 
 
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -214,5 +214,5 @@
         if item.value is None:
             self.directory.claims.pop(service, None)
         else:
-            holder = item.value.decode().partition(" ")[0]
+            holder = item.value.decode(errors="replace").partition(" ")[0]
             self.directory.claims[service] = ids.InstanceId(holder)
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import contextlib
 import dataclasses
 import json
 import urllib.parse
@@ -76,7 +77,8 @@
         status, body = await self._call("GET", "/kv-key", query={"key": key})
         if status == 404:
             return None
-        return _item(_expect(status, body, "/kv-key"))
+        with _decoding("/kv-key"):
+            return _item(_expect(status, body, "/kv-key"))
 
     async def list_all(self, prefix: str) -> change_log.Listing:
         """Return all keys under a prefix, with the store's revision at the first page.
@@ -89,8 +91,9 @@
         while True:
             status, body = await self._call("GET", "/kv-range", query=query)
             page = _expect(status, body, "/kv-range")
-            items += [_item(record) for record in page["items"]]
-            revision = page["store_revision"] if revision is None else revision
+            with _decoding("/kv-range"):
+                items += [_item(record) for record in page["items"]]
+                revision = page["store_revision"] if revision is None else revision
             if not page.get("has_more") or not page["items"]:
                 return change_log.Listing(
                     items=tuple(items), revision=revision, complete=prefix == ""
@@ -115,10 +118,11 @@
                 f"changes after revision {after} are no longer in the history"
             )
         page = _expect(status, body, "/kv-watch")
-        return change_log.Listing(
-            items=tuple(_item(record) for record in page.get("events", ())),
-            revision=page["store_revision"],
-        )
+        with _decoding("/kv-watch"):
+            return change_log.Listing(
+                items=tuple(_item(record) for record in page.get("events", ())),
+                revision=page["store_revision"],
+            )
 
     async def change(
         self,
@@ -148,12 +152,14 @@
         status, answer = await self._call("POST", "/kv-txn", body=body)
         if status in (404, 412):
             return None
-        return _expect(status, answer, "/kv-txn")["revision"]
+        with _decoding("/kv-txn"):
+            return _expect(status, answer, "/kv-txn")["revision"]
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease that expires after ``ttl_s`` unless renewed, and return its id."""
         status, body = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
-        return _expect(status, body, "/kv-lease")["lease"]
+        with _decoding("/kv-lease"):
+            return _expect(status, body, "/kv-lease")["lease"]
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return False when it has expired."""
@@ -168,6 +174,15 @@
         await self._call("DELETE", f"/kv-lease-end/{lease}")
 
 
+@contextlib.contextmanager
+def _decoding(path: str) -> collections.abc.Iterator[None]:
+    """Raise StoreError for an answer that is not as the store's interface says."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError, AttributeError) as error:
+        raise proxy_errors.StoreError(f"{path}: malformed answer: {error!r}") from error
+
+
 def _expect(status: int, body: dict, path: str) -> dict:
     if status != 200:
         raise proxy_errors.StoreError(f"{path}: status {status}")
--- a/tests/common/builders.py
+++ b/tests/common/builders.py
@@ -1,6 +1,6 @@
 """Builders of test data."""
 
-from mustardswitch.internal import confirmations, groups, ids, membership, positions
+from mustardswitch.internal import confirmations, gateways, groups, ids, membership, positions
 
 DATABASE = ids.DatabaseName("orders")
 SLOTS = (ids.SlotId("a"), ids.SlotId("b"), ids.SlotId("c"))
@@ -61,3 +61,16 @@
         leaving=False,
         incarnation=incarnation,
     )
+
+
+def candidates(*, zones: int, per_zone: int) -> list[gateways.Candidate]:
+    """Build the instances of a fleet; half of the zones are in each of two regions."""
+    return [
+        gateways.Candidate(
+            instance=ids.InstanceId(f"entry-{zone}-{number}"),
+            zone=ids.ZoneName(f"zone-{zone}"),
+            region=ids.RegionName("north" if zone < (zones + 1) // 2 else "south"),
+        )
+        for zone in range(zones)
+        for number in range(per_zone)
+    ]
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -4,13 +4,16 @@
 import json
 import pathlib
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from mustardswitch import metrics
 from mustardswitch.internal import change_log, clock, ids, promotion
 from mustardswitch.peers import datagrams
-from mustardswitch.platform import coordination, errors, follower, records, settings, store
+from mustardswitch.platform import coordination, errors, follower, http, records, settings, store
 from mustardswitch.proxy import directory, ports, requests, service
+from mustardswitch.proxy import errors as proxy_errors
 from mustardswitch_standins import http_store, platform_deployment
 
 ENTRY = {
@@ -257,3 +260,61 @@
     template = pathlib.Path(__file__).parents[2] / "deploy" / "settings.yaml"
     named = {line.partition(":")[0] for line in template.read_text().splitlines()}
     assert named == {line.partition(":")[0] for line in SETTINGS.strip().splitlines()}
+
+
+@hypothesis.given(
+    key=st.sampled_from(
+        ["op/config", "servers/i-1"]
+        + [
+            f"{prefix}x"
+            for prefix in (
+                coordination.INSTANCES,
+                coordination.VOTES,
+                coordination.CLAIMS,
+                coordination.UNFINISHED,
+            )
+        ]
+    ),
+    value=st.one_of(
+        st.binary(max_size=40),
+        st.just(b"[" * 100_000),
+        st.just("zone host \u00b2".encode()),
+        st.recursive(
+            st.none() | st.booleans() | st.floats() | st.text(max_size=5),
+            lambda inner: st.lists(inner, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(["routes", "services", "limits", "addr", "version"]), inner
+            ),
+        ).map(lambda fields: json.dumps(fields).encode()),
+    ),
+)
+@hypothesis.settings(suppress_health_check=list(hypothesis.HealthCheck), max_examples=300)
+def test_no_value_of_another_writer_ends_the_follower(followed, key, value):
+    followed.apply(_item(key, value, 5))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[]",
+        b"{}",
+        b'{"items":5}',
+        b'{"items":[{"key":"k"}],"events":[{"key":"k"}],"store_revision":1}',
+        b"\xff",
+    ],
+)
+async def test_a_malformed_answer_of_the_store_is_a_failed_call(monkeypatch, body):
+    client = store.Store(host="127.0.0.1", port=1)
+
+    async def answer(*arguments, **options):
+        return http.Response(status=200, body=body)
+
+    monkeypatch.setattr(http.Connection, "call", answer)
+    for call in (
+        client.list_all(""),
+        client.watch("", after=1, wait_s=1.0),
+        client.grant_lease(1.0),
+        client.change(expected={}),
+    ):
+        with pytest.raises(proxy_errors.StoreError):
+            await call
