Let a stopping gateway finish open transactions and send new work elsewhere

Cause (from reading): an instance that stops waited for statements that run for others, not for the transactions that others have open there; without callers of its own it ended 2.2 s after SIGTERM and cut them off. A statement that reached it meanwhile was cut off too. Change: after the balancer's delay a stopping gateway rejects new work as leaving (the entry instance takes the next gateway, nothing has run) and waits for open transactions for half of the grace, as for those of its callers.

--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -35,6 +35,8 @@
         self.feed = feed or record_relay.RecordFeed()
         self.server: asyncio.Server | None = None
         self.running = 0
+        self.draining = False
+        self.sessions: set[_GatewaySession] = set()
 
     def __repr__(self) -> str:
         return f"RelayServer(directory={self.directory!r})"
@@ -43,6 +45,20 @@
         """Accept connections of other instances at an address; raises OSError."""
         self.server = await asyncio.start_server(self._serve, address.host, address.port)
 
+    def drain(self) -> None:
+        """Reject new work from now on; open transactions continue."""
+        self.draining = True
+
+    @property
+    def open_transactions(self) -> int:
+        """Number of transactions that other instances have open here."""
+        return sum(gateway_session.is_open for gateway_session in self.sessions)
+
+    def abort_idle_transactions(self) -> None:
+        """Roll back the transactions that wait for their next statement."""
+        for gateway_session in self.sessions:
+            gateway_session.abort_if_idle()
+
     def close(self) -> None:
         """Stop accepting connections; open ones continue."""
         if self.server is not None:
@@ -50,6 +66,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         gateway_session = _GatewaySession(directory=self.directory)
+        self.sessions.add(gateway_session)
         try:
             while True:
                 body = await relay_codec.read_frame(reader)
@@ -60,7 +77,7 @@
                 forwarded = relay_codec.decode_forwarded(body)
                 self.running += 1
                 try:
-                    answer = await gateway_session.run(forwarded)
+                    answer = await self._run(gateway_session, forwarded)
                 finally:
                     self.running -= 1
                 self.registry.count("statements_run_for_others")
@@ -74,10 +91,24 @@
         except errors.InvalidFrameError as error:
             events.log(events.Event.FRAME_REJECTED, reason=str(error))
         finally:
+            self.sessions.discard(gateway_session)
             gateway_session.close()
             with contextlib.suppress(OSError):
                 writer.close()
 
+    async def _run(
+        self, gateway_session: "_GatewaySession", forwarded: relay_codec.ForwardedStatement
+    ) -> requests.Answer:
+        starts_work = bool(forwarded.begin) or gateway_session.transaction is None
+        ends_transaction = isinstance(forwarded.command, requests.Commit | requests.Rollback)
+        if self.draining and starts_work and (forwarded.begin or not ends_transaction):
+            return requests.refuse(requests.Refusal.LEAVING, "this gateway is stopping")
+        gateway_session.busy = True
+        try:
+            return await gateway_session.run(forwarded)
+        finally:
+            gateway_session.busy = False
+
 
 class _GatewaySession:
     """Session values and open transaction of one connection from another instance."""
@@ -85,6 +116,8 @@
     def __init__(self, *, directory: session.Directory) -> None:
         self.directory = directory
         self.transaction: transaction.Transaction | None = None
+        self.busy = False
+        """Whether a statement is running."""
         self.state = statement_context.SessionState()
         self.service: service.Service | None = None
         """Service of the current statement; it stays the same while a transaction is open."""
@@ -94,6 +127,16 @@
         if self.transaction is not None:
             self.transaction.fail()
 
+    def abort_if_idle(self) -> None:
+        """Roll back an open transaction that waits for its next statement."""
+        if not self.busy:
+            self.close()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a transaction is open that has not failed."""
+        return self.transaction is not None and not self.transaction.failed
+
     async def run(self, forwarded: relay_codec.ForwardedStatement) -> requests.Answer:
         """Run one forwarded statement."""
         context = self._context(forwarded)
@@ -118,6 +161,11 @@
         self, context: statement_context.StatementContext, forwarded: relay_codec.ForwardedStatement
     ) -> requests.Answer:
         command, current = forwarded.command, self.transaction
+        if current.failed:
+            self.transaction = None
+            return requests.refuse(
+                requests.Refusal.ABORTED, "the gateway is stopping and rolled the transaction back"
+            )
         if isinstance(command, requests.Commit):
             self.transaction = None
             return await current.commit(context)
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -155,8 +155,12 @@
         await self._leave()
         await asyncio.sleep(min(BALANCER_REMOVAL_S, half_s))
         self.callers.drain()
+        self.relay_server.drain()
         await self.callers.wait_until_empty(started_s + half_s - loop.time())
+        while self.relay_server.open_transactions and loop.time() < started_s + half_s:
+            await asyncio.sleep(FORWARDED_POLL_S)
         self.callers.abort_idle_transactions()
+        self.relay_server.abort_idle_transactions()
         await self.callers.wait_until_empty(
             started_s + LAST_STATEMENT_HALVES * half_s - loop.time()
         )
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -22,6 +22,9 @@
 since: a gateway that answers rejects the reads that it cannot serve before their deadline, and a
 second attempt would only add to an overload."""
 
+NOT_SERVED = (requests.Refusal.UNKNOWN_DATABASE, requests.Refusal.LEAVING)
+"""Refusals of a gateway that has not run the statement, while another one may run it."""
+
 OPEN, FAILED = requests.TransactionState.OPEN, requests.TransactionState.FAILED
 
 
@@ -103,7 +106,7 @@
                 continue
             self.answered_at_s[gateway.instance] = clock.now_s()
             self.client.release(gateway.address, connection)
-            if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
+            if answer.refusal in NOT_SERVED:
                 self.note_failure(gateway, context, answer.detail)
                 continue
             if answer.succeeded and command.access is requests.Access.WRITE:
@@ -196,8 +199,7 @@
         if self.connection is None:
             self.service = context.service
             begin = "read" if self.read_only else "write"
-            await self._connect(context)
-        answer = await self._execute(context, command, begin)
+        answer = await self._begin_at_first(context, command, begin)
         if answer.succeeded:
             self.wrote = self.wrote or command.access is requests.Access.WRITE
             return dataclasses.replace(answer, state=OPEN)
@@ -205,6 +207,23 @@
         self.failed = True
         return dataclasses.replace(answer, state=FAILED)
 
+    async def _begin_at_first(
+        self,
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared | requests.Commit,
+        begin: str,
+    ) -> requests.Answer:
+        """Execute a statement; one that begins the transaction moves on from a leaving gateway."""
+        while True:
+            if begin:
+                await self._connect(context)
+            answer = await self._execute(context, command, begin)
+            if not begin or answer.refusal is not requests.Refusal.LEAVING:
+                return answer
+            self.forwarder.note_failure(self.gateway, context, answer.detail)
+            self.gateways = [gateway for gateway in self.gateways if gateway != self.gateway]
+            self._end()
+
     async def _connect(self, context: statement_context.StatementContext) -> None:
         for gateway in self.gateways:
             try:
@@ -243,9 +262,8 @@
         begin = ""
         if self.connection is None:
             begin = "read" if self.read_only else "write"
-            await self._connect(context)
-        sent = self.connection is not None
-        answer = await self._execute(context, requests.Commit(), begin)
+        answer = await self._begin_at_first(context, requests.Commit(), begin)
+        sent = self.gateway is not None
         if sent and self.connection is None and self.wrote:
             answer = dataclasses.replace(answer, refusal=requests.Refusal.OUTCOME_UNKNOWN)
         if answer.succeeded and self.wrote:
--- a/src/mustardswitch/proxy/requests.py
+++ b/src/mustardswitch/proxy/requests.py
@@ -119,6 +119,8 @@
 
     OVERLOADED = "overloaded"
     """It was not run because the servers are full or none is available; try again later."""
+    LEAVING = "leaving"
+    """The gateway is about to stop; the statement was not run and is sent to another one."""
     ABORTED = "aborted"
     """The transaction was rolled back; none of its writes are kept."""
     BEHIND = "behind"
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -260,3 +260,43 @@
 
     asyncio.run(stop_with_an_open_connection())
     assert reported == []
+
+
+async def test_a_gateway_that_stops_moves_new_work_and_finishes_open_transactions():
+    """Guards against transactions that a stopping gateway cut off between two statements."""
+    async with Fleet() as fleet:
+        inside = fleet.entry.open_session(OWN)
+        await fleet.entry.run(inside, requests.Begin(read_only=False))
+        assert (await fleet.entry.run(inside, proxy_world.WRITE)).succeeded
+        fleet.server.drain()
+        assert fleet.server.open_transactions == 1
+        # No other gateway is left, so the entry instance runs new work itself.
+        assert (await fleet.entry.run(fleet.entry.open_session(OWN), proxy_world.WRITE)).succeeded
+        assert any(server.pool.held for server in fleet.entry.service.servers.values())
+        assert (await fleet.entry.run(inside, proxy_world.READ)).succeeded
+        assert (await fleet.entry.run(inside, requests.Commit())).succeeded
+        assert fleet.server.open_transactions == 0
+
+
+async def test_a_transaction_does_not_begin_at_a_gateway_that_stops():
+    async with Fleet() as fleet:
+        fleet.server.drain()
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        answer = await fleet.entry.run(caller, proxy_world.WRITE)
+        assert answer.refusal is requests.Refusal.OVERLOADED
+        assert fleet.gateway.group.statements == []
+
+
+async def test_a_transaction_that_a_stopping_gateway_rolled_back_runs_nothing_more():
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        fleet.server.drain()
+        fleet.server.abort_idle_transactions()
+        answer = await fleet.entry.run(caller, proxy_world.WRITE)
+        assert answer.refusal is requests.Refusal.ABORTED
+        await fleet.entry.run(caller, requests.Rollback())
+        assert fleet.gateway.group.acknowledged == []
+        assert len(fleet.gateway.group.statements) == 1
