Open no more connections to a full server than may succeed

Each statement started an attempt at once, whatever the pause after a failure, and instances that only stand in for unreachable gateways went on every 0.25 s although no statement waited. Change: statements share an attempt in that pause; an instance that is not a gateway opens connections only while a statement waits.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -18,6 +18,8 @@
 up to five times."""
 MAX_REOPEN_DELAY_S = 1.0
 """Longest pause before a connection is opened again."""
+MAX_DEMAND_DELAY_S = 0.25
+"""Longest pause after a failure before a waiting statement may cause another attempt."""
 QUEUE_PER_CONNECTION = 64
 """Statements that may wait in each of the two queues, per connection of the pool's size."""
 INITIAL_SERVICE_S = 0.001
@@ -111,6 +113,11 @@
         self.closed = False
         self.failures = 0
         """Attempts to open a connection that failed in a row."""
+        self.retry_at_s = float("-inf")
+        """Earliest time of the next attempt after one that failed (``time.monotonic``)."""
+        self.reopens_unused = True
+        """Whether to open a connection again although no statement waits for one. An instance that
+        only stands in for the gateways of a service does not, since a server counts attempts."""
         self.tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -134,6 +141,8 @@
         """Start opening connections, one at a time to avoid a stampede on a returning server."""
         if self.closed or self.opening or self.held >= min(wanted, self.size):
             return
+        if time.monotonic() < self.retry_at_s:
+            return
         self.opening += 1
         task = asyncio.create_task(self._open(wanted))
         self.tasks.add(task)
@@ -154,6 +163,7 @@
             raise
         self.opening -= 1
         self.failures = 0
+        self.retry_at_s = float("-inf")
         if self.closed:
             opened.close()
             return
@@ -163,8 +173,10 @@
 
     async def _wait_and_reopen(self, wanted: int) -> None:
         delay_s = min(self.reopen_limit_s, REOPEN_DELAY_S * 2 ** min(self.failures, 5))
+        self.retry_at_s = time.monotonic() + min(delay_s, MAX_DEMAND_DELAY_S)
         await asyncio.sleep(delay_s)
-        if self.waiting or self.held < 1:
+        self.retry_at_s = float("-inf")
+        if self.waiting or (self.held < 1 and self.reopens_unused):
             self._open_missing(wanted)
 
     async def acquire(self, request: ConnectionRequest) -> Held:
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -139,10 +139,10 @@
                 target = service.Service(
                     name=name, location=self.location, opener=self.opener, registry=self.registry
                 )
-                target.resize(self._share(name))
                 self.services[name] = target
-            elif target.connections != self._share(name):
-                target.resize(self._share(name))
+            share, holds = self._share(name), self._holds_connections(name)
+            if (target.connections, target.holds_connections) != (share, holds):
+                target.resize(share, holds_connections=holds)
             target.apply(by_service.get(name, ()))
             target.trim()
 
@@ -155,6 +155,10 @@
             return plan.connections if plan.is_gateway(self.instance) else 1
         return self.shares.share(connections=limits.max_connections, now_s=clock.now_s())
 
+    def _holds_connections(self, name: ids.ServiceName) -> bool:
+        plan = self.plans.get(name)
+        return plan is None or plan.is_gateway(self.instance)
+
     def candidates(self) -> list[gateways.Candidate]:
         """Return the instances that may hold connections or change a primary."""
         return [
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -82,6 +82,8 @@
         self.opener = opener
         self.registry = registry
         self.connections = 1
+        self.holds_connections = True
+        """Whether this instance is a gateway of the service, or all instances hold connections."""
         self.servers: dict[ids.ServerId, server.Server] = {}
         self.unlisted: dict[ids.ServerId, UnlistedReplica] = {}
         """Replicas whose entries expired lately."""
@@ -122,6 +124,7 @@
                 opener=self.opener,
                 connections=self.connections,
             )
+            backend.pool.reopens_unused = self.holds_connections
             self.servers[entry.server] = backend
             events.log(
                 events.Event.SERVER_LISTED,
@@ -166,11 +169,13 @@
         }
         return {name: replica.backend for name, replica in self.unlisted.items()}
 
-    def resize(self, connections: int) -> None:
+    def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
         self.connections = connections
+        self.holds_connections = holds_connections
         for backend in self.servers.values():
             backend.pool.resize(connections)
+            backend.pool.reopens_unused = holds_connections
 
     def trim(self) -> None:
         """Close unused connections; other instances may need them, or this one after a restart."""
--- a/tests/decisions/test_connection_pool.py
+++ b/tests/decisions/test_connection_pool.py
@@ -3,7 +3,10 @@
 import asyncio
 import time
 
+import pytest
+
 from mustardswitch import connection_pool
+from mustardswitch.backends import errors
 from mustardswitch.internal import limits
 
 
@@ -90,3 +93,58 @@
     assert len(pool.idle) == 2
     pool.trim(idle_s=-1.0)
     assert first.broken and second.broken and not pool.idle
+
+
+class FullServer:
+    """A server that accepts no more connections; counts the attempts."""
+
+    def __init__(self) -> None:
+        self.attempts = 0
+
+    async def open(self) -> Connection:
+        self.attempts += 1
+        raise errors.ConnectionLimitError("too many connections")
+
+
+async def test_statements_before_a_full_server_share_an_attempt():
+    """Reproduces Himshilp grown scale-2: each statement tried to open a connection to a server over
+    its limit, which rejected 6,837 connections in twelve seconds.
+    """
+    server = FullServer()
+    pool = connection_pool.ConnectionPool(name="s", opener=server.open, size=3, reopen_limit_s=0.25)
+    ends_s = time.monotonic() + 0.6
+    rejected = 0
+    while time.monotonic() < ends_s:
+        try:
+            await pool.acquire(_request(0.05))
+        except errors.PoolRefusedError:
+            rejected += 1
+        await asyncio.sleep(0.001)
+    assert server.attempts <= 5
+    assert rejected > server.attempts
+    pool.close()
+
+
+async def test_a_pool_that_stands_in_opens_nothing_unless_a_statement_waits():
+    server = FullServer()
+    pool = connection_pool.ConnectionPool(name="s", opener=server.open, size=1, reopen_limit_s=0.05)
+    pool.reopens_unused = False
+    with pytest.raises(errors.PoolRefusedError):
+        await pool.acquire(_request(0.05))
+    before = server.attempts
+    await asyncio.sleep(0.4)
+    assert server.attempts <= before + 1
+    pool.close()
+
+
+async def test_a_waiting_write_gets_a_connection_once_the_server_has_room():
+    server = FullServer()
+    openers = [server.open, server.open, _open]
+
+    async def open_next() -> Connection:
+        return await openers.pop(0)()
+
+    pool = connection_pool.ConnectionPool(name="s", opener=open_next, size=1, reopen_limit_s=0.25)
+    connection = await pool.acquire(_request(10.0, waits_for_server=True))
+    assert openers == []
+    pool.release(connection, clean=True)
