--- a/src/mustardswitch/proxy/relay_source.py
+++ b/src/mustardswitch/proxy/relay_source.py
@@ -46,8 +46,10 @@
 
     async def watch(self, after: int) -> change_log.Listing | None:
         """Return the changes after a revision; None when the store is to be asked."""
-        for relay in self._order(self.follower.avoided())[:1]:
-            return await self._ask(relay, after=after, avoid_on_failure=True)
+        for relay in self._order(self.follower.avoided()):
+            listing = await self._ask(relay, after=after, avoid_on_failure=True)
+            if listing is not None:
+                return listing
         return None
 
     async def load(self, *, not_before: int) -> change_log.Listing | None:
