--- a/src/mustardswitch/internal/relays.py
+++ b/src/mustardswitch/internal/relays.py
@@ -58,14 +58,6 @@
     return gateways.ranked(relays, instance)
 
 
-def store_follower_count(candidates: collections.abc.Sequence[gateways.Candidate]) -> int:
-    """Return how many instances follow the store themselves."""
-    zones: dict[ids.ZoneName, int] = {}
-    for candidate in candidates:
-        zones[candidate.zone] = zones.get(candidate.zone, 0) + 1
-    return sum(len(relays_in_zone(candidates, zone)) or count for zone, count in zones.items())
-
-
 def is_current(*, available: bool, age_s: float) -> bool:
     """Return whether a relay's answer may be used: it follows the store, and without delay."""
     return available and age_s <= MAX_AGE_S
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -17,9 +17,11 @@
 configuration must be in force."""
 BATCH_DELAY_S = 0.03
 """Pause between watches, so that changes made together arrive in one answer."""
-BATCH_DELAY_PER_WATCH_S = 0.008
-"""Added to the pause for each instance that watches the store, since each change is one call of
-every one of them."""
+BATCH_DELAY_PER_INSTANCE_S = 0.008
+"""Added to the pause of an instance that watches the store, for each instance of the fleet: the
+changes of every one of them end a watch, and each watch is a call."""
+MAX_BATCH_DELAY_S = 0.5
+"""Longest such addition; a small part of the time within which a configuration must be in force."""
 RETRY_S = 0.3
 """Longest pause after the first failed call, jittered down to half; it doubles up to the limit."""
 RETRY_LIMIT_S = 1.0
@@ -97,7 +99,7 @@
 
     async def _load(self) -> int:
         if not self.directory.instances.entries:
-            listed = await self.client.list_all(coordination.INSTANCES)
+            listed = await self.client.list_all(coordination.INSTANCES, serializable=True)
             for item in listed.items:
                 self.apply(item)
         listing = await self.relays.load(not_before=self.applied_revision)
@@ -112,7 +114,9 @@
         if listing is None:
             listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
             self.relays.publish(listing)
-            pause_s += BATCH_DELAY_PER_WATCH_S * self.relays.store_follower_count
+            pause_s += min(
+                MAX_BATCH_DELAY_S, BATCH_DELAY_PER_INSTANCE_S * self.directory.instance_count
+            )
         after = self._apply_listing(listing)
         await asyncio.sleep(pause_s)
         return after
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -80,14 +80,17 @@
         with _decoding("/kv-key"):
             return _item(_expect(status, body, "/kv-key"))
 
-    async def list_all(self, prefix: str) -> change_log.Listing:
+    async def list_all(self, prefix: str, *, serializable: bool = False) -> change_log.Listing:
         """Return all keys under a prefix, with the store's revision at the first page.
 
-        The pages are read one after the other and form no consistent snapshot.
+        A ``serializable`` listing costs a tenth, and may be seconds old. The pages are read one
+        after the other and form no consistent snapshot.
         """
         items: list[change_log.Item] = []
         revision: int | None = None
         query: dict[str, object] = {"prefix": prefix}
+        if serializable:
+            query["serializable"] = 1
         while True:
             status, body = await self._call("GET", "/kv-range", query=query)
             page = _expect(status, body, "/kv-range")
--- a/src/mustardswitch/proxy/relay_source.py
+++ b/src/mustardswitch/proxy/relay_source.py
@@ -22,8 +22,6 @@
         self.directory = directory
         self.feed = feed or record_relay.RecordFeed()
         self.follower = record_relay.RelayFollower()
-        self.counted_at_s = float("-inf")
-        self.store_followers = 1
 
     def __repr__(self) -> str:
         return f"RelaySource(directory={self.directory!r})"
@@ -36,14 +34,6 @@
             avoided=avoided,
         )
 
-    @property
-    def store_follower_count(self) -> int:
-        """Number of instances that follow the store themselves."""
-        if self.counted_at_s != self.directory.refreshed_s:
-            self.counted_at_s = self.directory.refreshed_s
-            self.store_followers = relays.store_follower_count(self.directory.candidates())
-        return max(1, self.store_followers)
-
     async def watch(self, after: int) -> change_log.Listing | None:
         """Return the changes after a revision; None when the store is to be asked."""
         for relay in self._order(self.follower.avoided()):
--- a/tests/decisions/test_relays.py
+++ b/tests/decisions/test_relays.py
@@ -22,12 +22,16 @@
 
 def test_a_fleet_of_1036_instances_has_few_store_followers():
     candidates = builders.candidates(zones=6, per_zone=173)
-    assert relays.store_follower_count(candidates) <= 1036 / relays.FOLLOWERS_PER_RELAY + 6
+    store_followers = sum(
+        len(relays.relays_in_zone(candidates, zone))
+        for zone in {candidate.zone for candidate in candidates}
+    )
+    assert store_followers <= 1036 / relays.FOLLOWERS_PER_RELAY + 6
 
 
 def test_every_instance_of_a_small_zone_follows_the_store():
     candidates = builders.candidates(zones=3, per_zone=3)
-    assert relays.store_follower_count(candidates) == 9
+    assert not relays.relays_in_zone(candidates, candidates[0].zone)
     for candidate in candidates:
         assert not relays.relay_order(
             candidates, instance=candidate.instance, zone=candidate.zone, avoided=()
--- a/tests/proxy/test_relay_source.py
+++ b/tests/proxy/test_relay_source.py
@@ -86,8 +86,8 @@
 
 
 async def test_a_follower_moves_to_the_other_relay_when_its_own_has_lost_the_store(running):
-    """Reproduces Himshilp grown scale-2: with half of a zone cut off from the store, followers asked
-    the store, which they did not reach either, for three seconds before they tried the other relay.
+    """Reproduces Himshilp grown scale-2: half of a zone was cut off from the store. Followers asked
+    the store, which they did not reach either, for three seconds before the other relay.
     """
     running.publish(_listing(revision=1, complete=True))
     watching = asyncio.create_task(running.source.watch(1))
