--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mustardswitch.internal import gateways, ids, relays
 from mustardswitch_standins import platform_deployment
 
 
@@ -96,6 +97,45 @@
     assert (await instance.session("db-primary")).greeting.startswith("ERROR NODB")
 
 
+async def _rename_database(deployment, version, name):
+    changed = json.loads(json.dumps(platform_deployment.CONFIGURATION))
+    changed["version"] = version
+    changed["routes"][0]["host"] = name
+    deployment.store.put("op/config", json.dumps(changed).encode())
+
+
+async def _wait_until_served(instance, database):
+    while (await instance.session(database)).greeting != "READY I -":
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("fault", [signal.SIGKILL, signal.SIGSTOP])
+async def test_followers_of_a_lost_relay_receive_the_next_configuration(deployment, fault):
+    names = [f"i{number}" for number in range(5)]
+    started = {name: await deployment.start_instance(name) for name in names}
+    candidates = [
+        gateways.Candidate(
+            instance=ids.InstanceId(name), zone=ids.ZoneName("a"), region=ids.RegionName("north")
+        )
+        for name in names
+    ]
+    relay_names = relays.relays_in_zone(candidates, ids.ZoneName("a"))
+    await _rename_database(deployment, 9, "db-first")
+    async with asyncio.timeout(20.0):
+        for instance in started.values():
+            await _wait_until_served(instance, "db-first")
+    lost = started.pop(relay_names[0])
+    lost.process.send_signal(fault)
+    await _rename_database(deployment, 12, "db-second")
+    async with asyncio.timeout(20.0):
+        for instance in started.values():
+            await _wait_until_served(instance, "db-second")
+    if fault is signal.SIGSTOP:
+        lost.process.send_signal(signal.SIGCONT)
+        async with asyncio.timeout(20.0):
+            await _wait_until_served(lost, "db-second")
+
+
 async def test_stops_without_aborting_a_running_statement(deployment):
     instance = await deployment.start_instance("one")
     callers = [await instance.session("db-primary") for _ in range(5)]
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -300,3 +300,28 @@
         await fleet.entry.run(caller, requests.Rollback())
         assert fleet.gateway.group.acknowledged == []
         assert len(fleet.gateway.group.statements) == 1
+
+
+async def test_a_gateway_that_wakes_up_keeps_nothing_of_a_transaction_given_up_meanwhile():
+    """A gateway freezes: its caller is told that the transaction is aborted, so nothing may stay."""
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        thawed, run = asyncio.Event(), fleet.server._run
+
+        async def run_when_thawed(gateway_session, statement):
+            await thawed.wait()
+            return await run(gateway_session, statement)
+
+        fleet.server._run = run_when_thawed
+        answer = await fleet.entry.run(caller, proxy_world.WRITE)
+        assert answer.refusal is requests.Refusal.ABORTED
+        thawed.set()
+        async with asyncio.timeout(5.0):
+            while fleet.server.sessions:
+                await asyncio.sleep(0.02)
+        await fleet.gateway.settle()
+        assert fleet.gateway.group.acknowledged == []
+        assert (await fleet.entry.run(fleet.entry.open_session(OWN), proxy_world.WRITE)).succeeded
+        assert len(fleet.gateway.group.acknowledged) == 1
