--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -303,7 +303,7 @@
 
 
 async def test_a_gateway_that_wakes_up_keeps_nothing_of_a_transaction_given_up_meanwhile():
-    """A gateway freezes: its caller is told that the transaction is aborted, so nothing may stay."""
+    """A frozen gateway: its caller was told that the transaction is aborted; nothing may stay."""
     async with Fleet() as fleet:
         caller = fleet.entry.open_session(OWN)
         await fleet.entry.run(caller, requests.Begin(read_only=False))
