Name the record relays apart from the relays of statements; reject durations that are no number

A frame with a duration of NaN would have put the event loop's timers out of order. No other change of behaviour.

--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -57,7 +57,8 @@
         fields = json.loads(body)["records"]
         after = fields["after"]
         return RecordRequest(
-            after=None if after is None else int(after), wait_s=float(fields["wait_s"])
+            after=None if after is None else int(after),
+            wait_s=relay_codec.decode_seconds(fields["wait_s"]),
         )
     except relay_codec.MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid request for records: {error}") from error
@@ -80,7 +81,7 @@
         fields = json.loads(body)
         return RecordHeader(
             available=bool(fields["available"]),
-            age_s=float(fields["age_s"]),
+            age_s=relay_codec.decode_seconds(fields["age_s"]),
             revision=int(fields["revision"]),
             complete=bool(fields["complete"]),
         )
--- a/src/mustardswitch/peers/record_relay.py
+++ b/src/mustardswitch/peers/record_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mustardswitch import events
-from mustardswitch.internal import change_log, clock, ids, recent_failures, relays
+from mustardswitch.internal import change_log, clock, ids, recent_failures, record_relays
 from mustardswitch.peers import datagrams, errors, record_codec, relay_codec
 
 MAX_WAIT_S = 1.0
@@ -135,7 +135,7 @@
         except BaseException:
             self.close()
             raise
-        if not relays.is_current(available=header.available, age_s=header.age_s):
+        if not record_relays.is_current(available=header.available, age_s=header.age_s):
             raise errors.PeerUnreachableError(
                 f"relay {relay} does not follow the store: age {header.age_s:.1f} s"
             )
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 
 from mustardswitch.internal import ids, positions
 from mustardswitch.peers import errors
@@ -49,6 +50,14 @@
     """Transaction to begin first, ``read`` or ``write``; empty for none."""
 
 
+def decode_seconds(value: object) -> float:
+    """Return a duration; raises ValueError for one that is negative, infinite or not a number."""
+    seconds = float(value)
+    if not math.isfinite(seconds) or seconds < 0:
+        raise ValueError(f"{seconds} is no duration; give seconds from 0")
+    return seconds
+
+
 def _encode_position(position: positions.Position | None) -> list[int] | None:
     return None if position is None else [position.term, position.offset]
 
@@ -116,13 +125,14 @@
             request=ids.RequestId(str(fields["request"])),
             database=ids.DatabaseName(str(fields["database"])),
             command=_decode_command(fields["command"]),
-            age_s=float(fields["age_s"]),
+            age_s=decode_seconds(fields["age_s"]),
             values={str(name): str(value) for name, value in fields["values"].items()},
             session_commit=(
                 None
                 if session_commit is None
                 else SessionCommit(
-                    position=_decode_position(session_commit[0]), age_s=float(session_commit[1])
+                    position=_decode_position(session_commit[0]),
+                    age_s=decode_seconds(session_commit[1]),
                 )
             ),
             begin=str(fields["begin"]),
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -6,7 +6,7 @@
 from mustardswitch import events
 from mustardswitch.internal import change_log, clock, ids
 from mustardswitch.platform import coordination, errors, records, store
-from mustardswitch.proxy import directory, relay_source
+from mustardswitch.proxy import directory, record_source
 from mustardswitch.proxy import errors as proxy_errors
 
 ALL_KEYS = ""
@@ -36,11 +36,11 @@
         *,
         client: store.Store,
         directory: directory.Directory,
-        relays: relay_source.RelaySource | None = None,
+        record_relays: record_source.RecordSource | None = None,
     ) -> None:
         self.client = client
         self.directory = directory
-        self.relays = relays or relay_source.RelaySource(directory=directory)
+        self.record_relays = record_relays or record_source.RecordSource(directory=directory)
         self.applied_revision = 0
         """Every change up to this revision has been applied."""
         self.revisions: dict[str, int] = {}
@@ -84,7 +84,7 @@
         self.available = False
         self.directory.servers.note_outage()
         self.directory.instances.note_outage()
-        self.relays.note_outage()
+        self.record_relays.note_outage()
 
     def _note_available(self) -> None:
         if not self.available:
@@ -102,18 +102,18 @@
             listed = await self.client.list_all(coordination.INSTANCES, serializable=True)
             for item in listed.items:
                 self.apply(item)
-        listing = await self.relays.load(not_before=self.applied_revision)
+        listing = await self.record_relays.load(not_before=self.applied_revision)
         if listing is None:
             listing = await self.client.list_all(ALL_KEYS)
-            self.relays.publish(listing)
+            self.record_relays.publish(listing)
         return self._apply_listing(listing)
 
     async def _watch(self, after: int) -> int:
-        listing = await self.relays.watch(after)
+        listing = await self.record_relays.watch(after)
         pause_s = BATCH_DELAY_S
         if listing is None:
             listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
-            self.relays.publish(listing)
+            self.record_relays.publish(listing)
             pause_s += min(
                 MAX_BATCH_DELAY_S, BATCH_DELAY_PER_INSTANCE_S * self.directory.instance_count
             )
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -21,7 +21,7 @@
     directory,
     failover_watch,
     forwarded,
-    relay_source,
+    record_source,
     service,
     session,
 )
@@ -55,12 +55,12 @@
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
         )
-        self.records = relay_source.RelaySource(directory=self.directory)
+        self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
             directory=self.directory, registry=self.registry, feed=self.records.feed
         )
         self.follower = follower.Follower(
-            client=self.client, directory=self.directory, relays=self.records
+            client=self.client, directory=self.directory, record_relays=self.records
         )
         peer_address = datagrams.PeerAddress(host=config.peers.host, port=config.peers.port)
         self.coordination = coordination.Coordination(
--- a/src/mustardswitch/proxy/relay_source.py
+++ b/src/mustardswitch/proxy/record_source.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mustardswitch.internal import change_log, clock, ids, relays
+from mustardswitch.internal import change_log, clock, ids, record_relays
 from mustardswitch.peers import errors, record_relay
 from mustardswitch.proxy import directory
 
@@ -13,7 +13,7 @@
 LOAD_RETRY_S = 0.2
 
 
-class RelaySource:
+class RecordSource:
     """Reads the store's records from the relays of the zone, if this instance is not one itself."""
 
     def __init__(
@@ -24,10 +24,10 @@
         self.follower = record_relay.RelayFollower()
 
     def __repr__(self) -> str:
-        return f"RelaySource(directory={self.directory!r})"
+        return f"RecordSource(directory={self.directory!r})"
 
     def _order(self, avoided: frozenset[ids.InstanceId]) -> list[ids.InstanceId]:
-        return relays.relay_order(
+        return record_relays.relay_order(
             self.directory.candidates(),
             instance=self.directory.instance,
             zone=self.directory.location.zone,
--- a/tests/decisions/test_relays.py
+++ b/tests/decisions/test_record_relays.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from mustardswitch.internal import change_log, gateways, relays
+from mustardswitch.internal import change_log, gateways, record_relays
 from mustardswitch.peers import errors, record_codec, relay_codec
 from tests.common import builders
 
@@ -14,26 +14,26 @@
 @pytest.mark.parametrize("zone_instances", [4, 12, 33, 173])
 def test_a_zone_has_enough_relays_for_its_followers(zone_instances):
     candidates = builders.candidates(zones=1, per_zone=zone_instances)
-    chosen = relays.relays_in_zone(candidates, candidates[0].zone)
+    chosen = record_relays.relays_in_zone(candidates, candidates[0].zone)
     followers = zone_instances - len(chosen)
-    assert len(chosen) >= relays.MIN_RELAYS
-    assert math.ceil(followers / len(chosen)) <= relays.FOLLOWERS_PER_RELAY
+    assert len(chosen) >= record_relays.MIN_RELAYS
+    assert math.ceil(followers / len(chosen)) <= record_relays.FOLLOWERS_PER_RELAY
 
 
 def test_a_fleet_of_1036_instances_has_few_store_followers():
     candidates = builders.candidates(zones=6, per_zone=173)
     store_followers = sum(
-        len(relays.relays_in_zone(candidates, zone))
+        len(record_relays.relays_in_zone(candidates, zone))
         for zone in {candidate.zone for candidate in candidates}
     )
-    assert store_followers <= 1036 / relays.FOLLOWERS_PER_RELAY + 6
+    assert store_followers <= 1036 / record_relays.FOLLOWERS_PER_RELAY + 6
 
 
 def test_every_instance_of_a_small_zone_follows_the_store():
     candidates = builders.candidates(zones=3, per_zone=3)
-    assert not relays.relays_in_zone(candidates, candidates[0].zone)
+    assert not record_relays.relays_in_zone(candidates, candidates[0].zone)
     for candidate in candidates:
-        assert not relays.relay_order(
+        assert not record_relays.relay_order(
             candidates, instance=candidate.instance, zone=candidate.zone, avoided=()
         )
 
@@ -41,14 +41,16 @@
 def test_followers_spread_over_relays_and_pass_over_avoided_ones():
     candidates = builders.candidates(zones=1, per_zone=40)
     zone = candidates[0].zone
-    chosen = relays.relays_in_zone(candidates, zone)
+    chosen = record_relays.relays_in_zone(candidates, zone)
     first = {}
     for candidate in candidates:
-        order = relays.relay_order(candidates, instance=candidate.instance, zone=zone, avoided=())
+        order = record_relays.relay_order(
+            candidates, instance=candidate.instance, zone=zone, avoided=()
+        )
         assert bool(order) == (candidate.instance not in chosen)
         if order:
             first.setdefault(order[0], []).append(candidate.instance)
-            without = relays.relay_order(
+            without = record_relays.relay_order(
                 candidates, instance=candidate.instance, zone=zone, avoided={order[0]}
             )
             assert without == order[1:]
@@ -58,19 +60,23 @@
 def test_the_loss_of_a_relay_moves_only_its_followers():
     candidates = builders.candidates(zones=1, per_zone=20)
     zone = candidates[0].zone
-    lost = relays.relays_in_zone(candidates, zone)[0]
+    lost = record_relays.relays_in_zone(candidates, zone)[0]
     remaining = [each for each in candidates if each.instance != lost]
     for candidate in remaining:
-        before = relays.relay_order(candidates, instance=candidate.instance, zone=zone, avoided=())
-        after = relays.relay_order(remaining, instance=candidate.instance, zone=zone, avoided=())
+        before = record_relays.relay_order(
+            candidates, instance=candidate.instance, zone=zone, avoided=()
+        )
+        after = record_relays.relay_order(
+            remaining, instance=candidate.instance, zone=zone, avoided=()
+        )
         if before and after and before[0] != lost:
             assert after[0] == before[0] or after[0] not in before
 
 
 def test_a_relay_that_lost_the_store_or_lags_is_left():
-    assert relays.is_current(available=True, age_s=relays.MAX_AGE_S)
-    assert not relays.is_current(available=True, age_s=relays.MAX_AGE_S + 0.1)
-    assert not relays.is_current(available=False, age_s=0.0)
+    assert record_relays.is_current(available=True, age_s=record_relays.MAX_AGE_S)
+    assert not record_relays.is_current(available=True, age_s=record_relays.MAX_AGE_S + 0.1)
+    assert not record_relays.is_current(available=False, age_s=0.0)
 
 
 CHANGES = st.lists(st.tuples(st.sampled_from("abcde"), st.booleans()), min_size=1, max_size=30)
@@ -151,6 +157,20 @@
             decode(text.encode())
 
 
+@pytest.mark.parametrize("seconds", ["NaN", "Infinity", "-1", "1e999"])
+def test_a_duration_that_would_upset_timers_is_rejected(seconds):
+    """A timer that is not a number leaves the event loop's timers out of order."""
+    request = f'{{"records":{{"after":1,"wait_s":{seconds}}}}}'.encode()
+    with pytest.raises(errors.InvalidFrameError):
+        record_codec.decode_request(request)
+    statement = (
+        f'{{"request":"r","database":"d","command":["commit"],"age_s":{seconds},"values":{{}},'
+        '"own":null,"begin":""}'
+    ).encode()
+    with pytest.raises(errors.InvalidFrameError):
+        relay_codec.decode_forwarded(statement)
+
+
 def test_a_compressed_body_of_unbounded_size_is_rejected(monkeypatch):
     monkeypatch.setattr(record_codec, "MAX_ITEMS_BYTES", 1000)
     frame = record_codec.encode_items((change_log.Item(key="k", value=b"x" * 5000, revision=1),))
--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mustardswitch.internal import gateways, ids, relays
+from mustardswitch.internal import gateways, ids, record_relays
 from mustardswitch_standins import platform_deployment
 
 
@@ -119,7 +119,7 @@
         )
         for name in names
     ]
-    relay_names = relays.relays_in_zone(candidates, ids.ZoneName("a"))
+    relay_names = record_relays.relays_in_zone(candidates, ids.ZoneName("a"))
     await _rename_database(deployment, 9, "db-first")
     async with asyncio.timeout(20.0):
         for instance in started.values():
--- a/tests/proxy/test_relay_source.py
+++ b/tests/proxy/test_record_source.py
@@ -5,15 +5,15 @@
 import pytest
 
 from mustardswitch import metrics
-from mustardswitch.internal import change_log, clock, gateways, ids, relays
+from mustardswitch.internal import change_log, clock, gateways, ids, record_relays
 from mustardswitch.peers import datagrams, record_codec, record_relay, relay_server
-from mustardswitch.proxy import directory, relay_source
+from mustardswitch.proxy import directory, record_source
 from mustardswitch_standins import fleet
 from tests.common import proxy_world
 
 ZONE = ids.ZoneName("a")
 NAMES = [ids.InstanceId(f"i{number}") for number in range(6)]
-RELAYS = relays.relays_in_zone(
+RELAYS = record_relays.relays_in_zone(
     [gateways.Candidate(instance=name, zone=ZONE, region=ids.RegionName("r")) for name in NAMES],
     ZONE,
 )
@@ -44,7 +44,7 @@
             peer = directory.Peer(zone=ZONE, address=self.addresses.get(name))
             world.directory.instances.put(name, peer)
         world.directory.instances.entries.pop("one")
-        self.source = relay_source.RelaySource(directory=world.directory)
+        self.source = record_source.RecordSource(directory=world.directory)
 
     async def start(self, name) -> None:
         server = relay_server.RelayServer(
@@ -107,7 +107,7 @@
 
 
 async def test_a_follower_leaves_a_relay_that_runs_but_does_not_hear_from_the_store(running):
-    running.publish(_listing(revision=1, complete=True), age_s=relays.MAX_AGE_S)
+    running.publish(_listing(revision=1, complete=True), age_s=record_relays.MAX_AGE_S)
     assert await running.source.watch(1) is None
 
 
@@ -140,13 +140,13 @@
 
 
 async def test_an_instance_lists_the_store_itself_when_no_relay_starts(monkeypatch):
-    monkeypatch.setattr(relay_source, "LOAD_WAIT_S", 0.1)
+    monkeypatch.setattr(record_source, "LOAD_WAIT_S", 0.1)
     started = Fleet()
     assert await started.source.load(not_before=0) is None
 
 
 async def test_a_relay_behind_this_instance_does_not_bring_removed_keys_back(monkeypatch, running):
-    monkeypatch.setattr(relay_source, "LOAD_WAIT_S", 0.1)
+    monkeypatch.setattr(record_source, "LOAD_WAIT_S", 0.1)
     running.publish(_listing(_item("gone", 3), revision=5, complete=True))
     assert await running.source.load(not_before=6) is None
 
