--- a/src/mustardswitch/instance/gateway_manager.py
+++ b/src/mustardswitch/instance/gateway_manager.py
@@ -192,13 +192,16 @@
     def peer_disconnected(self, owner: transactions.TransactionOwner) -> None:
         """Roll back the open transactions of an owner that disconnected."""
         owner.disconnected = True
-        for gateway in (*self.gateways.values(), *self.released):
+        for gateway in self._all_gateways():
             gateway.roll_back_owner(owner)
 
     @property
     def is_idle(self) -> bool:
         """Whether no gateway has a statement in flight or an open transaction."""
-        return all(gateway.is_idle for gateway in (*self.gateways.values(), *self.released))
+        return all(gateway.is_idle for gateway in self._all_gateways())
+
+    def _all_gateways(self) -> list[group_gateway.GroupGateway]:
+        return [*self.gateways.values(), *self.released]
 
     async def close(self) -> None:
         """Close every gateway."""
--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -42,8 +42,9 @@
 
 def encode_request(request: RecordRequest) -> bytes:
     """Encode a request as a frame."""
-    fields = {"records": {"after": request.after, "wait_s": request.wait_s}}
-    return relay_codec.encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+    return relay_codec.encode_fields(
+        {"records": {"after": request.after, "wait_s": request.wait_s}}
+    )
 
 
 def is_request(body: bytes) -> bool:
@@ -66,13 +67,14 @@
 
 def encode_header(header: RecordHeader) -> bytes:
     """Encode the header of an answer as a frame."""
-    fields = {
-        "available": header.available,
-        "age_s": header.age_s,
-        "revision": header.revision,
-        "complete": header.complete,
-    }
-    return relay_codec.encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+    return relay_codec.encode_fields(
+        {
+            "available": header.available,
+            "age_s": header.age_s,
+            "revision": header.revision,
+            "complete": header.complete,
+        }
+    )
 
 
 def decode_header(body: bytes) -> RecordHeader:
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -99,7 +99,7 @@
 def encode_forwarded(forwarded: ForwardedStatement) -> bytes:
     """Encode a statement as a frame."""
     session_commit = forwarded.session_commit
-    return _encode_fields(
+    return encode_fields(
         {
             "request": forwarded.request,
             "database": forwarded.database,
@@ -143,7 +143,7 @@
 
 def encode_answer(answer: requests.Answer) -> bytes:
     """Encode an answer as a frame."""
-    return _encode_fields(
+    return encode_fields(
         {
             "rows": answer.rows,
             "signature": answer.signature,
@@ -172,7 +172,8 @@
         raise errors.InvalidFrameError(f"invalid answer: {error}") from error
 
 
-def _encode_fields(fields: dict[str, object]) -> bytes:
+def encode_fields(fields: dict[str, object]) -> bytes:
+    """Return a frame that holds fields as JSON."""
     return encode_frame(json.dumps(fields, separators=(",", ":")).encode())
 
 
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -99,9 +99,9 @@
     async def _run(
         self, gateway_session: "_GatewaySession", forwarded: relay_codec.ForwardedStatement
     ) -> requests.Answer:
-        starts_work = bool(forwarded.begin) or gateway_session.transaction is None
         ends_transaction = isinstance(forwarded.command, requests.Commit | requests.Rollback)
-        if self.draining and starts_work and (forwarded.begin or not ends_transaction):
+        continues = gateway_session.transaction is not None or ends_transaction
+        if self.draining and (forwarded.begin or not continues):
             return requests.refuse(requests.Refusal.LEAVING, "this gateway is stopping")
         gateway_session.busy = True
         try:
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -195,11 +195,7 @@
         command: requests.Plain | ports.RunPrepared,
     ) -> requests.Answer:
         """Run one statement of the transaction."""
-        begin = ""
-        if self.connection is None:
-            self.service = context.service
-            begin = "read" if self.read_only else "write"
-        answer = await self._begin_at_first(context, command, begin)
+        answer = await self._begin_or_continue(context, command)
         if answer.succeeded:
             self.wrote = self.wrote or command.access is requests.Access.WRITE
             return dataclasses.replace(answer, state=OPEN)
@@ -207,18 +203,21 @@
         self.failed = True
         return dataclasses.replace(answer, state=FAILED)
 
-    async def _begin_at_first(
+    async def _begin_or_continue(
         self,
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared | requests.Commit,
-        begin: str,
     ) -> requests.Answer:
-        """Execute a statement; one that begins the transaction moves on from a leaving gateway."""
+        """Execute a statement; the first one begins the transaction, past gateways that leave."""
+        if self.connection is not None:
+            return await self._execute(context, command)
+        self.service = context.service
         while True:
-            if begin:
-                await self._connect(context)
-            answer = await self._execute(context, command, begin)
-            if not begin or answer.refusal is not requests.Refusal.LEAVING:
+            await self._connect(context)
+            answer = await self._execute(
+                context, command, begin="read" if self.read_only else "write"
+            )
+            if answer.refusal is not requests.Refusal.LEAVING:
                 return answer
             self.forwarder.note_failure(self.gateway, context, answer.detail)
             self.gateways = [gateway for gateway in self.gateways if gateway != self.gateway]
@@ -238,7 +237,8 @@
         self,
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared | requests.Commit,
-        begin: str,
+        *,
+        begin: str = "",
     ) -> requests.Answer:
         if self.connection is None:
             return requests.refuse(requests.Refusal.OVERLOADED, "no gateway can be reached")
@@ -259,10 +259,7 @@
 
     async def commit(self, context: statement_context.StatementContext) -> requests.Answer:
         """Commit; without an answer the outcome is unknown if the transaction has written."""
-        begin = ""
-        if self.connection is None:
-            begin = "read" if self.read_only else "write"
-        answer = await self._begin_at_first(context, requests.Commit(), begin)
+        answer = await self._begin_or_continue(context, requests.Commit())
         sent = self.gateway is not None
         if sent and self.connection is None and self.wrote:
             answer = dataclasses.replace(answer, refusal=requests.Refusal.OUTCOME_UNKNOWN)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -63,9 +63,6 @@
     since_s: float
 
 
-NOT_LISTED = "not listed"
-
-
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -108,8 +105,11 @@
             del self.unlisted[name]
         for backend in list(self.servers.values()):
             entry = listed.get(backend.server)
-            if entry is None or entry.started_ms != backend.entry.started_ms:
-                self._remove(backend, NOT_LISTED if entry is None else "started anew")
+            if entry is None:
+                self._note_unlisted(backend)
+                self._remove(backend, "not listed")
+            elif entry.started_ms != backend.entry.started_ms:
+                self._remove(backend, "started anew")
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
@@ -151,23 +151,27 @@
 
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
-        expired = why == NOT_LISTED and not backend.entry.leaving
-        if expired and backend.entry.role is promotion.Role.REPLICA:
-            self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=clock.now_s())
         self.leadership.forget(backend.server)
         backend.close()
         events.log(events.Event.SERVER_GONE, service=self.name, server=backend.server, reason=why)
 
-    def unlisted_replicas(self) -> dict[ids.ServerId, server.Server]:
-        """Return the replicas whose entries expired within ``UNLISTED_RETENTION_S``.
+    def _note_unlisted(self, backend: server.Server) -> None:
+        if not backend.entry.leaving and backend.entry.role is promotion.Role.REPLICA:
+            self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=clock.now_s())
+
+    def servers_with_commits(self) -> dict[ids.ServerId, server.Server]:
+        """Return the servers that may hold acknowledged commits.
 
-        A replica that is cut off from the store loses its entry, and may still confirm commits.
+        These are the listed ones and the replicas whose entries expired within
+        ``UNLISTED_RETENTION_S``: a replica that is cut off from the store loses its entry, and may
+        still confirm commits.
         """
         oldest_s = clock.now_s() - UNLISTED_RETENTION_S
         self.unlisted = {
             name: replica for name, replica in self.unlisted.items() if replica.since_s > oldest_s
         }
-        return {name: replica.backend for name, replica in self.unlisted.items()}
+        expired = {name: replica.backend for name, replica in self.unlisted.items()}
+        return expired | self.servers
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -91,7 +91,7 @@
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
-        await self._resume(self._known())
+        await self._resume(set(self.target.servers_with_commits()))
 
     def _holds_claim(self) -> bool:
         """Return whether no other instance can hold the claim yet."""
@@ -101,17 +101,7 @@
 
     def _answering(self, primary: ids.ServerId | None, silent: bool) -> set[ids.ServerId]:
         """Return the servers that may answer: all but a ``silent`` primary."""
-        return self._known() - ({primary} if silent else set())
-
-    def _known(self) -> set[ids.ServerId]:
-        """Return the servers listed now, and replicas whose entries expired lately.
-
-        The latter may hold commits that no listed server has.
-        """
-        return set(self.target.servers) | set(self.target.unlisted_replicas())
-
-    def _server(self, name: ids.ServerId) -> server.Server | None:
-        return self.target.servers.get(name) or self.target.unlisted_replicas().get(name)
+        return set(self.target.servers_with_commits()) - ({primary} if silent else set())
 
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
         statuses = await self._query_all(self._answering(primary, silent))
@@ -136,7 +126,7 @@
         statuses: collections.abc.Mapping[ids.ServerId, promotion.ServerStatus],
         term: ids.Term,
     ) -> promotion.Choice:
-        expected = self._known() - {primary}
+        expected = set(self.target.servers_with_commits()) - {primary}
         replicas = {
             name: status
             for name, status in statuses.items()
@@ -173,7 +163,7 @@
     async def _decide_after_failure(
         self, primary: ids.ServerId | None, term: ids.Term
     ) -> promotion.Choice:
-        expected = self._known() - {primary}
+        expected = set(self.target.servers_with_commits()) - {primary}
         paused: dict[ids.ServerId, promotion.ServerStatus] = {}
         started_s = clock.now_s()
         while True:
@@ -242,7 +232,7 @@
         answers: dict[ids.ServerId, promotion.ServerStatus] = {}
 
         async def query_one(name: ids.ServerId) -> None:
-            backend = self._server(name)
+            backend = self.target.servers_with_commits().get(name)
             if backend is None:
                 return
             try:
@@ -264,7 +254,7 @@
         """Resume servers while the claim holds, and close the connections of this attempt."""
 
         async def resume(name: ids.ServerId) -> None:
-            backend = self._server(name)
+            backend = self.target.servers_with_commits().get(name)
             if backend is None:
                 return
             try:
--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -84,20 +84,12 @@
 
 async def test_a_new_configuration_is_in_force_soon(deployment):
     instance = await deployment.start_instance("one")
-    changed = json.loads(json.dumps(platform_deployment.CONFIGURATION))
-    changed["version"] = 9
-    changed["routes"][0]["host"] = "db-new"
-    deployment.store.put("op/config", json.dumps(changed).encode())
-
-    async def served() -> None:
-        while (await instance.session("db-new")).greeting != "READY I -":
-            await asyncio.sleep(0.05)
-
-    await asyncio.wait_for(served(), 10.0)
+    _rename_database(deployment, 9, "db-new")
+    await asyncio.wait_for(_wait_until_served(instance, "db-new"), 10.0)
     assert (await instance.session("db-primary")).greeting.startswith("ERROR NODB")
 
 
-async def _rename_database(deployment, version, name):
+def _rename_database(deployment, version, name):
     changed = json.loads(json.dumps(platform_deployment.CONFIGURATION))
     changed["version"] = version
     changed["routes"][0]["host"] = name
@@ -120,13 +112,13 @@
         for name in names
     ]
     relay_names = record_relays.relays_in_zone(candidates, ids.ZoneName("a"))
-    await _rename_database(deployment, 9, "db-first")
+    _rename_database(deployment, 9, "db-first")
     async with asyncio.timeout(20.0):
         for instance in started.values():
             await _wait_until_served(instance, "db-first")
     lost = started.pop(relay_names[0])
     lost.process.send_signal(fault)
-    await _rename_database(deployment, 12, "db-second")
+    _rename_database(deployment, 12, "db-second")
     async with asyncio.timeout(20.0):
         for instance in started.values():
             await _wait_until_served(instance, "db-second")
