--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -83,6 +83,15 @@
     """The store dropped changes that were not read yet; all records are listed again."""
     STORE_CALL_FAILED = EventKind(213, logbook.WARNING, "call to the store failed")
     """A call got no answer or was rejected; it is retried."""
+    STORE_RESTORED = EventKind(214, logbook.WARNING, "store restored from a copy")
+    """The store's answers carry a new era: it lost its latest changes and gives out their revisions
+    again."""
+    LISTING_SKIPPED = EventKind(215, logbook.INFO, "listing not applied")
+    """Records that a relay or the store sent are older than those that are in force here."""
+    RECORD_SKIPPED = EventKind(216, logbook.INFO, "record not applied")
+    """A record is older than the one of its key that is in force here."""
+    CONFIGURATION_SKIPPED = EventKind(217, logbook.INFO, "older configuration not applied")
+    """The store holds an older version of the configuration than the one in force here."""
     REGISTERED = EventKind(310, logbook.INFO, "instance registered")
     """The other instances can see this one in the store."""
     REGISTRATION_LOST = EventKind(311, logbook.WARNING, "registration lost")
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -91,6 +91,8 @@
             events.log(
                 events.Event.STORE_AVAILABLE,
                 out_s=round(clock.now_s() - self.last_available_s, 3),
+                applied_revision=self.applied_revision,
+                era=self.client.era,
             )
         self.available = True
         self.last_available_s = clock.now_s()
@@ -125,6 +127,13 @@
         self._note_available()
         if listing.revision < self.applied_revision:
             # A relay that is behind this instance; its answer could bring removed keys back.
+            events.log(
+                events.Event.LISTING_SKIPPED,
+                revision=listing.revision,
+                applied_revision=self.applied_revision,
+                era=self.client.era,
+                complete=listing.complete,
+            )
             return self.applied_revision
         if listing.complete:
             listed = {item.key for item in listing.items}
@@ -148,7 +157,15 @@
         An invalid record is logged and counted, and the last valid record of its key stays in
         effect.
         """
-        if item.revision < self.revisions.get(item.key, 0):
+        applied = self.revisions.get(item.key, 0)
+        if item.revision < applied:
+            events.log(
+                events.Event.RECORD_SKIPPED,
+                key=item.key,
+                revision=item.revision,
+                applied_revision=applied,
+                era=self.client.era,
+            )
             return
         if item.value is None:
             self.revisions.pop(item.key, None)
--- a/src/mustardswitch/platform/http.py
+++ b/src/mustardswitch/platform/http.py
@@ -15,10 +15,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
-    """Status and body of an HTTP response."""
+    """Status, body and headers of an HTTP response; the names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: collections.abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Connection:
@@ -110,6 +111,7 @@
     ) -> Response:
         loop = asyncio.get_running_loop()
         status = 0
+        headers: dict[str, str] = {}
         parts: list[bytes] = []
         while True:
             event = protocol.next_event()
@@ -118,11 +120,14 @@
                 timer.reschedule(loop.time() + timeout_s)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode("ascii"): value.decode("latin-1") for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 if sum(map(len, parts)) > MAX_BODY_BYTES:
                     raise EOFError("the response is too large")
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status=status, body=b"".join(parts))
+                return Response(status=status, body=b"".join(parts), headers=headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("the connection was closed")
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -7,6 +7,7 @@
 import json
 import urllib.parse
 
+from mustardswitch import events
 from mustardswitch.internal import change_log
 from mustardswitch.platform import errors, http
 from mustardswitch.proxy import errors as proxy_errors
@@ -15,6 +16,8 @@
 """Covers the store's usual answer time of 4 ms, slow answers and the round trip between regions."""
 WATCH_SLACK_S = 1.0
 """Time beyond the wait of a watch after which its connection is considered dead."""
+ERA_HEADER = "store-era"
+"""Header whose number rises each time the store is restored from a copy."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +43,8 @@
     def __init__(self, *, host: str, port: int) -> None:
         self.calls = http.Connection(host=host, port=port)
         self.watches = http.Connection(host=host, port=port)
+        self.era = 0
+        """Latest era that an answer carried; 0 before the first one."""
 
     def __repr__(self) -> str:
         return f"Store(host={self.calls.host!r}, port={self.calls.port!r})"
@@ -68,10 +73,19 @@
             decoded = json.loads(response.body) if response.body else {}
         except (errors.CallError, ValueError) as error:
             raise proxy_errors.StoreError(str(error)) from error
+        self._note_era(response)
         if response.status in (429, 503) or response.status >= 500:
             raise proxy_errors.StoreError(f"{method} {path}: status {response.status}")
         return response.status, decoded if isinstance(decoded, dict) else {}
 
+    def _note_era(self, response: http.Response) -> None:
+        era = response.headers.get(ERA_HEADER, "")
+        if not era.isdecimal() or int(era) <= self.era:
+            return
+        if self.era:
+            events.log(events.Event.STORE_RESTORED, era=int(era), before=self.era)
+        self.era = int(era)
+
     async def read(self, key: str) -> change_log.Item | None:
         """Return the item of a key, or None when the key does not exist."""
         status, body = await self._call("GET", "/kv-key", query={"key": key})
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -104,6 +104,12 @@
         """Apply a configuration unless the same or a newer version is in force."""
         previous = self.configuration.version if self.configuration is not None else None
         if previous is not None and configuration.version <= previous:
+            if configuration.version < previous:
+                events.log(
+                    events.Event.CONFIGURATION_SKIPPED,
+                    version=configuration.version,
+                    applied_version=previous,
+                )
             return
         self.configuration = configuration
         events.log(
