--- a/src/mustardswitch_standins/http_store.py
+++ b/src/mustardswitch_standins/http_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import collections.abc
 import dataclasses
 import json
@@ -25,6 +26,15 @@
     lease: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Copy:
+    """The keys, leases and revision of a store at one moment."""
+
+    keys: dict[str, Key]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+
+
 class HttpStore:
     """Keys and leases in memory; while ``down`` is set, every call fails without an answer."""
 
@@ -33,6 +43,10 @@
         self.keys: dict[str, Key] = {}
         self.history: list[dict] = []
         self.revision = 1
+        self.era = 1
+        """Number of the copy from which the store was last restored; every answer carries it."""
+        self.calls: collections.Counter[str] = collections.Counter()
+        """Calls received, by path without an id."""
         self.leases: dict[int, tuple[float, float]] = {}
         """Time to live and expiry time of each lease, in seconds."""
         self.changed = asyncio.Event()
@@ -53,6 +67,20 @@
         """Stop listening; open connections stay."""
         self.server.close()
 
+    def copy(self) -> Copy:
+        """Return a copy of the present state, for ``restore``."""
+        keys = {key: dataclasses.replace(existing) for key, existing in self.keys.items()}
+        return Copy(keys=keys, leases=dict(self.leases), revision=self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy; later changes are lost and their revisions are given out again."""
+        self.keys = {key: dataclasses.replace(existing) for key, existing in copy.keys.items()}
+        self.leases = dict(copy.leases)
+        self.history = [event for event in self.history if event["revision"] <= copy.revision]
+        self.revision = copy.revision
+        self.era += 1
+        self._wake()
+
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key at a new revision, without a comparison."""
         self.revision += 1
@@ -77,6 +105,9 @@
 
     def _append_event(self, event: dict) -> None:
         self.history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -110,12 +141,12 @@
                 path, _, query = request.target.decode().partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 self._expire()
+                self.calls["/".join(path.split("/")[:2])] += 1
                 headers = {name.decode(): value.decode() for name, value in request.headers}
                 status, answer = await self._answer(path, fields, body, headers)
                 data = json.dumps(answer).encode()
-                head = h11.Response(
-                    status_code=status, headers=[("Content-Length", str(len(data)))]
-                )
+                fields = [("Content-Length", str(len(data))), ("Store-Era", str(self.era))]
+                head = h11.Response(status_code=status, headers=fields)
                 writer.write(
                     protocol.send(head)
                     + protocol.send(h11.Data(data=data))
@@ -179,11 +210,14 @@
 
     async def _watch(self, after: int, wait_s: float) -> tuple[int, dict]:
         end_s = time.monotonic() + wait_s
+        era = self.era
         if self.not_receiving:
             await asyncio.sleep(wait_s)
             return 200, {"events": [], "store_revision": after}
         while True:
             self._expire()
+            if after > self.revision or era != self.era:
+                return 410, {}
             events = [event for event in self.history if event["revision"] > after]
             remaining_s = end_s - time.monotonic()
             if events or remaining_s <= 0:
--- /dev/null
+++ b/tests/common/store_world.py
@@ -0,0 +1,79 @@
+"""A follower of a stand-in store, over real connections."""
+
+import asyncio
+import collections.abc
+
+from mustardswitch import metrics
+from mustardswitch.internal import clock, ids
+from mustardswitch.platform import follower, store
+from mustardswitch.proxy import directory, service
+from mustardswitch_standins import http_store, platform_deployment
+from tests.common import platform_records
+
+
+async def fail_to_open(entry):
+    """Reject a connection to a server."""
+    raise AssertionError("these tests open no connection")
+
+
+def build_directory(instance: str = "one") -> directory.Directory:
+    """Build the empty directory of an instance."""
+    return directory.Directory(
+        instance=ids.InstanceId(instance),
+        location=service.Location(zone=ids.ZoneName("puget-a"), regions={}),
+        opener=fail_to_open,
+        registry=metrics.Registry(),
+    )
+
+
+class StoreWorld:
+    """A stand-in store with a configuration, and one instance's follower of it."""
+
+    def __init__(self) -> None:
+        self.port = platform_deployment.free_port()
+        self.store = http_store.HttpStore(promote=lambda service, server, token: False)
+        self.directory = build_directory()
+        self.client = self.open_client()
+        self.follower = follower.Follower(client=self.client, directory=self.directory)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def open_client(self) -> store.Store:
+        """Return another client of the store."""
+        return store.Store(host="127.0.0.1", port=self.port)
+
+    async def start(self) -> None:
+        """Start the store and the follower, and wait until the configuration is in force."""
+        await self.store.start(self.port)
+        self.configure(version=7)
+        self.tasks.append(asyncio.create_task(self.follower.run()))
+        await self.follower.loaded.wait()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.client.close()
+        self.store.close()
+
+    def configure(self, *, version: int) -> None:
+        """Write a version of the configuration to the store."""
+        configuration = platform_records.configuration(version=version)
+        self.store.put("op/config", configuration)
+
+    def put_server(self, name: str, **changes: object) -> None:
+        """Write the entry of a server to the store."""
+        entry = platform_records.server_entry(**changes)
+        self.store.put(f"servers/{name}", entry)
+
+    async def follow_to(self, revision: int) -> None:
+        """Wait until the follower has applied a revision of the store."""
+        await wait_until(lambda: self.follower.applied_revision >= revision)
+
+
+async def wait_until(reached: collections.abc.Callable[[], bool], *, within_s: float = 4.0) -> None:
+    """Wait until a condition holds; raises AssertionError if it does not within a time."""
+    ends_s = clock.now_s() + within_s
+    while not reached():
+        assert clock.now_s() < ends_s, f"not reached within {within_s} s"
+        await asyncio.sleep(0.02)
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -8,51 +8,17 @@
 import pytest
 from hypothesis import strategies as st
 
-from mustardswitch import metrics
 from mustardswitch.internal import change_log, clock, ids, promotion
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import coordination, errors, follower, http, records, settings, store
-from mustardswitch.proxy import directory, ports, requests, service
+from mustardswitch.proxy import directory, ports, requests
 from mustardswitch.proxy import errors as proxy_errors
 from mustardswitch_standins import http_store, platform_deployment
-
-ENTRY = {
-    "service": "huvo11a",
-    "addr": "10.128.0.9:8080",
-    "zone": "puget-a",
-    "version": "v1",
-    "slots": 3,
-    "state": "ready",
-    "warmup_left_ms": 0,
-    "db_role": "replica",
-    "born": 1700000000000,
-    "seq": 4,
-}
-ROUTE = {
-    "name": "r-1",
-    "host": "fiti832",
-    "prefix": "/",
-    "type": "read_your_writes",
-    "timeout_ms": 800,
-    "target_latency_ms": 1000,
-    "priority": 2,
-    "service": "huvo11a",
-    "max_staleness_ms": 2500,
-}
-CONFIGURATION = {
-    "version": 7,
-    "routes": [ROUTE],
-    "services": [{"name": "huvo11a", "max_conns": 23, "sync_replicas": 1}],
-    "limits": {"tx_idle_ms": 3000},
-}
-
-
-def _encode(record: dict, **changes: object) -> bytes:
-    return json.dumps({**record, **changes}).encode()
+from tests.common import platform_records, store_world
 
 
 def test_reads_the_entry_of_a_server():
-    entry = records.decode_server("servers/i-1", _encode(ENTRY), 5)
+    entry = records.decode_server("servers/i-1", platform_records.server_entry(), 5)
     assert entry.server == "i-1"
     assert (entry.host, entry.port) == ("10.128.0.9", 8080)
     assert entry.role is promotion.Role.REPLICA
@@ -74,7 +40,7 @@
 )
 def test_rejects_an_invalid_entry_naming_field_and_remedy(changes, words):
     with pytest.raises(errors.InvalidRecordError) as raised:
-        records.decode_server("servers/i-1", _encode(ENTRY, **changes), 5)
+        records.decode_server("servers/i-1", platform_records.server_entry(**changes), 5)
     assert words in str(raised.value)
     assert "i-1" in str(raised.value)
 
@@ -88,7 +54,7 @@
 
 
 def test_reads_the_operators_configuration():
-    decoded = records.decode_configuration(_encode(CONFIGURATION))
+    decoded = records.decode_configuration(platform_records.configuration())
     route = decoded.routes[ids.DatabaseName("fiti832")]
     assert route.kind is requests.RouteKind.READ_YOUR_WRITES
     assert route.statement_timeout_s == 0.8
@@ -99,16 +65,9 @@
 
 @pytest.fixture
 def followed() -> follower.Follower:
-    async def fail_to_open(entry):
-        raise AssertionError("these tests open no connection")
-
-    empty = directory.Directory(
-        instance=ids.InstanceId("one"),
-        location=service.Location(zone=ids.ZoneName("puget-a"), regions={}),
-        opener=fail_to_open,
-        registry=metrics.Registry(),
+    return follower.Follower(
+        client=store.Store(host="127.0.0.1", port=1), directory=store_world.build_directory()
     )
-    return follower.Follower(client=store.Store(host="127.0.0.1", port=1), directory=empty)
 
 
 def _item(key: str, value: bytes | None, revision: int) -> change_log.Item:
@@ -116,23 +75,23 @@
 
 
 def test_an_invalid_record_leaves_the_last_valid_one_in_effect(followed):
-    followed.apply(_item("servers/i-1", _encode(ENTRY), 5))
+    followed.apply(_item("servers/i-1", platform_records.server_entry(), 5))
     followed.apply(_item("servers/i-1", b"broken", 6))
     assert followed.directory.servers.entries["i-1"].revision == 5
     assert followed.directory.registry.total("records_rejected") == 1
 
 
 def test_a_late_older_change_is_not_applied(followed):
-    followed.apply(_item("servers/i-1", _encode(ENTRY, db_role="primary"), 9))
-    followed.apply(_item("servers/i-1", _encode(ENTRY), 5))
+    followed.apply(_item("servers/i-1", platform_records.server_entry(db_role="primary"), 9))
+    followed.apply(_item("servers/i-1", platform_records.server_entry(), 5))
     assert followed.directory.servers.entries["i-1"].role is promotion.Role.PRIMARY
     followed.apply(_item("servers/i-1", None, 7))
     assert "i-1" in followed.directory.servers.entries
 
 
 def test_an_older_configuration_is_not_applied(followed):
-    followed.apply(_item("op/config", _encode(CONFIGURATION, version=9), 9))
-    followed.apply(_item("op/config", _encode(CONFIGURATION, version=8), 10))
+    followed.apply(_item("op/config", platform_records.configuration(version=9), 9))
+    followed.apply(_item("op/config", platform_records.configuration(version=8), 10))
     assert followed.directory.configuration.version == 9
 
 
@@ -159,14 +118,14 @@
     port = platform_deployment.free_port()
     stand_in = http_store.HttpStore(promote=lambda service, server, token: False)
     await stand_in.start(port)
-    stand_in.put("op/config", _encode(CONFIGURATION))
+    stand_in.put("op/config", platform_records.configuration())
     followed.client = store.Store(host="127.0.0.1", port=port)
     following = asyncio.create_task(followed.run())
     await followed.loaded.wait()
     stand_in.not_receiving = True
     followed.interrupt_watch()
     await asyncio.sleep(0.5)
-    stand_in.put("op/config", _encode(CONFIGURATION, version=9))
+    stand_in.put("op/config", platform_records.configuration(version=9))
     changed_s = clock.now_s()
     await asyncio.sleep(0.3)
     stand_in.not_receiving = False
