Qualify revisions of the store by its era, so that a restored store is read anew

Cause: revisions were compared across the restore. A listing at an earlier revision was taken for one of a relay that is behind; a watch continued after a revision that was given out again, and never reported the changes before it; records of the copy were taken for older ones. Change: a revision holds the era of the answer that named it in its upper bits, so each comparison (follower, change log, relays, conditional changes) orders all of an era after those before it. A watch that is answered in another era, or from before its start, has lost its history. A complete listing of a new era replaces the change log. Between instances era and number are sent apart: an instance of the build before reads the number.

--- a/src/mustardswitch/internal/change_log.py
+++ b/src/mustardswitch/internal/change_log.py
@@ -7,6 +7,8 @@
 import collections.abc
 import dataclasses
 
+from mustardswitch.internal import revisions
+
 MAX_REMOVED_KEYS = 4096
 """Removed keys that are remembered; several times the instances of a large fleet."""
 
@@ -49,6 +51,10 @@
 
     def record(self, listing: Listing) -> None:
         """Record the items of a listing or of a watch."""
+        restored = revisions.era_of(listing.revision) > revisions.era_of(self.revision or 0)
+        if listing.complete and restored:
+            # What was removed in an earlier era may be known to the followers of that era only.
+            self.items, self.removed, self.revision = {}, {}, None
         if self.revision is None:
             self.forgotten_revision = listing.revision
         if listing.complete:
--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -8,7 +8,7 @@
 import json
 import zlib
 
-from mustardswitch.internal import change_log
+from mustardswitch.internal import change_log, revisions
 from mustardswitch.peers import errors, relay_codec
 
 REQUEST_PREFIX = b'{"records":'
@@ -36,6 +36,7 @@
     age_s: float
     """Seconds since the store last confirmed that the sender's records were current."""
     revision: int
+    """Of the sender's records; its era is that of all items."""
     complete: bool
     """Whether the items are all records."""
 
@@ -43,7 +44,13 @@
 def encode_request(request: RecordRequest) -> bytes:
     """Encode a request as a frame."""
     return relay_codec.encode_fields(
-        {"records": {"after": request.after, "wait_s": request.wait_s}}
+        {
+            "records": {
+                "after": None if request.after is None else revisions.number_of(request.after),
+                "wait_s": request.wait_s,
+                "era": revisions.era_of(request.after or 0),
+            }
+        }
     )
 
 
@@ -58,7 +65,7 @@
         fields = json.loads(body)["records"]
         after = fields["after"]
         return RecordRequest(
-            after=None if after is None else int(after),
+            after=None if after is None else _join(fields, after, 0),
             wait_s=relay_codec.decode_seconds(fields["wait_s"]),
         )
     except relay_codec.MALFORMED as error:
@@ -71,41 +78,53 @@
         {
             "available": header.available,
             "age_s": header.age_s,
-            "revision": header.revision,
+            "revision": revisions.number_of(header.revision),
+            "era": revisions.era_of(header.revision),
             "complete": header.complete,
         }
     )
 
 
-def decode_header(body: bytes) -> RecordHeader:
-    """Decode the body of a header's frame; raises InvalidFrameError."""
+def decode_header(body: bytes, *, default_era: int = 0) -> RecordHeader:
+    """Decode the body of a header's frame; raises InvalidFrameError.
+
+    ``default_era`` is the era of a sender that names none, as those of earlier builds do.
+    """
     try:
         fields = json.loads(body)
         return RecordHeader(
             available=bool(fields["available"]),
             age_s=relay_codec.decode_seconds(fields["age_s"]),
-            revision=int(fields["revision"]),
+            revision=_join(fields, fields["revision"], default_era),
             complete=bool(fields["complete"]),
         )
     except relay_codec.MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid header of records: {error}") from error
 
 
+def _join(fields: dict, number: object, default_era: int) -> revisions.Revision:
+    return revisions.join(era=int(fields.get("era", default_era)), number=int(number))
+
+
 def encode_items(items: tuple[change_log.Item, ...]) -> bytes:
     """Encode items as a frame.
 
     Values may hold any bytes and are written as Latin-1 text, which compresses better than base64.
     """
     rows = [
-        [item.key, item.revision, None if item.value is None else item.value.decode("latin-1")]
+        [
+            item.key,
+            revisions.number_of(item.revision),
+            None if item.value is None else item.value.decode("latin-1"),
+        ]
         for item in items
     ]
     body = json.dumps(rows, separators=(",", ":")).encode()
     return relay_codec.encode_frame(zlib.compress(body, COMPRESSION_LEVEL))
 
 
-def decode_items(body: bytes) -> tuple[change_log.Item, ...]:
-    """Decode the body of the items' frame; raises InvalidFrameError."""
+def decode_items(body: bytes, *, era: int = 0) -> tuple[change_log.Item, ...]:
+    """Decode the body of the items' frame, which are of an era; raises InvalidFrameError."""
     try:
         decompressor = zlib.decompressobj()
         text = decompressor.decompress(body, MAX_ITEMS_BYTES)
@@ -114,7 +133,7 @@
         return tuple(
             change_log.Item(
                 key=str(key),
-                revision=int(revision),
+                revision=revisions.join(era=era, number=int(revision)),
                 value=None if value is None else value.encode("latin-1"),
             )
             for key, revision, value in json.loads(text)
--- a/src/mustardswitch/peers/record_relay.py
+++ b/src/mustardswitch/peers/record_relay.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from mustardswitch import events
-from mustardswitch.internal import change_log, clock, ids, recent_failures, record_relays
+from mustardswitch.internal import (
+    change_log,
+    clock,
+    ids,
+    recent_failures,
+    record_relays,
+    revisions,
+)
 from mustardswitch.peers import datagrams, errors, record_codec, relay_codec
 
 MAX_WAIT_S = 1.0
@@ -126,9 +133,15 @@
             request = record_codec.RecordRequest(after=after, wait_s=MAX_WAIT_S)
             self.writer.write(record_codec.encode_request(request))
             async with asyncio.timeout(MAX_WAIT_S + ANSWER_SLACK_S):
-                header = record_codec.decode_header(await relay_codec.read_frame(self.reader))
+                header = record_codec.decode_header(
+                    await relay_codec.read_frame(self.reader),
+                    default_era=revisions.era_of(after or 0),
+                )
+            era = revisions.era_of(header.revision)
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                items = record_codec.decode_items(await relay_codec.read_frame(self.reader))
+                items = record_codec.decode_items(
+                    await relay_codec.read_frame(self.reader), era=era
+                )
         except (OSError, EOFError, TimeoutError) as error:
             self.close()
             raise errors.PeerUnreachableError(f"relay {relay}: {error!r}") from error
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -4,7 +4,7 @@
 import random
 
 from mustardswitch import events
-from mustardswitch.internal import change_log, clock, ids
+from mustardswitch.internal import change_log, clock, ids, revisions
 from mustardswitch.platform import coordination, errors, records, store
 from mustardswitch.proxy import directory, record_source
 from mustardswitch.proxy import errors as proxy_errors
@@ -104,7 +104,8 @@
             listed = await self.client.list_all(coordination.INSTANCES, serializable=True)
             for item in listed.items:
                 self.apply(item)
-        listing = await self.record_relays.load(not_before=self.applied_revision)
+        era_start = revisions.join(era=self.client.era, number=0)
+        listing = await self.record_relays.load(not_before=max(self.applied_revision, era_start))
         if listing is None:
             listing = await self.client.list_all(ALL_KEYS)
             self.record_relays.publish(listing)
@@ -124,6 +125,8 @@
         return after
 
     def _apply_listing(self, listing: change_log.Listing) -> int:
+        if revisions.era_of(listing.revision) > revisions.era_of(self.applied_revision) > 0:
+            self._note_restored()
         self._note_available()
         if listing.revision < self.applied_revision:
             # A relay that is behind this instance; its answer could bring removed keys back.
@@ -147,6 +150,11 @@
         self.applied_revision = listing.revision
         return listing.revision
 
+    def _note_restored(self) -> None:
+        """Keep entries that the copy lacks until their owners had time to write them again."""
+        self.directory.servers.note_outage()
+        self.directory.instances.note_outage()
+
     def _note_loaded(self) -> None:
         if self.directory.configuration is not None:
             self.loaded.set()
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -8,7 +8,7 @@
 import urllib.parse
 
 from mustardswitch import events
-from mustardswitch.internal import change_log
+from mustardswitch.internal import change_log, revisions
 from mustardswitch.platform import errors, http
 from mustardswitch.proxy import errors as proxy_errors
 
@@ -29,15 +29,30 @@
     lease: int = 0
 
 
-def _item(record: collections.abc.Mapping[str, object]) -> change_log.Item:
-    value = None if record.get("deleted") else base64.b64decode(record.get("value", ""))
-    return change_log.Item(key=record["key"], value=value, revision=record["revision"])
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Answer:
+    """Status and body of an answer, and the era in which the store gave it."""
+
+    status: int
+    body: dict
+    era: int
+
+    def revision(self, name: str) -> revisions.Revision:
+        """Return the revision in a field of the body."""
+        return revisions.join(era=self.era, number=self.body[name])
+
+    def item(self, record: collections.abc.Mapping[str, object]) -> change_log.Item:
+        """Decode an item of the body."""
+        value = None if record.get("deleted") else base64.b64decode(record.get("value", ""))
+        revision = revisions.join(era=self.era, number=record["revision"])
+        return change_log.Item(key=record["key"], value=value, revision=revision)
 
 
 class Store:
     """Calls to the store; each raises StoreError when it failed or its outcome is unknown.
 
-    Watches use a connection of their own, so that other calls do not wait for them.
+    Watches use a connection of their own, so that other calls do not wait for them. Revisions hold
+    the era of the answer that named them.
     """
 
     def __init__(self, *, host: str, port: int) -> None:
@@ -63,7 +78,7 @@
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
         connection: http.Connection | None = None,
-    ) -> tuple[int, dict]:
+    ) -> _Answer:
         target = path if query is None else f"{path}?{urllib.parse.urlencode(query)}"
         data = b"" if body is None else json.dumps(body).encode()
         try:
@@ -73,44 +88,49 @@
             decoded = json.loads(response.body) if response.body else {}
         except (errors.CallError, ValueError) as error:
             raise proxy_errors.StoreError(str(error)) from error
-        self._note_era(response)
+        era = self._note_era(response)
         if response.status in (429, 503) or response.status >= 500:
             raise proxy_errors.StoreError(f"{method} {path}: status {response.status}")
-        return response.status, decoded if isinstance(decoded, dict) else {}
-
-    def _note_era(self, response: http.Response) -> None:
-        era = response.headers.get(ERA_HEADER, "")
-        if not era.isdecimal() or int(era) <= self.era:
-            return
-        if self.era:
-            events.log(events.Event.STORE_RESTORED, era=int(era), before=self.era)
-        self.era = int(era)
+        body = decoded if isinstance(decoded, dict) else {}
+        return _Answer(status=response.status, body=body, era=era)
+
+    def _note_era(self, response: http.Response) -> int:
+        """Return the era of an answer; 0 if it names none."""
+        field = response.headers.get(ERA_HEADER, "")
+        era = int(field) if field.isdecimal() else 0
+        if era > self.era:
+            if self.era:
+                events.log(events.Event.STORE_RESTORED, era=era, before=self.era)
+            self.era = era
+        return era
 
     async def read(self, key: str) -> change_log.Item | None:
         """Return the item of a key, or None when the key does not exist."""
-        status, body = await self._call("GET", "/kv-key", query={"key": key})
-        if status == 404:
+        answer = await self._call("GET", "/kv-key", query={"key": key})
+        if answer.status == 404:
             return None
         with _decoding("/kv-key"):
-            return _item(_expect(status, body, "/kv-key"))
+            return answer.item(_expect(answer, "/kv-key"))
 
     async def list_all(self, prefix: str, *, serializable: bool = False) -> change_log.Listing:
         """Return all keys under a prefix, with the store's revision at the first page.
 
         A ``serializable`` listing costs a tenth, and may be seconds old. The pages are read one
-        after the other and form no consistent snapshot.
+        after the other and form no consistent snapshot; all are of one era.
         """
         items: list[change_log.Item] = []
-        revision: int | None = None
+        revision: revisions.Revision | None = None
         query: dict[str, object] = {"prefix": prefix}
         if serializable:
             query["serializable"] = 1
         while True:
-            status, body = await self._call("GET", "/kv-range", query=query)
-            page = _expect(status, body, "/kv-range")
+            answer = await self._call("GET", "/kv-range", query=query)
+            page = _expect(answer, "/kv-range")
             with _decoding("/kv-range"):
-                items += [_item(record) for record in page["items"]]
-                revision = page["store_revision"] if revision is None else revision
+                items += [answer.item(record) for record in page["items"]]
+                revision = answer.revision("store_revision") if revision is None else revision
+            if answer.era != revisions.era_of(revision):
+                raise proxy_errors.StoreError(f"the store was restored between pages of {prefix!r}")
             if not page.get("has_more") or not page["items"]:
                 return change_log.Listing(
                     items=tuple(items), revision=revision, complete=prefix == ""
@@ -120,26 +140,33 @@
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> change_log.Listing:
         """Return the changes after a revision, or none when ``wait_s`` passes first.
 
-        Raises HistoryLostError when the store has dropped them.
+        Raises HistoryLostError when the store has dropped them, or lost them by being restored.
         """
-        query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
-        status, body = await self._call(
+        number = revisions.number_of(after)
+        query = {"prefix": prefix, "after": number, "wait_ms": int(wait_s * 1000)}
+        answer = await self._call(
             "GET",
             "/kv-watch",
             query=query,
             timeout_s=wait_s + WATCH_SLACK_S,
             connection=self.watches,
         )
-        if status == 410:
+        if answer.status == 410:
             raise errors.HistoryLostError(
-                f"changes after revision {after} are no longer in the history"
+                f"changes after revision {number} are no longer in the history"
             )
-        page = _expect(status, body, "/kv-watch")
+        page = _expect(answer, "/kv-watch")
         with _decoding("/kv-watch"):
-            return change_log.Listing(
-                items=tuple(_item(record) for record in page.get("events", ())),
-                revision=page["store_revision"],
+            listing = change_log.Listing(
+                items=tuple(answer.item(record) for record in page.get("events", ())),
+                revision=answer.revision("store_revision"),
+            )
+        if answer.era != revisions.era_of(after) or listing.revision < after:
+            raise errors.HistoryLostError(
+                f"changes after revision {number} of era {revisions.era_of(after)} may be lost:"
+                f" the store is at {page['store_revision']} of era {answer.era}"
             )
+        return listing
 
     async def change(
         self,
@@ -147,14 +174,20 @@
         expected: collections.abc.Mapping[str, int],
         puts: collections.abc.Sequence[Put] = (),
         deletes: collections.abc.Sequence[str] = (),
-    ) -> int | None:
+    ) -> revisions.Revision | None:
         """Write and delete keys atomically if the expected keys have their revisions (0: absent).
 
-        Returns the new revision, or None when a revision differs or a lease has expired.
+        Returns the new revision, or None when a revision differs or is of an earlier era, or a
+        lease has expired.
         """
+        if any(
+            revision and revisions.era_of(revision) != self.era for revision in expected.values()
+        ):
+            return None
         body = {
             "expected_revision": [
-                {"key": key, "revision": revision} for key, revision in expected.items()
+                {"key": key, "revision": revisions.number_of(revision)}
+                for key, revision in expected.items()
             ],
             "puts": [
                 {
@@ -166,24 +199,25 @@
             ],
             "deletes": list(deletes),
         }
-        status, answer = await self._call("POST", "/kv-txn", body=body)
-        if status in (404, 412):
+        answer = await self._call("POST", "/kv-txn", body=body)
+        if answer.status in (404, 412):
             return None
         with _decoding("/kv-txn"):
-            return _expect(status, answer, "/kv-txn")["revision"]
+            _expect(answer, "/kv-txn")
+            return answer.revision("revision")
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease that expires after ``ttl_s`` unless renewed, and return its id."""
-        status, body = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
+        answer = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
         with _decoding("/kv-lease"):
-            return _expect(status, body, "/kv-lease")["lease"]
+            return _expect(answer, "/kv-lease")["lease"]
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return False when it has expired."""
-        status, body = await self._call("POST", f"/kv-keep/{lease}")
-        if status == 404:
+        answer = await self._call("POST", f"/kv-keep/{lease}")
+        if answer.status == 404:
             return False
-        _expect(status, body, "/kv-keep")
+        _expect(answer, "/kv-keep")
         return True
 
     async def revoke_lease(self, lease: int) -> None:
@@ -200,7 +234,7 @@
         raise proxy_errors.StoreError(f"{path}: malformed answer: {error!r}") from error
 
 
-def _expect(status: int, body: dict, path: str) -> dict:
-    if status != 200:
-        raise proxy_errors.StoreError(f"{path}: status {status}")
-    return body
+def _expect(answer: _Answer, path: str) -> dict:
+    if answer.status != 200:
+        raise proxy_errors.StoreError(f"{path}: status {answer.status}")
+    return answer.body
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -4,7 +4,7 @@
 import collections.abc
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import clock, ids, revisions
 from mustardswitch.platform import follower, store
 from mustardswitch.proxy import directory, service
 from mustardswitch_standins import http_store, platform_deployment
@@ -66,9 +66,10 @@
         entry = platform_records.server_entry(**changes)
         self.store.put(f"servers/{name}", entry)
 
-    async def follow_to(self, revision: int) -> None:
-        """Wait until the follower has applied a revision of the store."""
-        await wait_until(lambda: self.follower.applied_revision >= revision)
+    async def follow(self) -> None:
+        """Wait until the follower has applied everything in the store."""
+        latest = revisions.join(era=self.store.era, number=self.store.revision)
+        await wait_until(lambda: self.follower.applied_revision >= latest)
 
 
 async def wait_until(reached: collections.abc.Callable[[], bool], *, within_s: float = 4.0) -> None:
--- a/tests/decisions/test_record_relays.py
+++ b/tests/decisions/test_record_relays.py
@@ -1,12 +1,13 @@
 """Which instances follow the store, and what the others learn from them."""
 
+import dataclasses
 import math
 
 import hypothesis
 import pytest
 from hypothesis import strategies as st
 
-from mustardswitch.internal import change_log, gateways, record_relays
+from mustardswitch.internal import change_log, gateways, record_relays, revisions
 from mustardswitch.peers import errors, record_codec, relay_codec
 from tests.common import builders
 
@@ -126,13 +127,35 @@
             change_log.Item,
             key=st.text(max_size=20),
             value=st.none() | st.binary(max_size=200),
-            revision=st.integers(0, 2**60),
+            revision=st.integers(0, 2**revisions.NUMBER_BITS - 1),
         )
-    )
+    ),
+    era=st.integers(0, 2**20),
 )
-def test_records_are_read_back_as_written(items):
-    frame = record_codec.encode_items(tuple(items))
-    assert record_codec.decode_items(frame[relay_codec.LENGTH_BYTES :]) == tuple(items)
+def test_records_are_read_back_as_written(items, era):
+    sent = tuple(
+        dataclasses.replace(item, revision=revisions.join(era=era, number=item.revision))
+        for item in items
+    )
+    frame = record_codec.encode_items(sent)
+    assert record_codec.decode_items(frame[relay_codec.LENGTH_BYTES :], era=era) == sent
+    header = record_codec.RecordHeader(
+        available=True,
+        age_s=0.5,
+        revision=revisions.join(era=era, number=len(items)),
+        complete=True,
+    )
+    frame = record_codec.encode_header(header)
+    assert record_codec.decode_header(frame[relay_codec.LENGTH_BYTES :]) == header
+    request = record_codec.RecordRequest(after=header.revision, wait_s=0.5)
+    frame = record_codec.encode_request(request)
+    assert record_codec.decode_request(frame[relay_codec.LENGTH_BYTES :]) == request
+
+
+def test_an_answer_of_an_earlier_build_is_of_the_era_of_its_request():
+    body = b'{"available":true,"age_s":0.1,"revision":7,"complete":false}'
+    header = record_codec.decode_header(body, default_era=3)
+    assert header.revision == revisions.join(era=3, number=7)
 
 
 @hypothesis.given(body=st.binary(max_size=300))
