Pause before a store that answers no watch is listed again

Cause: the pause grew only after failed calls, and each listing that succeeded reset it. Change: only a watch that works resets the pause; the first listing after one is still made at once. Evidence: test_a_store_that_answers_no_watch... failed before, passes.

--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -28,6 +28,10 @@
 """A configuration must be in force within 4 s after the store is available again."""
 
 
+def _longer_pause(pause_s: float) -> float:
+    return min(RETRY_LIMIT_S, 2 * pause_s) if pause_s else RETRY_S
+
+
 class Follower:
     """Keeps the directory up to date with the store, across lost history and outages."""
 
@@ -54,21 +58,24 @@
     async def run(self) -> None:
         """List all keys, then watch for changes, until cancelled."""
         after: int | None = None
-        retry_s = RETRY_S
+        retry_s = 0.0
         while True:
             try:
                 if after is None:
                     after = await self._load()
                 else:
                     after = await self._watch(after)
-                retry_s = RETRY_S
+                    retry_s = 0.0
             except errors.HistoryLostError as error:
                 events.log(events.Event.HISTORY_LOST, reason=str(error))
                 after = None
+                # Lists at once after a watch that worked, but not again and again without one.
+                await asyncio.sleep(random.uniform(0.5, 1.0) * retry_s)
+                retry_s = _longer_pause(retry_s)
             except proxy_errors.StoreError as error:
                 self._note_outage(str(error))
+                retry_s = _longer_pause(retry_s)
                 await asyncio.sleep(random.uniform(0.5, 1.0) * retry_s)
-                retry_s = min(RETRY_LIMIT_S, 2 * retry_s)
 
     def interrupt_watch(self) -> None:
         """Abort the watch in progress: another call failed, so the store may be unavailable."""
--- a/src/mustardswitch_standins/http_store.py
+++ b/src/mustardswitch_standins/http_store.py
@@ -53,6 +53,8 @@
         self.down = False
         self.not_receiving = False
         """Whether new watches receive no events until their wait ends."""
+        self.history_lost = False
+        """Whether every watch is answered with 410, as if its changes had been dropped."""
         self.promotion_delay_s: float | None = None
         """Delay after which promotion requests are executed, without an answer; None: at once."""
         self.tokens: dict[str, int] = {}
@@ -216,7 +218,7 @@
             return 200, {"events": [], "store_revision": after}
         while True:
             self._expire()
-            if after > self.revision or era != self.era:
+            if self.history_lost or after > self.revision or era != self.era:
                 return 410, {}
             events = [event for event in self.history if event["revision"] > after]
             remaining_s = end_s - time.monotonic()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,8 +1,11 @@
 """The store is restored from a copy: later changes are lost, and revisions are given out again."""
 
+import asyncio
+
 import pytest
 
 from mustardswitch.internal import promotion
+from mustardswitch.platform import follower
 from tests.common import store_world
 
 
@@ -46,3 +49,12 @@
     await store_world.wait_until(
         lambda: world.directory.servers.entries["i-1"].role is promotion.Role.PRIMARY
     )
+
+
+async def test_a_store_that_answers_no_watch_is_not_listed_without_a_pause(world):
+    """Reproduces restored.toml on Qafaz: one instance listed all records 369 times in 4.5 s."""
+    world.store.history_lost = True
+    world.follower.interrupt_watch()
+    calls = world.store.calls["/kv-range"]
+    await asyncio.sleep(2.0)
+    assert world.store.calls["/kv-range"] - calls <= 2 + 2.0 / (follower.RETRY_S / 2)
