Take the ports of the platform stand-ins from outside the range of outgoing connections

Cause: the port was free when it was chosen, and is in the range from which the kernel takes ports of outgoing connections (32768 to 60999). Change: the ports of fleet.free_ports, which are outside of it and never given out twice by one process; the second function is gone.

--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -3,10 +3,15 @@
 import asyncio
 import json
 import pathlib
-import socket
 import sys
 
-from mustardswitch_standins import database_group, http_store, line_protocol_databases, links
+from mustardswitch_standins import (
+    database_group,
+    fleet,
+    http_store,
+    line_protocol_databases,
+    links,
+)
 
 LAUNCHER = pathlib.Path(__file__).parents[1] / "run_platform_instance.py"
 START_TIMEOUT_S = 120.0
@@ -32,13 +37,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a loopback port that no socket uses at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Deployment:
     """Runs the emulators in this process and each instance as a process of its own."""
 
@@ -49,7 +47,7 @@
         self.store = http_store.HttpStore(
             promote=line_protocol_databases.make_promote_call(self.databases)
         )
-        self.store_port = free_port()
+        self.store_port = fleet.free_ports(1)[0]
         self.links = links.LinkSet()
         self.processes: list[asyncio.subprocess.Process] = []
 
@@ -58,7 +56,7 @@
         await self.databases.start()
         for server, port in self.databases.ports.items():
             listener = links.Listener(
-                source=INSTANCES, target=server, port=free_port(), target_port=port
+                source=INSTANCES, target=server, port=fleet.free_ports(1)[0], target_port=port
             )
             await self.links.listen(listener)
             self.databases.ports[server] = listener.port
@@ -71,7 +69,9 @@
 
         Raises ``TimeoutError`` if that takes longer than ``START_TIMEOUT_S``.
         """
-        instance = Instance(name=name, callers=free_port(), health=free_port())
+        instance = Instance(
+            name=name, callers=fleet.free_ports(1)[0], health=fleet.free_ports(1)[0]
+        )
         settings = self.directory / f"{name}.yaml"
         settings.write_text(f"""
 instance: {name}
@@ -80,7 +80,7 @@
 callers: 127.0.0.1:{instance.callers}
 health: 127.0.0.1:{instance.health}
 metrics: ""
-peers: 127.0.0.1:{free_port()}
+peers: 127.0.0.1:{fleet.free_ports(1)[0]}
 store: 127.0.0.1:{self.store_port}
 promotions: 127.0.0.1:{self.store_port}
 stop_grace_s: 3
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -7,7 +7,7 @@
 from mustardswitch.internal import clock, ids, revisions
 from mustardswitch.platform import follower, store
 from mustardswitch.proxy import directory, service
-from mustardswitch_standins import http_store, platform_deployment
+from mustardswitch_standins import fleet, http_store
 from tests.common import platform_records
 
 
@@ -30,7 +30,7 @@
     """A stand-in store with a configuration, and one instance's follower of it."""
 
     def __init__(self) -> None:
-        self.port = platform_deployment.free_port()
+        self.port = fleet.free_ports(1)[0]
         self.store = http_store.HttpStore(promote=lambda service, server, token: False)
         self.directory = build_directory()
         self.client = self.open_client()
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -13,7 +13,7 @@
 from mustardswitch.platform import coordination, errors, follower, http, records, settings, store
 from mustardswitch.proxy import directory, ports, requests
 from mustardswitch.proxy import errors as proxy_errors
-from mustardswitch_standins import http_store, platform_deployment
+from mustardswitch_standins import fleet, http_store
 from tests.common import platform_records, store_world
 
 
@@ -115,7 +115,7 @@
     The store drops its history when the change is made, as in the scenario Solarloaf grown scale-1,
     so that the watch in progress does not report it; the next watch must report it.
     """
-    port = platform_deployment.free_port()
+    port = fleet.free_ports(1)[0]
     stand_in = http_store.HttpStore(promote=lambda service, server, token: False)
     await stand_in.start(port)
     stand_in.put("op/config", platform_records.configuration())
@@ -140,7 +140,7 @@
 
 
 async def test_a_released_claim_leaves_the_marker_of_an_unanswered_promotion_request():
-    port = platform_deployment.free_port()
+    port = fleet.free_ports(1)[0]
     stand_in = http_store.HttpStore(promote=lambda service, server, token: False)
     await stand_in.start(port)
     client = store.Store(host="127.0.0.1", port=port)
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -10,7 +10,7 @@
 from mustardswitch.internal import clock, forwarding, gateways, ids
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec, relay_server
 from mustardswitch.proxy import directory, forwarded, ports, requests
-from mustardswitch_standins import platform_deployment
+from mustardswitch_standins import fleet
 from tests.common import proxy_world
 
 PRIMARY, BOUNDED, OWN = requests.RouteKind
@@ -103,7 +103,7 @@
         self.gateway = proxy_world.World(zone="a")
         self.entry = proxy_world.World(zone="a")
         self.entry.group = self.gateway.group
-        self.address = datagrams.PeerAddress(host="127.0.0.1", port=platform_deployment.free_port())
+        self.address = datagrams.PeerAddress(host="127.0.0.1", port=fleet.free_ports(1)[0])
         self.server = relay_server.RelayServer(
             directory=self.gateway.directory, registry=self.gateway.directory.registry
         )
