Claim no service in a new era of the store until claims that it lost have expired

The next holder pauses replicas, the first one resumes them: a promotion may then lose commits. And a release of the first holder, sent for its claim's number, ends the claim of another that was given the same number. Cause: a claim in force was taken to be in the store. Change: claims are made and released on the condition that the era's record exists. An instance writes it, and removes that of the era before, once it has known the era for as long as a claim can be held (7 s). A claim that was written in another era than its condition is given up. Cost: one write an era; the first claim after the very first start, or after a restore, waits up to 7 s. The test of the released claim starts with the record in the store, since its store is new.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -138,6 +138,10 @@
     """Replicas that another instance left paused are resumed."""
     CLAIM_LAPSED = EventKind(521, logbook.WARNING, "claim expired during a takeover")
     """The next holder of the claim resumes the replicas."""
+    CLAIM_DELAYED = EventKind(522, logbook.INFO, "claim delayed after a restore of the store")
+    """Claims that the restored store has lost may still be held; services are claimed later."""
+    ERA_OPENED = EventKind(523, logbook.INFO, "services may be claimed in a new era")
+    """The claims that a restored store may have lost have expired."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement rejected")
     """A statement has no result; the fields give the reason and the time taken."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- a/src/mustardswitch/platform/coordination.py
+++ b/src/mustardswitch/platform/coordination.py
@@ -1,8 +1,13 @@
 """Coordination of instances through the store: registration, votes, claims to change a primary.
 
 Every key that an instance writes is bound to a lease, so that it expires when the instance dies.
-The one exception is the marker of an unfinished change of primary, which makes the other instances
-resume paused replicas.
+Exceptions are the marker of an unfinished change of primary, which makes the other instances resume
+paused replicas, and the record of the era in which services may be claimed.
+
+A store that is restored from a copy may have lost claims whose holders still act. In a new era no
+service is claimed until such claims have expired; then one instance writes the era's record, and
+claims and releases are made on the condition that it exists. A call of an earlier era, which may be
+executed late, so changes nothing.
 """
 
 import asyncio
@@ -11,7 +16,7 @@
 import uuid
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import clock, ids, revisions
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import store
@@ -22,6 +27,7 @@
 VOTES = f"{PREFIX}votes/"
 CLAIMS = f"{PREFIX}claims/"
 UNFINISHED = f"{PREFIX}unfinished/"
+ERAS = f"{PREFIX}eras/"
 
 REGISTRATION_TTL_S = 6.0
 """Longer than usual stalls and network partitions of an instance, shorter than its replacement
@@ -35,6 +41,9 @@
 instance is registered again within 2 s."""
 CLAIM_TTL_S = 7.0
 """Longer than a change of primary may take."""
+MAX_OPENING_DELAY_S = 1.0
+"""Range of the random delay before an instance writes the record of an era, so that most find it
+written by another."""
 
 
 def encode_peer(peer: directory.Peer) -> bytes:
@@ -55,6 +64,14 @@
     )
 
 
+def decode_era(key: str) -> int:
+    """Return the era of a record's key; raises InvalidRecordError."""
+    name = key.removeprefix(ERAS)
+    if not name.isdecimal():
+        raise platform_errors.InvalidRecordError(f"key {key}: an era must be a number")
+    return int(name)
+
+
 class Coordination:
     """Registers this instance in the store, and writes its votes and claims there.
 
@@ -65,24 +82,31 @@
         self,
         *,
         client: store.Store,
-        instance: ids.InstanceId,
+        directory: directory.Directory,
         zone: ids.ZoneName,
         peer_address: datagrams.PeerAddress,
         on_call_failed: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self.on_call_failed = on_call_failed
         self.client = client
-        self.instance = instance
+        self.directory = directory
         self.zone = zone
         self.peer_address = peer_address
         self.lease = 0
         self.leaving = False
+        self.opening_delay_s = random.uniform(0.0, MAX_OPENING_DELAY_S)
 
     def __repr__(self) -> str:
         return (
-            f"Coordination(client={self.client!r}, instance={self.instance!r}, zone={self.zone!r})"
+            f"Coordination(client={self.client!r}, directory={self.directory!r},"
+            f" zone={self.zone!r})"
         )
 
+    @property
+    def instance(self) -> ids.InstanceId:
+        """The instance that is registered."""
+        return self.directory.instance
+
     async def run(self) -> None:
         """Keep this instance registered until it leaves or the task is cancelled."""
         retry_s = RETRY_S
@@ -95,6 +119,8 @@
                         continue
                 else:
                     await self._register()
+                if self._may_open_era(self.opening_delay_s):
+                    await self._open_era()
                 retry_s = RETRY_S
                 await asyncio.sleep(RENEWAL_INTERVAL_S)
             except errors.StoreError as error:
@@ -136,20 +162,73 @@
         """Withdraw a vote; raises StoreError."""
         await self.client.change(expected={}, deletes=[self._vote_key(service, server)])
 
+    # Claims
+
+    def _may_open_era(self, delay_s: float) -> bool:
+        """Return whether the store's era has no record, and claims of earlier eras have expired."""
+        era, since_s = self.client.era, self.client.era_since_s
+        closed = era > 0 and era not in self.directory.claim_eras
+        return closed and clock.now_s() >= since_s + CLAIM_TTL_S + delay_s
+
+    async def _open_era(self) -> None:
+        """Write the record of the store's era, or find that of another instance.
+
+        Raises StoreError.
+        """
+        era = self.client.era
+        key = f"{ERAS}{era}"
+        former = {era - 1, *self.directory.claim_eras} - {era}
+        revision = await self.client.change(
+            expected={key: 0},
+            puts=[store.Put(key=key, value=b"")],
+            deletes=[f"{ERAS}{each}" for each in former],
+        )
+        if revision is None:
+            found = await self.client.read(key)
+            revision = found.revision if found is not None else None
+        else:
+            events.log(events.Event.ERA_OPENED, era=era)
+        if revision is not None and revisions.era_of(revision) == era:
+            self.directory.claim_eras = {era: revision}
+
+    async def _era_condition(self) -> dict[str, int] | None:
+        """Return the condition on the era's record; None while no service may be claimed."""
+        if self._may_open_era(0.0):
+            await self._open_era()
+        era = self.client.era
+        if era == 0:
+            return {}
+        revision = self.directory.claim_eras.get(era)
+        return None if revision is None else {f"{ERAS}{era}": revision}
+
+    def _condition(self, claim: ports.Claim) -> dict[str, int]:
+        """Return the condition that a claim is in force, in the era in which it was made."""
+        condition = {f"{CLAIMS}{claim.service}": claim.fencing_token}
+        era = revisions.era_of(claim.fencing_token)
+        if era:
+            condition[f"{ERAS}{era}"] = claim.era_revision
+        return condition
+
     async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
         """Claim a service's change of primary; return None when another instance holds the claim.
 
-        The store's revision of the claim is its fencing token: it is unique and rises with each
-        claim. When the store's answer is lost, reading the key back shows whether the claim was
-        written. Raises StoreError when the lease is not granted or that read fails too.
+        Also returns None while claims that a restored store has lost may be held. The store's
+        revision of the claim is its fencing token: it is unique and rises with each claim. When the
+        store's answer is lost, reading the key back shows whether the claim was written. Raises
+        StoreError when the lease is not granted or that read fails too.
         """
+        condition = await self._era_condition()
+        if condition is None:
+            events.log(events.Event.CLAIM_DELAYED, service=service, era=self.client.era)
+            return None
+        era = self.client.era
         expires_at_s = clock.now_s() + CLAIM_TTL_S
         lease = await self.client.grant_lease(CLAIM_TTL_S)
         value = f"{self.instance} {uuid.uuid4().hex}".encode()
         key = f"{CLAIMS}{service}"
         try:
             revision = await self.client.change(
-                expected={key: 0},
+                expected={key: 0, **condition},
                 puts=[
                     store.Put(key=key, value=value, lease=lease),
                     store.Put(key=f"{UNFINISHED}{service}", value=value),
@@ -159,11 +238,15 @@
             events.log(events.Event.STORE_CALL_FAILED, call="claim", reason=str(error))
             found = await self.client.read(key)
             revision = found.revision if found is not None and found.value == value else None
-        if revision is None:
+        if revision is None or revisions.era_of(revision) != era:
             await self.client.revoke_lease(lease)
             return None
         return ports.Claim(
-            service=service, fencing_token=revision, expires_at_s=expires_at_s, lease=lease
+            service=service,
+            fencing_token=revision,
+            expires_at_s=expires_at_s,
+            lease=lease,
+            era_revision=next(iter(condition.values()), 0),
         )
 
     async def note_promotion_requested(self, claim: ports.Claim) -> None:
@@ -172,7 +255,7 @@
         Raises StoreError.
         """
         await self.client.change(
-            expected={f"{CLAIMS}{claim.service}": claim.fencing_token},
+            expected=self._condition(claim),
             puts=[_promotion_marker(claim)],
         )
 
@@ -187,7 +270,7 @@
         key = f"{CLAIMS}{claim.service}"
         requested = unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED
         await self.client.change(
-            expected={key: claim.fencing_token},
+            expected=self._condition(claim),
             puts=[_promotion_marker(claim)] if requested else [],
             deletes=[key] if unfinished else [key, f"{UNFINISHED}{claim.service}"],
         )
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -214,6 +214,12 @@
             self._apply_vote(item)
         elif key.startswith(coordination.CLAIMS):
             self._apply_claim(item)
+        elif key.startswith(coordination.ERAS):
+            era = coordination.decode_era(key)
+            if item.value is None:
+                self.directory.claim_eras.pop(era, None)
+            else:
+                self.directory.claim_eras[era] = item.revision
         elif key.startswith(coordination.UNFINISHED):
             service = ids.ServiceName(key.removeprefix(coordination.UNFINISHED))
             if item.value is None:
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -65,7 +65,7 @@
         peer_address = datagrams.PeerAddress(host=config.peers.host, port=config.peers.port)
         self.coordination = coordination.Coordination(
             client=self.client,
-            instance=config.instance,
+            directory=self.directory,
             zone=config.zone,
             peer_address=peer_address,
             on_call_failed=self.follower.interrupt_watch,
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -8,7 +8,7 @@
 import urllib.parse
 
 from mustardswitch import events
-from mustardswitch.internal import change_log, revisions
+from mustardswitch.internal import change_log, clock, revisions
 from mustardswitch.platform import errors, http
 from mustardswitch.proxy import errors as proxy_errors
 
@@ -60,6 +60,8 @@
         self.watches = http.Connection(host=host, port=port)
         self.era = 0
         """Latest era that an answer carried; 0 before the first one."""
+        self.era_since_s = clock.now_s()
+        """When an answer first carried this era (``clock.now_s``)."""
 
     def __repr__(self) -> str:
         return f"Store(host={self.calls.host!r}, port={self.calls.port!r})"
@@ -102,6 +104,7 @@
             if self.era:
                 events.log(events.Event.STORE_RESTORED, era=era, before=self.era)
             self.era = era
+            self.era_since_s = clock.now_s()
         return era
 
     async def read(self, key: str) -> change_log.Item | None:
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -75,6 +75,8 @@
         """Votes received directly from the voters, and when (``clock.now_s``)."""
         self.claims: dict[ids.ServiceName, ids.InstanceId] = {}
         """Instances that are changing the primary of a service."""
+        self.claim_eras: dict[int, int] = {}
+        """Eras of the store in which services may be claimed; the revisions of their records."""
         self.unfinished: dict[ids.ServiceName, ports.UnfinishedChange] = {}
         """States in which unfinished changes of primary left their services, whose replicas may
         still be paused."""
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -162,6 +162,8 @@
     """Earliest time at which another instance may hold the claim (``clock.now_s``)."""
     lease: int = 0
     """The store's lease that the claim is bound to; 0 without one."""
+    era_revision: int = 0
+    """Revision of the record that allows claims in the store's era; 0 without one."""
 
 
 class UnfinishedChange(enum.Enum):
--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 
+from mustardswitch.platform import coordination
 from mustardswitch_standins import (
     database_group,
     fleet,
@@ -52,7 +53,10 @@
         self.processes: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> None:
-        """Start the emulators, register each server and store the configuration."""
+        """Start the emulators, register each server and store the configuration.
+
+        The store is one that instances have used before: services may be claimed at once.
+        """
         await self.databases.start()
         for server, port in self.databases.ports.items():
             listener = links.Listener(
@@ -62,6 +66,7 @@
             self.databases.ports[server] = listener.port
         await self.store.start(self.store_port)
         self.databases.list_servers(self.store)
+        self.store.put(f"{coordination.ERAS}{self.store.era}", b"")
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
 
     async def start_instance(self, name: str) -> "Instance":
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -5,7 +5,8 @@
 
 from mustardswitch import metrics
 from mustardswitch.internal import clock, ids, revisions
-from mustardswitch.platform import follower, store
+from mustardswitch.peers import datagrams
+from mustardswitch.platform import coordination, follower, store
 from mustardswitch.proxy import directory, service
 from mustardswitch_standins import fleet, http_store
 from tests.common import platform_records
@@ -35,12 +36,30 @@
         self.directory = build_directory()
         self.client = self.open_client()
         self.follower = follower.Follower(client=self.client, directory=self.directory)
+        self.coordination = self.build_coordination(self.directory, self.client)
         self.tasks: list[asyncio.Task[None]] = []
+        self.clients = [self.client]
 
     def open_client(self) -> store.Store:
         """Return another client of the store."""
         return store.Store(host="127.0.0.1", port=self.port)
 
+    def build_coordination(
+        self, known: directory.Directory, client: store.Store
+    ) -> coordination.Coordination:
+        """Build the coordination of the instance that a directory belongs to."""
+        return coordination.Coordination(
+            client=client,
+            directory=known,
+            zone=ids.ZoneName("puget-a"),
+            peer_address=datagrams.PeerAddress(host="127.0.0.1", port=1),
+        )
+
+    def join(self, instance: str) -> coordination.Coordination:
+        """Return the coordination of another instance, which does not follow the store."""
+        self.clients.append(self.open_client())
+        return self.build_coordination(build_directory(instance), self.clients[-1])
+
     async def start(self) -> None:
         """Start the store and the follower, and wait until the configuration is in force."""
         await self.store.start(self.port)
@@ -53,9 +72,17 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.client.close()
+        for client in self.clients:
+            client.close()
         self.store.close()
 
+    def allow_claims(self, *known: directory.Directory) -> None:
+        """Write the record of the store's era, as if it had lasted, and make it known."""
+        self.store.put(f"{coordination.ERAS}{self.store.era}", b"")
+        record = revisions.join(era=self.store.era, number=self.store.revision)
+        for each in known:
+            each.claim_eras = {self.store.era: record}
+
     def configure(self, *, version: int) -> None:
         """Write a version of the configuration to the store."""
         configuration = platform_records.configuration(version=version)
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -140,19 +140,11 @@
 
 
 async def test_a_released_claim_leaves_the_marker_of_an_unanswered_promotion_request():
-    port = fleet.free_ports(1)[0]
-    stand_in = http_store.HttpStore(promote=lambda service, server, token: False)
-    await stand_in.start(port)
-    client = store.Store(host="127.0.0.1", port=port)
-    first, second = (
-        coordination.Coordination(
-            client=client,
-            instance=ids.InstanceId(name),
-            zone=ids.ZoneName("a"),
-            peer_address=datagrams.PeerAddress(host="127.0.0.1", port=1),
-        )
-        for name in ("one", "two")
-    )
+    world = store_world.StoreWorld()
+    await world.start()
+    client = world.client
+    first, second = world.coordination, world.join("two")
+    world.allow_claims(first.directory, second.directory)
     orders = ids.ServiceName("orders")
     marker = f"{coordination.UNFINISHED}orders"
     claim = await first.claim(orders)
@@ -173,8 +165,7 @@
     assert (await client.read(marker)) is not None
     await second.release(later)
     assert await client.read(marker) is None
-    client.close()
-    stand_in.close()
+    await world.stop()
 
 
 SETTINGS = """
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from mustardswitch.internal import promotion
-from mustardswitch.platform import follower
+from mustardswitch.internal import clock, ids, promotion, revisions
+from mustardswitch.platform import coordination, follower
+from mustardswitch.proxy import ports
 from tests.common import store_world
 
 
@@ -58,3 +59,46 @@
     calls = world.store.calls["/kv-range"]
     await asyncio.sleep(2.0)
     assert world.store.calls["/kv-range"] - calls <= 2 + 2.0 / (follower.RETRY_S / 2)
+
+
+ORDERS = ids.ServiceName("orders")
+
+
+async def _claim_once_allowed(holder: coordination.Coordination) -> ports.Claim:
+    """Claim the service as soon as the store's era allows it."""
+    ends_s = clock.now_s() + 4.0
+    while (claim := await holder.claim(ORDERS)) is None:
+        assert clock.now_s() < ends_s, "the service cannot be claimed"
+        await asyncio.sleep(0.02)
+    return claim
+
+
+async def test_no_service_is_claimed_while_a_claim_that_the_copy_lacks_is_held(monkeypatch, world):
+    """Two holders at once could resume each other's paused replicas and lose commits."""
+    monkeypatch.setattr(coordination, "CLAIM_TTL_S", 1.0)
+    first, second, started = world.coordination, world.join("two"), world.join("three")
+    copy = world.store.copy()
+    former = await _claim_once_allowed(first)
+    world.store.restore(copy)
+    for holder in (second, started):
+        claim = await _claim_once_allowed(holder)
+        assert clock.now_s() >= former.expires_at_s
+        assert claim.fencing_token > former.fencing_token
+        await holder.release(claim)
+
+
+async def test_a_claim_of_an_earlier_era_does_not_release_a_later_one(monkeypatch, world):
+    """Both claims have the same number in the store, and the first holder does not know the era."""
+    monkeypatch.setattr(coordination, "CLAIM_TTL_S", 1.0)
+    first, second = world.join("two"), world.join("three")
+    await first.release(await _claim_once_allowed(first))
+    copy = world.store.copy()
+    # Takes the number that the record of the next era will have.
+    world.configure(version=8)
+    former = await _claim_once_allowed(first)
+    world.store.restore(copy)
+    await second.client.read("op/config")
+    later = await _claim_once_allowed(second)
+    assert revisions.number_of(later.fencing_token) == revisions.number_of(former.fencing_token)
+    await first.release(former)
+    assert await second.client.read(f"{coordination.CLAIMS}{ORDERS}") is not None
