Repair an instance's own records after a restore of the store

Cause: an instance took what it had written, or removed, for the state of the store. Change: internal/own_records.py compares what the follower has read with what the instance means to have. A registration that a later reading does not list is written again at once. In a new era votes are cast or withdrawn, claims that are not held are released, and markers are written again (event 316).

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -95,7 +95,9 @@
     REGISTERED = EventKind(310, logbook.INFO, "instance registered")
     """The other instances can see this one in the store."""
     REGISTRATION_LOST = EventKind(311, logbook.WARNING, "registration lost")
-    """The lease of this instance has ended; it registers again."""
+    """The lease of this instance has ended, or its record was removed; it registers again."""
+    RECORDS_REPAIRED = EventKind(316, logbook.WARNING, "records of this instance repaired")
+    """A restored store lacked records of this instance, or held removed ones again."""
     DATAGRAM_REJECTED = EventKind(312, logbook.WARNING, "datagram rejected")
     """A datagram of another instance cannot be decoded."""
     FRAME_REJECTED = EventKind(313, logbook.WARNING, "frame rejected")
--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -54,6 +54,10 @@
         else:
             del self.entries[key]
 
+    def is_listed(self, key: Key) -> bool:
+        """Return whether the latest reading had an entry."""
+        return key in self.entries and key not in self.expired
+
     def replace(self, entries: collections.abc.Mapping[Key, Entry], now_s: float) -> None:
         """Replace all entries by those of a complete listing."""
         for key in set(self.entries) - set(entries):
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -1,6 +1,7 @@
 """Follows the store, itself or through a relay, and applies its changes to the directory."""
 
 import asyncio
+import collections.abc
 import random
 
 from mustardswitch import events
@@ -33,7 +34,10 @@
 
 
 class Follower:
-    """Keeps the directory up to date with the store, across lost history and outages."""
+    """Keeps the directory up to date with the store, across lost history and outages.
+
+    ``on_applied`` is called with the revision at which the directory is after each change.
+    """
 
     def __init__(
         self,
@@ -41,8 +45,10 @@
         client: store.Store,
         directory: directory.Directory,
         record_relays: record_source.RecordSource | None = None,
+        on_applied: collections.abc.Callable[[int], None] = lambda revision: None,
     ) -> None:
         self.client = client
+        self.on_applied = on_applied
         self.directory = directory
         self.record_relays = record_relays or record_source.RecordSource(directory=directory)
         self.applied_revision = 0
@@ -155,6 +161,8 @@
             self.directory.refresh()
             self._note_loaded()
         self.applied_revision = listing.revision
+        if listing.items or listing.complete:
+            self.on_applied(listing.revision)
         return listing.revision
 
     def _note_restored(self) -> None:
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -70,6 +70,7 @@
             peer_address=peer_address,
             on_call_failed=self.follower.interrupt_watch,
         )
+        self.follower.on_applied = self.coordination.note_seen
         self.peers = datagrams.PeerDatagrams(
             addresses=self.directory.peer_addresses,
             receiver=self.directory.receive_update,
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -12,11 +12,12 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 import uuid
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, revisions
+from mustardswitch.internal import clock, ids, own_records, revisions
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import directory, errors, fleet_records, ports
 
@@ -59,6 +60,11 @@
         self.peer_address = peer_address
         self.lease = 0
         self.leaving = False
+        self.own = own_records.OwnRecords()
+        self.repair = own_records.NOTHING
+        """What is still to be repaired after a restore of the store."""
+        self.due = asyncio.Event()
+        """Set when the registration is lost or a repair is needed."""
         self.opening_delay_s = random.uniform(0.0, MAX_OPENING_DELAY_S)
 
     def __repr__(self) -> str:
@@ -72,6 +78,44 @@
         """The instance that is registered."""
         return self.directory.instance
 
+    def note_seen(self, revision: int) -> None:
+        """Compare the directory, which is at a revision of the store, with what was written.
+
+        ``run`` registers the instance again if it is not listed. After a restore of the store it
+        also casts and withdraws votes, releases claims and marks unfinished changes again.
+        """
+        if self.leaving:
+            return
+        known = self.directory
+        votes = {
+            (each.service, each.server) for each in known.votes if each.instance == self.instance
+        }
+        held = own_records.Records(
+            votes=votes,
+            claims={name for name, holder in known.claims.items() if holder == self.instance},
+            unfinished=frozenset(known.unfinished),
+        )
+        registered = known.instances.is_listed(self.instance)
+        lost, repair = self.own.note_seen(held, registered=registered, revision=revision)
+        if lost:
+            self._note_registration_lost("not in the store")
+        if repair:
+            events.log(
+                events.Event.RECORDS_REPAIRED,
+                cast=len(repair.cast),
+                withdrawn=len(repair.withdraw),
+                released=len(repair.release),
+                marked=len(repair.mark_unfinished),
+            )
+            self.repair = repair
+        if lost or repair:
+            self.due.set()
+
+    def _note_registration_lost(self, reason: str) -> None:
+        events.log(events.Event.REGISTRATION_LOST, lease=self.lease, reason=reason)
+        self.lease = 0
+        self.own.registered_revision = None
+
     async def run(self) -> None:
         """Keep this instance registered until it leaves or the task is cancelled."""
         retry_s = RETRY_S
@@ -79,27 +123,67 @@
             try:
                 if self.lease:
                     if not await self.client.renew_lease(self.lease):
-                        events.log(events.Event.REGISTRATION_LOST, lease=self.lease)
-                        self.lease = 0
+                        self._note_registration_lost("the lease has expired")
                         continue
                 else:
                     await self._register()
+                await self._repair()
                 if self._may_open_era(self.opening_delay_s):
                     await self._open_era()
                 retry_s = RETRY_S
-                await asyncio.sleep(RENEWAL_INTERVAL_S)
+                await self._wait_until_due()
             except errors.StoreError as error:
                 events.log(events.Event.STORE_CALL_FAILED, call="registration", reason=str(error))
                 self.on_call_failed()
                 await asyncio.sleep(random.uniform(0.5, 1.0) * retry_s)
                 retry_s = min(RETRY_LIMIT_S, 2 * retry_s)
 
+    async def _wait_until_due(self) -> None:
+        """Wait for the next renewal, or until something is lost."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RENEWAL_INTERVAL_S):
+                await self.due.wait()
+        self.due.clear()
+
+    async def _repair(self) -> None:
+        """Make up for what a restore of the store has changed; raises StoreError."""
+        repair = self.repair
+        if not self.lease:
+            return
+        if repair.cast or repair.withdraw:
+            await self.client.change(
+                expected={},
+                puts=[self._vote(*each) for each in repair.cast & self.own.votes],
+                deletes=[self._vote_key(*each) for each in repair.withdraw - self.own.votes],
+            )
+        for service in repair.release - self.own.claims:
+            await self._release_again(service)
+        if repair.mark_unfinished:
+            # Another instance may have marked them meanwhile; most find that.
+            await asyncio.sleep(self.opening_delay_s)
+        for service in repair.mark_unfinished - set(self.directory.unfinished):
+            key = f"{fleet_records.UNFINISHED}{service}"
+            await self.client.change(
+                expected={key: 0}, puts=[ports.Put(key=key, value=self.instance.encode())]
+            )
+        if self.repair is repair:
+            self.repair = own_records.NOTHING
+
+    async def _release_again(self, service: ids.ServiceName) -> None:
+        key = f"{fleet_records.CLAIMS}{service}"
+        found = await self.client.read(key)
+        if found is not None and found.value.decode().partition(" ")[0] == self.instance:
+            await self.client.change(expected={key: found.revision}, deletes=[key])
+
     async def _register(self) -> None:
         lease = await self.client.grant_lease(REGISTRATION_TTL_S)
         value = fleet_records.encode_peer(directory.Peer(zone=self.zone, address=self.peer_address))
         put = ports.Put(key=f"{fleet_records.INSTANCES}{self.instance}", value=value, lease=lease)
-        if await self.client.change(expected={}, puts=[put]) is not None:
+        votes = [self._vote(*each, lease=lease) for each in self.own.votes]
+        revision = await self.client.change(expected={}, puts=[put, *votes])
+        if revision is not None:
             self.lease = lease
+            self.own.registered_revision = revision
             events.log(events.Event.REGISTERED, lease=lease)
 
     async def leave(self) -> None:
@@ -115,16 +199,23 @@
     def _vote_key(self, service: ids.ServiceName, server: ids.ServerId) -> str:
         return f"{fleet_records.VOTES}{service}/{server}/{self.instance}"
 
+    def _vote(
+        self, service: ids.ServiceName, server: ids.ServerId, *, lease: int | None = None
+    ) -> ports.Put:
+        key = self._vote_key(service, server)
+        return ports.Put(key=key, value=b"", lease=self.lease if lease is None else lease)
+
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Publish a vote to replace a primary that this instance suspects; raises StoreError."""
         if not self.lease:
             raise errors.StoreError("this instance is not registered")
-        put = ports.Put(key=self._vote_key(service, server), value=b"", lease=self.lease)
-        if await self.client.change(expected={}, puts=[put]) is None:
+        if await self.client.change(expected={}, puts=[self._vote(service, server)]) is None:
             raise errors.StoreError("the registration has expired")
+        self.own.votes.add((service, server))
 
     async def withdraw_vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Withdraw a vote; raises StoreError."""
+        self.own.votes.discard((service, server))
         await self.client.change(expected={}, deletes=[self._vote_key(service, server)])
 
     # Claims
@@ -206,6 +297,7 @@
         if revision is None or revisions.era_of(revision) != era:
             await self.client.revoke_lease(lease)
             return None
+        self.own.claims.add(service)
         return ports.Claim(
             service=service,
             fencing_token=revision,
@@ -219,10 +311,17 @@
 
         Raises StoreError.
         """
-        await self.client.change(
-            expected=self._condition(claim),
-            puts=[_promotion_marker(claim)],
-        )
+        marker = _promotion_marker(claim)
+        noted = await self.client.change(expected=self._condition(claim), puts=[marker])
+        await self._mark_in_later_era(claim, noted)
+
+    async def _mark_in_later_era(self, claim: ports.Claim, noted: int | None) -> None:
+        """Record a promotion request without an answer that a restored store cannot know of.
+
+        ``noted`` is the result of recording it under the claim.
+        """
+        if noted is None and revisions.era_of(claim.fencing_token) < self.client.era:
+            await self.client.change(expected={}, puts=[_promotion_marker(claim)])
 
     async def release(
         self, claim: ports.Claim, *, unfinished: ports.UnfinishedChange | None = None
@@ -234,11 +333,14 @@
         """
         key = f"{fleet_records.CLAIMS}{claim.service}"
         requested = unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED
-        await self.client.change(
+        self.own.claims.discard(claim.service)
+        released = await self.client.change(
             expected=self._condition(claim),
             puts=[_promotion_marker(claim)] if requested else [],
             deletes=[key] if unfinished else [key, f"{fleet_records.UNFINISHED}{claim.service}"],
         )
+        if requested:
+            await self._mark_in_later_era(claim, released)
 
 
 def _promotion_marker(claim: ports.Claim) -> ports.Put:
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -37,6 +37,7 @@
         self.client = self.open_client()
         self.follower = follower.Follower(client=self.client, directory=self.directory)
         self.coordination = self.build_coordination(self.directory, self.client)
+        self.follower.on_applied = self.coordination.note_seen
         self.tasks: list[asyncio.Task[None]] = []
         self.clients = [self.client]
 
