Keep the later entry of a server when a restored store holds an earlier one

New work would go to a server that is about to end, and what is known about the new server would be taken for its predecessor's. Cause: the order of a server's entries was taken from the store's revisions alone. Change: entries of one start are ordered by the number that the server gives them; an entry of an earlier start is only ignored in the first listing of a restored store, since a server's clock may be set back. Evidence: both tests failed before; a server whose clock was set back is used, as before.

--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -54,6 +54,8 @@
         self.applied_revision = 0
         """Every change up to this revision has been applied."""
         self.revisions: dict[str, int] = {}
+        self.restored = False
+        """Whether the listing that is being applied is the first one of a restored store."""
         self.loaded = asyncio.Event()
         self.available = True
         self.last_available_s = clock.now_s()
@@ -138,7 +140,9 @@
         return after
 
     def _apply_listing(self, listing: change_log.Listing) -> int:
-        if revisions.era_of(listing.revision) > revisions.era_of(self.applied_revision) > 0:
+        era, era_before = map(revisions.era_of, (listing.revision, self.applied_revision))
+        self.restored = era > era_before > 0
+        if self.restored:
             self._note_restored()
         self._note_available()
         if listing.revision < self.applied_revision:
@@ -227,4 +231,14 @@
             self.directory.servers.remove(server, clock.now_s())
         else:
             entry = records.decode_server(item.key, item.value, item.revision)
+            known = self.directory.servers.entries.get(entry.server)
+            if known is not None and entry.is_older_than(known, restored=self.restored):
+                events.log(
+                    events.Event.RECORD_SKIPPED,
+                    key=item.key,
+                    revision=item.revision,
+                    applied_revision=known.revision,
+                    era=self.client.era,
+                )
+                entry = known
             self.directory.servers.put(entry.server, entry)
--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -97,6 +97,7 @@
         # Time of the server's start, not of the creation of its data.
         started_ms=_field(record, "born", int, subject) if "born" in record else 0,
         revision=revision,
+        sequence=_field(record, "seq", int, subject) if "seq" in record else None,
     )
 
 
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -124,6 +124,19 @@
     the same id has none of the former one's state."""
     revision: int = 0
     """The store's revision of the entry."""
+    sequence: int | None = None
+    """Number of the entry among those that the server wrote since its start; None if unknown."""
+
+    def is_older_than(self, other: "ServerEntry", *, restored: bool) -> bool:
+        """Return whether the server wrote this entry before the other one.
+
+        Only in a ``restored`` store does an earlier start mean that; otherwise the server's time
+        of day was set back.
+        """
+        if self.started_ms != other.started_ms:
+            return restored and self.started_ms < other.started_ms
+        numbered = self.sequence is not None and other.sequence is not None
+        return numbered and self.sequence < other.sequence
 
 
 LinkOpener = collections.abc.Callable[[ServerEntry], collections.abc.Awaitable[Link]]
--- a/src/mustardswitch_standins/http_store.py
+++ b/src/mustardswitch_standins/http_store.py
@@ -169,7 +169,9 @@
             return (200, self._encode_key(query["key"])) if found else (404, {})
         if path == "/kv-range":
             items = [
-                self._encode_key(key) for key in sorted(self.keys) if key > query.get("after", "")
+                self._encode_key(key)
+                for key in sorted(self.keys)
+                if key.startswith(query["prefix"]) and key > query.get("after", "")
             ]
             return 200, {"items": items, "has_more": False, "store_revision": self.revision}
         if path == "/kv-watch":
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -52,6 +52,37 @@
     )
 
 
+async def test_a_server_that_left_is_not_used_again_although_the_copy_has_it_as_ready(world):
+    world.put_server("i-1", seq=4)
+    copy = world.store.copy()
+    world.put_server("i-1", seq=5, state="draining")
+    await world.follow()
+    world.store.restore(copy)
+    await world.follow()
+    assert world.directory.servers.entries["i-1"].leaving
+    world.put_server("i-1", seq=6, state="draining", slots=5)
+    await world.follow()
+    assert world.directory.servers.entries["i-1"].slots == 5
+
+
+async def test_a_server_that_started_again_does_not_count_as_its_predecessor(world):
+    world.put_server("i-1", seq=40, db_role="primary", born=1000)
+    copy = world.store.copy()
+    world.put_server("i-1", seq=2, born=2000)
+    await world.follow()
+    world.store.restore(copy)
+    await world.follow()
+    assert world.directory.servers.entries["i-1"].started_ms == 2000
+
+
+async def test_a_server_whose_clock_was_set_back_before_it_started_again_is_used(world):
+    world.put_server("i-1", seq=40, born=2000)
+    await world.follow()
+    world.put_server("i-1", seq=1, born=1000)
+    await world.follow()
+    assert world.directory.servers.entries["i-1"].started_ms == 1000
+
+
 async def test_a_store_that_answers_no_watch_is_not_listed_without_a_pause(world):
     """Reproduces restored.toml on Qafaz: one instance listed all records 369 times in 4.5 s."""
     world.store.history_lost = True
