Apply the store's own listing whatever revisions were applied before

Cause: a listing by the store itself was judged like one of a relay, which may be behind. Change: it replaces what was applied. A listing of a relay is compared as before.

--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -124,6 +124,9 @@
         if listing is None:
             listing = await self.client.list_all(ALL_KEYS)
             self.record_relays.publish(listing)
+            # The store's own listing is never behind, whatever revisions were applied before.
+            self.applied_revision = min(self.applied_revision, listing.revision)
+            self.revisions = dict.fromkeys(self.revisions, 0)
         return self._apply_listing(listing)
 
     async def _watch(self, after: int) -> int:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -40,6 +40,16 @@
     await store_world.wait_until(lambda: world.directory.configuration.version == 31)
 
 
+async def test_a_listing_of_the_store_is_applied_although_a_later_revision_was(world):
+    """A read that may be stale, or a store that names no era, can leave such a revision."""
+    world.follower.applied_revision = revisions.join(era=1, number=10**6)
+    world.follower.revisions["op/config"] = world.follower.applied_revision
+    world.store.history_lost = True
+    world.follower.interrupt_watch()
+    world.configure(version=9)
+    await store_world.wait_until(lambda: world.directory.configuration.version == 9)
+
+
 async def test_an_entry_at_an_earlier_revision_than_the_lost_one_is_in_force(world):
     copy = world.store.copy()
     for sequence in range(20):
