Renew claims, so that they last 3 s instead of 7 s after their holder or the store is lost

Cause: claims lasted 7 s, and a new era waits as long before services are claimed, longer than a store needs to count as stable (5 s). Change: a claim lasts 3 s, and its holder renews it every 0.8 s for up to 4 s. A renewal in another era ends it, and its release then leaves the marker of an unfinished change.

--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import random
 import uuid
 
@@ -31,8 +32,9 @@
 RETRY_LIMIT_S = 1.5
 """Rejected calls are billed too, so retries are spaced out; with the round trip to the store, an
 instance is registered again within 2 s."""
-CLAIM_TTL_S = 7.0
-"""Longer than a change of primary may take."""
+CLAIM_TTL_S = 3.0
+"""Its holder renews a claim. After a restore of the store no service is claimed for as long, and a
+leaving primary must then be replaced within seconds."""
 MAX_OPENING_DELAY_S = 1.0
 """Range of the random delay before an instance writes the record of an era, so that most find it
 written by another."""
@@ -162,10 +164,8 @@
             # Another instance may have marked them meanwhile; most find that.
             await asyncio.sleep(self.opening_delay_s)
         for service in repair.mark_unfinished - set(self.directory.unfinished):
-            key = f"{fleet_records.UNFINISHED}{service}"
-            await self.client.change(
-                expected={key: 0}, puts=[ports.Put(key=key, value=self.instance.encode())]
-            )
+            marker = _paused_marker(service, self.instance.encode())
+            await self.client.change(expected={marker.key: 0}, puts=[marker])
         if self.repair is repair:
             self.repair = own_records.NOTHING
 
@@ -287,7 +287,7 @@
                 expected={key: 0, **condition},
                 puts=[
                     ports.Put(key=key, value=value, lease=lease),
-                    ports.Put(key=f"{fleet_records.UNFINISHED}{service}", value=value),
+                    _paused_marker(service, value),
                 ],
             )
         except errors.StoreError as error:
@@ -306,22 +306,30 @@
             era_revision=next(iter(condition.values()), 0),
         )
 
+    async def renew(self, claim: ports.Claim) -> ports.Claim | None:
+        """Return the claim with a later expiry; None when it has expired or the store lost it.
+
+        Raises StoreError.
+        """
+        expires_at_s = clock.now_s() + CLAIM_TTL_S
+        renewed = await self.client.renew_lease(claim.lease)
+        if not renewed or revisions.era_of(claim.fencing_token) != self.client.era:
+            return None
+        return dataclasses.replace(claim, expires_at_s=expires_at_s)
+
     async def note_promotion_requested(self, claim: ports.Claim) -> None:
         """Record that a promotion request got no answer, unless the service was claimed since.
 
         Raises StoreError.
         """
         marker = _promotion_marker(claim)
-        noted = await self.client.change(expected=self._condition(claim), puts=[marker])
-        await self._mark_in_later_era(claim, noted)
-
-    async def _mark_in_later_era(self, claim: ports.Claim, noted: int | None) -> None:
-        """Record a promotion request without an answer that a restored store cannot know of.
+        if await self.client.change(expected=self._condition(claim), puts=[marker]) is None:
+            await self._mark_in_later_era(claim, marker)
 
-        ``noted`` is the result of recording it under the claim.
-        """
-        if noted is None and revisions.era_of(claim.fencing_token) < self.client.era:
-            await self.client.change(expected={}, puts=[_promotion_marker(claim)])
+    async def _mark_in_later_era(self, claim: ports.Claim, marker: ports.Put) -> None:
+        """Record an unfinished change of which a store that was restored since does not know."""
+        if revisions.era_of(claim.fencing_token) < self.client.era:
+            await self.client.change(expected={}, puts=[marker])
 
     async def release(
         self, claim: ports.Claim, *, unfinished: ports.UnfinishedChange | None = None
@@ -339,8 +347,13 @@
             puts=[_promotion_marker(claim)] if requested else [],
             deletes=[key] if unfinished else [key, f"{fleet_records.UNFINISHED}{claim.service}"],
         )
-        if requested:
-            await self._mark_in_later_era(claim, released)
+        if released is None:
+            marker = _paused_marker(claim.service, self.instance.encode())
+            await self._mark_in_later_era(claim, _promotion_marker(claim) if requested else marker)
+
+
+def _paused_marker(service: ids.ServiceName, value: bytes) -> ports.Put:
+    return ports.Put(key=f"{fleet_records.UNFINISHED}{service}", value=value)
 
 
 def _promotion_marker(claim: ports.Claim) -> ports.Put:
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -237,6 +237,9 @@
     async def claim(self, service: ids.ServiceName) -> Claim | None:
         """Claim the change of a service's primary; None when another instance holds the claim."""
 
+    async def renew(self, claim: Claim) -> Claim | None:
+        """Return a claim with a later expiry; None when it is lost."""
+
     async def note_promotion_requested(self, claim: Claim) -> None:
         """Record for the other instances that a promotion request under a claim got no answer."""
 
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -7,8 +7,9 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 
-from mustardswitch import events
+from mustardswitch import events, tasks
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.proxy import errors, ports, server, service
@@ -27,6 +28,11 @@
 CLAIM_MARGIN_S = 0.5
 """Time before the claim's expiry from which its holder does nothing more; a promotion request may
 be under way for this long, between regions or to a slow platform."""
+CLAIM_RENEWAL_S = 0.8
+"""Pause between renewals of a claim; two may fail before it expires."""
+RENEWAL_LIMIT_S = 4.0
+"""Time for which a claim is renewed. An attempt that takes longer ends with its claim, and another
+instance may try."""
 
 
 class Takeover:
@@ -93,6 +99,29 @@
         """Resume all servers, since another instance left replicas paused when it died."""
         await self._resume(set(self.target.servers_with_commits()))
 
+    @contextlib.asynccontextmanager
+    async def renewing(self) -> collections.abc.AsyncIterator[None]:
+        """Renew the claim while the context is open."""
+        renewals = asyncio.create_task(self._renew())
+        try:
+            yield
+        finally:
+            await tasks.cancel_and_wait([renewals])
+
+    async def _renew(self) -> None:
+        ends_s = clock.now_s() + RENEWAL_LIMIT_S
+        while clock.now_s() + CLAIM_RENEWAL_S < ends_s:
+            await asyncio.sleep(CLAIM_RENEWAL_S)
+            try:
+                renewed = await self.coordination.renew(self.claim)
+            except errors.StoreError as error:
+                events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
+                continue
+            if renewed is None:
+                self.claim = dataclasses.replace(self.claim, expires_at_s=clock.now_s())
+                return
+            self.claim = renewed
+
     def _holds_claim(self) -> bool:
         """Return whether no other instance can hold the claim yet."""
         return clock.now_s() + CLAIM_MARGIN_S < self.claim.expires_at_s
@@ -362,7 +391,8 @@
     attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
     done = False
     try:
-        done = await attempt.run(primary, silent=silent)
+        async with attempt.renewing():
+            done = await attempt.run(primary, silent=silent)
         return done
     finally:
         requested = (
@@ -370,7 +400,7 @@
         )
         await _release(
             coordination,
-            claim,
+            attempt.claim,
             ports.UnfinishedChange.PROMOTION_REQUESTED if requested and not done else None,
         )
 
@@ -402,12 +432,12 @@
     claim = await _claim(target, coordination)
     if claim is None:
         return
+    attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
     try:
-        await Takeover(
-            target=target, claim=claim, coordination=coordination, promoter=promoter
-        ).resume_all()
+        async with attempt.renewing():
+            await attempt.resume_all()
     finally:
-        await _release(coordination, claim, None)
+        await _release(coordination, attempt.claim, None)
 
 
 async def _claim(target: service.Service, coordination: ports.Coordination) -> ports.Claim | None:
