Send a follower of the build before only what is new to it

What could happen while builds are mixed (test): such a follower names no era, so its revision was below all of the relay's; it was sent all records with each request, as fast as it asked. Cause: an absent era was read as era 0. Change: it is read as the era of the relay's records. Evidence: a_follower_of_an_earlier_build... failed before (all records, complete) and passes.

--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -59,13 +59,16 @@
     return body.startswith(REQUEST_PREFIX)
 
 
-def decode_request(body: bytes) -> RecordRequest:
-    """Decode the body of a request's frame; raises InvalidFrameError."""
+def decode_request(body: bytes, *, default_era: int = 0) -> RecordRequest:
+    """Decode the body of a request's frame; raises InvalidFrameError.
+
+    ``default_era`` is the era of a follower that names none, as those of earlier builds do.
+    """
     try:
         fields = json.loads(body)["records"]
         after = fields["after"]
         return RecordRequest(
-            after=None if after is None else _join(fields, after, 0),
+            after=None if after is None else _join(fields, after, default_era),
             wait_s=relay_codec.decode_seconds(fields["wait_s"]),
         )
     except relay_codec.MALFORMED as error:
--- a/src/mustardswitch/peers/record_relay.py
+++ b/src/mustardswitch/peers/record_relay.py
@@ -38,6 +38,11 @@
         self.encoded: tuple[tuple[int, int, bool], bytes] | None = None
         """The latest encoded items, which usually serve all followers."""
 
+    @property
+    def era(self) -> int:
+        """The store's era of the records."""
+        return revisions.era_of(self.log.revision or 0)
+
     def publish(self, listing: change_log.Listing, *, confirmed_at_s: float) -> None:
         """Pass on what the store, or a relay, answered."""
         before = (self.available, self.log.revision)
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -71,7 +71,8 @@
             while True:
                 body = await relay_codec.read_frame(reader)
                 if record_codec.is_request(body):
-                    writer.write(await self.feed.answer(record_codec.decode_request(body)))
+                    request = record_codec.decode_request(body, default_era=self.feed.era)
+                    writer.write(await self.feed.answer(request))
                     await writer.drain()
                     continue
                 forwarded = relay_codec.decode_forwarded(body)
--- a/tests/proxy/test_record_source.py
+++ b/tests/proxy/test_record_source.py
@@ -5,8 +5,21 @@
 import pytest
 
 from mustardswitch import metrics
-from mustardswitch.internal import change_log, clock, gateways, ids, record_relays
-from mustardswitch.peers import datagrams, record_codec, record_relay, relay_server
+from mustardswitch.internal import (
+    change_log,
+    clock,
+    gateways,
+    ids,
+    record_relays,
+    revisions,
+)
+from mustardswitch.peers import (
+    datagrams,
+    record_codec,
+    record_relay,
+    relay_codec,
+    relay_server,
+)
 from mustardswitch.proxy import directory, record_source
 from mustardswitch_standins import fleet
 from tests.common import proxy_world
@@ -151,6 +164,19 @@
     assert await running.source.load(not_before=6) is None
 
 
+async def test_a_follower_of_an_earlier_build_is_not_sent_all_records_again_and_again(running):
+    """It names no era; its revision would be below all of the relay's."""
+    latest = revisions.join(era=2, number=7)
+    running.publish(_listing(_item("a", latest), revision=latest, complete=True))
+    address = next(iter(running.addresses.values()))
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(relay_codec.encode_fields({"records": {"after": 7, "wait_s": 0.1}}))
+    header = record_codec.decode_header(await relay_codec.read_frame(reader))
+    assert not header.complete
+    assert record_codec.decode_items(await relay_codec.read_frame(reader)) == ()
+    writer.close()
+
+
 async def test_a_malformed_request_ends_its_connection_only(running):
     running.publish(_listing(revision=1, complete=True))
     address = next(iter(running.addresses.values()))
