--- a/review/standins.py
+++ b/review/standins.py
@@ -127,6 +127,9 @@
         self.up = True
         self.draining = False
         self.reaches_store = True
+        self.late_resumes = 0
+        """Number of further RESUME orders that get no answer and are carried out late."""
+        self.late_resume_s = 0.0
         self.lit = asyncio.Event()
         self.lit.set()
         self.slots = asyncio.Semaphore(3)
@@ -272,15 +275,26 @@
             await asyncio.sleep(0.0005)
         if verb == "PAUSE" and not self.leads and int(rest) > self.group.term:
             self.paused_term = int(rest)
+        elif verb == "RESUME" and self.late_resumes:
+            self.late_resumes -= 1
+            self.group.record.write(
+                f"server {self.name} leaves RESUME unanswered for {self.late_resume_s} s"
+            )
+            asyncio.get_running_loop().call_later(self.late_resume_s, self._resume)
+            await asyncio.Event().wait()
         elif verb == "RESUME":
-            self.paused_term = 0
-            self.group.catch_up(self)
+            self._resume()
         if verb != "STATUS":
             self.group.record.write(f"server {self.name} runs {verb} {rest} at {self.position}")
         role = "primary" if self.leads else "replica"
         row = f"{role} {self.group.term} {self.position} {self.paused_term} 0 0 {len(self.writers)}"
         return f"DATAROW {row}\r\nCOMPLETE -\r\n"
 
+    def _resume(self) -> None:
+        self.group.record.write(f"server {self.name} resumes; paused under {self.paused_term}")
+        self.paused_term = 0
+        self.group.catch_up(self)
+
     def _lost_lead(self, connection: Connection) -> bool:
         plain = connection.state == "T" and not connection.read_only
         return plain and (not self.leads or connection.term != self.group.term)
