--- a/review/standins.py
+++ b/review/standins.py
@@ -641,7 +641,8 @@
             path = pathlib.Path(self.folder.name) / f"{instance.name}.log"
             if path.exists():
                 for line in path.read_text(errors="replace").splitlines():
-                    self.record.file.write(f"log {instance.name}  {line}\n")
+                    if line.startswith("{"):  # Tracebacks name paths of the machine.
+                        self.record.file.write(f"log {instance.name}  {line}\n")
         self.folder.cleanup()
 
 
