Record a promotion before it is requested, and let the next holder complete it

Cause: a promotion that had been requested was recorded only after its call had stayed unanswered for a second. A holder that died before that left its replicas as merely paused; the next holder resumed them, no higher fencing token was shown, and the call was carried out seconds later on a log without the commits made since. A new claim also overwrote an earlier record.

Change: the server is recorded under the claim's condition before the call, in a key that a claim does not touch. Until it is removed no other server is resumed; the next holder promotes the same server, or voids the request by promoting the present primary under a higher token.

--- a/src/mustardswitch/internal/own_records.py
+++ b/src/mustardswitch/internal/own_records.py
@@ -11,15 +11,18 @@
 
 Vote = tuple[ids.ServiceName, ids.ServerId]
 """A primary that the instance votes to replace."""
+Promotion = tuple[ids.ServiceName, ids.ServerId]
+"""A server whose promotion may take effect."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Records:
-    """Records of one instance, and the services whose change of primary is unfinished."""
+    """Records of one instance, and the unfinished changes of primary of all services."""
 
     votes: collections.abc.Set[Vote] = frozenset()
     claims: collections.abc.Set[ids.ServiceName] = frozenset()
     unfinished: collections.abc.Set[ids.ServiceName] = frozenset()
+    promotions: collections.abc.Set[Promotion] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,9 +33,11 @@
     withdraw: collections.abc.Set[Vote] = frozenset()
     release: collections.abc.Set[ids.ServiceName] = frozenset()
     mark_unfinished: collections.abc.Set[ids.ServiceName] = frozenset()
+    record_promotions: collections.abc.Set[Promotion] = frozenset()
 
     def __bool__(self) -> bool:
-        return bool(self.cast or self.withdraw or self.release or self.mark_unfinished)
+        marks = self.mark_unfinished or self.record_promotions
+        return bool(self.cast or self.withdraw or self.release or marks)
 
 
 NOTHING = Repair()
@@ -70,4 +75,9 @@
             withdraw=held.votes - self.votes,
             release=held.claims - self.claims,
             mark_unfinished=before.unfinished - held.unfinished,
+            record_promotions={
+                (service, promoted)
+                for service, promoted in before.promotions
+                if service not in {held_service for held_service, _ in held.promotions}
+            },
         )
--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -40,6 +40,8 @@
     """One replica is known to hold every acknowledged commit."""
     WAIT = "wait"
     """No replica is known to hold every acknowledged commit yet."""
+    KEEP = "keep"
+    """The primary stays; an earlier request to promote another server is to be voided."""
     ALREADY_LED = "already_led"
     """A server with a newer term leads already."""
 
@@ -58,12 +60,14 @@
     expected: collections.abc.Set[ids.ServerId],
     paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
     leaving: collections.abc.Set[ids.ServerId],
+    requested: ids.ServerId | None = None,
 ) -> Choice:
     """Choose the replica to promote when the primary does not answer.
 
     ``expected`` are all servers that may hold an acknowledged commit, without the primary;
     ``paused`` are the statuses of those that no longer receive anything. Of several replicas with
-    the highest log, one that is not ``leaving`` is preferred.
+    the highest log, the one whose promotion may have been ``requested`` before is preferred, then
+    one that is not ``leaving``.
     """
     missing = expected - set(paused)
     if missing:
@@ -74,6 +78,8 @@
         return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
     end = max(status.received for status in paused.values())
     holders = [server for server, status in paused.items() if status.received == end]
+    if requested in holders:
+        holders = [requested]
     return _prefer_staying(holders, leaving, f"the highest paused log ends at {end}")
 
 
@@ -81,11 +87,16 @@
     *,
     replicas: collections.abc.Mapping[ids.ServerId, ServerStatus],
     leaving: collections.abc.Set[ids.ServerId],
+    requested: ids.ServerId | None = None,
 ) -> ids.ServerId | None:
     """Choose the replica that stays unpaused while the primary answers.
 
-    Takes the highest log among the replicas that are not ``leaving``; None if all of them are.
+    Takes the highest log among the replicas that are not ``leaving``; None if all of them are. Once
+    a promotion may have been ``requested``, only that server is taken: the request may take effect
+    at any time, so no other server may confirm commits.
     """
+    if requested is not None:
+        return requested if requested in replicas else None
     staying = {server: status for server, status in replicas.items() if server not in leaving}
     if not staying:
         return None
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -96,6 +96,7 @@
             votes=votes,
             claims={name for name, holder in known.claims.items() if holder == self.instance},
             unfinished=frozenset(known.unfinished),
+            promotions=frozenset(known.promotions.items()),
         )
         registered = known.instances.is_listed(self.instance)
         lost, repair = self.own.note_seen(held, registered=registered, revision=revision)
@@ -108,6 +109,7 @@
                 withdrawn=len(repair.withdraw),
                 released=len(repair.release),
                 marked=len(repair.mark_unfinished),
+                promotions=len(repair.record_promotions),
             )
             self.repair = repair
         if lost or repair:
@@ -160,12 +162,20 @@
             )
         for service in repair.release - self.own.claims:
             await self._release_again(service)
-        if repair.mark_unfinished:
+        if repair.mark_unfinished or repair.record_promotions:
             # Another instance may have marked them meanwhile; most find that.
             await asyncio.sleep(self.opening_delay_s)
-        for service in repair.mark_unfinished - set(self.directory.unfinished):
-            marker = _paused_marker(service, self.instance.encode())
-            await self.client.change(expected={marker.key: 0}, puts=[marker])
+        marks = [
+            _promotion_record(service, promoted)
+            for service, promoted in repair.record_promotions
+            if service not in self.directory.promotions
+        ]
+        marks += [
+            _paused_marker(service, self.instance.encode())
+            for service in repair.mark_unfinished - set(self.directory.unfinished)
+        ]
+        for mark in marks:
+            await self.client.change(expected={mark.key: 0}, puts=[mark])
         if self.repair is repair:
             self.repair = own_records.NOTHING
 
@@ -317,47 +327,82 @@
             return None
         return dataclasses.replace(claim, expires_at_s=expires_at_s)
 
-    async def note_promotion_requested(self, claim: ports.Claim) -> None:
-        """Record that a promotion request got no answer, unless the service was claimed since.
+    async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
+        """Record the server whose promotion will be requested; False when the claim is lost.
+
+        Its holder may die, or lose the store, at any moment after the request; the next holder then
+        knows which server may be promoted late. Raises StoreError.
+        """
+        puts = _promotion_records(claim.service, server)
+        return await self.client.change(expected=self._condition(claim), puts=puts) is not None
+
+    async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
+        """Return the server whose promotion an earlier holder may have requested.
 
         Raises StoreError.
         """
-        marker = _promotion_marker(claim)
-        if await self.client.change(expected=self._condition(claim), puts=[marker]) is None:
-            await self._mark_in_later_era(claim, marker)
+        key = f"{fleet_records.PROMOTIONS}{service}"
+        found = await self.client.read(key)
+        try:
+            return None if found is None else fleet_records.decode_promotion(found.value)
+        except errors.FleetRecordError as error:
+            events.log(
+                events.Event.RECORD_REJECTED, key=key, revision=found.revision, reason=str(error)
+            )
+            return None
 
-    async def _mark_in_later_era(self, claim: ports.Claim, marker: ports.Put) -> None:
+    async def _mark_in_later_era(
+        self, claim: ports.Claim, marks: collections.abc.Sequence[ports.Put]
+    ) -> None:
         """Record an unfinished change of which a store that was restored since does not know."""
         if revisions.era_of(claim.fencing_token) < self.client.era:
-            await self.client.change(expected={}, puts=[marker])
+            await self.client.change(expected={}, puts=marks)
 
     async def release(
-        self, claim: ports.Claim, *, unfinished: ports.UnfinishedChange | None = None
+        self,
+        claim: ports.Claim,
+        *,
+        unfinished: ports.UnfinishedChange | None = None,
+        promoted: ids.ServerId | None = None,
     ) -> None:
         """Release a claim; ``unfinished`` is None when the change of primary was completed.
 
-        Otherwise it is the state that the marker reports to the other instances. The marker is
-        removed or changed only if the service was not claimed again since. Raises StoreError.
+        Otherwise it is the state that the marker reports to the other instances, and ``promoted``
+        the server whose promotion may still take effect. The records are removed or changed only
+        if the service was not claimed again since. Raises StoreError.
         """
-        key = f"{fleet_records.CLAIMS}{claim.service}"
-        requested = unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED
-        self.own.claims.discard(claim.service)
+        service = claim.service
+        self.own.claims.discard(service)
+        marks: list[ports.Put] = []
+        if unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED:
+            marks = _promotion_records(service, promoted)
+        elif unfinished is ports.UnfinishedChange.PAUSED:
+            marks = [_paused_marker(service, self.instance.encode())]
+        deletes = [f"{fleet_records.CLAIMS}{service}"]
+        if unfinished is None:
+            deletes.append(f"{fleet_records.UNFINISHED}{service}")
+        if promoted is None:
+            deletes.append(f"{fleet_records.PROMOTIONS}{service}")
         released = await self.client.change(
-            expected=self._condition(claim),
-            puts=[_promotion_marker(claim)] if requested else [],
-            deletes=[key] if unfinished else [key, f"{fleet_records.UNFINISHED}{claim.service}"],
+            expected=self._condition(claim), puts=marks, deletes=deletes
         )
         if released is None:
-            marker = _paused_marker(claim.service, self.instance.encode())
-            await self._mark_in_later_era(claim, _promotion_marker(claim) if requested else marker)
+            marks = marks or [_paused_marker(service, self.instance.encode())]
+            await self._mark_in_later_era(claim, marks)
 
 
 def _paused_marker(service: ids.ServiceName, value: bytes) -> ports.Put:
     return ports.Put(key=f"{fleet_records.UNFINISHED}{service}", value=value)
 
 
-def _promotion_marker(claim: ports.Claim) -> ports.Put:
-    return ports.Put(
-        key=f"{fleet_records.UNFINISHED}{claim.service}",
+def _promotion_records(service: ids.ServiceName, promoted: ids.ServerId | None) -> list[ports.Put]:
+    """Return the marker of a requested promotion, and the record of the server if it is known."""
+    marker = ports.Put(
+        key=f"{fleet_records.UNFINISHED}{service}",
         value=ports.UnfinishedChange.PROMOTION_REQUESTED.value.encode(),
     )
+    return [marker] if promoted is None else [marker, _promotion_record(service, promoted)]
+
+
+def _promotion_record(service: ids.ServiceName, promoted: ids.ServerId) -> ports.Put:
+    return ports.Put(key=f"{fleet_records.PROMOTIONS}{service}", value=promoted.encode())
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -80,6 +80,8 @@
         self.unfinished: dict[ids.ServiceName, ports.UnfinishedChange] = {}
         """States in which unfinished changes of primary left their services, whose replicas may
         still be paused."""
+        self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
+        """Servers whose promotion was recorded before it was requested, and may take effect."""
         self.services: dict[ids.ServiceName, service.Service] = {}
 
     def __repr__(self) -> str:
@@ -102,6 +104,13 @@
         """Return a service, or None when no server of it is known."""
         return self.services.get(name)
 
+    def note_recorded_promotion(self, name: ids.ServiceName, promoted: ids.ServerId | None) -> None:
+        """Record that a server's promotion may take effect, or with None that none can."""
+        if promoted is None:
+            self.promotions.pop(name, None)
+        else:
+            self.promotions[name] = promoted
+
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply a configuration unless the same or a newer version is in force."""
         previous = self.configuration.version if self.configuration is not None else None
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -9,6 +9,7 @@
 VOTES = f"{PREFIX}votes/"
 CLAIMS = f"{PREFIX}claims/"
 UNFINISHED = f"{PREFIX}unfinished/"
+PROMOTIONS = f"{PREFIX}promotions/"
 ERAS = f"{PREFIX}eras/"
 
 
@@ -41,8 +42,8 @@
 def decode_unfinished(value: bytes) -> ports.UnfinishedChange:
     """Decode the marker of an unfinished change of primary.
 
-    It holds the value of the claim, which stands for paused replicas, unless a promotion request
-    got no answer.
+    It holds the value of the claim, which stands for paused replicas, unless a promotion may have
+    been requested.
     """
     requested = value == ports.UnfinishedChange.PROMOTION_REQUESTED.value.encode()
     return (
@@ -50,6 +51,14 @@
     )
 
 
+def decode_promotion(value: bytes) -> ids.ServerId:
+    """Decode the server whose promotion may have been requested; raises FleetRecordError."""
+    try:
+        return ids.ServerId(value.decode())
+    except UnicodeDecodeError as error:
+        raise errors.FleetRecordError("a promotion must name a server in UTF-8") from error
+
+
 def apply(known: directory.Directory, item: change_log.Item) -> None:
     """Apply the change of a record to a directory; raises FleetRecordError."""
     key = item.key
@@ -75,6 +84,10 @@
             known.unfinished.pop(service, None)
         else:
             known.unfinished[service] = decode_unfinished(item.value)
+    elif key.startswith(PROMOTIONS):
+        service = ids.ServiceName(key.removeprefix(PROMOTIONS))
+        promoted = None if item.value is None else decode_promotion(item.value)
+        known.note_recorded_promotion(service, promoted)
 
 
 def _apply_vote(known: directory.Directory, item: change_log.Item) -> None:
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -185,7 +185,7 @@
     PAUSED = "paused"
     """Replicas may still be paused."""
     PROMOTION_REQUESTED = "ordered"
-    """In addition, a promotion request got no answer and may be executed much later."""
+    """In addition, a promotion may have been requested, and may be executed much later."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -240,11 +240,26 @@
     async def renew(self, claim: Claim) -> Claim | None:
         """Return a claim with a later expiry; None when it is lost."""
 
-    async def note_promotion_requested(self, claim: Claim) -> None:
-        """Record for the other instances that a promotion request under a claim got no answer."""
+    async def record_promotion(self, claim: Claim, server: ids.ServerId) -> bool:
+        """Record the server whose promotion will be requested under a claim.
 
-    async def release(self, claim: Claim, *, unfinished: UnfinishedChange | None = None) -> None:
-        """Release a claim; an unfinished change stays recorded for the other instances."""
+        Returns False when the claim is lost; no promotion may be requested then.
+        """
+
+    async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
+        """Return the server whose recorded promotion may still take effect; None without one."""
+
+    async def release(
+        self,
+        claim: Claim,
+        *,
+        unfinished: UnfinishedChange | None = None,
+        promoted: ids.ServerId | None = None,
+    ) -> None:
+        """Release a claim; an unfinished change stays recorded for the other instances.
+
+        ``promoted`` is the server whose promotion may still take effect; its record stays.
+        """
 
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Announce to the other instances that this one cannot reach a primary."""
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -2,6 +2,10 @@
 
 The decisions are made by ``internal.promotion``. The fencing token of the claim makes the platform
 reject promotion requests of an earlier holder.
+
+A request without an answer may be executed seconds later. So the server is recorded in the store
+before its promotion is requested, and until the record is removed only this server may confirm
+commits: the others stay paused, and whoever holds the claim next promotes the same server.
 """
 
 import asyncio
@@ -25,6 +29,8 @@
 """Pause between queries to a server that is catching up or is being promoted."""
 PROMOTION_TIMEOUT_S = 4.0
 """Time for a promoted server to lead; longer than the platform usually takes."""
+PROMOTION_DELAY_S = 1.5
+"""Time after which an accepted promotion has taken effect; it takes up to a second."""
 CLAIM_MARGIN_S = 0.5
 """Time before the claim's expiry from which its holder does nothing more; a promotion request may
 be under way for this long, between regions or to a slow platform."""
@@ -51,8 +57,9 @@
         self.coordination = coordination
         self.promoter = promoter
         self.links: dict[ids.ServerId, ports.Link] = {}
-        self.request_unanswered = False
-        """Whether a promotion request got no answer, and may be executed later."""
+        self.requested: ids.ServerId | None = None
+        """The server whose promotion was recorded, by this holder or an earlier one, and may take
+        effect; None without one."""
 
     def __repr__(self) -> str:
         return (
@@ -64,15 +71,17 @@
         """Replace a primary; returns whether another server leads.
 
         ``primary`` is None when the former primary is no longer listed. A ``silent`` primary is
-        known not to answer this instance and is not queried. All other servers are resumed whatever
-        the result, including those that an earlier holder left paused, unless the claim has
-        expired: by then they may be paused for its next holder.
+        known not to answer this instance and is not queried. All other servers are resumed at the
+        end, including those that an earlier holder left paused, with two exceptions: a promotion
+        that may still take effect leaves all but its server paused, and nothing is resumed once the
+        claim has expired, since the servers may be paused for its next holder.
         """
         events.log(
             events.Event.TAKEOVER_STARTED,
             service=self.target.name,
             primary=primary,
             fencing_token=self.claim.fencing_token,
+            requested=self.requested,
         )
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT, reason="not decided")
         try:
@@ -80,11 +89,18 @@
             done = False
             if choice.verdict is promotion.Verdict.PROMOTE:
                 done = await self._promote(choice.server)
+            elif choice.verdict is promotion.Verdict.KEEP:
+                await self._keep(choice.server)
             elif choice.verdict is promotion.Verdict.ALREADY_LED:
                 await self.target.find_leader()
                 done = True
+            if done:
+                self.requested = None
         finally:
-            await asyncio.shield(self._resume(self._answering(primary, silent)))
+            resumed = self._answering(primary, silent)
+            if self.requested is not None:
+                resumed &= {self.requested}
+            await asyncio.shield(self._resume(resumed))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -118,11 +134,14 @@
                 events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
                 continue
             if renewed is None:
-                self.claim = dataclasses.replace(self.claim, expires_at_s=clock.now_s())
+                self._note_claim_lost()
                 return
             self.claim = renewed
 
-    def _holds_claim(self) -> bool:
+    def _note_claim_lost(self) -> None:
+        self.claim = dataclasses.replace(self.claim, expires_at_s=clock.now_s())
+
+    def holds_claim(self) -> bool:
         """Return whether no other instance can hold the claim yet."""
         return clock.now_s() + CLAIM_MARGIN_S < self.claim.expires_at_s
 
@@ -134,19 +153,19 @@
 
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
         statuses = await self._query_all(self._answering(primary, silent))
+        term = ids.Term(1 + max((status.term for status in statuses.values()), default=0))
         led_by = [
             name for name, status in statuses.items() if status.role is promotion.Role.PRIMARY
         ]
         others = [name for name in led_by if name != primary]
-        if others:
+        if others and self.requested in (None, *others):
             return promotion.Choice(
                 verdict=promotion.Verdict.ALREADY_LED,
-                server=others[0],
+                server=self.requested or others[0],
                 reason="another server already leads",
             )
-        term = ids.Term(1 + max((status.term for status in statuses.values()), default=0))
-        if primary in led_by:
-            return await self._decide_handover(primary, statuses, term)
+        if led_by:
+            return await self._decide_handover((others or led_by)[0], statuses, term)
         return await self._decide_after_failure(primary, term)
 
     async def _decide_handover(
@@ -159,13 +178,24 @@
         replicas = {
             name: status
             for name, status in statuses.items()
-            if name != primary and name in self.target.servers
+            if name != primary and (name in self.target.servers or name == self.requested)
         }
-        successor = promotion.choose_successor(replicas=replicas, leaving=self._leaving())
+        successor = promotion.choose_successor(
+            replicas=replicas, leaving=self._leaving(), requested=self.requested
+        )
+        if successor is None and self.requested is not None:
+            return promotion.Choice(
+                verdict=promotion.Verdict.KEEP,
+                server=primary,
+                reason=f"server {self.requested}, whose promotion was requested, does not answer",
+            )
         if successor is None:
             return promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="no replica that is not leaving answered"
             )
+        if self.requested is not None:
+            # The holder that requested its promotion may have left it paused.
+            await self._resume_one(successor)
         paused = await self._pause_all(expected - {successor}, term)
         started_s = clock.now_s()
         while True:
@@ -199,7 +229,10 @@
             paused = self._still_paused(paused)
             paused |= await self._pause_all(expected - set(paused), term)
             choice = promotion.choose_after_failure(
-                expected=expected, paused=paused, leaving=self._leaving()
+                expected=expected,
+                paused=paused,
+                leaving=self._leaving(),
+                requested=self.requested,
             )
             waiting = choice.verdict is promotion.Verdict.WAIT
             if not waiting or clock.now_s() - started_s > PAUSE_TIMEOUT_S:
@@ -243,7 +276,7 @@
         async def pause(link: ports.Link) -> promotion.ServerStatus:
             return await link.pause(term, QUERY_TIMEOUT_S)
 
-        if not self._holds_claim():
+        if not self.holds_claim():
             return {}
         return await self._gather(servers, pause)
 
@@ -282,25 +315,10 @@
     async def _resume(self, servers: collections.abc.Set[ids.ServerId]) -> None:
         """Resume servers while the claim holds, and close the connections of this attempt."""
 
-        async def resume(name: ids.ServerId) -> None:
-            backend = self.target.servers_with_commits().get(name)
-            if backend is None:
-                return
-            try:
-                link = await self._link(backend)
-                await link.resume(QUERY_TIMEOUT_S)
-            except (backend_errors.BackendError, TimeoutError) as error:
-                events.log(
-                    events.Event.TAKEOVER_UNANSWERED,
-                    service=self.target.name,
-                    server=name,
-                    reason=f"not resumed: {error}",
-                )
-
-        if self._holds_claim():
+        if self.holds_claim():
             async with asyncio.TaskGroup() as group:
                 for name in servers:
-                    group.create_task(resume(name))
+                    group.create_task(self._resume_one(name))
         else:
             events.log(
                 events.Event.CLAIM_LAPSED,
@@ -312,28 +330,32 @@
                 link.close()
         self.links = {}
 
+    async def _resume_one(self, name: ids.ServerId) -> None:
+        backend = self.target.servers_with_commits().get(name)
+        if backend is None:
+            return
+        try:
+            link = await self._link(backend)
+            await link.resume(QUERY_TIMEOUT_S)
+        except (backend_errors.BackendError, TimeoutError) as error:
+            events.log(
+                events.Event.TAKEOVER_UNANSWERED,
+                service=self.target.name,
+                server=name,
+                reason=f"not resumed: {error}",
+            )
+
     # Promoting
 
     async def _promote(self, successor: ids.ServerId) -> bool:
-        """Request a promotion; returns whether the successor leads.
+        """Record and request a promotion; returns whether the successor leads.
 
         Without an answer the request is repeated for the same server only.
         """
-        while self._holds_claim():
-            outcome = await self.promoter.promote(
-                service=self.target.name,
-                server=successor,
-                fencing_token=self.claim.fencing_token,
-            )
-            events.log(
-                events.Event.PROMOTION_ORDERED,
-                service=self.target.name,
-                server=successor,
-                fencing_token=self.claim.fencing_token,
-                outcome=outcome.value,
-            )
-            if outcome is ports.PromotionOutcome.UNKNOWN:
-                await self._note_unanswered()
+        if not await self._record(successor):
+            return False
+        while self.holds_claim():
+            outcome = await self._request(successor)
             if outcome is ports.PromotionOutcome.REJECTED:
                 return False
             if outcome is ports.PromotionOutcome.ACCEPTED:
@@ -343,14 +365,51 @@
                 return True
         return False
 
-    async def _note_unanswered(self) -> None:
-        if self.request_unanswered:
-            return
-        self.request_unanswered = True
-        try:
-            await self.coordination.note_promotion_requested(self.claim)
-        except errors.StoreError as error:
-            events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
+    async def _request(self, server: ids.ServerId) -> ports.PromotionOutcome:
+        outcome = await self.promoter.promote(
+            service=self.target.name, server=server, fencing_token=self.claim.fencing_token
+        )
+        events.log(
+            events.Event.PROMOTION_ORDERED,
+            service=self.target.name,
+            server=server,
+            fencing_token=self.claim.fencing_token,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    async def _record(self, successor: ids.ServerId) -> bool:
+        """Record the server in the store; False when that is not possible under the claim."""
+        while self.holds_claim():
+            # Set before the call, which may be executed although its answer is lost.
+            self.requested = successor
+            try:
+                recorded = await self.coordination.record_promotion(self.claim, successor)
+            except errors.StoreError as error:
+                events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
+                await asyncio.sleep(POLL_S)
+                continue
+            if not recorded:
+                self._note_claim_lost()
+            return recorded
+        return False
+
+    async def _keep(self, primary: ids.ServerId) -> None:
+        """Void an earlier request to promote another server, by showing the platform a higher token.
+
+        A promotion of the present primary changes nothing. A request that was accepted before may
+        take effect a little later, until which the record stays.
+        """
+        while self.holds_claim():
+            outcome = await self._request(primary)
+            if outcome is ports.PromotionOutcome.REJECTED:
+                return
+            if outcome is ports.PromotionOutcome.ACCEPTED:
+                await asyncio.sleep(PROMOTION_DELAY_S)
+                if self.holds_claim() and await self._leads(primary):
+                    self.requested = None
+                return
+            await asyncio.sleep(POLL_S)
 
     async def _wait_until_leading(self, successor: ids.ServerId) -> bool:
         started_s = clock.now_s()
@@ -385,24 +444,42 @@
     For ``primary`` and ``silent`` see ``Takeover.run``. ``unfinished`` is the state that an
     earlier, unfinished change is known to have left.
     """
-    claim = await _claim(target, coordination)
-    if claim is None:
+    attempt = await _begin(target, coordination, promoter)
+    if attempt is None:
         return False
-    attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
+    # Instances of an earlier build mark a request without naming its server.
+    unnamed = unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED and attempt.requested is None
     done = False
     try:
         async with attempt.renewing():
             done = await attempt.run(primary, silent=silent)
         return done
     finally:
-        requested = (
-            attempt.request_unanswered or unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED
-        )
-        await _release(
-            coordination,
-            attempt.claim,
-            ports.UnfinishedChange.PROMOTION_REQUESTED if requested and not done else None,
-        )
+        await _release(attempt, unnamed=unnamed and not done)
+
+
+async def _begin(
+    target: service.Service, coordination: ports.Coordination, promoter: ports.Promoter
+) -> Takeover | None:
+    """Claim a service, and read which promotion an earlier holder may have requested."""
+    try:
+        claim = await coordination.claim(target.name)
+    except errors.StoreError as error:
+        events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
+        return None
+    if claim is None:
+        return None
+    attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
+    while attempt.holds_claim():
+        try:
+            attempt.requested = await coordination.recorded_promotion(target.name)
+        except errors.StoreError as error:
+            events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
+            await asyncio.sleep(POLL_S)
+        else:
+            return attempt
+    # Not released, which would remove a record that was not read.
+    return None
 
 
 async def clean_up(
@@ -414,9 +491,9 @@
 ) -> None:
     """Complete a change of primary that the holder of an earlier claim left unfinished.
 
-    A promotion request without an answer may still be executed, and would promote a replica whose
-    log is missing the commits made since. Only a later promotion, with a higher fencing token,
-    prevents that.
+    A promotion that was requested may still be executed, and would promote a replica whose log is
+    missing the commits made since. Only a later request, with a higher fencing token, prevents
+    that.
     """
     events.log(events.Event.TAKEOVER_CLEANED, service=target.name, leftover=unfinished.value)
     if unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED:
@@ -429,29 +506,28 @@
                 unfinished=unfinished,
             )
         return
-    claim = await _claim(target, coordination)
-    if claim is None:
+    attempt = await _begin(target, coordination, promoter)
+    if attempt is None:
         return
-    attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
     try:
         async with attempt.renewing():
-            await attempt.resume_all()
+            if attempt.requested is None:
+                await attempt.resume_all()
     finally:
-        await _release(coordination, attempt.claim, None)
-
+        await _release(attempt)
 
-async def _claim(target: service.Service, coordination: ports.Coordination) -> ports.Claim | None:
-    try:
-        return await coordination.claim(target.name)
-    except errors.StoreError as error:
-        events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
-        return None
 
+async def _release(attempt: Takeover, *, unnamed: bool = False) -> None:
+    """Release the claim of an attempt; the record of a promotion that may take effect stays.
 
-async def _release(
-    coordination: ports.Coordination, claim: ports.Claim, unfinished: ports.UnfinishedChange | None
-) -> None:
+    ``unnamed`` means that a promotion of an unknown server may have been requested.
+    """
+    unfinished = None
+    if unnamed or attempt.requested is not None:
+        unfinished = ports.UnfinishedChange.PROMOTION_REQUESTED
     try:
-        await coordination.release(claim, unfinished=unfinished)
+        await attempt.coordination.release(
+            attempt.claim, unfinished=unfinished, promoted=attempt.requested
+        )
     except errors.StoreError as error:
-        events.log(events.Event.CLAIM_FAILED, service=claim.service, reason=str(error))
+        events.log(events.Event.CLAIM_FAILED, service=attempt.claim.service, reason=str(error))
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -380,12 +380,17 @@
         """Promotion requests without an answer that were not executed yet."""
         self.executes = True
         """Whether a promotion request whose answer is lost is executed nevertheless."""
+        self.hang_requests = False
+        """Whether requests are delayed and never return."""
 
     async def promote(
         self, *, service: ids.ServiceName, server: ids.ServerId, fencing_token: int
     ) -> ports.PromotionOutcome:
         """Promote a server, unless a request with a higher token was executed before."""
         self.promotion_requests.append((server, fencing_token))
+        if self.hang_requests:
+            self.delayed.append((server, fencing_token))
+            await asyncio.Event().wait()
         if self.lose_answers:
             self.lose_answers -= 1
             if self.executes:
@@ -419,6 +424,8 @@
         self.claim_s = CLAIM_S
         self.unfinished: dict[ids.ServiceName, ports.UnfinishedChange] = {}
         """Marks of unfinished changes; may be shared with a directory."""
+        self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
+        """Servers whose promotion was recorded; may be shared with a directory."""
 
     async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
         """Claim a service and mark its change as unfinished; None when it is claimed already."""
@@ -440,21 +447,36 @@
             return None
         return dataclasses.replace(claim, expires_at_s=now_s + self.claim_s)
 
-    async def note_promotion_requested(self, claim: ports.Claim) -> None:
-        """Mark the claimed change as one with a promotion request that has no answer yet."""
+    async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
+        """Record the server whose promotion will be requested, and mark the change."""
+        if clock.now_s() >= claim.expires_at_s:
+            return False
         self.unfinished[claim.service] = ports.UnfinishedChange.PROMOTION_REQUESTED
+        self.promotions[claim.service] = server
+        return True
+
+    async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
+        """Return the recorded server."""
+        return self.promotions.get(service)
 
     async def release(
-        self, claim: ports.Claim, *, unfinished: ports.UnfinishedChange | None = None
+        self,
+        claim: ports.Claim,
+        *,
+        unfinished: ports.UnfinishedChange | None = None,
+        promoted: ids.ServerId | None = None,
     ) -> None:
-        """Release a claim and set or clear its mark; an expired claim changes no mark."""
+        """Release a claim and set or clear its marks; an expired claim changes no mark."""
         self.claimed.discard(claim.service)
         self.released.append(claim)
         if clock.now_s() >= claim.expires_at_s:
             return
         self.unfinished.pop(claim.service, None)
+        self.promotions.pop(claim.service, None)
         if unfinished is not None:
             self.unfinished[claim.service] = unfinished
+        if promoted is not None:
+            self.promotions[claim.service] = promoted
 
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
         """Record a vote against a server of a service."""
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -81,6 +81,11 @@
         self.directory.servers.replace(listed, clock.now_s())
         self.directory.refresh()
 
+    def share_marks(self) -> None:
+        """Let the directory follow the marks of unfinished changes."""
+        self.directory.unfinished = self.coordination.unfinished
+        self.directory.promotions = self.coordination.promotions
+
     @property
     def service(self) -> service.Service:
         """The only service of the group."""
--- a/tests/platform/test_own_records.py
+++ b/tests/platform/test_own_records.py
@@ -13,6 +13,7 @@
 VOTE = f"{fleet_records.VOTES}orders/i-1/one"
 CLAIM = f"{fleet_records.CLAIMS}orders"
 MARKER = f"{fleet_records.UNFINISHED}orders"
+PROMOTION = f"{fleet_records.PROMOTIONS}orders"
 
 
 @pytest.fixture
@@ -87,10 +88,29 @@
     """The request may be executed later, and would promote a log that lacks commits."""
     copy = world.store.copy()
     claim = await world.coordination.claim(ORDERS)
+    assert await world.coordination.record_promotion(claim, PRIMARY)
     world.store.restore(copy)
-    await world.coordination.note_promotion_requested(claim)
     requested = ports.UnfinishedChange.PROMOTION_REQUESTED
+    await world.coordination.release(claim, unfinished=requested, promoted=PRIMARY)
     assert fleet_records.decode_unfinished(world.store.keys[MARKER].value) is requested
+    assert world.store.keys[PROMOTION].value == b"i-1"
+
+
+async def test_a_recorded_promotion_that_the_copy_lacks_is_recorded_again(world):
+    """Its holder may have died; the next one has to know which server may be promoted late."""
+    copy = world.store.copy()
+    world.store.put(PROMOTION, b"i-1")
+    await world.follow()
+    world.store.restore(copy)
+    await store_world.wait_until(lambda: PROMOTION in world.store.keys)
+    assert world.store.keys[PROMOTION].value == b"i-1"
+
+
+async def test_no_promotion_is_recorded_under_a_claim_that_the_copy_lacks(world):
+    copy = world.store.copy()
+    claim = await world.coordination.claim(ORDERS)
+    world.store.restore(copy)
+    assert not await world.coordination.record_promotion(claim, PRIMARY)
 
 
 async def test_an_instance_that_leaves_is_not_registered_again(world):
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -153,18 +153,24 @@
         fleet_records.decode_unfinished((await client.read(marker)).value)
         is ports.UnfinishedChange.PAUSED
     )
-    await first.note_promotion_requested(claim)
+    assert await first.recorded_promotion(orders) is None
+    assert await first.record_promotion(claim, ids.ServerId("i-1"))
     assert (
         fleet_records.decode_unfinished((await client.read(marker)).value)
         is ports.UnfinishedChange.PROMOTION_REQUESTED
     )
-    await first.release(claim, unfinished=ports.UnfinishedChange.PROMOTION_REQUESTED)
+    requested = ports.UnfinishedChange.PROMOTION_REQUESTED
+    await first.release(claim, unfinished=requested, promoted=ids.ServerId("i-1"))
     later = await second.claim(orders)
     assert later.fencing_token > claim.fencing_token
+    assert await second.recorded_promotion(orders) == "i-1"
+    assert not await first.record_promotion(claim, ids.ServerId("i-2"))
     await first.release(claim)
     assert (await client.read(marker)) is not None
+    assert await second.recorded_promotion(orders) == "i-1"
     await second.release(later)
     assert await client.read(marker) is None
+    assert await second.recorded_promotion(orders) is None
     await world.stop()
 
 
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -212,6 +212,73 @@
     assert world.group.lost == []
 
 
+@pytest.mark.parametrize("recovers", [True, False])
+async def test_a_request_of_a_holder_that_died_in_its_call_loses_no_commit_when_executed_late(
+    recovers,
+):
+    """Reproduces review/1: the next holder took the replicas for merely paused and resumed them,
+    and the request was executed when the other replica alone held the latest commits.
+    """
+    world = proxy_world.World()
+    world.share_marks()
+    world.group.servers[A].silent = True
+    world.promoter.hang_requests = True
+    dying = asyncio.create_task(_take_over(world))
+    while not world.promoter.delayed:
+        await asyncio.sleep(0.01)
+    requested = world.promoter.delayed[0][0]
+    world.group.servers[A].silent = not recovers
+    world.promoter.hang_requests = False
+    world.coordination.claimed.clear()
+    if recovers:
+        await _watch_until(world, lambda: not world.coordination.unfinished)
+    else:
+        assert await takeover.run_claimed(
+            target=world.service,
+            coordination=world.coordination,
+            promoter=world.promoter,
+            primary=A,
+            silent=True,
+        )
+    world.group.servers[requested].not_receiving = True
+    world.group.commit(world.group.primary, "x")
+    world.promoter.execute_delayed()
+    assert world.group.lost == []
+    dying.cancel()
+    await asyncio.gather(dying, return_exceptions=True)
+
+
+async def test_a_claim_keeps_the_record_of_an_earlier_promotion_until_it_is_settled(monkeypatch):
+    """A second holder that dies right after its claim must not hide the first one's request."""
+    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    world = proxy_world.World()
+    world.share_marks()
+    world.coordination.promotions[database_group.SERVICE] = B
+    world.group.servers[A].up = world.group.servers[C].up = False
+    world.group.servers[B].paused_term = world.group.servers[C].paused_term = 7
+    assert not await _take_over(world)
+    assert world.coordination.promotions == {database_group.SERVICE: B}
+    assert world.group.servers[C].paused_term
+
+
+async def test_a_primary_is_kept_when_the_server_of_an_earlier_request_does_not_answer(
+    monkeypatch,
+):
+    """The primary, promoted again under a higher token, voids the request."""
+    monkeypatch.setattr(takeover, "PROMOTION_DELAY_S", 0.1)
+    world = proxy_world.World()
+    world.share_marks()
+    world.coordination.promotions[database_group.SERVICE] = C
+    world.promoter.delayed.append((C, 0))
+    world.group.servers[B].paused_term = 7
+    world.group.servers[C].silent = True
+    assert not await _take_over(world)
+    assert world.coordination.promotions == {} and not world.group.servers[B].paused_term
+    world.group.commit(world.group.primary, "x")
+    world.promoter.execute_delayed()
+    assert world.group.primary.name == A and world.group.lost == []
+
+
 async def test_an_unanswered_promotion_request_stays_recorded_while_no_leader_is_known():
     world = proxy_world.World()
     world.directory.unfinished = world.coordination.unfinished
