Resume only servers that report a pause, and check pauses until a promotion takes effect

Cause: a RESUME of the change before was executed 3.9 s late and ended the pause of the next one. All servers got a RESUME after each change although the promotion had ended all pauses, and a pause was taken to last as long as its connection was intact.

What may be paused and did not answer stays marked. The commands to servers are a module of their own.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -31,6 +31,8 @@
     term: ids.Term
     received: positions.Position
     """The end of its log, which may not have been applied yet."""
+    paused: bool = False
+    """Whether it receives nothing."""
 
 
 class Verdict(enum.Enum):
--- a/src/mustardswitch/platform/lines.py
+++ b/src/mustardswitch/platform/lines.py
@@ -367,4 +367,5 @@
         role=_ROLES[fields[0]],
         term=ids.Term(max(int(fields[1]), paused, received.term)),
         received=received,
+        paused=paused > 0,
     )
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -19,6 +19,8 @@
 RETRY_S = 0.6
 """Pause after a vote that failed or an attempt that changed nothing; about the duration of a
 promotion."""
+CLEAN_UP_RETRY_S = 1.0
+"""Pause after an unfinished change was taken up, which takes a few calls to the store."""
 LEADERLESS_S = 0.3
 """Time without a known leader after which all servers are queried; updates about a promotion
 usually arrive sooner."""
@@ -191,24 +193,30 @@
             # A replica that is not listed yet could confirm commits that are missing from the log
             # of the promoted one.
             return
-        unfinished = watch.target.name in self.directory.unfinished
-        if primary_to_replace is None and not unfinished:
+        unfinished = self._unfinished(watch.target.name)
+        if primary_to_replace is None and unfinished is None:
             return
         delay_s = RANK_DELAY_S * self._rank(watch.target.name)
         if primary_to_replace is not None:
             if now_s >= watch.due_since_s + delay_s:
                 watch.changing = watch.target.start(self._change(watch, primary_to_replace))
         else:
-            watch.retry_at_s = now_s + RETRY_S + delay_s
+            watch.retry_at_s = now_s + CLEAN_UP_RETRY_S + delay_s
             watch.changing = watch.target.start(
                 takeover.clean_up(
                     target=watch.target,
                     coordination=self.coordination,
                     promoter=self.promoter,
-                    unfinished=self.directory.unfinished[watch.target.name],
+                    unfinished=unfinished,
                 )
             )
 
+    def _unfinished(self, name: ids.ServiceName) -> ports.UnfinishedChange | None:
+        """Return the state that an unfinished change of primary left; None without one."""
+        if name in self.directory.promotions:
+            return ports.UnfinishedChange.PROMOTION_REQUESTED
+        return self.directory.unfinished.get(name)
+
     def _primary_to_replace(
         self, watch: ServiceWatch, leader: server.Server | None
     ) -> ids.ServerId | None:
@@ -252,7 +260,7 @@
             promoter=self.promoter,
             primary=None if primary == UNLISTED_PRIMARY else primary,
             silent=primary == watch.suspected,
-            unfinished=self.directory.unfinished.get(watch.target.name),
+            unfinished=self._unfinished(watch.target.name),
         )
         if done and self.peers is not None and watch.target.leader is not None:
             new_primary = datagrams.PrimaryRef(
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -14,13 +14,9 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, promotion
-from mustardswitch.proxy import errors, ports, server, service
+from mustardswitch.proxy import errors, ports, server_commands, service
 
-QUERY_TIMEOUT_S = 0.5
-"""Time for opening a connection, and for the answer to a query over it; the work of opening one and
-ten round trips between regions."""
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the successor to catch up; a leaving primary keeps running for several times as long."""
 PAUSE_TIMEOUT_S = 1.2
@@ -56,7 +52,15 @@
         self.claim = claim
         self.coordination = coordination
         self.promoter = promoter
-        self.links: dict[ids.ServerId, ports.Link] = {}
+        self.commands = server_commands.ServerCommands(target=target)
+        self.term = ids.Term(0)
+        """The term under which replicas are paused."""
+        self.may_be_paused: set[ids.ServerId] = set()
+        """Servers that may be paused and have not been resumed."""
+        self.requested_before: ids.ServerId | None = None
+        """The server whose promotion an earlier holder recorded; None without one."""
+        self.request_sent = False
+        """Whether this holder has requested a promotion."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
@@ -84,23 +88,29 @@
             requested=self.requested,
         )
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT, reason="not decided")
+        done = False
         try:
-            choice = await self._decide(primary, silent)
-            done = False
+            choice = await self._decide_and_record(primary, silent)
             if choice.verdict is promotion.Verdict.PROMOTE:
-                done = await self._promote(choice.server)
+                async with self._kept_paused({primary, choice.server}):
+                    done = await self._promote(choice.server)
             elif choice.verdict is promotion.Verdict.KEEP:
-                await self._keep(choice.server)
+                async with self._kept_paused({choice.server}):
+                    await self._keep(choice.server)
             elif choice.verdict is promotion.Verdict.ALREADY_LED:
                 await self.target.find_leader()
                 done = True
+        finally:
             if done:
                 self.requested = None
-        finally:
+                # A promotion ends all pauses.
+                self.may_be_paused = set()
+            elif not self.request_sent:
+                self.requested = self.requested_before
             resumed = self._answering(primary, silent)
             if self.requested is not None:
                 resumed &= {self.requested}
-            await asyncio.shield(self._resume(resumed))
+            await asyncio.shield(self._end(resumed))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -113,7 +123,8 @@
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
-        await self._resume(set(self.target.servers_with_commits()))
+        self.may_be_paused = self._confirming()
+        await self._end(self._confirming())
 
     @contextlib.asynccontextmanager
     async def renewing(self) -> collections.abc.AsyncIterator[None]:
@@ -149,11 +160,28 @@
 
     def _answering(self, primary: ids.ServerId | None, silent: bool) -> set[ids.ServerId]:
         """Return the servers that may answer: all but a ``silent`` primary."""
-        return set(self.target.servers_with_commits()) - ({primary} if silent else set())
+        return self._confirming() - ({primary} if silent else set())
+
+    async def _decide_and_record(
+        self, primary: ids.ServerId | None, silent: bool
+    ) -> promotion.Choice:
+        """Decide, and record a server that is to be promoted.
+
+        The servers are queried once more after that: a pause may have ended, or a server may have
+        started, while the record was written.
+        """
+        choice = await self._decide(primary, silent)
+        while choice.verdict is promotion.Verdict.PROMOTE and choice.server != self.requested:
+            if not await self._record(choice.server):
+                return promotion.Choice(
+                    verdict=promotion.Verdict.WAIT, reason="the promotion cannot be recorded"
+                )
+            choice = await self._decide(primary, silent)
+        return choice
 
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
-        statuses = await self._query_all(self._answering(primary, silent))
-        term = ids.Term(1 + max((status.term for status in statuses.values()), default=0))
+        statuses = await self.commands.query(self._answering(primary, silent))
+        self._raise_term(statuses)
         led_by = [
             name for name, status in statuses.items() if status.role is promotion.Role.PRIMARY
         ]
@@ -165,16 +193,22 @@
                 reason="another server already leads",
             )
         if led_by:
-            return await self._decide_handover((others or led_by)[0], statuses, term)
-        return await self._decide_after_failure(primary, term)
+            return await self._decide_handover((others or led_by)[0], statuses)
+        return await self._decide_after_failure(primary, statuses)
+
+    def _raise_term(self, statuses: server_commands.Statuses) -> None:
+        """Raise the term of this change above those of the servers that are not paused.
+
+        The term under which a server is paused does not count: a PAUSE that is executed after the
+        promotion must not be above the term that it began.
+        """
+        known = [status.term for status in statuses.values() if not status.paused]
+        known += [status.received.term for status in statuses.values()]
+        self.term = ids.Term(max([self.term, *(1 + term for term in known)]))
 
     async def _decide_handover(
-        self,
-        primary: ids.ServerId,
-        statuses: collections.abc.Mapping[ids.ServerId, promotion.ServerStatus],
-        term: ids.Term,
+        self, primary: ids.ServerId, statuses: server_commands.Statuses
     ) -> promotion.Choice:
-        expected = set(self.target.servers_with_commits()) - {primary}
         replicas = {
             name: status
             for name, status in statuses.items()
@@ -193,43 +227,36 @@
             return promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="no replica that is not leaving answered"
             )
-        if self.requested is not None:
-            # The holder that requested its promotion may have left it paused.
-            await self._resume_one(successor)
-        paused = await self._pause_all(expected - {successor}, term)
+        if replicas[successor].paused:
+            await self.commands.resume({successor})
         started_s = clock.now_s()
         while True:
-            latest = await self._query_all({successor})
-            status = latest.get(successor)
-            paused = self._still_paused(paused)
+            paused = await self._pause_others(statuses, spared={primary, successor})
+            latest = await self.commands.query({successor})
             choice = promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="the successor does not answer"
             )
-            if status is not None:
+            if successor in latest:
                 choice = promotion.evaluate_handover(
-                    expected=expected,
+                    expected=self._confirming() - {primary},
                     paused=paused,
                     successor=successor,
-                    successor_status=status,
+                    successor_status=latest[successor],
                 )
             waiting = choice.verdict is promotion.Verdict.WAIT
             if not waiting or clock.now_s() - started_s > HANDOVER_TIMEOUT_S:
                 return choice
             await asyncio.sleep(POLL_S)
-            missing = expected - {successor} - set(paused)
-            paused = {**paused, **await self._pause_all(missing, term)}
+            statuses = await self.commands.query(self._confirming() - {primary, successor})
 
     async def _decide_after_failure(
-        self, primary: ids.ServerId | None, term: ids.Term
+        self, primary: ids.ServerId | None, statuses: server_commands.Statuses
     ) -> promotion.Choice:
-        expected = set(self.target.servers_with_commits()) - {primary}
-        paused: dict[ids.ServerId, promotion.ServerStatus] = {}
         started_s = clock.now_s()
         while True:
-            paused = self._still_paused(paused)
-            paused |= await self._pause_all(expected - set(paused), term)
+            paused = await self._pause_others(statuses, spared={primary})
             choice = promotion.choose_after_failure(
-                expected=expected,
+                expected=self._confirming() - {primary},
                 paused=paused,
                 leaving=self._leaving(),
                 requested=self.requested,
@@ -238,122 +265,68 @@
             if not waiting or clock.now_s() - started_s > PAUSE_TIMEOUT_S:
                 return choice
             await asyncio.sleep(POLL_S)
+            statuses = await self.commands.query(self._confirming() - {primary})
+
+    def _confirming(self) -> set[ids.ServerId]:
+        """Return the servers that may confirm commits, as far as they are known now."""
+        return set(self.target.servers_with_commits())
+
+    async def _pause_others(
+        self,
+        statuses: server_commands.Statuses,
+        *,
+        spared: collections.abc.Set[ids.ServerId | None],
+    ) -> server_commands.Statuses:
+        """Pause all servers but the ``spared`` ones; return the statuses of those that are paused.
 
-    def _still_paused(
-        self, paused: collections.abc.Mapping[ids.ServerId, promotion.ServerStatus]
-    ) -> dict[ids.ServerId, promotion.ServerStatus]:
-        """Return the replicas whose connection is intact; a restart would have ended the pause."""
+        ``statuses`` must have been queried just now: a restart, or a RESUME of an earlier change
+        that was delayed, may end a pause at any time. A server that leads is returned as well.
+        """
+        expected = self._confirming() - spared
+        receiving = {name for name in expected if name not in statuses or not statuses[name].paused}
+        # Once the promotion has taken effect, a PAUSE would stop replicas of the new primary.
+        receiving -= {name for name in statuses if statuses[name].term >= self.term}
+        self.may_be_paused |= expected
+        if receiving and self.holds_claim():
+            statuses = statuses | await self.commands.pause(receiving, self.term)
         return {
             name: status
-            for name, status in paused.items()
-            if name in self.links and not self.links[name].broken
+            for name, status in statuses.items()
+            if name in expected and (status.paused or status.role is promotion.Role.PRIMARY)
         }
 
     def _leaving(self) -> set[ids.ServerId]:
         return {backend.server for backend in self.target.servers.values() if backend.entry.leaving}
 
-    # Commands to servers
-
-    async def _link(self, backend: server.Server) -> ports.Link:
-        link = self.links.get(backend.server)
-        if link is None or link.broken:
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
-                link = await backend.opener(backend.entry)
-            self.links[backend.server] = link
-        return link
-
-    async def _query_all(
-        self, servers: collections.abc.Set[ids.ServerId]
-    ) -> dict[ids.ServerId, promotion.ServerStatus]:
-        async def query(link: ports.Link) -> promotion.ServerStatus:
-            return await link.status(QUERY_TIMEOUT_S)
-
-        return await self._gather(servers, query)
-
-    async def _pause_all(
-        self, servers: collections.abc.Set[ids.ServerId], term: ids.Term
-    ) -> dict[ids.ServerId, promotion.ServerStatus]:
-        async def pause(link: ports.Link) -> promotion.ServerStatus:
-            return await link.pause(term, QUERY_TIMEOUT_S)
+    # Ending
 
-        if not self.holds_claim():
-            return {}
-        return await self._gather(servers, pause)
+    async def _end(self, servers: collections.abc.Set[ids.ServerId]) -> None:
+        """Resume those of the servers that are paused, and close the connections.
 
-    async def _gather(
-        self,
-        servers: collections.abc.Set[ids.ServerId],
-        query: collections.abc.Callable[
-            [ports.Link], collections.abc.Awaitable[promotion.ServerStatus]
-        ],
-    ) -> dict[ids.ServerId, promotion.ServerStatus]:
-        """Run ``query`` on servers concurrently and return their answers, by server.
-
-        Servers that did not answer are left out.
+        A server that is not paused gets no RESUME: one that stays unanswered may be executed
+        seconds later, and would end the pause of a later change. Nothing is sent once the claim may
+        have expired, since the servers may be paused for its next holder.
         """
-        answers: dict[ids.ServerId, promotion.ServerStatus] = {}
-
-        async def query_one(name: ids.ServerId) -> None:
-            backend = self.target.servers_with_commits().get(name)
-            if backend is None:
-                return
-            try:
-                answers[name] = await query(await self._link(backend))
-            except (backend_errors.BackendError, TimeoutError) as error:
-                events.log(
-                    events.Event.TAKEOVER_UNANSWERED,
-                    service=self.target.name,
-                    server=name,
-                    reason=str(error) or type(error).__name__,
-                )
-
-        async with asyncio.TaskGroup() as group:
-            for name in servers:
-                group.create_task(query_one(name))
-        return answers
-
-    async def _resume(self, servers: collections.abc.Set[ids.ServerId]) -> None:
-        """Resume servers while the claim holds, and close the connections of this attempt."""
-
         if self.holds_claim():
-            async with asyncio.TaskGroup() as group:
-                for name in servers:
-                    group.create_task(self._resume_one(name))
+            statuses = await self.commands.query(servers)
+            paused = {name for name, status in statuses.items() if status.paused}
+            resumed = await self.commands.resume(paused)
+            self.may_be_paused -= (set(statuses) - paused) | resumed
         else:
             events.log(
                 events.Event.CLAIM_LAPSED,
                 service=self.target.name,
                 fencing_token=self.claim.fencing_token,
             )
-        for link in self.links.values():
-            with contextlib.suppress(backend_errors.BackendError):
-                link.close()
-        self.links = {}
-
-    async def _resume_one(self, name: ids.ServerId) -> None:
-        backend = self.target.servers_with_commits().get(name)
-        if backend is None:
-            return
-        try:
-            link = await self._link(backend)
-            await link.resume(QUERY_TIMEOUT_S)
-        except (backend_errors.BackendError, TimeoutError) as error:
-            events.log(
-                events.Event.TAKEOVER_UNANSWERED,
-                service=self.target.name,
-                server=name,
-                reason=f"not resumed: {error}",
-            )
+        self.commands.close()
 
     # Promoting
 
     async def _promote(self, successor: ids.ServerId) -> bool:
-        """Record and request a promotion; returns whether the successor leads.
+        """Request a promotion that is recorded; returns whether the successor leads.
 
         Without an answer the request is repeated for the same server only.
         """
-        if not await self._record(successor):
-            return False
         while self.holds_claim():
             outcome = await self._request(successor)
             if outcome is ports.PromotionOutcome.REJECTED:
@@ -366,6 +339,7 @@
         return False
 
     async def _request(self, server: ids.ServerId) -> ports.PromotionOutcome:
+        self.request_sent = True
         outcome = await self.promoter.promote(
             service=self.target.name, server=server, fencing_token=self.claim.fencing_token
         )
@@ -395,7 +369,7 @@
         return False
 
     async def _keep(self, primary: ids.ServerId) -> None:
-        """Void an earlier request to promote another server, by showing the platform a higher token.
+        """Void an earlier request to promote another server, under a higher token.
 
         A promotion of the present primary changes nothing. A request that was accepted before may
         take effect a little later, until which the record stays.
@@ -419,9 +393,31 @@
             await asyncio.sleep(POLL_S)
         return False
 
+    @contextlib.asynccontextmanager
+    async def _kept_paused(
+        self, spared: collections.abc.Set[ids.ServerId | None]
+    ) -> collections.abc.AsyncIterator[None]:
+        """Keep all servers but the ``spared`` ones paused while the context is open.
+
+        A promotion takes effect some time after its request. Until then a restart, a delayed
+        RESUME or a server that has just started may end or evade a pause.
+        """
+
+        async def keep_paused() -> None:
+            while True:
+                await asyncio.sleep(POLL_S)
+                statuses = await self.commands.query(self._confirming() - spared)
+                await self._pause_others(statuses, spared=spared)
+
+        keeping = asyncio.create_task(keep_paused())
+        try:
+            yield
+        finally:
+            await tasks.cancel_and_wait([keeping])
+
     async def _leads(self, successor: ids.ServerId) -> bool:
         query_sent_at_s = clock.now_s()
-        status = (await self._query_all({successor})).get(successor)
+        status = (await self.commands.query({successor})).get(successor)
         if status is None or status.role is not promotion.Role.PRIMARY:
             return False
         self.target.note_leading(
@@ -472,11 +468,12 @@
     attempt = Takeover(target=target, claim=claim, coordination=coordination, promoter=promoter)
     while attempt.holds_claim():
         try:
-            attempt.requested = await coordination.recorded_promotion(target.name)
+            attempt.requested_before = await coordination.recorded_promotion(target.name)
         except errors.StoreError as error:
             events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
             await asyncio.sleep(POLL_S)
         else:
+            attempt.requested = attempt.requested_before
             return attempt
     # Not released, which would remove a record that was not read.
     return None
@@ -518,13 +515,15 @@
 
 
 async def _release(attempt: Takeover, *, unnamed: bool = False) -> None:
-    """Release the claim of an attempt; the record of a promotion that may take effect stays.
+    """Release the claim of an attempt; what is left to do stays recorded.
 
     ``unnamed`` means that a promotion of an unknown server may have been requested.
     """
     unfinished = None
     if unnamed or attempt.requested is not None:
         unfinished = ports.UnfinishedChange.PROMOTION_REQUESTED
+    elif attempt.may_be_paused:
+        unfinished = ports.UnfinishedChange.PAUSED
     try:
         await attempt.coordination.release(
             attempt.claim, unfinished=unfinished, promoted=attempt.requested
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -115,10 +115,10 @@
         self.term += 1
         for server in self.servers.values():
             server.role = promotion.Role.REPLICA
+            server.paused_term = 0
             if len(server.log) > len(new_primary.log):
                 server.log = list(new_primary.log)
         new_primary.role = promotion.Role.PRIMARY
-        new_primary.paused_term = 0
         return True
 
     def catch_up(self, replica: FakeServer) -> None:
@@ -133,6 +133,7 @@
             role=server.role,
             term=ids.Term(max(self.term, server.paused_term)),
             received=server.position,
+            paused=server.paused_term > 0,
         )
 
     def entries(self) -> list[ports.ServerEntry]:
@@ -349,6 +350,7 @@
     async def resume(self, timeout_s: float) -> None:
         """Resume replication and let the replica catch up."""
         self._check()
+        self.server.received_commands.append("resume")
         self.server.paused_term = 0
         self.group.catch_up(self.server)
 
@@ -380,6 +382,8 @@
         """Promotion requests without an answer that were not executed yet."""
         self.executes = True
         """Whether a promotion request whose answer is lost is executed nevertheless."""
+        self.effect_delay_s = 0.0
+        """Time from the answer to a request until its server leads."""
         self.hang_requests = False
         """Whether requests are delayed and never return."""
 
@@ -409,6 +413,9 @@
         if fencing_token < self.highest_token:
             return ports.PromotionOutcome.REJECTED
         self.highest_token = fencing_token
+        if self.effect_delay_s:
+            asyncio.get_running_loop().call_later(self.effect_delay_s, self.group.promote, server)
+            return ports.PromotionOutcome.ACCEPTED
         done = self.group.promote(server)
         return ports.PromotionOutcome.ACCEPTED if done else ports.PromotionOutcome.REJECTED
 
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -119,7 +119,8 @@
             elif verb == "RESUME":
                 await link.resume(ANSWER_TIMEOUT_S)
             status = await link.status(ANSWER_TIMEOUT_S)
-            row = f"{status.role.value} {status.term} {_position(server)} 0 1 0 1"
+            paused = server.paused_term
+            row = f"{status.role.value} {status.term} {_position(server)} {paused} 1 0 1"
             return f"DATAROW {row}\r\nCOMPLETE -\r\nREADY I {_position(server)}\r\n".encode()
         if verb == "PREPARE":
             name, access, _ = rest.split(" ", 2)
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -279,6 +279,100 @@
     assert world.group.primary.name == A and world.group.lost == []
 
 
+async def _hand_over_slowly(world: proxy_world.World) -> tuple[asyncio.Task, ids.ServerId]:
+    """Start to hand over from a leaving primary; returns once the promotion was requested."""
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    world.promoter.effect_delay_s = 0.6
+    changing = asyncio.create_task(_take_over(world))
+    while not world.promoter.promotion_requests:
+        await asyncio.sleep(0.01)
+    return changing, world.promoter.promotion_requests[0][0]
+
+
+async def test_no_server_is_resumed_after_a_promotion_that_ended_its_pause(monkeypatch):
+    """Reproduces review/4: a RESUME after a finished change, which was not needed, stayed
+    unanswered, was executed seconds later and ended a pause of the next change.
+    """
+    world = proxy_world.World()
+    changing, successor = await _hand_over_slowly(world)
+    leads = takeover.Takeover._leads
+
+    async def note_leading_late(attempt, server):
+        await asyncio.sleep(0.2)
+        return await leads(attempt, server)
+
+    monkeypatch.setattr(takeover.Takeover, "_leads", note_leading_late)
+    assert await changing
+    for server in world.group.servers.values():
+        assert "resume" not in server.received_commands
+
+
+async def _commit_ahead_of(world: proxy_world.World, successor: ids.ServerId) -> None:
+    """Commit what the successor has not received by the time at which it leads."""
+    await asyncio.sleep(0.3)
+    world.group.servers[successor].not_receiving = True
+    world.group.commit(world.group.primary, "x")
+
+
+@pytest.mark.parametrize("event", ["resumed late", "restarted"])
+async def test_a_pause_that_ends_before_the_promotion_takes_effect_is_repeated(event):
+    """Reproduces review/4: the resumed replica confirmed commits before the successor had them."""
+    world = proxy_world.World()
+    changing, successor = await _hand_over_slowly(world)
+    paused = next(name for name in (B, C) if name != successor)
+    assert world.group.servers[paused].paused_term
+    world.group.servers[paused].paused_term = 0
+    if event == "restarted":
+        for link in world.group.servers[paused].links:
+            link.broken = True
+    await _commit_ahead_of(world, successor)
+    assert await changing
+    assert world.group.lost == []
+
+
+async def test_a_pause_that_ended_before_the_request_is_noticed(monkeypatch):
+    """A decision rests on a pause that a late RESUME ends while the promotion is recorded."""
+    monkeypatch.setattr(takeover, "POLL_S", 0.2)
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    record = world.coordination.record_promotion
+
+    async def record_and_resume(claim, server):
+        for replica in (B, C):
+            world.group.servers[replica].paused_term = 0
+        return await record(claim, server)
+
+    monkeypatch.setattr(world.coordination, "record_promotion", record_and_resume)
+    promote = world.promoter.promote
+
+    async def promote_after_commit(**request):
+        world.group.servers[request["server"]].not_receiving = True
+        world.group.commit(world.group.primary, "x")
+        return await promote(**request)
+
+    monkeypatch.setattr(world.promoter, "promote", promote_after_commit)
+    assert await _take_over(world)
+    assert world.group.lost == []
+
+
+async def test_a_server_that_may_be_paused_and_does_not_answer_is_resumed_when_it_does():
+    world = proxy_world.World()
+    world.share_marks()
+    world.group.servers[B].paused_term = 7
+    world.group.servers[B].silent = True
+    world.directory.unfinished[database_group.SERVICE] = ports.UnfinishedChange.PAUSED
+
+    async def answer_again():
+        await asyncio.sleep(1.2)
+        world.group.servers[B].silent = False
+
+    answering = asyncio.create_task(answer_again())
+    await _watch_until(world, lambda: not world.group.servers[B].paused_term, limit_s=8.0)
+    await answering
+
+
 async def test_an_unanswered_promotion_request_stays_recorded_while_no_leader_is_known():
     world = proxy_world.World()
     world.directory.unfinished = world.coordination.unfinished
