Count a leaving replica whose entry expired among those that may confirm commits

Cause: a replica that had announced that it leaves and then lost the store was taken for gone as soon as its entry expired, and was not paused.

Change: an entry that expired after a silence counts, one that its server removed does not. So do a former primary that lost the store with its lead, and, as soon as it answers, a replica cut off for longer than 6 s. For its first 10 s an instance lets others begin a change of primary, since it knows no entries that expired before its start.

--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -29,6 +29,10 @@
         """Return whether every running server has had time to be listed since the first reading."""
         return now_s >= self.first_read_at_s + REREGISTRATION_S
 
+    def is_recent(self, now_s: float, duration_s: float) -> bool:
+        """Return whether the first reading is less than ``duration_s`` ago."""
+        return now_s < self.first_read_at_s + duration_s
+
     def note_outage(self) -> None:
         """Record that the store does not answer."""
         self.outage = True
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -19,6 +19,11 @@
 RETRY_S = 0.6
 """Pause after a vote that failed or an attempt that changed nothing; about the duration of a
 promotion."""
+RECENT_START_S = 10.0
+"""Time after the start of an instance in which others know replicas that it does not know: those
+whose entries expired before; as long as such a replica counts."""
+RECENT_START_DELAY_S = 1.0
+"""Delay in which such others start a change of primary before the instance does."""
 CLEAN_UP_RETRY_S = 1.0
 """Pause after an unfinished change was taken up, which takes a few calls to the store."""
 LEADERLESS_S = 0.3
@@ -197,6 +202,8 @@
         if primary_to_replace is None and unfinished is None:
             return
         delay_s = RANK_DELAY_S * self._rank(watch.target.name)
+        if self.directory.servers.is_recent(now_s, RECENT_START_S):
+            delay_s += RECENT_START_DELAY_S
         if primary_to_replace is not None:
             if now_s >= watch.due_since_s + delay_s:
                 watch.changing = watch.target.start(self._change(watch, primary_to_replace))
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -44,6 +44,8 @@
         self.entry = entry
         self.distance = distance
         self.opener = opener
+        self.entry_written_at_s = clock.now_s()
+        """When the server was last seen to write its entry (``clock.now_s``)."""
         self.links: set[ports.Link] = set()
         self.latency_s = INITIAL_LATENCY_S[distance]
         self.measured_at_s = clock.now_s()
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -90,12 +90,14 @@
 
     async def _run_on(self, name: ids.ServerId, query: Query) -> promotion.ServerStatus | None:
         """Run a query on one server; None without an answer."""
-        backend = self.target.servers_with_commits().get(name)
+        backend = self.target.known_servers().get(name)
         if backend is None:
             return None
         try:
             link = await self._link(backend)
-            return await query(link)
+            status = await query(link)
+            self.target.note_running(name)
+            return status
         except (backend_errors.BackendError, TimeoutError) as error:
             events.log(
                 events.Event.TAKEOVER_UNANSWERED,
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -29,8 +29,13 @@
 STATUS_TIMEOUT_S = 0.4
 """Time for a status query over a pooled connection; ten round trips between regions."""
 UNLISTED_RETENTION_S = 6.0
-"""Time for which a replica that is no longer listed, without having announced that it leaves, may
-still be running: twice the time after which a silent server's entry expires."""
+"""Time for which a replica whose entry expired is taken to be running although it does not answer;
+longer than the time after which a silent server's entry expires."""
+UNLISTED_MEMORY_S = 60.0
+"""Time for which a replica whose entry expired counts again as soon as it answers."""
+EXPIRY_SILENCE_S = 2.5
+"""Least time from the last write of an entry to its expiry, after three missed heartbeats. An entry
+that is removed sooner was removed because its server had left."""
 FINISH_TIMEOUT_S = 1.0
 """Time for the answer to the last command on a connection before it returns to the pool; without an
 answer by then the connection is closed."""
@@ -57,7 +62,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UnlistedReplica:
-    """A replica whose entry expired at ``since_s`` (``clock.now_s``)."""
+    """A replica whose entry expired.
+
+    ``since_s`` is when it did, or when the replica answered last after that (``clock.now_s``).
+    """
 
     backend: server.Server
     since_s: float
@@ -134,7 +142,9 @@
                 leaving=entry.leaving,
                 revision=entry.revision,
             )
-        elif backend.entry.leaving != entry.leaving:
+        elif backend.entry.revision != entry.revision:
+            backend.entry_written_at_s = clock.now_s()
+        if role_before is not None and backend.entry.leaving != entry.leaving:
             events.log(
                 events.Event.SERVER_LEAVING,
                 service=self.name,
@@ -153,11 +163,47 @@
         del self.servers[backend.server]
         self.leadership.forget(backend.server)
         backend.close()
-        events.log(events.Event.SERVER_GONE, service=self.name, server=backend.server, reason=why)
+        events.log(
+            events.Event.SERVER_GONE,
+            service=self.name,
+            server=backend.server,
+            reason=why,
+            leaving=backend.entry.leaving,
+            silent_s=round(clock.now_s() - backend.entry_written_at_s, 3),
+        )
 
     def _note_unlisted(self, backend: server.Server) -> None:
-        if not backend.entry.leaving and backend.entry.role is promotion.Role.REPLICA:
-            self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=clock.now_s())
+        """Remember a server that may be running although its entry is gone.
+
+        A leaving server confirms commits until it ends; its entry is removed then, or expires
+        before that if it loses the store. A former primary that lost the store with its lead is a
+        replica, whatever its last entry says.
+        """
+        now_s = clock.now_s()
+        has_left = backend.entry.leaving and (now_s - backend.entry_written_at_s < EXPIRY_SILENCE_S)
+        leader = self.leadership.leader(self.servers)
+        leads = backend.entry.role is promotion.Role.PRIMARY and leader in (None, backend.server)
+        if not has_left and not leads:
+            self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=now_s)
+
+    def note_running(self, name: ids.ServerId) -> None:
+        """Record that a server whose entry expired has answered."""
+        known = self.unlisted.get(name)
+        if known is not None:
+            self.unlisted[name] = dataclasses.replace(known, since_s=clock.now_s())
+
+    def _unlisted_since(self, age_s: float) -> dict[ids.ServerId, server.Server]:
+        now_s = clock.now_s()
+        self.unlisted = {
+            name: replica
+            for name, replica in self.unlisted.items()
+            if replica.since_s > now_s - UNLISTED_MEMORY_S
+        }
+        return {
+            name: replica.backend
+            for name, replica in self.unlisted.items()
+            if replica.since_s > now_s - age_s
+        }
 
     def servers_with_commits(self) -> dict[ids.ServerId, server.Server]:
         """Return the servers that may hold acknowledged commits.
@@ -166,12 +212,14 @@
         ``UNLISTED_RETENTION_S``: a replica that is cut off from the store loses its entry, and may
         still confirm commits.
         """
-        oldest_s = clock.now_s() - UNLISTED_RETENTION_S
-        self.unlisted = {
-            name: replica for name, replica in self.unlisted.items() if replica.since_s > oldest_s
-        }
-        expired = {name: replica.backend for name, replica in self.unlisted.items()}
-        return expired | self.servers
+        return self._unlisted_since(UNLISTED_RETENTION_S) | self.servers
+
+    def known_servers(self) -> dict[ids.ServerId, server.Server]:
+        """Return the listed servers and all replicas whose entries expired lately.
+
+        Those that do not count among ``servers_with_commits`` are most likely gone.
+        """
+        return self._unlisted_since(UNLISTED_MEMORY_S) | self.servers
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -21,6 +21,9 @@
 """Time for the successor to catch up; a leaving primary keeps running for several times as long."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
+UNLIKELY_ANSWER_S = 0.15
+"""Time that a replica whose entry expired long ago gets to answer after the others; a new
+connection and a query between regions."""
 POLL_S = 0.05
 """Pause between queries to a server that is catching up or is being promoted."""
 PROMOTION_TIMEOUT_S = 4.0
@@ -180,7 +183,7 @@
         return choice
 
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
-        statuses = await self.commands.query(self._answering(primary, silent))
+        statuses = await self._query_known(self._answering(primary, silent))
         self._raise_term(statuses)
         led_by = [
             name for name, status in statuses.items() if status.role is promotion.Role.PRIMARY
@@ -196,6 +199,19 @@
             return await self._decide_handover((others or led_by)[0], statuses)
         return await self._decide_after_failure(primary, statuses)
 
+    async def _query_known(
+        self, servers: collections.abc.Set[ids.ServerId]
+    ) -> server_commands.Statuses:
+        """Query servers, and those that are most likely gone, which get little time to answer."""
+        unlikely = set(self.target.known_servers()) - self._confirming()
+        looking = asyncio.create_task(self.commands.query(unlikely))
+        try:
+            statuses = await self.commands.query(servers)
+            done, _ = await asyncio.wait({looking}, timeout=UNLIKELY_ANSWER_S)
+            return statuses | (looking.result() if done else {})
+        finally:
+            await tasks.cancel_and_wait([looking])
+
     def _raise_term(self, statuses: server_commands.Statuses) -> None:
         """Raise the term of this change above those of the servers that are not paused.
 
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -4,7 +4,7 @@
 import itertools
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, ids, registration_list
+from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import (
     directory,
     failover_watch,
@@ -71,7 +71,8 @@
             directory=self.directory, coordination=self.coordination, promoter=self.promoter
         )
         self.requests = itertools.count(1)
-        self.directory.servers.note_recovery(clock.now_s() - registration_list.REREGISTRATION_S)
+        started_s = clock.now_s() - failover_watch.RECENT_START_S
+        self.directory.servers.note_recovery(started_s)
         self.list_servers()
         self.directory.configure(configuration(**changes))
 
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -1,11 +1,19 @@
 """Changes of primary: no acknowledged commit is lost, and the service recovers."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from mustardswitch.internal import clock, ids, promotion, registration_list
-from mustardswitch.proxy import directory, ports, requests, service, takeover
+from mustardswitch.proxy import (
+    directory,
+    failover_watch,
+    ports,
+    requests,
+    service,
+    takeover,
+)
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
 
@@ -102,6 +110,66 @@
     assert world.group.primary.name == B
 
 
+def _lose_entry(world: proxy_world.World, server: ids.ServerId, *, silent_s: float) -> None:
+    """Remove an entry some time after it was written last."""
+    world.service.servers[server].entry_written_at_s -= silent_s
+    _expire_entry(world, server)
+
+
+async def test_a_leaving_replica_whose_entry_expired_is_paused_in_a_handover():
+    """Reproduces review/3: it confirmed commits that the successor had not received yet."""
+    world = proxy_world.World()
+    world.group.servers[B].leaving = True
+    world.list_servers()
+    _lose_entry(world, B, silent_s=service.EXPIRY_SILENCE_S)
+    world.service.servers[A].entry = dataclasses.replace(
+        world.service.servers[A].entry, leaving=True
+    )
+    world.promoter.effect_delay_s = 0.4
+    changing = asyncio.create_task(_take_over(world))
+    while not world.promoter.promotion_requests:
+        await asyncio.sleep(0.01)
+    world.group.servers[C].not_receiving = True
+    world.group.commit(world.group.primary, "x")
+    assert await changing
+    assert world.group.lost == []
+
+
+async def test_a_replica_cut_off_from_the_store_for_long_counts_as_soon_as_it_answers(monkeypatch):
+    """A cut may last longer than a replica that does not answer is waited for."""
+    monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 0.05)
+    world = proxy_world.World()
+    _commit_on_primary_and_c(world)
+    _lose_entry(world, C, silent_s=10.0)
+    await asyncio.sleep(0.1)
+    assert C not in world.service.servers_with_commits()
+    monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 6.0)
+    world.service.unlisted[C] = dataclasses.replace(
+        world.service.unlisted[C], since_s=clock.now_s() - 20.0
+    )
+    assert await _take_over(world)
+    assert world.group.primary.name == C
+    assert world.group.lost == []
+
+
+async def test_a_former_primary_that_lost_the_store_with_its_lead_counts_as_a_replica():
+    world = proxy_world.World()
+    world.service.note_leading(B, query_sent_at_s=clock.now_s() + 0.1, position=None)
+    _lose_entry(world, A, silent_s=10.0)
+    assert A in world.service.servers_with_commits()
+
+
+async def test_an_instance_that_just_started_lets_others_change_the_primary_first():
+    """It does not know of replicas whose entries expired before its start."""
+    world = proxy_world.World()
+    world.directory.servers.first_read_at_s = clock.now_s() - registration_list.REREGISTRATION_S
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    started_s = clock.now_s()
+    await _watch_until(world, lambda: world.group.primary.name != A)
+    assert clock.now_s() - started_s >= failover_watch.RECENT_START_DELAY_S
+
+
 async def test_a_leaving_primary_hands_over_without_losing_a_commit():
     world = proxy_world.World()
     world.group.servers[A].leaving = True
