End a stopping instance's transactions after their running statement, and answer the rest

Cause: at half of the grace, transactions with a running statement were passed over and never ended.

Change: they end with the answer to that statement, at gateways too. What is still running at the end gets an answer by what was sent: not run, aborted, or unknown.

--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -54,10 +54,10 @@
         """Number of transactions that other instances have open here."""
         return sum(gateway_session.is_open for gateway_session in self.sessions)
 
-    def abort_idle_transactions(self) -> None:
-        """Roll back the transactions that wait for their next statement."""
+    def abort_transactions(self) -> None:
+        """Roll back open transactions, each as soon as its running statement is answered."""
         for gateway_session in self.sessions:
-            gateway_session.abort_if_idle()
+            gateway_session.abort_transaction()
 
     def close(self) -> None:
         """Stop accepting connections; open ones continue."""
@@ -109,6 +109,8 @@
             return await gateway_session.run(forwarded)
         finally:
             gateway_session.busy = False
+            if gateway_session.aborting:
+                gateway_session.abort_transaction()
 
 
 class _GatewaySession:
@@ -119,6 +121,8 @@
         self.transaction: transaction.Transaction | None = None
         self.busy = False
         """Whether a statement is running."""
+        self.aborting = False
+        """Whether no transaction continues after the running statement."""
         self.state = statement_context.SessionState()
         self.service: service.Service | None = None
         """Service of the current statement; it stays the same while a transaction is open."""
@@ -128,8 +132,9 @@
         if self.transaction is not None:
             self.transaction.fail()
 
-    def abort_if_idle(self) -> None:
-        """Roll back an open transaction that waits for its next statement."""
+    def abort_transaction(self) -> None:
+        """Roll back an open transaction, now or when its running statement is answered."""
+        self.aborting = True
         if not self.busy:
             self.close()
 
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 
-from mustardswitch import events, metrics
+from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import clock
 from mustardswitch.platform import errors, lines
 from mustardswitch.proxy import requests, session
@@ -98,9 +98,13 @@
                 return
             if not isinstance(message, lines.RunStatement):
                 raise errors.InvalidLineError("the session is already open")
-            answer = await self.session.handle(
-                message.request, message.statement, first_byte_s=first_byte_s
-            )
+            try:
+                answer = await self.session.handle(
+                    message.request, message.statement, first_byte_s=first_byte_s
+                )
+            except asyncio.CancelledError:
+                self.writer.write(lines.encode_answer(self.session.give_up()))
+                raise
             self.writer.write(lines.encode_answer(answer))
             await self.writer.drain()
 
@@ -155,11 +159,16 @@
         for connection in list(self.connections.values()):
             connection.close_when_idle()
 
-    def abort_idle_transactions(self) -> None:
-        """Roll back the transactions that wait for their caller's next statement."""
+    def abort_transactions(self) -> None:
+        """Roll back open transactions, each as soon as its running statement is answered."""
         for connection in list(self.connections.values()):
-            if connection.phase is Phase.TRANSACTION:
-                connection.session.transaction.fail()
+            if connection.session is not None:
+                connection.session.abort_transaction()
+
+    async def end(self) -> None:
+        """Stop accepting callers, and answer the statements that are still running."""
+        self.close()
+        await tasks.cancel_and_wait(list(self.connections))
 
     def close(self) -> None:
         """Stop accepting callers; open connections stay."""
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -30,9 +30,9 @@
 BALANCER_REMOVAL_S = 2.2
 """Time within which the balancer stops sending callers: it checks readiness every second and acts
 on two answers."""
-LAST_STATEMENT_HALVES = 1.6
-"""Deadline of the last statements after the request to stop, in halves of ``stop_grace_s``; the
-rest is for the shutdown itself."""
+LAST_STATEMENT_HALVES = 1.7
+"""Deadline of the last statements after the request to stop, in halves of ``stop_grace_s``. Until
+the last sixth of the grace a server's answer is waited for; the rest is for the shutdown itself."""
 FORWARDED_POLL_S = 0.05
 """Interval of the check whether all forwarded statements have ended."""
 
@@ -160,12 +160,12 @@
         await self.callers.wait_until_empty(started_s + half_s - loop.time())
         while self.relay_server.open_transactions and loop.time() < started_s + half_s:
             await asyncio.sleep(FORWARDED_POLL_S)
-        self.callers.abort_idle_transactions()
-        self.relay_server.abort_idle_transactions()
+        self.callers.abort_transactions()
+        self.relay_server.abort_transactions()
         await self.callers.wait_until_empty(
             started_s + LAST_STATEMENT_HALVES * half_s - loop.time()
         )
-        self.callers.close()
+        await self.callers.end()
         while (
             self.relay_server.running and loop.time() < started_s + LAST_STATEMENT_HALVES * half_s
         ):
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -127,6 +127,7 @@
         since it was sent.
         """
         sent_s = clock.now_s()
+        context.sent = True
         timeout_s = max(0.001, context.remaining_s) + ANSWER_SLACK_S
         pending = asyncio.create_task(
             connection.execute(build_message(context, command), timeout_s)
@@ -242,6 +243,7 @@
     ) -> requests.Answer:
         if self.connection is None:
             return requests.refuse(requests.Refusal.OVERLOADED, "no gateway can be reached")
+        context.sent = True
         try:
             answer = await self.connection.execute(
                 build_message(context, command, begin), context.remaining_s + ANSWER_SLACK_S
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -59,6 +59,12 @@
         self.failure_reported = False
         """Whether the failure of the transaction was reported to the caller; a transaction can also
         fail while it is idle."""
+        self.serving: requests.Statement | None = None
+        """The statement that is running."""
+        self.context: statement_context.StatementContext | None = None
+        """What the statement that is running or ran last depends on; None without a route."""
+        self.aborting = False
+        """Whether no transaction continues after the running statement."""
 
     def __repr__(self) -> str:
         return f"Session(directory={self.directory!r}, database={self.database!r})"
@@ -79,8 +85,12 @@
         if self.idle_timer is not None:
             self.idle_timer.cancel()
             self.idle_timer = None
+        self.serving, self.context = statement, None
         answer = await self._dispatch(request, statement, first_byte_s)
+        self.serving = None
         self.failure_reported = answer.state is requests.TransactionState.FAILED
+        if self.aborting:
+            self.abort_transaction()
         if self.transaction is not None and not self.transaction.failed:
             self.idle_timer = asyncio.get_running_loop().call_later(
                 self.directory.transaction_idle_s, self._expire
@@ -95,6 +105,39 @@
             events.log(events.Event.TRANSACTION_EXPIRED, database=self.database)
             self.transaction.fail()
 
+    def abort_transaction(self) -> None:
+        """Roll back the open transaction, or one that is begun later.
+
+        A statement that is running gets its answer first; the next one is rejected.
+        """
+        self.aborting = True
+        if self.transaction is not None and self.serving is None:
+            self.transaction.fail()
+
+    def give_up(self) -> requests.Answer:
+        """Return the answer to a statement that was cancelled, since the instance ends now.
+
+        Closing the connection to the server rolls back; only a write or commit that was passed on
+        may have taken effect.
+        """
+        refusal = requests.Refusal.ABORTED
+        if self.context is None or not self.context.sent:
+            refusal = requests.Refusal.OVERLOADED
+        elif isinstance(self.serving, requests.Commit) or (
+            self.transaction is None and not self._only_reads(self.serving)
+        ):
+            refusal = requests.Refusal.OUTCOME_UNKNOWN
+        state = self.transaction_state
+        if state is requests.TransactionState.OPEN:
+            state = requests.TransactionState.FAILED
+        return requests.refuse(refusal, "the instance stops", state=state)
+
+    def _only_reads(self, statement: requests.Statement) -> bool:
+        if isinstance(statement, requests.Execute):
+            shape = self.state.prepared.get(statement.name)
+            return shape is not None and shape.access is requests.Access.READ
+        return isinstance(statement, requests.Plain) and statement.access is requests.Access.READ
+
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         if self.idle_timer is not None:
@@ -256,7 +299,7 @@
             )
             return self._refuse(refusal, f"database {self.database}")
         waited_s = clock.now_s() - first_byte_s
-        return statement_context.StatementContext(
+        self.context = statement_context.StatementContext(
             request=request,
             session=self.state,
             route=route,
@@ -264,6 +307,7 @@
             first_byte_s=first_byte_s,
             deadline_s=asyncio.get_running_loop().time() + route.statement_timeout_s - waited_s,
         )
+        return self.context
 
     def _refuse(self, refusal: requests.Refusal, why: str) -> requests.Answer:
         """Reject a statement, which fails an open transaction."""
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -54,6 +54,8 @@
     """Latest possible time at which the statement's first byte was read (``clock.now_s``)."""
     deadline_s: float
     """End of the statement's time limit, on the event loop's clock."""
+    sent: bool = False
+    """Whether the statement may have been passed on to a server or gateway."""
 
     @property
     def remaining_s(self) -> float:
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -99,6 +99,7 @@
         query_sent_at_s = clock.now_s()
         backend.in_flight += 1
         try:
+            context.sent = True
             link.send(command, context.request)
             answer = await link.receive(max(0.001, context.remaining_s))
         except backend_errors.BackendError as error:
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -34,6 +34,7 @@
             if answer.refusal not in NOT_RUN:
                 return answer
             refusal = answer
+            context.sent = False
         if not await context.wait_before_retry():
             return refusal
 
@@ -47,6 +48,7 @@
     query_sent_at_s = clock.now_s()
     backend.in_flight += 1
     try:
+        context.sent = True
         link.send(statement, context.request)
         answer = await link.receive(max(0.001, context.remaining_s))
     except backend_errors.NothingSentError as error:
--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -143,6 +143,46 @@
     assert 100 in events and 101 in events and 102 in events
 
 
+async def test_a_planned_stop_answers_every_statement_of_transactions_without_pauses(deployment):
+    """Reproduces review/5: transactions with a statement under way at half of the grace went on,
+    and the instance ended with statements that it had passed on and not answered.
+    """
+    instance = await deployment.start_instance("one")
+    deployment.group.primary.answer_delay_s = 0.25
+    ends: list[str] = []
+
+    async def run_transaction() -> None:
+        caller = await instance.session("db-primary")
+        answer = await caller.query("BEGIN")
+        while answer[-1].startswith("READY T"):
+            answer = await caller.query("WRITE item x")
+        ends.append(" ".join(answer))
+
+    transactions = [asyncio.create_task(run_transaction()) for _ in range(3)]
+    await asyncio.sleep(1.0)
+    instance.process.send_signal(signal.SIGTERM)
+    await asyncio.gather(*transactions)
+    assert [end.partition(" -")[0].split()[:2] for end in ends] == [["ERROR", "ABORTED"]] * 3
+    await asyncio.wait_for(instance.process.wait(), 30.0)
+
+
+async def test_a_planned_stop_answers_statements_that_no_server_answers(deployment):
+    """Such statements lost their connection without a word at the end of the grace."""
+    instance = await deployment.start_instance("one")
+    inside = await instance.session("db-primary")
+    await inside.query("BEGIN")
+    assert (await inside.query("WRITE item x"))[-1] == "READY T -"
+    writer = await instance.session("db-primary")
+    deployment.group.primary.silent = True
+    running = [asyncio.create_task(caller.query("WRITE item y")) for caller in (inside, writer)]
+    await asyncio.sleep(0.1)
+    instance.process.send_signal(signal.SIGTERM)
+    answers = [(await each)[0].split()[:2] for each in running]
+    assert answers == [["ERROR", "ABORTED"], ["ERROR", "INDOUBT"]]
+    await asyncio.wait_for(instance.process.wait(), 30.0)
+    assert instance.process.returncode == 0
+
+
 async def test_serves_counters_and_latencies(deployment):
     instance = await deployment.start_instance("one")
     caller = await instance.session("db-primary")
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -294,7 +294,7 @@
         await fleet.entry.run(caller, requests.Begin(read_only=False))
         assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
         fleet.server.drain()
-        fleet.server.abort_idle_transactions()
+        fleet.server.abort_transactions()
         answer = await fleet.entry.run(caller, proxy_world.WRITE)
         assert answer.refusal is requests.Refusal.ABORTED
         await fleet.entry.run(caller, requests.Rollback())
@@ -302,6 +302,24 @@
         assert len(fleet.gateway.group.statements) == 1
 
 
+async def test_a_statement_that_runs_as_a_gateway_rolls_back_is_answered_and_is_the_last():
+    """Guards against a stopping gateway that went on with a transaction whose statement was
+    running, and cut its later statements (review/5).
+    """
+    async with Fleet() as fleet:
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        fleet.gateway.group.primary.answer_delay_s = 0.2
+        running = asyncio.create_task(fleet.entry.run(caller, proxy_world.WRITE))
+        await asyncio.sleep(0.1)
+        fleet.server.drain()
+        fleet.server.abort_transactions()
+        assert (await running).succeeded
+        answer = await fleet.entry.run(caller, proxy_world.WRITE)
+        assert answer.refusal is requests.Refusal.ABORTED
+        assert len(fleet.gateway.group.statements) == 1
+
+
 async def test_a_gateway_that_wakes_up_keeps_nothing_of_a_transaction_given_up_meanwhile():
     """A frozen gateway: its caller was told that the transaction is aborted; nothing may stay."""
     async with Fleet() as fleet:
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -205,6 +205,37 @@
     assert committed.state is IDLE
 
 
+@pytest.mark.parametrize("statement", [proxy_world.WRITE, requests.Commit()])
+async def test_a_transaction_aborted_while_its_statement_runs_ends_after_the_answer(statement):
+    """Reproduces review/5: a stopping instance went on with such transactions and cut statements
+    that they sent seconds later.
+    """
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, requests.Begin(read_only=False))
+    world.group.primary.answer_delay_s = 0.1
+    running = asyncio.create_task(world.run(caller, proxy_world.WRITE))
+    await asyncio.sleep(0.05)
+    caller.abort_transaction()
+    assert (await running).succeeded
+    assert (await world.run(caller, statement)).refusal is requests.Refusal.ABORTED
+    await world.run(caller, requests.Rollback())
+    await world.settle()
+    assert world.group.acknowledged == [] and len(world.group.statements) == 1
+
+
+async def test_a_statement_given_up_before_it_was_sent_was_not_run():
+    world = proxy_world.World()
+    world.service.leadership.forget(world.group.primary.name)
+    caller = world.open_session(PRIMARY)
+    running = asyncio.create_task(world.run(caller, proxy_world.WRITE))
+    await asyncio.sleep(0.05)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    assert caller.give_up().refusal is requests.Refusal.OVERLOADED
+    assert world.group.statements == []
+
+
 async def test_an_idle_transaction_returns_its_connection():
     world = proxy_world.World()
     caller = world.open_session(PRIMARY)
