Make no commits from the request of a promotion until it takes effect, and pause new servers

Cause: the servers that may confirm commits were read once. A replica that started while the change was under way was not paused and confirmed commits that the successor had not received.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -57,6 +57,16 @@
     reason: str = ""
 
 
+def may_take_commits(leader: ids.ServerId, *, requested: ids.ServerId | None) -> bool:
+    """Return whether commits may be sent to the primary that leads now.
+
+    From the request of a promotion until it takes effect, any server that has just started, or
+    whose pause has ended, may confirm commits that the promoted one lacks. Nothing is lost as long
+    as no commits are made.
+    """
+    return requested in (None, leader)
+
+
 def choose_after_failure(
     *,
     expected: collections.abc.Set[ids.ServerId],
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -110,6 +110,9 @@
             self.promotions.pop(name, None)
         else:
             self.promotions[name] = promoted
+        target = self.services.get(name)
+        if target is not None:
+            target.note_recorded_promotion(promoted)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply a configuration unless the same or a newer version is in force."""
@@ -157,6 +160,7 @@
                     name=name, location=self.location, opener=self.opener, registry=self.registry
                 )
                 self.services[name] = target
+                target.note_recorded_promotion(self.promotions.get(name))
             share, holds = self._share(name), self._holds_connections(name)
             if (target.connections, target.holds_connections) != (share, holds):
                 target.resize(share, holds_connections=holds)
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -289,14 +289,17 @@
     shape: requests.Shape | None,
     *,
     holds: bool = True,
+    for_commits: bool = False,
 ) -> PinnedLink:
     """Begin a transaction at the leader, retrying while the leader changes.
 
+    With ``for_commits`` none is begun while the leader is being replaced, which would abort it.
+
     Raises NoLeaderError or NotSentError when no transaction could be begun before the deadline, and
     NoRoomError at once when the leader is full.
     """
     while True:
-        backend = await context.service.wait_leader(context.deadline_s)
+        backend = await context.service.wait_leader(context.deadline_s, for_commits=for_commits)
         try:
             link = await context.acquire(backend, shape, holds=holds)
             query_sent_at_s = clock.now_s()
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -92,6 +92,8 @@
         self.servers: dict[ids.ServerId, server.Server] = {}
         self.unlisted: dict[ids.ServerId, UnlistedReplica] = {}
         """Replicas whose entries expired lately."""
+        self.requested: ids.ServerId | None = None
+        """The server whose promotion is recorded and may take effect; None without one."""
         self.leadership = leadership.Leadership()
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
         self.changed = asyncio.Event()
@@ -280,19 +282,30 @@
         self.leadership.note_not_leading(refused_by, at_s=query_sent_at_s)
         self._note_change()
 
-    async def wait_leader(self, deadline_s: float) -> server.Server:
+    def note_recorded_promotion(self, requested: ids.ServerId | None) -> None:
+        """Record that a server's promotion may take effect, or with None that none can."""
+        if requested != self.requested:
+            self.requested = requested
+            self._note_change()
+
+    def may_commit(self, leader: server.Server) -> bool:
+        """Return whether commits may be sent to a leader; not while it is being replaced."""
+        return promotion.may_take_commits(leader.server, requested=self.requested)
+
+    async def wait_leader(self, deadline_s: float, *, for_commits: bool = False) -> server.Server:
         """Return the leader, or wait for one until ``deadline_s`` on the event loop's clock.
 
-        Raises NoLeaderError.
+        With ``for_commits`` a leader that is being replaced is not returned. Raises NoLeaderError.
         """
         loop = asyncio.get_running_loop()
-        while (found := self.leader) is None:
+        while (found := self.leader) is None or (for_commits and not self.may_commit(found)):
             changed = self.changed
             try:
                 async with asyncio.timeout(deadline_s - loop.time()):
                     await changed.wait()
             except TimeoutError as error:
-                raise errors.NoLeaderError(f"no server leads service {self.name}") from error
+                why = "no server leads" if found is None else "the primary is replaced in"
+                raise errors.NoLeaderError(f"{why} service {self.name}") from error
         return found
 
     def contact(self, *, stall_s: float) -> suspicion.PrimaryContact | None:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -6,6 +6,8 @@
 A request without an answer may be executed seconds later. So the server is recorded in the store
 before its promotion is requested, and until the record is removed only this server may confirm
 commits: the others stay paused, and whoever holds the claim next promotes the same server.
+Instances that see the record send no commits to another primary, since servers may start or restart
+meanwhile.
 """
 
 import asyncio
@@ -379,7 +381,9 @@
                 events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
                 await asyncio.sleep(POLL_S)
                 continue
-            if not recorded:
+            if recorded:
+                self.target.note_recorded_promotion(successor)
+            else:
                 self._note_claim_lost()
             return recorded
         return False
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -64,7 +64,7 @@
                 if self.read_only:
                     self.pinned = await reading.ReadRun(context).begin(shape)
                 else:
-                    self.pinned = await reading.begin_at_leader(context, shape)
+                    self.pinned = await reading.begin_at_leader(context, shape, for_commits=True)
             else:
                 pinned, self.pinned = self.pinned, None
                 await context.prepare_link(pinned.backend, pinned.link, shape=shape)
@@ -135,6 +135,12 @@
         if refused is not None:
             return dataclasses.replace(refused, state=IDLE)
         while True:
+            if self.wrote and not self.service.may_commit(self.pinned.backend):
+                # It would be aborted when the promotion takes effect; the caller can retry now.
+                self._roll_back()
+                return requests.refuse(
+                    requests.Refusal.ABORTED, "the primary is being replaced", state=IDLE
+                )
             answer = await self._commit_once(context)
             again = answer.refusal is requests.Refusal.OVERLOADED and answer.state is OPEN
             if not (again and await context.wait_before_retry()):
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -22,9 +22,12 @@
     refusal = requests.refuse(requests.Refusal.OVERLOADED, "the deadline has passed")
     while True:
         try:
-            backend = await context.service.wait_leader(context.deadline_s)
+            backend = await context.service.wait_leader(context.deadline_s, for_commits=True)
             link = await context.acquire(backend, statement.shape)
             await context.prepare_link(backend, link, shape=statement.shape)
+            if not context.service.may_commit(backend):
+                backend.pool.release(link, clean=True)
+                continue
         except (errors.NoLeaderError, errors.NoRoomError) as error:
             return requests.refuse(requests.Refusal.OVERLOADED, str(error))
         except errors.NotSentError as error:
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -102,6 +102,13 @@
             and not replica.paused_term
         )
 
+    def start_server(self, *, zone: str) -> FakeServer:
+        """Start another replica, which has the primary's log."""
+        server = FakeServer(name=f"server-{zone}", zone=zone)
+        self.servers[server.name] = server
+        self.catch_up(server)
+        return server
+
     def promote(self, name: ids.ServerId) -> bool:
         """Make a server the primary of the next term with its present log.
 
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -36,9 +36,13 @@
     async def start(self) -> None:
         """Start one loopback listener for each server."""
         for server in self.group.servers.values():
-            listener = await asyncio.start_server(self._make_handler(server), "127.0.0.1", 0)
-            self.listeners.append(listener)
-            self.ports[server.name] = listener.sockets[0].getsockname()[1]
+            await self.start_server(server)
+
+    async def start_server(self, server: database_group.FakeServer) -> None:
+        """Start the listener of a server, which ``list_servers`` then registers."""
+        listener = await asyncio.start_server(self._make_handler(server), "127.0.0.1", 0)
+        self.listeners.append(listener)
+        self.ports[server.name] = listener.sockets[0].getsockname()[1]
 
     def close(self) -> None:
         """Stop listening; open connections stay."""
@@ -48,6 +52,8 @@
     def list_servers(self, store: http_store.HttpStore) -> None:
         """Write the registration of each running server and remove those of the others."""
         for server in self.group.servers.values():
+            if server.name not in self.ports:
+                continue
             key = f"servers/{server.name}"
             entry = {
                 "service": database_group.SERVICE,
--- /dev/null
+++ b/tests/platform/test_changes_of_primary.py
@@ -0,0 +1,102 @@
+"""Changes of primary by real processes, while servers start and requests are executed late."""
+
+import asyncio
+
+import pytest
+
+from mustardswitch import tasks
+from mustardswitch.internal import ids
+from mustardswitch_standins import platform_deployment
+
+PROMOTION_DELAY_S = 0.9
+"""Time from a promotion request until its server leads."""
+
+
+class Changes:
+    """Two instances, callers that write all the time, and promotions that take effect later."""
+
+    def __init__(self, deployment: platform_deployment.Deployment) -> None:
+        self.deployment = deployment
+        self.group = deployment.group
+        self.requested: asyncio.Future[ids.ServerId] = asyncio.Future()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.written = 0
+
+    async def start(self) -> None:
+        """Start everything; each promotion request is accepted and takes effect later."""
+        self.deployment.store.promote = self._promote
+        instances = [await self.deployment.start_instance(name) for name in ("one", "two")]
+        self.tasks.append(asyncio.create_task(self._keep_listed()))
+        for instance in instances:
+            for _ in range(2):
+                self.tasks.append(asyncio.create_task(self._write(instance)))
+        while self.written < 20:
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Stop the callers."""
+        await tasks.cancel_and_wait(self.tasks)
+
+    def _promote(self, service: str, server: str, token: int) -> bool:
+        del service, token
+        if not self.requested.done():
+            self.requested.set_result(ids.ServerId(server))
+        asyncio.get_running_loop().call_later(PROMOTION_DELAY_S, self.group.promote, server)
+        return True
+
+    async def _keep_listed(self) -> None:
+        while True:
+            self.deployment.databases.list_servers(self.deployment.store)
+            await asyncio.sleep(0.1)
+
+    async def _write(self, instance: platform_deployment.Instance) -> None:
+        while True:
+            caller = await instance.session("db-primary")
+            answer = ["READY I -"]
+            try:
+                while answer[-1].startswith("READY I"):
+                    answer = await caller.query("WRITE item x")
+                    self.written += 1
+                    await asyncio.sleep(0.01)
+            finally:
+                caller.writer.close()
+
+    async def wait_for_primary(self, name: ids.ServerId) -> None:
+        """Wait until a server leads and has taken writes."""
+        async with asyncio.timeout(10.0):
+            while self.group.primary.name != name:
+                await asyncio.sleep(0.02)
+        written = self.written
+        async with asyncio.timeout(10.0):
+            while self.written < written + 20:
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def changes(tmp_path):
+    deployment = platform_deployment.Deployment(tmp_path)
+    await deployment.start()
+    started = Changes(deployment)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+        await deployment.stop()
+
+
+@pytest.mark.parametrize("starts_after_s", [0.0, 0.3, PROMOTION_DELAY_S - 0.02])
+async def test_a_server_that_starts_during_a_change_of_primary_loses_no_commit(
+    changes, starts_after_s
+):
+    """Reproduces the lost commits of Qafaz grown: a replica that started while its service's
+    primary was handed over confirmed commits that the successor had not received.
+    """
+    changes.group.primary.leaving = True
+    successor = await changes.requested
+    await asyncio.sleep(starts_after_s)
+    await changes.deployment.databases.start_server(changes.group.start_server(zone="d"))
+    await asyncio.sleep(max(0.0, 0.25 - starts_after_s))
+    changes.group.servers[successor].not_receiving = True
+    await changes.wait_for_primary(successor)
+    assert changes.group.lost == []
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -236,6 +236,46 @@
     assert world.group.statements == []
 
 
+async def test_a_write_waits_until_the_server_being_promoted_leads():
+    world = proxy_world.World()
+    successor = list(world.group.servers)[1]
+    world.directory.note_recorded_promotion(database_group.SERVICE, successor)
+    caller = world.open_session(PRIMARY)
+    writing = asyncio.create_task(world.run(caller, proxy_world.WRITE))
+    assert (await world.run(world.open_session(PRIMARY), proxy_world.READ)).succeeded
+    await asyncio.sleep(0.1)
+    assert world.group.acknowledged == []
+    world.group.promote(successor)
+    world.list_servers()
+    assert (await writing).succeeded
+    assert world.group.statements[-1].server == successor
+
+
+async def test_a_write_goes_on_when_a_recorded_promotion_is_settled_without_effect():
+    world = proxy_world.World()
+    primary, successor = list(world.group.servers)[:2]
+    world.directory.note_recorded_promotion(database_group.SERVICE, successor)
+    writing = asyncio.create_task(world.run(world.open_session(PRIMARY), proxy_world.WRITE))
+    await asyncio.sleep(0.1)
+    world.directory.note_recorded_promotion(database_group.SERVICE, None)
+    assert (await writing).succeeded
+    assert world.group.statements[-1].server == primary
+
+
+async def test_a_transaction_that_wrote_is_aborted_at_its_commit_while_the_primary_is_replaced():
+    world = proxy_world.World()
+    caller, reader = world.open_session(PRIMARY), world.open_session(PRIMARY)
+    for session, statement in ((caller, proxy_world.WRITE), (reader, proxy_world.READ)):
+        await world.run(session, requests.Begin(read_only=False))
+        assert (await world.run(session, statement)).succeeded
+    successor = list(world.group.servers)[1]
+    world.directory.note_recorded_promotion(database_group.SERVICE, successor)
+    assert (await world.run(caller, requests.Commit())).refusal is requests.Refusal.ABORTED
+    assert (await world.run(reader, requests.Commit())).succeeded
+    await world.settle()
+    assert world.group.acknowledged == []
+
+
 async def test_an_idle_transaction_returns_its_connection():
     world = proxy_world.World()
     caller = world.open_session(PRIMARY)
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -425,6 +425,45 @@
     assert world.group.lost == []
 
 
+@pytest.mark.parametrize("listed", [True, False])
+async def test_a_server_that_starts_before_a_promotion_takes_effect_confirms_no_commit(listed):
+    """Reproduces review/2 and the lost commits of Qafaz grown: a new replica confirmed commits
+    that the successor had not received. Its entry may not even be known by then.
+    """
+    world = proxy_world.World()
+    caller = world.open_session(PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    changing, successor = await _hand_over_slowly(world)
+    world.group.start_server(zone="d")
+    if listed:
+        world.list_servers()
+    world.group.servers[successor].not_receiving = True
+    writing = asyncio.create_task(world.run(caller, proxy_world.WRITE))
+    await asyncio.sleep(0.3)
+    if listed:
+        # Also what an instance sends that has lost the store is confirmed by no one.
+        assert not world.group.commit(world.group.primary, "x")
+    assert await changing
+    assert world.group.lost == []
+    assert (await writing).succeeded
+    assert world.group.statements[-1].server == successor
+
+
+async def test_a_server_that_starts_while_a_change_is_decided_is_paused():
+    """The servers that may confirm commits were read once, at the start of the decision."""
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    world.group.servers[C].silent = True
+    changing = asyncio.create_task(_take_over(world))
+    await asyncio.sleep(0.1)
+    started = world.group.start_server(zone="d")
+    world.list_servers()
+    while not changing.done() and not started.paused_term:
+        await asyncio.sleep(0.01)
+    assert started.paused_term
+    await changing
+
+
 async def test_a_server_that_may_be_paused_and_does_not_answer_is_resumed_when_it_does():
     world = proxy_world.World()
     world.share_marks()
