Leave out entries with any field odd or missing

What callers saw (measured by the users): no write was served for 12 s after a crash of the primary, beside an entry of another writer.

Cause: only the fields in use were checked, for their type alone, so such an entry counted as a replica, for whose answer every promotion waits. Deeply nested values raised RecursionError.

Change: all fields of the page are checked for type and range. An entry that was overwritten holds as long as one that is not written again.

--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -11,6 +11,9 @@
 Key = typing.TypeVar("Key")
 Entry = typing.TypeVar("Entry")
 
+OVERWRITTEN_RETENTION_S = 4.0
+"""Seconds after which an entry that another writer has overwritten is dropped; as long as an entry
+that is not written again takes to expire. A server that runs writes its own again before that."""
 REREGISTRATION_S = 2.0
 """Seconds after an outage until expired entries are listed again, as the platform promises."""
 
@@ -21,6 +24,8 @@
     def __init__(self) -> None:
         self.entries: dict[Key, Entry] = {}
         self.expired: set[Key] = set()
+        self.overwritten: dict[Key, float] = {}
+        """Entries that another writer has overwritten, and when (``clock.now_s``)."""
         self.outage = False
         self.recovered_at_s = float("-inf")
         self.first_read_at_s = float("inf")
@@ -48,9 +53,16 @@
         """Add or change an entry."""
         self.entries[key] = entry
         self.expired.discard(key)
+        self.overwritten.pop(key, None)
+
+    def note_overwritten(self, key: Key, now_s: float) -> None:
+        """Record that an entry cannot be read any more; the last valid one is kept for a while."""
+        if key in self.entries:
+            self.overwritten.setdefault(key, now_s)
 
     def remove(self, key: Key, now_s: float) -> None:
         """Remove an entry, or keep it until ``expire`` if the store is or was recently down."""
+        self.overwritten.pop(key, None)
         if key not in self.entries:
             return
         if self.outage or now_s < self.recovered_at_s + REREGISTRATION_S:
@@ -70,10 +82,16 @@
             self.put(key, entry)
 
     def expire(self, now_s: float) -> bool:
-        """Drop the entries that were not listed again in time; return whether there were any."""
-        if not self.expired or self.outage or now_s < self.recovered_at_s + REREGISTRATION_S:
+        """Drop the entries that were not written again in time; return whether there were any."""
+        if self.outage or now_s < self.recovered_at_s + REREGISTRATION_S:
             return False
-        for key in self.expired:
+        dropped = self.expired | {
+            key
+            for key, since_s in self.overwritten.items()
+            if now_s >= since_s + OVERWRITTEN_RETENTION_S
+        }
+        for key in dropped:
             self.entries.pop(key, None)
+            self.overwritten.pop(key, None)
         self.expired = set()
-        return True
+        return bool(dropped)
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -233,7 +233,12 @@
             server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
             self.directory.servers.remove(server, clock.now_s())
         else:
-            entry = records.decode_server(item.key, item.value, item.revision)
+            try:
+                entry = records.decode_server(item.key, item.value, item.revision)
+            except errors.InvalidRecordError:
+                server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
+                self.directory.servers.note_overwritten(server, clock.now_s())
+                raise
             known = self.directory.servers.entries.get(entry.server)
             if known is not None and entry.is_older_than(known, restored=self.restored):
                 events.log(
--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -1,7 +1,8 @@
 """Decodes the records that operators and backend servers write to the store.
 
 An invalid record raises InvalidRecordError, which names the field and the remedy. No part of such a
-record is used; the last valid record of its key stays in effect.
+record is used; the last valid record of its key stays in effect, that of a server until it would
+have expired.
 """
 
 import collections.abc
@@ -18,6 +19,16 @@
 _ROLES = {role.value: role for role in promotion.Role}
 _LEAVING = {"ready": False, "draining": True}
 _KINDS = {kind.value: kind for kind in requests.RouteKind}
+MAX_NAME_LENGTH = 200
+"""Characters of a name; the store's limit for a key is 200 bytes."""
+MAX_SLOTS = 65535
+"""Largest number of statements that a server can run at once; one for each of its connections."""
+MAX_WARM_UP_MS = 24 * 3600 * 1000
+"""Longest time in milliseconds for which a server may be slow after its start."""
+MAX_TIME_MS = 10**14
+"""Latest time of day in milliseconds, thousands of years from now."""
+MAX_SEQUENCE = 2**53
+"""Largest number of an entry, the largest whole number that all JSON libraries keep."""
 DEFAULT_PRIORITY = 100
 """Priority of a route without one; the lowest."""
 
@@ -27,8 +38,10 @@
 def _parse(value: bytes, subject: str) -> Record:
     try:
         record = json.loads(value)
-    except ValueError as error:
-        raise errors.InvalidRecordError(f"{subject} is not JSON; write an object") from error
+    except (ValueError, RecursionError) as error:
+        raise errors.InvalidRecordError(
+            f"{subject} is not JSON or nested too deeply; write an object"
+        ) from error
     if not isinstance(record, dict):
         raise errors.InvalidRecordError(f"{subject} is not an object; write one")
     return record
@@ -36,7 +49,7 @@
 
 def _field(record: Record, name: str, kind: type, subject: str) -> object:
     value = record.get(name)
-    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+    if not isinstance(value, kind) or isinstance(value, bool):
         raise errors.InvalidRecordError(
             f"{subject}: field {name} is {value!r:.64}; give a value of type"
             f" {getattr(kind, '__name__', kind)}"
@@ -44,6 +57,30 @@
     return value
 
 
+def _number(
+    record: Record, name: str, subject: str, *, least: int = 0, most: int, kind: type = int
+) -> int | float:
+    number = _field(record, name, kind, subject)
+    if not least <= number <= most:
+        raise errors.InvalidRecordError(
+            f"{subject}: field {name} is out of range; give {least} to {most}"
+        )
+    return number
+
+
+def _name(record: Record, name: str, subject: str) -> str:
+    return _check_name(_field(record, name, str, subject), f"{subject}: field {name}")
+
+
+def _check_name(text: str, subject: str) -> str:
+    """Return a name that can be encoded as one field of a line; raises InvalidRecordError."""
+    if not text or len(text) > MAX_NAME_LENGTH or not text.isprintable() or " " in text:
+        raise errors.InvalidRecordError(
+            f"{subject} is {ascii(text):.64}; names must be printable and have no blanks"
+        )
+    return text
+
+
 def _choice(record: Record, name: str, choices: collections.abc.Mapping, subject: str) -> object:
     value = record.get(name)
     if not isinstance(value, str) or value not in choices:
@@ -58,7 +95,7 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host)
-        number = int(port)
+        number = int(port) if port.isascii() else 0
     except ValueError as error:
         raise errors.InvalidRecordError(
             f"{subject}: address {text!r:.64} is invalid; give IP:PORT"
@@ -73,31 +110,28 @@
 def decode_server(key: str, value: bytes, revision: int) -> ports.ServerEntry:
     """Decode the entry of a backend server; raises InvalidRecordError.
 
-    ``revision`` is the store's revision of the entry.
+    ``revision`` is the store's revision of the entry. Fields that are not used are checked, too:
+    an entry of which any is missing or out of range is another writer's, and names no server.
     """
-    server = ids.ServerId(key.removeprefix(SERVERS_PREFIX))
+    server = ids.ServerId(_check_name(key.removeprefix(SERVERS_PREFIX), "id of a server"))
     subject = f"entry of server {server}"
     record = _parse(value, subject)
     host, port = parse_address(_field(record, "addr", str, subject), subject)
-    slots = _field(record, "slots", int, subject)
-    service = _field(record, "service", str, subject)
-    if not service or " " in service or not server or " " in server:
-        raise errors.InvalidRecordError(
-            f"{subject}: names must be non-empty and have no blanks; give service and id"
-        )
+    _name(record, "version", subject)
+    _number(record, "warmup_left_ms", subject, most=MAX_WARM_UP_MS, kind=int | float)
     return ports.ServerEntry(
         server=server,
-        service=ids.ServiceName(service),
+        service=ids.ServiceName(_name(record, "service", subject)),
         host=host,
         port=port,
-        zone=ids.ZoneName(_field(record, "zone", str, subject)),
-        slots=max(1, slots),
+        zone=ids.ZoneName(_name(record, "zone", subject)),
+        slots=_number(record, "slots", subject, least=1, most=MAX_SLOTS),
         leaving=_choice(record, "state", _LEAVING, subject),
         role=_choice(record, "db_role", _ROLES, subject),
         # Time of the server's start, not of the creation of its data.
-        started_ms=_field(record, "born", int, subject) if "born" in record else 0,
+        started_ms=(_number(record, "born", subject, most=MAX_TIME_MS) if "born" in record else 0),
         revision=revision,
-        sequence=_field(record, "seq", int, subject) if "seq" in record else None,
+        sequence=_number(record, "seq", subject, most=MAX_SEQUENCE),
     )
 
 
@@ -129,8 +163,8 @@
     priority = record.get("priority", DEFAULT_PRIORITY)
     return routes.Route(
         # On the wire the name of a database is called its host.
-        database=ids.DatabaseName(_field(record, "host", str, subject)),
-        service=ids.ServiceName(_field(record, "service", str, subject)),
+        database=ids.DatabaseName(_name(record, "host", subject)),
+        service=ids.ServiceName(_name(record, "service", subject)),
         kind=_choice(record, "type", _KINDS, subject),
         statement_timeout_s=_field(record, "timeout_ms", int | float, subject) / 1000,
         max_staleness_s=staleness_ms / 1000 if isinstance(staleness_ms, int | float) else 0.0,
@@ -144,7 +178,7 @@
     subject = f"service {record.get('name')!r:.64}"
     replicas = record.get("sync_replicas", 0)
     return routes.ServiceLimits(
-        service=ids.ServiceName(_field(record, "name", str, subject)),
+        service=ids.ServiceName(_name(record, "name", subject)),
         max_connections=_field(record, "max_conns", int, subject),
         synchronous_replicas=replicas if isinstance(replicas, int) else 0,
     )
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -80,7 +80,7 @@
                 method, target, body=data, timeout_s=timeout_s
             )
             decoded = json.loads(response.body) if response.body else {}
-        except (errors.CallError, ValueError) as error:
+        except (errors.CallError, ValueError, RecursionError) as error:
             raise proxy_errors.StoreError(str(error)) from error
         era = self._note_era(response)
         if response.status in (429, 503) or response.status >= 500:
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -11,6 +11,7 @@
 UNFINISHED = f"{PREFIX}unfinished/"
 PROMOTIONS = f"{PREFIX}promotions/"
 ERAS = f"{PREFIX}eras/"
+MAX_PORT = 65535
 
 
 def encode_peer(peer: directory.Peer) -> bytes:
@@ -21,13 +22,14 @@
 def decode_peer(value: bytes) -> directory.Peer:
     """Decode the registration of an instance; raises FleetRecordError."""
     parts = value.decode(errors="replace").split(" ")
-    if len(parts) != 3 or not parts[2].isdigit():
+    port = parts[2] if len(parts) == 3 else ""
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
         raise errors.FleetRecordError(
-            "a registration must be a zone, host and port, separated by blanks"
+            f"a registration must be a zone, host and port up to {MAX_PORT}, separated by blanks"
         )
     return directory.Peer(
         zone=ids.ZoneName(parts[0]),
-        address=datagrams.PeerAddress(host=parts[1], port=int(parts[2])),
+        address=datagrams.PeerAddress(host=parts[1], port=int(port)),
     )
 
 
--- a/tests/platform/test_instance_process.py
+++ b/tests/platform/test_instance_process.py
@@ -8,6 +8,10 @@
 
 from mustardswitch.internal import gateways, ids, record_relays
 from mustardswitch_standins import platform_deployment
+from tests.common import platform_records
+
+FAILOVER_S = 10.0
+"""The users' bound for a change of primary."""
 
 
 @pytest.fixture
@@ -66,6 +70,39 @@
     assert deployment.group.lost == []
 
 
+async def test_odd_entries_of_another_writer_neither_end_a_task_nor_delay_a_failover(deployment):
+    """Some ended the failover watch again and again, others were taken for replicas, whose answer
+    every promotion waited for.
+    """
+    first = await deployment.start_instance("one")
+    second = await deployment.start_instance("two")
+    address = f"127.0.0.1:{deployment.databases.ports['server-b']}"
+    odd = platform_records.odd_entries(service="orders", addr=address, zone="b")
+    for number, value in enumerate(odd):
+        deployment.store.put(f"servers/i-odd{number}", value)
+    await asyncio.sleep(3.0)
+    caller = await first.session("db-primary")
+    assert (await caller.query("WRITE item x"))[-2].startswith("COMPLETE sig-server-a")
+    deployment.databases.crash(deployment.group.primary.name)
+
+    async def write_until_served() -> None:
+        while True:
+            for instance in (first, second):
+                answer = await (await instance.session("db-primary")).query("WRITE item y")
+                if answer[-2].startswith("COMPLETE sig"):
+                    return
+
+    listing = asyncio.create_task(_keep_listed(deployment))
+    await asyncio.wait_for(write_until_served(), FAILOVER_S)
+    listing.cancel()
+    for instance in (first, second):
+        assert instance.process.returncode is None
+        events = [json.loads(line) for line in instance.log.read_text().splitlines()]
+        assert not [event for event in events if event["event"] == 103]
+        rejected = {event["key"] for event in events if event["event"] == 211}
+        assert len(rejected) == len(odd)
+
+
 async def _keep_listed(deployment: platform_deployment.Deployment) -> None:
     while True:
         await asyncio.sleep(0.2)
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from mustardswitch.internal import change_log, clock, ids, promotion
+from mustardswitch.internal import change_log, clock, ids, promotion, registration_list
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import errors, follower, http, records, settings, store
 from mustardswitch.proxy import directory, fleet_records, ports, requests
@@ -45,7 +45,22 @@
     assert "i-1" in str(raised.value)
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"5", b"{", b"null"])
+@pytest.mark.parametrize("value", platform_records.odd_entries())
+def test_an_entry_with_any_field_odd_or_missing_names_no_server(value):
+    """Such an entry was taken for a replica, and every promotion waited for its answer."""
+    with pytest.raises(errors.InvalidRecordError):
+        records.decode_server("servers/i-1", value, 5)
+
+
+@pytest.mark.parametrize("name", ["\ud800", "a b", "a\r\n", ""])
+def test_an_entry_under_an_id_that_cannot_be_sent_names_no_server(name):
+    with pytest.raises(errors.InvalidRecordError):
+        records.decode_server(f"servers/{name}", platform_records.server_entry(), 5)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"[]", b"5", b"{", b"null", platform_records.DEEP_NESTING]
+)
 def test_rejects_values_that_are_not_json_objects(value):
     with pytest.raises(errors.InvalidRecordError):
         records.decode_server("servers/i-1", value, 5)
@@ -81,6 +96,29 @@
     assert followed.directory.registry.total("records_rejected") == 1
 
 
+def test_an_entry_that_another_writer_overwrote_holds_until_it_would_have_expired(
+    followed, monkeypatch
+):
+    """A server that runs writes its entry again; one that does not is not waited for for good."""
+    servers = followed.directory.servers
+    servers.note_recovery(0.0)
+    followed.apply(_item("servers/i-1", platform_records.server_entry(), 5))
+    followed.apply(_item("servers/i-1", platform_records.server_entry(slots=10**30), 6))
+    overwritten_s = clock.now_s()
+    assert not servers.expire(overwritten_s + 1.0)
+    followed.apply(_item("servers/i-1", platform_records.server_entry(seq=5), 7))
+    assert not servers.expire(overwritten_s + 5.0)
+    followed.apply(_item("servers/i-1", platform_records.DEEP_NESTING, 8))
+    assert servers.expire(clock.now_s() + registration_list.OVERWRITTEN_RETENTION_S)
+    assert "i-1" not in servers.entries
+
+
+@pytest.mark.parametrize("port", ["0", "65536", "99999999", "\u0661", "-1", ""])
+def test_a_registration_with_a_port_out_of_range_is_rejected(port):
+    with pytest.raises(proxy_errors.FleetRecordError):
+        fleet_records.decode_peer(f"puget-a 10.0.0.1 {port}".encode())
+
+
 def test_a_late_older_change_is_not_applied(followed):
     followed.apply(_item("servers/i-1", platform_records.server_entry(db_role="primary"), 9))
     followed.apply(_item("servers/i-1", platform_records.server_entry(), 5))
