Rank instances for names that UTF-8 rejects

Cause: the hash of a name was taken of its UTF-8, which rejects surrogates.

Evidence: two cases failed before.

--- a/src/mustardswitch/internal/gateways.py
+++ b/src/mustardswitch/internal/gateways.py
@@ -29,7 +29,8 @@
 
 
 def _weight(instance: ids.InstanceId, key: str) -> int:
-    return xxhash.xxh64_intdigest(f"{instance}|{key}".encode())
+    # Names come from other writers too; surrogates, which UTF-8 rejects, must not end the ranking.
+    return xxhash.xxh64_intdigest(f"{instance}|{key}".encode(errors="surrogatepass"))
 
 
 def ranked(candidates: collections.abc.Iterable[Candidate], key: str) -> list[ids.InstanceId]:
--- a/tests/decisions/test_routing_and_gateways.py
+++ b/tests/decisions/test_routing_and_gateways.py
@@ -97,3 +97,15 @@
     share = gateways.statement_connections(connections=connections, slot_count=slot_count)
     controls = min(slot_count, 3) * slot_count
     assert share == 1 or share * slot_count + controls < connections
+
+
+@pytest.mark.parametrize("key", ["\ud800", "a\udfffb"])
+def test_ranks_instances_for_a_name_that_utf_8_rejects(key):
+    """The failover watch of every instance ended again and again for such a service."""
+    candidates = [
+        gateways.Candidate(
+            instance=ids.InstanceId(name), zone=ids.ZoneName("a"), region=ids.RegionName("north")
+        )
+        for name in ("one", "two")
+    ]
+    assert sorted(gateways.ranked(candidates, key)) == ["one", "two"]
