Hand over from a leaving primary to a successor that has reached its end

Cause: every promotion waited for the answer of all servers that may confirm commits, and a lost one counts for about 10 s.

Change: after a promotion is recorded no commits are made, so a successor at the primary's end holds all of them. A primary that leaves waits for no other answer; each hand-over makes the comparison, which also covers servers that have just started. The choices of whom to pause and to resume are decisions of their own now.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -121,13 +121,28 @@
     paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
     successor: ids.ServerId,
     successor_status: ServerStatus,
+    final_end: positions.Position | None = None,
+    end_may_be_unconfirmed: bool = False,
+    primary_leaves: bool = False,
 ) -> Choice:
-    """Evaluate whether the unpaused successor holds every acknowledged commit."""
-    missing = expected - set(paused) - {successor}
-    if missing:
-        return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
+    """Evaluate whether the unpaused successor holds every acknowledged commit.
+
+    ``final_end`` is the end of the primary's log since when no commits are made; None before that.
+    A successor that has reached it holds all commits, whoever else has confirmed them, also a
+    server that is not known yet. So a primary that leaves, and will soon serve nobody, does not
+    wait for a server that gives no answer. When all have answered, a successor that does not reach
+    the end after a while suffices: ``end_may_be_unconfirmed``, since nobody receives.
+    """
     if successor_status.role is Role.PRIMARY:
         return Choice(verdict=Verdict.ALREADY_LED, reason="the successor leads already")
+    missing = expected - set(paused) - {successor}
+    if missing and not primary_leaves:
+        return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
+    lags = final_end is not None and successor_status.received < final_end
+    if lags and (missing or not end_may_be_unconfirmed):
+        return Choice(
+            verdict=Verdict.WAIT, reason=f"the successor lags behind the primary's end {final_end}"
+        )
     ahead = [
         server for server, status in paused.items() if status.received > successor_status.received
     ]
@@ -135,11 +150,44 @@
         return Choice(
             verdict=Verdict.WAIT, reason=f"the successor lags behind {', '.join(sorted(ahead))}"
         )
-    return Choice(
-        verdict=Verdict.PROMOTE,
-        server=successor,
-        reason=f"every other replica is paused at or below {successor_status.received}",
-    )
+    reason = f"every other replica is paused at or below {successor_status.received}"
+    if missing:
+        reason = f"no answer from {', '.join(sorted(missing))}; the primary ends at {final_end}"
+    return Choice(verdict=Verdict.PROMOTE, server=successor, reason=reason)
+
+
+def servers_to_pause(
+    *,
+    expected: collections.abc.Set[ids.ServerId],
+    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
+    term: ids.Term,
+) -> set[ids.ServerId]:
+    """Return those of the ``expected`` servers that are to be paused under a term.
+
+    Servers that have not answered may be receiving. One that reports the term has taken part in
+    the promotion under it; a PAUSE would stop replicas of the new primary.
+    """
+    return {
+        name
+        for name in expected
+        if name not in statuses or (not statuses[name].paused and statuses[name].term < term)
+    }
+
+
+def servers_to_resume(
+    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
+    *,
+    requested: ids.ServerId | None,
+) -> set[ids.ServerId]:
+    """Return the servers that are to be resumed at the end of an attempt.
+
+    One that is not paused gets no RESUME: without an answer it may be executed seconds later, and
+    would end the pause of a later change. While a promotion may take effect only its server is
+    resumed, since no other may confirm commits.
+    """
+    return {
+        name for name, status in statuses.items() if status.paused and requested in (None, name)
+    }
 
 
 def _prefer_staying(
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -21,6 +21,8 @@
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the successor to catch up; a leaving primary keeps running for several times as long."""
+FINAL_END_WAIT_S = 0.6
+"""Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
 UNLIKELY_ANSWER_S = 0.15
@@ -112,10 +114,7 @@
                 self.may_be_paused = set()
             elif not self.request_sent:
                 self.requested = self.requested_before
-            resumed = self._answering(primary, silent)
-            if self.requested is not None:
-                resumed &= {self.requested}
-            await asyncio.shield(self._end(resumed))
+            await asyncio.shield(self._end(self._answering(primary, silent)))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -247,6 +246,8 @@
             )
         if replicas[successor].paused:
             await self.commands.resume({successor})
+        # No commits are made once the successor's promotion is recorded.
+        final_end = statuses[primary].received if self.requested == successor else None
         started_s = clock.now_s()
         while True:
             paused = await self._pause_others(statuses, spared={primary, successor})
@@ -260,6 +261,9 @@
                     paused=paused,
                     successor=successor,
                     successor_status=latest[successor],
+                    final_end=final_end,
+                    end_may_be_unconfirmed=clock.now_s() - started_s > FINAL_END_WAIT_S,
+                    primary_leaves=primary in self._leaving(),
                 )
             waiting = choice.verdict is promotion.Verdict.WAIT
             if not waiting or clock.now_s() - started_s > HANDOVER_TIMEOUT_S:
@@ -301,9 +305,7 @@
         that was delayed, may end a pause at any time. A server that leads is returned as well.
         """
         expected = self._confirming() - spared
-        receiving = {name for name in expected if name not in statuses or not statuses[name].paused}
-        # Once the promotion has taken effect, a PAUSE would stop replicas of the new primary.
-        receiving -= {name for name in statuses if statuses[name].term >= self.term}
+        receiving = promotion.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
         self.may_be_paused |= expected
         if receiving and self.holds_claim():
             statuses = statuses | await self.commands.pause(receiving, self.term)
@@ -319,17 +321,18 @@
     # Ending
 
     async def _end(self, servers: collections.abc.Set[ids.ServerId]) -> None:
-        """Resume those of the servers that are paused, and close the connections.
+        """Resume servers that are left paused, and close the connections.
 
-        A server that is not paused gets no RESUME: one that stays unanswered may be executed
-        seconds later, and would end the pause of a later change. Nothing is sent once the claim may
-        have expired, since the servers may be paused for its next holder.
+        Nothing is sent once the claim may have expired, since the servers may be paused for its
+        next holder.
         """
         if self.holds_claim():
             statuses = await self.commands.query(servers)
-            paused = {name for name, status in statuses.items() if status.paused}
-            resumed = await self.commands.resume(paused)
-            self.may_be_paused -= (set(statuses) - paused) | resumed
+            resumed = await self.commands.resume(
+                promotion.servers_to_resume(statuses, requested=self.requested)
+            )
+            receiving = {name for name, status in statuses.items() if not status.paused}
+            self.may_be_paused -= receiving | resumed
         else:
             events.log(
                 events.Event.CLAIM_LAPSED,
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -19,6 +19,8 @@
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
 PRIMARY = requests.RouteKind.PRIMARY
+DRAIN_S = 7.0
+"""Time for which the users' leaving servers go on serving."""
 
 
 async def _take_over(world: proxy_world.World, primary: ids.ServerId | None = A) -> bool:
@@ -180,6 +182,41 @@
     assert world.group.lost == []
 
 
+async def test_a_leaving_primary_does_not_wait_for_a_replica_that_gives_no_answer():
+    """Statements reached a leaving primary later than allowed: a replica was lost as it began to
+    leave, and every promotion waited until the replica's entry had expired and 6 s more.
+    """
+    world = proxy_world.World()
+    world.group.commit(world.group.primary, "x")
+    world.group.servers[C].silent = True
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    started_s = clock.now_s()
+    assert await _take_over(world)
+    assert world.group.primary.name == B and world.group.lost == []
+    assert clock.now_s() - started_s < DRAIN_S
+
+
+@pytest.mark.parametrize("silent", [True, False])
+async def test_a_leaving_primary_is_kept_while_only_another_server_has_its_last_commits(
+    monkeypatch, silent
+):
+    """The other server gives no answer, or has just started and is not known yet."""
+    monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(takeover, "FINAL_END_WAIT_S", 1.0)
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    world.group.servers[B].not_receiving = True
+    if not silent:
+        world.group.servers[C].not_receiving = True
+        world.group.start_server(zone="d")
+    assert world.group.commit(world.group.primary, "x")
+    world.group.servers[C].silent = silent
+    assert not await _take_over(world)
+    assert world.group.lost == [] and world.promoter.promotion_requests == []
+
+
 async def test_a_handover_waits_until_the_successor_has_the_paused_logs(monkeypatch):
     monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 1.0)
     world = proxy_world.World()
