Complete unfinished changes in the order of ranks, and let few instances resume silent servers

Seen by reading: all instances claimed an unfinished change at once when its holder's claim ended, and since servers that may be paused and do not answer stay marked, each would have gone on claiming for about 10 s. Now the first ranks begin, and only three instances take up what is merely paused.

--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -26,6 +26,9 @@
 """Delay in which such others start a change of primary before the instance does."""
 CLEAN_UP_RETRY_S = 1.0
 """Pause after an unfinished change was taken up, which takes a few calls to the store."""
+RESUMING_INSTANCES = 3
+"""Instances that resume servers which may be paused and do not answer, as long as these are listed;
+each attempt is a few calls to the store."""
 LEADERLESS_S = 0.3
 """Time without a known leader after which all servers are queried; updates about a promotion
 usually arrive sooner."""
@@ -53,6 +56,8 @@
         self.primary_to_replace: ids.ServerId | None = None
         self.retry_at_s = float("-inf")
         """Earliest time of the next change of primary or clean-up (``clock.now_s``)."""
+        self.clean_up_due_s: float | None = None
+        """When this instance completes an unfinished change (``clock.now_s``); None without one."""
 
 
 class FailoverWatch:
@@ -192,7 +197,10 @@
         if primary_to_replace != watch.primary_to_replace:
             watch.primary_to_replace = primary_to_replace
             watch.due_since_s = now_s
-        if watch.target.name in self.directory.claims or now_s < watch.retry_at_s:
+        if watch.target.name in self.directory.claims:
+            watch.clean_up_due_s = None
+            return
+        if now_s < watch.retry_at_s:
             return
         if not self.directory.servers.is_complete(now_s):
             # A replica that is not listed yet could confirm commits that are missing from the log
@@ -200,23 +208,36 @@
             return
         unfinished = self._unfinished(watch.target.name)
         if primary_to_replace is None and unfinished is None:
+            watch.clean_up_due_s = None
             return
-        delay_s = RANK_DELAY_S * self._rank(watch.target.name)
+        rank = self._rank(watch.target.name)
+        delay_s = RANK_DELAY_S * rank
         if self.directory.servers.is_recent(now_s, RECENT_START_S):
             delay_s += RECENT_START_DELAY_S
         if primary_to_replace is not None:
             if now_s >= watch.due_since_s + delay_s:
                 watch.changing = watch.target.start(self._change(watch, primary_to_replace))
-        else:
-            watch.retry_at_s = now_s + CLEAN_UP_RETRY_S + delay_s
-            watch.changing = watch.target.start(
-                takeover.clean_up(
-                    target=watch.target,
-                    coordination=self.coordination,
-                    promoter=self.promoter,
-                    unfinished=unfinished,
-                )
+        elif unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED or rank < RESUMING_INSTANCES:
+            self._clean_up_if_due(watch, unfinished, delay_s)
+
+    def _clean_up_if_due(
+        self, watch: ServiceWatch, unfinished: ports.UnfinishedChange, delay_s: float
+    ) -> None:
+        """Complete an unfinished change after a delay by rank, so that one instance claims it."""
+        now_s = clock.now_s()
+        if watch.clean_up_due_s is None:
+            watch.clean_up_due_s = now_s + delay_s
+        if now_s < watch.clean_up_due_s:
+            return
+        watch.clean_up_due_s = now_s + CLEAN_UP_RETRY_S
+        watch.changing = watch.target.start(
+            takeover.clean_up(
+                target=watch.target,
+                coordination=self.coordination,
+                promoter=self.promoter,
+                unfinished=unfinished,
             )
+        )
 
     def _unfinished(self, name: ids.ServiceName) -> ports.UnfinishedChange | None:
         """Return the state that an unfinished change of primary left; None without one."""
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -731,3 +731,19 @@
 async def _decide_late(attempt, primary, silent):
     await asyncio.sleep(0.3)
     return promotion.Choice(verdict=promotion.Verdict.PROMOTE, server=B, reason="late")
+
+
+async def test_only_some_instances_resume_servers_that_may_be_paused():
+    """Each attempt is a few calls to the store; with hundreds of instances they would fill it."""
+    world = proxy_world.World()
+    name, others = database_group.SERVICE, 0
+    while world.watch._rank(name) < failover_watch.RESUMING_INSTANCES:
+        others += 1
+        peer = directory.Peer(zone=ids.ZoneName("a"))
+        world.directory.instances.put(ids.InstanceId(f"other-{others}"), peer)
+    world.directory.unfinished[name] = ports.UnfinishedChange.PAUSED
+    watching = asyncio.create_task(world.watch.run())
+    await asyncio.sleep(failover_watch.RANK_DELAY_S * (others + 1) + 0.3)
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    assert world.coordination.revision == 0
