--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -43,6 +43,8 @@
         self.busy = 0
         """Number of further statements that are answered as overloaded."""
         self.answer_delay_s = 0.0
+        self.order_delay_s = 0.0
+        """Delay after which PAUSE and RESUME are executed, without an answer; 0: at once."""
         self.received_commands: list[str] = []
         self.links: list[FakeLink] = []
 
@@ -346,11 +348,14 @@
         return self.group.status(self.server)
 
     async def pause(self, term: ids.Term, timeout_s: float) -> promotion.ServerStatus:
-        """Pause replication to this server, if it is a replica, and return its status."""
+        """Pause replication to this server under a term above the newest; return its status.
+
+        Has no effect on a primary.
+        """
         if self.server.silent:
             await asyncio.sleep(timeout_s)
         self._check()
-        if self.server.role is promotion.Role.REPLICA:
+        if self.server.role is promotion.Role.REPLICA and term > self.group.term:
             self.server.paused_term = max(term, self.server.paused_term)
         return self.group.status(self.server)
 
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -1,6 +1,7 @@
 """An in-memory database group behind the platform's line protocol."""
 
 import asyncio
+import functools
 import json
 
 from mustardswitch.backends import errors
@@ -119,6 +120,11 @@
         text: str,
     ) -> bytes:
         verb, _, rest = text.partition(" ")
+        if verb in ("PAUSE", "RESUME") and server.order_delay_s:
+            order = link.resume if verb == "RESUME" else functools.partial(link.pause, int(rest))
+            await asyncio.sleep(server.order_delay_s)
+            await order(ANSWER_TIMEOUT_S)
+            raise EOFError("the order stays unanswered")
         if verb in ("STATUS", "PAUSE", "RESUME"):
             if verb == "PAUSE":
                 await link.pause(ids.Term(int(rest)), ANSWER_TIMEOUT_S)
--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -18,6 +18,10 @@
 from mustardswitch_standins import platform_deployment
 
 INSTANCES = 3
+SERVERS = 3
+"""Servers at the start; one more starts in some runs."""
+PROMOTION_DELAYS_S = (0.1, 1.0)
+"""Range of the time from an accepted promotion request until its server leads."""
 CALLERS = 6
 MAX_STALENESS_S = 1.5
 """Staleness bound of the routes; as ``max_staleness_ms`` in the deployment's configuration."""
@@ -126,6 +130,7 @@
         faults have ended.
         """
         await self.deployment.start()
+        self.deployment.store.promote = self._promote
         background = [asyncio.create_task(self._refresh_registrations())]
         try:
             for number in range(INSTANCES):
@@ -141,6 +146,16 @@
         log = [entry.data for entry in group.primary.log]
         return find_violations(self.observed, log, group.lost)
 
+    def _promote(self, service: str, server: str, token: int) -> bool:
+        """Accept a request to promote a running server, which takes effect some time later."""
+        del service, token
+        name = ids.ServerId(server)
+        if not self.deployment.group.servers[name].up:
+            return False
+        delay_s = self.random.uniform(*PROMOTION_DELAYS_S)
+        asyncio.get_running_loop().call_later(delay_s, self.deployment.group.promote, name)
+        return True
+
     async def _refresh_registrations(self) -> None:
         while True:
             if not self.deployment.store.down:
@@ -154,9 +169,10 @@
             kind = self.random.choice(ROUTE_KINDS)
             instance = self.random.choice(list(self.instances.values()))
             self.sessions += 1
+            session = self.sessions
             with contextlib.suppress(OSError, TimeoutError):
                 caller = await asyncio.wait_for(instance.session(f"db-{kind}"), 1.0)
-                await self._run_session(caller, kind, self.sessions)
+                await self._run_session(caller, kind, session)
                 caller.writer.close()
             await asyncio.sleep(0.02)
 
@@ -214,6 +230,9 @@
             self._delay,
             self._reset,
             self._delay_promotions,
+            self._delay_orders,
+            self._leave,
+            self._start_server,
         ]
         end_s = time.monotonic() + self.seconds
         running: set[asyncio.Task[None]] = set()
@@ -297,6 +316,28 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         self.deployment.store.promotion_delay_s = None
 
+    async def _delay_orders(self) -> None:
+        """Execute PAUSE and RESUME at one server with a delay and without an answer."""
+        server = self.deployment.group.servers[self._pick_server()]
+        server.order_delay_s = self.random.uniform(1.0, 4.0)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        server.order_delay_s = 0.0
+
+    async def _leave(self) -> None:
+        """Let the primary announce that it leaves; another server takes over its log later."""
+        server = self.deployment.group.primary
+        if server is None:
+            return
+        server.leaving = True
+        await asyncio.sleep(self.random.uniform(1.0, 5.0))
+        server.leaving = False
+
+    async def _start_server(self) -> None:
+        """Start another server, once in a run."""
+        group = self.deployment.group
+        if len(group.servers) == SERVERS:
+            await self.deployment.databases.start_server(group.start_server(zone="d"))
+
     async def _wait_for_recovery(self) -> None:
         """Wait until a write succeeds again after all faults have ended."""
         writes = len(self.observed.writes)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,8 +1,12 @@
 """The fault soak: its checks find planted violations, and some seeds run with real processes."""
 
+import asyncio
+import unittest.mock
+
 import pytest
 
-from mustardswitch_standins import soak
+from mustardswitch import tasks
+from mustardswitch_standins import platform_deployment, soak
 
 
 def _write(request: str, outcome: str = "ran", session: int = 1, at_s: float = 1.0) -> soak.Write:
@@ -46,6 +50,27 @@
     assert len(soak.find_violations(observed, log, [])) == 1
 
 
+async def test_callers_that_wait_for_a_connection_have_sessions_of_their_own(tmp_path, monkeypatch):
+    """Two callers with one number: a read of one counted as missing the other one's write."""
+    numbers: list[int] = []
+
+    class SlowInstance:
+        async def session(self, database):
+            await asyncio.sleep(0.02)
+            return platform_deployment.Caller(reader=None, writer=unittest.mock.Mock())
+
+    async def note_number(caller, kind, session):
+        numbers.append(session)
+
+    run = soak.Soak(seed=1, seconds=1.0, directory=tmp_path)
+    run.instances["one"] = SlowInstance()
+    monkeypatch.setattr(run, "_run_session", note_number)
+    callers = [asyncio.create_task(run._run_sessions()) for _ in range(4)]
+    await asyncio.sleep(0.3)
+    await tasks.cancel_and_wait(callers)
+    assert len(numbers) > 8 and len(numbers) == len(set(numbers))
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_finds_no_violation_under_seeded_faults(seed):
     assert soak.run_seed(seed, seconds=4.0) == []
