Split the changes under a claim from the takeover; follow the store's record between changes

Seen by reading: an instance that noted its own promotion before the store's update arrived would have held commits back for good if a restored store had lost the record just then; and a request that was settled meanwhile could have been taken for one of an earlier build and changed a healthy primary. Two tests; the rest is moved code: proxy/claimed_changes.py.

--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -5,7 +5,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, gateways, ids, promotion, suspicion
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, errors, ports, server, service, takeover
+from mustardswitch.proxy import claimed_changes, directory, errors, ports, server, service
 
 CHECK_S = 0.1
 """Interval between checks of the primaries; a fraction of the time without an answer after which
@@ -106,6 +106,8 @@
         self._search(watch, leader)
         self._vote(watch, leader, stall_s)
         if watch.changing is None or watch.changing.done():
+            # A change of this instance's own notes the record before the store's update arrives.
+            watch.target.note_recorded_promotion(self.directory.promotions.get(watch.target.name))
             self._change_if_due(watch, leader)
 
     # Finding a leader
@@ -231,7 +233,7 @@
             return
         watch.clean_up_due_s = now_s + CLEAN_UP_RETRY_S
         watch.changing = watch.target.start(
-            takeover.clean_up(
+            claimed_changes.clean_up(
                 target=watch.target,
                 coordination=self.coordination,
                 promoter=self.promoter,
@@ -282,7 +284,7 @@
         return ranked.index(self.directory.instance)
 
     async def _change(self, watch: ServiceWatch, primary: ids.ServerId) -> None:
-        done = await takeover.run_claimed(
+        done = await claimed_changes.run_claimed(
             target=watch.target,
             coordination=self.coordination,
             promoter=self.promoter,
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -7,6 +7,7 @@
 
 from mustardswitch.internal import clock, ids, promotion, registration_list
 from mustardswitch.proxy import (
+    claimed_changes,
     directory,
     failover_watch,
     ports,
@@ -24,7 +25,7 @@
 
 
 async def _take_over(world: proxy_world.World, primary: ids.ServerId | None = A) -> bool:
-    return await takeover.run_claimed(
+    return await claimed_changes.run_claimed(
         target=world.service,
         coordination=world.coordination,
         promoter=world.promoter,
@@ -338,7 +339,7 @@
     if recovers:
         await _watch_until(world, lambda: not world.coordination.unfinished)
     else:
-        assert await takeover.run_claimed(
+        assert await claimed_changes.run_claimed(
             target=world.service,
             coordination=world.coordination,
             promoter=world.promoter,
@@ -524,7 +525,7 @@
         ports.UnfinishedChange.PROMOTION_REQUESTED
     )
     world.service.leadership.forget(A)
-    await takeover.clean_up(
+    await claimed_changes.clean_up(
         target=world.service,
         coordination=world.coordination,
         promoter=world.promoter,
@@ -733,6 +734,29 @@
     return promotion.Choice(verdict=promotion.Verdict.PROMOTE, server=B, reason="late")
 
 
+async def test_commits_go_on_when_the_store_lost_the_record_of_a_promotion():
+    """A store restored from a copy never tells the holder that its record is gone."""
+    world = proxy_world.World()
+    world.service.note_recorded_promotion(B)
+    writing = asyncio.create_task(world.run(world.open_session(PRIMARY), proxy_world.WRITE))
+    watching = asyncio.create_task(world.watch.run())
+    assert (await writing).succeeded
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+
+
+async def test_a_settled_request_that_an_instance_still_knows_changes_no_primary():
+    world = proxy_world.World()
+    world.service.note_recorded_promotion(B)
+    await claimed_changes.clean_up(
+        target=world.service,
+        coordination=world.coordination,
+        promoter=world.promoter,
+        unfinished=ports.UnfinishedChange.PROMOTION_REQUESTED,
+    )
+    assert world.promoter.promotion_requests == [] and world.coordination.unfinished == {}
+
+
 async def test_only_some_instances_resume_servers_that_may_be_paused():
     """Each attempt is a few calls to the store; with hundreds of instances they would fill it."""
     world = proxy_world.World()
