--- a/src/mustardswitch/internal/own_records.py
+++ b/src/mustardswitch/internal/own_records.py
@@ -70,6 +70,7 @@
         known_era, self.checked_revision = self.checked_revision, revision
         if not 0 < revisions.era_of(known_era) < revisions.era_of(revision):
             return lost, NOTHING
+        recorded = {service for service, _ in held.promotions}
         return lost, Repair(
             cast=self.votes - held.votes,
             withdraw=held.votes - self.votes,
@@ -78,6 +79,6 @@
             record_promotions={
                 (service, promoted)
                 for service, promoted in before.promotions
-                if service not in {held_service for held_service, _ in held.promotions}
+                if service not in recorded
             },
         )
--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -32,7 +32,7 @@
 
     def is_complete(self, now_s: float) -> bool:
         """Return whether every running server has had time to be listed since the first reading."""
-        return now_s >= self.first_read_at_s + REREGISTRATION_S
+        return not self.is_recent(now_s, REREGISTRATION_S)
 
     def is_recent(self, now_s: float, duration_s: float) -> bool:
         """Return whether the first reading is less than ``duration_s`` ago."""
