Callers: a flag instead of phases

Since a stopping instance asks the session itself to end its transaction, nothing told a waiting transaction from a running statement any more; a drain only needs to know whether a connection is idle.

--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -1,7 +1,6 @@
 """Serves callers over the line protocol: one task per connection, one statement at a time."""
 
 import asyncio
-import enum
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import clock
@@ -12,17 +11,6 @@
 """Connections waiting to be accepted; callers of a failed instance reconnect all at once."""
 
 
-class Phase(enum.Enum):
-    """What a connection is doing, which decides how a drain treats it."""
-
-    IDLE = "idle"
-    """Waiting for a statement outside of a transaction."""
-    TRANSACTION = "transaction"
-    """Waiting for a statement inside of a transaction."""
-    SERVING = "serving"
-    """Serving a statement."""
-
-
 class CallerConnection:
     """Opens the session of one caller's connection and runs its statements."""
 
@@ -38,7 +26,8 @@
         self.writer = writer
         self.opener = opener
         self.registry = registry
-        self.phase = Phase.SERVING
+        self.idle = False
+        """Whether it waits for a statement outside of a transaction; a drain closes it then."""
         self.session: session.Session | None = None
         self.closing = False
 
@@ -89,11 +78,11 @@
 
     async def _serve(self) -> None:
         while True:
-            self._update_phase()
-            if self.closing and self.phase is Phase.IDLE:
+            self.idle = self.session.transaction is None
+            if self.closing and self.idle:
                 return
             message, first_byte_s = await self._read()
-            self.phase = Phase.SERVING
+            self.idle = False
             if isinstance(message, lines.EndSession):
                 return
             if not isinstance(message, lines.RunStatement):
@@ -108,17 +97,13 @@
             self.writer.write(lines.encode_answer(answer))
             await self.writer.drain()
 
-    def _update_phase(self) -> None:
-        open_transaction = self.session.transaction is not None
-        self.phase = Phase.TRANSACTION if open_transaction else Phase.IDLE
-
     def close_when_idle(self) -> None:
         """Close at once when idle, otherwise after the current statement or transaction.
 
         A statement that was already received counts as current.
         """
         self.closing = True
-        if self.phase is Phase.IDLE and not self.reader._buffer:
+        if self.idle and not self.reader._buffer:
             self.writer.close()
 
 
