--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -67,6 +67,24 @@
     return requested in (None, leader)
 
 
+def leading_server(
+    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
+    *,
+    known: ids.ServerId | None,
+    requested: ids.ServerId | None,
+) -> ids.ServerId | None:
+    """Return the server that leads by its own account; None if none does.
+
+    Of several, the one whose promotion may have been ``requested`` before is preferred, then any
+    other than the ``known`` primary, which is to be replaced.
+    """
+    leading = [name for name, status in statuses.items() if status.role is Role.PRIMARY]
+    others = [name for name in leading if name != known]
+    if requested in others:
+        return requested
+    return next(iter(others or leading), None)
+
+
 def choose_after_failure(
     *,
     expected: collections.abc.Set[ids.ServerId],
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -186,19 +186,16 @@
     async def _decide(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
         statuses = await self._query_known(self._answering(primary, silent))
         self._raise_term(statuses)
-        led_by = [
-            name for name, status in statuses.items() if status.role is promotion.Role.PRIMARY
-        ]
-        others = [name for name in led_by if name != primary]
-        if others and self.requested in (None, *others):
+        leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
+        if leader is None:
+            return await self._decide_after_failure(primary, statuses)
+        if leader != primary and self.requested in (None, leader):
             return promotion.Choice(
                 verdict=promotion.Verdict.ALREADY_LED,
-                server=self.requested or others[0],
+                server=leader,
                 reason="another server already leads",
             )
-        if led_by:
-            return await self._decide_handover((others or led_by)[0], statuses)
-        return await self._decide_after_failure(primary, statuses)
+        return await self._decide_handover(leader, statuses)
 
     async def _query_known(
         self, servers: collections.abc.Set[ids.ServerId]
--- a/tests/proxy/test_change_of_primary_machine.py
+++ b/tests/proxy/test_change_of_primary_machine.py
@@ -177,11 +177,12 @@
         terms = [status.term for status in statuses.values() if not status.paused]
         terms += [status.received.term for status in statuses.values()]
         attempt.term = max([attempt.term, *(1 + term for term in terms)])
-        leaders = [n for n, status in statuses.items() if status.role is promotion.Role.PRIMARY]
-        others = [name for name in leaders if name != attempt.primary]
-        if others and attempt.requested in (None, *others):
+        leader = promotion.leading_server(
+            statuses, known=attempt.primary, requested=attempt.requested
+        )
+        if leader not in (None, attempt.primary) and attempt.requested in (None, leader):
             return promotion.Choice(verdict=promotion.Verdict.ALREADY_LED)
-        if not leaders:
+        if leader is None:
             paused = self._pause_others(statuses, {attempt.primary}, late)
             return promotion.choose_after_failure(
                 expected=self._known() - {attempt.primary},
@@ -189,7 +190,7 @@
                 leaving=set(),
                 requested=attempt.requested,
             )
-        return self._decide_handover(statuses, (others or leaders)[0], late)
+        return self._decide_handover(statuses, leader, late)
 
     def _decide_handover(
         self,
