--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -55,6 +55,7 @@
             opener=backends.open_link,
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
+            features=config.features,
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -9,6 +9,7 @@
 
 from mustardswitch.internal import ids
 from mustardswitch.platform import errors
+from mustardswitch.proxy import feature_set
 
 PATH_VARIABLE = "MUSTARDSWITCH_BOOT"
 """Environment variable that holds the path of the settings file."""
@@ -45,6 +46,8 @@
     promotions: Address
     stop_grace_s: float
     """Seconds between the request to stop and the forced end of the process."""
+    features: feature_set.Features = feature_set.NO_FEATURES
+    """Features that the deployment asks for."""
 
 
 def settings_path() -> pathlib.Path:
@@ -90,6 +93,17 @@
         store=reader.address("store"),
         promotions=reader.address("promotions"),
         stop_grace_s=reader.seconds("stop_grace_s"),
+        features=_read_features(reader) if fields.get("contracts") else feature_set.NO_FEATURES,
+    )
+
+
+def _read_features(reader: "_Reader") -> feature_set.Features:
+    """Return the features that the platform's contracts of the deployment ask for."""
+    contracts = reader.value("contracts", list)
+    return feature_set.Features(
+        admission="pressure" in contracts,
+        placement="health" in contracts,
+        pace="health" in contracts,
     )
 
 
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -14,7 +14,7 @@
 )
 from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import forwarded, ports, routes, service, statement_context
+from mustardswitch.proxy import feature_set, forwarded, ports, routes, service, statement_context
 
 PEER_VOTE_TTL_S = 1.0
 """Time after which a vote received from a peer expires unless it is repeated, three times within
@@ -54,7 +54,9 @@
         opener: ports.LinkOpener,
         registry: metrics.Registry,
         forwarder: forwarded.Forwarder | None = None,
+        features: feature_set.Features = feature_set.NO_FEATURES,
     ) -> None:
+        self.features = features
         self.forwarder = forwarder
         self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
         """Gateways of the services whose connections do not suffice for all instances."""
