--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -223,6 +223,7 @@
 store: 10.0.0.2:8783
 promotions: 10.0.0.3:8783
 stop_grace_s: 6
+contracts: [base, pressure]
 """
 
 
