--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -264,6 +264,22 @@
             return None
         return self.forwarder.order_homes(order, homes=count)
 
+    def homes_of(self, tenant: ids.TenantName) -> list[ids.InstanceId]:
+        """Return the instances that run a tenant's statements by the present list, in order."""
+        if not self.has_tenants:
+            return []
+        known = self.configuration.tenants.get(tenant)
+        rate_per_s = known.rate_per_s if known is not None else None
+        found = {
+            home
+            for plan in {id(plan): plan for plan in self.plans.values()}.values()
+            for region_homes in homes.homes(
+                plan, tenant, rate_per_s=rate_per_s, regions=self.location.regions
+            ).values()
+            for home in region_homes
+        }
+        return sorted(found)
+
     def gateways_for(
         self, context: statement_context.StatementContext
     ) -> list[forwarded.Gateway] | None:
--- /dev/null
+++ b/tests/proxy/test_tenants.py
@@ -0,0 +1,211 @@
+"""Tenants: keys are checked, servers are told the tenant, and connections are shared in turn."""
+
+import asyncio
+import collections
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardswitch import connection_pool
+from mustardswitch.internal import ids
+from mustardswitch.internal.tenants import homes
+from mustardswitch.platform import lines, records
+from mustardswitch.proxy import requests, session, tenant_pool
+from mustardswitch_standins import database_group
+from tests.common import proxy_world, tenant_builders
+
+PRIMARY, BOUNDED, OWN = requests.RouteKind
+ACME, BOLT = tenant_builders.ACME, tenant_builders.BOLT
+ACME_KEY, BOLT_KEY = tenant_builders.ACME_KEY, tenant_builders.BOLT_KEY
+
+
+def _world(**changes):
+    world = proxy_world.World()
+    world.directory.configure(tenant_builders.configuration(**changes))
+    return world
+
+
+def _open(world, key, kind=PRIMARY):
+    return session.open_session(world.directory, proxy_world.DATABASES[kind], key)
+
+
+async def test_an_unknown_key_opens_no_session():
+    refused = _open(_world(), ids.CallerKey("key-of-nobody"))
+    assert refused.refusal is requests.Refusal.UNAUTHORIZED
+    assert "key-of-nobody" not in refused.detail
+
+
+async def test_a_public_route_needs_no_key():
+    world = _world(public=True)
+    opened = _open(world, ids.CallerKey("key-of-nobody"))
+    assert (await world.run(opened, proxy_world.WRITE)).succeeded
+
+
+async def test_each_server_connection_serves_one_tenant():
+    world = _world()
+    for key in (ACME_KEY, BOLT_KEY, ACME_KEY):
+        assert (await world.run(_open(world, key), proxy_world.WRITE)).succeeded
+    assert [each.link.tenant for each in world.group.statements] == [ACME, BOLT, ACME]
+    assert world.group.statements[0].link is world.group.statements[2].link
+
+
+async def test_a_removed_key_ends_the_statements_of_an_open_session():
+    world = _world()
+    caller = _open(world, ACME_KEY)
+    assert (await world.run(caller, proxy_world.WRITE)).succeeded
+    world.directory.configure(
+        tenant_builders.configuration(3, keys={BOLT_KEY: tenant_builders.BOLT})
+    )
+    refused = await world.run(caller, proxy_world.WRITE)
+    assert refused.refusal is requests.Refusal.UNAUTHORIZED
+    assert len(world.group.executed) == 1
+
+
+async def test_a_removed_key_rolls_back_the_transaction_in_progress():
+    world = _world()
+    caller = _open(world, ACME_KEY)
+    await world.run(caller, requests.Begin(read_only=False))
+    assert (await world.run(caller, proxy_world.WRITE)).succeeded
+    world.directory.configure(tenant_builders.configuration(3, keys={}))
+    refused = await world.run(caller, requests.Commit())
+    assert refused.refusal is requests.Refusal.ABORTED
+    assert refused.state is requests.TransactionState.IDLE
+    await world.settle()
+    assert world.group.acknowledged == []
+
+
+async def test_keys_are_shown_nowhere():
+    world = _world()
+    caller = _open(world, ACME_KEY)
+    await world.run(caller, proxy_world.WRITE)
+    shown = [repr(caller), repr(world.directory.configuration), world.directory.registry.render()]
+    shown.append(repr(lines.parse_caller_line(f"STARTUP db {ACME_KEY}".encode())))
+    assert all(ACME_KEY not in text for text in shown)
+
+
+def test_reads_tenants_with_their_keys_and_limits():
+    configuration = records.decode_configuration(
+        b'{"version":1,"routes":[],"services":[],"limits":{"tx_idle_ms":3000},"tenants":'
+        b'[{"name":"acme","api_keys":["k1","k2"],"priority":1,"rate_per_s":115,"burst":30}]}'
+    )
+    tenant = configuration.tenants[ACME]
+    assert (tenant.rate_per_s, tenant.burst) == (115, 30)
+    assert configuration.tenant_by_key == {"k1": ACME, "k2": ACME}
+
+
+# Connections
+
+
+async def _pool(size):
+    group = database_group.Group()
+    entry = next(iter(group.entries()))
+    opened = collections.Counter()
+
+    async def open_link(tenant):
+        opened[tenant] += 1
+        return await group.open_link(entry, tenant)
+
+    return tenant_pool.TenantPool(name="s", opener=open_link, size=size), opened
+
+
+def _request(tenant, *, holds=False, within_s=1.0):
+    return connection_pool.ConnectionRequest(
+        caller=tenant,
+        priority=0,
+        deadline_s=asyncio.get_running_loop().time() + within_s,
+        holds=holds,
+    )
+
+
+async def test_a_full_pool_closes_the_longest_idle_connection_for_another_tenant():
+    pool, opened = await _pool(2)
+    for tenant in ("a", "b", "b", "c", "b"):
+        pool.release(await pool.acquire(_request(tenant)), clean=True)
+    assert opened == {"a": 1, "b": 1, "c": 1}
+    assert pool.held == 2
+
+
+async def test_tenants_that_wait_get_a_connection_in_turn():
+    pool, opened = await _pool(1)
+    served = []
+
+    async def run(tenant):
+        link = await pool.acquire(_request(tenant, within_s=5.0))
+        served.append(tenant)
+        await asyncio.sleep(0)
+        pool.release(link, clean=True)
+
+    await asyncio.gather(*(run("a") for _ in range(12)), run("b"))
+    assert served.index("b") <= tenant_pool.TURN_LENGTH
+    assert opened["a"] + opened["b"] <= 4
+
+
+async def test_transactions_of_one_tenant_leave_a_connection_to_the_others():
+    pool, _ = await _pool(3)
+    held = [await pool.acquire(_request("a", holds=True)) for _ in range(2)]
+    waiting = asyncio.create_task(pool.acquire(_request("a", holds=True)))
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    other = await pool.acquire(_request("b"))
+    assert other.tenant == "b"
+    for link in [*held, other]:
+        pool.release(link, clean=True)
+    await waiting
+
+
+async def test_a_waiter_that_gives_up_leaves_its_opened_connection_to_the_others():
+    pool, _ = await _pool(1)
+    held = await pool.acquire(_request("a"))
+    waiting = asyncio.create_task(pool.acquire(_request("b")))
+    await asyncio.sleep(0.01)
+    pool.release(held, clean=True)
+    waiting.cancel()
+    await asyncio.sleep(0.01)
+    assert (await pool.acquire(_request("a"))).tenant == "a"
+    assert pool.held == 1
+
+
+# Homes
+
+
+@given(per_zone=st.integers(1, 15), connections=st.integers(20, 200))
+def test_gateways_for_tenants_never_exceed_the_connections_of_a_server(per_zone, connections):
+    plan = homes.plan_gateways(
+        tenant_builders.candidates(per_zone), group=0, connections=connections, usable=connections
+    )
+    assert plan.gateway_count * plan.connections <= connections
+
+
+def test_a_tenant_keeps_its_homes_when_another_instance_leaves():
+    fleet = tenant_builders.candidates(10)
+
+    def find(candidates):
+        plan = homes.plan_gateways(candidates, group=0, connections=79, usable=79)
+        return homes.homes(plan, ACME, rate_per_s=10, regions=tenant_builders.REGIONS)
+
+    before = find(fleet)
+    assert {len(each) for each in before.values()} == {1}
+    gone = before[ids.RegionName("north")][0]
+    after = find([each for each in fleet if each.instance != gone])
+    assert after[ids.RegionName("south")] == before[ids.RegionName("south")]
+    assert after[ids.RegionName("north")] != before[ids.RegionName("north")]
+
+
+def test_tenants_spread_over_the_gateways_of_a_region():
+    plan = homes.plan_gateways(tenant_builders.candidates(14), group=0, connections=79, usable=79)
+    used = collections.Counter(
+        homes.homes(plan, ids.TenantName(f"t{n}"), rate_per_s=1, regions=tenant_builders.REGIONS)[
+            ids.RegionName("north")
+        ][0]
+        for n in range(86)
+    )
+    assert len(used) == 6
+    assert max(used.values()) <= 3 * 86 / 6
+
+
+async def test_a_forwarded_statement_of_an_unknown_tenant_is_not_run():
+    world = _world()
+    route = world.directory.route(proxy_world.DATABASES[PRIMARY])
+    assert world.directory.serves_tenant(ACME, route)
+    assert not world.directory.serves_tenant(ids.TenantName("carp"), route)
+    assert not world.directory.serves_tenant(ids.TenantName(""), route)
