--- a/src/mustardswitch/internal/tenants/homes.py
+++ b/src/mustardswitch/internal/tenants/homes.py
@@ -27,7 +27,7 @@
 def group_of(service: ids.ServiceName, services: int) -> int:
     """Return the group of a service among ``services`` services."""
     groups = -(-services // SERVICES_PER_GROUP)
-    return xxhash.xxh64_intdigest(service) % max(1, groups)
+    return xxhash.xxh64_intdigest(service.encode(errors="surrogatepass")) % max(1, groups)
 
 
 def plan_gateways(
--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -209,3 +209,11 @@
     assert world.directory.serves_tenant(ACME, route)
     assert not world.directory.serves_tenant(ids.TenantName("carp"), route)
     assert not world.directory.serves_tenant(ids.TenantName(""), route)
+
+
+def test_services_of_a_large_fleet_are_spread_over_groups():
+    groups = collections.Counter(
+        homes.group_of(ids.ServiceName(f"service-{n}"), 800) for n in range(800)
+    )
+    assert len(groups) == 100
+    assert {homes.group_of(ids.ServiceName("any"), 4)} == {0}
