Package internal/admission holds limits and connection_shares

The decisions about admission gain a module of their own next to these two; the old import paths are removed.

--- a/src/mustardswitch/backends/group_gateway.py
+++ b/src/mustardswitch/backends/group_gateway.py
@@ -22,10 +22,10 @@
     failover,
     groups,
     ids,
-    limits,
     outcomes,
     positions,
 )
+from mustardswitch.internal.admission import limits
 
 CONNECT_TIMEOUT_S = 1.0
 TRANSACTION_CHECK_INTERVAL_S = 0.5
--- a/src/mustardswitch/backends/statement_run.py
+++ b/src/mustardswitch/backends/statement_run.py
@@ -19,7 +19,8 @@
     transactions,
     waiters,
 )
-from mustardswitch.internal import limits, outcomes, positions
+from mustardswitch.internal import outcomes, positions
+from mustardswitch.internal.admission import limits
 
 if typing.TYPE_CHECKING:
     from mustardswitch.backends import group_gateway
--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -11,7 +11,7 @@
 import typing
 
 from mustardswitch.backends import errors
-from mustardswitch.internal import limits
+from mustardswitch.internal.admission import limits
 
 REOPEN_DELAY_S = 0.05
 """Base of the pause before a connection is opened again, which doubles with each failure in a row,
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -10,7 +10,8 @@
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors
-from mustardswitch.internal import ids, limits
+from mustardswitch.internal import ids
+from mustardswitch.internal.admission import limits
 from mustardswitch.proxy import ports, routes
 
 ANY_TENANT = "*"
--- a/tests/decisions/test_connection_pool.py
+++ b/tests/decisions/test_connection_pool.py
@@ -7,7 +7,7 @@
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors
-from mustardswitch.internal import limits
+from mustardswitch.internal.admission import limits
 
 
 class Connection:
--- a/tests/decisions/test_leadership_and_lists.py
+++ b/tests/decisions/test_leadership_and_lists.py
@@ -1,7 +1,6 @@
 """Tests for leadership evidence, listed servers, connection shares and suspicion of a primary."""
 
 from mustardswitch.internal import (
-    connection_shares,
     forwarding,
     gateways,
     ids,
@@ -9,6 +8,7 @@
     registration_list,
     suspicion,
 )
+from mustardswitch.internal.admission import connection_shares
 
 OLD, NEW = ids.ServerId("old"), ids.ServerId("new")
 
--- a/tests/decisions/test_limits_and_retries.py
+++ b/tests/decisions/test_limits_and_retries.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardswitch.internal import limits, retries
+from mustardswitch.internal import retries
+from mustardswitch.internal.admission import limits
 
 
 def _waiting(ticket, caller="a", priority=limits.Priority.URGENT, deadline_s=10.0):
