--- /dev/null
+++ b/src/mustardswitch/internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where reads and forwarded statements run."""
--- a/src/mustardswitch/internal/tenants/homes.py
+++ b/src/mustardswitch/internal/tenants/homes.py
@@ -12,7 +12,8 @@
 
 import xxhash
 
-from mustardswitch.internal import forwarding, gateways, ids
+from mustardswitch.internal import gateways, ids
+from mustardswitch.internal.placement import forwarding
 
 CONNECTIONS_PER_GATEWAY = 6
 """Connections of a gateway to each server: room for the tenants that are active there at once and
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -4,14 +4,8 @@
 import dataclasses
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import (
-    clock,
-    connection_shares,
-    forwarding,
-    gateways,
-    ids,
-    registration_list,
-)
+from mustardswitch.internal import clock, connection_shares, gateways, ids, registration_list
+from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import feature_set, forwarded, ports, routes, service, statement_context
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -9,7 +9,8 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, forwarding, ids, recent_failures
+from mustardswitch.internal import clock, ids, recent_failures
+from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
 from mustardswitch.proxy import ports, requests, service, statement_context
 
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -12,7 +12,8 @@
 
 from mustardswitch import events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, position_history, positions, read_placement
+from mustardswitch.internal import clock, position_history, positions
+from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import errors, ports, requests, server, statement_context
 
 REFRESH_SHARE = 0.6
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -5,7 +5,8 @@
 
 from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
-from mustardswitch.internal import clock, ids, positions, promotion, read_placement
+from mustardswitch.internal import clock, ids, positions, promotion
+from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import ports, routes, tenant_pool
 
 INITIAL_LATENCY_S = {
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -13,9 +13,9 @@
     position_history,
     positions,
     promotion,
-    read_placement,
     suspicion,
 )
+from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import errors, ports, requests, server, tenant_pool
 
 HISTORY_RETENTION_S = 10.0
--- a/tests/decisions/test_leadership_and_lists.py
+++ b/tests/decisions/test_leadership_and_lists.py
@@ -2,13 +2,13 @@
 
 from mustardswitch.internal import (
     connection_shares,
-    forwarding,
     gateways,
     ids,
     leadership,
     registration_list,
     suspicion,
 )
+from mustardswitch.internal.placement import forwarding
 
 OLD, NEW = ids.ServerId("old"), ids.ServerId("new")
 
--- a/tests/decisions/test_read_placement.py
+++ b/tests/decisions/test_read_placement.py
@@ -1,6 +1,7 @@
 """Tests for the order of servers for reads, and for matching connections to sessions."""
 
-from mustardswitch.internal import clock, ids, positions, read_placement, session_sync
+from mustardswitch.internal import clock, ids, positions, session_sync
+from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import server
 from mustardswitch_standins import database_group
 
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardswitch.internal import clock, forwarding, gateways, ids
+from mustardswitch.internal import clock, gateways, ids
+from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec, relay_server
 from mustardswitch.proxy import directory, forwarded, ports, requests
 from mustardswitch_standins import fleet
