--- a/tests/decisions/test_leadership_and_lists.py
+++ b/tests/decisions/test_leadership_and_lists.py
@@ -1,7 +1,6 @@
 """Tests for leadership evidence, listed servers, connection shares and suspicion of a primary."""
 
 from mustardswitch.internal import (
-    forwarding,
     gateways,
     ids,
     leadership,
@@ -9,6 +8,7 @@
     suspicion,
 )
 from mustardswitch.internal.admission import connection_shares
+from mustardswitch.internal.placement import forwarding
 
 OLD, NEW = ids.ServerId("old"), ids.ServerId("new")
 
