--- a/src/mustardswitch/internal/tenants/homes.py
+++ b/src/mustardswitch/internal/tenants/homes.py
@@ -105,3 +105,27 @@
         )
         for region in sorted(found)
     }
+
+
+def is_next_home(
+    plan: forwarding.GatewayPlan,
+    tenant: ids.TenantName,
+    *,
+    instance: ids.InstanceId,
+    rate_per_s: float | None,
+    regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName],
+) -> bool:
+    """Return whether an instance is used when the homes of its region cannot be reached.
+
+    These are the next ones in the ranking, and the first one in each zone, for callers in a zone
+    that is cut off.
+    """
+    zone = next((zone for zone, found in plan.gateways_by_zone.items() if instance in found), None)
+    if zone is None:
+        return False
+    region = regions.get(zone, ids.RegionName(""))
+    count = homes_per_region(rate_per_s)
+    order = order_for_tenant(plan, tenant, region=region, regions=regions)
+    in_zone = set(plan.gateways_by_zone[zone])
+    first_in_zone = next(gateway for gateway in order if gateway in in_zone)
+    return instance == first_in_zone or instance in order[count : 2 * count]
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -14,7 +14,15 @@
 )
 from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import feature_set, forwarded, ports, routes, service, statement_context
+from mustardswitch.proxy import (
+    feature_set,
+    forwarded,
+    ports,
+    routes,
+    service,
+    statement_context,
+    tenant_limits,
+)
 
 PEER_VOTE_TTL_S = 1.0
 """Time after which a vote received from a peer expires unless it is repeated, three times within
@@ -86,6 +94,7 @@
         self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
         """Servers whose promotion was recorded before it was requested, and may take effect."""
         self.services: dict[ids.ServiceName, service.Service] = {}
+        self.limits = tenant_limits.TenantLimits(directory=self)
 
     def __repr__(self) -> str:
         return f"Directory(instance={self.instance!r}, location={self.location!r})"
@@ -262,7 +271,12 @@
         count = homes.homes_per_region(known.rate_per_s if known is not None else None)
         if self.instance in order[:count]:
             return None
-        return self.forwarder.order_homes(order, homes=count)
+        in_zone = set(plan.gateways_by_zone.get(location.zone, ()))
+        # If the zone is cut off, only its own gateways can be reached.
+        nearest = [gateway for gateway in order if gateway in in_zone][:1]
+        first = [*order[: 2 * count], *nearest]
+        ranking = list(dict.fromkeys([*first, *order[2 * count :]]))
+        return self.forwarder.order_homes(ranking, homes=count)
 
     def homes_of(self, tenant: ids.TenantName) -> list[ids.InstanceId]:
         """Return the instances that run a tenant's statements by the present list, in order."""
--- a/src/mustardswitch/proxy/local_run.py
+++ b/src/mustardswitch/proxy/local_run.py
@@ -7,6 +7,9 @@
     context: statement_context.StatementContext, statement: requests.Plain | ports.RunPrepared
 ) -> requests.Answer:
     """Run a read or write and return its answer."""
+    refused = context.refuse_above_limit()
+    if refused is not None:
+        return refused
     if statement.access is requests.Access.WRITE:
         return await writing.run_write(context, statement)
     return await reading.ReadRun(context).run(statement)
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -17,6 +17,7 @@
     routes,
     service,
     statement_context,
+    tenant_limits,
     transaction,
 )
 
@@ -44,6 +45,7 @@
         """Return whether a forwarded statement of a tenant may run on a route."""
 
     forwarder: forwarded.Forwarder | None
+    limits: tenant_limits.TenantLimits
 
     def gateways_for(
         self, context: statement_context.StatementContext
@@ -350,6 +352,7 @@
             route=route,
             service=found,
             tenant=tenant,
+            limits=self.directory.limits,
             first_byte_s=first_byte_s,
             deadline_s=asyncio.get_running_loop().time() + route.statement_timeout_s - waited_s,
         )
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -6,7 +6,7 @@
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, positions, session_sync
-from mustardswitch.proxy import errors, ports, requests, routes, server, service
+from mustardswitch.proxy import errors, ports, requests, routes, server, service, tenant_limits
 
 RETRY_DELAY_S = 0.02
 """Pause before a statement that was not run is tried again; about the time of one statement's
@@ -56,6 +56,8 @@
     """End of the statement's time limit, on the event loop's clock."""
     tenant: ids.TenantName = routes.NO_TENANT
     """The caller's tenant, which the server is told."""
+    limits: tenant_limits.TenantLimits | None = None
+    """The rate limits of tenants; None where operations are not limited."""
     sent: bool = False
     """Whether the statement may have been passed on to a server or gateway."""
 
@@ -64,6 +66,14 @@
         """Time left to the deadline; negative after it."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
+    def refuse_above_limit(self) -> requests.Answer | None:
+        """Count an operation of the tenant that starts here; returns the refusal above its limit.
+
+        Must be called once for each operation: a statement outside of transactions, or a
+        transaction.
+        """
+        return None if self.limits is None else self.limits.refuse(self.tenant)
+
     def connection_request(
         self, backend: server.Server, shape: requests.Shape | None, *, holds: bool
     ) -> connection_pool.ConnectionRequest:
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -25,6 +25,8 @@
         self.wrote = False
         self.statements = 0
         self.service = None
+        self.admitted = False
+        """Whether the rate limit of the tenant has admitted the transaction."""
 
     def __repr__(self) -> str:
         return f"Transaction(read_only={self.read_only!r})"
@@ -58,6 +60,11 @@
     async def _ensure_begun(
         self, context: statement_context.StatementContext, shape: requests.Shape | None
     ) -> requests.Answer | None:
+        refused = None if self.admitted else context.refuse_above_limit()
+        if refused is not None:
+            self.failed = True
+            return dataclasses.replace(refused, state=FAILED)
+        self.admitted = True
         try:
             if self.pinned is None:
                 self.service = context.service
