Decode only changed routes; show the connections of each tenant

Cause: each instance decoded the whole configuration for each version, and operators could not see which tenants hold connections. Measured: tests only; the routes that did not change are the same objects.

--- a/src/mustardswitch/metrics.py
+++ b/src/mustardswitch/metrics.py
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CounterKey:
-    """Name of a counter and the value of its one label."""
+    """Name of a counter or gauge, and the value of its one label."""
 
     name: str
     label: str
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.counters: collections.Counter[CounterKey] = collections.Counter()
         self.histograms: dict[str, histogram.HdrHistogram] = {}
-        self.gauges: dict[str, float] = {}
+        self.gauges: dict[CounterKey, float] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add ``amount`` to a counter; ``label`` is the value of its label ``kind``."""
@@ -43,9 +43,9 @@
             self.histograms[name] = recorded
         recorded.record_value(min(MAX_MICROSECONDS, max(1, int(seconds * 1_000_000))))
 
-    def set_gauge(self, name: str, value: float) -> None:
-        """Set a gauge, replacing its last value."""
-        self.gauges[name] = value
+    def set_gauge(self, name: str, value: float, label: str = "") -> None:
+        """Set a gauge, replacing its last value; ``label`` is the value of its label ``kind``."""
+        self.gauges[CounterKey(name=name, label=label)] = value
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text exposition format, version 0.0.4."""
@@ -53,8 +53,9 @@
         for key, value in sorted(self.counters.items(), key=lambda item: str(item[0])):
             label = f'{{kind="{key.label}"}}' if key.label else ""
             lines.append(f"mustardswitch_{key.name}_total{label} {value}")
-        for name, gauge in sorted(self.gauges.items()):
-            lines.append(f"mustardswitch_{name} {gauge}")
+        for key, gauge in sorted(self.gauges.items(), key=lambda item: str(item[0])):
+            label = f'{{kind="{key.label}"}}' if key.label else ""
+            lines.append(f"mustardswitch_{key.name}{label} {gauge}")
         for name, recorded in sorted(self.histograms.items()):
             lines.extend(_render_histogram(name, recorded))
         return "\n".join(lines) + "\n"
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -54,6 +54,7 @@
         self.applied_revision = 0
         """Every change up to this revision has been applied."""
         self.revisions: dict[str, int] = {}
+        self.configurations = records.ConfigurationDecoder()
         self.restored = False
         """Whether the listing that is being applied is the first one of a restored store."""
         self.loaded = asyncio.Event()
@@ -222,7 +223,7 @@
         key = item.key
         if key == records.CONFIGURATION_KEY:
             if item.value is not None:
-                self.directory.configure(records.decode_configuration(item.value))
+                self.directory.configure(self.configurations.decode(item.value))
         elif key.startswith(records.SERVERS_PREFIX):
             self._apply_server(item)
         elif key.startswith(fleet_records.PREFIX):
--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import ipaddress
 import json
 
@@ -137,8 +138,48 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _DecodedRoute:
+    record: object
+    route: routes.Route
+
+
+class ConfigurationDecoder:
+    """Decodes versions of the operators' configuration, each route only when it has changed.
+
+    Decoding takes most of the time for a version with many routes, and few of them change.
+    """
+
+    def __init__(self) -> None:
+        self.decoded: dict[ids.DatabaseName, _DecodedRoute] = {}
+        """The routes of the last valid version, with the records they were decoded from."""
+
+    def decode(self, value: bytes) -> routes.Configuration:
+        """Decode a version; raises InvalidRecordError."""
+        decoded: dict[ids.DatabaseName, _DecodedRoute] = {}
+        configuration = _decode_configuration(value, lambda record: self._route(record, decoded))
+        self.decoded = decoded
+        return configuration
+
+    def _route(
+        self, record: object, decoded: dict[ids.DatabaseName, _DecodedRoute]
+    ) -> routes.Route:
+        host = record.get("host") if isinstance(record, dict) else None
+        known = self.decoded.get(host) if isinstance(host, str) else None
+        if known is None or known.record != record:
+            known = _DecodedRoute(record=record, route=_decode_route(record))
+        decoded[known.route.database] = known
+        return known.route
+
+
 def decode_configuration(value: bytes) -> routes.Configuration:
     """Decode the operators' configuration; raises InvalidRecordError."""
+    return ConfigurationDecoder().decode(value)
+
+
+def _decode_configuration(
+    value: bytes, decode_route: collections.abc.Callable[[object], routes.Route]
+) -> routes.Configuration:
     subject = "configuration"
     record = _parse(value, subject)
     limits = record.get("limits")
@@ -147,7 +188,7 @@
         raise errors.InvalidRecordError(
             f"{subject}: field limits.tx_idle_ms is {idle_ms!r:.64}; give a positive number"
         )
-    decoded = [_decode_route(route) for route in _field(record, "routes", list, subject)]
+    decoded = [decode_route(route) for route in _field(record, "routes", list, subject)]
     services = [_decode_service(entry) for entry in _field(record, "services", list, subject)]
     tenants = [_decode_tenant(entry) for entry in _tenant_records(record)]
     return routes.Configuration(
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -1,5 +1,6 @@
 """An instance's view of the fleet: configuration, servers, instances, votes and claims."""
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -89,6 +90,8 @@
         self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
         """Servers whose promotion was recorded before it was requested, and may take effect."""
         self.services: dict[ids.ServiceName, service.Service] = {}
+        self.reported_tenants: set[ids.TenantName] = set()
+        """Tenants whose connections the gauge shows."""
         self.limits = tenant_limits.TenantLimits(directory=self)
 
     def __repr__(self) -> str:
@@ -184,12 +187,29 @@
                 target.resize(share, holds_connections=holds)
             target.apply(by_service.get(name, ()))
             target.trim()
+        if self.has_tenants:
+            self._report_connections()
 
     @property
     def has_tenants(self) -> bool:
         """Whether callers belong to tenants, which servers are told."""
         return self.configuration is not None and bool(self.configuration.tenants)
 
+    def _report_connections(self) -> None:
+        """Set the gauge of the connections that this instance holds for each tenant."""
+        held = collections.Counter(
+            link.tenant
+            for target in self.services.values()
+            for backend in target.servers.values()
+            for link in backend.links
+            if not link.broken
+        )
+        for tenant in self.reported_tenants - held.keys():
+            self.registry.set_gauge("tenant_connections", 0, tenant)
+        for tenant, count in held.items():
+            self.registry.set_gauge("tenant_connections", count, tenant)
+        self.reported_tenants = set(held)
+
     def _share(self, name: ids.ServiceName) -> int:
         limits = self.configuration.services.get(name) if self.configuration else None
         if limits is None:
--- a/src/mustardswitch/proxy/tenant_limits.py
+++ b/src/mustardswitch/proxy/tenant_limits.py
@@ -4,7 +4,8 @@
 import typing
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, forwarding, ids
+from mustardswitch.internal import clock, ids
+from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import homes, limits
 from mustardswitch.proxy import requests, routes, service
 
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -313,3 +313,38 @@
     ):
         with pytest.raises(proxy_errors.StoreError):
             await call
+
+
+def test_a_new_version_decodes_only_the_routes_that_changed():
+    """Guards against instances that fall behind while a configuration of many routes changes."""
+    decoder = records.ConfigurationDecoder()
+    first = decoder.decode(_configuration("one", "two"))
+    second = decoder.decode(_configuration("two", "three", timeout_ms={"three": 700}))
+    third = decoder.decode(_configuration("two", "three", timeout_ms={"three": 900}))
+    assert second.routes["two"] is first.routes["two"]
+    assert set(second.routes) == {"two", "three"}
+    assert third.routes["two"] is first.routes["two"]
+    assert third.routes["three"].statement_timeout_s == 0.9
+
+
+def test_a_rejected_version_changes_no_decoded_route():
+    decoder = records.ConfigurationDecoder()
+    first = decoder.decode(_configuration("one"))
+    with pytest.raises(errors.InvalidRecordError):
+        decoder.decode(_configuration("one", "two", timeout_ms={"two": "soon"}))
+    assert decoder.decode(_configuration("one")).routes["one"] is first.routes["one"]
+
+
+def _configuration(*hosts, timeout_ms=None):
+    built = [
+        {
+            "name": f"r-{host}",
+            "host": host,
+            "service": "orders",
+            "type": "primary",
+            "timeout_ms": (timeout_ms or {}).get(host, 800),
+        }
+        for host in hosts
+    ]
+    body = {"version": 1, "routes": built, "services": [], "limits": {"tx_idle_ms": 3000}}
+    return json.dumps(body).encode()
