Tenants: shares change hands without overlap, and homes lend to each other

A share is spent only while the registration and the list are certainly valid. A new home waits until the former homes have answered or are certain to have stopped. Homes that run out borrow.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -155,6 +155,15 @@
     LINE_REJECTED = EventKind(614, logbook.INFO, "line rejected")
     """A caller's line cannot be parsed; its connection is closed."""
 
+    TENANT_REFUSED = EventKind(620, logbook.INFO, "tenant above its rate limit")
+    """Operations of a tenant are refused here from now on; the fields show what this instance may
+    start."""
+    TENANT_SERVED = EventKind(621, logbook.INFO, "tenant within its rate limit")
+    """No operation of a tenant was refused here by its limit for two seconds."""
+    LIMIT_UNANSWERED = EventKind(622, logbook.INFO, "no answer about a rate limit")
+    """Another home of a tenant did not answer whether it lends or has given up a part of its
+    limit."""
+
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
 
--- a/src/mustardswitch/internal/tenants/homes.py
+++ b/src/mustardswitch/internal/tenants/homes.py
@@ -107,6 +107,23 @@
     }
 
 
+def homes_of_plans(
+    plans: collections.abc.Iterable[forwarding.GatewayPlan],
+    tenant: ids.TenantName,
+    *,
+    rate_per_s: float | None,
+    regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName],
+) -> list[ids.InstanceId]:
+    """Return the homes of a tenant in all regions and for all groups of services, in order."""
+    found = {
+        home
+        for plan in plans
+        for region_homes in homes(plan, tenant, rate_per_s=rate_per_s, regions=regions).values()
+        for home in region_homes
+    }
+    return sorted(found)
+
+
 def is_next_home(
     plan: forwarding.GatewayPlan,
     tenant: ids.TenantName,
--- a/src/mustardswitch/peers/relay_client.py
+++ b/src/mustardswitch/peers/relay_client.py
@@ -39,10 +39,22 @@
         Raises PeerBrokenError, and closes the connection, when no valid answer arrives within
         ``timeout_s``.
         """
+        body = await self.exchange(relay_codec.encode_forwarded(forwarded), timeout_s)
         try:
-            self.writer.write(relay_codec.encode_forwarded(forwarded))
+            return relay_codec.decode_answer(body)
+        except errors.InvalidFrameError as error:
+            self.close()
+            raise errors.PeerBrokenError(f"the gateway did not answer: {error!r}") from error
+
+    async def exchange(self, frame: bytes, timeout_s: float) -> bytes:
+        """Send a frame and return the body of the one that answers it.
+
+        Raises PeerBrokenError, and closes the connection, when none arrives within ``timeout_s``.
+        """
+        try:
+            self.writer.write(frame)
             async with asyncio.timeout(timeout_s):
-                return relay_codec.decode_answer(await relay_codec.read_frame(self.reader))
+                return await relay_codec.read_frame(self.reader)
         except (OSError, EOFError, TimeoutError, errors.InvalidFrameError) as error:
             self.close()
             raise errors.PeerBrokenError(f"the gateway did not answer: {error!r}") from error
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -155,6 +155,7 @@
             "detail": answer.detail,
             "state": answer.state.value,
             "position": _encode_position(answer.position),
+            **({"retry_s": answer.retry_s} if answer.retry_s else {}),
         }
     )
 
@@ -171,6 +172,7 @@
             detail=str(fields["detail"]),
             state=requests.TransactionState(fields["state"]),
             position=_decode_position(fields["position"]),
+            retry_s=decode_seconds(fields.get("retry_s", 0.0)),
         )
     except MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid answer: {error}") from error
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -5,7 +5,14 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import clock
-from mustardswitch.peers import datagrams, errors, record_codec, record_relay, relay_codec
+from mustardswitch.peers import (
+    datagrams,
+    errors,
+    limit_loans,
+    record_codec,
+    record_relay,
+    relay_codec,
+)
 from mustardswitch.proxy import (
     local_run,
     requests,
@@ -75,6 +82,11 @@
                     writer.write(await self.feed.answer(request))
                     await writer.drain()
                     continue
+                if limit_loans.is_request(body):
+                    answer = self.directory.limits.answer(limit_loans.decode_request(body))
+                    writer.write(limit_loans.encode_answer(answer))
+                    await writer.drain()
+                    continue
                 forwarded = relay_codec.decode_forwarded(body)
                 self.running += 1
                 try:
@@ -106,7 +118,10 @@
             return requests.refuse(requests.Refusal.LEAVING, "this gateway is stopping")
         gateway_session.busy = True
         try:
-            return await gateway_session.run(forwarded)
+            answer = await gateway_session.run(forwarded)
+            if answer.retry_s and self.directory.limits.has_left:
+                return requests.refuse(requests.Refusal.LEAVING, answer.detail, state=answer.state)
+            return answer
         finally:
             gateway_session.busy = False
             if gateway_session.aborting:
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -5,7 +5,8 @@
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import ids
-from mustardswitch.peers import datagrams, relay_client, relay_server
+from mustardswitch.internal.tenants import handover
+from mustardswitch.peers import datagrams, limit_loans, relay_client, relay_server
 from mustardswitch.platform import (
     backends,
     callers,
@@ -73,6 +74,8 @@
             on_call_failed=self.follower.interrupt_watch,
         )
         self.follower.on_applied = self.coordination.note_seen
+        self.directory.limits.valid_until = self._valid_until_s
+        self.directory.limits.exchange = limit_loans.LimitExchange(client=self.relays)
         self.peers = datagrams.PeerDatagrams(
             addresses=self.directory.peer_addresses,
             receiver=self.directory.receive_update,
@@ -98,6 +101,11 @@
     ) -> session.Session | requests.Answer:
         return session.open_session(self.directory, database, key)
 
+    def _valid_until_s(self) -> float:
+        """Return until when the registration and the list of the others are certainly valid."""
+        list_until_s = self.records.feed.confirmed_at_s + handover.LIST_MAX_AGE_S
+        return min(self.coordination.valid_until_s, list_until_s)
+
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
 
@@ -114,6 +122,7 @@
             ("follower", self.follower.run),
             ("registration", self.coordination.run),
             ("failover watch", self.watch.run),
+            ("tenant limits", self.directory.limits.run),
         ):
             self.tasks.append(asyncio.create_task(tasks.keep_running(name, work)))
         await self._start_accepting()
@@ -181,6 +190,7 @@
 
     async def _leave(self) -> None:
         """Make the other instances forward elsewhere and share this one's connections."""
+        self.directory.limits.has_left = True
         try:
             await self.coordination.leave()
         except proxy_errors.StoreError as error:
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -61,6 +61,8 @@
         self.zone = zone
         self.peer_address = peer_address
         self.lease = 0
+        self.valid_until_s = float("-inf")
+        """Until when the registration certainly exists (``clock.now_s``)."""
         self.leaving = False
         self.own = own_records.OwnRecords()
         self.repair = own_records.NOTHING
@@ -118,6 +120,7 @@
     def _note_registration_lost(self, reason: str) -> None:
         events.log(events.Event.REGISTRATION_LOST, lease=self.lease, reason=reason)
         self.lease = 0
+        self.valid_until_s = float("-inf")
         self.own.registered_revision = None
 
     async def run(self) -> None:
@@ -126,9 +129,11 @@
         while not self.leaving:
             try:
                 if self.lease:
+                    sent_s = clock.now_s()
                     if not await self.client.renew_lease(self.lease):
                         self._note_registration_lost("the lease has expired")
                         continue
+                    self._note_registered(sent_s)
                 else:
                     await self._register()
                 await self._repair()
@@ -185,7 +190,13 @@
         if found is not None and found.value.decode().partition(" ")[0] == self.instance:
             await self.client.change(expected={key: found.revision}, deletes=[key])
 
+    def _note_registered(self, sent_s: float) -> None:
+        """Record that a lease was granted or renewed by a call that was sent at a time."""
+        if self.lease:
+            self.valid_until_s = sent_s + REGISTRATION_TTL_S
+
     async def _register(self) -> None:
+        sent_s = clock.now_s()
         lease = await self.client.grant_lease(REGISTRATION_TTL_S)
         value = fleet_records.encode_peer(directory.Peer(zone=self.zone, address=self.peer_address))
         put = ports.Put(key=f"{fleet_records.INSTANCES}{self.instance}", value=value, lease=lease)
@@ -194,6 +205,7 @@
         if revision is not None:
             self.lease = lease
             self.own.registered_revision = revision
+            self._note_registered(sent_s)
             events.log(events.Event.REGISTERED, lease=lease)
 
     async def leave(self) -> None:
@@ -202,6 +214,7 @@
         Those are its share of the connections that each service allows. Raises StoreError.
         """
         self.leaving = True
+        self.valid_until_s = float("-inf")
         lease, self.lease = self.lease, 0
         if lease:
             await self.client.revoke_lease(lease)
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -22,6 +22,7 @@
     service,
     statement_context,
     tenant_limits,
+    tenant_roles,
 )
 
 PEER_VOTE_TTL_S = 1.0
@@ -240,6 +241,16 @@
             self.plans[name] = plan
 
     def _plan_for_tenants(self, name: ids.ServiceName, now_s: float) -> None:
+        plan = self._tenant_plan(name, self.candidates(), now_s)
+        if plan is not None:
+            self.plans[name] = plan
+
+    def _tenant_plan(
+        self,
+        name: ids.ServiceName,
+        candidates: collections.abc.Sequence[gateways.Candidate],
+        now_s: float,
+    ) -> forwarding.GatewayPlan | None:
         services = self.configuration.services
         group = homes.group_of(name, len(services))
         least = min(
@@ -247,14 +258,22 @@
             for service_name, limits in services.items()
             if homes.group_of(service_name, len(services)) == group
         )
-        plan = homes.plan_gateways(
-            self.candidates(),
+        return homes.plan_gateways(
+            candidates,
             group=group,
             connections=least,
             usable=self.shares.usable(connections=services[name].max_connections, now_s=now_s),
         )
-        if plan is not None:
-            self.plans[name] = plan
+
+    def plans_without_self(self) -> list[forwarding.GatewayPlan]:
+        """Return the plans for tenants as they would be if this instance were not listed."""
+        others = [each for each in self.candidates() if each.instance != self.instance]
+        found = [
+            self._tenant_plan(name, others, clock.now_s())
+            for name in self.plans
+            if name in self.configuration.services
+        ]
+        return [plan for plan in found if plan is not None]
 
     def _gateways_of_tenant(
         self, plan: forwarding.GatewayPlan, tenant: ids.TenantName
@@ -283,16 +302,12 @@
         if not self.has_tenants:
             return []
         known = self.configuration.tenants.get(tenant)
-        rate_per_s = known.rate_per_s if known is not None else None
-        found = {
-            home
-            for plan in {id(plan): plan for plan in self.plans.values()}.values()
-            for region_homes in homes.homes(
-                plan, tenant, rate_per_s=rate_per_s, regions=self.location.regions
-            ).values()
-            for home in region_homes
-        }
-        return sorted(found)
+        return homes.homes_of_plans(
+            tenant_roles.distinct(self.plans.values()),
+            tenant,
+            rate_per_s=known.rate_per_s if known is not None else None,
+            regions=self.location.regions,
+        )
 
     def gateways_for(
         self, context: statement_context.StatementContext
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -11,7 +11,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, forwarding, ids, recent_failures
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
-from mustardswitch.proxy import ports, requests, service, statement_context
+from mustardswitch.proxy import ports, requests, service, statement_context, tenant_state
 
 RECENT_FAILURE_DURATION_S = 2.0
 """How long a gateway that failed is tried last; one that is dead leaves the list soon after."""
@@ -24,6 +24,11 @@
 MAX_HOMES_TRIED = 4
 """Gateways that are tried for a statement of a tenant; each may take up to the time to connect."""
 
+MAX_REFUSAL_S = 0.1
+"""Longest time for which an instance refuses a tenant without asking its gateway again."""
+MAX_REFUSALS = 4096
+"""Refusals that are kept; all are forgotten beyond that."""
+
 NOT_SERVED = (requests.Refusal.UNKNOWN_DATABASE, requests.Refusal.LEAVING)
 """Refusals of a gateway that has not run the statement, while another one may run it."""
 
@@ -38,6 +43,14 @@
     address: datagrams.PeerAddress
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """A tenant that a gateway refuses by its rate limit."""
+
+    gateway: ids.InstanceId
+    tenant: ids.TenantName
+
+
 class Forwarder:
     """Chooses gateways and forwards statements that run outside of transactions."""
 
@@ -50,6 +63,8 @@
         """When each gateway last answered a statement (``clock.now_s``)."""
         self.rotation = 0
         """Counts forwarded statements, so that the gateways of a zone are tried in turn."""
+        self.refusals: dict[Refused, float] = {}
+        """Gateways that refuse a tenant by its rate limit, and until when (``clock.now_s``)."""
 
     def __repr__(self) -> str:
         return f"Forwarder(client={self.client!r})"
@@ -78,6 +93,30 @@
         order = [*ranking[turn:homes], *ranking[:turn], *ranking[homes:]]
         return sorted(order, key=lambda gateway: gateway in avoided)[:MAX_HOMES_TRIED]
 
+    def note_refusal(
+        self, gateway: Gateway, context: statement_context.StatementContext, answer: requests.Answer
+    ) -> None:
+        """Refuse a tenant here as long as its gateway would, so that the gateway has less work."""
+        if answer.retry_s:
+            now_s = clock.now_s()
+            if len(self.refusals) >= MAX_REFUSALS:
+                self.refusals.clear()
+            refused = Refused(gateway=gateway.instance, tenant=context.tenant)
+            self.refusals[refused] = now_s + min(MAX_REFUSAL_S, answer.retry_s)
+
+    def refuse(
+        self, gateway: Gateway, context: statement_context.StatementContext
+    ) -> requests.Answer | None:
+        """Return the refusal that the gateway would give an operation now; None if it may run."""
+        if not self.refusals:
+            return None
+        refused = Refused(gateway=gateway.instance, tenant=context.tenant)
+        left_s = self.refusals.get(refused, float("-inf")) - clock.now_s()
+        if left_s <= 0:
+            self.refusals.pop(refused, None)
+            return None
+        return tenant_state.refusal(context.tenant, left_s)
+
     def note_failure(
         self, gateway: Gateway, context: statement_context.StatementContext, why: str
     ) -> None:
@@ -105,6 +144,9 @@
         for gateway in gateways:
             if context.remaining_s <= 0:
                 break
+            refused = self.refuse(gateway, context)
+            if refused is not None:
+                return refused
             try:
                 connection = await self.client.acquire(gateway.address)
             except errors.PeerError as error:
@@ -122,6 +164,7 @@
             if answer.refusal in NOT_SERVED:
                 self.note_failure(gateway, context, answer.detail)
                 continue
+            self.note_refusal(gateway, context, answer)
             if answer.succeeded and command.access is requests.Access.WRITE:
                 context.session.note_commit(context.service.name, answer.position)
             return answer
@@ -228,11 +271,16 @@
             return await self._execute(context, command)
         self.service = context.service
         while True:
+            refused = self.forwarder.refuse(self.gateways[0], context) if self.gateways else None
+            if refused is not None:
+                return refused
             await self._connect(context)
             answer = await self._execute(
                 context, command, begin="read" if self.read_only else "write"
             )
             if answer.refusal is not requests.Refusal.LEAVING:
+                if self.gateway is not None:
+                    self.forwarder.note_refusal(self.gateway, context, answer)
                 return answer
             self.forwarder.note_failure(self.gateway, context, answer.detail)
             self.gateways = [gateway for gateway in self.gateways if gateway != self.gateway]
--- a/src/mustardswitch/proxy/requests.py
+++ b/src/mustardswitch/proxy/requests.py
@@ -160,6 +160,9 @@
     detail: str = ""
     state: TransactionState = TransactionState.IDLE
     position: positions.Position | None = None
+    retry_s: float = 0.0
+    """With a refusal by a tenant's rate limit, seconds after which the tenant may have another
+    operation; otherwise 0."""
 
     @property
     def succeeded(self) -> bool:
--- a/tests/proxy/test_tenant_limits.py
+++ b/tests/proxy/test_tenant_limits.py
@@ -1,6 +1,6 @@
 """Rate limits of tenants where operations start: counted once, refused at once."""
 
-from mustardswitch.internal import ids
+from mustardswitch.internal import clock, forwarding, ids
 from mustardswitch.proxy import requests, session
 from tests.common import proxy_world, tenant_builders
 
@@ -75,5 +75,7 @@
 async def test_an_instance_that_is_no_home_has_no_share_of_the_limit():
     world = _world(rate_per_s=1000.0, burst=1000.0)
     limits = world.directory.limits
-    world.directory.homes_of = lambda tenant: [ids.InstanceId("another")]
-    assert not limits.admit(tenant_builders.ACME, limits.started_s + 1.0)
+    world.directory.plans[world.service.name] = forwarding.GatewayPlan(
+        gateways_by_zone={ids.ZoneName("a"): (ids.InstanceId("another"),)}, connections=3
+    )
+    assert not limits.admit(tenant_builders.ACME, clock.now_s())
