--- a/src/mustardswitch/metrics.py
+++ b/src/mustardswitch/metrics.py
@@ -47,6 +47,10 @@
         """Set a gauge, replacing its last value; ``label`` is the value of its label ``kind``."""
         self.gauges[CounterKey(name=name, label=label)] = value
 
+    def remove_gauge(self, name: str, label: str = "") -> None:
+        """Remove a gauge, for example of something that no longer exists."""
+        self.gauges.pop(CounterKey(name=name, label=label), None)
+
     def render(self) -> str:
         """Return all metrics in the Prometheus text exposition format, version 0.0.4."""
         lines: list[str] = []
