--- a/src/mustardswitch/internal/tenants/limits.py
+++ b/src/mustardswitch/internal/tenants/limits.py
@@ -317,7 +317,8 @@
         most = self.share.capacity + lent_capacity
         if own > EPSILON:
             most /= 2
-        capacity = max(level, min(most, max(MIN_CAPACITY, level)))
+        part = rate / max(rate, self.share.rate_per_s + lent_rate, EPSILON)
+        capacity = max(level, min(most, max(MIN_CAPACITY, part * most)))
         loan = Loan(rate_per_s=rate, capacity=capacity, level=level, until_s=now_s + term_s)
         counted = dataclasses.replace(loan, until_s=loan.until_s + handover.LOAN_MARGIN_S)
         self.share.level -= level
--- a/tests/common/limits_world.py
+++ b/tests/common/limits_world.py
@@ -87,7 +87,10 @@
         self.offset_s = random.Random(name).uniform(0, 500)
         self.alive = False
         self.frozen = self.cut = False
+        self.renews = True
+        """Whether renewals of the registration reach the store."""
         self.lag_s = 0.0
+        """Age at which the list is read again."""
         self.start()
 
     def start(self) -> None:
@@ -95,6 +98,9 @@
         self.alive, self.frozen = True, False
         self.directory = FleetDirectory(instance=self.name, zone=self.zone)
         self.renewed_s = self.confirmed_s = float("-inf")
+        """When the registration was renewed and the list read, in the time of the simulation."""
+        self.valid_until_s = self.list_until_s = float("-inf")
+        """Until when they are valid, on the clock of the instance."""
         self.leaving = False
         with self.running():
             self.limits = tenant_limits.TenantLimits(
@@ -130,11 +136,7 @@
             return self.world.loop.run_until_complete(run())
 
     def _valid_until_s(self) -> float:
-        until_s = min(
-            self.renewed_s + coordination.REGISTRATION_TTL_S,
-            self.confirmed_s + handover.LIST_MAX_AGE_S,
-        )
-        return until_s + self.offset_s
+        return min(self.valid_until_s, self.list_until_s)
 
     def follow(self) -> None:
         """Renew the registration and read the list, as far as they are due and possible."""
@@ -142,11 +144,13 @@
         if not self.runs or self.cut:
             return
         now_s = world.clock.true_s
-        if not self.leaving and now_s >= self.renewed_s + RENEWAL_S:
+        if self.renews and not self.leaving and now_s >= self.renewed_s + RENEWAL_S:
             self.renewed_s = now_s
+            self.valid_until_s = now_s + self.offset_s + coordination.REGISTRATION_TTL_S
             world.leases[self.name] = now_s + coordination.REGISTRATION_TTL_S
         if now_s >= self.confirmed_s + self.lag_s:
             self.confirmed_s = now_s
+            self.list_until_s = now_s + self.offset_s + handover.LIST_MAX_AGE_S
             with self.running():
                 self.read_list()
 
@@ -165,11 +169,11 @@
             known.configuration = self.world.configuration
             known.refresh()
 
-    def run_operations(self, count: int) -> int:
-        """Start operations of the tenant; returns how many were admitted."""
+    def run_operations(self, count: int, tenant: ids.TenantName = TENANT) -> int:
+        """Start operations of a tenant; returns how many were admitted."""
         if not self.runs:
             return 0
-        admitted = self.call(lambda: sum(self.limits.refuse(TENANT) is None for _ in range(count)))
+        admitted = self.call(lambda: sum(self.limits.refuse(tenant) is None for _ in range(count)))
         self.world.admitted += [(self.world.clock.true_s, self.name)] * admitted
         self.world.refused += count - admitted
         return admitted
@@ -178,7 +182,16 @@
 class LimitsWorld:
     """The fleet, its store and the messages between instances."""
 
-    def __init__(self, monkeypatch, *, rate_per_s=20.0, burst=10.0, per_zone=2) -> None:
+    def __init__(
+        self,
+        monkeypatch: object,
+        *,
+        rate_per_s: float = 20.0,
+        burst: float = 10.0,
+        per_zone: int = 2,
+        tenants: collections.abc.Collection[ids.TenantName] = (TENANT,),
+    ) -> None:
+        self.tenants = tenants
         self.loop = asyncio.new_event_loop()
         self.clock = SimulatedClock()
         monkeypatch.setattr(clock, "now_s", self.clock.now_s)
@@ -199,13 +212,15 @@
     def configure(self, rate_per_s: float, burst: float) -> None:
         """Acknowledge a configuration with a limit of the tenant."""
         version = self.configuration.version + 1 if self.configuration is not None else 1
-        tenant = routes.Tenant(name=TENANT, rate_per_s=rate_per_s, burst=burst)
         self.configuration = routes.Configuration(
             version=version,
             routes={},
             services={},
             transaction_idle_s=3.0,
-            tenants={TENANT: tenant},
+            tenants={
+                name: routes.Tenant(name=name, rate_per_s=rate_per_s, burst=burst)
+                for name in self.tenants
+            },
         )
         limit = limits.Limit(rate_per_s=rate_per_s, burst=burst)
         self.limit_changes.append((self.clock.true_s, limit))
@@ -290,13 +305,13 @@
     def leave(self, name: str) -> None:
         """Let an instance remove its registration, as it does before it stops."""
         node = self.nodes[name]
-        node.leaving, node.renewed_s = True, float("-inf")
+        node.leaving, node.valid_until_s = True, float("-inf")
         self.leases.pop(name, None)
 
     # What is checked
 
-    def homes(self) -> list[str]:
-        """Return the homes of the tenant by the store's list."""
+    def homes(self, tenant: ids.TenantName = TENANT) -> list[str]:
+        """Return the homes of a tenant by the store's list."""
         known = FleetDirectory(instance="none", zone="a")
         for name in self.leases:
             known.instances.put(
@@ -305,7 +320,7 @@
         known.refresh()
         limit = self.limit_changes[-1][1]
         return homes.homes_of_plans(
-            known.plans.values(), TENANT, rate_per_s=limit.rate_per_s, regions=REGIONS
+            known.plans.values(), tenant, rate_per_s=limit.rate_per_s, regions=REGIONS
         )
 
     def allowed(self, start_s: float) -> float:
