--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -58,6 +58,9 @@
     """The caller's tenant, which the server is told."""
     limits: tenant_limits.TenantLimits | None = None
     """The rate limits of tenants; None where operations are not limited."""
+    admitted_at_s: float | None = None
+    """When the tenant's limit last admitted the operation (``clock.now_s``); None if this statement
+    does not start one."""
     sent: bool = False
     """Whether the statement may have been passed on to a server or gateway."""
 
@@ -72,7 +75,28 @@
         Must be called once for each operation: a statement outside of transactions, or a
         transaction.
         """
-        return None if self.limits is None else self.limits.refuse(self.tenant)
+        if self.limits is None:
+            return None
+        refused = self.limits.refuse(self.tenant)
+        if refused is None:
+            self.admitted_at_s = clock.now_s()
+        return refused
+
+    def _check_admission(self, backend: server.Server) -> None:
+        """Count the operation again if it is sent late; raises NoRoomError above the limit.
+
+        Otherwise operations that waited, for a new primary for instance, would run in one window
+        together with those that are admitted in it.
+        """
+        now_s = clock.now_s()
+        if self.admitted_at_s is None or now_s < self.admitted_at_s + MAX_ADMISSION_AGE_S:
+            return
+        if not self.limits.admit(self.tenant, now_s):
+            raise errors.NoRoomError(
+                f"server {backend.server}: the rate limit of tenant {self.tenant} was reached"
+                " while the statement waited"
+            )
+        self.admitted_at_s = now_s
 
     def connection_request(
         self, backend: server.Server, shape: requests.Shape | None, *, holds: bool
@@ -118,11 +142,17 @@
         NotSentError, which is a NoRoomError when the pool cannot serve the statement in time.
         """
         try:
-            return await backend.pool.acquire(self.connection_request(backend, shape, holds=holds))
+            link = await backend.pool.acquire(self.connection_request(backend, shape, holds=holds))
         except backend_errors.PoolFullError as error:
             raise errors.NoRoomError(f"server {backend.server}: {error}") from error
         except backend_errors.BackendError as error:
             raise errors.NotSentError(f"server {backend.server}: {error}") from error
+        try:
+            self._check_admission(backend)
+        except errors.NoRoomError:
+            backend.pool.release(link, clean=True)
+            raise
+        return link
 
     async def prepare_link(
         self,
@@ -182,6 +212,9 @@
         return True
 
 
+MAX_ADMISSION_AGE_S = 0.25
+"""Time after which an operation that was admitted counts again when it is sent. What a tenant's
+rate adds to a window in this time is less than the tolerance that is left for it."""
 ANSWER_SHARE = 0.5
 """Largest fraction of a statement's time limit that is reserved for the answer, since the recent
 latency may be too high an estimate."""
--- a/tests/proxy/test_tenant_limits.py
+++ b/tests/proxy/test_tenant_limits.py
@@ -1,7 +1,9 @@
 """Rate limits of tenants where operations start: counted once, refused at once."""
 
+import asyncio
+
 from mustardswitch.internal import clock, forwarding, ids
-from mustardswitch.proxy import requests, session
+from mustardswitch.proxy import requests, session, statement_context
 from tests.common import proxy_world, tenant_builders
 
 PRIMARY = requests.RouteKind.PRIMARY
@@ -79,3 +81,23 @@
         gateways_by_zone={ids.ZoneName("a"): (ids.InstanceId("another"),)}, connections=3
     )
     assert not limits.admit(tenant_builders.ACME, clock.now_s())
+
+
+async def test_operations_that_waited_count_when_they_are_sent():
+    """Those that wait for a new primary would otherwise run together with later ones."""
+    world = _world(rate_per_s=0.001, burst=1.0)
+    await world.run(_open(world, tenant_builders.BOLT_KEY), proxy_world.WRITE)
+    world.service.note_recorded_promotion(ids.ServerId("another"))
+    callers = [_open(world) for _ in range(4)]
+    waiting = [asyncio.create_task(world.run(each, proxy_world.WRITE)) for each in callers]
+    await asyncio.sleep(1.2 * statement_context.MAX_ADMISSION_AGE_S)
+    admitted = world.directory.registry.total("tenant_operations_admitted", tenant_builders.ACME)
+    world.service.note_recorded_promotion(None)
+    answers = await asyncio.gather(*waiting)
+    assert admitted == 4
+    counted = world.directory.registry.total("tenant_operations_admitted", tenant_builders.ACME)
+    succeeded = sum(answer.succeeded for answer in answers)
+    assert succeeded == counted - admitted < 4
+    refused = [answer.refusal for answer in answers if not answer.succeeded]
+    assert set(refused) == {requests.Refusal.OVERLOADED}
+    assert len(world.group.executed) == 1 + succeeded
