Tenants: homes spend their shares through outages of the store

Cause: a list is up to 3.5 s old when an outage begins, and a share was spent for 5.5 s of the list's age, and only with a valid registration. Change: shares are spent for 14.5 s by a list; a new home waits 15 s unless the former one answers, also one that is no longer listed but still drains.

--- a/src/mustardswitch/internal/tenants/handover.py
+++ b/src/mustardswitch/internal/tenants/handover.py
@@ -3,16 +3,18 @@
 Instances may have lists of different ages, so two of them may take themselves for the same home. A
 share therefore falls as soon as the list says so, and rises only after ``WAIT_S``: until then a
 former home that still has an older list may spend it. The wait ends early when every former home
-has answered that it does not, or is no longer registered: an instance stops spending before its
-registration can have ended.
+has answered that it does not.
+
+The wait is longer than most outages of the store. With a wait of a registration's time to live the
+homes that the store turned away refused most of their tenants' operations, for as long as it did;
+the share of a home that was killed is missing for longer now, and the other homes lend meanwhile.
 """
 
 import dataclasses
 
-WAIT_S = 6.0
-"""Longest time for which an instance spends a share by a list that has changed; the time to live of
-a registration."""
-LIST_MAX_AGE_S = 5.5
+WAIT_S = 15.0
+"""Longest time for which an instance spends a share by a list that has changed."""
+LIST_MAX_AGE_S = 14.5
 """Age of the list above which no share is spent by it. It is below ``WAIT_S`` since an answer of
 the store may travel for a few hundred milliseconds."""
 LOAN_S = 1.0
@@ -20,7 +22,7 @@
 LOAN_MARGIN_S = 0.1
 """Time for which the lender counts a loan as spent beyond its end, since clocks differ in speed."""
 UNLISTED_WAIT_S = LOAN_S + LOAN_MARGIN_S
-"""Time after which the loans of an instance that has left or was restarted are over."""
+"""Time after which the loans of an instance that was restarted are over."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -102,9 +102,10 @@
         return session.open_session(self.directory, database, key)
 
     def _valid_until_s(self) -> float:
-        """Return until when the registration and the list of the others are certainly valid."""
-        list_until_s = self.records.feed.confirmed_at_s + handover.LIST_MAX_AGE_S
-        return min(self.coordination.valid_until_s, list_until_s)
+        """Return until when shares of tenants' limits may be spent by the list of instances."""
+        if self.coordination.leaving:
+            return float("-inf")
+        return self.records.feed.confirmed_at_s + handover.LIST_MAX_AGE_S
 
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
@@ -186,7 +187,7 @@
             instance=self.config.instance,
             callers=len(self.callers.connections),
         )
-        await tasks.cancel_and_wait(self.tasks)
+        await tasks.cancel_and_wait([*self.tasks, *self.directory.limits.asking])
 
     async def _leave(self) -> None:
         """Make the other instances forward elsewhere and share this one's connections."""
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -6,6 +6,7 @@
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, positions, session_sync
+from mustardswitch.internal.tenants import limits
 from mustardswitch.proxy import errors, ports, requests, routes, server, service, tenant_limits
 
 RETRY_DELAY_S = 0.02
@@ -56,8 +57,12 @@
     """End of the statement's time limit, on the event loop's clock."""
     tenant: ids.TenantName = routes.NO_TENANT
     """The caller's tenant, which the server is told."""
-    limits: tenant_limits.TenantLimits | None = None
+    rate_limits: tenant_limits.TenantLimits | None = None
     """The rate limits of tenants; None where operations are not limited."""
+    starts_operation: bool = False
+    """Whether the tenant's limit has admitted an operation with this statement."""
+    sent_at_s: float = float("-inf")
+    """When the operation was counted as sent (``clock.now_s``)."""
     sent: bool = False
     """Whether the statement may have been passed on to a server or gateway."""
 
@@ -72,7 +77,23 @@
         Must be called once for each operation: a statement outside of transactions, or a
         transaction.
         """
-        return None if self.limits is None else self.limits.refuse(self.tenant)
+        if self.rate_limits is None:
+            return None
+        self.starts_operation = True
+        return self.rate_limits.start(self.tenant, clock.now_s())
+
+    def _note_sent(self, backend: server.Server) -> None:
+        """Count an operation that is sent; raises NoRoomError above the tenant's limit.
+
+        It counts again when it is sent to another server later.
+        """
+        now_s = clock.now_s()
+        if not self.starts_operation or now_s < self.sent_at_s + limits.SENDING_S:
+            return
+        refused = self.rate_limits.start_sending(self.tenant, now_s)
+        if refused is not None:
+            raise errors.NoRoomError(f"server {backend.server}: {refused.detail}")
+        self.sent_at_s = now_s
 
     def connection_request(
         self, backend: server.Server, shape: requests.Shape | None, *, holds: bool
@@ -118,11 +139,17 @@
         NotSentError, which is a NoRoomError when the pool cannot serve the statement in time.
         """
         try:
-            return await backend.pool.acquire(self.connection_request(backend, shape, holds=holds))
+            link = await backend.pool.acquire(self.connection_request(backend, shape, holds=holds))
         except backend_errors.PoolFullError as error:
             raise errors.NoRoomError(f"server {backend.server}: {error}") from error
         except backend_errors.BackendError as error:
             raise errors.NotSentError(f"server {backend.server}: {error}") from error
+        try:
+            self._note_sent(backend)
+        except errors.NoRoomError:
+            backend.pool.release(link, clean=True)
+            raise
+        return link
 
     async def prepare_link(
         self,
--- a/src/mustardswitch/proxy/tenant_roles.py
+++ b/src/mustardswitch/proxy/tenant_roles.py
@@ -7,6 +7,7 @@
 from mustardswitch.internal import gateways, ids, registration_list
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import handover, homes, limits
+from mustardswitch.peers import datagrams
 from mustardswitch.proxy import routes, service
 
 KEPT_S = 5 * handover.WAIT_S
@@ -74,6 +75,8 @@
         self.seen: tuple[object, ...] = ()
         self.known: dict[ids.TenantName, limits.Role] = {}
         """Roles by the present list."""
+        self.addresses: dict[ids.InstanceId, tuple[datagrams.PeerAddress | None, float]] = {}
+        """Addresses of the instances that were listed lately, and when they were last noted."""
         self.known_homes: dict[ids.TenantName, tuple[ids.InstanceId, ...]] = {}
 
     def __repr__(self) -> str:
@@ -98,6 +101,7 @@
         )
         changed = seen != self.seen
         if changed:
+            self._note_addresses(now_s)
             self.seen = seen
             self.known.clear()
             self.known_homes.clear()
@@ -108,6 +112,25 @@
                 del self.snapshots[0]
         return changed
 
+    def _note_addresses(self, now_s: float) -> None:
+        """Remember the instances that are listed; one that leaves still answers while it drains."""
+        self.addresses = {
+            instance: known
+            for instance, known in self.addresses.items()
+            if known[1] > now_s - KEPT_S
+        } | {
+            instance: (peer.address, now_s)
+            for instance, peer in self.directory.instances.entries.items()
+        }
+
+    def address(self, instance: ids.InstanceId) -> datagrams.PeerAddress | None:
+        """Return the address of an instance that is or was listed; None if it is unknown."""
+        peer = self.directory.instances.entries.get(instance)
+        if peer is not None:
+            return peer.address
+        known = self.addresses.get(instance)
+        return known[0] if known is not None else None
+
     def role(self, tenant: ids.TenantName) -> limits.Role:
         """Return this instance's role for a tenant by the present list."""
         role = self.known.get(tenant)
--- a/tests/proxy/test_tenant_limits_machine.py
+++ b/tests/proxy/test_tenant_limits_machine.py
@@ -57,7 +57,17 @@
         for _ in range(steps):
             self.world.advance(limits_world.STEP_S, dict.fromkeys(self.world.homes(), 300.0))
 
-    @stateful.rule(duration_s=st.sampled_from([0.3, 1.0, 2.5, 6.5]))
+    @stateful.rule(count=st.integers(1, 100))
+    def hold_operations_back(self, count):
+        for name in self.world.homes():
+            self.world.nodes[name].run_operations(count, held=True)
+
+    @stateful.rule()
+    def send_what_was_held_back(self):
+        for name in self.world.homes():
+            self.world.nodes[name].send_held()
+
+    @stateful.rule(duration_s=st.sampled_from([0.3, 1.0, 2.5, 6.5, 16.0]))
     def wait(self, duration_s):
         self.world.advance(duration_s)
 
@@ -83,7 +93,7 @@
     def cut_or_heal(self, name, cut):
         self.world.nodes[name].cut = cut
 
-    @stateful.rule(name=names, lag_s=st.sampled_from([0.0, 1.0, 3.0]))
+    @stateful.rule(name=names, lag_s=st.sampled_from([0.0, 1.0, 3.0, 14.0]))
     def follow_late(self, name, lag_s):
         self.world.nodes[name].lag_s = lag_s
 
