--- a/src/mustardswitch/proxy/tenant_roles.py
+++ b/src/mustardswitch/proxy/tenant_roles.py
@@ -18,6 +18,8 @@
 
     instance: ids.InstanceId
     location: service.Location
+    forwarder: object | None
+    """Forwards to gateways; None where there is a single instance."""
     configuration: routes.Configuration | None
     plans: dict[ids.ServiceName, forwarding.GatewayPlan]
     instances: registration_list.RegistrationList
@@ -129,9 +131,8 @@
         if known is None or known.rate_per_s is None:
             return limits.Role()
         if not snapshot.plans:
-            # Without a plan of gateways every instance runs its callers' operations itself; that is
-            # so only where there is a single instance, or the fleet's list is not known yet.
-            return limits.Role(is_home=True)
+            # There is a single instance, or the fleet's servers are not listed yet.
+            return limits.Role(is_home=self.directory.forwarder is None)
         regions = self.directory.location.regions
         found = snapshot.homes(tenant, regions)
         instance = self.directory.instance
--- a/tests/common/limits_world.py
+++ b/tests/common/limits_world.py
@@ -39,6 +39,7 @@
         self.instance = ids.InstanceId(instance)
         self.location = service.Location(zone=ids.ZoneName(zone), regions=REGIONS)
         self.configuration: routes.Configuration | None = None
+        self.forwarder = object()
         self.plans = {}
         self.instances = registration_list.RegistrationList()
         self.registry = metrics.Registry()
