Place reads and forwarded statements by what servers and gateways answer

Only with the feature placement. Servers and gateways are judged by the answers to callers' work; one that fails loses it and is probed, one that is slow is passed over by cost. Reads are given up after a time that follows the observed latencies, limited by a budget.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -155,6 +155,12 @@
     LINE_REJECTED = EventKind(614, logbook.INFO, "line rejected")
     """A caller's line cannot be parsed; its connection is closed."""
 
+    WORK_WITHDRAWN = EventKind(620, logbook.INFO, "work withdrawn")
+    """A server or gateway fails, cannot be reached or is slow: others receive its work, and it is
+    only probed."""
+    WORK_RESTORED = EventKind(621, logbook.INFO, "work restored")
+    """A server or gateway answers well again and receives its work as before."""
+
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
 
--- /dev/null
+++ b/src/mustardswitch/internal/placement/server_choice.py
@@ -0,0 +1,124 @@
+"""Orders the servers for a read by what they answered lately (feature ``placement``).
+
+A service has few servers, so all of them are compared instead of two drawn at random. Instances
+don't follow each other to the same server: each compares only what it has observed itself, and its
+own work in flight counts.
+"""
+
+import collections.abc
+import dataclasses
+
+from mustardswitch.internal import ids, positions
+from mustardswitch.internal.placement import health, read_placement
+
+ROUND_TRIP_S = {
+    read_placement.Distance.ZONE: 0.001,
+    read_placement.Distance.REGION: 0.006,
+    read_placement.Distance.OTHER_REGION: 0.042,
+}
+"""Part of the latency that is due to the distance and not to the server."""
+ERROR_COST_S = 0.3
+"""Seconds that an error rate of 1 adds to the cost: about the time that a failed attempt costs a
+read. It decides among servers that have all lost their work."""
+
+SLOW_RATIO = 2.0
+STILL_SLOW_RATIO = 1.5
+SLOW_MARGIN_S = 0.01
+"""A server counts as slow when its work takes this multiple of the fastest one's and this much
+longer, until it falls below the lower multiple; the work of usual reads varies by less."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JudgedServer:
+    """A server that may serve a read, with the judgement of its answers."""
+
+    candidate: read_placement.ReadCandidate
+    health: health.Health
+    silent_s: float
+    """Age of its oldest command that no answer has followed; 0 without one."""
+
+    @property
+    def latency_s(self) -> float:
+        """Estimated latency: an unanswered command shows that it has grown before any answer."""
+        return max(self.health.latency_s, self.silent_s)
+
+    @property
+    def work_s(self) -> float:
+        """Estimated latency without the way to the server."""
+        return max(0.0, self.latency_s - ROUND_TRIP_S[self.candidate.distance])
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReadOrder:
+    """The servers in the order in which to try them."""
+
+    servers: list[ids.ServerId]
+    displaced: frozenset[ids.ServerId]
+    """Servers that come later than they would if they were as fast as the fastest one."""
+
+
+def _is_lagging(
+    candidate: read_placement.ReadCandidate, min_position: positions.Position | None
+) -> bool:
+    return (
+        candidate.missing_position is not None
+        and min_position is not None
+        and min_position >= candidate.missing_position
+    )
+
+
+def _cost_s(judged: JudgedServer, latency_s: float) -> float:
+    candidate = judged.candidate
+    load_factor = 1.0 + candidate.in_flight / max(1, candidate.connections)
+    cost_s = latency_s * load_factor + read_placement.DISTANCE_COST_S[candidate.distance]
+    if candidate.leads:
+        cost_s += read_placement.PRIMARY_COST_S
+    return cost_s + ERROR_COST_S * judged.health.error_rate
+
+
+def order_for_read(
+    servers: collections.abc.Collection[JudgedServer],
+    min_position: positions.Position | None,
+    *,
+    now_s: float,
+    draw: float,
+    may_probe: bool,
+) -> ReadOrder:
+    """Order the servers for a read.
+
+    Servers known to be below ``min_position`` come last, those that lost their work before them,
+    and among the others the estimated cost decides. ``draw`` is random between 0 and 1. With
+    ``may_probe`` a server whose probe is due comes first.
+    """
+    usable = [each for each in servers if not _is_lagging(each.candidate, min_position)]
+    lagging = [each for each in servers if _is_lagging(each.candidate, min_position)]
+
+    def sort_key(judged: JudgedServer) -> tuple[bool, float, ids.ServerId]:
+        return (
+            not judged.health.admits(draw),
+            _cost_s(judged, judged.latency_s),
+            judged.candidate.server,
+        )
+
+    order = sorted(usable, key=sort_key)
+    displaced = _displaced(order)
+    if may_probe:
+        due = [each for each in order if each.health.probe_due(now_s)]
+        order = [*due[:1], *(each for each in order if each not in due[:1])]
+    order += sorted(lagging, key=sort_key)
+    return ReadOrder(servers=[each.candidate.server for each in order], displaced=displaced)
+
+
+def _displaced(order: collections.abc.Sequence[JudgedServer]) -> frozenset[ids.ServerId]:
+    """Return the servers that would come first if they were as fast as the fastest one."""
+    if not order:
+        return frozenset()
+    first_cost_s = _cost_s(order[0], order[0].latency_s)
+    least_work_s = min(each.work_s for each in order)
+    found: set[ids.ServerId] = set()
+    for judged in order[1:]:
+        ratio = STILL_SLOW_RATIO if judged.health.displaced else SLOW_RATIO
+        as_fast_s = _cost_s(judged, least_work_s + ROUND_TRIP_S[judged.candidate.distance])
+        if judged.work_s > ratio * least_work_s + SLOW_MARGIN_S and as_fast_s < first_cost_s:
+            found.add(judged.candidate.server)
+    return frozenset(found)
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -52,6 +52,8 @@
     ) -> None:
         self.features = features
         self.forwarder = forwarder
+        if forwarder is not None and features.placement:
+            forwarder.place_by_answers(registry)
         self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
         """Gateways of the services whose connections do not suffice for all instances."""
         self.instance = instance
@@ -164,7 +166,11 @@
             target = self.services.get(name)
             if target is None:
                 target = service.Service(
-                    name=name, location=self.location, opener=self.opener, registry=self.registry
+                    name=name,
+                    location=self.location,
+                    opener=self.opener,
+                    registry=self.registry,
+                    places_reads=self.features.placement,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
@@ -242,7 +248,11 @@
             self.plans[name] = plan
 
     def _gateways_of_tenant(
-        self, plan: forwarding.GatewayPlan, tenant: ids.TenantName
+        self,
+        plan: forwarding.GatewayPlan,
+        tenant: ids.TenantName,
+        *,
+        single_read: bool,
     ) -> list[ids.InstanceId] | None:
         """Return the gateways of a tenant in order; None when this instance is a home of it."""
         location = self.location
@@ -256,7 +266,7 @@
         count = homes.homes_per_region(known.rate_per_s if known is not None else None)
         if self.instance in order[:count]:
             return None
-        return self.forwarder.order_homes(order, homes=count)
+        return self.forwarder.order_homes(order, homes=count, single_read=single_read)
 
     def homes_of(self, tenant: ids.TenantName) -> list[ids.InstanceId]:
         """Return the instances that run a tenant's statements by the present list, in order."""
@@ -275,18 +285,21 @@
         return sorted(found)
 
     def gateways_for(
-        self, context: statement_context.StatementContext
+        self, context: statement_context.StatementContext, *, single_read: bool = False
     ) -> list[forwarded.Gateway] | None:
-        """Return the gateways to forward a statement to; None when this instance runs it itself."""
+        """Return the gateways to forward a statement to; None when this instance runs it itself.
+
+        A ``single_read`` may go to a gateway first that is to be tried again.
+        """
         plan = self.plans.get(context.service.name)
         if plan is None:
             return None
         if self.has_tenants:
-            order = self._gateways_of_tenant(plan, context.tenant)
+            order = self._gateways_of_tenant(plan, context.tenant, single_read=single_read)
         elif plan.is_gateway(self.instance):
             order = None
         else:
-            order = self.forwarder.order(plan, location=self.location)
+            order = self.forwarder.order(plan, location=self.location, single_read=single_read)
         peers = self.instances.entries
         return [
             forwarded.Gateway(instance=gateway, address=peers[gateway].address)
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -8,11 +8,11 @@
 import asyncio
 import dataclasses
 
-from mustardswitch import events
+from mustardswitch import events, metrics
 from mustardswitch.internal import clock, ids, recent_failures
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
-from mustardswitch.proxy import ports, requests, service, statement_context
+from mustardswitch.proxy import gateway_placing, ports, requests, service, statement_context
 
 RECENT_FAILURE_DURATION_S = 2.0
 """How long a gateway that failed is tried last; one that is dead leaves the list soon after."""
@@ -49,16 +49,26 @@
         )
         self.answered_at_s: dict[ids.InstanceId, float] = {}
         """When each gateway last answered a statement (``clock.now_s``)."""
+        self.placing: gateway_placing.GatewayPlacing | None = None
+        """Judges the gateways; None without the feature ``placement``."""
         self.rotation = 0
         """Counts forwarded statements, so that the gateways of a zone are tried in turn."""
 
     def __repr__(self) -> str:
         return f"Forwarder(client={self.client!r})"
 
+    def place_by_answers(self, registry: metrics.Registry) -> None:
+        """Choose gateways by their answers from now on."""
+        self.placing = gateway_placing.GatewayPlacing(registry=registry)
+
     def order(
-        self, plan: forwarding.GatewayPlan, *, location: service.Location
+        self, plan: forwarding.GatewayPlan, *, location: service.Location, single_read: bool = False
     ) -> list[ids.InstanceId]:
         """Return the gateways in the order in which they are tried."""
+        if self.placing is not None:
+            return self.placing.order(
+                plan, zone=location.zone, regions=location.regions, may_probe=single_read
+            )
         self.rotation += 1
         return forwarding.order_gateways(
             plan,
@@ -68,11 +78,16 @@
             start=self.rotation,
         )
 
-    def order_homes(self, ranking: list[ids.InstanceId], *, homes: int) -> list[ids.InstanceId]:
+    def order_homes(
+        self, ranking: list[ids.InstanceId], *, homes: int, single_read: bool = False
+    ) -> list[ids.InstanceId]:
         """Return a tenant's gateways in the order in which they are tried.
 
         The first ``homes`` are tried in turn, and gateways that failed recently last.
         """
+        if self.placing is not None:
+            order = self.placing.order_homes(ranking, homes=homes, may_probe=single_read)
+            return order[:MAX_HOMES_TRIED]
         self.rotation += 1
         turn = self.rotation % max(1, min(homes, len(ranking)))
         avoided = self.recent_failures.active(now_s=clock.now_s())
@@ -80,10 +95,20 @@
         return sorted(order, key=lambda gateway: gateway in avoided)[:MAX_HOMES_TRIED]
 
     def note_failure(
-        self, gateway: Gateway, context: statement_context.StatementContext, why: str
+        self,
+        gateway: Gateway,
+        context: statement_context.StatementContext,
+        why: str,
+        *,
+        judged: bool = False,
     ) -> None:
-        """Record that a gateway failed; it is tried last for ``RECENT_FAILURE_DURATION_S``."""
+        """Record that a gateway failed; it is tried last for ``RECENT_FAILURE_DURATION_S``.
+
+        ``judged`` means that the failure of a statement was noted where it was sent.
+        """
         self.recent_failures.add(gateway.instance, now_s=clock.now_s())
+        if self.placing is not None and not judged:
+            self.placing.note_unreachable(gateway.instance, why)
         events.log(
             events.Event.HOME_SKIPPED,
             request=context.request,
@@ -103,6 +128,7 @@
         Returns the answer, or None when no gateway gave one: a write was not run then, and the
         statement may be run elsewhere.
         """
+        may_cut_short = True
         for gateway in gateways:
             if context.remaining_s <= 0:
                 break
@@ -112,9 +138,12 @@
                 self.note_failure(gateway, context, str(error))
                 continue
             try:
-                answer = await self._execute(gateway, connection, context, command)
+                answer = await self._execute(
+                    gateway, connection, context, command, may_cut_short=may_cut_short
+                )
             except errors.PeerError as error:
-                self.note_failure(gateway, context, str(error))
+                may_cut_short = False
+                self.note_failure(gateway, context, str(error), judged=True)
                 if command.access is requests.Access.WRITE:
                     return requests.refuse(requests.Refusal.OUTCOME_UNKNOWN, str(error))
                 continue
@@ -134,15 +163,25 @@
         connection: relay_client.RelayConnection,
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared,
+        *,
+        may_cut_short: bool,
     ) -> requests.Answer:
         """Send a statement to a gateway and return the answer; raises PeerError.
 
         A read is abandoned after ``READ_ATTEMPT_TIMEOUT_S`` if the gateway has answered nothing
-        since it was sent.
+        since it was sent, or by ``placing`` if it ``may_cut_short``.
         """
         sent_s = clock.now_s()
         context.sent = True
         timeout_s = max(0.001, context.remaining_s) + ANSWER_SLACK_S
+        if self.placing is not None:
+            return await self.placing.execute(
+                gateway.instance,
+                context.service.name,
+                command,
+                connection.execute(build_message(context, command), timeout_s),
+                may_cut_short=may_cut_short and timeout_s > READ_ATTEMPT_TIMEOUT_S,
+            )
         pending = asyncio.create_task(
             connection.execute(build_message(context, command), timeout_s)
         )
@@ -259,12 +298,17 @@
         if self.connection is None:
             return requests.refuse(requests.Refusal.OVERLOADED, "no gateway can be reached")
         context.sent = True
-        try:
-            answer = await self.connection.execute(
-                build_message(context, command, begin), context.remaining_s + ANSWER_SLACK_S
+        answering = self.connection.execute(
+            build_message(context, command, begin), context.remaining_s + ANSWER_SLACK_S
+        )
+        if self.forwarder.placing is not None:
+            answering = self.forwarder.placing.execute(
+                self.gateway.instance, context.service.name, command, answering
             )
+        try:
+            answer = await answering
         except errors.PeerError as error:
-            self.forwarder.note_failure(self.gateway, context, str(error))
+            self.forwarder.note_failure(self.gateway, context, str(error), judged=True)
             self.connection = None
             return requests.refuse(requests.Refusal.ABORTED, str(error))
         if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -21,6 +21,10 @@
 a read has to wait for it."""
 AGE_MARGIN_S = 0.02
 """Margin subtracted from a route's staleness limit, for the statement's transit from the caller."""
+FAULTS_OF_THE_SERVER = frozenset(
+    {requests.Refusal.FAILED, requests.Refusal.TIMED_OUT, requests.Refusal.WRONG_SERVER}
+)
+"""Refusals that count as errors of the server; others are due to the statement."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +44,8 @@
         self.service = context.service
         self.last_refusal: requests.Answer | None = None
         """The refusal to answer with when no server serves the read before its deadline."""
+        self.was_cut_short = False
+        """Whether a server was given up early; no other one is, since the read may take longer."""
         self.leader_is_full = False
         """Whether the leader cannot serve the read before its deadline; it is not tried again then
         (``errors.NoRoomError``)."""
@@ -80,23 +86,27 @@
             own.position, acknowledged_s=own.acknowledged_s
         )
 
-    def _ordered_servers(self, min_position: positions.Position | None) -> list[server.Server]:
+    def _ordered_servers(
+        self, min_position: positions.Position | None, *, may_probe: bool
+    ) -> list[server.Server]:
         leader = self.service.leader
-        candidates = [
-            backend.read_candidate(leads=backend is leader)
-            for backend in self.service.servers.values()
-            if not backend.entry.leaving
-        ]
-        return [
-            self.service.servers[chosen]
-            for chosen in read_placement.order_for_read(candidates, min_position)
-        ]
+        backends = [each for each in self.service.servers.values() if not each.entry.leaving]
+        if self.service.placing is not None:
+            order = self.service.placing.order(
+                backends, min_position, leader=leader, may_probe=may_probe
+            )
+        else:
+            order = read_placement.order_for_read(
+                [backend.read_candidate(leads=backend is leader) for backend in backends],
+                min_position,
+            )
+        return [self.service.servers[chosen] for chosen in order]
 
     def _servers_to_try(
-        self, min_position: positions.Position
+        self, min_position: positions.Position, *, may_probe: bool
     ) -> collections.abc.Iterator[server.Server]:
         """Yield the servers to try, in order, until the deadline."""
-        for backend in self._ordered_servers(min_position):
+        for backend in self._ordered_servers(min_position, may_probe=may_probe):
             if self.context.remaining_s <= 0 or backend.server not in self.service.servers:
                 return
             backend.note_read_attempt(min_position)
@@ -124,7 +134,7 @@
         self, statement: requests.Plain | ports.RunPrepared, min_position: positions.Position
     ) -> requests.Answer | None:
         command = ports.ReadAt(statement=statement, min_position=min_position)
-        for backend in self._servers_to_try(min_position):
+        for backend in self._servers_to_try(min_position, may_probe=True):
             answer = await self._try_server(backend, command)
             if answer is not None and self._is_final(backend, answer, min_position):
                 return answer
@@ -136,7 +146,7 @@
         """Run the read at one server; None when it gave no answer."""
         shape = command.statement.shape
         try:
-            link = await self.context.acquire(backend, shape)
+            link = await self._acquire(backend, shape)
             await self.context.prepare_link(backend, link, shape=shape)
         except errors.NotSentError as error:
             self._note_skipped(backend, str(error))
@@ -145,6 +155,41 @@
             return None
         return await self._exchange(backend, link, command)
 
+    async def _acquire(self, backend: server.Server, shape: requests.Shape | None) -> ports.Link:
+        """Return a connection; raises NotSentError.
+
+        A server to which none is open is waited for as long as for an answer only, if there is
+        another one.
+        """
+        is_bounded = (
+            self._may_cut_short(backend)
+            and backend is not self.service.leader
+            and backend.pool.held <= backend.pool.opening
+        )
+        if not is_bounded:
+            return await self.context.acquire(backend, shape)
+        try:
+            async with asyncio.timeout(self.context.attempt_timeout_s(backend)):
+                return await self.context.acquire(backend, shape)
+        except TimeoutError as error:
+            self._note_cut_short()
+            raise errors.NotSentError(f"server {backend.server} opens no connection") from error
+
+    def _may_cut_short(self, backend: server.Server) -> bool:
+        placing = self.service.placing
+        return (
+            placing is not None
+            and backend.health is not None
+            and not self.was_cut_short
+            and len(self.service.servers) > 1
+            and placing.budget.available
+        )
+
+    def _note_cut_short(self) -> None:
+        self.was_cut_short = True
+        self.service.placing.budget.spend()
+        self.service.placing.reporter.note_cut_short()
+
     async def _send(
         self,
         backend: server.Server,
@@ -157,14 +202,23 @@
 
         A ``last`` command is sent along with the read; its answer is still to be received.
         """
+        timeout_s = self.context.answer_timeout_s(backend)
+        cuts_short = last is None and self._may_cut_short(backend)
+        if cuts_short:
+            timeout_s = min(timeout_s, self.context.attempt_timeout_s(backend))
+        sent_s = clock.now_s()
         backend.in_flight += 1
         try:
             link.send(command, self.context.request)
             if last is not None:
                 link.send(last)
-            answer = await link.receive(self.context.answer_timeout_s(backend))
+            answer = await link.receive(timeout_s)
         except backend_errors.BackendError as error:
-            backend.note_failure()
+            waited_s = clock.now_s() - sent_s
+            timed_out = waited_s >= timeout_s
+            if cuts_short and timed_out:
+                self._note_cut_short()
+            backend.note_failure(str(error), waited_s=waited_s if timed_out else None)
             backend.abandon(link)
             self._note_skipped(backend, str(error))
             return None
@@ -185,6 +239,8 @@
         if answer is None:
             return None
         backend.note_answer(clock.now_s() - started_s if answer.succeeded else None)
+        if self.service.placing is not None:
+            self.service.placing.budget.note_answer()
         if answer.succeeded:
             backend.note_caught_up(command.min_position)
         backend.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
@@ -202,11 +258,19 @@
         if answer.refusal is requests.Refusal.BEHIND and min_position is not None:
             backend.note_lagging(min_position)
         else:
-            backend.note_failure()
+            self._note_refused(backend, answer)
             self.last_refusal = answer
         self._note_skipped(backend, answer.detail or str(answer.refusal))
         return False
 
+    def _note_refused(self, backend: server.Server, answer: requests.Answer) -> None:
+        if answer.refusal is requests.Refusal.OVERLOADED:
+            backend.note_rejection(answer.detail)
+        elif answer.refusal in FAULTS_OF_THE_SERVER:
+            backend.note_failure(f"{answer.refusal.value}: {answer.detail}")
+        else:
+            backend.note_bad_statement()
+
     def _note_full(self, error: errors.NoRoomError) -> None:
         self.leader_is_full = True
         self.last_refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
@@ -269,7 +333,7 @@
         self, shape: requests.Shape | None, min_position: positions.Position
     ) -> PinnedLink | None:
         begin = ports.BeginAt(read_only=True, min_position=min_position)
-        for backend in self._servers_to_try(min_position):
+        for backend in self._servers_to_try(min_position, may_probe=False):
             try:
                 link = await self.context.acquire(backend, shape, holds=True)
                 answer = await self.context.prepare_link(backend, link, shape=shape, begin=begin)
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -6,7 +6,7 @@
 from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
 from mustardswitch.internal import clock, ids, positions, promotion
-from mustardswitch.internal.placement import read_placement
+from mustardswitch.internal.placement import health, read_placement
 from mustardswitch.proxy import ports, routes, tenant_pool
 
 INITIAL_LATENCY_S = {
@@ -63,6 +63,8 @@
         """Whether the last attempt to open a connection failed."""
         self.refused_connections = 0
         self.avoided_until_s = float("-inf")
+        self.health: health.Health | None = None
+        """Judgement of its answers; None without the feature ``placement``."""
         self.missing_position: positions.Position | None = None
         """A position that was missing from the server's log when it was last checked, and with it
         all later ones."""
@@ -109,7 +111,7 @@
             raise
         except errors.ConnectionLimitError as error:
             self.note_answer()
-            self.note_failure()
+            self._avoid()
             self._note_unreachable(error)
             raise
         except errors.BackendError as error:
@@ -126,6 +128,8 @@
         return link
 
     def _note_unreachable(self, error: errors.BackendError) -> None:
+        if self.health is not None and self.pool.held <= self.pool.opening:
+            self.health.note_unreachable(clock.now_s(), reason=str(error))
         if self.unreachable:
             return
         self.unreachable = True
@@ -140,6 +144,8 @@
 
     def _note_reachable(self) -> None:
         if self.unreachable:
+            if self.health is not None:
+                self.health.note_reachable(clock.now_s())
             self.unreachable = False
             events.log(events.Event.SERVER_REGAINED, service=self.entry.service, server=self.server)
 
@@ -154,17 +160,41 @@
             current_s = self.current_latency_s(now_s)
             self.latency_s = current_s + LATENCY_WEIGHT * (latency_s - current_s)
             self.measured_at_s = now_s
+            if self.health is not None:
+                self.health.note_answer(latency_s, now_s)
 
-    def note_failure(self) -> None:
-        """Record a missing answer or connection.
+    def note_failure(self, reason: str = "no answer", *, waited_s: float | None = None) -> None:
+        """Record a missing answer or connection, or a failed statement.
 
-        The server is tried last for ``RECENT_FAILURE_DURATION_S``.
+        The server is tried last for ``RECENT_FAILURE_DURATION_S``. ``waited_s`` is given for a
+        statement whose answer did not come within that time.
         """
+        self._avoid()
+        if self.health is None:
+            return
+        if waited_s is not None:
+            self.health.note_timeout(waited_s, clock.now_s(), reason=reason)
+        else:
+            self.health.note_error(clock.now_s(), reason=reason)
+
+    def note_rejection(self, reason: str) -> None:
+        """Record that the server rejected a statement as overloaded."""
+        self._avoid()
+        if self.health is not None:
+            self.health.note_rejection(clock.now_s(), reason=reason)
+
+    def note_bad_statement(self) -> None:
+        """Record that a statement failed for a reason that is not the server's."""
+        self._avoid()
+        if self.health is not None:
+            self.health.note_neutral()
+
+    def _avoid(self) -> None:
         self.avoided_until_s = clock.now_s() + RECENT_FAILURE_DURATION_S
 
     def _note_abandoned(self, sent_at_s: float | None) -> None:
         """Record since when the server has not answered, although the connection is closed."""
-        self.note_failure()
+        self._avoid()
         if sent_at_s is not None and self.abandoned_since_s is None:
             self.abandoned_since_s = sent_at_s
 
@@ -181,6 +211,8 @@
         On a lagging server only one read per recheck delay checks whether its log has caught up.
         """
         now_s = clock.now_s()
+        if self.health is not None:
+            self.health.note_attempt(now_s)
         if (
             self.missing_position is not None
             and min_position >= self.missing_position
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -16,7 +16,7 @@
     suspicion,
 )
 from mustardswitch.internal.placement import read_placement
-from mustardswitch.proxy import errors, ports, requests, server, tenant_pool
+from mustardswitch.proxy import errors, placing, ports, requests, server, tenant_pool
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept; several times the staleness limits of the users'
@@ -81,11 +81,14 @@
         location: Location,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
+        places_reads: bool = False,
     ) -> None:
         self.name = name
         self.location = location
         self.opener = opener
         self.registry = registry
+        self.placing = placing.ServerPlacing(registry=registry) if places_reads else None
+        """Judges the servers; None without the feature ``placement``."""
         self.connections = 1
         self.serves_tenants = False
         """Whether each connection serves one tenant, which the server is told."""
@@ -139,6 +142,8 @@
                 on_exchange=self._note_exchange,
             )
             backend.pool.reopens_unused = self.holds_connections
+            if self.placing is not None:
+                self.placing.watch(backend)
             self.servers[entry.server] = backend
             events.log(
                 events.Event.SERVER_LISTED,
@@ -168,6 +173,8 @@
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
         self.leadership.forget(backend.server)
+        if self.placing is not None:
+            self.placing.note_removed(backend)
         backend.close()
         events.log(
             events.Event.SERVER_GONE,
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -46,7 +46,7 @@
     forwarder: forwarded.Forwarder | None
 
     def gateways_for(
-        self, context: statement_context.StatementContext
+        self, context: statement_context.StatementContext, *, single_read: bool = False
     ) -> list[forwarded.Gateway] | None:
         """Return the gateways to forward a statement to; None when this instance runs it itself."""
 
@@ -305,7 +305,8 @@
         if self.transaction is not None:
             self._route_transaction(context)
             return await self.transaction.run(context, command)
-        gateways = self.directory.gateways_for(context)
+        single_read = command.access is requests.Access.READ
+        gateways = self.directory.gateways_for(context, single_read=single_read)
         if gateways is not None:
             answer = await self.directory.forwarder.run_single(gateways, context, command)
             if answer is not None:
