--- a/src/mustardswitch/internal/placement/gateway_choice.py
+++ b/src/mustardswitch/internal/placement/gateway_choice.py
@@ -24,7 +24,8 @@
 OTHER_ZONE_COST_S = 0.01
 """Seconds that a gateway of another zone of the region must be faster: the price of the traffic."""
 ERROR_COST_S = 0.3
-"""Seconds that an error rate of 1 adds to the cost, as ``server_choice.ERROR_COST_S``."""
+"""Seconds that an error rate of 1 adds to the cost of a withdrawn gateway, as
+``server_choice.ERROR_COST_S``."""
 DRAWN = 2
 """Gateways that are compared of the zone, and of the region's other zones."""
 SLOW_RATIO = 2.0
@@ -37,6 +38,8 @@
 HOME_MARGIN_S = 0.15
 """The same for the home of a tenant: at another gateway the tenant's connections have to be opened
 first, and its rate limit is not there."""
+SILENT_S = 0.1
+"""Age of an unanswered statement from which it makes a gateway count as slow."""
 RECENT_S = 3.0
 """A gateway that was not measured for longer is no standard for others: under overload those that
 are in use would seem slow against one that is not."""
@@ -79,6 +82,7 @@
     health: health.Health
     in_flight: int
     """Statements that this instance has sent to it and that are not answered."""
+    now_s: float
     silent_s: float
     """Age of the oldest of these if no answer has followed it, else 0."""
     measured: bool = True
@@ -88,14 +92,26 @@
     @property
     def latency_s(self) -> float:
         """Estimated latency of a usual statement."""
-        return max(self.health.latency_s, self.silent_s)
+        return max(self.health.current_latency_s(self.now_s), self.silent_s)
+
+    @property
+    def steady_latency_s(self) -> float:
+        """The same without the waits that are usual between two answers."""
+        return (
+            self.latency_s
+            if self.silent_s > SILENT_S
+            else self.health.current_latency_s(self.now_s)
+        )
 
     @property
     def cost_s(self) -> float:
         """Estimated cost of a usual statement in seconds."""
         load_factor = 1.0 + self.in_flight / IN_FLIGHT_AT_EASE
         distance_s = OTHER_ZONE_COST_S if self.other_zone else 0.0
-        return self.latency_s * load_factor + distance_s + ERROR_COST_S * self.health.error_rate
+        cost_s = self.latency_s * load_factor + distance_s
+        if self.health.state is health.State.WITHDRAWN:
+            cost_s += ERROR_COST_S * self.health.error_rate
+        return cost_s
 
 
 Draw = collections.abc.Callable[[], float]
@@ -178,7 +194,7 @@
 ) -> frozenset[ids.InstanceId]:
     best_s = min(
         (
-            each.latency_s
+            each.health.current_latency_s(each.now_s)
             for each in gateways
             if each.measured and each.health.state is health.State.NORMAL
         ),
@@ -187,5 +203,6 @@
     return frozenset(
         each.instance
         for each in gateways
-        if each.latency_s > (still_ratio if each.health.displaced else ratio) * best_s + margin_s
+        if each.steady_latency_s
+        > (still_ratio if each.health.displaced else ratio) * best_s + margin_s
     )
--- a/src/mustardswitch/internal/placement/health.py
+++ b/src/mustardswitch/internal/placement/health.py
@@ -19,20 +19,31 @@
 after a few answers."""
 RETURNING_ERROR_LIMIT = 0.15
 """The same while it returns: one error is too much, one rejection as overloaded is not."""
-REJECTION_COST = 0.5
+REJECTION_COST = 0.7
 """Part of an error that a rejection as overloaded counts: it is immediate and costs the caller
-little, and all servers give it under overload."""
+little, but a server that rejects 45 % of its requests is to be passed over as well."""
 LATENCY_WEIGHT = 0.25
 """Weight of a new latency in the moving average: a server that turns 8 times slower has reached 4
 times its latency after two answers."""
+BASELINE_WEIGHT = 0.01
+"""Weight of the average in the lowest latency, which otherwise one quick answer would set for
+good."""
+LATENCY_HALF_LIFE_S = 1.0
+"""Half-life of a latency that is not measured again: one of twice the others' is tried again after
+some seconds."""
 PROBE_WEIGHT = 0.5
 """The same for a probe that shows that a slow server has become faster; they are few."""
 FASTER_RATIO = 0.6
 """A probe that took less than this part of the average shows that a slow server is faster."""
+TIMEOUT_RATIO = 2.0
+"""Multiple of its average latency for which an answer must have been waited for, so that its
+absence counts: a statement that waited long for a connection has little time for the answer."""
+LONG_WAIT_S = 0.3
+"""A wait of this length always counts; only the longest usual work of a read takes as long."""
 MIN_HOLD_S = 0.25
 """Pause before the first probe after work was withdrawn: a quarter of the time within which a
 server that has recovered is to be used again."""
-MAX_HOLD_S = 2.0
+MAX_HOLD_S = 1.0
 """Longest such pause, which doubles up to this each time that a server fails again: it bounds both
 the cost of probes of a flapping server and the delay with which a recovered one is used."""
 STABLE_S = 8.0
@@ -46,10 +57,11 @@
 PROBES_TO_RETURN = 4
 """Consecutive good probes that end a withdrawal; a server that fails 45 % of its requests gives
 them once in eleven times."""
-FIRST_SHARE = 0.125
+FIRST_SHARE = 0.25
 """Share of its usual work that a returning server or gateway receives first."""
-ANSWERS_PER_STEP = 4
-"""Good answers after which the share doubles."""
+ANSWERS_PER_STEP = 3
+"""Good answers after which the share doubles: six in all, which a server with 20 reads a second
+gives within a second."""
 
 
 class State(enum.Enum):
@@ -90,7 +102,9 @@
         self.on_change = on_change
         """Called with the cause and a text when the state or ``displaced`` has changed."""
         self.latency_s = usual_latency_s
-        """Moving average of the latency, in seconds."""
+        """Moving average of the latency, in seconds, when it was last measured."""
+        self.baseline_s = usual_latency_s
+        """The lowest that ``latency_s`` has been; it rises slowly."""
         self.measured_at_s = float("-inf")
         self.times = attempt_times.AttemptTimes()
         self.error_rate = 0.0
@@ -123,6 +137,17 @@
         waiting = self.probing_since_s is not None and now_s < self.probing_since_s + LOST_PROBE_S
         return now_s >= self.next_probe_s and not waiting
 
+    def current_latency_s(self, now_s: float) -> float:
+        """Return the expected latency.
+
+        While nothing is measured it approaches the lowest one, so that what is only a little slower
+        than others is tried again; what is much slower is probed instead.
+        """
+        if self.displaced or self.latency_s <= self.baseline_s:
+            return self.latency_s
+        decay = 0.5 ** ((now_s - self.measured_at_s) / LATENCY_HALF_LIFE_S)
+        return self.baseline_s + (self.latency_s - self.baseline_s) * decay
+
     # Observations
 
     def note_attempt(self, now_s: float) -> None:
@@ -163,7 +188,10 @@
             else:
                 self.hold_s = min(MAX_HOLD_S, 2 * self.hold_s)
                 self.next_probe_s = now_s + self.hold_s
-        self.latency_s += weight * (latency_s - self.latency_s)
+        current_s = self.current_latency_s(now_s)
+        self.latency_s = current_s + weight * (latency_s - current_s)
+        self.baseline_s += BASELINE_WEIGHT * (self.latency_s - self.baseline_s)
+        self.baseline_s = min(self.baseline_s, self.latency_s)
         self.measured_at_s = now_s
 
     def note_error(self, now_s: float, *, reason: str, cost: float = 1.0) -> None:
@@ -179,7 +207,13 @@
         self.note_error(now_s, reason=reason, cost=REJECTION_COST)
 
     def note_timeout(self, waited_s: float, now_s: float, *, reason: str) -> None:
-        """Record that no answer came within ``waited_s``; the latency is at least as long."""
+        """Record that no answer came within ``waited_s``; the latency is at least as long.
+
+        A short wait before the deadline of a statement says nothing.
+        """
+        if waited_s < min(LONG_WAIT_S, self.times.attempt_s, TIMEOUT_RATIO * self.latency_s):
+            self.note_neutral()
+            return
         self._note_latency(max(waited_s, self.latency_s), now_s)
         self.times.note_timeout(waited_s)
         self.note_error(now_s, reason=reason)
@@ -198,7 +232,7 @@
 
     def note_displaced(self, displaced: bool, now_s: float, *, reason: str) -> None:
         """Record whether it is passed over since it has become slow."""
-        if displaced == self.displaced:
+        if displaced == self.displaced or self.state is State.WITHDRAWN:
             return
         self.displaced = displaced
         if displaced:
@@ -220,6 +254,7 @@
         failed_again = now_s < self.withdrawn_at_s + STABLE_S
         self.hold_s = min(MAX_HOLD_S, 2 * self.hold_s) if failed_again else MIN_HOLD_S
         self.withdrawn_at_s = now_s
+        self.displaced = False
         self.next_probe_s = now_s + self.hold_s
         self._enter(State.WITHDRAWN, 0.0, cause, reason)
 
--- a/src/mustardswitch/internal/placement/server_choice.py
+++ b/src/mustardswitch/internal/placement/server_choice.py
@@ -19,13 +19,17 @@
 """Part of the latency that is due to the distance and not to the server."""
 ERROR_COST_S = 0.3
 """Seconds that an error rate of 1 adds to the cost: about the time that a failed attempt costs a
-read. It decides among servers that have all lost their work."""
+read. It decides among servers that have all lost their work; for others it would leave a server
+that failed twice without reads, and so without answers that show that it recovered."""
 
 SLOW_RATIO = 2.0
 STILL_SLOW_RATIO = 1.5
 SLOW_MARGIN_S = 0.01
 """A server counts as slow when its work takes this multiple of the fastest one's and this much
 longer, until it falls below the lower multiple; the work of usual reads varies by less."""
+SILENT_S = 0.1
+"""Age of an unanswered command from which it makes a server count as slow; several times the usual
+work of a read."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -34,18 +38,31 @@
 
     candidate: read_placement.ReadCandidate
     health: health.Health
+    now_s: float
     silent_s: float
     """Age of its oldest command that no answer has followed; 0 without one."""
+    waiting: int = 0
+    """Statements that wait for a connection to it. Without them a server with few connections never
+    seems loaded, and reads wait behind a hundred others while another server is idle."""
 
     @property
     def latency_s(self) -> float:
         """Estimated latency: an unanswered command shows that it has grown before any answer."""
-        return max(self.health.latency_s, self.silent_s)
+        return max(self.health.current_latency_s(self.now_s), self.silent_s)
+
+    @property
+    def steady_latency_s(self) -> float:
+        """The same without the waits that are usual between two answers."""
+        return (
+            self.latency_s
+            if self.silent_s > SILENT_S
+            else self.health.current_latency_s(self.now_s)
+        )
 
     @property
     def work_s(self) -> float:
         """Estimated latency without the way to the server."""
-        return max(0.0, self.latency_s - ROUND_TRIP_S[self.candidate.distance])
+        return max(0.0, self.steady_latency_s - ROUND_TRIP_S[self.candidate.distance])
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,13 +84,20 @@
     )
 
 
-def _cost_s(judged: JudgedServer, latency_s: float) -> float:
-    candidate = judged.candidate
-    load_factor = 1.0 + candidate.in_flight / max(1, candidate.connections)
-    cost_s = latency_s * load_factor + read_placement.DISTANCE_COST_S[candidate.distance]
-    if candidate.leads:
+def _unloaded_cost_s(judged: JudgedServer, latency_s: float) -> float:
+    cost_s = latency_s + read_placement.DISTANCE_COST_S[judged.candidate.distance]
+    if judged.candidate.leads:
         cost_s += read_placement.PRIMARY_COST_S
-    return cost_s + ERROR_COST_S * judged.health.error_rate
+    return cost_s
+
+
+def _cost_s(judged: JudgedServer) -> float:
+    candidate = judged.candidate
+    load = (candidate.in_flight + judged.waiting) / max(1, candidate.connections)
+    cost_s = _unloaded_cost_s(judged, judged.latency_s * (1.0 + load))
+    if judged.health.state is health.State.WITHDRAWN:
+        cost_s += ERROR_COST_S * judged.health.error_rate
+    return cost_s
 
 
 def order_for_read(
@@ -96,7 +120,7 @@
     def sort_key(judged: JudgedServer) -> tuple[bool, float, ids.ServerId]:
         return (
             not judged.health.admits(draw),
-            _cost_s(judged, judged.latency_s),
+            _cost_s(judged),
             judged.candidate.server,
         )
 
@@ -109,16 +133,23 @@
     return ReadOrder(servers=[each.candidate.server for each in order], displaced=displaced)
 
 
-def _displaced(order: collections.abc.Sequence[JudgedServer]) -> frozenset[ids.ServerId]:
-    """Return the servers that would come first if they were as fast as the fastest one."""
-    if not order:
+def _displaced(
+    servers: collections.abc.Sequence[JudgedServer],
+) -> frozenset[ids.ServerId]:
+    """Return the servers that would come first if they were as fast as the fastest one.
+
+    Work in flight is left out, since it changes with each statement.
+    """
+    if not servers:
         return frozenset()
-    first_cost_s = _cost_s(order[0], order[0].latency_s)
-    least_work_s = min(each.work_s for each in order)
+    least_work_s = min(each.work_s for each in servers)
+    lowest_s = min(_unloaded_cost_s(each, each.steady_latency_s) for each in servers)
     found: set[ids.ServerId] = set()
-    for judged in order[1:]:
+    for judged in servers:
         ratio = STILL_SLOW_RATIO if judged.health.displaced else SLOW_RATIO
-        as_fast_s = _cost_s(judged, least_work_s + ROUND_TRIP_S[judged.candidate.distance])
-        if judged.work_s > ratio * least_work_s + SLOW_MARGIN_S and as_fast_s < first_cost_s:
+        is_slow = judged.work_s > ratio * least_work_s + SLOW_MARGIN_S
+        as_fast_s = least_work_s + ROUND_TRIP_S[judged.candidate.distance]
+        is_first = _unloaded_cost_s(judged, judged.steady_latency_s) <= lowest_s
+        if is_slow and not is_first and _unloaded_cost_s(judged, as_fast_s) < lowest_s:
             found.add(judged.candidate.server)
     return frozenset(found)
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -147,6 +147,7 @@
             instance=gateway,
             health=record.health,
             in_flight=len(record.pending),
+            now_s=now_s,
             silent_s=record.silent_s(now_s),
             measured=now_s < record.health.measured_at_s + gateway_choice.RECENT_S,
             other_zone=other_zone,
--- a/src/mustardswitch/proxy/placing.py
+++ b/src/mustardswitch/proxy/placing.py
@@ -1,7 +1,7 @@
-"""Chooses the servers for reads by their answers, and reports what lost its work (feature ``placement``).
+"""Chooses the servers for reads by their answers, and reports what lost its work.
 
-The decisions are in ``internal/placement``. All state is this instance's own: it judges by the
-answers to the work that it sent itself, and no messages are exchanged about it.
+Used with the feature ``placement``; its decisions are in ``internal/placement``. All state is this
+instance's own: it judges by the answers to the work that it sent itself, and exchanges no messages.
 """
 
 import collections.abc
@@ -115,7 +115,9 @@
                 server_choice.JudgedServer(
                     candidate=backend.read_candidate(leads=backend is leader),
                     health=backend.health,
+                    now_s=now_s,
                     silent_s=backend.unanswered_s(now_s),
+                    waiting=backend.pool.waiting,
                 )
                 for backend in backends
             ],
