--- a/src/mustardswitch/internal/placement/gateway_choice.py
+++ b/src/mustardswitch/internal/placement/gateway_choice.py
@@ -19,6 +19,11 @@
 USUAL_WEIGHT = 0.02
 """Weight of a new latency in the usual one of its kind; it follows the load of the day, and not a
 gateway that is slow for some seconds."""
+OUTLIER_RATIO = 3.0
+"""A longer latency counts as this multiple of the usual one, so that a gateway that is slow does
+not become the usual case."""
+LEAST_USUAL_S = 1e-4
+"""Keeps the scale above 0 where clocks are coarse."""
 IN_FLIGHT_AT_EASE = 6
 """Statements in flight at which a gateway's cost doubles: connections of a gateway to a server."""
 OTHER_ZONE_COST_S = 0.01
@@ -70,7 +75,8 @@
         ``USUAL_LATENCY_S``."""
         scaled_s = latency_s / self.scale(kind) if kind in self.by_kind else USUAL_LATENCY_S
         usual_s = self.by_kind.setdefault(kind, latency_s)
-        self.by_kind[kind] = max(1e-4, usual_s + USUAL_WEIGHT * (latency_s - usual_s))
+        bounded_s = min(latency_s, OUTLIER_RATIO * usual_s)
+        self.by_kind[kind] = max(LEAST_USUAL_S, usual_s + USUAL_WEIGHT * (bounded_s - usual_s))
         return scaled_s
 
 
@@ -153,13 +159,16 @@
 ) -> list[ids.InstanceId]:
     """Order a tenant's gateways, the first ``homes`` of which are its homes.
 
-    The better one of two homes drawn at random comes first. Homes keep the tenant's statements
-    unless they fail or are clearly worse than the best one of the others. Only homes are probed,
-    since other gateways may not spend the tenant's rate limit.
+    The home whose turn it is comes first: their shares of the rate limit are equal, so they are
+    used evenly unless one is slow. Homes keep the tenant's statements unless they fail or are
+    clearly worse than the best one of the others. Only homes are probed, since other gateways may
+    not spend the tenant's rate limit.
     """
     admitted = {each.instance for each in ranking if each.health.admits(draw())}
-    own = sorted(ranking[:homes], key=lambda _: draw())
-    own = [*sorted(own[:DRAWN], key=lambda each: each.cost_s), *own[DRAWN:]]
+    least_s = min((each.cost_s for each in ranking[:homes]), default=0.0)
+    own = sorted(
+        ranking[:homes], key=lambda each: each.cost_s > SLOW_RATIO * least_s + SLOW_MARGIN_S
+    )
     worse = worse_homes(ranking)
 
     def badness(judged: JudgedGateway) -> int:
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -85,13 +85,13 @@
 
         The first ``homes`` are tried in turn, and gateways that failed recently last.
         """
-        if self.placing is not None:
-            order = self.placing.order_homes(ranking, homes=homes, may_probe=single_read)
-            return order[:MAX_HOMES_TRIED]
         self.rotation += 1
         turn = self.rotation % max(1, min(homes, len(ranking)))
-        avoided = self.recent_failures.active(now_s=clock.now_s())
         order = [*ranking[turn:homes], *ranking[:turn], *ranking[homes:]]
+        if self.placing is not None:
+            order = self.placing.order_homes(order, homes=homes, may_probe=single_read)
+            return order[:MAX_HOMES_TRIED]
+        avoided = self.recent_failures.active(now_s=clock.now_s())
         return sorted(order, key=lambda gateway: gateway in avoided)[:MAX_HOMES_TRIED]
 
     def note_failure(
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -18,6 +18,9 @@
 
 PATIENCE = 2.0
 """Multiple of the time to wait for a gateway that answers other statements meanwhile."""
+HOMES_COMPARED = 6
+"""Gateways of a tenant that are compared as long as one of them is sound; comparing all of a large
+fleet for each statement would cost a small instance several percent of its time."""
 FORGET_S = 300.0
 """Time after which a gateway that receives no work is forgotten."""
 
@@ -189,7 +192,9 @@
         self, ranking: list[ids.InstanceId], *, homes: int, may_probe: bool
     ) -> list[ids.InstanceId]:
         """Return a tenant's gateways in the order in which to try them."""
-        judged = [self._judged(gateway) for gateway in ranking]
+        judged = [self._judged(gateway) for gateway in ranking[:HOMES_COMPARED]]
+        if not any(each.health.state is health.State.NORMAL for each in judged):
+            judged = [self._judged(gateway) for gateway in ranking]
         self._note_displaced(judged, gateway_choice.worse_homes(judged))
         return gateway_choice.order_homes(
             judged,
@@ -239,7 +244,7 @@
         attempt_s = attempt.attempt_s
         stages = (
             (attempt_s, True, True),
-            (PATIENCE * attempt_s, False, True),
+            (min(PATIENCE * attempt_s, attempt_times.MAX_ATTEMPT_S), False, True),
             (attempt_times.MAX_ATTEMPT_S, True, False),
         )
         for wait_s, only_silent, from_budget in sorted(stages):
