--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -163,6 +163,11 @@
     LIMIT_UNANSWERED = EventKind(622, logbook.INFO, "no answer about a rate limit")
     """Another home of a tenant did not answer whether it lends or has given up a part of its
     limit."""
+    WORK_WITHDRAWN = EventKind(630, logbook.INFO, "work withdrawn")
+    """A server or gateway fails, cannot be reached or is slow: others receive its work, and it is
+    only probed."""
+    WORK_RESTORED = EventKind(631, logbook.INFO, "work restored")
+    """A server or gateway answers well again and receives its work as before."""
 
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
