Slow start of new servers: a limit of statements in flight that follows their answers

A server that has just started was given as many statements as its pool holds, and its reads were placed by an assumed latency.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -286,6 +286,11 @@
         average_s = self.average_holding_s[taken.holds] or held_s
         self.average_holding_s[taken.holds] = average_s + HOLDING_WEIGHT * (held_s - average_s)
 
+    def serve_waiting(self) -> None:
+        """Hand out connections to waiting statements after the limit may have risen."""
+        if not self.closed:
+            self._serve_queue()
+
     def _serve_queue(self) -> None:
         while self.idle and self.busy < self.limit.allowed:
             holds = limits.transaction_goes_first(
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -116,6 +116,10 @@
     """Opening a connection to a backend server failed for the first time since one succeeded."""
     SERVER_REGAINED = EventKind(414, logbook.INFO, "connection to server restored")
     """A backend server accepts connections again."""
+    SERVER_LIMITED = EventKind(415, logbook.INFO, "statements in flight at server limited")
+    """A backend server is new for the stated reason; it gets as much work as it answers well."""
+    SERVER_UNLIMITED = EventKind(416, logbook.INFO, "limit of statements in flight at server ended")
+    """A new backend server answers about as fast as the best other one of its service."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
     """The latest evidence names another leader for a service."""
     PRIMARY_SUSPECTED = EventKind(511, logbook.WARNING, "primary suspected")
--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -120,7 +120,6 @@
     record = _parse(value, subject)
     host, port = parse_address(_field(record, "addr", str, subject), subject)
     _name(record, "version", subject)
-    _number(record, "warmup_left_ms", subject, most=MAX_WARM_UP_MS, kind=int | float)
     return ports.ServerEntry(
         server=server,
         service=ids.ServiceName(_name(record, "service", subject)),
@@ -133,6 +132,9 @@
         # Time of the server's start, not of the creation of its data.
         started_ms=(_number(record, "born", subject, most=MAX_TIME_MS) if "born" in record else 0),
         revision=revision,
+        warmup_left_ms=_number(
+            record, "warmup_left_ms", subject, most=MAX_WARM_UP_MS, kind=int | float
+        ),
         sequence=_number(record, "seq", subject, most=MAX_SEQUENCE),
     )
 
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -14,7 +14,15 @@
 )
 from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import feature_set, forwarded, ports, routes, service, statement_context
+from mustardswitch.proxy import (
+    feature_set,
+    forwarded,
+    ports,
+    routes,
+    server_pace,
+    service,
+    statement_context,
+)
 
 PEER_VOTE_TTL_S = 1.0
 """Time after which a vote received from a peer expires unless it is repeated, three times within
@@ -57,6 +65,7 @@
         features: feature_set.Features = feature_set.NO_FEATURES,
     ) -> None:
         self.features = features
+        self.paces = server_pace.PaceBook(registry=registry) if features.pace else None
         self.forwarder = forwarder
         self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
         """Gateways of the services whose connections do not suffice for all instances."""
@@ -170,11 +179,17 @@
             target = self.services.get(name)
             if target is None:
                 target = service.Service(
-                    name=name, location=self.location, opener=self.opener, registry=self.registry
+                    name=name,
+                    location=self.location,
+                    opener=self.opener,
+                    registry=self.registry,
+                    paces=self.paces,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
             target.set_serves_tenants(self.has_tenants)
+            if self.paces is not None:
+                self.paces.sharers[name] = self.connected_instance_count(name)
             share, holds = self._share(name), self._holds_connections(name)
             if (target.connections, target.holds_connections) != (share, holds):
                 target.resize(share, holds_connections=holds)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -127,6 +127,8 @@
     the same id has none of the former one's state."""
     revision: int = 0
     """The store's revision of the entry."""
+    warmup_left_ms: float = 0.0
+    """Milliseconds for which the server expected to be slow when it wrote the entry."""
     sequence: int | None = None
     """Number of the entry among those that the server wrote since its start; None if unknown."""
 
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections.abc
+import weakref
 
 from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
 from mustardswitch.internal import clock, ids, positions, promotion, read_placement
-from mustardswitch.proxy import ports, routes, tenant_pool
+from mustardswitch.internal.pace import references
+from mustardswitch.proxy import paced_limit, ports, routes, server_pace, tenant_pool
 
 INITIAL_LATENCY_S = {
     read_placement.Distance.ZONE: 0.02,
@@ -43,7 +45,12 @@
         connections: int,
         serves_tenants: bool = False,
         on_exchange: collections.abc.Callable[[], None] = lambda: None,
+        pace: server_pace.ServerPace | None = None,
     ) -> None:
+        self.pace = pace
+        """Limit of a server that has just started; None when the feature is off."""
+        self.paused_transactions: weakref.WeakSet[object] = weakref.WeakSet()
+        """Transactions that hold a connection between two statements."""
         self.entry = entry
         self.distance = distance
         self.opener = opener
@@ -85,6 +92,12 @@
                 size=connections,
                 reopen_limit_s=REOPEN_LIMIT_S,
             )
+        if pace is not None:
+            self.pool.limit = paced_limit.PacedLimit(
+                maximum=connections, bound=self._paced_connections
+            )
+            if serves_tenants:
+                self.pool.max_openings = server_pace.MAX_OPENINGS
 
     def __repr__(self) -> str:
         return (
@@ -116,6 +129,8 @@
             self._note_unreachable(error)
             raise
         else:
+            if self.pace is not None:
+                self.pace.note_connected()
             self.note_answer()
             self._note_reachable()
         finally:
@@ -125,6 +140,8 @@
         return link
 
     def _note_unreachable(self, error: errors.BackendError) -> None:
+        if self.pace is not None and not isinstance(error, errors.ConnectionLimitError):
+            self.pace.note_lost()
         if self.unreachable:
             return
         self.unreachable = True
@@ -142,13 +159,41 @@
             self.unreachable = False
             events.log(events.Event.SERVER_REGAINED, service=self.entry.service, server=self.server)
 
-    def note_answer(self, latency_s: float | None = None) -> None:
+    def _paced_connections(self) -> int:
+        """Return how many connections may be handed out, those of paused transactions included.
+
+        The pace limits statements, and a transaction may pause for seconds.
+        """
+        allowed = self.pace.allowed()
+        return allowed + len(self.paused_transactions) if self.pace.limited else allowed
+
+    def note_paused(self, transaction: object) -> None:
+        """Record that a transaction keeps its connection until its next statement."""
+        if self.pace is not None:
+            self.paused_transactions.add(transaction)
+            self.pool.serve_waiting()
+
+    def note_resumed(self, transaction: object) -> None:
+        """Record that a transaction sends a statement, or releases its connection."""
+        self.paused_transactions.discard(transaction)
+
+    def note_refused(self) -> None:
+        """Record that the server rejected a statement as overloaded."""
+        if self.pace is not None:
+            self.pace.note_error()
+
+    def note_answer(
+        self, latency_s: float | None = None, work: references.Work = references.Work.READ
+    ) -> None:
         """Record an answer; ``latency_s`` is given for reads and writes only."""
         now_s = clock.now_s()
         self.answered_at_s = now_s
         self.refused_connections = 0
         self.failed_probes = 0
         self.abandoned_since_s = None
+        if self.pace is not None and latency_s is not None:
+            in_flight = self.pool.busy - len(self.paused_transactions)
+            self.pace.note_answer(latency_s, work, in_flight=in_flight)
         if latency_s is not None:
             current_s = self.current_latency_s(now_s)
             self.latency_s = current_s + LATENCY_WEIGHT * (latency_s - current_s)
@@ -160,6 +205,7 @@
         The server is tried last for ``RECENT_FAILURE_DURATION_S``.
         """
         self.avoided_until_s = clock.now_s() + RECENT_FAILURE_DURATION_S
+        self.note_refused()
 
     def _note_abandoned(self, sent_at_s: float | None) -> None:
         """Record since when the server has not answered, although the connection is closed."""
@@ -223,20 +269,30 @@
     def read_candidate(self, *, leads: bool) -> read_placement.ReadCandidate:
         """Describe this server for the choice of the server of a read."""
         now_s = clock.now_s()
+        latency_s = self.current_latency_s(now_s)
+        connections = self.pool.size
+        is_full = False
+        if self.pace is not None and self.pace.limited:
+            connections = self.pool.limit.allowed
+            is_full = self.pool.busy + self.pool.opening >= connections
+            if self.pace.measure_due(in_flight=self.in_flight, measured_at_s=self.measured_at_s):
+                latency_s = min(latency_s, INITIAL_LATENCY_S[self.distance])
         return read_placement.ReadCandidate(
             server=self.server,
             distance=self.distance,
-            latency_s=self.current_latency_s(now_s),
+            latency_s=latency_s,
             in_flight=self.in_flight,
-            connections=min(self.pool.size, self.entry.slots),
+            connections=min(connections, self.entry.slots),
             leads=leads,
-            avoided=now_s < self.avoided_until_s,
+            avoided=is_full or now_s < self.avoided_until_s,
             missing_position=self.missing_position if now_s < self.recheck_at_s else None,
         )
 
     def close(self) -> None:
         """Close idle connections and accept no statements; running ones end on their connection."""
         self.pool.close()
+        if self.pace is not None:
+            self.pace.close()
 
     def abandon(self, link: ports.Link) -> None:
         """Close a connection whose answers can no longer be trusted, since one is missing."""
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -16,7 +16,7 @@
     read_placement,
     suspicion,
 )
-from mustardswitch.proxy import errors, ports, requests, server, tenant_pool
+from mustardswitch.proxy import errors, ports, requests, server, server_pace, tenant_pool
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept; several times the staleness limits of the users'
@@ -81,7 +81,10 @@
         location: Location,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
+        paces: server_pace.PaceBook | None = None,
     ) -> None:
+        self.paces = paces
+        """Limits of servers that have just started; None when the feature is off."""
         self.name = name
         self.location = location
         self.opener = opener
@@ -130,13 +133,15 @@
         backend = self.servers.get(entry.server)
         role_before = backend.entry.role if backend else None
         if backend is None:
+            distance = self.location.distance(entry.zone)
             backend = server.Server(
                 entry=entry,
-                distance=self.location.distance(entry.zone),
+                distance=distance,
                 opener=self.opener,
                 connections=self.connections,
                 serves_tenants=self.serves_tenants,
                 on_exchange=self._note_exchange,
+                pace=self.paces.attach(entry, distance) if self.paces is not None else None,
             )
             backend.pool.reopens_unused = self.holds_connections
             self.servers[entry.server] = backend
@@ -159,6 +164,8 @@
                 revision=entry.revision,
             )
         backend.entry = entry
+        if backend.pace is not None:
+            backend.pace.update(entry)
         if entry.role is not role_before:
             note = self.leadership.note_not_leading
             if entry.role is promotion.Role.PRIMARY:
@@ -277,6 +284,9 @@
                 before=self.logged_leader,
             )
             self.logged_leader = found
+        for backend in self.servers.values():
+            if backend.pace is not None:
+                backend.pace.note_leads(backend.server == found)
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from mustardswitch import connection_pool
@@ -46,6 +47,8 @@
         )
         self.tenant_opener = opener
         self.on_exchange = on_exchange
+        self.max_openings = math.inf
+        """Connections that are opened for statements at once."""
         self.turns: dict[int, int] = {}
         """Statements in a row that each connection has served for its tenant, by its ``id``."""
 
@@ -102,7 +105,7 @@
 
     def _serve_queue(self) -> None:
         self._drop_broken()
-        while self.busy + self.opening < self.limit.allowed:
+        while self.busy + self.opening < self.limit.allowed and self.opening < self.max_openings:
             holds = limits.transaction_goes_first(
                 statement=self.queue.next_priority(),
                 transaction=(
@@ -166,6 +169,7 @@
         self.idle.append(link)
         if not waiting.ticket.done():
             waiting.ticket.set_result(self._take(link, holds=holds))
+            self._serve_queue()
         else:
             self.returned_at_s[id(link)] = asyncio.get_running_loop().time()
             self._serve_queue()
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -4,6 +4,7 @@
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock
+from mustardswitch.internal.pace import references
 from mustardswitch.proxy import errors, ports, reading, requests, statement_context
 
 OPEN = requests.TransactionState.OPEN
@@ -52,6 +53,7 @@
             break
         self.statements += 1
         if answer.succeeded:
+            self.pinned.backend.note_paused(self)
             return dataclasses.replace(answer, state=OPEN)
         return self._fail_with(answer)
 
@@ -67,6 +69,7 @@
                     self.pinned = await reading.begin_at_leader(context, shape, for_commits=True)
             else:
                 pinned, self.pinned = self.pinned, None
+                pinned.backend.note_resumed(self)
                 await context.prepare_link(pinned.backend, pinned.link, shape=shape)
                 self.pinned = pinned
         except errors.ProxyError as error:
@@ -113,15 +116,24 @@
             backend.in_flight -= 1
         if answer.succeeded:
             is_commit = isinstance(command, requests.Commit)
-            backend.note_answer(clock.now_s() - query_sent_at_s)
+            backend.note_answer(clock.now_s() - query_sent_at_s, self._work_of(command))
             if pinned.at_leader and (not is_commit or self.wrote):
                 context.service.note_leading(
                     backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
                 )
         elif answer.refusal is requests.Refusal.READ_ONLY and pinned.at_leader:
             context.service.note_not_leading(backend.server, query_sent_at_s=query_sent_at_s)
+        elif answer.refusal is requests.Refusal.OVERLOADED:
+            backend.note_refused()
         return answer
 
+    @staticmethod
+    def _work_of(command: ports.Command) -> references.Work:
+        if isinstance(command, requests.Commit):
+            return references.Work.COMMIT
+        is_write = command.access is requests.Access.WRITE
+        return references.Work.STATEMENT if is_write else references.Work.READ
+
     def _fail_with(self, answer: requests.Answer) -> requests.Answer:
         """Roll back after a failed statement; none of the transaction's writes are kept."""
         self.fail()
@@ -171,10 +183,12 @@
         """Roll back on the connection and release it to the pool."""
         if self.pinned is not None:
             pinned, self.pinned = self.pinned, None
+            pinned.backend.note_resumed(self)
             self.service.roll_back(pinned.backend, pinned.link)
 
     def abandon_connection(self) -> None:
         """Close the connection; the server rolls back."""
         if self.pinned is not None:
             pinned, self.pinned = self.pinned, None
+            pinned.backend.note_resumed(self)
             pinned.backend.abandon(pinned.link)
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -2,6 +2,7 @@
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock
+from mustardswitch.internal.pace import references
 from mustardswitch.proxy import errors, ports, requests, server, statement_context
 
 NOT_RUN = frozenset(
@@ -67,13 +68,15 @@
     finally:
         backend.in_flight -= 1
     if answer.succeeded:
-        backend.note_answer(clock.now_s() - query_sent_at_s)
+        backend.note_answer(clock.now_s() - query_sent_at_s, references.Work.WRITE)
         context.service.note_leading(
             backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
         )
         context.session.note_commit(context.service.name, answer.position)
     elif answer.refusal is requests.Refusal.READ_ONLY:
         context.service.note_not_leading(backend.server, query_sent_at_s=query_sent_at_s)
+    elif answer.refusal is requests.Refusal.OVERLOADED:
+        backend.note_refused()
     elif answer.refusal is requests.Refusal.UNKNOWN_STATEMENT:
         link.shapes.clear()
     backend.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
