--- a/src/mustardswitch/internal/pace/pace.py
+++ b/src/mustardswitch/internal/pace/pace.py
@@ -28,12 +28,21 @@
 SLOW_WEIGHT = 0.04
 """Weight of an answer in the average that ends the limit. With the weight above, a server that
 takes 1.6 times as long appears as fast as its peers every few hundred answers by chance."""
-QUEUE_TOLERANCE = 2.0
+SPARSE_GAP = 16.0
+"""Multiple of an answer's latency after which nothing of an earlier average is kept. A server that
+is only measured from time to time would otherwise count as slow long after it has warmed up."""
+MAX_WEIGHT = 0.5
+"""Largest weight of an answer after a pause; one answer alone may be a short statement."""
+GROWTH_TOLERANCE = 1.25
+"""Multiple of the best slowdown up to which the limit of a slow server grows. All instances raise
+theirs at the same time, and each sees the queue only after its next round."""
+QUEUE_TOLERANCE = 1.6
 """Multiple of the best slowdown above which statements wait for each other in the server."""
 PEER_TOLERANCE = 1.25
 """Slowdown up to which a server answers as well as its peers."""
 FAST_ENOUGH = 2.0
-"""Slowdown below which the limit grows before the server's best is known."""
+"""Slowdown below which the limit doubles with each round, also before the server's best is known.
+Above, it grows by one, since a queue shows only after a round that takes as many times as long."""
 MIN_ROUND = 4
 """Least number of answers between two decreases, and from which on a best is known."""
 MIN_COMPARED = 24
@@ -45,6 +54,9 @@
 """Fraction of the best slowdown below which a server still warms up."""
 BEST_DRIFT = 1.002
 """Factor by which the best slowdown grows with each answer, so that a lucky one is forgotten."""
+FLOOR_DRIFT = 1.02
+"""The same factor at the floor, where the queue is not of this instance's making, or the server is
+slower than before. If the best followed at once, all instances would raise theirs in turn."""
 MAX_DECREASE, MIN_DECREASE = 0.5, 0.9
 """Bounds of the factor by which the limit shrinks when answers show a queue."""
 ERROR_DECREASE = 0.5
@@ -78,6 +90,7 @@
         """Limit up to which it doubles with each round; above, it grows by one."""
         self.compared = False
         """Whether slowdowns are relative to known durations instead of ``ASSUMED_WORK_S``."""
+        self.answered_at_s = -math.inf
         self.answers = 0
         """Answers since the start, or since ``compared`` changed."""
         self.slowdown = 1.0
@@ -105,6 +118,13 @@
             return UNBOUNDED
         return max(1, self.floor, int(self.limit))
 
+    def latency_s(self, now_s: float) -> float | None:
+        """Return how long a read takes at a limited server; None before its first answer."""
+        if self.limit is None or not self.answers:
+            return None
+        expected_s = self.known.expected_s(self.server, references.Work.READ, now_s)
+        return self.network_s + self.slowdown * (expected_s or ASSUMED_WORK_S)
+
     def note_start(self, now_s: float, hint_s: float) -> None:
         """Limit a server that has started; ``hint_s`` is for how long it expects to be slow."""
         start = 1 if hint_s > 0 else FAMILIAR_START
@@ -140,7 +160,9 @@
         if expected_s is not None and not self.compared:
             self.compared = True
             self._restart_averages()
-        self._average(work_s / (expected_s or ASSUMED_WORK_S))
+        pause = (now_s - self.answered_at_s) / (SPARSE_GAP * max(latency_s, MIN_WORK_S))
+        self.answered_at_s = now_s
+        self._average(work_s / (expected_s or ASSUMED_WORK_S), min(MAX_WEIGHT, pause))
         self.errors_in_row = 0
         if self._is_settled():
             self.limit = None
@@ -149,19 +171,19 @@
         else:
             self._grow(self.allowed(now_s) if in_flight is None else in_flight)
 
-    def _average(self, slowdown: float) -> None:
+    def _average(self, slowdown: float, least_weight: float) -> None:
         self.answers += 1
         self.answers_since_decrease += 1
         self.steady_answers += 1
-        self.slowdown += max(FAST_WEIGHT, 1 / self.answers) * (slowdown - self.slowdown)
-        self.slow_average += max(SLOW_WEIGHT, 1 / self.answers) * (slowdown - self.slow_average)
+        least_weight = max(least_weight, 1 / self.answers)
+        self.slowdown += max(FAST_WEIGHT, least_weight) * (slowdown - self.slowdown)
+        self.slow_average += max(SLOW_WEIGHT, least_weight) * (slowdown - self.slow_average)
         if self.answers < MIN_ROUND:
             return
-        if self.best is None or self.limit <= max(1, self.floor):
-            # At the floor the server is as fast as it can be: this instance causes no queue.
+        if self.best is None:
             self.best = self.slowdown
-        else:
-            self.best = min(self.best * BEST_DRIFT, self.slowdown)
+        drift = FLOOR_DRIFT if self.limit <= max(1, self.floor) else BEST_DRIFT
+        self.best = min(self.best * drift, self.slowdown)
         if self.best < IMPROVEMENT * self.steady_best:
             self.steady_best = self.best
             self.steady_answers = 0
@@ -185,9 +207,10 @@
         self.answers_since_decrease = self.steady_answers = 0
 
     def _grow(self, in_flight: int) -> None:
-        if self.best is None and self.slowdown >= FAST_ENOUGH:
+        fast = self.slowdown < FAST_ENOUGH
+        if not fast and (self.best is None or self.slowdown > GROWTH_TOLERANCE * self.best):
             return
-        if self.limit < self.threshold and 2 * in_flight >= self.limit:
+        if fast and self.limit < self.threshold and 2 * in_flight >= self.limit:
             self.limit += 1.0
         elif in_flight >= int(self.limit):
             self.limit += 1.0 / self.limit
