--- a/src/mustardswitch/internal/pace/pace.py
+++ b/src/mustardswitch/internal/pace/pace.py
@@ -33,7 +33,7 @@
 is only measured from time to time would otherwise count as slow long after it has warmed up."""
 MAX_WEIGHT = 0.5
 """Largest weight of an answer after a pause; one answer alone may be a short statement."""
-GROWTH_TOLERANCE = 1.25
+GROWTH_TOLERANCE = 1.3
 """Multiple of the best slowdown up to which the limit of a slow server grows. All instances raise
 theirs at the same time, and each sees the queue only after its next round."""
 QUEUE_TOLERANCE = 1.6
@@ -208,7 +208,10 @@
 
     def _grow(self, in_flight: int) -> None:
         fast = self.slowdown < FAST_ENOUGH
-        if not fast and (self.best is None or self.slowdown > GROWTH_TOLERANCE * self.best):
+        if not fast and self.best is None:
+            return
+        if not fast and self.slowdown > GROWTH_TOLERANCE * self.best:
+            self.limit = max(1.0, float(self.floor), self.limit - 1.0 / self.limit)
             return
         if fast and self.limit < self.threshold and 2 * in_flight >= self.limit:
             self.limit += 1.0
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -275,8 +275,12 @@
         if self.pace is not None and self.pace.limited:
             connections = self.pool.limit.allowed
             is_full = self.pool.busy + self.pool.opening >= connections
-            if self.pace.measure_due(in_flight=self.in_flight, measured_at_s=self.measured_at_s):
-                latency_s = min(latency_s, INITIAL_LATENCY_S[self.distance])
+            paced_s = self.pace.read_latency_s(
+                in_flight=self.in_flight,
+                measured_at_s=self.measured_at_s,
+                initial_s=INITIAL_LATENCY_S[self.distance],
+            )
+            latency_s = latency_s if paced_s is None else paced_s
         return read_placement.ReadCandidate(
             server=self.server,
             distance=self.distance,
--- a/src/mustardswitch/proxy/server_pace.py
+++ b/src/mustardswitch/proxy/server_pace.py
@@ -23,9 +23,10 @@
 STARTUP_LIST_S = 0.1
 """Time from the first entry within which entries belong to the list of this instance's start; it is
 applied in one go, before the first statement."""
-MEASURE_INTERVAL_S = 0.25
-"""Time after which a read goes to a new server without work as if it were fast; otherwise one that
-has warmed up would wait until its slow answers are forgotten."""
+MEASURE_PAUSES = 8.0
+"""Multiple of its latency after which a new server without work gets a read as if it were fast;
+otherwise one that has warmed up would wait until its slow answers are forgotten. A ninth of the
+time of one statement is spent on it, whatever the server's speed."""
 MAX_KNOWN_SERVERS = 1000
 """Servers whose start and usual durations are remembered; the longest unlisted ones are dropped."""
 MAX_OPENINGS = 2
@@ -180,10 +181,19 @@
             self.machine.note_error(clock.now_s())
             self._export()
 
-    def measure_due(self, *, in_flight: int, measured_at_s: float) -> bool:
-        """Return whether a read should measure the server, however slow it was before."""
-        idle = self.machine.limited and not in_flight
-        return idle and clock.now_s() - measured_at_s > MEASURE_INTERVAL_S
+    def read_latency_s(
+        self, *, in_flight: int, measured_at_s: float, initial_s: float
+    ) -> float | None:
+        """Return the latency by which a read is placed; None if the pace knows of none.
+
+        This is ``initial_s`` when a read should measure the server, however slow it was before.
+        """
+        latency_s = self.machine.latency_s(clock.now_s())
+        if latency_s is None:
+            return None
+        idle_s = clock.now_s() - measured_at_s
+        is_due = not in_flight and idle_s > MEASURE_PAUSES * latency_s
+        return min(latency_s, initial_s) if is_due else latency_s
 
     def _export(self) -> None:
         label = f'{{service="{_escape(self.entry.service)}",server="{_escape(self.entry.server)}"}}'
--- a/tests/common/pace_world.py
+++ b/tests/common/pace_world.py
@@ -8,14 +8,15 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 from mustardswitch.internal import ids, read_placement
 from mustardswitch.internal.pace import pace, references
 
 GATEWAYS = 6
-POOL_SIZE = 13
-"""Connections of a gateway to a server: 79 usable ones for six gateways."""
+CONNECTIONS = 79
+"""Connections to a server that all gateways together may hold."""
 SLOTS = 5
 READ_S, WRITE_S = 0.02, 0.03
 TARGET_S, DEADLINE_S = 0.25, 1.0
@@ -36,7 +37,6 @@
     gateway: int
     write: bool
     work_s: float
-    tried: set[int] = dataclasses.field(default_factory=set)
     sent_s: float = 0.0
 
 
@@ -90,13 +90,24 @@
         """Share of the observed server's slot time without work while other work waited."""
         return self.idle_slot_s / max(1e-9, self.slot_s)
 
+    def add(self, other: "Figures") -> None:
+        """Add the figures of another run."""
+        for name in ("within", "late", "refused", "errors", "idle_slot_s", "slot_s", "at_server"):
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        self.latencies += other.latencies
+        self.max_in_flight = max(self.max_in_flight, other.max_in_flight)
+
+    @property
+    def worst_s(self) -> float:
+        """The latency that a hundredth of the answered statements exceeded."""
+        return sorted(self.latencies)[int(0.99 * (len(self.latencies) - 1))]
+
     def row(self) -> str:
         """Return the figures as cells of a table."""
-        waits = sorted(self.latencies) or [0.0]
-        worst_s = waits[int(0.99 * (len(waits) - 1))]
         return (
             f"{100 * self.within_share:.1f} % | {self.late} | {self.refused} | {self.errors}"
-            f" | {worst_s:.2f} s | {100 * self.idle_share:.1f} %"
+            f" | {self.worst_s:.2f} s | {100 * self.idle_share:.1f} %"
+            f" | {self.max_in_flight}"
         )
 
 
@@ -109,10 +120,10 @@
         paced: bool,
         reads_per_s: float = 400.0,
         writes_per_s: float = 0.0,
-        floor: int = 1,
+        gateways: int = GATEWAYS,
         seed: int = 1,
     ) -> None:
-        self.paced, self.floor = paced, floor
+        self.paced, self.gateways = paced, gateways
         self.random = random.Random(seed)
         self.now_s = 0.0
         self.events: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
@@ -122,7 +133,7 @@
         self.figures = Figures()
         self.observed: int | None = None
         self.views = []
-        for gateway in range(GATEWAYS):
+        for gateway in range(gateways):
             known = references.References()
             self.views.append(
                 [View(each, NETWORK_S[each != gateway % 3], known) for each in range(3)]
@@ -186,7 +197,7 @@
         """Make a server the primary."""
         self.leader = server
         for views in self.views:
-            views[server].pace.floor = self.floor
+            views[server].pace.floor = math.ceil(SLOTS / self.gateways)
             self._note_new(views[server], 0.0)
 
     def _note_new(self, view: View, hint_s: float) -> None:
@@ -212,9 +223,7 @@
             target.running.append(statement)
             work_s = statement.work_s * target.factor(self.now_s - target.started_s)
             generation = target.generation
-            self.at(
-                self.now_s + work_s, lambda s=statement, g=generation: self._end(server, s, g)
-            )
+            self.at(self.now_s + work_s, lambda s=statement, g=generation: self._end(server, s, g))
 
     def _end(self, server: int, statement: Statement, generation: int) -> None:
         target = self.servers[server]
@@ -251,7 +260,7 @@
         return view.initial_s + (view.latency_s - view.initial_s) * decay
 
     def _allowed(self, view: View) -> int:
-        return min(POOL_SIZE, view.pace.allowed(self.now_s))
+        return min(CONNECTIONS // self.gateways, view.pace.allowed(self.now_s))
 
     def _candidate(self, gateway: int, server: int) -> read_placement.ReadCandidate:
         view = self.views[gateway][server]
@@ -273,7 +282,7 @@
 
     def _arrive(self, rate_per_s: float, *, write: bool) -> None:
         work_s = self.random.lognormvariate(0.0, 0.5) * 0.8825 * (WRITE_S if write else READ_S)
-        gateway = self.random.randrange(GATEWAYS)
+        gateway = self.random.randrange(self.gateways)
         statement = Statement(at_s=self.now_s, gateway=gateway, write=write, work_s=work_s)
         self._place(statement)
         self.at(
