--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -8,6 +8,7 @@
 from mustardswitch.proxy import (
     directory,
     failover_watch,
+    feature_set,
     requests,
     routes,
     service,
@@ -56,7 +57,13 @@
 class World:
     """One instance in front of an in-memory group of servers."""
 
-    def __init__(self, *, zone: str = "a", **changes: object) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str = "a",
+        features: feature_set.Features = feature_set.NO_FEATURES,
+        **changes: object,
+    ) -> None:
         self.group = database_group.Group()
         self.promoter = database_group.FakePromoter(group=self.group)
         self.coordination = database_group.FakeCoordination()
@@ -65,6 +72,7 @@
             location=service.Location(zone=ids.ZoneName(zone), regions=REGIONS),
             opener=self.group.open_link,
             registry=metrics.Registry(),
+            features=features,
         )
         self.directory.instances.put(ids.InstanceId("one"), directory.Peer(zone=ids.ZoneName(zone)))
         self.watch = failover_watch.FailoverWatch(
