--- a/src/mustardswitch/internal/pace/pace.py
+++ b/src/mustardswitch/internal/pace/pace.py
@@ -36,6 +36,10 @@
 GROWTH_TOLERANCE = 1.3
 """Multiple of the best slowdown up to which the limit of a slow server grows. All instances raise
 theirs at the same time, and each sees the queue only after its next round."""
+GROWTH_BEYOND_SHARE = 0.1
+"""Part of the usual growth that a slow server's limit has beyond this instance's share of its
+slots, which leaves the other instances time to use theirs. After a power failure in the simulation
+at full load, 59 % of the answers are within the target instead of 49 %."""
 QUEUE_TOLERANCE = 1.6
 """Multiple of the best slowdown above which statements wait for each other in the server."""
 PEER_TOLERANCE = 1.25
@@ -69,7 +73,8 @@
     """The limit of one server; not limited until ``note_start``.
 
     ``network_s`` is the usual time that the network adds to an answer, in seconds; ``floor`` is the
-    least number of statements that the server is always allowed.
+    least number of statements that the server is always allowed; ``share`` is this instance's part
+    of the server's slots.
     """
 
     def __init__(
@@ -79,11 +84,13 @@
         known: references.References,
         network_s: float = 0.0,
         floor: int = 1,
+        share: int = 1,
     ) -> None:
         self.server = server
         self.known = known
         self.network_s = network_s
         self.floor = floor
+        self.share = share
         self.limit: float | None = None
         """Statements allowed in flight; None while the server is not limited."""
         self.threshold = math.inf
@@ -216,7 +223,8 @@
         if fast and self.limit < self.threshold and 2 * in_flight >= self.limit:
             self.limit += 1.0
         elif in_flight >= int(self.limit):
-            self.limit += 1.0 / self.limit
+            beyond = not fast and self.limit >= self.share
+            self.limit += (GROWTH_BEYOND_SHARE if beyond else 1.0) / self.limit
 
     def note_error(self, now_s: float) -> None:
         """Record a missing or failed answer; no effect on a server that is not limited."""
--- a/src/mustardswitch/proxy/server_pace.py
+++ b/src/mustardswitch/proxy/server_pace.py
@@ -139,10 +139,11 @@
         waits for another one in the server, and no other server can take it.
         """
         service = self.entry.service
-        self.machine.floor = 1
+        sharers = max(1, self.book.sharers.get(service, 1))
+        self.machine.share = math.ceil(self.entry.slots / sharers)
+        self.machine.floor = self.machine.share if leads else 1
         if not leads:
             return
-        self.machine.floor = math.ceil(self.entry.slots / self.book.sharers.get(service, 1))
         before = self.book.leaders.get(service)
         self.book.leaders[service] = self.entry.server
         if before not in (None, self.entry.server):
--- a/tests/common/pace_scenarios.py
+++ b/tests/common/pace_scenarios.py
@@ -98,6 +98,10 @@
     "8 times, never warms up": (restart(constant(8.0)), {}),
     "8 times, never warms up, busy": (restart(constant(8.0)), {"reads_per_s": 520}),
     "8 times, one gateway, busy": (restart(warming(8.0)), {"reads_per_s": 520, "gateways": 1}),
+    "8 times, one of six gateways used, busy": (
+        restart(warming(8.0)),
+        {"reads_per_s": 520, "gateways": 1, "unused_gateways": 5},
+    ),
     "8 times, fails half-way": (fails_half_way, {}),
     "8 times, flaps": (flapping, {}),
     "power failure, 8 times": (power_failure, {"reads_per_s": 150}),
--- a/tests/common/pace_world.py
+++ b/tests/common/pace_world.py
@@ -55,9 +55,13 @@
 class View:
     """What one gateway knows of one server, and its pool."""
 
-    def __init__(self, server: int, network_s: float, known: references.References) -> None:
+    def __init__(
+        self, server: int, network_s: float, known: references.References, share: int
+    ) -> None:
         self.network_s = network_s
-        self.pace = pace.Pace(server=ids.ServerId(str(server)), known=known, network_s=network_s)
+        self.pace = pace.Pace(
+            server=ids.ServerId(str(server)), known=known, network_s=network_s, share=share
+        )
         self.initial_s = READ_S + network_s
         self.latency_s, self.measured_s, self.avoided_s = self.initial_s, 0.0, -1.0
         self.busy = 0
@@ -121,6 +125,7 @@
         reads_per_s: float = 400.0,
         writes_per_s: float = 0.0,
         gateways: int = GATEWAYS,
+        unused_gateways: int = 0,
         seed: int = 1,
     ) -> None:
         self.paced, self.gateways = paced, gateways
@@ -133,10 +138,11 @@
         self.figures = Figures()
         self.observed: int | None = None
         self.views = []
+        share = math.ceil(SLOTS / (gateways + unused_gateways))
         for gateway in range(gateways):
             known = references.References()
             self.views.append(
-                [View(each, NETWORK_S[each != gateway % 3], known) for each in range(3)]
+                [View(each, NETWORK_S[each != gateway % 3], known, share) for each in range(3)]
             )
         self._arrive(reads_per_s, write=False)
         if writes_per_s:
--- a/tests/decisions/test_pace.py
+++ b/tests/decisions/test_pace.py
@@ -99,6 +99,17 @@
     assert not machine.limited
 
 
+def test_a_slow_server_gets_more_than_the_share_only_slowly():
+    """Guards against all instances raising their limits together after a power failure."""
+    grown = []
+    for share in (1, 5):
+        machine = _pace(share=share)
+        machine.note_start(1.0, 6.0)
+        now_s = _answer(machine, 24, 8.0)
+        grown.append(machine.allowed(now_s))
+    assert grown[0] <= 3 < 5 <= grown[1]
+
+
 @given(
     st.lists(
         st.one_of(
@@ -143,7 +154,8 @@
         ("8 times, warms up, no hint, busy", 0.4),
         ("8 times, never warms up, busy", 0.6),
         ("8 times, one gateway, busy", 0.7),
-        ("power failure, 8 times", 0.8),
+        ("8 times, one of six gateways used, busy", 0.8),
+        ("power failure, 8 times", 0.6),
         ("new primary, 3 times", 0.6),
     ],
 )
