--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -15,6 +15,7 @@
     forwarded,
     ports,
     routes,
+    server_pace,
     service,
     statement_context,
     tenant_limits,
@@ -62,6 +63,7 @@
         features: feature_set.Features = feature_set.NO_FEATURES,
     ) -> None:
         self.features = features
+        self.paces = server_pace.PaceBook(registry=registry) if features.pace else None
         self.forwarder = forwarder
         if forwarder is not None and features.placement:
             forwarder.place_by_answers(registry)
@@ -185,10 +187,13 @@
                     opener=self.opener,
                     registry=self.registry,
                     places_reads=self.features.placement,
+                    paces=self.paces,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
             target.set_serves_tenants(self.has_tenants)
+            if self.paces is not None:
+                self.paces.sharers[name] = self.connected_instance_count(name)
             share, holds = self._share(name), self._holds_connections(name)
             if (target.connections, target.holds_connections) != (share, holds):
                 target.resize(share, holds_connections=holds)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -16,7 +16,15 @@
     suspicion,
 )
 from mustardswitch.internal.placement import read_placement
-from mustardswitch.proxy import errors, placing, ports, requests, server, tenant_pool
+from mustardswitch.proxy import (
+    errors,
+    placing,
+    ports,
+    requests,
+    server,
+    server_pace,
+    tenant_pool,
+)
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept; several times the staleness limits of the users'
@@ -82,7 +90,10 @@
         opener: ports.LinkOpener,
         registry: metrics.Registry,
         places_reads: bool = False,
+        paces: server_pace.PaceBook | None = None,
     ) -> None:
+        self.paces = paces
+        """Limits of servers that have just started; None when the feature is off."""
         self.name = name
         self.location = location
         self.opener = opener
@@ -133,13 +144,15 @@
         backend = self.servers.get(entry.server)
         role_before = backend.entry.role if backend else None
         if backend is None:
+            distance = self.location.distance(entry.zone)
             backend = server.Server(
                 entry=entry,
-                distance=self.location.distance(entry.zone),
+                distance=distance,
                 opener=self.opener,
                 connections=self.connections,
                 serves_tenants=self.serves_tenants,
                 on_exchange=self._note_exchange,
+                pace=self.paces.attach(entry, distance) if self.paces is not None else None,
             )
             backend.pool.reopens_unused = self.holds_connections
             if self.placing is not None:
@@ -164,6 +177,8 @@
                 revision=entry.revision,
             )
         backend.entry = entry
+        if backend.pace is not None:
+            backend.pace.update(entry)
         if entry.role is not role_before:
             note = self.leadership.note_not_leading
             if entry.role is promotion.Role.PRIMARY:
@@ -284,6 +299,9 @@
                 before=self.logged_leader,
             )
             self.logged_leader = found
+        for backend in self.servers.values():
+            if backend.pace is not None:
+                backend.pace.note_leads(backend.server == found)
         self.changed.set()
         self.changed = asyncio.Event()
 
