Stand-in databases read lines of 1 MiB

The default of asyncio, 64 KiB, ended the connection of an instance that passed on a larger statement. Items can be given large rows, and an instance can be started with limits in its settings.

--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -1,11 +1,13 @@
 """An in-memory database group behind the platform's line protocol."""
 
 import asyncio
+import dataclasses
 import functools
 import json
 
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids, positions
+from mustardswitch.platform import lines
 from mustardswitch.proxy import ports, requests
 from mustardswitch_standins import database_group, http_store
 
@@ -33,6 +35,8 @@
         self.ports: dict[ids.ServerId, int] = {}
         """Port under which each server is registered; may be replaced by a link's port."""
         self.writers: dict[ids.ServerId, list[asyncio.StreamWriter]] = {}
+        self.row_padding_bytes: dict[str, int] = {}
+        """Bytes that are appended to each row of the answers to reads of an item."""
 
     async def start(self) -> None:
         """Start one loopback listener for each server."""
@@ -41,7 +45,9 @@
 
     async def start_server(self, server: database_group.FakeServer) -> None:
         """Start the listener of a server, which ``list_servers`` then registers."""
-        listener = await asyncio.start_server(self._make_handler(server), "127.0.0.1", 0)
+        listener = await asyncio.start_server(
+            self._make_handler(server), "127.0.0.1", 0, limit=lines.MAX_LINE_BYTES
+        )
         self.listeners.append(listener)
         self.ports[server.name] = listener.sockets[0].getsockname()[1]
 
@@ -140,7 +146,12 @@
         link.send(
             _command(text, prepared_access), None if request == "-" else ids.RequestId(request)
         )
-        return _encode(await link.receive(ANSWER_TIMEOUT_S), server)
+        answer = await link.receive(ANSWER_TIMEOUT_S)
+        padding_bytes = self.row_padding_bytes.get(text.rpartition(" ")[2])
+        if padding_bytes:
+            rows = tuple(f"{row} {'x' * padding_bytes}" for row in answer.rows)
+            answer = dataclasses.replace(answer, rows=rows)
+        return _encode(answer, server)
 
 
 def _position(server: database_group.FakeServer) -> str:
--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -69,13 +69,17 @@
         self.store.put(f"{fleet_records.ERAS}{self.store.era}", b"")
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
 
-    async def start_instance(self, name: str) -> "Instance":
-        """Start an instance and wait until it is ready.
+    async def start_instance(self, name: str, limits: dict[str, int] | None = None) -> "Instance":
+        """Start an instance, with ``limits`` in its settings, and wait until it is ready.
 
         Raises ``TimeoutError`` if that takes longer than ``START_TIMEOUT_S``.
         """
         instance = Instance(
-            name=name, callers=fleet.free_ports(1)[0], health=fleet.free_ports(1)[0]
+            name=name,
+            callers=fleet.free_ports(1)[0],
+            health=fleet.free_ports(1)[0],
+            metrics=fleet.free_ports(1)[0],
+            peers=fleet.free_ports(1)[0],
         )
         settings = self.directory / f"{name}.yaml"
         settings.write_text(f"""
@@ -84,11 +88,12 @@
 regions: {{"a": "north", "b": "north", "c": "south"}}
 callers: 127.0.0.1:{instance.callers}
 health: 127.0.0.1:{instance.health}
-metrics: ""
-peers: 127.0.0.1:{fleet.free_ports(1)[0]}
+metrics: 127.0.0.1:{instance.metrics}
+peers: 127.0.0.1:{instance.peers}
 store: 127.0.0.1:{self.store_port}
 promotions: 127.0.0.1:{self.store_port}
 stop_grace_s: 3
+limits: {json.dumps(limits)}
 """)
         instance.log = self.directory / f"{name}-{len(self.processes)}.log"
         with instance.log.open("wb") as log:
@@ -115,12 +120,14 @@
 
 
 class Instance:
-    """A running instance, accessed through its callers' port and its health port."""
+    """A running instance, accessed through its ports."""
 
-    def __init__(self, *, name: str, callers: int, health: int) -> None:
+    def __init__(self, *, name: str, callers: int, health: int, metrics: int, peers: int) -> None:
         self.name = name
         self.callers = callers
         self.health = health
+        self.metrics = metrics
+        self.peers = peers
         self.process: asyncio.subprocess.Process | None = None
         self.log: pathlib.Path | None = None
         """File that receives its standard output."""
