--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = "MUSTARDSWITCH_BOOT"
 """Environment variable that holds the path of the settings file."""
 
+MAX_COUNT = 10**9
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Address:
@@ -26,6 +28,16 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """What the process may use; the defaults are above what usual callers need."""
+
+    memory_mb: int = 512
+    """Resident memory, in units of 1,000,000 bytes."""
+    max_fds: int = 4096
+    """Open descriptors."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Settings:
     """All settings of an instance."""
@@ -48,6 +60,7 @@
     """Seconds between the request to stop and the forced end of the process."""
     features: feature_set.Features = feature_set.NO_FEATURES
     """Features that the deployment asks for."""
+    limits: Limits = dataclasses.field(default_factory=Limits)
 
 
 def settings_path() -> pathlib.Path:
@@ -94,6 +107,17 @@
         promotions=reader.address("promotions"),
         stop_grace_s=reader.seconds("stop_grace_s"),
         features=_read_features(reader) if fields.get("contracts") else feature_set.NO_FEATURES,
+        limits=_read_limits(reader) if fields.get("limits") else Limits(),
+    )
+
+
+def _read_limits(reader: "_Reader") -> Limits:
+    """Return the limits; one that is omitted has its default."""
+    given = _Reader(fields=reader.value("limits", dict), source=f"{reader.source}: limits")
+    defaults = Limits()
+    return Limits(
+        memory_mb=given.count("memory_mb", defaults.memory_mb),
+        max_fds=given.count("max_fds", defaults.max_fds),
     )
 
 
@@ -141,6 +165,14 @@
             )
         return Address(host=host, port=int(port))
 
+    def count(self, name: str, default: int) -> int:
+        value = default if self.fields.get(name) is None else self.value(name, int | float)
+        if not 1 <= value < MAX_COUNT:
+            raise errors.SettingsError(
+                f"{self.source}: field {name} is {value!r}; give a number from 1"
+            )
+        return int(value)
+
     def seconds(self, name: str) -> float:
         value = self.value(name, int | float)
         if value <= 0:
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -224,6 +224,7 @@
 promotions: 10.0.0.3:8783
 stop_grace_s: 6
 contracts: [base, pressure]
+limits: {"memory_mb": 200, "max_fds": 4300, "cpu_share": 0.5}
 """
 
 
@@ -232,6 +233,16 @@
     assert read.callers == settings.Address(host="10.0.0.1", port=8784)
     assert read.metrics is None
     assert read.stop_grace_s == 6.0
+    assert read.limits == settings.Limits(memory_mb=200, max_fds=4300)
+
+
+def test_settings_without_limits_have_the_defaults():
+    without = "".join(
+        line for line in SETTINGS.splitlines(keepends=True) if not line.startswith("limits")
+    )
+    assert settings.parse_settings(without, source="s.yaml").limits == settings.Limits()
+    partly = settings.parse_settings(f'{without}limits: {{"max_fds": 99}}', source="s.yaml")
+    assert partly.limits == settings.Limits(max_fds=99)
 
 
 @pytest.mark.parametrize(
@@ -241,6 +252,9 @@
         ("10.0.0.2:8783", "10.0.0.2", "field store"),
         ("stop_grace_s: 6", "stop_grace_s: -1", "seconds above 0"),
         ("zone: puget-a", "zones: x", "field zone"),
+        ('"memory_mb": 200', '"memory_mb": "much"', "field memory_mb"),
+        ('"max_fds": 4300', '"max_fds": 0', "give a number from 1"),
+        ('{"memory_mb": 200,', "[200]  # {", "field limits"),
         ("instance: one", "instance: [", "not valid YAML"),
     ],
 )
