Peers' port: bound the number, bytes and time of connections

Frames of clients that are no instances took 318 MB. Large frames are counted while they are received and served; connections without a first frame are ended after 10 s, and replaced when there are many.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -155,6 +155,11 @@
     LINE_REJECTED = EventKind(614, logbook.INFO, "line rejected")
     """A caller's line cannot be parsed; its connection is closed."""
 
+    CALLER_ENDED = EventKind(616, logbook.INFO, "connection ended at a limit")
+    """A caller's connection exceeded a limit; the reason names it."""
+    PEER_ENDED = EventKind(317, logbook.INFO, "peer connection ended at a limit")
+    """A connection to the peers' port exceeded a limit; the reason names it."""
+
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
 
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -188,7 +188,12 @@
 
 async def read_frame(reader: asyncio.StreamReader) -> bytes:
     """Read the body of a frame; raises InvalidFrameError, EOFError or OSError."""
-    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    return await reader.readexactly(decode_length(await reader.readexactly(LENGTH_BYTES)))
+
+
+def decode_length(head: bytes) -> int:
+    """Return the length of a frame's body; raises InvalidFrameError for one that is too large."""
+    length = int.from_bytes(head, "big")
     if length > MAX_FRAME_BYTES:
         raise errors.InvalidFrameError(f"{length} bytes are more than {MAX_FRAME_BYTES}")
-    return await reader.readexactly(length)
+    return length
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -3,9 +3,16 @@
 import asyncio
 import contextlib
 
-from mustardswitch import events, metrics
+from mustardswitch import events, listening, metrics
 from mustardswitch.internal import clock
-from mustardswitch.peers import datagrams, errors, record_codec, record_relay, relay_codec
+from mustardswitch.peers import (
+    datagrams,
+    errors,
+    frame_limits,
+    record_codec,
+    record_relay,
+    relay_codec,
+)
 from mustardswitch.proxy import (
     local_run,
     requests,
@@ -29,10 +36,12 @@
         directory: session.Directory,
         registry: metrics.Registry,
         feed: record_relay.RecordFeed | None = None,
+        limits: frame_limits.FrameLimits | None = None,
     ) -> None:
         self.directory = directory
         self.registry = registry
         self.feed = feed or record_relay.RecordFeed()
+        self.limits = limits or frame_limits.FrameLimits(registry=registry)
         self.server: asyncio.Server | None = None
         self.running = 0
         self.draining = False
@@ -43,7 +52,11 @@
 
     async def start(self, address: datagrams.PeerAddress) -> None:
         """Accept connections of other instances at an address; raises OSError."""
-        self.server = await asyncio.start_server(self._serve, address.host, address.port)
+        listener = listening.bind(address.host, address.port)
+        self.server = await asyncio.start_server(
+            self._serve, sock=listener, backlog=listening.ACCEPTED_AT_ONCE
+        )
+        listener.listen(listening.BACKLOG)
 
     def drain(self) -> None:
         """Reject new work from now on; open transactions continue."""
@@ -65,15 +78,17 @@
             self.server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = self.limits.accept(reader, writer)
+        if connection is None:
+            return
         gateway_session = _GatewaySession(directory=self.directory)
         self.sessions.add(gateway_session)
         try:
             while True:
-                body = await relay_codec.read_frame(reader)
+                body = await connection.read_frame()
                 if record_codec.is_request(body):
                     request = record_codec.decode_request(body, default_era=self.feed.era)
-                    writer.write(await self.feed.answer(request))
-                    await writer.drain()
+                    await connection.send(await self.feed.answer(request))
                     continue
                 forwarded = relay_codec.decode_forwarded(body)
                 self.running += 1
@@ -82,8 +97,7 @@
                 finally:
                     self.running -= 1
                 self.registry.count("statements_run_for_others")
-                writer.write(relay_codec.encode_answer(answer))
-                await writer.drain()
+                await connection.send(relay_codec.encode_answer(answer))
         except (OSError, EOFError):
             self.registry.count("relay_connections_ended")
         except asyncio.CancelledError:
@@ -92,6 +106,7 @@
         except errors.InvalidFrameError as error:
             events.log(events.Event.FRAME_REJECTED, reason=str(error))
         finally:
+            self.limits.drop(connection)
             self.sessions.discard(gateway_session)
             gateway_session.close()
             with contextlib.suppress(OSError):
@@ -109,6 +124,7 @@
             return await gateway_session.run(forwarded)
         finally:
             gateway_session.busy = False
+            gateway_session.state.values = {}
             if gateway_session.aborting:
                 gateway_session.abort_transaction()
 
