--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -8,6 +8,9 @@
 from mustardswitch.platform import errors, lines
 from mustardswitch.proxy import ports, requests, routes
 
+STATE_BYTES = 256 * 1024
+"""Values and shapes that stay on an unused connection; usual sessions have a few hundred bytes.
+More is dropped by a reset, so that it does not outlive its session."""
 CONNECT_TIMEOUT_S = 0.5
 """Covers a server's work on a new connection (12 to 27 ms) and several inter-region round trips."""
 
@@ -31,6 +34,10 @@
         self.values: dict[str, str] = {}
         self.shape_names = lines.ShapeNames()
         self.sent_at_s: collections.deque[float] = collections.deque()
+        self.state_bytes = 0
+        """Size of the texts of values and shapes that were sent since the last reset."""
+        self.unread_resets = 0
+        """Resets whose answers were not read yet, and that nobody waits for."""
 
     def __repr__(self) -> str:
         return f"BackendLink(name={self.name!r}, reader={self.reader!r}, writer={self.writer!r})"
@@ -63,8 +70,25 @@
         self._send(lines.encode_command(command, request, self.shape_names))
         if isinstance(command, requests.SetValue):
             self.values[command.name] = command.value
+            self.state_bytes += len(command.value)
+        elif isinstance(command, ports.PrepareShape):
+            self.state_bytes += len(command.shape.text)
         elif isinstance(command, ports.ResetSession):
             self.values.clear()
+            self.state_bytes = 0
+
+    def shed(self) -> None:
+        """Drop values and shapes above ``STATE_BYTES``; called when nobody uses the connection.
+
+        The answer to the reset is read before that of the next command, and is no sign of a server
+        that does not answer.
+        """
+        if self.state_bytes <= STATE_BYTES or self.broken:
+            return
+        self.writer.write(lines.encode_command(ports.ResetSession(), None, self.shape_names))
+        self.unread_resets += 1
+        self.values.clear()
+        self.state_bytes = 0
 
     def _send(self, data: bytes) -> None:
         if self.broken:
@@ -101,6 +125,14 @@
         return answer
 
     async def _read_answer(self) -> requests.Answer:
+        while self.unread_resets:
+            answer = await self._read_next_answer()
+            self.unread_resets -= 1
+            if not answer.succeeded:
+                raise errors.InvalidLineError(f"a reset was rejected: {answer.detail}")
+        return await self._read_next_answer()
+
+    async def _read_next_answer(self) -> requests.Answer:
         decoder = lines.AnswerDecoder()
         while True:
             line = await self.reader.readuntil(lines.END)
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -5,9 +5,11 @@
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import ids
-from mustardswitch.peers import datagrams, relay_client, relay_server
+from mustardswitch.internal.admission import memory
+from mustardswitch.peers import datagrams, frame_limits, relay_client, relay_server
 from mustardswitch.platform import (
     backends,
+    caller_limits,
     callers,
     errors,
     follower,
@@ -59,7 +61,14 @@
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
-            directory=self.directory, registry=self.registry, feed=self.records.feed
+            directory=self.directory,
+            registry=self.registry,
+            feed=self.records.feed,
+            limits=frame_limits.FrameLimits(
+                registry=self.registry,
+                limit_bytes=memory.divide(config.limits.memory_mb * memory.MB).peers,
+                max_fds=config.limits.max_fds,
+            ),
         )
         self.follower = follower.Follower(
             client=self.client, directory=self.directory, record_relays=self.records
@@ -84,7 +93,9 @@
             promoter=self.promotions,
             peers=self.peers,
         )
-        self.callers = callers.CallerServer(opener=self._open_session, registry=self.registry)
+        self.callers = callers.CallerServer(
+            opener=self._open_session, registry=self.registry, limits=self._build_limits()
+        )
         self.health = health.build_server(is_ready=self._is_ready, registry=self.registry)
         self.stopping = asyncio.Event()
         self.accepting = False
@@ -98,6 +109,13 @@
     ) -> session.Session | requests.Answer:
         return session.open_session(self.directory, database, key)
 
+    def _build_limits(self) -> caller_limits.CallerLimits:
+        return caller_limits.CallerLimits(
+            shares=memory.divide(self.config.limits.memory_mb * memory.MB),
+            max_fds=self.config.limits.max_fds,
+            registry=self.registry,
+        )
+
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
 
@@ -114,6 +132,7 @@
             ("follower", self.follower.run),
             ("registration", self.coordination.run),
             ("failover watch", self.watch.run),
+            ("peer limits", self.relay_server.limits.run),
         ):
             self.tasks.append(asyncio.create_task(tasks.keep_running(name, work)))
         await self._start_accepting()
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -132,8 +132,8 @@
         if self.transaction is not None and self.serving is None:
             self.transaction.fail()
 
-    def give_up(self) -> requests.Answer:
-        """Return the answer to a statement that was cancelled, since the instance ends now.
+    def give_up(self, why: str) -> requests.Answer:
+        """Return the answer to a statement that was cancelled, since the connection ends now.
 
         Closing the connection to the server rolls back; only a write or commit that was passed on
         may have taken effect.
@@ -148,7 +148,14 @@
         state = self.transaction_state
         if state is requests.TransactionState.OPEN:
             state = requests.TransactionState.FAILED
-        return requests.refuse(refusal, "the instance stops", state=state)
+        return requests.refuse(refusal, why, state=state)
+
+    def reject(self, refusal: requests.Refusal, why: str) -> requests.Answer:
+        """Return the refusal of a statement that is not run; an open transaction fails."""
+        answer = self._refuse(refusal, why)
+        self.failure_reported = answer.state is requests.TransactionState.FAILED
+        self.directory.registry.count("statements", refusal.value)
+        return answer
 
     def _only_reads(self, statement: requests.Statement) -> bool:
         if isinstance(statement, requests.Execute):
@@ -261,21 +268,23 @@
     async def _(
         self, statement: requests.SetValue, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
-        self.state.values[statement.name] = statement.value
+        if not self.state.set_value(statement.name, statement.value):
+            return self._refuse_state()
         return requests.Answer(state=self.transaction_state)
 
     @_run.register
     async def _(
         self, statement: requests.Prepare, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
-        self.state.prepared[statement.name] = statement.shape
+        if not self.state.prepare(statement.name, statement.shape):
+            return self._refuse_state()
         return requests.Answer(state=self.transaction_state)
 
     @_run.register
     async def _(
         self, statement: requests.Deallocate, request: ids.RequestId, first_byte_s: float
     ) -> requests.Answer:
-        if self.state.prepared.pop(statement.name, None) is None:
+        if not self.state.deallocate(statement.name):
             return self._refuse_unknown(statement.name)
         return requests.Answer(state=self.transaction_state)
 
@@ -364,6 +373,12 @@
             self.transaction.fail()
         return requests.refuse(refusal, why, state=self.transaction_state)
 
+    def _refuse_state(self) -> requests.Answer:
+        return self._refuse(
+            requests.Refusal.TOO_LARGE,
+            f"the session's values and statements take more than {self.state.limit_bytes} bytes",
+        )
+
     def _refuse_unknown(self, name: ids.StatementName) -> requests.Answer:
         return self._refuse(
             requests.Refusal.UNKNOWN_STATEMENT, f"no prepared statement has the name {name}"
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import sys
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors as backend_errors
@@ -21,6 +22,15 @@
     acknowledged_s: float
 
 
+ENTRY_BYTES = 200
+"""What an entry takes in the dictionaries of its session and of the connection that serves it, with
+the objects around its texts."""
+
+
+def _entry_bytes(name: str, text: str) -> int:
+    return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(text)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class SessionState:
     """Values, prepared statements and latest commits of a session."""
@@ -28,6 +38,40 @@
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[ids.StatementName, requests.Shape] = dataclasses.field(default_factory=dict)
     commits: dict[ids.ServiceName, SessionCommit] = dataclasses.field(default_factory=dict)
+    held_bytes: int = 0
+    """Memory that the values and prepared statements take."""
+    limit_bytes: int | None = None
+    """Largest ``held_bytes``; None for any."""
+
+    def set_value(self, name: str, value: str) -> bool:
+        """Set a value; return False, and change nothing, when that takes too much memory."""
+        if not self._replace(name, self.values.get(name), value):
+            return False
+        self.values[name] = value
+        return True
+
+    def prepare(self, name: ids.StatementName, shape: requests.Shape) -> bool:
+        """Define a statement; return False, and change nothing, when it takes too much memory."""
+        defined = self.prepared.get(name)
+        if not self._replace(name, None if defined is None else defined.text, shape.text):
+            return False
+        self.prepared[name] = shape
+        return True
+
+    def deallocate(self, name: ids.StatementName) -> bool:
+        """Remove a statement; return whether it was defined."""
+        removed = self.prepared.pop(name, None)
+        if removed is not None:
+            self.held_bytes -= _entry_bytes(name, removed.text)
+        return removed is not None
+
+    def _replace(self, name: str, before: str | None, text: str) -> bool:
+        change = _entry_bytes(name, text) - (0 if before is None else _entry_bytes(name, before))
+        held_bytes = self.held_bytes + change
+        if change > 0 and self.limit_bytes is not None and held_bytes > self.limit_bytes:
+            return False
+        self.held_bytes = held_bytes
+        return True
 
     def note_commit(
         self, committed_at: ids.ServiceName, position: positions.Position | None
