--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -66,6 +66,10 @@
     holds: bool
 
 
+def _leave(connection: object) -> None:
+    """Leave an unused connection as it is."""
+
+
 class ConnectionPool(typing.Generic[Held]):
     """Holds up to ``size`` connections to a backend server.
 
@@ -95,6 +99,8 @@
         """Connections taken by transactions, that is by requests with ``holds``."""
         self.average_transactions = 0.0
         """Moving average of ``held_by_transactions``."""
+        self.on_unused: collections.abc.Callable[[Held], None] = _leave
+        """Called with a connection that returns to the pool, before it may be handed out again."""
         self.returned_at_s: dict[int, float] = {}
         """When each idle connection was last returned (``time.monotonic``), by its ``id``."""
         self.busy = 0
@@ -308,6 +314,7 @@
             connection.close()
             self._open_missing(max(1, self.busy + self.waiting))
         else:
+            self.on_unused(connection)
             self.returned_at_s[id(connection)] = time.monotonic()
             self.idle.append(connection)
         self._serve_queue()
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -96,6 +96,9 @@
         connection cannot be used after that.
         """
 
+    def shed(self) -> None:
+        """Drop large values and shapes of the last session; called when nobody uses it."""
+
     async def status(self, timeout_s: float) -> promotion.ServerStatus:
         """Query the server's role, term and log; raises ``BackendError``."""
 
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -86,6 +86,7 @@
                 size=connections,
                 reopen_limit_s=REOPEN_LIMIT_S,
             )
+        self.pool.on_unused = lambda link: link.shed()
 
     def __repr__(self) -> str:
         return (
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -219,6 +219,9 @@
         """Mark the connection as broken."""
         self.broken = True
 
+    def shed(self) -> None:
+        """Keep all values and shapes; they are small here."""
+
     def send(self, command: ports.Command, request: ids.RequestId | None = None) -> None:
         """Queue a command.
 
