--- a/src/mustardswitch/internal/admission/memory.py
+++ b/src/mustardswitch/internal/admission/memory.py
@@ -29,11 +29,9 @@
 """Amounts up to this are not counted, so that small statements cost no bookkeeping."""
 ORDINARY_BYTES = 64 * 1024
 """A connection that holds no more than this is closed only when no other is left."""
-MIN_STATE_BYTES = 4_500_000
-"""Session state that is always allowed to one session: a value of 1 MiB with characters beyond
-the Basic Multilingual Plane takes 4 MiB as text."""
-STATE_SHARE = 1 / 16
-"""Share of what is held for callers that the state of one session may take."""
+SESSION_STATE_BYTES = 4_500_000
+"""Values and prepared shapes of one session: a value of 1 MiB with one character beyond the Basic
+Multilingual Plane takes 4 MiB as text. It is sent along with each forwarded statement."""
 LOW_WATER_SHARE = 0.9
 """Connections are closed until this share of the budget is held, so that not each new byte
 closes another one."""
@@ -54,8 +52,6 @@
 
     held: int
     """Held for all callers together."""
-    session_state: int
-    """Values and prepared shapes of one session."""
     served: int
     """For large statements of callers while they are served."""
     peers: int
@@ -68,7 +64,6 @@
     held, served = int(clients * HELD_SHARE), int(clients * SERVED_SHARE)
     return Shares(
         held=held,
-        session_state=max(MIN_STATE_BYTES, int(held * STATE_SHARE)),
         served=served,
         peers=clients - held - served,
     )
--- a/src/mustardswitch/peers/frame_limits.py
+++ b/src/mustardswitch/peers/frame_limits.py
@@ -14,7 +14,7 @@
 """Time in which an answer must be read."""
 CHUNK_BYTES = 64 * 1024
 """Frames up to this are not counted."""
-SERVED_FACTOR = 4
+SERVED_FACTOR = 3
 """Copies of a frame while its statement is served: the frame, its texts, and what is sent on."""
 SWEEP_INTERVAL_S = 1.0
 MAX_SWEEP_STEP_S = 2.0
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -13,8 +13,8 @@
 from mustardswitch.peers import errors
 from mustardswitch.proxy import ports, requests, routes
 
-MAX_FRAME_BYTES = 2 << 20
-"""Holds a caller's largest message and the fields that are sent along with it."""
+MAX_FRAME_BYTES = 8 << 20
+"""Holds a caller's largest message, even if JSON doubles it, and the values of a session."""
 LENGTH_BYTES = 4
 MALFORMED = (
     ValueError,
@@ -177,8 +177,12 @@
 
 
 def encode_fields(fields: dict[str, object]) -> bytes:
-    """Return a frame that holds fields as JSON."""
-    return encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+    """Return a frame that holds fields as JSON.
+
+    Text beyond ASCII stays UTF-8, since escapes would take three times as much.
+    """
+    text = json.dumps(fields, separators=(",", ":"), ensure_ascii=False)
+    return encode_frame(text.encode("utf-8", "surrogatepass"))
 
 
 def encode_frame(body: bytes) -> bytes:
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -149,7 +149,7 @@
             )
             self._write_error(opened.refusal, opened.detail)
             return False
-        opened.state.limit_bytes = self.limits.shares.session_state
+        opened.state.limit_bytes = memory.SESSION_STATE_BYTES
         self.session = opened
         self.stream.write(lines.READY)
         return True
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -27,8 +27,9 @@
 the objects around its texts."""
 
 
-def _entry_bytes(name: str, text: str) -> int:
-    return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(text)
+def _text_bytes(name: str, text: str | None) -> int:
+    """Return the memory of an entry's text; less what a new entry takes besides it, if None."""
+    return sys.getsizeof(text) if text is not None else -(ENTRY_BYTES + sys.getsizeof(name))
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -45,15 +46,18 @@
 
     def set_value(self, name: str, value: str) -> bool:
         """Set a value; return False, and change nothing, when that takes too much memory."""
-        if not self._replace(name, self.values.get(name), value):
+        before = self.values.get(name)
+        change = sys.getsizeof(value) - _text_bytes(name, before)
+        if change and not self._may_hold(change):
             return False
         self.values[name] = value
         return True
 
     def prepare(self, name: ids.StatementName, shape: requests.Shape) -> bool:
         """Define a statement; return False, and change nothing, when it takes too much memory."""
-        defined = self.prepared.get(name)
-        if not self._replace(name, None if defined is None else defined.text, shape.text):
+        before = self.prepared.get(name)
+        change = sys.getsizeof(shape.text) - _text_bytes(name, before and before.text)
+        if change and not self._may_hold(change):
             return False
         self.prepared[name] = shape
         return True
@@ -62,11 +66,10 @@
         """Remove a statement; return whether it was defined."""
         removed = self.prepared.pop(name, None)
         if removed is not None:
-            self.held_bytes -= _entry_bytes(name, removed.text)
+            self.held_bytes += _text_bytes(name, None) - sys.getsizeof(removed.text)
         return removed is not None
 
-    def _replace(self, name: str, before: str | None, text: str) -> bool:
-        change = _entry_bytes(name, text) - (0 if before is None else _entry_bytes(name, before))
+    def _may_hold(self, change: int) -> bool:
         held_bytes = self.held_bytes + change
         if change > 0 and self.limit_bytes is not None and held_bytes > self.limit_bytes:
             return False
