--- a/src/mustardswitch/internal/admission/memory.py
+++ b/src/mustardswitch/internal/admission/memory.py
@@ -25,6 +25,9 @@
 connections of other instances."""
 CONNECTION_BYTES = 12 * 1024
 """Counted for each connection: 5 KB of objects, and small amounts that are not counted."""
+CONNECTIONS_SHARE = 0.75
+"""Largest share of what is held for callers that connections may take by their number alone, so
+that idle sessions are never closed for new ones."""
 UNCOUNTED_BYTES = 4096
 """Amounts up to this are not counted, so that small statements cost no bookkeeping."""
 ORDINARY_BYTES = 64 * 1024
@@ -69,6 +72,11 @@
     )
 
 
+def connections_allowed(limit_bytes: int) -> int:
+    """Return how many connections a budget has room for by their number alone."""
+    return int(limit_bytes * CONNECTIONS_SHARE) // CONNECTION_BYTES
+
+
 class Standing(enum.IntEnum):
     """Order in which connections are closed; among equals, the one that holds most goes first."""
 
--- a/src/mustardswitch/peers/frame_limits.py
+++ b/src/mustardswitch/peers/frame_limits.py
@@ -19,7 +19,7 @@
 SWEEP_INTERVAL_S = 1.0
 MAX_SWEEP_STEP_S = 2.0
 """Longest time that one sweep counts, for a process that was stopped."""
-DEFAULT_MAX_FDS = 4096
+DEFAULT_MAX_FDS = 16384
 DEFAULT_MEMORY_MB = 512
 
 
@@ -117,7 +117,7 @@
         connection = FrameConnection(reader=reader, writer=writer, limits=self)
         if len(self.connections) >= self.max_connections:
             silent = next((each for each in self.connections if not each.frames), None)
-            self.end(silent or connection, "descriptors")
+            self.end(silent or connection, "too_many")
             if silent is None:
                 return None
         self.connections[connection] = None
--- a/src/mustardswitch/platform/caller_limits.py
+++ b/src/mustardswitch/platform/caller_limits.py
@@ -32,7 +32,7 @@
     MESSAGE = "message_late"
     UNREAD = "answer_unread"
     MEMORY = "memory"
-    DESCRIPTORS = "descriptors"
+    TOO_MANY = "too_many"
 
 
 class Connection(typing.Protocol):
@@ -84,12 +84,12 @@
         It takes the place of the oldest one without a first line, if there is no other room.
         """
         allowed = descriptors.callers_allowed(max_fds=self.max_fds, others=self.others)
-        if len(self.held.held) >= allowed:
+        if len(self.held.held) >= min(allowed, memory.connections_allowed(self.held.limit_bytes)):
             silent = next((each for each in self.held.held if not each.started), None)
             if silent is None:
-                self._note_ended(connection, Reason.DESCRIPTORS)
+                self._note_ended(connection, Reason.TOO_MANY)
                 return False
-            self.end(silent, Reason.DESCRIPTORS)
+            self.end(silent, Reason.TOO_MANY)
         self.held.hold(connection, connection.held_bytes)
         self.note(connection)
         return True
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -1,6 +1,7 @@
 """Builds and runs an instance on the platform, and shuts it down on SIGTERM."""
 
 import asyncio
+import resource
 import signal
 
 from mustardswitch import events, metrics, tasks
@@ -40,6 +41,11 @@
 """Interval of the check whether all forwarded statements have ended."""
 
 
+def _allowed_descriptors(limits: settings.Limits) -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limits.max_fds if soft == resource.RLIM_INFINITY else min(limits.max_fds, soft)
+
+
 class Instance:
     """All components and tasks of one process."""
 
@@ -67,7 +73,7 @@
             limits=frame_limits.FrameLimits(
                 registry=self.registry,
                 limit_bytes=memory.divide(config.limits.memory_mb * memory.MB).peers,
-                max_fds=config.limits.max_fds,
+                max_fds=_allowed_descriptors(config.limits),
             ),
         )
         self.follower = follower.Follower(
@@ -112,7 +118,7 @@
     def _build_limits(self) -> caller_limits.CallerLimits:
         return caller_limits.CallerLimits(
             shares=memory.divide(self.config.limits.memory_mb * memory.MB),
-            max_fds=self.config.limits.max_fds,
+            max_fds=_allowed_descriptors(self.config.limits),
             registry=self.registry,
         )
 
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -30,12 +30,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Limits:
-    """What the process may use; the defaults are above what usual callers need."""
+    """What the process may use; the defaults have room for 6,400 callers of an instance."""
 
     memory_mb: int = 512
     """Resident memory, in units of 1,000,000 bytes."""
-    max_fds: int = 4096
-    """Open descriptors."""
+    max_fds: int = 16384
+    """Open descriptors; less if the system allows less."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/mustardswitch/programs/platform_instance.py
+++ b/src/mustardswitch/programs/platform_instance.py
@@ -3,7 +3,7 @@
 import asyncio
 import sys
 
-from mustardswitch import events
+from mustardswitch import allocator, events
 from mustardswitch.platform import errors, instance, settings
 
 EXIT_BAD_SETTINGS = 2
@@ -17,6 +17,7 @@
         except errors.SettingsError as error:
             events.log(events.Event.SETTINGS_REJECTED, reason=str(error))
             return EXIT_BAD_SETTINGS
+        allocator.return_large_blocks()
         asyncio.run(instance.Instance(config=config).run())
     return 0
 
--- a/tests/decisions/test_client_memory.py
+++ b/tests/decisions/test_client_memory.py
@@ -56,6 +56,7 @@
 def test_the_smallest_instance_holds_2000_sessions_and_a_large_message_of_some():
     shares = memory.divide(200 * memory.MB)
     assert shares.held > 2000 * memory.CONNECTION_BYTES + 8 * (1 << 20)
+    assert memory.connections_allowed(shares.held) > 2000
     assert descriptors.callers_allowed(max_fds=4300, others=1000) > 2000
 
 
