Free what an ended connection holds at once, not at the next garbage collection

Exceptions that a stream or task keeps refer by their traceback to the connection and its session. Trial with memory_mb 200: 400 sessions that each keep 6 MiB of shapes 175 MB before, 105 MB now; of values 180 and 106 MB.

--- a/src/mustardswitch/peers/frame_limits.py
+++ b/src/mustardswitch/peers/frame_limits.py
@@ -57,14 +57,18 @@
 
     async def _read_large(self, length: int) -> bytes:
         body = bytearray()
-        while len(body) < length:
-            chunk = await self.reader.read(min(CHUNK_BYTES, length - len(body)))
-            if not chunk:
-                raise EOFError("the connection ended within a frame")
-            body += chunk
-            self.limits.hold(self, len(body))
-        self.limits.hold(self, SERVED_FACTOR * length)
-        return bytes(body)
+        try:
+            while len(body) < length:
+                chunk = await self.reader.read(min(CHUNK_BYTES, length - len(body)))
+                if not chunk:
+                    raise EOFError("the connection ended within a frame")
+                body += chunk
+                self.limits.hold(self, len(body))
+            self.limits.hold(self, SERVED_FACTOR * length)
+            return bytes(body)
+        finally:
+            # The reader keeps an exception, whose traceback refers to this frame.
+            body.clear()
 
     async def send(self, data: bytes) -> None:
         """Send an answer; raises OSError."""
--- a/src/mustardswitch/platform/caller_stream.py
+++ b/src/mustardswitch/platform/caller_stream.py
@@ -50,7 +50,9 @@
         self.paused = False
         self.ended = False
         """Whether the caller sends nothing more."""
-        self.error: Exception | None = None
+        self.failure: str | None = None
+        """Why nothing can be read or written any more. No exception is kept: its traceback would
+        refer to this object, and what it holds would stay until the next garbage collection."""
         self.line_waiter: asyncio.Future[None] | None = None
         self.write_waiter: asyncio.Future[None] | None = None
 
@@ -69,7 +71,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the bytes that were read."""
-        if self.error is not None:
+        if self.failure is not None:
             return
         self.received += self.read_buffer[:nbytes]
         size = len(self.received)
@@ -105,14 +107,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what waits for the connection."""
         self.ended = True
-        self.fail(exc)
+        self.fail("the connection is closed" if exc is None else str(exc))
         self.unread_bytes = 0
         self.on_lost(self)
 
-    def fail(self, error: Exception | None = None) -> None:
+    def fail(self, reason: str) -> None:
         """Drop what was received, and fail what waits for the connection."""
-        if self.error is None:
-            self.error = error or ConnectionResetError("the connection is closed")
+        if self.failure is None:
+            self.failure = reason
             self.received = bytearray()
             self.searched, self.line_end = 0, -1
         self._wake(self.line_waiter)
@@ -143,8 +145,7 @@
         while (end := self._find_line_end()) < 0:
             if len(self.received) > lines.MAX_LINE_BYTES + 1:
                 raise errors.LineTooLongError("the line is too long")
-            if self.error is not None:
-                raise self.error
+            self.check()
             if self.ended:
                 raise EOFError("the caller sends nothing more")
             if self.paused:
@@ -178,14 +179,18 @@
 
     async def flushed(self) -> None:
         """Wait until the system has taken all bytes; raises OSError on a closed connection."""
-        while self.unread_bytes and self.error is None:
+        while self.unread_bytes and self.failure is None:
             self.write_waiter = self.loop.create_future()
             try:
                 await self.write_waiter
             finally:
                 self.write_waiter = None
-        if self.error is not None:
-            raise self.error
+        self.check()
+
+    def check(self) -> None:
+        """Raise ConnectionResetError when the connection has failed."""
+        if self.failure is not None:
+            raise ConnectionResetError(self.failure)
 
     def close(self) -> None:
         """Close the connection once its answers are sent."""
@@ -193,5 +198,5 @@
 
     def abort(self) -> None:
         """Close the connection now."""
-        self.fail()
+        self.fail("the connection is closed")
         self.transport.abort()
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -97,7 +97,7 @@
             self._write_error(
                 requests.Refusal.OVERLOADED, f"the connection is ended: {reason.value}"
             )
-        self.stream.fail()
+        self.stream.fail(reason.value)
         self._close()
 
     def _write_error(self, refusal: requests.Refusal, detail: str) -> None:
@@ -125,7 +125,7 @@
         finally:
             if self.session is not None:
                 self.session.close()
-            self.stream.fail()
+            self.stream.fail("the session has ended")
             self._close()
 
     def _reject(self, refusal: requests.Refusal, detail: str) -> None:
@@ -180,8 +180,7 @@
         self.limits.note(self)
         try:
             admitted = await self.limits.admit(self, memory.statement_bytes(line))
-            if self.stream.error is not None:
-                raise self.stream.error
+            self.stream.check()
             if admitted:
                 self.line_bytes = 0
                 return await self._serve_line(line, first_byte_s)
@@ -283,7 +282,8 @@
         connection.task.add_done_callback(self._finish)
 
     def _finish(self, task: asyncio.Task[None]) -> None:
-        del self.connections[task]
+        # A cancelled task keeps its traceback, which refers to the connection.
+        self.connections.pop(task).task = None
         if not task.cancelled() and task.exception() is not None:
             events.log(events.Event.TASK_FAILED, task="caller", error=repr(task.exception()))
 
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -170,6 +170,7 @@
         if self.transaction is not None:
             self.transaction.fail()
             self.transaction = None
+        self.state.drop()
 
     def _check_key(self, statement: requests.Statement) -> requests.Answer | None:
         """Return the refusal of a statement whose key is no longer in force; None if it is.
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -44,6 +44,10 @@
     limit_bytes: int | None = None
     """Largest ``held_bytes``; None for any."""
 
+    def drop(self) -> None:
+        """Free the values and prepared statements of a session that has ended."""
+        self.values, self.prepared, self.held_bytes = {}, {}, 0
+
     def set_value(self, name: str, value: str) -> bool:
         """Set a value; return False, and change nothing, when that takes too much memory."""
         before = self.values.get(name)
