--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -172,6 +172,10 @@
     only probed."""
     WORK_RESTORED = EventKind(631, logbook.INFO, "work restored")
     """A server or gateway answers well again and receives its work as before."""
+    CALLER_ENDED = EventKind(616, logbook.INFO, "connection ended at a limit")
+    """A caller's connection exceeded a limit; the reason names it."""
+    PEER_ENDED = EventKind(317, logbook.INFO, "peer connection ended at a limit")
+    """A connection to the peers' port exceeded a limit; the reason names it."""
 
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -13,8 +13,8 @@
 from mustardswitch.peers import errors
 from mustardswitch.proxy import ports, requests, routes
 
-MAX_FRAME_BYTES = 2 << 20
-"""Holds a caller's largest message and the fields that are sent along with it."""
+MAX_FRAME_BYTES = 8 << 20
+"""Holds a caller's largest message, even if JSON doubles it, and the values of a session."""
 LENGTH_BYTES = 4
 MALFORMED = (
     ValueError,
@@ -179,8 +179,12 @@
 
 
 def encode_fields(fields: dict[str, object]) -> bytes:
-    """Return a frame that holds fields as JSON."""
-    return encode_frame(json.dumps(fields, separators=(",", ":")).encode())
+    """Return a frame that holds fields as JSON.
+
+    Text beyond ASCII stays UTF-8, since escapes would take three times as much.
+    """
+    text = json.dumps(fields, separators=(",", ":"), ensure_ascii=False)
+    return encode_frame(text.encode("utf-8", "surrogatepass"))
 
 
 def encode_frame(body: bytes) -> bytes:
@@ -190,7 +194,12 @@
 
 async def read_frame(reader: asyncio.StreamReader) -> bytes:
     """Read the body of a frame; raises InvalidFrameError, EOFError or OSError."""
-    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    return await reader.readexactly(decode_length(await reader.readexactly(LENGTH_BYTES)))
+
+
+def decode_length(head: bytes) -> int:
+    """Return the length of a frame's body; raises InvalidFrameError for one that is too large."""
+    length = int.from_bytes(head, "big")
     if length > MAX_FRAME_BYTES:
         raise errors.InvalidFrameError(f"{length} bytes are more than {MAX_FRAME_BYTES}")
-    return await reader.readexactly(length)
+    return length
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -1,14 +1,23 @@
 """Builds and runs an instance on the platform, and shuts it down on SIGTERM."""
 
 import asyncio
+import resource
 import signal
 
 from mustardswitch import events, metrics, tasks
 from mustardswitch.internal import ids
+from mustardswitch.internal.admission import memory
 from mustardswitch.internal.tenants import handover
-from mustardswitch.peers import datagrams, limit_loans, relay_client, relay_server
+from mustardswitch.peers import (
+    datagrams,
+    frame_limits,
+    limit_loans,
+    relay_client,
+    relay_server,
+)
 from mustardswitch.platform import (
     backends,
+    caller_limits,
     callers,
     errors,
     follower,
@@ -39,6 +48,11 @@
 """Interval of the check whether all forwarded statements have ended."""
 
 
+def _allowed_descriptors(limits: settings.Limits) -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limits.max_fds if soft == resource.RLIM_INFINITY else min(limits.max_fds, soft)
+
+
 class Instance:
     """All components and tasks of one process."""
 
@@ -60,7 +74,14 @@
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
-            directory=self.directory, registry=self.registry, feed=self.records.feed
+            directory=self.directory,
+            registry=self.registry,
+            feed=self.records.feed,
+            limits=frame_limits.FrameLimits(
+                registry=self.registry,
+                limit_bytes=memory.divide(config.limits.memory_mb * memory.MB).peers,
+                max_fds=_allowed_descriptors(config.limits),
+            ),
         )
         self.follower = follower.Follower(
             client=self.client, directory=self.directory, record_relays=self.records
@@ -87,7 +108,9 @@
             promoter=self.promotions,
             peers=self.peers,
         )
-        self.callers = callers.CallerServer(opener=self._open_session, registry=self.registry)
+        self.callers = callers.CallerServer(
+            opener=self._open_session, registry=self.registry, limits=self._build_limits()
+        )
         self.health = health.build_server(is_ready=self._is_ready, registry=self.registry)
         self.stopping = asyncio.Event()
         self.accepting = False
@@ -107,6 +130,13 @@
             return float("-inf")
         return self.records.feed.confirmed_at_s + handover.LIST_MAX_AGE_S
 
+    def _build_limits(self) -> caller_limits.CallerLimits:
+        return caller_limits.CallerLimits(
+            shares=memory.divide(self.config.limits.memory_mb * memory.MB),
+            max_fds=_allowed_descriptors(self.config.limits),
+            registry=self.registry,
+        )
+
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
 
@@ -124,6 +154,7 @@
             ("registration", self.coordination.run),
             ("failover watch", self.watch.run),
             ("tenant limits", self.directory.limits.run),
+            ("peer limits", self.relay_server.limits.run),
         ):
             self.tasks.append(asyncio.create_task(tasks.keep_running(name, work)))
         await self._start_accepting()
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -101,6 +101,7 @@
             )
             if serves_tenants:
                 self.pool.max_openings = server_pace.MAX_OPENINGS
+        self.pool.on_unused = lambda link: link.shed()
 
     def __repr__(self) -> str:
         return (
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import sys
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors as backend_errors
@@ -22,6 +23,16 @@
     acknowledged_s: float
 
 
+ENTRY_BYTES = 200
+"""What an entry takes in the dictionaries of its session and of the connection that serves it, with
+the objects around its texts."""
+
+
+def _text_bytes(name: str, text: str | None) -> int:
+    """Return the memory of an entry's text; less what a new entry takes besides it, if None."""
+    return sys.getsizeof(text) if text is not None else -(ENTRY_BYTES + sys.getsizeof(name))
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class SessionState:
     """Values, prepared statements and latest commits of a session."""
@@ -29,6 +40,46 @@
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[ids.StatementName, requests.Shape] = dataclasses.field(default_factory=dict)
     commits: dict[ids.ServiceName, SessionCommit] = dataclasses.field(default_factory=dict)
+    held_bytes: int = 0
+    """Memory that the values and prepared statements take."""
+    limit_bytes: int | None = None
+    """Largest ``held_bytes``; None for any."""
+
+    def drop(self) -> None:
+        """Free the values and prepared statements of a session that has ended."""
+        self.values, self.prepared, self.held_bytes = {}, {}, 0
+
+    def set_value(self, name: str, value: str) -> bool:
+        """Set a value; return False, and change nothing, when that takes too much memory."""
+        before = self.values.get(name)
+        change = sys.getsizeof(value) - _text_bytes(name, before)
+        if change and not self._may_hold(change):
+            return False
+        self.values[name] = value
+        return True
+
+    def prepare(self, name: ids.StatementName, shape: requests.Shape) -> bool:
+        """Define a statement; return False, and change nothing, when it takes too much memory."""
+        before = self.prepared.get(name)
+        change = sys.getsizeof(shape.text) - _text_bytes(name, before and before.text)
+        if change and not self._may_hold(change):
+            return False
+        self.prepared[name] = shape
+        return True
+
+    def deallocate(self, name: ids.StatementName) -> bool:
+        """Remove a statement; return whether it was defined."""
+        removed = self.prepared.pop(name, None)
+        if removed is not None:
+            self.held_bytes += _text_bytes(name, None) - sys.getsizeof(removed.text)
+        return removed is not None
+
+    def _may_hold(self, change: int) -> bool:
+        held_bytes = self.held_bytes + change
+        if change > 0 and self.limit_bytes is not None and held_bytes > self.limit_bytes:
+            return False
+        self.held_bytes = held_bytes
+        return True
 
     def note_commit(
         self, committed_at: ids.ServiceName, position: positions.Position | None
