Admission by target: one decision module behind the pool's queue

internal/admission/in_turn holds the present order, internal/admission/queueing the new one, which is not switched on by anything yet. connection_use tracks what the connections of a pool are used for.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -7,11 +7,12 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import time
 import typing
 
 from mustardswitch.backends import errors
-from mustardswitch.internal.admission import limits
+from mustardswitch.internal.admission import connection_use, in_turn, limits, queueing
 
 REOPEN_DELAY_S = 0.05
 """Base of the pause before a connection is opened again, which doubles with each failure in a row,
@@ -22,10 +23,6 @@
 """Longest pause after a failure before a waiting statement may cause another attempt."""
 QUEUE_PER_CONNECTION = 64
 """Statements that may wait in each of the two queues, per connection of the pool's size."""
-INITIAL_SERVICE_S = 0.001
-"""Time for which a statement is assumed to hold a connection until one was measured."""
-HOLDING_WEIGHT = 0.1
-"""Weight of a new measurement in the moving averages."""
 
 
 class Connection(typing.Protocol):
@@ -56,21 +53,22 @@
     """Whether to wait while the server is unreachable, until it is known to have lost its role."""
     holds: bool = False
     """Whether the connection is kept while its user pauses, as by a transaction."""
+    due_s: float = math.inf
+    """Time by which its operation has to be answered to meet the target of its route, on the
+    monotonic clock of this instance."""
     fitness: collections.abc.Callable[[typing.Any], int] | None = None
     """Rates the idle connections; the highest is chosen, and with None the last one used."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Taken:
-    at_s: float
-    holds: bool
+RefusalCallback = collections.abc.Callable[[in_turn.Reason, ConnectionRequest], None]
 
 
 class ConnectionPool(typing.Generic[Held]):
     """Holds up to ``size`` connections to a backend server.
 
     ``opener`` opens one connection, or raises a ``BackendError``. After failures in a row the pause
-    before the next attempt doubles up to ``reopen_limit_s``.
+    before the next attempt doubles up to ``reopen_limit_s``. With ``by_target`` work is admitted
+    and ordered by what its callers need; ``on_refusal`` is called for what is refused.
     """
 
     def __init__(
@@ -80,21 +78,17 @@
         opener: Opener[Held],
         size: int,
         reopen_limit_s: float = MAX_REOPEN_DELAY_S,
+        by_target: bool = False,
+        on_refusal: RefusalCallback = lambda reason, request: None,
     ) -> None:
         self.name = name
         self.opener = opener
         self.size = size
         self.reopen_limit_s = reopen_limit_s
         self.idle: collections.deque[Held] = collections.deque()
-        self.average_holding_s = {False: 0.0, True: 0.0}
-        """Moving averages of the time for which a connection is taken, by whether it is held across
-        its user's pauses."""
-        self.taken: dict[int, _Taken] = {}
-        """When and how each busy connection was handed out, by its ``id``."""
-        self.held_by_transactions = 0
-        """Connections taken by transactions, that is by requests with ``holds``."""
-        self.average_transactions = 0.0
-        """Moving average of ``held_by_transactions``."""
+        self.use = connection_use.ConnectionUse()
+        """What the connections are used for, by their ``id``; one that is opened for a waiting
+        statement is in use from then on."""
         self.returned_at_s: dict[int, float] = {}
         """When each idle connection was last returned (``time.monotonic``), by its ``id``."""
         self.busy = 0
@@ -102,10 +96,10 @@
         self.opening = 0
         """Number of connections that are being opened."""
         self.limit = limits.ConcurrencyLimit(maximum=size)
-        self.queue: limits.AdmissionQueue[asyncio.Future[Held]] = limits.AdmissionQueue(
-            max_length=size * QUEUE_PER_CONNECTION
-        )
-        self.transaction_queue: limits.AdmissionQueue[asyncio.Future[Held]] = limits.AdmissionQueue(
+        self.by_target = by_target
+        self.on_refusal = on_refusal
+        order = queueing.ByTarget if by_target else in_turn.InTurn
+        self.admission: in_turn.InTurn[asyncio.Future[Held]] = order(
             max_length=size * QUEUE_PER_CONNECTION
         )
         self.waiting_for_server: set[asyncio.Future[Held]] = set()
@@ -131,7 +125,7 @@
     @property
     def waiting(self) -> int:
         """Number of statements that wait for a connection."""
-        return self.queue.length + self.transaction_queue.length
+        return self.admission.length
 
     def warm(self) -> None:
         """Open up to two connections ahead of the first statement."""
@@ -187,9 +181,14 @@
         """
         if self.closed:
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
+        self._check_time_left(request)
         free = self.busy < self.limit.allowed and not self.waiting
-        if self.idle and free and (not request.holds or self._has_transaction_room()):
-            return self._hand_out(request)
+        if self.idle and free and self._has_room(request):
+            chosen = self.idle[-1]
+            if request.fitness is not None:
+                chosen = max(reversed(self.idle), key=request.fitness)
+            self._note_served_at_once(request)
+            return self._hand_out(chosen, holds=request.holds, priority=request.priority)
         self._open_missing(self.busy + self.waiting + 1)
         return await self._wait_in_queue(request)
 
@@ -204,37 +203,71 @@
             caller=request.caller,
             priority=request.priority,
             deadline_s=request.deadline_s,
-        )
-        service_s = (
-            self.average_holding_s[request.holds] or self.limit.average_s or INITIAL_SERVICE_S
+            holds=request.holds,
+            due_s=request.due_s,
         )
         now_s = time.monotonic()
-        queue = self.transaction_queue if request.holds else self.queue
-        transactions = (
-            0 if request.holds else max(self.held_by_transactions, round(self.average_transactions))
+        reason = self.admission.admit(
+            waiting,
+            use=self.use,
+            allowed=self.limit.allowed,
+            average_s=self.limit.average_s,
+            now_s=now_s,
         )
-        concurrency = max(1, self.limit.allowed - transactions)
-        if not queue.offer(waiting, now_s=now_s, service_s=service_s, concurrency=concurrency):
-            raise errors.PoolFullError(f"{queue.length} statements are waiting")
+        self._shed(now_s)
+        if reason is not None:
+            self.waiting_for_server.discard(future)
+            self.on_refusal(reason, request)
+            count = self.admission.queue(holds=request.holds).length
+            raise errors.PoolFullError(f"{count} statements are waiting")
         self._serve_queue()
         received: Held | None = None
         try:
             async with asyncio.timeout(request.deadline_s - now_s):
                 received = await future
             return received
+        except errors.PoolFullError:
+            self.on_refusal(in_turn.Reason.DISPLACED, request)
+            raise
         except TimeoutError as error:
+            self.on_refusal(in_turn.Reason.WAITED, request)
             raise errors.PoolFullError("no connection became free before the deadline") from error
         finally:
             self.waiting_for_server.discard(future)
             if received is None:
                 self._abandon(future)
 
+    def _check_time_left(self, request: ConnectionRequest) -> None:
+        if not self.admission.has_time(request.deadline_s, time.monotonic()):
+            self.on_refusal(in_turn.Reason.TIME_LIMIT, request)
+            raise errors.PoolFullError("too little time is left for an answer")
+
+    def _has_room(self, request: ConnectionRequest) -> bool:
+        return self.admission.has_room(
+            self.use,
+            priority=request.priority,
+            holds=request.holds,
+            allowed=self.limit.allowed,
+            now_s=time.monotonic(),
+        )
+
+    def _note_served_at_once(self, request: ConnectionRequest) -> None:
+        self.admission.note_served_at_once(
+            request.priority, holds=request.holds, now_s=time.monotonic()
+        )
+
+    def _shed(self, now_s: float) -> None:
+        """Refuse waiting statements that will certainly miss their time limits."""
+        for waiting in self.admission.shed(self.use, allowed=self.limit.allowed, now_s=now_s):
+            if not waiting.ticket.done():
+                waiting.ticket.set_exception(errors.PoolFullError("other statements go first"))
+
     def _abandon(self, future: asyncio.Future[Held]) -> None:
         """Remove a waiter that stopped waiting, and release a connection that it was given.
 
         A connection may be handed out at the moment at which the waiter's deadline passes.
         """
-        if self.queue.remove(future) or self.transaction_queue.remove(future):
+        if self.admission.remove(future):
             return
         if future.done() and not future.cancelled() and future.exception() is None:
             self.release(future.result(), clean=True)
@@ -245,65 +278,52 @@
         Those that wait while the server is unreachable (``ConnectionRequest.waits_for_server``) are
         failed only when ``include_waiting_for_server`` is true.
         """
-        for queue in (self.queue, self.transaction_queue):
-            kept = []
-            while (waiting := queue.take()) is not None:
-                if waiting.ticket in self.waiting_for_server and not include_waiting_for_server:
-                    kept.append(waiting)
-                elif not waiting.ticket.done():
-                    waiting.ticket.set_exception(errors.PoolUnreachableError(why))
-            for waiting in kept:
-                queue.restore(waiting)
-
-    def _has_transaction_room(self) -> bool:
-        """Return whether one more user may hold a connection across pauses."""
-        return self.held_by_transactions < limits.max_transaction_connections(self.limit.allowed)
-
-    def _hand_out(self, request: ConnectionRequest | None = None, *, holds: bool = False) -> Held:
-        holds = request.holds if request is not None else holds
-        chosen = self.idle[-1]
-        if request is not None and request.fitness is not None:
-            chosen = max(reversed(self.idle), key=request.fitness)
-        return self._hand_out_connection(chosen, holds=holds)
-
-    def _hand_out_connection(self, chosen: Held, *, holds: bool) -> Held:
+        for waiting in self.admission.take_all():
+            if waiting.ticket in self.waiting_for_server and not include_waiting_for_server:
+                self.admission.restore(waiting)
+            elif not waiting.ticket.done():
+                waiting.ticket.set_exception(errors.PoolUnreachableError(why))
+
+    def _hand_out(
+        self, chosen: Held, *, holds: bool, priority: int, since_s: float | None = None
+    ) -> Held:
+        """Hand out a connection; it counts as used from ``since_s``, by default from now on."""
+        now_s = time.monotonic()
         self.busy += 1
         self.idle.remove(chosen)
         self.returned_at_s.pop(id(chosen), None)
-        self.taken[id(chosen)] = _Taken(at_s=time.monotonic(), holds=holds)
-        self.held_by_transactions += holds
+        hold = connection_use.Hold(
+            at_s=now_s if since_s is None else since_s, holds=holds, priority=priority
+        )
+        self.use.begin(id(chosen), hold)
+        self.admission.note_use(self.use, now_s)
         return chosen
 
-    def _record_holding(self, connection: Held) -> None:
-        taken = self.taken.pop(id(connection), None)
-        if taken is None:
-            return
-        self.average_transactions += HOLDING_WEIGHT * (
-            self.held_by_transactions - self.average_transactions
+    def _take_waiting(
+        self, preferred: collections.abc.Container[str] = frozenset()
+    ) -> limits.Waiting[asyncio.Future[Held]] | None:
+        return self.admission.take(
+            self.use,
+            allowed=self.limit.allowed,
+            now_s=time.monotonic(),
+            preferred=preferred,
         )
-        self.held_by_transactions -= taken.holds
-        held_s = time.monotonic() - taken.at_s
-        average_s = self.average_holding_s[taken.holds] or held_s
-        self.average_holding_s[taken.holds] = average_s + HOLDING_WEIGHT * (held_s - average_s)
 
     def _serve_queue(self) -> None:
         while self.idle and self.busy < self.limit.allowed:
-            holds = limits.transaction_goes_first(
-                statement=self.queue.next_priority(),
-                transaction=(
-                    self.transaction_queue.next_priority() if self._has_transaction_room() else None
-                ),
-            )
-            waiting = (self.transaction_queue if holds else self.queue).take()
+            waiting = self._take_waiting()
             if waiting is None:
                 return
             if not waiting.ticket.done():
-                waiting.ticket.set_result(self._hand_out(holds=holds))
+                link = self._hand_out(self.idle[-1], holds=waiting.holds, priority=waiting.priority)
+                waiting.ticket.set_result(link)
 
     def release(self, connection: Held, *, clean: bool) -> None:
         """Return a connection to the pool; one that is not known to be clean is closed."""
         self.busy -= 1
-        self._record_holding(connection)
+        now_s = time.monotonic()
+        self.use.end(id(connection), now_s)
+        self.admission.note_use(self.use, now_s)
         if not clean or connection.broken or self.closed:
             connection.close()
             self._open_missing(max(1, self.busy + self.waiting))
@@ -324,7 +344,7 @@
         """Hold up to ``size`` connections from now on; surplus idle ones are closed."""
         self.size = size
         self.limit.resize(size)
-        self.queue.max_length = self.transaction_queue.max_length = size * QUEUE_PER_CONNECTION
+        self.admission.resize(size * QUEUE_PER_CONNECTION)
         while self.idle and self.held > size:
             self.idle.popleft().close()
         self._serve_queue()
--- a/src/mustardswitch/internal/admission/limits.py
+++ b/src/mustardswitch/internal/admission/limits.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 import typing
 
 LATENCY_WEIGHT = 0.1
@@ -99,6 +100,10 @@
     """Lower values are served first, for example a ``Priority``."""
     deadline_s: float
     """Time in seconds by which the statement has to be finished."""
+    holds: bool = False
+    """Whether it keeps its connection while its user pauses, as a transaction does."""
+    due_s: float = math.inf
+    """Time in seconds by which its operation has to be answered to meet the target of its route."""
 
 
 MIN_CONNECTIONS_TO_RESERVE = 3
@@ -134,9 +139,10 @@
     def __init__(self, *, max_length: int) -> None:
         self.max_length = max_length
         self.length = 0
-        self.queues: dict[int, collections.OrderedDict[str, collections.deque[Waiting[Ticket]]]] = (
-            {}
-        )
+        self.queues: dict[
+            typing.Any, collections.OrderedDict[str, collections.deque[Waiting[Ticket]]]
+        ] = {}
+        """Waiting statements by rank, which is their priority unless a subclass refines it."""
 
     def __repr__(self) -> str:
         return f"AdmissionQueue(max_length={self.max_length!r})"
@@ -163,20 +169,24 @@
         expected_s = (ahead + 1) * service_s / max(1, concurrency)
         if self.length >= self.max_length or now_s + expected_s > waiting.deadline_s:
             return False
-        self.restore(waiting)
+        self.put(waiting.priority, waiting)
         return True
 
     def restore(self, waiting: Waiting[Ticket]) -> None:
         """Queue a statement without checking its deadline or the length of the queue."""
-        callers = self.queues.get(waiting.priority)
+        self.put(waiting.priority, waiting)
+
+    def put(self, rank: typing.Any, waiting: Waiting[Ticket]) -> None:
+        """Queue a statement at a rank; smaller ranks are served first, usually priorities."""
+        callers = self.queues.get(rank)
         if callers is None:
-            callers = self.queues[waiting.priority] = collections.OrderedDict()
+            callers = self.queues[rank] = collections.OrderedDict()
             self.queues = dict(sorted(self.queues.items()))
         callers.setdefault(waiting.caller, collections.deque()).append(waiting)
         self.length += 1
 
-    def next_priority(self) -> int | None:
-        """Return the priority of the next statement; None if none waits."""
+    def next_priority(self) -> typing.Any:
+        """Return the rank of the next statement; None if none waits."""
         return next((priority for priority, callers in self.queues.items() if callers), None)
 
     def take(
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -6,12 +6,13 @@
 
 import asyncio
 import collections.abc
+import time
 import typing
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids
-from mustardswitch.internal.admission import limits
+from mustardswitch.internal.admission import connection_use, limits
 from mustardswitch.proxy import ports, routes
 
 ANY_TENANT = "*"
@@ -38,12 +39,16 @@
         size: int,
         reopen_limit_s: float = connection_pool.MAX_REOPEN_DELAY_S,
         on_exchange: collections.abc.Callable[[], None] = lambda: None,
+        by_target: bool = False,
+        on_refusal: connection_pool.RefusalCallback = lambda reason, request: None,
     ) -> None:
         super().__init__(
             name=name,
             opener=lambda: opener(routes.NO_TENANT),
             size=size,
             reopen_limit_s=reopen_limit_s,
+            by_target=by_target,
+            on_refusal=on_refusal,
         )
         self.tenant_opener = opener
         self.on_exchange = on_exchange
@@ -74,11 +79,13 @@
         """
         if self.closed:
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
+        self._check_time_left(request)
         self._drop_broken()
         link = self._idle_of(request.caller, request.fitness)
         free = self.busy + self.opening < self.limit.allowed and not self.waiting
-        if link is not None and free and (not request.holds or self._has_transaction_room()):
-            return self._take(link, holds=request.holds)
+        if link is not None and free and self._has_room(request):
+            self._note_served_at_once(request)
+            return self._take(link, holds=request.holds, priority=request.priority)
         if link is None and self._paused():
             raise errors.PoolUnreachableError("the server is unreachable")
         return await self._wait_in_queue(request)
@@ -97,34 +104,30 @@
         """Return whether no connection is opened now, after an attempt that failed."""
         return bool(self.failures) and asyncio.get_running_loop().time() < self.retry_at_s
 
-    def _take(self, link: ports.Link, *, holds: bool) -> ports.Link:
+    def _take(
+        self, link: ports.Link, *, holds: bool, priority: int, since_s: float | None = None
+    ) -> ports.Link:
         self.turns[id(link)] = self.turns.get(id(link), 0) + 1
-        return self._hand_out_connection(link, holds=holds)
+        return self._hand_out(link, holds=holds, priority=priority, since_s=since_s)
 
     def _serve_queue(self) -> None:
         self._drop_broken()
         while self.busy + self.opening < self.limit.allowed:
-            holds = limits.transaction_goes_first(
-                statement=self.queue.next_priority(),
-                transaction=(
-                    self.transaction_queue.next_priority() if self._has_transaction_room() else None
-                ),
-            )
-            queue = self.transaction_queue if holds else self.queue
-            waiting = queue.take(preferred=self._tenants_in_turn())
+            waiting = self._take_waiting(preferred=self._tenants_in_turn())
             if waiting is None:
                 return
             if waiting.ticket.done():
                 continue
             link = self._idle_of(waiting.caller)
             if link is not None:
-                waiting.ticket.set_result(self._take(link, holds=holds))
+                link = self._take(link, holds=waiting.holds, priority=waiting.priority)
+                waiting.ticket.set_result(link)
             elif self._paused():
                 waiting.ticket.set_exception(
                     errors.PoolUnreachableError("the server is unreachable")
                 )
             else:
-                self._open_for(waiting, holds=holds)
+                self._open_for(waiting)
 
     def _tenants_in_turn(self) -> frozenset[str]:
         """Return the tenants of idle connections that may serve another statement of theirs."""
@@ -132,22 +135,21 @@
             link.tenant for link in self.idle if self.turns.get(id(link), 0) % TURN_LENGTH
         )
 
-    def _open_for(
-        self, waiting: limits.Waiting[asyncio.Future[ports.Link]], *, holds: bool
-    ) -> None:
+    def _open_for(self, waiting: limits.Waiting[asyncio.Future[ports.Link]]) -> None:
         """Open a connection for a waiting statement, in place of another tenant's if necessary."""
         if self.held >= self.size and self.idle:
             self._forget(self.idle[0])
             self.on_exchange()
         self.opening += 1
-        self.held_by_transactions += holds
-        task = asyncio.create_task(self._open_and_hand_out(waiting, holds=holds))
+        hold = connection_use.Hold(
+            at_s=time.monotonic(), holds=waiting.holds, priority=waiting.priority
+        )
+        self.use.begin(id(waiting), hold)
+        task = asyncio.create_task(self._open_and_hand_out(waiting))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _open_and_hand_out(
-        self, waiting: limits.Waiting[asyncio.Future[ports.Link]], *, holds: bool
-    ) -> None:
+    async def _open_and_hand_out(self, waiting: limits.Waiting[asyncio.Future[ports.Link]]) -> None:
         tenant = routes.NO_TENANT if waiting.caller == ANY_TENANT else waiting.caller
         try:
             link = await self.tenant_opener(ids.TenantName(tenant))
@@ -158,7 +160,7 @@
             return
         finally:
             self.opening -= 1
-            self.held_by_transactions -= holds
+            opened = self.use.cancel(id(waiting))
         self.failures = 0
         self.retry_at_s = float("-inf")
         if self.closed:
@@ -166,7 +168,14 @@
             return
         self.idle.append(link)
         if not waiting.ticket.done():
-            waiting.ticket.set_result(self._take(link, holds=holds))
+            # Opening takes the server's time as the statement itself does.
+            link = self._take(
+                link,
+                holds=waiting.holds,
+                priority=waiting.priority,
+                since_s=opened.at_s if self.by_target and opened is not None else None,
+            )
+            waiting.ticket.set_result(link)
         else:
             self.returned_at_s[id(link)] = asyncio.get_running_loop().time()
             self._serve_queue()
