Routes have a target latency; requests for connections state when their operation is due

The time since the first statement of an operation is sent along with forwarded statements. Services pass the features on to their pools, and refusals are counted by reason and tenant (event 620).

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -157,6 +157,9 @@
 
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
+    WORK_REFUSED = EventKind(620, logbook.INFO, "work for a server refused")
+    """The pool of a server refused work, since it could not be served in time; at most once a
+    second per server, with the number since the last time."""
 
 
 def log(event: Event, **fields: object) -> None:
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -45,6 +45,8 @@
     age_s: float
     """Seconds since the first byte of the statement was read."""
     values: dict[str, str]
+    operation_age_s: float | None = None
+    """Seconds since the first statement of the operation was read; None as ``age_s``."""
     session_commit: SessionCommit | None = None
     begin: str = ""
     """Transaction to begin first, ``read`` or ``write``; empty for none."""
@@ -60,6 +62,10 @@
     return seconds
 
 
+def _decode_optional_seconds(value: object) -> float | None:
+    return None if value is None else decode_seconds(value)
+
+
 def _encode_position(position: positions.Position | None) -> list[int] | None:
     return None if position is None else [position.term, position.offset]
 
@@ -114,6 +120,7 @@
                 else [_encode_position(session_commit.position), session_commit.age_s]
             ),
             "begin": forwarded.begin,
+            "operation_age_s": forwarded.operation_age_s,
             **({"tenant": forwarded.tenant} if forwarded.tenant else {}),
         }
     )
@@ -129,6 +136,7 @@
             database=ids.DatabaseName(str(fields["database"])),
             command=_decode_command(fields["command"]),
             age_s=decode_seconds(fields["age_s"]),
+            operation_age_s=_decode_optional_seconds(fields.get("operation_age_s")),
             values={str(name): str(value) for name, value in fields["values"].items()},
             session_commit=(
                 None
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -210,5 +210,8 @@
             service=self.service,
             tenant=forwarded.tenant,
             first_byte_s=now_s - forwarded.age_s,
+            operation_started_s=(
+                None if forwarded.operation_age_s is None else now_s - forwarded.operation_age_s
+            ),
             deadline_s=loop.time() + route.statement_timeout_s - forwarded.age_s,
         )
--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -191,6 +191,7 @@
     subject = f"route {record.get('name')!r:.64}"
     staleness_ms = record.get("max_staleness_ms", 0)
     priority = record.get("priority", DEFAULT_PRIORITY)
+    target_ms = record.get("target_latency_ms")
     return routes.Route(
         # On the wire the name of a database is called its host.
         database=ids.DatabaseName(_name(record, "host", subject)),
@@ -199,6 +200,9 @@
         statement_timeout_s=_field(record, "timeout_ms", int | float, subject) / 1000,
         max_staleness_s=staleness_ms / 1000 if isinstance(staleness_ms, int | float) else 0.0,
         priority=priority if isinstance(priority, int) else DEFAULT_PRIORITY,
+        target_latency_s=(
+            target_ms / 1000 if isinstance(target_ms, int | float) and target_ms > 0 else None
+        ),
         public=record.get("public") is True,
     )
 
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -170,7 +170,11 @@
             target = self.services.get(name)
             if target is None:
                 target = service.Service(
-                    name=name, location=self.location, opener=self.opener, registry=self.registry
+                    name=name,
+                    location=self.location,
+                    opener=self.opener,
+                    registry=self.registry,
+                    features=self.features,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -177,6 +177,7 @@
         database=context.route.database,
         command=command,
         age_s=now_s - context.first_byte_s,
+        operation_age_s=context.operation_age_s,
         values=context.session.values,
         session_commit=session_commit,
         begin=begin,
--- a/src/mustardswitch/proxy/routes.py
+++ b/src/mustardswitch/proxy/routes.py
@@ -19,6 +19,8 @@
     """Largest age of the data that reads accept; 0 on primary routes."""
     priority: int
     """Smaller is served first; 0 is the smallest."""
+    target_latency_s: float | None = None
+    """Time in which an operation should be answered; None without a target."""
     public: bool = False
     """Whether callers need no key of a tenant."""
 
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -6,7 +6,8 @@
 from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
 from mustardswitch.internal import clock, ids, positions, promotion, read_placement
-from mustardswitch.proxy import ports, routes, tenant_pool
+from mustardswitch.internal.admission import in_turn
+from mustardswitch.proxy import feature_set, ports, routes, tenant_pool
 
 INITIAL_LATENCY_S = {
     read_placement.Distance.ZONE: 0.02,
@@ -31,6 +32,10 @@
 replica that has caught up serves reads again before the required positions have advanced."""
 
 
+FULL_REPORT_INTERVAL_S = 1.0
+"""Shortest time between two events about work that the pool of a server refused."""
+
+
 class Server:
     """Connections to one server, and its recent latency and failures."""
 
@@ -43,6 +48,8 @@
         connections: int,
         serves_tenants: bool = False,
         on_exchange: collections.abc.Callable[[], None] = lambda: None,
+        features: feature_set.Features = feature_set.NO_FEATURES,
+        on_refusal: connection_pool.RefusalCallback = lambda reason, request: None,
     ) -> None:
         self.entry = entry
         self.distance = distance
@@ -69,6 +76,13 @@
         """When a read may check again whether the log holds ``missing_position``."""
         self.recheck_delay_s = MIN_RECHECK_DELAY_S
         self.in_flight = 0
+        self.on_refusal = on_refusal
+        self.refusals_unreported = 0
+        """Refusals since the latest WORK_REFUSED event."""
+        self.full_logged_at_s = float("-inf")
+        admission = {}
+        if features.admission:
+            admission = {"by_target": True, "on_refusal": self._note_refusal}
         self.pool: connection_pool.ConnectionPool[ports.Link]
         if serves_tenants:
             self.pool = tenant_pool.TenantPool(
@@ -77,6 +91,7 @@
                 size=connections,
                 reopen_limit_s=REOPEN_LIMIT_S,
                 on_exchange=on_exchange,
+                **admission,
             )
         else:
             self.pool = connection_pool.ConnectionPool(
@@ -84,6 +99,7 @@
                 opener=self._open,
                 size=connections,
                 reopen_limit_s=REOPEN_LIMIT_S,
+                **admission,
             )
 
     def __repr__(self) -> str:
@@ -142,6 +158,32 @@
             self.unreachable = False
             events.log(events.Event.SERVER_REGAINED, service=self.entry.service, server=self.server)
 
+    def _note_refusal(
+        self, reason: in_turn.Reason, request: connection_pool.ConnectionRequest
+    ) -> None:
+        """Report work that the pool refused; at most one event per ``FULL_REPORT_INTERVAL_S``."""
+        self.on_refusal(reason, request)
+        self.refusals_unreported += 1
+        now_s = clock.now_s()
+        if now_s < self.full_logged_at_s + FULL_REPORT_INTERVAL_S:
+            return
+        events.log(
+            events.Event.WORK_REFUSED,
+            service=self.entry.service,
+            server=self.server,
+            reason=reason.value,
+            priority=request.priority,
+            tenant=request.caller,
+            transaction=request.holds,
+            refused=self.refusals_unreported,
+            waiting=self.pool.waiting,
+            busy=self.pool.busy,
+            connections=self.pool.limit.allowed,
+            transactions=self.pool.use.transactions,
+            hold_s=round(self.pool.use.average_holding_s[request.holds], 4),
+        )
+        self.full_logged_at_s, self.refusals_unreported = now_s, 0
+
     def note_answer(self, latency_s: float | None = None) -> None:
         """Record an answer; ``latency_s`` is given for reads and writes only."""
         now_s = clock.now_s()
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -16,7 +16,8 @@
     read_placement,
     suspicion,
 )
-from mustardswitch.proxy import errors, ports, requests, server, tenant_pool
+from mustardswitch.internal.admission import in_turn
+from mustardswitch.proxy import errors, feature_set, ports, requests, server, tenant_pool
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept; several times the staleness limits of the users'
@@ -81,11 +82,13 @@
         location: Location,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
+        features: feature_set.Features = feature_set.NO_FEATURES,
     ) -> None:
         self.name = name
         self.location = location
         self.opener = opener
         self.registry = registry
+        self.features = features
         self.connections = 1
         self.serves_tenants = False
         """Whether each connection serves one tenant, which the server is told."""
@@ -137,6 +140,8 @@
                 connections=self.connections,
                 serves_tenants=self.serves_tenants,
                 on_exchange=self._note_exchange,
+                features=self.features,
+                on_refusal=self._note_refusal,
             )
             backend.pool.reopens_unused = self.holds_connections
             self.servers[entry.server] = backend
@@ -249,6 +254,14 @@
     def _note_exchange(self) -> None:
         self.registry.count("connections_exchanged", self.name)
 
+    def _note_refusal(
+        self, reason: in_turn.Reason, request: connection_pool.ConnectionRequest
+    ) -> None:
+        """Count work that a server's pool refused, by reason and by tenant."""
+        self.registry.count("admission_refused", reason.value)
+        if self.serves_tenants:
+            self.registry.count("admission_refused_tenant", request.caller)
+
     def trim(self) -> None:
         """Close unused connections; other instances may need them, or this one after a restart."""
         for backend in self.servers.values():
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -71,6 +71,8 @@
         """Identifies the caller's tenant; a secret, which stays in this object."""
         self.state = statement_context.SessionState()
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
+        self.transaction_began_s = 0.0
+        """When the BEGIN of the transaction was read (``clock.now_s``)."""
         self.idle_timer: asyncio.TimerHandle | None = None
         self.failure_reported = False
         """Whether the failure of the transaction was reported to the caller; a transaction can also
@@ -226,6 +228,7 @@
         if self.transaction is not None:
             return self._refuse(requests.Refusal.MALFORMED, "a transaction is already open")
         self.transaction = transaction.Transaction(read_only=statement.read_only)
+        self.transaction_began_s = first_byte_s
         return requests.Answer(state=requests.TransactionState.OPEN)
 
     @_run.register
@@ -351,6 +354,7 @@
             service=found,
             tenant=tenant,
             first_byte_s=first_byte_s,
+            operation_started_s=self.transaction_began_s if self.transaction is not None else None,
             deadline_s=asyncio.get_running_loop().time() + route.statement_timeout_s - waited_s,
         )
         return self.context
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from mustardswitch import connection_pool
 from mustardswitch.backends import errors as backend_errors
@@ -54,6 +55,9 @@
     """Latest possible time at which the statement's first byte was read (``clock.now_s``)."""
     deadline_s: float
     """End of the statement's time limit, on the event loop's clock."""
+    operation_started_s: float | None = None
+    """When the operation's first statement was read (``clock.now_s``): that of its transaction, or
+    with None this statement."""
     tenant: ids.TenantName = routes.NO_TENANT
     """The caller's tenant, which the server is told."""
     sent: bool = False
@@ -64,6 +68,23 @@
         """Time left to the deadline; negative after it."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
+    @property
+    def operation_age_s(self) -> float:
+        """Time since the operation's first statement was read."""
+        started_s = self.operation_started_s
+        return clock.now_s() - (self.first_byte_s if started_s is None else started_s)
+
+    @property
+    def due_s(self) -> float:
+        """Time by which the operation meets its target, on the event loop's clock.
+
+        A part of the target is left for the answer's way to the caller.
+        """
+        target_s = self.route.target_latency_s
+        if target_s is None:
+            return math.inf
+        return asyncio.get_running_loop().time() + TARGET_SHARE * target_s - self.operation_age_s
+
     def connection_request(
         self, backend: server.Server, shape: requests.Shape | None, *, holds: bool
     ) -> connection_pool.ConnectionRequest:
@@ -85,6 +106,7 @@
             priority=self.route.priority,
             deadline_s=self.deadline_s - answer_s,
             holds=holds,
+            due_s=self.due_s,
             fitness=fitness,
         )
 
@@ -172,6 +194,9 @@
         return True
 
 
+TARGET_SHARE = 0.9
+"""Part of a route's target within which an answer is due here. The rest is for the answer's way to
+the caller: up to 24 ms through another region and to the caller, of targets from 0.3 s."""
 ANSWER_SHARE = 0.5
 """Largest fraction of a statement's time limit that is reserved for the answer, since the recent
 latency may be too high an estimate."""
