--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -253,7 +253,10 @@
 
     def _note_served_at_once(self, request: ConnectionRequest) -> None:
         self.admission.note_served_at_once(
-            request.priority, holds=request.holds, now_s=time.monotonic()
+            request.caller,
+            priority=request.priority,
+            holds=request.holds,
+            now_s=time.monotonic(),
         )
 
     def _shed(self, now_s: float) -> None:
--- a/src/mustardswitch/internal/admission/in_turn.py
+++ b/src/mustardswitch/internal/admission/in_turn.py
@@ -116,7 +116,7 @@
     def note_use(self, use: connection_use.ConnectionUse, now_s: float) -> None:
         """Record that the use of the connections has changed."""
 
-    def note_served_at_once(self, priority: int, *, holds: bool, now_s: float) -> None:
+    def note_served_at_once(self, caller: str, *, priority: int, holds: bool, now_s: float) -> None:
         """Record work that found a free connection."""
 
     def shed(
--- a/src/mustardswitch/internal/admission/queueing.py
+++ b/src/mustardswitch/internal/admission/queueing.py
@@ -24,6 +24,8 @@
 RATE_DECAY_S = 0.5
 """Age of the arrivals that the rates reflect; below the length of the shortest bursts (3 s) and
 above the time between the arrivals of a busy pool."""
+CALLER_MEMORY_S = 2.0
+"""Time after its latest work for which a caller counts among those that take turns."""
 USE_DECAY_S = 1.0
 """Age of the use of connections by which reserves are sized."""
 URGENT_MEMORY_S = 5.0
@@ -42,9 +44,10 @@
 expected to wait without end."""
 SHED_INTERVAL_S = 0.02
 """Shortest time between two searches for waiting work that will miss its time limit."""
-SHED_SLACK = 1.25
-"""Factor by which the expected wait of queued work must exceed its time left before it is refused;
-its wait was estimated when it was admitted, and an average alone varies by about this factor."""
+ADMISSION_SLACK = 1.2
+"""Factor on the expected wait of work that arrives; only when it can meet its target even so, it is
+queued with what can. The moving averages vary by about this factor, and what is admitted in vain is
+refused only after it has waited."""
 
 Rank = tuple[int, bool]
 """Priority, and whether the target will be missed; smaller goes first."""
@@ -59,11 +62,13 @@
     """Time for which work is expected to hold its connection, which is also that to its answer."""
     connections: int
     """Connections that serve this kind."""
+    reserved: int
+    """Those of them that only priority 0 may use."""
 
-    @property
-    def interval_s(self) -> float:
-        """Expected time between two connections that become free."""
-        return self.hold_s / max(1, self.connections)
+    def interval_s(self, priority: int) -> float:
+        """Return the expected time between two connections that become free for a priority."""
+        reserved = self.reserved if priority else 0
+        return self.hold_s / max(1, self.connections - reserved)
 
 
 def expected_hold_s(
@@ -75,6 +80,37 @@
     return max(ended_s, UNFINISHED_SHARE * unfinished_s)
 
 
+class Arrivals:
+    """Rates at which work of one rank arrives, and of each of its callers."""
+
+    def __init__(self) -> None:
+        self.all = recent.RecentRate(decay_s=RATE_DECAY_S)
+        self.by_caller: dict[str, recent.RecentRate] = {}
+
+    def __repr__(self) -> str:
+        return f"Arrivals(by_caller={self.by_caller!r})"
+
+    def note(self, caller: str, now_s: float) -> None:
+        """Record work of a caller."""
+        self.all.note(now_s)
+        if caller not in self.by_caller:
+            self.by_caller[caller] = recent.RecentRate(decay_s=RATE_DECAY_S)
+        self.by_caller[caller].note(now_s)
+
+    def of_others(self, caller: str, now_s: float) -> float:
+        """Return the rate of all callers but one."""
+        own = self.by_caller.get(caller)
+        return max(0.0, self.all.per_s(now_s) - (own.per_s(now_s) if own is not None else 0.0))
+
+    def forget_former(self, now_s: float) -> None:
+        """Forget callers without recent work."""
+        self.by_caller = {
+            caller: rate
+            for caller, rate in self.by_caller.items()
+            if rate.at_s > now_s - CALLER_MEMORY_S
+        }
+
+
 class TargetQueue(limits.AdmissionQueue[Ticket]):
     """Queue of waiting work of one kind, by rank and in turn between callers.
 
@@ -85,62 +121,96 @@
     def __init__(self, *, max_length: int) -> None:
         super().__init__(max_length=max_length)
         self.hold_s = 0.0
-        self.arrivals: dict[Rank, recent.RecentRate] = {}
+        self.arrivals: dict[Rank, Arrivals] = {}
         self.searched_at_s = float("-inf")
 
     def restore(self, waiting: limits.Waiting[Ticket]) -> None:
         """Queue work again without deciding on it."""
         self.put((waiting.priority, False), waiting)
 
-    def note_arrival(self, rank: Rank, now_s: float) -> None:
+    def note_arrival(self, rank: Rank, caller: str, now_s: float) -> None:
         """Record work that was admitted, whether or not it has to wait."""
-        if rank not in self.arrivals:
-            self.arrivals[rank] = recent.RecentRate(decay_s=RATE_DECAY_S)
-        self.arrivals[rank].note(now_s)
+        self.arrivals.setdefault(rank, Arrivals()).note(caller, now_s)
 
     def admit(
         self, waiting: limits.Waiting[Ticket], *, now_s: float, supply: Supply
     ) -> in_turn.Reason | None:
         """Queue work, or return the reason for which it is refused."""
         self.hold_s = supply.hold_s
-        rank = (waiting.priority, False)
-        start_s = now_s + self._expected_wait_s(waiting.caller, rank, supply, now_s)
-        if start_s > waiting.deadline_s or self.length >= self.max_length:
+        if self.length >= self.max_length:
             return in_turn.Reason.TIME_LIMIT
-        if start_s + supply.hold_s > waiting.due_s:
-            rank = (waiting.priority, True)
-            start_s = now_s + self._expected_wait_s(waiting.caller, rank, supply, now_s)
-            if start_s > waiting.deadline_s:
-                return in_turn.Reason.LATE
+        own = len(self.queues.get((waiting.priority, False), {}).get(waiting.caller, ()))
+        rank = self._rank(waiting, own=own, now_s=now_s, supply=supply, slack=ADMISSION_SLACK)
+        if rank is None:
+            wait_s = self._expected_wait_s(
+                waiting.caller, (waiting.priority, False), own, supply, now_s
+            )
+            in_time = now_s + wait_s <= waiting.deadline_s
+            return in_turn.Reason.LATE if in_time else in_turn.Reason.TIME_LIMIT
         self.put(rank, waiting)
-        self.note_arrival(rank, now_s)
+        self.note_arrival(rank, waiting.caller, now_s)
         return None
 
+    def _rank(
+        self,
+        waiting: limits.Waiting[Ticket],
+        *,
+        own: int,
+        now_s: float,
+        supply: Supply,
+        slack: float,
+    ) -> Rank | None:
+        """Return the rank at which work is expected to be served in time, or None.
+
+        ``own`` is the number of its caller's statements ahead of it among those that can meet their
+        target, ``slack`` the factor on the expected wait from which on it counts as one of them.
+        """
+        on_time, late = (waiting.priority, False), (waiting.priority, True)
+        wait_s = self._expected_wait_s(waiting.caller, on_time, own, supply, now_s)
+        if now_s + wait_s <= waiting.deadline_s and (
+            now_s + slack * wait_s + supply.hold_s <= waiting.due_s
+        ):
+            return on_time
+        own = len(self.queues.get(late, {}).get(waiting.caller, ()))
+        wait_s = self._expected_wait_s(waiting.caller, late, own, supply, now_s)
+        return late if now_s + wait_s <= waiting.deadline_s else None
+
     def _expected_wait_s(
         self,
         caller: str,
         rank: Rank,
+        own: int,
         supply: Supply,
         now_s: float,
-        own: int | None = None,
     ) -> float:
         """Return the expected time to a connection behind ``own`` statements of the same caller.
 
-        Callers of a rank take turns, so that of each other caller at most ``own`` + 1 go first.
-        Work of better ranks that arrives meanwhile goes first as well.
+        What arrives meanwhile goes first if its rank is better, or if it is another caller's turn.
+        Callers of a rank take turns, so that at most ``own`` + 1 of each other one go first.
         """
+        interval_s = supply.interval_s(rank[0])
         same = self.queues.get(rank, {})
-        if own is None:
-            own = len(same.get(caller, ()))
-        better = [callers for other, callers in self.queues.items() if other < rank]
-        ahead = own + sum(len(queue) for callers in better for queue in callers.values())
+        better = sum(
+            len(queue)
+            for other, callers in self.queues.items()
+            if other < rank
+            for queue in callers.values()
+        )
+        ahead = better + own
         ahead += sum(min(len(queue), own + 1) for name, queue in same.items() if name != caller)
-        load = supply.interval_s * sum(
-            rate.per_s(now_s) for other, rate in self.arrivals.items() if other < rank
+        load = interval_s * sum(
+            arrivals.all.per_s(now_s) for other, arrivals in self.arrivals.items() if other < rank
         )
         if ahead and load >= MAX_BETTER_LOAD:
             return math.inf
-        return (ahead + 1) * supply.interval_s / (1.0 - min(load, MAX_BETTER_LOAD))
+        arrivals = self.arrivals.get(rank)
+        others = arrivals.of_others(caller, now_s) if arrivals is not None else 0.0
+        turns = (own + 1) * (len(arrivals.by_caller) if arrivals is not None else 1)
+        wait_s = min(
+            (better + turns) * interval_s / (1.0 - min(load, MAX_BETTER_LOAD)),
+            (ahead + 1) * interval_s / (1.0 - min(load + interval_s * others, MAX_BETTER_LOAD)),
+        )
+        return wait_s
 
     def demote(self, now_s: float) -> None:
         """Move work whose turn has come, and which can no longer meet its target, to a later rank.
@@ -157,25 +227,46 @@
                     self.put((rank[0], True), waiting)
 
     def shed(self, *, now_s: float, supply: Supply) -> list[limits.Waiting[Ticket]]:
-        """Remove and return waiting work that will certainly miss its time limit.
+        """Remove and return waiting work that is no longer expected to be served in time.
 
-        The latest of each caller is looked at first; it has waited least.
+        The latest of each caller is looked at first: it has waited least, so that its refusal
+        costs least.
         """
         self.hold_s = supply.hold_s
         if now_s < self.searched_at_s + SHED_INTERVAL_S:
             return []
         self.searched_at_s = now_s
+        for arrivals in self.arrivals.values():
+            arrivals.forget_former(now_s)
         found = []
-        for rank, callers in self.queues.items():
-            for caller, queue in list(callers.items()):
+        for rank, callers in list(self.queues.items()):
+            for queue in list(callers.values()):
                 while queue:
-                    wait_s = self._expected_wait_s(caller, rank, supply, now_s, len(queue) - 1)
-                    if wait_s <= SHED_SLACK * (queue[-1].deadline_s - now_s):
+                    waiting, own = queue[-1], len(queue) - 1
+                    kept = self._kept_rank(waiting, rank, own=own, now_s=now_s, supply=supply)
+                    if kept == rank:
                         break
-                    found.append(queue[-1])
-                    self.remove(queue[-1].ticket)
+                    self.remove(waiting.ticket)
+                    if kept is None:
+                        found.append(waiting)
+                    else:
+                        self.put(kept, waiting)
         return found
 
+    def _kept_rank(
+        self,
+        waiting: limits.Waiting[Ticket],
+        rank: Rank,
+        *,
+        own: int,
+        now_s: float,
+        supply: Supply,
+    ) -> Rank | None:
+        if not rank[1]:
+            return self._rank(waiting, own=own, now_s=now_s, supply=supply, slack=1.0)
+        wait_s = self._expected_wait_s(waiting.caller, rank, own, supply, now_s)
+        return rank if now_s + wait_s <= waiting.deadline_s else None
+
 
 class Reserves:
     """Keeps connections free for priority 0 and for short statements, by their recent use."""
@@ -241,7 +332,11 @@
             holds=holds,
             ages_s=use.ages_s(now_s, holds=holds),
         )
-        return Supply(hold_s=hold_s, connections=max(1, connections))
+        return Supply(
+            hold_s=hold_s,
+            connections=connections,
+            reserved=self.reserves.for_urgent(allowed, now_s),
+        )
 
     def admit(
         self,
@@ -285,9 +380,9 @@
         """Record that the use of the connections has changed."""
         self.reserves.note(use, now_s)
 
-    def note_served_at_once(self, priority: int, *, holds: bool, now_s: float) -> None:
+    def note_served_at_once(self, caller: str, *, priority: int, holds: bool, now_s: float) -> None:
         """Record work that found a free connection."""
-        self.queue(holds=holds).note_arrival((priority, False), now_s)
+        self.queue(holds=holds).note_arrival((priority, False), caller, now_s)
 
     def shed(
         self, use: connection_use.ConnectionUse, *, allowed: int, now_s: float
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -16,6 +16,11 @@
     transaction,
 )
 
+IDLE_SLACK_S = 0.5
+"""Time beyond the limit of idle transactions after which a gateway ends one itself. The instance
+that forwards ends it in time unless it is cut off; a statement that it sends just before the limit
+arrives within this, also over a slow link between regions."""
+
 
 class RelayServer:
     """Runs the statements that other instances forward, and passes the store's records on to them.
@@ -105,12 +110,14 @@
         if self.draining and (forwarded.begin or not continues):
             return requests.refuse(requests.Refusal.LEAVING, "this gateway is stopping")
         gateway_session.busy = True
+        gateway_session.stop_idle_timer()
         try:
             return await gateway_session.run(forwarded)
         finally:
             gateway_session.busy = False
             if gateway_session.aborting:
                 gateway_session.abort_transaction()
+            gateway_session.start_idle_timer()
 
 
 class _GatewaySession:
@@ -124,11 +131,13 @@
         self.aborting = False
         """Whether no transaction continues after the running statement."""
         self.state = statement_context.SessionState()
+        self.idle_timer: asyncio.TimerHandle | None = None
         self.service: service.Service | None = None
         """Service of the current statement; it stays the same while a transaction is open."""
 
     def close(self) -> None:
         """Roll back the open transaction, if any."""
+        self.stop_idle_timer()
         if self.transaction is not None:
             self.transaction.fail()
 
@@ -138,6 +147,29 @@
         if not self.busy:
             self.close()
 
+    def stop_idle_timer(self) -> None:
+        """Keep an open transaction for as long as its statement runs."""
+        if self.idle_timer is not None:
+            self.idle_timer.cancel()
+            self.idle_timer = None
+
+    def start_idle_timer(self) -> None:
+        """End an open transaction that stays idle, although its instance may be cut off.
+
+        Such a transaction would keep a connection that others wait for.
+        """
+        if self.is_open and self.directory.features.admission:
+            self.idle_timer = asyncio.get_running_loop().call_later(
+                self.directory.transaction_idle_s + IDLE_SLACK_S, self._expire
+            )
+
+    def _expire(self) -> None:
+        self.idle_timer = None
+        if self.is_open:
+            self.directory.registry.count("transactions_expired")
+            events.log(events.Event.TRANSACTION_EXPIRED, service=self.service.name)
+            self.transaction.fail()
+
     @property
     def is_open(self) -> bool:
         """Whether a transaction is open that has not failed."""
@@ -169,9 +201,10 @@
         command, current = forwarded.command, self.transaction
         if current.failed:
             self.transaction = None
-            return requests.refuse(
-                requests.Refusal.ABORTED, "the gateway is stopping and rolled the transaction back"
-            )
+            why = "the transaction was rolled back while it was idle"
+            if self.aborting:
+                why = "the gateway is stopping and rolled the transaction back"
+            return requests.refuse(requests.Refusal.ABORTED, why)
         if isinstance(command, requests.Commit):
             self.transaction = None
             return await current.commit(context)
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -10,6 +10,7 @@
 from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import (
     errors,
+    feature_set,
     forwarded,
     local_run,
     ports,
@@ -30,6 +31,7 @@
     """The services, routes and gateways that sessions look up."""
 
     registry: metrics.Registry
+    features: feature_set.Features
 
     def route(self, database: ids.DatabaseName) -> routes.Route | None:
         """Return the route of a database, or None."""
