--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -86,7 +86,9 @@
         self.size = size
         self.reopen_limit_s = reopen_limit_s
         self.idle: collections.deque[Held] = collections.deque()
-        self.use = connection_use.ConnectionUse()
+        self.use = connection_use.ConnectionUse(
+            outlier_factor=queueing.OUTLIER_FACTOR if by_target else math.inf
+        )
         """What the connections are used for, by their ``id``; one that is opened for a waiting
         statement is in use from then on."""
         self.returned_at_s: dict[int, float] = {}
--- a/src/mustardswitch/internal/admission/connection_use.py
+++ b/src/mustardswitch/internal/admission/connection_use.py
@@ -1,6 +1,7 @@
 """What the connections of a pool are used for, and for how long."""
 
 import dataclasses
+import math
 
 HOLDING_WEIGHT = 0.1
 """Weight of a new measurement in the moving averages."""
@@ -18,9 +19,13 @@
 
 
 class ConnectionUse:
-    """Tracks the connections in use; each is named by a number, its ``id`` for example."""
+    """Tracks the connections in use; each is named by a number, its ``id`` for example.
 
-    def __init__(self) -> None:
+    ``outlier_factor`` limits how much of a measurement counts, as a multiple of the average.
+    """
+
+    def __init__(self, *, outlier_factor: float = math.inf) -> None:
+        self.outlier_factor = outlier_factor
         self.held: dict[int, Hold] = {}
         self.transactions = 0
         """Connections that are kept while their user pauses."""
@@ -53,6 +58,7 @@
         self.average_transactions += HOLDING_WEIGHT * (transactions - self.average_transactions)
         held_s = now_s - hold.at_s
         average_s = self.average_holding_s[hold.holds] or held_s
+        held_s = min(held_s, self.outlier_factor * average_s)
         self.average_holding_s[hold.holds] = average_s + HOLDING_WEIGHT * (held_s - average_s)
 
     def ages_s(self, now_s: float, *, holds: bool) -> list[float]:
--- a/src/mustardswitch/internal/admission/queueing.py
+++ b/src/mustardswitch/internal/admission/queueing.py
@@ -3,9 +3,9 @@
 Order: by the priority of the route; within a priority, work that can still be answered within its
 target before work that cannot; then short statements before transactions, which have a small share;
 then in turn between callers. Work that would miss its time limit is refused at once, when a refusal
-costs its caller least. Late work waits while a refusal is cheap, and longer only when the work ahead
-of it leaves capacity. Connections are kept free for priority 0 and for short statements, so that
-work which holds its connection for long does not stop the rest.
+costs its caller least. Late work waits while a refusal is cheap, and longer only when the work
+ahead of it leaves capacity. Connections are kept free for priority 0 and for short statements, so
+that work which holds its connection for long does not stop the rest.
 
 What the server answers now is derived from how long connections are held: while all are in use,
 their number divided by that time is the number of statements that it answers per second.
@@ -30,6 +30,9 @@
 """Fraction of the mean age of the holds in progress by which the expected hold rises at least. The
 moving average knows only holds that have ended, which a server that stalls and transactions that
 stay idle do not reach for seconds."""
+OUTLIER_FACTOR = 2.0
+"""Largest measured hold that counts, as a multiple of the average. After a stall of one second a
+few long holds raised the average so far that work was refused which the server had time for."""
 MAX_URGENT_WAIT_S = 0.02
 """Time between two connections that short statements free, up to which they may use the reserve as
 well: priority 0 goes first then and waits about that long, while a connection that is kept free is
@@ -38,7 +41,8 @@
 """Part of the connections that transactions are served ahead of short statements of their rank.
 Without it short statements keep them waiting for as long as they fill the server. Each transaction
 takes the time of several short statements, which are refused instead; this is the least part with
-which no replayed load (docs/design/admission.md) has fewer transactions than in the present order."""
+which no replayed load (docs/design/admission.md) serves fewer transactions than the present order.
+"""
 
 Ticket = typing.TypeVar("Ticket")
 
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -74,6 +74,7 @@
     assert route.kind is requests.RouteKind.READ_YOUR_WRITES
     assert route.statement_timeout_s == 0.8
     assert route.max_staleness_s == 2.5
+    assert route.target_latency_s == 1.0
     assert decoded.services[ids.ServiceName("huvo11a")].max_connections == 23
     assert decoded.transaction_idle_s == 3.0
 
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -4,12 +4,20 @@
 import contextlib
 import dataclasses
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from mustardswitch.internal import clock, forwarding, gateways, ids
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec, relay_server
-from mustardswitch.proxy import directory, forwarded, ports, requests
+from mustardswitch.proxy import (
+    directory,
+    feature_set,
+    forwarded,
+    ports,
+    requests,
+    statement_context,
+)
 from mustardswitch_standins import fleet
 from tests.common import proxy_world
 
@@ -214,6 +222,51 @@
         assert fleet.gateway.group.acknowledged == []
 
 
+@pytest.mark.parametrize("cut_off", [False, True])
+async def test_a_forwarded_transaction_that_stays_idle_frees_its_connection(cut_off):
+    """Guards against connections that idle transactions keep at a gateway for ever.
+
+    The entry instance ends the transaction in time; once it is cut off, only the gateway can.
+    """
+    async with Fleet() as fleet:
+        fleet.gateway.directory.features = feature_set.Features(admission=True)
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        pool = fleet.gateway.service.servers[ids.ServerId("server-a")].pool
+        idle_s = fleet.gateway.directory.transaction_idle_s
+        if cut_off:
+            caller.idle_timer.cancel()
+            idle_s += relay_server.IDLE_SLACK_S
+        await asyncio.sleep(idle_s / 2)
+        assert pool.busy == 1
+        await asyncio.sleep(idle_s / 2 + 0.2)
+        assert pool.busy == 0
+        late = await fleet.entry.run(caller, proxy_world.READ)
+        assert late.refusal is requests.Refusal.ABORTED
+        assert fleet.gateway.group.acknowledged == []
+
+
+async def test_a_gateway_knows_when_the_operation_of_a_forwarded_statement_began():
+    """Guards against transactions that a gateway takes to be younger than they are."""
+    async with Fleet() as fleet:
+        ages_s = []
+        acquire = fleet.gateway.service.leader.pool.acquire
+
+        async def note_due(request):
+            ages_s.append(2.0 - (request.due_s - asyncio.get_running_loop().time()))
+            return await acquire(request)
+
+        fleet.gateway.service.leader.pool.acquire = note_due
+        target_s = 2.0 / statement_context.TARGET_SHARE
+        fleet.gateway.directory.configure(proxy_world.configuration(2, target_latency_s=target_s))
+        caller = fleet.entry.open_session(OWN)
+        await fleet.entry.run(caller, requests.Begin(read_only=False))
+        await asyncio.sleep(0.2)
+        assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+        assert len(ages_s) == 1 and 0.2 <= ages_s[0] < 0.3
+
+
 def test_updates_of_peers_arrive_as_they_were_sent():
     primary = datagrams.PrimaryRef(service=ids.ServiceName("s"), server=ids.ServerId("i"))
     update = datagrams.PeerUpdate(
