--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -8,9 +8,10 @@
 
 from mustardswitch import connection_pool
 from mustardswitch.internal import ids
+from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.tenants import homes
 from mustardswitch.platform import lines, records
-from mustardswitch.proxy import requests, session, tenant_pool
+from mustardswitch.proxy import feature_set, requests, session, tenant_pool
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, tenant_builders
 
@@ -83,6 +84,24 @@
     assert all(ACME_KEY not in text for text in shown)
 
 
+async def test_refusals_are_counted_by_reason_and_tenant_where_admission_is_on():
+    """Guards against refusals that no metric leads to their cause."""
+    world = _world()
+    assert type(world.service.leader.pool.admission) is in_turn.InTurn
+    world.directory.features = feature_set.Features(admission=True)
+    world.directory.services.clear()
+    world.directory.configure(tenant_builders.configuration(3, statement_timeout_s=0.4))
+    pool = world.service.leader.pool
+    held = [await pool.acquire(_request(ACME)) for _ in range(pool.size)]
+    refused = await world.run(_open(world, BOLT_KEY), proxy_world.WRITE)
+    assert refused.refusal is requests.Refusal.OVERLOADED
+    registry = world.directory.registry
+    assert registry.total("admission_refused_tenant", BOLT) == 1
+    assert sum(registry.total("admission_refused", each.value) for each in in_turn.Reason) == 1
+    for link in held:
+        pool.release(link, clean=True)
+
+
 def test_reads_tenants_with_their_keys_and_limits():
     configuration = records.decode_configuration(
         b'{"version":1,"routes":[],"services":[],"limits":{"tx_idle_ms":3000},"tenants":'
