Work that waits beside a reserve is tried again as the reserve shrinks

A reserve decays without an event, so that a transaction waited beside a free connection until another one was released (test_a_transaction_gets_what_short_statements_no_longer_use fails without it). The reserve of short statements is rounded: it never fell below two connections before.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -21,6 +21,8 @@
 """Longest pause before a connection is opened again."""
 MAX_DEMAND_DELAY_S = 0.25
 """Longest pause after a failure before a waiting statement may cause another attempt."""
+RECHECK_S = 0.05
+"""Interval at which work that waits beside free connections is tried again."""
 QUEUE_PER_CONNECTION = 64
 """Statements that may wait in each of the two queues, per connection of the pool's size."""
 
@@ -104,6 +106,7 @@
         self.admission: in_turn.InTurn[asyncio.Future[Held]] = order(
             max_length=size * QUEUE_PER_CONNECTION
         )
+        self.recheck: asyncio.TimerHandle | None = None
         self.waiting_for_server: set[asyncio.Future[Held]] = set()
         """Waiters whose request has ``waits_for_server``."""
         self.closed = False
@@ -224,6 +227,7 @@
             count = self.admission.queue(holds=request.holds).length
             raise errors.PoolFullError(f"{count} statements are waiting")
         self._serve_queue()
+        self._recheck_later()
         received: Held | None = None
         try:
             async with asyncio.timeout(request.deadline_s - now_s):
@@ -324,6 +328,20 @@
                 link = self._hand_out(self.idle[-1], holds=waiting.holds, priority=waiting.priority)
                 waiting.ticket.set_result(link)
 
+    def _recheck_later(self) -> None:
+        """Serve the queue again soon if work waits beside connections that are kept free.
+
+        What is kept free shrinks with time, so that no release may come before that.
+        """
+        free = self.by_target and self.busy + self.opening < self.limit.allowed
+        if free and self.waiting and self.recheck is None and not self.closed:
+            self.recheck = asyncio.get_running_loop().call_later(RECHECK_S, self._recheck)
+
+    def _recheck(self) -> None:
+        self.recheck = None
+        self._serve_queue()
+        self._recheck_later()
+
     def release(self, connection: Held, *, clean: bool) -> None:
         """Return a connection to the pool; one that is not known to be clean is closed."""
         self.busy -= 1
@@ -337,6 +355,7 @@
             self.returned_at_s[id(connection)] = time.monotonic()
             self.idle.append(connection)
         self._serve_queue()
+        self._recheck_later()
 
     def trim(self, *, idle_s: float) -> None:
         """Close connections that were not used for ``idle_s``, the longest unused first."""
--- a/src/mustardswitch/internal/admission/reserves.py
+++ b/src/mustardswitch/internal/admission/reserves.py
@@ -52,5 +52,5 @@
         """
         if allowed < limits.MIN_CONNECTIONS_TO_RESERVE:
             return allowed
-        used = math.ceil(self.statements.average(now_s)) + 1
+        used = round(self.statements.average(now_s)) + 1
         return allowed - max(1, min(used, allowed // STATEMENT_DIVISOR))
--- a/tests/decisions/test_connection_pool.py
+++ b/tests/decisions/test_connection_pool.py
@@ -84,6 +84,17 @@
     assert order == ["urgent transaction", "short", "transaction"]
 
 
+async def test_a_transaction_gets_what_short_statements_no_longer_use():
+    """Guards against work that waits beside a free connection until another one is released."""
+    pool = connection_pool.ConnectionPool(name="s", opener=_open, size=4, by_target=True)
+    pool.admission.reserves.statements.value = 1.0
+    pool.admission.reserves.statements.at_s = time.monotonic()
+    for _ in range(2):
+        await pool.acquire(_request(holds=True))
+    assert await pool.acquire(_request(2.0, holds=True)) is not None
+    assert pool.busy == 3
+
+
 async def test_unused_connections_are_closed():
     pool = _pool(2)
     first, second = await pool.acquire(_request()), await pool.acquire(_request())
