--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -186,7 +186,7 @@
                     location=self.location,
                     opener=self.opener,
                     registry=self.registry,
-                    places_reads=self.features.placement,
+                    features=self.features,
                     paces=self.paces,
                 )
                 self.services[name] = target
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -15,9 +15,11 @@
     promotion,
     suspicion,
 )
+from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import (
     errors,
+    feature_set,
     placing,
     ports,
     requests,
@@ -89,7 +91,7 @@
         location: Location,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
-        places_reads: bool = False,
+        features: feature_set.Features = feature_set.NO_FEATURES,
         paces: server_pace.PaceBook | None = None,
     ) -> None:
         self.paces = paces
@@ -98,7 +100,8 @@
         self.location = location
         self.opener = opener
         self.registry = registry
-        self.placing = placing.ServerPlacing(registry=registry) if places_reads else None
+        self.features = features
+        self.placing = placing.ServerPlacing(registry=registry) if features.placement else None
         """Judges the servers; None without the feature ``placement``."""
         self.connections = 1
         self.serves_tenants = False
@@ -153,6 +156,8 @@
                 serves_tenants=self.serves_tenants,
                 on_exchange=self._note_exchange,
                 pace=self.paces.attach(entry, distance) if self.paces is not None else None,
+                features=self.features,
+                on_refusal=self._note_refusal,
             )
             backend.pool.reopens_unused = self.holds_connections
             if self.placing is not None:
@@ -271,6 +276,14 @@
     def _note_exchange(self) -> None:
         self.registry.count("connections_exchanged", self.name)
 
+    def _note_refusal(
+        self, reason: in_turn.Reason, request: connection_pool.ConnectionRequest
+    ) -> None:
+        """Count work that a server's pool refused, by reason and by tenant."""
+        self.registry.count("admission_refused", reason.value)
+        if self.serves_tenants:
+            self.registry.count("admission_refused_tenant", request.caller)
+
     def trim(self) -> None:
         """Close unused connections; other instances may need them, or this one after a restart."""
         for backend in self.servers.values():
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -10,6 +10,7 @@
 from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import (
     errors,
+    feature_set,
     forwarded,
     local_run,
     ports,
@@ -31,6 +32,7 @@
     """The services, routes and gateways that sessions look up."""
 
     registry: metrics.Registry
+    features: feature_set.Features
 
     def route(self, database: ids.DatabaseName) -> routes.Route | None:
         """Return the route of a database, or None."""
@@ -73,6 +75,8 @@
         """Identifies the caller's tenant; a secret, which stays in this object."""
         self.state = statement_context.SessionState()
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
+        self.transaction_began_s = 0.0
+        """When the BEGIN of the transaction was read (``clock.now_s``)."""
         self.idle_timer: asyncio.TimerHandle | None = None
         self.failure_reported = False
         """Whether the failure of the transaction was reported to the caller; a transaction can also
@@ -236,6 +240,7 @@
         if self.transaction is not None:
             return self._refuse(requests.Refusal.MALFORMED, "a transaction is already open")
         self.transaction = transaction.Transaction(read_only=statement.read_only)
+        self.transaction_began_s = first_byte_s
         return requests.Answer(state=requests.TransactionState.OPEN)
 
     @_run.register
@@ -365,6 +370,7 @@
             tenant=tenant,
             rate_limits=self.directory.limits,
             first_byte_s=first_byte_s,
+            operation_started_s=self.transaction_began_s if self.transaction is not None else None,
             deadline_s=asyncio.get_running_loop().time() + route.statement_timeout_s - waited_s,
         )
         return self.context
--- a/tests/proxy/test_sessions.py
+++ b/tests/proxy/test_sessions.py
@@ -232,7 +232,7 @@
     await asyncio.sleep(0.05)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
-    assert caller.give_up().refusal is requests.Refusal.OVERLOADED
+    assert caller.give_up("the instance stops").refusal is requests.Refusal.OVERLOADED
     assert world.group.statements == []
 
 
