--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -8,7 +8,15 @@
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import feature_set, forwarded, ports, routes, service, statement_context
+from mustardswitch.proxy import (
+    feature_set,
+    forwarded,
+    ports,
+    routes,
+    service,
+    stalls,
+    statement_context,
+)
 
 PEER_VOTE_TTL_S = 1.0
 """Time after which a vote received from a peer expires unless it is repeated, three times within
@@ -52,8 +60,10 @@
     ) -> None:
         self.features = features
         self.forwarder = forwarder
-        if forwarder is not None and features.placement:
-            forwarder.place_by_answers(registry)
+        self.stall_meter = stalls.StallMeter() if features.placement else None
+        """Measures the stalls of this instance for the feature ``placement``."""
+        if forwarder is not None and self.stall_meter is not None:
+            forwarder.place_by_answers(registry, self.stall_meter)
         self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
         """Gateways of the services whose connections do not suffice for all instances."""
         self.instance = instance
@@ -170,7 +180,7 @@
                     location=self.location,
                     opener=self.opener,
                     registry=self.registry,
-                    places_reads=self.features.placement,
+                    stall_meter=self.stall_meter,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -12,7 +12,7 @@
 from mustardswitch.internal import clock, ids, recent_failures
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
-from mustardswitch.proxy import gateway_placing, ports, requests, service, statement_context
+from mustardswitch.proxy import gateway_placing, ports, requests, service, stalls, statement_context
 
 RECENT_FAILURE_DURATION_S = 2.0
 """How long a gateway that failed is tried last; one that is dead leaves the list soon after."""
@@ -57,9 +57,9 @@
     def __repr__(self) -> str:
         return f"Forwarder(client={self.client!r})"
 
-    def place_by_answers(self, registry: metrics.Registry) -> None:
+    def place_by_answers(self, registry: metrics.Registry, meter: stalls.StallMeter) -> None:
         """Choose gateways by their answers from now on."""
-        self.placing = gateway_placing.GatewayPlacing(registry=registry)
+        self.placing = gateway_placing.GatewayPlacing(registry=registry, meter=meter)
 
     def order(
         self, plan: forwarding.GatewayPlan, *, location: service.Location, single_read: bool = False
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -14,10 +14,12 @@
 from mustardswitch.internal import clock, ids
 from mustardswitch.internal.placement import attempt_times, forwarding, gateway_choice, health
 from mustardswitch.peers import errors
-from mustardswitch.proxy import placing, ports, requests
+from mustardswitch.proxy import placing, ports, requests, stalls
 
 PATIENCE = 2.0
 """Multiple of the time to wait for a gateway that answers other statements meanwhile."""
+RESOLUTION_S = 0.001
+"""Shortest wait; timers are not more exact than this."""
 HOMES_COMPARED = 6
 """Gateways of a tenant that are compared as long as one of them is sound; comparing all of a large
 fleet for each statement would cost a small instance several percent of its time."""
@@ -38,11 +40,11 @@
     def __repr__(self) -> str:
         return f"GatewayRecord(health={self.health!r}, pending={len(self.pending)})"
 
-    def silent_s(self, now_s: float) -> float:
-        """Return the age of the oldest statement that no answer has followed."""
+    def silent_since_s(self, now_s: float) -> float:
+        """Return when the oldest statement that no answer has followed was sent, or ``now_s``."""
         if not self.pending:
-            return 0.0
-        return max(0.0, now_s - max(min(self.pending.values()), self.answered_at_s))
+            return now_s
+        return min(now_s, max(min(self.pending.values()), self.answered_at_s))
 
 
 class Attempt:
@@ -67,6 +69,11 @@
     def __repr__(self) -> str:
         return f"Attempt(record={self.record!r}, kind={self.kind!r})"
 
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the statement was sent, without stalls of this instance."""
+        return clock.now_s() - self.sent_s - self.placing.stalls.stalled_s(self.sent_s)
+
     @property
     def silent(self) -> bool:
         """Whether the gateway has answered nothing since the statement was sent."""
@@ -90,16 +97,19 @@
         if not answer.succeeded:
             self.record.health.note_neutral()
             return
-        scaled_s = self.placing.usual.note(self.kind, now_s - self.sent_s)
+        scaled_s = self.placing.usual.note(self.kind, self.elapsed_s)
         self.record.health.note_answer(scaled_s, now_s)
 
     def note_broken(self, error: errors.PeerError) -> None:
         """Record that the attempt had no answer."""
         now_s = clock.now_s()
         judged = self.record.health
-        waited_s = (now_s - self.sent_s) / self.placing.usual.scale(self.kind)
+        waited_s = self.elapsed_s / self.placing.usual.scale(self.kind)
         if not self.cut_short and not isinstance(error.__cause__, TimeoutError):
             judged.note_unreachable(now_s, reason=str(error))
+        elif self.placing.stalls.stalled_s(self.sent_s) > 0:
+            # The answer may have arrived while this instance did not run.
+            judged.note_neutral()
         elif self.silent:
             judged.note_timeout(waited_s, now_s, reason=str(error))
         else:
@@ -111,8 +121,9 @@
 class GatewayPlacing:
     """Chooses the gateways for the statements that this instance forwards."""
 
-    def __init__(self, *, registry: metrics.Registry) -> None:
+    def __init__(self, *, registry: metrics.Registry, meter: stalls.StallMeter) -> None:
         self.reporter = placing.Reporter(kind="gateway", registry=registry)
+        self.stalls = meter
         self.usual = gateway_choice.UsualLatencies()
         self.budget = attempt_times.RetryBudget()
         self.random = random.Random()
@@ -146,12 +157,13 @@
     ) -> gateway_choice.JudgedGateway:
         now_s = clock.now_s()
         record = self.record(gateway)
+        since_s = record.silent_since_s(now_s)
         return gateway_choice.JudgedGateway(
             instance=gateway,
             health=record.health,
             in_flight=len(record.pending),
             now_s=now_s,
-            silent_s=record.silent_s(now_s),
+            silent_s=now_s - since_s - self.stalls.stalled_s(since_s),
             measured=now_s < record.health.measured_at_s + gateway_choice.RECENT_S,
             other_zone=other_zone,
         )
@@ -248,8 +260,8 @@
             (attempt_times.MAX_ATTEMPT_S, True, False),
         )
         for wait_s, only_silent, from_budget in sorted(stages):
-            left_s = max(0.0, attempt.sent_s + wait_s - clock.now_s())
-            await asyncio.wait({pending}, timeout=left_s)
+            while (left_s := wait_s - attempt.elapsed_s) > RESOLUTION_S and not pending.done():
+                await asyncio.wait({pending}, timeout=left_s)
             if pending.done():
                 return
             if only_silent and not attempt.silent:
@@ -274,6 +286,7 @@
             service=service,
             access=access.value if access is not None else type(command).__name__,
         )
+        self.stalls.start()
         record = self.record(gateway)
         attempt = Attempt(
             record=record, kind=kind, placing=self, reads=access is requests.Access.READ
--- a/src/mustardswitch/proxy/placing.py
+++ b/src/mustardswitch/proxy/placing.py
@@ -14,7 +14,7 @@
     health,
     server_choice,
 )
-from mustardswitch.proxy import server
+from mustardswitch.proxy import server, stalls
 
 EVENT_GAP_S = 1.0
 """Least time between two events that one server or gateway has become slow; the counters of the
@@ -75,8 +75,9 @@
 class ServerPlacing:
     """Chooses the servers for the reads of one service."""
 
-    def __init__(self, *, registry: metrics.Registry) -> None:
+    def __init__(self, *, registry: metrics.Registry, meter: stalls.StallMeter) -> None:
         self.reporter = Reporter(kind="server", registry=registry)
+        self.stalls = meter
         self.budget = attempt_times.RetryBudget()
         self.random = random.Random()
         self.withdrawn: dict[ids.ServerId, health.Health] = {}
@@ -87,6 +88,7 @@
 
     def watch(self, backend: server.Server) -> None:
         """Judge a server from now on; one that failed and was started anew has yet to recover."""
+        backend.stalls = self.stalls
         backend.health = self.withdrawn.pop(backend.server, None) or self.reporter.new_health(
             backend.server, usual_latency_s=server.INITIAL_LATENCY_S[backend.distance]
         )
@@ -109,6 +111,7 @@
         may_probe: bool,
     ) -> list[ids.ServerId]:
         """Return the servers in the order in which to try them for a read."""
+        self.stalls.start()
         now_s = clock.now_s()
         order = server_choice.order_for_read(
             [
@@ -116,7 +119,7 @@
                     candidate=backend.read_candidate(leads=backend is leader),
                     health=backend.health,
                     now_s=now_s,
-                    silent_s=backend.unanswered_s(now_s),
+                    silent_s=backend.silent_s(now_s),
                     waiting=backend.pool.waiting,
                 )
                 for backend in backends
@@ -127,7 +130,7 @@
             may_probe=may_probe,
         )
         for backend in backends:
-            latency_s = max(backend.health.latency_s, backend.unanswered_s(now_s))
+            latency_s = max(backend.health.latency_s, backend.silent_s(now_s))
             backend.health.note_displaced(
                 backend.server in order.displaced, now_s, reason=f"latency {latency_s:.3f} s"
             )
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -7,7 +7,7 @@
 from mustardswitch.backends import errors
 from mustardswitch.internal import clock, ids, positions, promotion
 from mustardswitch.internal.placement import health, read_placement
-from mustardswitch.proxy import ports, routes, tenant_pool
+from mustardswitch.proxy import ports, routes, stalls, tenant_pool
 
 INITIAL_LATENCY_S = {
     read_placement.Distance.ZONE: 0.02,
@@ -65,6 +65,8 @@
         self.avoided_until_s = float("-inf")
         self.health: health.Health | None = None
         """Judgement of its answers; None without the feature ``placement``."""
+        self.stalls = stalls.StallMeter()
+        """Stalls of this instance, for which the server is not judged."""
         self.missing_position: positions.Position | None = None
         """A position that was missing from the server's log when it was last checked, and with it
         all later ones."""
@@ -161,7 +163,7 @@
             self.latency_s = current_s + LATENCY_WEIGHT * (latency_s - current_s)
             self.measured_at_s = now_s
             if self.health is not None:
-                self.health.note_answer(latency_s, now_s)
+                self.health.note_answer(self._without_stalls(latency_s, now_s), now_s)
 
     def note_failure(self, reason: str = "no answer", *, waited_s: float | None = None) -> None:
         """Record a missing answer or connection, or a failed statement.
@@ -172,10 +174,21 @@
         self._avoid()
         if self.health is None:
             return
-        if waited_s is not None:
-            self.health.note_timeout(waited_s, clock.now_s(), reason=reason)
+        now_s = clock.now_s()
+        if waited_s is not None and self.stalls.stalled_s(now_s - waited_s) > 0:
+            # The answer may have arrived while this instance did not run.
+            self.health.note_neutral()
+        elif waited_s is not None:
+            self.health.note_timeout(waited_s, now_s, reason=reason)
         else:
-            self.health.note_error(clock.now_s(), reason=reason)
+            self.health.note_error(now_s, reason=reason)
+
+    def _without_stalls(self, duration_s: float, now_s: float) -> float:
+        return max(0.0, duration_s - self.stalls.stalled_s(now_s - duration_s))
+
+    def silent_s(self, now_s: float) -> float:
+        """Return ``unanswered_s`` without the stalls of this instance."""
+        return self._without_stalls(self.unanswered_s(now_s), now_s)
 
     def note_rejection(self, reason: str) -> None:
         """Record that the server rejected a statement as overloaded."""
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -16,7 +16,7 @@
     suspicion,
 )
 from mustardswitch.internal.placement import read_placement
-from mustardswitch.proxy import errors, placing, ports, requests, server, tenant_pool
+from mustardswitch.proxy import errors, placing, ports, requests, server, stalls, tenant_pool
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept; several times the staleness limits of the users'
@@ -81,13 +81,15 @@
         location: Location,
         opener: ports.LinkOpener,
         registry: metrics.Registry,
-        places_reads: bool = False,
+        stall_meter: stalls.StallMeter | None = None,
     ) -> None:
         self.name = name
         self.location = location
         self.opener = opener
         self.registry = registry
-        self.placing = placing.ServerPlacing(registry=registry) if places_reads else None
+        self.placing = (
+            placing.ServerPlacing(registry=registry, meter=stall_meter) if stall_meter else None
+        )
         """Judges the servers; None without the feature ``placement``."""
         self.connections = 1
         self.serves_tenants = False
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -1,9 +1,11 @@
 """Replays of uneven servers, gateways and demand, without and with the feature ``placement``."""
 
+import asyncio
+
 import pytest
 
 from mustardswitch.internal import clock, ids
-from mustardswitch.proxy import gateway_placing, requests
+from mustardswitch.proxy import gateway_placing, requests, stalls
 from mustardswitch_standins import database_group
 from tests.common import placement_scenarios, proxy_world, replayed_load
 
@@ -106,6 +108,31 @@
     assert run.latency_s(1.0, 0.0, 30.0) < 0.5
 
 
+@pytest.mark.parametrize("gateways", [None, placement_scenarios.GATEWAYS])
+def test_a_stall_of_the_instance_itself_withdraws_no_work(monkeypatch, gateways):
+    """Guards against timers that are late together with the answers, which have arrived."""
+    stalls = [1.0, 2.0, 3.0, 4.0]
+
+    def stall(replay, now_s):
+        if stalls and now_s > stalls[0]:
+            stalls.pop(0)
+            asyncio.get_running_loop().selector.now_s += 0.6
+
+    run = replayed_load.replay(
+        monkeypatch,
+        stall,
+        placement=True,
+        duration_s=5.0,
+        rate_per_s=150.0,
+        gateways=gateways,
+        target="b0" if gateways else "server-b",
+    )
+    counters = run.world.directory.registry.counters
+    withdrawn = {key: count for key, count in counters.items() if "withdrawn" in key.name}
+    assert not withdrawn
+    assert not stalls
+
+
 def test_demand_beyond_the_zone_uses_the_gateways_of_the_region(monkeypatch):
     off = _replay(monkeypatch, "demand swings by 0.55", False)
     on = _replay(monkeypatch, "demand swings by 0.55", True)
@@ -151,6 +178,13 @@
     assert all(each.succeeded for each in written if each not in unknown)
 
 
+class StillMeter(stalls.StallMeter):
+    """Without an event loop there is nothing to measure."""
+
+    def start(self):
+        pass
+
+
 class Homes:
     """Gateways of a tenant in the order of its ranking; the first one is its home."""
 
@@ -158,7 +192,7 @@
         self.now_s = 100.0
         monkeypatch.setattr(clock, "now_s", lambda: self.now_s)
         registry = proxy_world.World().directory.registry
-        self.placing = gateway_placing.GatewayPlacing(registry=registry)
+        self.placing = gateway_placing.GatewayPlacing(registry=registry, meter=StillMeter())
         self.ranking = [ids.InstanceId(f"g{number}") for number in range(count)]
 
     def answer(self, gateway, latency_s, times=12, refusal=None):
