--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -17,6 +17,7 @@
     routes,
     server_pace,
     service,
+    stalls,
     statement_context,
     tenant_limits,
     tenant_roles,
@@ -65,8 +66,10 @@
         self.features = features
         self.paces = server_pace.PaceBook(registry=registry) if features.pace else None
         self.forwarder = forwarder
-        if forwarder is not None and features.placement:
-            forwarder.place_by_answers(registry)
+        self.stall_meter = stalls.StallMeter() if features.placement else None
+        """Measures the stalls of this instance for the feature ``placement``."""
+        if forwarder is not None and self.stall_meter is not None:
+            forwarder.place_by_answers(registry, self.stall_meter)
         self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
         """Gateways of the services whose connections do not suffice for all instances."""
         self.instance = instance
@@ -188,6 +191,7 @@
                     registry=self.registry,
                     features=self.features,
                     paces=self.paces,
+                    stall_meter=self.stall_meter,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -17,6 +17,7 @@
     ports,
     requests,
     service,
+    stalls,
     statement_context,
     tenant_state,
 )
@@ -79,9 +80,9 @@
     def __repr__(self) -> str:
         return f"Forwarder(client={self.client!r})"
 
-    def place_by_answers(self, registry: metrics.Registry) -> None:
+    def place_by_answers(self, registry: metrics.Registry, meter: stalls.StallMeter) -> None:
         """Choose gateways by their answers from now on."""
-        self.placing = gateway_placing.GatewayPlacing(registry=registry)
+        self.placing = gateway_placing.GatewayPlacing(registry=registry, meter=meter)
 
     def order(
         self, plan: forwarding.GatewayPlan, *, location: service.Location, single_read: bool = False
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -25,6 +25,7 @@
     requests,
     server,
     server_pace,
+    stalls,
     tenant_pool,
 )
 
@@ -93,6 +94,7 @@
         registry: metrics.Registry,
         features: feature_set.Features = feature_set.NO_FEATURES,
         paces: server_pace.PaceBook | None = None,
+        stall_meter: stalls.StallMeter | None = None,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -101,7 +103,9 @@
         self.opener = opener
         self.registry = registry
         self.features = features
-        self.placing = placing.ServerPlacing(registry=registry) if features.placement else None
+        self.placing = (
+            placing.ServerPlacing(registry=registry, meter=stall_meter) if stall_meter else None
+        )
         """Judges the servers; None without the feature ``placement``."""
         self.connections = 1
         self.serves_tenants = False
