Tenants: a former home lends its share to the instance that has taken its place

Callers were refused within their tenant's limit after the store had turned a home away: entry instances went to its successor, which waited for up to 15 s for the share and borrowed from the present homes only. Change: it borrows from former homes, too. Measured without network: 38 % refused of what is within the limit before, 2.2 % after.

--- a/src/mustardswitch/proxy/tenant_limits.py
+++ b/src/mustardswitch/proxy/tenant_limits.py
@@ -18,7 +18,7 @@
 from mustardswitch.proxy import requests, tenant_roles, tenant_state
 
 ASK_INTERVAL_S = 0.25
-"""Least time between two questions to one instance about one tenant."""
+"""Least time between two questions of a kind to one instance about one tenant."""
 ASK_AGAIN_S = 0.5
 """The same after an answer without a loan."""
 POLL_S = 0.25
@@ -207,7 +207,9 @@
         if self.exchange is None or not tracked.limit.is_short(now_s):
             return
         instance = self.directory.instance
-        for home in self.roles.lenders(tenant):
+        # A former home that still has the share lends it: its callers come here now.
+        former = tracked.former if tracked.limit.grant.waiting and tracked.former else ()
+        for home in dict.fromkeys([*self.roles.lenders(tenant), *former]):
             wanted = tracked.limit.wanted_per_s(home, now_s)
             if wanted > limits.EPSILON and home != instance:
                 request = limit_loans.LoanRequest(
@@ -238,10 +240,10 @@
             self.exchange is None
             or address is None
             or home == self.directory.instance
-            or now_s < tracked.ask_at_s.get(home, -math.inf)
+            or now_s < tracked.ask_at_s.get((home, type(request)), -math.inf)
         ):
             return
-        tracked.ask_at_s[home] = now_s + ASK_INTERVAL_S
+        tracked.ask_at_s[home, type(request)] = now_s + ASK_INTERVAL_S
         task = asyncio.create_task(self._ask_and_apply(home, address, request, tracked))
         self.asking.add(task)
         task.add_done_callback(self.asking.discard)
@@ -326,7 +328,7 @@
         asked_at_s: float,
     ) -> None:
         self.directory.registry.count("limit_exchanges", "nothing_to_lend")
-        tracked.ask_at_s[home] = asked_at_s + ASK_AGAIN_S
+        tracked.ask_at_s[home, limit_loans.LoanRequest] = asked_at_s + ASK_AGAIN_S
 
     def answer(self, request: limit_loans.Request) -> limit_loans.Answer:
         """Answer another instance."""
--- a/src/mustardswitch/proxy/tenant_state.py
+++ b/src/mustardswitch/proxy/tenant_state.py
@@ -35,8 +35,8 @@
     """Former homes that this instance waits for; None if they are still to be found."""
     cleared_at_s: dict[ids.InstanceId, float] = dataclasses.field(default_factory=dict)
     """When each former home spends nothing more."""
-    ask_at_s: dict[ids.InstanceId, float] = dataclasses.field(default_factory=dict)
-    """When each instance may be asked again."""
+    ask_at_s: dict[tuple[ids.InstanceId, type], float] = dataclasses.field(default_factory=dict)
+    """When each instance may be asked each kind of question again."""
     refused_at_s: float = -math.inf
     refusing: bool = False
     """Whether it is reported as refused."""
--- a/tests/proxy/test_tenant_limits_replay.py
+++ b/tests/proxy/test_tenant_limits_replay.py
@@ -165,3 +165,18 @@
     _run(world, 10.0, [(replay, {home: 8.0, other: 8.0})])
     _print("killed home, then", replay.figures, capsys)
     assert replay.figures.refused_within_share < 0.01
+
+
+def test_a_home_that_the_store_turns_away_lends_its_share_to_its_successor(build, capsys):
+    """Guards against refusals for as long as the former home may still spend the share."""
+    world = build(rate_per_s=40.0, burst=20.0)
+    home, other = sorted(world.homes(), key=lambda name: world.nodes[name].zone == "c")
+    world.nodes[home].renews, world.nodes[home].lag_s = False, float("inf")
+    while home in world.homes():
+        world.advance(limits_world.STEP_S)
+    successor = next(name for name in world.homes() if world.nodes[name].zone != "c")
+    replay = Replay(world)
+    _run(world, handover.LIST_MAX_AGE_S - 6.0, [(replay, {successor: 16.0, other: 16.0})])
+    _print("successor of a home without the store", replay.figures, capsys)
+    assert replay.figures.refused_within_share < 0.05
+    assert world.excess() <= 0.0
