Placement: servers with few answers use the times of the others; lost answers

A lost answer tripled the time to wait once four of 128 were lost, and a server with few answers was waited for 0.35 s.

--- a/src/mustardswitch/internal/placement/attempt_times.py
+++ b/src/mustardswitch/internal/placement/attempt_times.py
@@ -2,9 +2,9 @@
 
 A fixed time is too long for a lost packet on a fast server and too short for a server whose
 statements take longer. The time follows the latencies that were observed; an attempt that was given
-up counts with more than the time waited, so that the time grows when it was too short. A budget
-limits the attempts that are given up to a part of all answers: under overload, when all answers are
-late, further attempts would only add load.
+up counts with the time waited, so that the time grows when it is too short for more than a few
+percent. A budget limits the attempts that are given up to a part of all answers: under overload,
+when all answers are late, further attempts would only add load.
 """
 
 import collections
@@ -21,8 +21,6 @@
 a read at a quick server."""
 MAX_ATTEMPT_S = 0.5
 """Longest time to wait before a read is tried elsewhere."""
-TIMEOUT_COUNTS_AS = 1.5
-"""Multiple of the time waited that an attempt without an answer counts as."""
 REFRESH_EVERY = 8
 """Latencies after which the quantile is computed again; sorting the window each time would cost
 more than choosing a server."""
@@ -45,6 +43,11 @@
     def __repr__(self) -> str:
         return f"AttemptTimes(attempt_s={self.attempt_s!r})"
 
+    @property
+    def measured(self) -> bool:
+        """Whether there are enough latencies to follow."""
+        return len(self.latencies) >= MIN_SAMPLES
+
     def note(self, latency_s: float) -> None:
         """Record the latency of an answer."""
         self.latencies.append(latency_s)
@@ -53,13 +56,17 @@
             self._refresh()
 
     def note_timeout(self, waited_s: float) -> None:
-        """Record an attempt without an answer; the time to wait grows at once if it was short."""
-        self.latencies.append(TIMEOUT_COUNTS_AS * waited_s)
+        """Record an attempt without an answer.
+
+        If these are more than a few percent, twice the time waited is the next time to wait.
+        Counting them with more made the loss of four packets in 128 triple it.
+        """
+        self.latencies.append(waited_s)
         self._refresh()
 
     def _refresh(self) -> None:
         self.unread = 0
-        if len(self.latencies) < MIN_SAMPLES:
+        if not self.measured:
             self.attempt_s = MAX_ATTEMPT_S
             return
         ordered = sorted(self.latencies)
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -82,7 +82,9 @@
     @property
     def attempt_s(self) -> float:
         """How long to wait before a read is tried at another gateway."""
-        scaled_s = self.record.health.times.attempt_s * self.placing.usual.scale(self.kind)
+        own = self.record.health.times
+        times = own if own.measured else self.placing.times
+        scaled_s = times.attempt_s * self.placing.usual.scale(self.kind)
         return min(attempt_times.MAX_ATTEMPT_S, max(attempt_times.MIN_ATTEMPT_S, scaled_s))
 
     def note_answer(self, answer: requests.Answer) -> None:
@@ -99,6 +101,7 @@
             return
         scaled_s = self.placing.usual.note(self.kind, self.elapsed_s)
         self.record.health.note_answer(scaled_s, now_s)
+        self.placing.times.note(scaled_s)
 
     def note_broken(self, error: errors.PeerError) -> None:
         """Record that the attempt had no answer."""
@@ -126,6 +129,8 @@
         self.stalls = meter
         self.usual = gateway_choice.UsualLatencies()
         self.budget = attempt_times.RetryBudget()
+        self.times = attempt_times.AttemptTimes()
+        """Latencies of all gateways, for those that have answered few statements."""
         self.random = random.Random()
         self.records: dict[ids.InstanceId, GatewayRecord] = {}
         self.tokens = itertools.count()
--- a/src/mustardswitch/proxy/placing.py
+++ b/src/mustardswitch/proxy/placing.py
@@ -79,6 +79,8 @@
         self.reporter = Reporter(kind="server", registry=registry)
         self.stalls = meter
         self.budget = attempt_times.RetryBudget()
+        self.times = attempt_times.AttemptTimes()
+        """Latencies of all servers, for those that have answered few reads."""
         self.random = random.Random()
         self.withdrawn: dict[ids.ServerId, health.Health] = {}
         """Judgements of servers that were removed before they had recovered."""
@@ -102,6 +104,19 @@
         if backend.health.state is not health.State.NORMAL:
             self.withdrawn[backend.server] = backend.health
 
+    def note_read(self, latency_s: float | None) -> None:
+        """Record the answer to a read, and its latency if it succeeded."""
+        self.budget.note_answer()
+        if latency_s is not None:
+            self.times.note(latency_s)
+
+    def attempt_s(self, backend: server.Server) -> float:
+        """Return how long to wait for a read's answer if another server may be tried early."""
+        if backend.health.times.measured:
+            return backend.health.times.attempt_s
+        way_s = server_choice.ROUND_TRIP_S[backend.distance]
+        return min(attempt_times.MAX_ATTEMPT_S, self.times.attempt_s + way_s)
+
     def order(
         self,
         backends: collections.abc.Collection[server.Server],
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -169,7 +169,7 @@
         if not is_bounded:
             return await self.context.acquire(backend, shape)
         try:
-            async with asyncio.timeout(self.context.attempt_timeout_s(backend)):
+            async with asyncio.timeout(self.service.placing.attempt_s(backend)):
                 return await self.context.acquire(backend, shape)
         except TimeoutError as error:
             self._note_cut_short()
@@ -205,7 +205,7 @@
         timeout_s = self.context.answer_timeout_s(backend)
         cuts_short = last is None and self._may_cut_short(backend)
         if cuts_short:
-            timeout_s = min(timeout_s, self.context.attempt_timeout_s(backend))
+            timeout_s = min(timeout_s, self.service.placing.attempt_s(backend))
         sent_s = clock.now_s()
         backend.in_flight += 1
         try:
@@ -238,9 +238,10 @@
         answer = await self._send(backend, link, command)
         if answer is None:
             return None
-        backend.note_answer(clock.now_s() - started_s if answer.succeeded else None)
+        latency_s = clock.now_s() - started_s if answer.succeeded else None
+        backend.note_answer(latency_s)
         if self.service.placing is not None:
-            self.service.placing.budget.note_answer()
+            self.service.placing.note_read(latency_s)
         if answer.succeeded:
             backend.note_caught_up(command.min_position)
         backend.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -164,10 +164,6 @@
         timeout_s = max(MIN_ANSWER_TIMEOUT_S, LATENCY_MULTIPLE * latency_s)
         return max(0.001, min(self.remaining_s, timeout_s))
 
-    def attempt_timeout_s(self, backend: server.Server) -> float:
-        """Return how long to wait for a read's answer if another server may be tried early."""
-        return max(0.001, min(self.remaining_s, backend.health.times.attempt_s))
-
     async def wait_before_retry(self) -> bool:
         """Wait before another attempt; False, at once, when no time is left for one."""
         if self.remaining_s <= RETRY_DELAY_S:
--- a/tests/proxy/test_placement.py
+++ b/tests/proxy/test_placement.py
@@ -108,6 +108,20 @@
     assert run.latency_s(1.0, 0.0, 30.0) < 0.5
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_lost_answer_of_a_server_costs_the_time_that_its_reads_usually_take(monkeypatch, seed):
+    """Guards against a fixed time to wait, 0.35 s, which is 15 times as long as a usual read."""
+
+    def lose(replay, now_s):
+        for model in replay.group.models.values():
+            model.faults = replayed_load.Faults(loss=0.01)
+
+    run = replayed_load.replay(monkeypatch, lose, placement=True, duration_s=10.0, seed=seed)
+    assert run.world.directory.registry.total("attempts_cut_short", "server") > 0
+    assert run.served(0.0, 10.0) == 1.0
+    assert run.latency_s(1.0, 0.0, 10.0) < 0.3
+
+
 @pytest.mark.parametrize("gateways", [None, placement_scenarios.GATEWAYS])
 def test_a_stall_of_the_instance_itself_withdraws_no_work(monkeypatch, gateways):
     """Guards against timers that are late together with the answers, which have arrived."""
