--- a/src/mustardswitch/platform/caller_limits.py
+++ b/src/mustardswitch/platform/caller_limits.py
@@ -70,7 +70,7 @@
         self.served: memory.Budget[Connection] = memory.Budget(limit_bytes=shares.served)
         self.waiting: collections.deque[_Waiting] = collections.deque()
         self.others = 0
-        """Descriptors that are open for other purposes, at the last sweep."""
+        """Descriptors that are open for other purposes, when they were last measured."""
         self.last_sweep_s: float | None = None
 
     def __repr__(self) -> str:
@@ -153,6 +153,10 @@
                 self.served.hold(entry.connection, entry.wanted_bytes)
                 entry.ticket.set_result(None)
 
+    def measure_descriptors(self) -> None:
+        """Count the descriptors that are open for other purposes than callers."""
+        self.others = len(os.listdir(DESCRIPTOR_DIRECTORY)) - len(self.held.held)
+
     # Time limits
 
     async def run(self) -> None:
@@ -169,7 +173,7 @@
             reason = connection.overdue(elapsed_s)
             if reason is not None:
                 self.end(connection, reason)
-        self.others = len(os.listdir(DESCRIPTOR_DIRECTORY)) - len(self.held.held)
+        self.measure_descriptors()
         self.registry.set_gauge("caller_bytes_held", self.held.total_bytes)
         self.registry.set_gauge("caller_bytes_served", self.served.total_bytes)
         self.registry.set_gauge("callers", len(self.held.held))
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -208,8 +208,12 @@
                 message.request, message.statement, first_byte_s=first_byte_s
             )
         except asyncio.CancelledError:
-            why = "the instance stops" if self.ended is None else self.ended.value
-            self.stream.write(lines.encode_answer(self.session.give_up(why)))
+            answer = (
+                self.session.give_up()
+                if self.ended is None
+                else self.session.give_up(f"the connection is ended: {self.ended.value}")
+            )
+            self.stream.write(lines.encode_answer(answer))
             raise
         finally:
             self.running = False
@@ -253,6 +257,7 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers at an address; raises OSError."""
+        self.limits.measure_descriptors()
         listener = listening.bind(host, port)
         self.server = await asyncio.get_running_loop().create_server(
             self._build_stream, sock=listener, backlog=listening.ACCEPTED_AT_ONCE
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -132,7 +132,7 @@
         if self.transaction is not None and self.serving is None:
             self.transaction.fail()
 
-    def give_up(self, why: str) -> requests.Answer:
+    def give_up(self, why: str = "the instance stops") -> requests.Answer:
         """Return the answer to a statement that was cancelled, since the connection ends now.
 
         Closing the connection to the server rolls back; only a write or commit that was passed on
