--- a/src/mustardswitch/internal/admission/memory.py
+++ b/src/mustardswitch/internal/admission/memory.py
@@ -27,7 +27,7 @@
 """Counted for each connection: 5 KB of objects, and small amounts that are not counted."""
 CONNECTIONS_SHARE = 0.75
 """Largest share of what is held for callers that connections may take by their number alone, so
-that idle sessions are never closed for new ones."""
+that a crowd of them leaves room for statements."""
 UNCOUNTED_BYTES = 4096
 """Amounts up to this are not counted, so that small statements cost no bookkeeping."""
 ORDINARY_BYTES = 64 * 1024
--- a/src/mustardswitch/platform/caller_limits.py
+++ b/src/mustardswitch/platform/caller_limits.py
@@ -41,6 +41,12 @@
     started: bool
     """Whether its first line has arrived."""
     in_transaction: bool
+    idle: bool
+    """Whether it waits for a statement outside of a transaction."""
+    served: bool
+    """Whether it has run a statement."""
+    idle_since_s: float
+    """When it began to wait for its next line (``clock.now_s``)."""
     held_bytes: int
 
     def overdue(self, elapsed_s: float) -> Reason | None:
@@ -81,19 +87,30 @@
     def accept(self, connection: Connection) -> bool:
         """Count a new connection; return whether it is accepted.
 
-        It takes the place of the oldest one without a first line, if there is no other room.
+        If there is no other room, it takes the place of the oldest one without a first line, then
+        of the oldest session that has run nothing, then of the one that has been idle longest: a
+        caller opens another session, and loses no work. Others are never ended for it.
         """
         allowed = descriptors.callers_allowed(max_fds=self.max_fds, others=self.others)
         if len(self.held.held) >= min(allowed, memory.connections_allowed(self.held.limit_bytes)):
-            silent = next((each for each in self.held.held if not each.started), None)
-            if silent is None:
+            replaced = self._least_active()
+            if replaced is None:
                 self._note_ended(connection, Reason.TOO_MANY)
                 return False
-            self.end(silent, Reason.TOO_MANY)
+            self.end(replaced, Reason.TOO_MANY)
         self.held.hold(connection, connection.held_bytes)
         self.note(connection)
         return True
 
+    def _least_active(self) -> Connection | None:
+        """Return the connection whose place a new one may take; None if all are in use."""
+        silent = next((each for each in self.held.held if not each.started), None)
+        if silent is not None:
+            return silent
+        idle = [each for each in self.held.held if each.idle]
+        unused = next((each for each in idle if not each.served), None)
+        return unused or min(idle, key=lambda each: each.idle_since_s, default=None)
+
     def drop(self, connection: Connection) -> None:
         """Forget a connection that is closed."""
         self.held.drop(connection)
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -32,6 +32,9 @@
         self.task: asyncio.Task[None] | None = None
         self.idle = False
         """Whether it waits for a statement outside of a transaction; a drain closes it then."""
+        self.idle_since_s = clock.now_s()
+        self.served = False
+        """Whether it has run a statement."""
         self.session: session.Session | None = None
         self.closing = False
         self.started = False
@@ -160,6 +163,7 @@
             self.idle = self.session.transaction is None
             if self.closing and self.idle:
                 return
+            self.idle_since_s = clock.now_s()
             line = await self.stream.read_line()
             first_byte_s = clock.now_s()
             self.idle = False
@@ -202,7 +206,7 @@
         if not isinstance(message, lines.RunStatement):
             raise errors.InvalidLineError("the session is already open")
         state_bytes = self.session.state.held_bytes
-        self.running = True
+        self.running = self.served = True
         try:
             answer = await self.session.handle(
                 message.request, message.statement, first_byte_s=first_byte_s
