Pools keep their size, and reject waiters whose connection is not opened

A pool that shrank while its connections were in use kept the surplus, so that all instances together could exceed max_conns. A waiter hung until its deadline when the pool closed before its opening took its first step, or when the opening failed in an unexpected way. After a failed opening a statement waited up to 0.25 s beside an idle connection of its tenant.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -169,7 +169,7 @@
         self.opening -= 1
         self.failures = 0
         self.retry_at_s = float("-inf")
-        if self.closed:
+        if self.closed or self.held >= self.size:
             opened.close()
             return
         self.idle.append(opened)
@@ -359,8 +359,9 @@
         now_s = time.monotonic()
         self.use.end(id(connection), now_s)
         self.admission.note_use(self.use, now_s)
-        if not clean or connection.broken or self.closed:
-            connection.close()
+        surplus = self.held >= self.size
+        if not clean or connection.broken or self.closed or surplus:
+            self._close(connection)
             self._open_missing(max(1, self.busy + self.waiting))
         else:
             self.on_unused(connection)
@@ -369,21 +370,27 @@
         self._serve_queue()
         self._recheck_later()
 
+    def _close(self, connection: Held) -> None:
+        """Close a connection that is in use by no one, and forget it."""
+        self.returned_at_s.pop(id(connection), None)
+        connection.close()
+
     def trim(self, *, idle_s: float) -> None:
         """Close connections that were not used for ``idle_s``, the longest unused first."""
         oldest_s = time.monotonic() - idle_s
         while self.idle and self.returned_at_s.get(id(self.idle[0]), oldest_s) < oldest_s:
-            closed = self.idle.popleft()
-            self.returned_at_s.pop(id(closed), None)
-            closed.close()
+            self._close(self.idle.popleft())
 
     def resize(self, size: int) -> None:
-        """Hold up to ``size`` connections from now on; surplus idle ones are closed."""
+        """Hold up to ``size`` connections from now on.
+
+        Surplus idle ones are closed, and those in use when they are released.
+        """
         self.size = size
         self.limit.resize(size)
         self.admission.resize(size * QUEUE_PER_CONNECTION)
         while self.idle and self.held > size:
-            self.idle.popleft().close()
+            self._close(self.idle.popleft())
         self._serve_queue()
 
     def record(self, latency_s: float) -> None:
@@ -401,7 +408,7 @@
         for task in self.tasks:
             task.cancel()
         while self.idle:
-            self.idle.pop().close()
+            self._close(self.idle.pop())
         self.reject_waiters(
             "this instance is no longer connected to the server", include_waiting_for_server=True
         )
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import math
 import time
 import typing
@@ -16,8 +17,9 @@
 from mustardswitch.internal.admission import connection_use, limits
 from mustardswitch.proxy import ports, routes
 
-ANY_TENANT = "*"
-"""Caller of requests that any connection can serve, such as a status query."""
+ANY_TENANT = "any tenant"
+"""Caller of requests that any connection can serve, such as a status query. Names of tenants have
+no blanks, so that none is taken for it."""
 TURN_LENGTH = 4
 """Statements of one tenant in a row on a connection while another tenant waits: bounds the share
 of a server's time that is spent on opening connections, without keeping the others waiting."""
@@ -99,9 +101,11 @@
 
     def _forget(self, link: ports.Link) -> None:
         self.idle.remove(link)
-        self.returned_at_s.pop(id(link), None)
-        self.turns.pop(id(link), None)
-        link.close()
+        self._close(link)
+
+    def _close(self, connection: ports.Link) -> None:
+        self.turns.pop(id(connection), None)
+        super()._close(connection)
 
     def _paused(self) -> bool:
         """Return whether no connection is opened now, after an attempt that failed."""
@@ -132,6 +136,20 @@
             else:
                 self._open_for(waiting)
 
+    def _serve_idle(self) -> None:
+        """Hand out idle connections to waiting statements of their tenants, and open none."""
+        while self.idle and self.busy + self.opening < self.limit.allowed:
+            waiting = self._take_waiting(preferred=frozenset(link.tenant for link in self.idle))
+            if waiting is None:
+                return
+            link = self._idle_of(waiting.caller)
+            if link is None:
+                self.admission.restore(waiting)
+                return
+            if not waiting.ticket.done():
+                link = self._take(link, holds=waiting.holds, priority=waiting.priority)
+                waiting.ticket.set_result(link)
+
     def _tenants_in_turn(self) -> frozenset[str]:
         """Return the tenants of idle connections that may serve another statement of theirs."""
         return frozenset(
@@ -150,7 +168,22 @@
         self.use.begin(id(waiting), hold)
         task = asyncio.create_task(self._open_and_hand_out(waiting))
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(functools.partial(self._end_opening, waiting))
+
+    def _end_opening(
+        self, waiting: limits.Waiting[asyncio.Future[ports.Link]], task: asyncio.Task[None]
+    ) -> None:
+        """Reject a statement that has no connection although the opening of one has ended.
+
+        The task may have been cancelled before its first step, or have failed unexpectedly.
+        """
+        self.tasks.discard(task)
+        if self.use.cancel(id(waiting)) is not None:
+            self.opening -= 1
+        if not waiting.ticket.done():
+            waiting.ticket.set_exception(
+                errors.PoolUnreachableError("the connection was not opened")
+            )
 
     async def _open_and_hand_out(self, waiting: limits.Waiting[asyncio.Future[ports.Link]]) -> None:
         tenant = routes.NO_TENANT if waiting.caller == ANY_TENANT else waiting.caller
@@ -160,18 +193,14 @@
             self._note_failed_opening()
             if not waiting.ticket.done():
                 waiting.ticket.set_exception(errors.PoolUnreachableError(str(error)))
+            asyncio.get_running_loop().call_soon(self._serve_idle)
             return
-        except asyncio.CancelledError:
-            # The pool was closed; the waiter is in no queue any more.
-            if not waiting.ticket.done():
-                waiting.ticket.set_exception(errors.PoolUnreachableError("the pool was closed"))
-            raise
         finally:
             self.opening -= 1
             opened = self.use.cancel(id(waiting))
         self.failures = 0
         self.retry_at_s = float("-inf")
-        if self.closed:
+        if self.closed or (waiting.ticket.done() and self.held >= self.size):
             link.close()
             return
         self.idle.append(link)
@@ -203,14 +232,3 @@
             self._serve_queue()
             if self.reopens_unused:
                 self._open_missing(1)
-
-    def release(self, connection: ports.Link, *, clean: bool) -> None:
-        """Return a connection to the pool; one that is not known to be clean is closed."""
-        if not clean or connection.broken or self.closed:
-            self.turns.pop(id(connection), None)
-        super().release(connection, clean=clean)
-
-    def close(self) -> None:
-        """Close idle connections and reject waiters; busy connections are closed on release."""
-        super().close()
-        self.turns.clear()
