Errors about tenants show no keys; a key that changes its tenant ends its transaction

Error texts, and with them the event of a rejected configuration, showed a list of keys that had another type. A key that a new configuration gives to another tenant continued its transaction on the connection of the first one.

--- a/src/mustardswitch/platform/records.py
+++ b/src/mustardswitch/platform/records.py
@@ -204,15 +204,25 @@
 
 
 def _tenant_records(record: Record) -> list[object]:
-    return _field(record, "tenants", list, "configuration") if record.get("tenants") else []
+    return _secret_list(record, "tenants", "configuration") if record.get("tenants") else []
+
+
+def _secret_list(record: Record, name: str, subject: str) -> list[object]:
+    """Return a list with keys in it; errors do not show what is there instead."""
+    value = record.get(name)
+    if not isinstance(value, list):
+        raise errors.InvalidRecordError(f"{subject}: field {name} is no list; give one")
+    return value
 
 
 def _decode_tenant(record: object) -> tuple[routes.Tenant, list[ids.CallerKey]]:
     """Return a tenant and its keys; errors name the tenant, never a key."""
     if not isinstance(record, dict):
         raise errors.InvalidRecordError("a tenant is not an object; write one")
-    subject = f"tenant {record.get('name')!r:.64}"
-    keys = _field(record, "api_keys", list, subject) if "api_keys" in record else []
+    if not isinstance(record.get("name"), str):
+        raise errors.InvalidRecordError("a tenant has no name; give a string")
+    subject = f"tenant {record['name']!r:.64}"
+    keys = _secret_list(record, "api_keys", subject) if "api_keys" in record else []
     if not all(isinstance(key, str) and key for key in keys):
         raise errors.InvalidRecordError(f"{subject}: field api_keys must list non-empty strings")
     limit = {}
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -77,6 +77,8 @@
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
         self.transaction_began_s = 0.0
         """When the BEGIN of the transaction was read (``clock.now_s``)."""
+        self.transaction_tenant = routes.NO_TENANT
+        """Tenant of the transaction's first statement, for which its connection was opened."""
         self.idle_timer: asyncio.TimerHandle | None = None
         self.failure_reported = False
         """Whether the failure of the transaction was reported to the caller; a transaction can also
@@ -186,18 +188,22 @@
         if route is None or isinstance(statement, requests.Rollback):
             return None
         try:
-            self.directory.identify(self.key, route)
+            tenant = self.directory.identify(self.key, route)
         except errors.UnknownKeyError as error:
             if self.transaction is None:
                 return requests.refuse(requests.Refusal.UNAUTHORIZED, str(error))
-            self.transaction.fail()
-            if isinstance(statement, requests.Commit):
-                self.transaction = None
-            return requests.refuse(
-                requests.Refusal.ABORTED, str(error), state=self.transaction_state
-            )
+            return self._abort_for_key(statement, str(error))
+        began = self.transaction is not None and self.transaction.service is not None
+        if began and tenant and self.transaction_tenant not in (tenant, routes.NO_TENANT):
+            return self._abort_for_key(statement, "the key belongs to another tenant now")
         return None
 
+    def _abort_for_key(self, statement: requests.Statement, why: str) -> requests.Answer:
+        self.transaction.fail()
+        if isinstance(statement, requests.Commit):
+            self.transaction = None
+        return requests.refuse(requests.Refusal.ABORTED, why, state=self.transaction_state)
+
     async def _dispatch(
         self, request: ids.RequestId, statement: requests.Statement, first_byte_s: float
     ) -> requests.Answer:
@@ -334,6 +340,7 @@
         """Choose at a transaction's first statement whether it runs here or at a gateway."""
         if self.transaction.service is not None:
             return
+        self.transaction_tenant = context.tenant
         gateways = self.directory.gateways_for(context)
         if gateways is not None:
             self.transaction = forwarded.ForwardedTransaction(
--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,6 +11,7 @@
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.tenants import homes
+from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import lines, records
 from mustardswitch.proxy import feature_set, requests, session, tenant_pool
 from mustardswitch_standins import database_group
@@ -112,6 +114,41 @@
     assert configuration.tenant_by_key == {"k1": ACME, "k2": ACME}
 
 
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        '[{"name":"acme","api_keys":"SECRET"}]',
+        '[{"name":"acme","api_keys":{"SECRET":1}}]',
+        '[{"name":["SECRET"],"api_keys":[]}]',
+        '{"acme":{"api_keys":["SECRET"]}}',
+        '"SECRET"',
+    ],
+)
+def test_errors_about_tenants_show_no_keys(tenants):
+    """Guards against keys in the event that reports an invalid configuration."""
+    record = (
+        f'{{"version":1,"routes":[],"services":[],"limits":{{"tx_idle_ms":1}},"tenants":{tenants}}}'
+    )
+    with pytest.raises(platform_errors.InvalidRecordError) as raised:
+        records.decode_configuration(record.encode())
+    assert "SECRET" not in str(raised.value)
+
+
+async def test_a_transaction_whose_key_now_belongs_to_another_tenant_is_rolled_back():
+    """Guards against statements of a tenant on a connection that was opened for another one."""
+    world = _world()
+    caller = _open(world, ACME_KEY)
+    await world.run(caller, requests.Begin(read_only=False))
+    assert (await world.run(caller, proxy_world.WRITE)).succeeded
+    moved = {ACME_KEY: BOLT, BOLT_KEY: BOLT}
+    world.directory.configure(tenant_builders.configuration(3, keys=moved))
+    refused = await world.run(caller, proxy_world.WRITE)
+    assert refused.refusal is requests.Refusal.ABORTED
+    await world.run(caller, requests.Rollback())
+    assert (await world.run(caller, proxy_world.WRITE)).succeeded
+    assert [each.link.tenant for each in world.group.statements][-1] == BOLT
+
+
 # Connections
 
 
