--- a/tests/common/load_world.py
+++ b/tests/common/load_world.py
@@ -82,6 +82,10 @@
     """Sent to the server, and without an answer within the time limit."""
     slow_refusals: int = 0
     """Attempts that were refused after more than a quarter of the target."""
+    refusals: int = 0
+    """Attempts that were refused."""
+    refusals_s: float = 0.0
+    """Waits before all refusals together."""
     longest_s: float = 0.0
     """Longest wait before a refusal."""
 
@@ -141,6 +145,8 @@
                 break
             waited_s = self.loop.time() - tried_s
             figures.slow_refusals += waited_s > kind.target_s / 4
+            figures.refusals += 1
+            figures.refusals_s += waited_s
             figures.longest_s = max(figures.longest_s, waited_s)
             await asyncio.sleep(RETRY_PAUSE_S)
         if outcome == "answered":
