A zone that is cut off tries a gateway of its own also for large tenants

Of the five gateways that come first for a tenant with two homes in each region only four are tried; the one in the caller's own zone came fifth. 2 tests failed before, 25 of tests/proxy/test_tenants.py pass.

--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -327,8 +327,8 @@
         in_zone = set(plan.gateways_by_zone.get(location.zone, ()))
         # If the zone is cut off, only its own gateways can be reached.
         nearest = [gateway for gateway in order if gateway in in_zone][:1]
-        first = [*order[: 2 * count], *nearest]
-        ranking = list(dict.fromkeys([*first, *order[2 * count :]]))
+        first = [*order[: min(2 * count, forwarded.MAX_HOMES_TRIED - 1)], *nearest]
+        ranking = list(dict.fromkeys([*first, *order]))
         return self.forwarder.order_homes(ranking, homes=count, single_read=single_read)
 
     def homes_of(self, tenant: ids.TenantName) -> list[ids.InstanceId]:
--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -2,18 +2,29 @@
 
 import asyncio
 import collections
+import dataclasses
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardswitch import connection_pool
+from mustardswitch import connection_pool, metrics
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.tenants import homes
+from mustardswitch.peers import relay_client
 from mustardswitch.platform import errors as platform_errors
 from mustardswitch.platform import lines, records
-from mustardswitch.proxy import feature_set, requests, session, tenant_pool
+from mustardswitch.proxy import (
+    directory,
+    feature_set,
+    forwarded,
+    requests,
+    routes,
+    service,
+    session,
+    tenant_pool,
+)
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, tenant_builders
 
@@ -273,3 +284,31 @@
     )
     assert len(groups) == 100
     assert {homes.group_of(ids.ServiceName("any"), 4)} == {0}
+
+
+@pytest.mark.parametrize("placement", [False, True])
+def test_a_zone_that_is_cut_off_always_tries_a_gateway_of_its_own(placement):
+    """Guards against a large tenant, with two homes in each region, that a zone which is cut off
+    serves from none of its gateways: the four that were tried were all in other zones.
+    """
+    for zone in tenant_builders.REGIONS:
+        world = proxy_world.World()
+        known = directory.Directory(
+            instance=ids.InstanceId("entry"),
+            location=service.Location(zone=zone, regions=tenant_builders.REGIONS),
+            opener=world.group.open_link,
+            registry=metrics.Registry(),
+            forwarder=forwarded.Forwarder(client=relay_client.RelayClient()),
+            features=feature_set.Features(admission=False, placement=placement, pace=False),
+        )
+        for each in tenant_builders.candidates(9):
+            known.instances.put(each.instance, directory.Peer(zone=each.zone))
+        tenants = [ids.TenantName(f"t{number}") for number in range(60)]
+        known.configuration = dataclasses.replace(
+            tenant_builders.configuration(),
+            tenants={name: routes.Tenant(name=name, rate_per_s=200.0) for name in tenants},
+        )
+        plan = homes.plan_gateways(known.candidates(), group=0, connections=79, usable=79)
+        for tenant in tenants:
+            order = known._gateways_of_tenant(plan, tenant, single_read=False)
+            assert any(gateway in plan.gateways_by_zone[zone] for gateway in order)
