--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -230,5 +230,6 @@
     def _retry(self) -> None:
         if not self.closed:
             self._serve_queue()
+            self._recheck_later()
             if self.reopens_unused:
                 self._open_missing(1)
--- a/tests/proxy/test_tenant_pool.py
+++ b/tests/proxy/test_tenant_pool.py
@@ -180,3 +180,29 @@
     assert len(pool.turns) == len(pool.returned_at_s) == 3
     pool.trim(idle_s=-1.0)
     assert not pool.turns and not pool.returned_at_s
+
+
+async def test_work_that_waits_beside_a_reserve_is_served_after_a_failed_opening():
+    """Guards against work that nothing tries again: its place was taken by an opening that failed
+    when it began to wait, and the reserve ends without a release.
+    """
+    server = Server()
+    pool = _pool(server, 4, by_target=True)
+    for _ in range(3):
+        await pool.acquire(_request("a"))
+    pool.use.average_holding_s[False] = 0.5
+    reserves = pool.admission.reserves
+    server.gate.clear()
+    server.failure = errors.ConnectionLimitError("too many connections")
+    urgent = asyncio.create_task(pool.acquire(_request("b", priority=0)))
+    await _settle()
+    waiting = asyncio.create_task(pool.acquire(_request("a", 8.0)))
+    await _settle()
+    reserves.urgent_at_s = time.monotonic() - 4.6
+    server.gate.set()
+    await _settle()
+    server.failure = None
+    with pytest.raises(errors.PoolUnreachableError):
+        await urgent
+    assert not waiting.done()
+    await asyncio.wait_for(waiting, 2.0)
