--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -315,7 +315,10 @@
         context: statement_context.StatementContext,
         command: requests.Plain | ports.RunPrepared | requests.Commit,
     ) -> requests.Answer:
-        """Execute a statement; the first one begins the transaction, past gateways that leave."""
+        """Execute a statement.
+
+        The first one begins the transaction, past gateways that leave or do not serve its database.
+        """
         if self.connection is not None:
             return await self._execute(context, command)
         self.service = context.service
@@ -327,7 +330,7 @@
             answer = await self._execute(
                 context, command, begin="read" if self.read_only else "write"
             )
-            if answer.refusal is not requests.Refusal.LEAVING:
+            if self.connection is None or answer.refusal not in NOT_SERVED:
                 if self.gateway is not None:
                     self.forwarder.note_refusal(self.gateway, context, answer)
                 return answer
@@ -368,7 +371,7 @@
             self.forwarder.note_failure(self.gateway, context, str(error), judged=True)
             self.connection = None
             return requests.refuse(requests.Refusal.ABORTED, str(error))
-        if answer.refusal is requests.Refusal.UNKNOWN_DATABASE:
+        if answer.refusal is requests.Refusal.UNKNOWN_DATABASE and not begin:
             # The gateway's configuration differs from this instance's and has no such database; the
             # gateway has rolled back the transaction.
             self.forwarder.note_failure(self.gateway, context, answer.detail)
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -173,6 +173,29 @@
         assert any(server.pool.held for server in fleet.entry.service.servers.values())
 
 
+async def test_a_transaction_begins_at_the_next_gateway_if_one_does_not_know_its_database():
+    """Guards against transactions that are aborted while a new configuration reaches the gateways,
+    although another one knows the database or tenant.
+    """
+    async with Fleet() as fleet, Fleet() as other:
+        configuration = fleet.gateway.directory.configuration
+        fleet.gateway.directory.configuration = dataclasses.replace(configuration, routes={})
+        other_id = ids.InstanceId("other")
+        fleet.entry.directory.instances.put(
+            other_id, directory.Peer(zone=ids.ZoneName("a"), address=other.address)
+        )
+        fleet.entry.directory.plans[fleet.entry.service.name] = forwarding.GatewayPlan(
+            gateways_by_zone={ids.ZoneName("a"): (ids.InstanceId("gateway"), other_id)},
+            connections=3,
+        )
+        for _ in range(2):
+            fleet.forwarder.recent_failures.until_s.clear()
+            caller = fleet.entry.open_session(OWN)
+            await fleet.entry.run(caller, requests.Begin(read_only=False))
+            assert (await fleet.entry.run(caller, proxy_world.WRITE)).succeeded
+            assert (await fleet.entry.run(caller, requests.Commit())).succeeded
+
+
 async def test_a_transaction_whose_gateway_loses_the_database_is_rolled_back_not_unknown():
     async with Fleet() as fleet:
         caller = fleet.entry.open_session(OWN)
