Shares are spent only by a list that is known to be new enough

The list counted from the receipt of the store's answer, which may have waited for up to 3 s with a frozen instance, while a new home waits 0.5 s longer than a list is valid. It counts from the question now, also through relays (field as_of_age_s).

--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -24,6 +24,8 @@
     def __init__(self) -> None:
         self.entries: dict[Key, Entry] = {}
         self.expired: set[Key] = set()
+        self.kept_since_s = float("inf")
+        """Since when entries are kept that have expired (``clock.now_s``); infinite without any."""
         self.overwritten: dict[Key, float] = {}
         """Entries that another writer has overwritten, and when (``clock.now_s``)."""
         self.outage = False
@@ -53,6 +55,8 @@
         """Add or change an entry."""
         self.entries[key] = entry
         self.expired.discard(key)
+        if not self.expired:
+            self.kept_since_s = float("inf")
         self.overwritten.pop(key, None)
 
     def note_overwritten(self, key: Key, now_s: float) -> None:
@@ -66,6 +70,7 @@
         if key not in self.entries:
             return
         if self.outage or now_s < self.recovered_at_s + REREGISTRATION_S:
+            self.kept_since_s = min(self.kept_since_s, now_s)
             self.expired.add(key)
         else:
             del self.entries[key]
@@ -94,4 +99,5 @@
             self.entries.pop(key, None)
             self.overwritten.pop(key, None)
         self.expired = set()
+        self.kept_since_s = float("inf")
         return bool(dropped)
--- a/src/mustardswitch/peers/record_codec.py
+++ b/src/mustardswitch/peers/record_codec.py
@@ -35,6 +35,8 @@
     """Whether the sender follows the store now."""
     age_s: float
     """Seconds since the store last confirmed that the sender's records were current."""
+    as_of_age_s: float
+    """Seconds since the store was asked for that; ``age_s`` from a sender of an earlier build."""
     revision: int
     """Of the sender's records; its era is that of all items."""
     complete: bool
@@ -81,6 +83,7 @@
         {
             "available": header.available,
             "age_s": header.age_s,
+            "as_of_age_s": header.as_of_age_s,
             "revision": revisions.number_of(header.revision),
             "era": revisions.era_of(header.revision),
             "complete": header.complete,
@@ -98,6 +101,7 @@
         return RecordHeader(
             available=bool(fields["available"]),
             age_s=relay_codec.decode_seconds(fields["age_s"]),
+            as_of_age_s=relay_codec.decode_seconds(fields.get("as_of_age_s", fields["age_s"])),
             revision=_join(fields, fields["revision"], default_era),
             complete=bool(fields["complete"]),
         )
--- a/src/mustardswitch/peers/record_relay.py
+++ b/src/mustardswitch/peers/record_relay.py
@@ -1,6 +1,7 @@
 """Passes the store's records on from the instances that follow the store to the others."""
 
 import asyncio
+import dataclasses
 
 from mustardswitch import events
 from mustardswitch.internal import (
@@ -25,6 +26,16 @@
 """How long a relay that failed or lost the store is not followed."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Times:
+    """How current records are (``clock.now_s``)."""
+
+    confirmed_at_s: float
+    """When the store last confirmed them."""
+    as_of_s: float
+    """When the store was asked for that."""
+
+
 class RecordFeed:
     """The records of this instance, as it passes them on."""
 
@@ -33,6 +44,9 @@
         self.available = False
         self.confirmed_at_s = float("-inf")
         """When the store last confirmed that the records were current (``clock.now_s``)."""
+        self.as_of_s = float("-inf")
+        """When the store was asked for that. The records lack no earlier change, while its answer
+        may have waited, with an instance that was frozen or on a slow link."""
         self.changed = asyncio.Event()
         """Set, and then replaced, when records or ``available`` change."""
         self.encoded: tuple[tuple[int, int, bool], bytes] | None = None
@@ -43,12 +57,19 @@
         """The store's era of the records."""
         return revisions.era_of(self.log.revision or 0)
 
-    def publish(self, listing: change_log.Listing, *, confirmed_at_s: float) -> None:
+    def publish(
+        self,
+        listing: change_log.Listing,
+        *,
+        confirmed_at_s: float,
+        as_of_s: float | None = None,
+    ) -> None:
         """Pass on what the store, or a relay, answered."""
         before = (self.available, self.log.revision)
         self.log.record(listing)
         self.available = True
         self.confirmed_at_s = confirmed_at_s
+        self.as_of_s = confirmed_at_s if as_of_s is None else as_of_s
         if before != (True, self.log.revision) or listing.items:
             self._wake()
 
@@ -79,6 +100,7 @@
         header = record_codec.RecordHeader(
             available=self.available,
             age_s=round(min(1e6, clock.now_s() - self.confirmed_at_s), 3),
+            as_of_age_s=round(min(1e6, clock.now_s() - self.as_of_s), 3),
             revision=listing.revision,
             complete=listing.complete,
         )
@@ -125,10 +147,10 @@
 
     async def watch(
         self, relay: ids.InstanceId, address: datagrams.PeerAddress, *, after: int | None
-    ) -> tuple[change_log.Listing, float]:
-        """Return a relay's changes after a revision, and when the store confirmed them.
+    ) -> tuple[change_log.Listing, Times]:
+        """Return a relay's changes after a revision, and how current they are.
 
-        The time is on ``clock.now_s``. Raises PeerError when the relay does not answer or does not
+        Raises PeerError when the relay does not answer or does not
         follow the store.
         """
         try:
@@ -160,7 +182,9 @@
         listing = change_log.Listing(
             items=items, revision=header.revision, complete=header.complete
         )
-        return listing, asked_at_s - header.age_s
+        return listing, Times(
+            confirmed_at_s=asked_at_s - header.age_s, as_of_s=asked_at_s - header.as_of_age_s
+        )
 
     async def _connect(self, relay: ids.InstanceId, address: datagrams.PeerAddress) -> None:
         self.close()
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -123,8 +123,9 @@
         era_start = revisions.join(era=self.client.era, number=0)
         listing = await self.record_relays.load(not_before=max(self.applied_revision, era_start))
         if listing is None:
+            asked_at_s = clock.now_s()
             listing = await self.client.list_all(ALL_KEYS)
-            self.record_relays.publish(listing)
+            self.record_relays.publish(listing, asked_at_s=asked_at_s)
             # The store's own listing is never behind, whatever revisions were applied before.
             self.applied_revision = min(self.applied_revision, listing.revision)
             self.revisions = dict.fromkeys(self.revisions, 0)
@@ -134,8 +135,9 @@
         listing = await self.record_relays.watch(after)
         pause_s = BATCH_DELAY_S
         if listing is None:
+            asked_at_s = clock.now_s()
             listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
-            self.record_relays.publish(listing)
+            self.record_relays.publish(listing, asked_at_s=asked_at_s)
             pause_s += min(
                 MAX_BATCH_DELAY_S, BATCH_DELAY_PER_INSTANCE_S * self.directory.instance_count
             )
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -128,7 +128,8 @@
         """Return until when shares of tenants' limits may be spent by the list of instances."""
         if self.coordination.leaving:
             return float("-inf")
-        return self.records.feed.confirmed_at_s + handover.LIST_MAX_AGE_S
+        as_of_s = min(self.records.feed.as_of_s, self.directory.instances.kept_since_s)
+        return as_of_s + handover.LIST_MAX_AGE_S
 
     def _build_limits(self) -> caller_limits.CallerLimits:
         return caller_limits.CallerLimits(
--- a/src/mustardswitch/proxy/record_source.py
+++ b/src/mustardswitch/proxy/record_source.py
@@ -66,17 +66,17 @@
         if peer is None or peer.address is None:
             return None
         try:
-            listing, confirmed_at_s = await self.follower.watch(relay, peer.address, after=after)
+            listing, times = await self.follower.watch(relay, peer.address, after=after)
         except errors.PeerError as error:
             if avoid_on_failure:
                 self.follower.note_failure(relay, str(error))
             return None
-        self.feed.publish(listing, confirmed_at_s=confirmed_at_s)
+        self.feed.publish(listing, confirmed_at_s=times.confirmed_at_s, as_of_s=times.as_of_s)
         return listing
 
-    def publish(self, listing: change_log.Listing) -> None:
-        """Pass on what the store has answered just now."""
-        self.feed.publish(listing, confirmed_at_s=clock.now_s())
+    def publish(self, listing: change_log.Listing, *, asked_at_s: float | None = None) -> None:
+        """Pass on what the store has answered just now, when asked at ``asked_at_s``."""
+        self.feed.publish(listing, confirmed_at_s=clock.now_s(), as_of_s=asked_at_s)
 
     def note_outage(self) -> None:
         """Tell the followers of this instance that it does not follow the store any more."""
--- a/tests/decisions/test_record_relays.py
+++ b/tests/decisions/test_record_relays.py
@@ -142,6 +142,7 @@
     header = record_codec.RecordHeader(
         available=True,
         age_s=0.5,
+        as_of_age_s=2.5,
         revision=revisions.join(era=era, number=len(items)),
         complete=True,
     )
--- a/tests/proxy/test_record_source.py
+++ b/tests/proxy/test_record_source.py
@@ -196,3 +196,17 @@
     encoded = feed.encoded
     await feed.answer(request)
     assert feed.encoded is encoded
+
+
+async def test_a_list_counts_as_old_as_the_question_that_it_answers(running):
+    """Guards against shares of tenants' limits that are spent by a list that is too old: an answer
+    that waited, with a frozen instance or on a slow link, counted as new when it was received.
+    """
+    asked_at_s = clock.now_s() - 2.5
+    for name in RELAYS:
+        direct = record_source.RecordSource(directory=None, feed=running.feeds[name])
+        direct.publish(_listing(revision=1, complete=True), asked_at_s=asked_at_s)
+        assert direct.feed.as_of_s == asked_at_s
+        assert direct.feed.confirmed_at_s > asked_at_s + 2.0
+    assert await running.source.watch(1) is not None
+    assert running.source.feed.as_of_s <= asked_at_s + 0.01
