--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -180,8 +180,9 @@
         by_service: dict[ids.ServiceName, list[ports.ServerEntry]] = {}
         for entry in self.servers.entries.values():
             by_service.setdefault(entry.service, []).append(entry)
-        for name in set(by_service) | set(self.services):
-            self._plan(name)
+        names = set(by_service) | set(self.services)
+        self._plan(names)
+        for name in names:
             target = self.services.get(name)
             if target is None:
                 target = service.Service(
@@ -250,60 +251,66 @@
             for instance, peer in self.instances.entries.items()
         ]
 
-    def _plan(self, name: ids.ServiceName) -> None:
-        """Choose the gateways of a service whose connections do not suffice for all instances."""
-        limits = self.configuration.services.get(name) if self.configuration else None
-        if limits is None or self.forwarder is None:
+    def _plan(self, names: collections.abc.Collection[ids.ServiceName]) -> None:
+        """Choose the gateways of services whose connections do not suffice for all instances."""
+        if self.configuration is None or self.forwarder is None:
             return
-        now_s = clock.now_s()
+        now_s, candidates = clock.now_s(), self.candidates()
         if self.has_tenants:
-            self._plan_for_tenants(name, now_s)
+            self.plans |= self._tenant_plans(names, candidates, now_s)
             return
-        plan = forwarding.plan(
-            self.candidates(),
-            service=name,
-            connections=self.shares.usable(connections=limits.max_connections, now_s=now_s),
-            instances=self.shares.instances(now_s=now_s),
-        )
-        if plan is None:
-            self.plans.pop(name, None)
-        else:
-            self.plans[name] = plan
-
-    def _plan_for_tenants(self, name: ids.ServiceName, now_s: float) -> None:
-        plan = self._tenant_plan(name, self.candidates(), now_s)
-        if plan is not None:
-            self.plans[name] = plan
+        for name in names:
+            limits = self.configuration.services.get(name)
+            if limits is None:
+                continue
+            plan = forwarding.plan(
+                candidates,
+                service=name,
+                connections=self.shares.usable(connections=limits.max_connections, now_s=now_s),
+                instances=self.shares.instances(now_s=now_s),
+            )
+            if plan is None:
+                self.plans.pop(name, None)
+            else:
+                self.plans[name] = plan
 
-    def _tenant_plan(
+    def _tenant_plans(
         self,
-        name: ids.ServiceName,
+        names: collections.abc.Iterable[ids.ServiceName],
         candidates: collections.abc.Sequence[gateways.Candidate],
         now_s: float,
-    ) -> forwarding.GatewayPlan | None:
+    ) -> dict[ids.ServiceName, forwarding.GatewayPlan]:
+        """Return the plans for tenants of those services that have one.
+
+        Services of a group with equal limits share one plan: to rank all instances for each service
+        would stop a large fleet's instances for a part of a second at each change of the list.
+        """
         services = self.configuration.services
-        group = homes.group_of(name, len(services))
-        least = min(
-            limits.max_connections
-            for service_name, limits in services.items()
-            if homes.group_of(service_name, len(services)) == group
-        )
-        return homes.plan_gateways(
-            candidates,
-            group=group,
-            connections=least,
-            usable=self.shares.usable(connections=services[name].max_connections, now_s=now_s),
-        )
+        groups = {name: homes.group_of(name, len(services)) for name in services}
+        least: dict[int, int] = {}
+        for name, group in groups.items():
+            connections = services[name].max_connections
+            least[group] = min(least.get(group, connections), connections)
+        by_limit: dict[tuple[int, int], forwarding.GatewayPlan | None] = {}
+        found = {}
+        for name in names:
+            if name not in services:
+                continue
+            group = groups[name]
+            usable = self.shares.usable(connections=services[name].max_connections, now_s=now_s)
+            if (group, usable) not in by_limit:
+                by_limit[group, usable] = homes.plan_gateways(
+                    candidates, group=group, connections=least[group], usable=usable
+                )
+            plan = by_limit[group, usable]
+            if plan is not None:
+                found[name] = plan
+        return found
 
     def plans_without_self(self) -> list[forwarding.GatewayPlan]:
         """Return the plans for tenants as they would be if this instance were not listed."""
         others = [each for each in self.candidates() if each.instance != self.instance]
-        found = [
-            self._tenant_plan(name, others, clock.now_s())
-            for name in self.plans
-            if name in self.configuration.services
-        ]
-        return [plan for plan in found if plan is not None]
+        return list(self._tenant_plans(self.plans, others, clock.now_s()).values())
 
     def _gateways_of_tenant(
         self,
--- a/src/mustardswitch/proxy/tenant_roles.py
+++ b/src/mustardswitch/proxy/tenant_roles.py
@@ -59,7 +59,8 @@
 ) -> tuple[forwarding.GatewayPlan, ...]:
     """Return plans without those that have the same gateways as another."""
     found: list[forwarding.GatewayPlan] = []
-    for plan in plans:
+    # Services with the same gateways usually share one plan.
+    for plan in {id(plan): plan for plan in plans}.values():
         if all(plan.gateways_by_zone != each.gateways_by_zone for each in found):
             found.append(plan)
     return tuple(found)
--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -312,3 +312,30 @@
         for tenant in tenants:
             order = known._gateways_of_tenant(plan, tenant, single_read=False)
             assert any(gateway in plan.gateways_by_zone[zone] for gateway in order)
+
+
+@pytest.mark.parametrize("without_self", [False, True])
+def test_the_services_of_a_group_are_planned_once(monkeypatch, without_self):
+    """Guards against stalls of a large fleet at each change of its list: the gateways of a group
+    were ranked again for each service (1,000 instances and 40 services: 0.16 s).
+    """
+    world = _world()
+    known = world.directory
+    known.forwarder = forwarded.Forwarder(client=relay_client.RelayClient())
+    limits = known.configuration.services[database_group.SERVICE]
+    names = [ids.ServiceName(f"s{number}") for number in range(homes.SERVICES_PER_GROUP)]
+    known.configuration = dataclasses.replace(
+        known.configuration,
+        services={name: dataclasses.replace(limits, service=name) for name in names},
+    )
+    known.services = dict.fromkeys(names, known.services[database_group.SERVICE])
+    known.refresh()
+    assert set(known.plans) >= set(names)
+    planned = []
+    plan = homes.plan_gateways
+    monkeypatch.setattr(homes, "plan_gateways", lambda *a, **k: planned.append(k) or plan(*a, **k))
+    if without_self:
+        known.plans_without_self()
+    else:
+        known.refresh()
+    assert len(planned) == 1
