Idle connections are used while as many others are opened as may be

With pace on, a pool that was opening the most connections at once handed out none, although tenants with idle ones waited.

--- a/src/mustardswitch/internal/admission/in_turn.py
+++ b/src/mustardswitch/internal/admission/in_turn.py
@@ -77,6 +77,10 @@
         """Queue work again without deciding on it."""
         self.queue(holds=waiting.holds).restore(waiting)
 
+    def put_back(self, waiting: limits.Waiting[Ticket]) -> None:
+        """Queue work again that was taken and could not be served: it is the next one."""
+        self.queue(holds=waiting.holds).put_back(waiting)
+
     def admit(
         self,
         waiting: limits.Waiting[Ticket],
--- a/src/mustardswitch/internal/admission/limits.py
+++ b/src/mustardswitch/internal/admission/limits.py
@@ -178,6 +178,16 @@
         """Queue a statement without checking its deadline or the length of the queue."""
         self.put(waiting.priority, waiting)
 
+    def put_back(self, waiting: Waiting[Ticket]) -> None:
+        """Queue a statement again that was taken and could not be served: it is the next one."""
+        self.restore(waiting)
+        for callers in self.queues.values():
+            queue = callers.get(waiting.caller)
+            if queue and queue[-1] is waiting:
+                queue.rotate(1)
+                callers.move_to_end(waiting.caller, last=False)
+                return
+
     def put(self, rank: typing.Any, waiting: Waiting[Ticket]) -> None:
         """Queue a statement at a rank; smaller ranks are served first, usually priorities."""
         callers = self.queues.get(rank)
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -119,7 +119,10 @@
 
     def _serve_queue(self) -> None:
         self._drop_broken()
-        while self.busy + self.opening < self.limit.allowed and self.opening < self.max_openings:
+        while self.busy + self.opening < self.limit.allowed:
+            if self.opening >= self.max_openings:
+                self._serve_idle(self._tenants_in_turn())
+                return
             waiting = self._take_waiting(preferred=self._tenants_in_turn())
             if waiting is None:
                 return
@@ -136,19 +139,25 @@
             else:
                 self._open_for(waiting)
 
-    def _serve_idle(self) -> None:
-        """Hand out idle connections to waiting statements of their tenants, and open none."""
+    def _serve_idle(self, tenants: frozenset[str] | None = None) -> None:
+        """Hand out idle connections to waiting statements of their tenants, and open none.
+
+        With ``tenants`` only to theirs.
+        """
         while self.idle and self.busy + self.opening < self.limit.allowed:
-            waiting = self._take_waiting(preferred=frozenset(link.tenant for link in self.idle))
+            served = frozenset(link.tenant for link in self.idle)
+            served = served if tenants is None else served & tenants
+            waiting = self._take_waiting(preferred=served)
             if waiting is None:
                 return
+            if waiting.ticket.done():
+                continue
             link = self._idle_of(waiting.caller)
-            if link is None:
-                self.admission.restore(waiting)
+            if link is None or waiting.caller not in (ANY_TENANT, *served):
+                self.admission.put_back(waiting)
                 return
-            if not waiting.ticket.done():
-                link = self._take(link, holds=waiting.holds, priority=waiting.priority)
-                waiting.ticket.set_result(link)
+            link = self._take(link, holds=waiting.holds, priority=waiting.priority)
+            waiting.ticket.set_result(link)
 
     def _tenants_in_turn(self) -> frozenset[str]:
         """Return the tenants of idle connections that may serve another statement of theirs."""
--- a/tests/proxy/test_tenant_pool.py
+++ b/tests/proxy/test_tenant_pool.py
@@ -206,3 +206,49 @@
         await urgent
     assert not waiting.done()
     await asyncio.wait_for(waiting, 2.0)
+
+
+async def test_connections_are_used_while_as_many_others_are_opened_as_may_be():
+    """Guards against idle connections of tenants that wait, as after a mass kill: nothing was
+    handed out as long as a server was opening the most connections at once.
+    """
+    server = Server()
+    pool = _pool(server, 4)
+    pool.max_openings = 1
+    link = await pool.acquire(_request("a"))
+    server.gate.clear()
+    opening = [asyncio.create_task(pool.acquire(_request(tenant))) for tenant in "bc"]
+    await _settle()
+    waiting = asyncio.create_task(pool.acquire(_request("a")))
+    await _settle()
+    pool.release(link, clean=True)
+    await _settle()
+    assert waiting.done() and pool.opening == 1
+    server.gate.set()
+    await asyncio.gather(*opening)
+
+
+async def test_work_that_is_put_back_keeps_its_turn():
+    """Guards against work that loses its place because nothing can be opened for it now."""
+    server = Server()
+    pool = _pool(server, 4)
+    pool.max_openings = 1
+    link = await pool.acquire(_request("a"))
+    server.gate.clear()
+    order = []
+
+    async def wait(name, tenant):
+        got = await pool.acquire(_request(tenant))
+        order.append(name)
+        pool.release(got, clean=True)
+
+    tasks = [
+        asyncio.create_task(wait(name, tenant))
+        for name, tenant in (("b1", "b"), ("c1", "c"), ("c2", "c"), ("d1", "d"))
+    ]
+    await _settle()
+    pool.release(link, clean=True)
+    await _settle()
+    server.gate.set()
+    await asyncio.gather(*tasks)
+    assert order.index("c1") < order.index("c2")
