--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -161,8 +161,8 @@
     TENANT_SERVED = EventKind(621, logbook.INFO, "tenant within its rate limit")
     """No operation of a tenant was refused here by its limit for two seconds."""
     LIMIT_UNANSWERED = EventKind(622, logbook.INFO, "no answer about a rate limit")
-    """Another home of a tenant did not answer whether it lends or has given up a part of its
-    limit."""
+    """Another home of a tenant did not answer whether it lends or has given up a part of its limit;
+    reported once until it answers."""
 
     STATEMENT_SLOW = EventKind(615, logbook.INFO, "slow statement")
     """A statement succeeded late; earlier lines with its id show what it waited for."""
--- a/src/mustardswitch/proxy/tenant_limits.py
+++ b/src/mustardswitch/proxy/tenant_limits.py
@@ -20,7 +20,7 @@
 ASK_INTERVAL_S = 0.25
 """Least time between two questions to one instance about one tenant."""
 ASK_AGAIN_S = 0.5
-"""The same after an answer without a loan."""
+"""The same after no answer, or one without a loan."""
 POLL_S = 0.25
 """Interval at which lists, metrics and events are brought up to date without operations."""
 CHECKED_PER_POLL = 50
@@ -266,13 +266,17 @@
             answer = await self.exchange.ask(address, request)
         except errors.PeerError as error:
             self.directory.registry.count("limit_exchanges", "failed")
-            events.log(
-                events.Event.LIMIT_UNANSWERED,
-                tenant=request.tenant,
-                home=home,
-                reason=str(error),
-            )
+            tracked.ask_at_s[home] = clock.now_s() + ASK_AGAIN_S
+            if home not in tracked.unanswered:
+                tracked.unanswered.add(home)
+                events.log(
+                    events.Event.LIMIT_UNANSWERED,
+                    tenant=request.tenant,
+                    home=home,
+                    reason=str(error),
+                )
             return
+        tracked.unanswered.discard(home)
         now_s = clock.now_s()
         self._follow(now_s)
         current = self.tenants.get(request.tenant)
--- a/src/mustardswitch/proxy/tenant_state.py
+++ b/src/mustardswitch/proxy/tenant_state.py
@@ -37,6 +37,8 @@
     """When each former home spends nothing more."""
     ask_at_s: dict[ids.InstanceId, float] = dataclasses.field(default_factory=dict)
     """When each instance may be asked again."""
+    unanswered: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    """Instances that did not answer the last question."""
     refused_at_s: float = -math.inf
     refusing: bool = False
     """Whether it is reported as refused."""
