Decisions on routes, pools and limits can be asked without taking effect

An explanation of where a statement would go needs the same decisions without a turn of the rotation, a counted admission or a judgement. Pools separate the decision from its effect; what judges servers and gateways, and the state of a tenant's limit, gives a copy on which the same functions run.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -142,11 +142,15 @@
         """Open up to two connections ahead of the first statement."""
         self._open_missing(min(self.size, 2))
 
+    def would_open(self, wanted: int) -> bool:
+        """Return whether a connection is opened now so that ``wanted`` are held."""
+        if self.closed or self.opening or self.held >= min(wanted, self.size):
+            return False
+        return time.monotonic() >= self.retry_at_s
+
     def _open_missing(self, wanted: int) -> None:
         """Start opening connections, one at a time to avoid a stampede on a returning server."""
-        if self.closed or self.opening or self.held >= min(wanted, self.size):
-            return
-        if time.monotonic() < self.retry_at_s:
+        if not self.would_open(wanted):
             return
         self.opening += 1
         task = asyncio.create_task(self._open(wanted))
@@ -193,39 +197,35 @@
         if self.closed:
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
         self._check_time_left(request)
-        free = self.busy < self.limit.allowed and not self.waiting
-        if self.idle and free and self._has_room(request):
-            chosen = self.idle[-1]
-            if request.fitness is not None:
-                chosen = max(reversed(self.idle), key=request.fitness)
+        chosen = self.free_connection(request)
+        if chosen is not None:
             self._note_served_at_once(request)
             return self._hand_out(chosen, holds=request.holds, priority=request.priority)
         self._open_missing(self.busy + self.waiting + 1)
         return await self._wait_in_queue(request)
 
+    def free_connection(self, request: ConnectionRequest) -> Held | None:
+        """Return the idle connection that a request gets at once; None if it has to wait."""
+        free = self.busy < self.limit.allowed and not self.waiting
+        if not (self.idle and free and self._has_room(request)):
+            return None
+        if request.fitness is None:
+            return self.idle[-1]
+        return max(reversed(self.idle), key=request.fitness)
+
+    def is_unreachable_for(self, request: ConnectionRequest) -> bool:
+        """Return whether a request that would have to wait is refused as unreachable."""
+        unreachable = bool(self.failures) and self.held <= self.opening
+        return unreachable and not request.waits_for_server
+
     async def _wait_in_queue(self, request: ConnectionRequest) -> Held:
-        if not request.waits_for_server and self.failures and self.held <= self.opening:
+        if self.is_unreachable_for(request):
             raise errors.PoolUnreachableError("the server is unreachable")
         future = asyncio.get_running_loop().create_future()
         if request.waits_for_server:
             self.waiting_for_server.add(future)
         now_s = time.monotonic()
-        waiting = limits.Waiting(
-            ticket=future,
-            caller=request.caller,
-            priority=request.priority,
-            deadline_s=request.deadline_s,
-            holds=request.holds,
-            since_s=now_s,
-            due_s=request.due_s,
-        )
-        reason = self.admission.admit(
-            waiting,
-            use=self.use,
-            allowed=self.limit.allowed,
-            average_s=self.limit.average_s,
-            now_s=now_s,
-        )
+        reason = self.offer(self.admission, request, future, now_s)
         self._shed(now_s)
         if reason is not None:
             self.waiting_for_server.discard(future)
@@ -250,6 +250,31 @@
             if received is None:
                 self._abandon(future)
 
+    def offer(
+        self,
+        admission: in_turn.InTurn[asyncio.Future[Held]],
+        request: ConnectionRequest,
+        ticket: asyncio.Future[Held],
+        now_s: float,
+    ) -> in_turn.Reason | None:
+        """Queue a request in ``admission``, or return the reason for which it is refused."""
+        waiting = limits.Waiting(
+            ticket=ticket,
+            caller=request.caller,
+            priority=request.priority,
+            deadline_s=request.deadline_s,
+            holds=request.holds,
+            since_s=now_s,
+            due_s=request.due_s,
+        )
+        return admission.admit(
+            waiting,
+            use=self.use,
+            allowed=self.limit.allowed,
+            average_s=self.limit.average_s,
+            now_s=now_s,
+        )
+
     def _check_time_left(self, request: ConnectionRequest) -> None:
         if not self.admission.has_time(request.deadline_s, time.monotonic()):
             self.on_refusal(in_turn.Reason.TIME_LIMIT, request)
--- a/src/mustardswitch/internal/placement/health.py
+++ b/src/mustardswitch/internal/placement/health.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import copy
 import enum
 
 from mustardswitch.internal.placement import attempt_times
@@ -126,6 +127,12 @@
             f" error_rate={self.error_rate!r}, share={self.share!r})"
         )
 
+    def preview(self) -> "Health":
+        """Return a copy on which decisions can be tried; it reports no changes."""
+        copied = copy.copy(self)
+        copied.on_change = lambda health, cause, reason: None
+        return copied
+
     def admits(self, draw: float) -> bool:
         """Return whether it is given a piece of work; ``draw`` is random between 0 and 1."""
         return draw < self.share
--- a/src/mustardswitch/internal/placement/read_placement.py
+++ b/src/mustardswitch/internal/placement/read_placement.py
@@ -51,6 +51,22 @@
     """A position that it was recently found not to have reached."""
 
 
+def is_lagging(candidate: ReadCandidate, min_position: positions.Position | None) -> bool:
+    """Return whether a server is known to be below a minimum position."""
+    return (
+        candidate.missing_position is not None
+        and min_position is not None
+        and min_position >= candidate.missing_position
+    )
+
+
+def cost_s(candidate: ReadCandidate) -> float:
+    """Return the estimated cost of a read at a server, in seconds."""
+    load_factor = 1.0 + candidate.in_flight / max(1, candidate.connections)
+    found_s = candidate.latency_s * load_factor + DISTANCE_COST_S[candidate.distance]
+    return found_s + PRIMARY_COST_S if candidate.leads else found_s
+
+
 def order_for_read(
     candidates: collections.abc.Iterable[ReadCandidate], min_position: positions.Position | None
 ) -> list[ids.ServerId]:
@@ -62,15 +78,7 @@
     """
 
     def sort_key(candidate: ReadCandidate) -> tuple[bool, bool, float, ids.ServerId]:
-        lagging = (
-            candidate.missing_position is not None
-            and min_position is not None
-            and min_position >= candidate.missing_position
-        )
-        load_factor = 1.0 + candidate.in_flight / max(1, candidate.connections)
-        cost_s = candidate.latency_s * load_factor + DISTANCE_COST_S[candidate.distance]
-        if candidate.leads:
-            cost_s += PRIMARY_COST_S
-        return (lagging, candidate.avoided, cost_s, candidate.server)
+        lagging = is_lagging(candidate, min_position)
+        return (lagging, candidate.avoided, cost_s(candidate), candidate.server)
 
     return [candidate.server for candidate in sorted(candidates, key=sort_key)]
--- a/src/mustardswitch/internal/placement/server_choice.py
+++ b/src/mustardswitch/internal/placement/server_choice.py
@@ -74,16 +74,6 @@
     """Servers that come later than they would if they were as fast as the fastest one."""
 
 
-def _is_lagging(
-    candidate: read_placement.ReadCandidate, min_position: positions.Position | None
-) -> bool:
-    return (
-        candidate.missing_position is not None
-        and min_position is not None
-        and min_position >= candidate.missing_position
-    )
-
-
 def _unloaded_cost_s(judged: JudgedServer, latency_s: float) -> float:
     cost_s = latency_s + read_placement.DISTANCE_COST_S[judged.candidate.distance]
     if judged.candidate.leads:
@@ -91,13 +81,14 @@
     return cost_s
 
 
-def _cost_s(judged: JudgedServer) -> float:
+def cost_s(judged: JudgedServer) -> float:
+    """Return the estimated cost of a read at a server, in seconds."""
     candidate = judged.candidate
     load = (candidate.in_flight + judged.waiting) / max(1, candidate.connections)
-    cost_s = _unloaded_cost_s(judged, judged.latency_s * (1.0 + load))
+    found_s = _unloaded_cost_s(judged, judged.latency_s * (1.0 + load))
     if judged.health.state is health.State.WITHDRAWN:
-        cost_s += ERROR_COST_S * judged.health.error_rate
-    return cost_s
+        found_s += ERROR_COST_S * judged.health.error_rate
+    return found_s
 
 
 def order_for_read(
@@ -114,13 +105,15 @@
     and among the others the estimated cost decides. ``draw`` is random between 0 and 1. With
     ``may_probe`` a server whose probe is due comes first.
     """
-    usable = [each for each in servers if not _is_lagging(each.candidate, min_position)]
-    lagging = [each for each in servers if _is_lagging(each.candidate, min_position)]
+    usable = [
+        each for each in servers if not read_placement.is_lagging(each.candidate, min_position)
+    ]
+    lagging = [each for each in servers if read_placement.is_lagging(each.candidate, min_position)]
 
     def sort_key(judged: JudgedServer) -> tuple[bool, float, ids.ServerId]:
         return (
             not judged.health.admits(draw),
-            _cost_s(judged),
+            cost_s(judged),
             judged.candidate.server,
         )
 
--- a/src/mustardswitch/internal/recent_failures.py
+++ b/src/mustardswitch/internal/recent_failures.py
@@ -1,5 +1,6 @@
 """Remembers recent failures for a while, so that what failed is tried last."""
 
+import copy
 import typing
 
 Key = typing.TypeVar("Key")
@@ -15,6 +16,12 @@
     def __repr__(self) -> str:
         return f"RecentFailures(duration_s={self.duration_s!r})"
 
+    def preview(self) -> "RecentFailures[Key]":
+        """Return a copy on which decisions can be tried."""
+        copied = copy.copy(self)
+        copied.until_s = dict(self.until_s)
+        return copied
+
     def add(self, key: Key, *, now_s: float) -> None:
         """Record a failure of ``key``."""
         self.until_s[key] = now_s + self.duration_s
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import copy
 import dataclasses
 
 from mustardswitch import events, metrics
@@ -343,6 +344,15 @@
             regions=self.location.regions,
         )
 
+    def preview(self) -> "Directory":
+        """Return a copy whose ``gateways_for`` and services decide without a trace in this one.
+
+        Nothing may be sent by it.
+        """
+        copied = copy.copy(self)
+        copied.forwarder = self.forwarder.preview() if self.forwarder is not None else None
+        return copied
+
     def gateways_for(
         self, context: statement_context.StatementContext, *, single_read: bool = False
     ) -> list[forwarded.Gateway] | None:
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import dataclasses
 
 from mustardswitch import events, metrics
@@ -84,6 +85,14 @@
         """Choose gateways by their answers from now on."""
         self.placing = gateway_placing.GatewayPlacing(registry=registry, meter=meter)
 
+    def preview(self) -> "Forwarder":
+        """Return a copy that orders gateways as this one would now; nothing may be sent by it."""
+        copied = copy.copy(self)
+        copied.recent_failures = self.recent_failures.preview()
+        copied.refusals = dict(self.refusals)
+        copied.placing = self.placing.preview() if self.placing is not None else None
+        return copied
+
     def order(
         self, plan: forwarding.GatewayPlan, *, location: service.Location, single_read: bool = False
     ) -> list[ids.InstanceId]:
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import copy
 import itertools
 import random
 
@@ -40,6 +41,12 @@
     def __repr__(self) -> str:
         return f"GatewayRecord(health={self.health!r}, pending={len(self.pending)})"
 
+    def preview(self) -> "GatewayRecord":
+        """Return a copy on which decisions can be tried."""
+        copied = copy.copy(self)
+        copied.health = self.health.preview()
+        return copied
+
     def silent_since_s(self, now_s: float) -> float:
         """Return when the oldest statement that no answer has followed was sent, or ``now_s``."""
         if not self.pending:
@@ -133,6 +140,13 @@
     def __repr__(self) -> str:
         return f"GatewayPlacing(reporter={self.reporter!r})"
 
+    def preview(self) -> "GatewayPlacing":
+        """Return a copy that decides as this one would now, without a trace in this one."""
+        copied = copy.copy(self)
+        copied.records = {gateway: each.preview() for gateway, each in self.records.items()}
+        copied.random = copy.copy(self.random)
+        return copied
+
     def record(self, gateway: ids.InstanceId) -> GatewayRecord:
         """Return what is known of a gateway."""
         found = self.records.get(gateway)
--- a/src/mustardswitch/proxy/placing.py
+++ b/src/mustardswitch/proxy/placing.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import copy
 import random
 
 from mustardswitch import events, metrics
@@ -72,6 +73,19 @@
         self.registry.count("attempts_cut_short", self.kind)
 
 
+def judge(
+    backend: server.Server, *, leader: server.Server | None, now_s: float
+) -> server_choice.JudgedServer:
+    """Describe a server for the choice of the server of a read."""
+    return server_choice.JudgedServer(
+        candidate=backend.read_candidate(leads=backend is leader),
+        health=backend.health,
+        now_s=now_s,
+        silent_s=backend.silent_s(now_s),
+        waiting=backend.pool.waiting,
+    )
+
+
 class ServerPlacing:
     """Chooses the servers for the reads of one service."""
 
@@ -86,6 +100,13 @@
     def __repr__(self) -> str:
         return f"ServerPlacing(reporter={self.reporter!r})"
 
+    def preview(self) -> "ServerPlacing":
+        """Return a copy that decides as this one would now; for previews of servers only."""
+        copied = copy.copy(self)
+        copied.stalls = self.stalls.preview()
+        copied.random = copy.copy(self.random)
+        return copied
+
     def watch(self, backend: server.Server) -> None:
         """Judge a server from now on; one that failed and was started anew has yet to recover."""
         backend.stalls = self.stalls
@@ -114,16 +135,7 @@
         self.stalls.start()
         now_s = clock.now_s()
         order = server_choice.order_for_read(
-            [
-                server_choice.JudgedServer(
-                    candidate=backend.read_candidate(leads=backend is leader),
-                    health=backend.health,
-                    now_s=now_s,
-                    silent_s=backend.silent_s(now_s),
-                    waiting=backend.pool.waiting,
-                )
-                for backend in backends
-            ],
+            [judge(backend, leader=leader, now_s=now_s) for backend in backends],
             min_position,
             now_s=now_s,
             draw=self.random.random(),
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -57,15 +57,20 @@
         context = self.context
         if context.route.kind is requests.RouteKind.PRIMARY:
             return None
-        shared = self._shared_min_position()
-        if shared is None:
+        found = self.known_min_position()
+        if found is None:
             refreshing = self.service.refresh_positions()
             await asyncio.wait({refreshing}, timeout=max(0.001, context.remaining_s))
-            shared = self._shared_min_position()
-        elif self.service.history.age_s(clock.now_s()) > (
+            return self.known_min_position()
+        if self.service.history.age_s(clock.now_s()) > (
             REFRESH_SHARE * context.route.max_staleness_s
         ):
             self.service.refresh_positions()
+        return found
+
+    def known_min_position(self) -> positions.Position | None:
+        """Return the minimum position; None when the leader's has to be queried first."""
+        shared = self._shared_min_position()
         if shared is None:
             return None
         return position_history.highest([shared, self._own_min_position()])
@@ -86,9 +91,10 @@
             own.position, acknowledged_s=own.acknowledged_s
         )
 
-    def _ordered_servers(
+    def ordered_servers(
         self, min_position: positions.Position | None, *, may_probe: bool
     ) -> list[server.Server]:
+        """Return the servers in the order in which a read with a minimum position tries them."""
         leader = self.service.leader
         backends = [each for each in self.service.servers.values() if not each.entry.leaving]
         if self.service.placing is not None:
@@ -106,7 +112,7 @@
         self, min_position: positions.Position, *, may_probe: bool
     ) -> collections.abc.Iterator[server.Server]:
         """Yield the servers to try, in order, until the deadline."""
-        for backend in self._ordered_servers(min_position, may_probe=may_probe):
+        for backend in self.ordered_servers(min_position, may_probe=may_probe):
             if self.context.remaining_s <= 0 or backend.server not in self.service.servers:
                 return
             backend.note_read_attempt(min_position)
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import copy
 import weakref
 
 from mustardswitch import connection_pool, events
@@ -135,6 +136,12 @@
             f" connections={self.pool.size!r})"
         )
 
+    def preview(self) -> "Server":
+        """Return a copy for which the order of reads can be tried; its pool is the same."""
+        copied = copy.copy(self)
+        copied.health = self.health.preview() if self.health is not None else None
+        return copied
+
     @property
     def server(self) -> ids.ServerId:
         """The server's id."""
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import copy
 import dataclasses
 
 from mustardswitch import connection_pool, events, metrics
@@ -129,6 +130,13 @@
     def __repr__(self) -> str:
         return f"Service(name={self.name!r}, location={self.location!r})"
 
+    def preview(self) -> "Service":
+        """Return a copy on which the choice of a server can be tried; nothing may be sent by it."""
+        copied = copy.copy(self)
+        copied.servers = {name: backend.preview() for name, backend in self.servers.items()}
+        copied.placing = self.placing.preview() if self.placing is not None else None
+        return copied
+
     # Membership
 
     def apply(self, entries: collections.abc.Iterable[ports.ServerEntry]) -> None:
--- a/src/mustardswitch/proxy/stalls.py
+++ b/src/mustardswitch/proxy/stalls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import copy
 
 from mustardswitch.internal import clock
 
@@ -25,6 +26,12 @@
     def __repr__(self) -> str:
         return f"StallMeter(stalls={len(self.stalls)})"
 
+    def preview(self) -> "StallMeter":
+        """Return a copy that knows the same stalls and starts no timer."""
+        copied = copy.copy(self)
+        copied.loop = asyncio.get_running_loop()
+        return copied
+
     def start(self) -> None:
         """Measure on the running loop from now on."""
         running = asyncio.get_running_loop()
--- a/src/mustardswitch/proxy/tenant_limits.py
+++ b/src/mustardswitch/proxy/tenant_limits.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import copy
 import dataclasses
 import functools
 import math
@@ -93,6 +94,18 @@
         self.directory.registry.count("tenant_operations_admitted", tenant)
         return None
 
+    def preview(self, tenant: ids.TenantName, now_s: float) -> limits.TenantLimit | None:
+        """Return a copy of a tenant's state as of now; None without a limit."""
+        limit = self._limit_of(tenant)
+        if limit is None:
+            return None
+        tracked = self.tenants.get(tenant)
+        role = self.roles.present_role(tenant)
+        copied = self._replay(tenant, role) if tracked is None else copy.deepcopy(tracked)
+        self._apply(copied, limit, role, now_s, connected=now_s < self.valid_until())
+        copied.limit.advance(now_s)
+        return copied.limit
+
     def start_sending(self, tenant: ids.TenantName, now_s: float) -> requests.Answer | None:
         """Count an operation that is sent to a server now; returns its refusal if it may not."""
         if self._limit_of(tenant) is None:
@@ -159,7 +172,7 @@
         """Return the state of a tenant that has a limit, as of now."""
         tracked = self.tenants.get(tenant)
         if tracked is None:
-            tracked = self.tenants[tenant] = self._replay(tenant)
+            tracked = self.tenants[tenant] = self._replay(tenant, self.roles.role(tenant))
         self._apply(
             tracked,
             self._limit_of(tenant),
@@ -184,13 +197,12 @@
             tracked.limit.update(limit=limit, role=role, connected=connected, now_s=now_s)
             tracked.former = None
 
-    def _replay(self, tenant: ids.TenantName) -> tenant_state.Tracked:
+    def _replay(self, tenant: ids.TenantName, present: limits.Role) -> tenant_state.Tracked:
         """Build the state that a tenant would have if it had been tracked from the start."""
         limit = self._limit_of(tenant)
         tracked = tenant_state.Tracked(
             limit=limits.TenantLimit(limit=limit, started_s=self.started_s)
         )
-        present = self.roles.role(tenant)
         self._apply(tracked, limit, present, self.started_s, connected=False)
         for snapshot in self.roles.snapshots:
             role = self.roles.role_in(snapshot, tenant)
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -69,7 +69,9 @@
         self, tenant: str, fitness: collections.abc.Callable[[typing.Any], int] | None = None
     ) -> ports.Link | None:
         """Return the idle connection of a tenant that was used last, or the fittest one."""
-        found = [link for link in self.idle if tenant in (ANY_TENANT, link.tenant)]
+        found = [
+            link for link in self.idle if tenant in (ANY_TENANT, link.tenant) and not link.broken
+        ]
         if not found:
             return None
         return found[-1] if fitness is None else max(reversed(found), key=fitness)
@@ -84,15 +86,30 @@
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
         self._check_time_left(request)
         self._drop_broken()
-        link = self._idle_of(request.caller, request.fitness)
-        free = self.busy + self.opening < self.limit.allowed and not self.waiting
-        if link is not None and free and self._has_room(request):
+        link = self.free_connection(request)
+        if link is not None:
             self._note_served_at_once(request)
             return self._take(link, holds=request.holds, priority=request.priority)
-        if link is None and self._paused():
-            raise errors.PoolUnreachableError("the server is unreachable")
         return await self._wait_in_queue(request)
 
+    def free_connection(self, request: connection_pool.ConnectionRequest) -> ports.Link | None:
+        """Return the idle connection that a request gets at once; None if it has to wait."""
+        link = self._idle_of(request.caller, request.fitness)
+        free = self.busy + self.opening < self.limit.allowed and not self.waiting
+        return link if link is not None and free and self._has_room(request) else None
+
+    def is_unreachable_for(self, request: connection_pool.ConnectionRequest) -> bool:
+        """Return whether a request that would have to wait is refused as unreachable."""
+        paused = self._idle_of(request.caller) is None and self._paused()
+        return paused or super().is_unreachable_for(request)
+
+    @property
+    def room(self) -> int:
+        """Number of waiting requests that may be served now."""
+        allowed = max(0, self.limit.allowed - self.busy - self.opening)
+        openings = max(0, self.max_openings - self.opening)
+        return int(min(allowed, openings))
+
     def _drop_broken(self) -> None:
         for link in [link for link in self.idle if link.broken]:
             self._forget(link)
@@ -115,8 +132,8 @@
 
     def _serve_queue(self) -> None:
         self._drop_broken()
-        while self.busy + self.opening < self.limit.allowed and self.opening < self.max_openings:
-            waiting = self._take_waiting(preferred=self._tenants_in_turn())
+        while self.room:
+            waiting = self._take_waiting(preferred=self.tenants_in_turn())
             if waiting is None:
                 return
             if waiting.ticket.done():
@@ -132,15 +149,20 @@
             else:
                 self._open_for(waiting)
 
-    def _tenants_in_turn(self) -> frozenset[str]:
+    def tenants_in_turn(self) -> frozenset[str]:
         """Return the tenants of idle connections that may serve another statement of theirs."""
         return frozenset(
             link.tenant for link in self.idle if self.turns.get(id(link), 0) % TURN_LENGTH
         )
 
+    @property
+    def would_exchange(self) -> bool:
+        """Whether the next connection is opened in place of one of another tenant."""
+        return self.held >= self.size and bool(self.idle)
+
     def _open_for(self, waiting: limits.Waiting[asyncio.Future[ports.Link]]) -> None:
         """Open a connection for a waiting statement, in place of another tenant's if necessary."""
-        if self.held >= self.size and self.idle:
+        if self.would_exchange:
             self._forget(self.idle[0])
             self.on_exchange()
         self.opening += 1
--- a/src/mustardswitch/proxy/tenant_roles.py
+++ b/src/mustardswitch/proxy/tenant_roles.py
@@ -137,9 +137,13 @@
         """Return this instance's role for a tenant by the present list."""
         role = self.known.get(tenant)
         if role is None:
-            role = self.known[tenant] = self.role_in(self._present(), tenant)
+            role = self.known[tenant] = self.present_role(tenant)
         return role
 
+    def present_role(self, tenant: ids.TenantName) -> limits.Role:
+        """Return the same without remembering it."""
+        return self.role_in(self._present(), tenant)
+
     def _present(self) -> Snapshot:
         """Return the present list, also while it may be outdated."""
         directory = self.directory
