mustardctl explain: where a statement would go now, and why

Operators could see what an instance refused, but not what it would do next. The metrics address answers /explain from the decisions themselves, run on copies of what they change; the command shows it as text or JSON. An answer lists at most 16 servers and gateways.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -138,6 +138,11 @@
         """Number of statements that wait for a connection."""
         return self.admission.length
 
+    @property
+    def room(self) -> int:
+        """Number of waiting requests that may be served now."""
+        return max(0, min(len(self.idle), self.limit.allowed - self.busy))
+
     def warm(self) -> None:
         """Open up to two connections ahead of the first statement."""
         self._open_missing(min(self.size, 2))
@@ -356,7 +361,7 @@
             self._serve_queue()
 
     def _serve_queue(self) -> None:
-        while self.idle and self.busy < self.limit.allowed:
+        while self.room:
             waiting = self._take_waiting()
             if waiting is None:
                 return
--- a/src/mustardswitch/operators/errors.py
+++ b/src/mustardswitch/operators/errors.py
@@ -7,3 +7,7 @@
 
 class InstanceUnreachableError(OperatorError):
     """Raised when an instance did not answer a status query."""
+
+
+class RefusedError(OperatorError):
+    """Raised when an instance answered that it cannot do what was asked; the text says why."""
--- a/src/mustardswitch/pages.py
+++ b/src/mustardswitch/pages.py
@@ -19,7 +19,7 @@
 
 
 class PageServer:
-    """Answers each request with the page that ``page`` returns for its path.
+    """Answers each request with the page that ``page`` returns for its path and query.
 
     A connection without a request, or whose answer is not read, for ``idle_timeout_s`` seconds is
     closed, and so is one that sends requests ahead. Above ``MAX_CONNECTIONS``, a new connection
@@ -30,7 +30,7 @@
     def __init__(
         self,
         *,
-        page: collections.abc.Callable[[str], Page],
+        page: collections.abc.Callable[[str, str], Page],
         headers: Headers,
         idle_timeout_s: float,
         registry: metrics.Registry,
@@ -77,11 +77,11 @@
         try:
             while True:
                 async with asyncio.timeout(self.idle_timeout_s):
-                    path = await self._read_request(protocol, reader)
-                    if path is None:
+                    target = await self._read_request(protocol, reader)
+                    if target is None:
                         return
                     self._note_request(writer)
-                    writer.write(self._respond(protocol, path))
+                    writer.write(self._respond(protocol, target))
                     await writer.drain()
                 if protocol.trailing_data[0]:
                     return
@@ -105,24 +105,25 @@
     async def _read_request(
         self, protocol: h11.Connection, reader: asyncio.StreamReader
     ) -> str | None:
-        path, body_bytes = None, 0
+        target, body_bytes = None, 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
                 protocol.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Request):
-                path = event.target.partition(b"?")[0].decode("ascii", "replace")
+                target = event.target.decode("ascii", "replace")
             elif isinstance(event, h11.Data):
                 body_bytes += len(event.data)
                 if body_bytes > MAX_BODY_BYTES:
                     return None
             elif isinstance(event, h11.EndOfMessage):
-                return path
+                return target
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
-    def _respond(self, protocol: h11.Connection, path: str) -> bytes:
-        status, text = self.page(path)
+    def _respond(self, protocol: h11.Connection, target: str) -> bytes:
+        path, _, query = target.partition("?")
+        status, text = self.page(path, query)
         body = text.encode()
         headers = [("Content-Length", str(len(body))), *self.headers]
         data = protocol.send(h11.Response(status_code=status, headers=headers))
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -4,7 +4,7 @@
 import resource
 import signal
 
-from mustardswitch import events, metrics, tasks
+from mustardswitch import events, metrics, pages, tasks
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import memory
 from mustardswitch.internal.tenants import handover
@@ -20,6 +20,7 @@
     caller_limits,
     callers,
     errors,
+    explain_page,
     follower,
     health,
     promotions,
@@ -111,7 +112,15 @@
         self.callers = callers.CallerServer(
             opener=self._open_session, registry=self.registry, limits=self._build_limits()
         )
-        self.health = health.build_server(is_ready=self._is_ready, registry=self.registry)
+        self.health = health.build_server(
+            is_ready=self._is_ready,
+            registry=self.registry,
+            explain=self._explain if config.metrics is None else None,
+        )
+        self.metrics = health.build_server(
+            is_ready=self._is_ready, registry=self.registry, explain=self._explain
+        )
+        """Pages of the metrics address, in addition to those of the health address."""
         self.stopping = asyncio.Event()
         self.accepting = False
         self.tasks: list[asyncio.Task[None]] = []
@@ -137,6 +146,9 @@
             registry=self.registry,
         )
 
+    def _explain(self, query: str) -> pages.Page:
+        return explain_page.answer(self.directory, query)
+
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
 
@@ -147,7 +159,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.health.start(self.config.health.host, self.config.health.port)
         if self.config.metrics is not None:
-            await self.health.start(self.config.metrics.host, self.config.metrics.port)
+            await self.metrics.start(self.config.metrics.host, self.config.metrics.port)
         await self.peers.start(self.coordination.peer_address)
         for name, work in (
             ("follower", self.follower.run),
--- a/src/mustardswitch/programs/health.py
+++ b/src/mustardswitch/programs/health.py
@@ -13,7 +13,7 @@
 ) -> pages.PageServer:
     """Build the server, which closes each connection after one response."""
 
-    def page(path: str) -> pages.Page:
+    def page(path: str, query: str) -> pages.Page:
         if path == "/live":
             return 200, "live\n"
         if path == "/ready":
--- a/src/mustardswitch/programs/mustardctl.py
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -30,11 +30,9 @@
 from mustardswitch.operators import edits, instances
 from mustardswitch.operators import errors as operator_errors
 from mustardswitch.peers import peers_pb2
-from mustardswitch.programs import version_option
+from mustardswitch.programs import command_line, explain, version_option
 
-EXIT_REJECTED = 2
 EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
 EXIT_NOT_EVERYWHERE = 5
 DEFAULT_WAIT_S = 10.0
 
@@ -47,6 +45,7 @@
 )
 document_app = typer.Typer(no_args_is_help=True, help="Show, check and change the document.")
 app.add_typer(document_app, name="document")
+app.command()(explain.explain)
 
 
 class Output(enum.Enum):
@@ -90,16 +89,8 @@
     """Declare the options that precede a command."""
 
 
-def _parse_address(text: str) -> tuple[str, int]:
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit():
-        typer.echo(f"address {text!r} is not HOST:PORT; write for example 10.0.0.5:2379", err=True)
-        raise typer.Exit(EXIT_REJECTED)
-    return host, int(port)
-
-
 def _open_store(address: str) -> store.Store:
-    host, port = _parse_address(address)
+    host, port = command_line.parse_address(address)
     return store.Store(host=host, port=port)
 
 
@@ -108,7 +99,7 @@
         return None
     if len(files) != 3:
         typer.echo("--tls is given three times: certificate, key and authority", err=True)
-        raise typer.Exit(EXIT_REJECTED)
+        raise typer.Exit(command_line.EXIT_REJECTED)
     certificate, key, authority = files
     try:
         return tls.operator_context(
@@ -116,7 +107,7 @@
         )
     except tls.TlsError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_REJECTED) from error
+        raise typer.Exit(command_line.EXIT_REJECTED) from error
 
 
 def _run(work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
@@ -125,7 +116,7 @@
         return asyncio.run(work)
     except document_errors.InvalidDocumentError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_REJECTED) from error
+        raise typer.Exit(command_line.EXIT_REJECTED) from error
     except document_errors.EditConflictError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_CONFLICT) from error
@@ -135,7 +126,7 @@
         operator_errors.OperatorError,
     ) as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_UNAVAILABLE) from error
+        raise typer.Exit(command_line.EXIT_UNAVAILABLE) from error
 
 
 async def _read_sections(address: str) -> edits.Sections:
@@ -151,7 +142,7 @@
     if stored is None:
         known = ", ".join(sorted(found)) or "none"
         typer.echo(f"section {name!r} does not exist; sections: {known}", err=True)
-        raise typer.Exit(EXIT_REJECTED)
+        raise typer.Exit(command_line.EXIT_REJECTED)
     return stored
 
 
@@ -195,7 +186,7 @@
         edits.check_section(found, name, path.read_text(encoding="utf-8"))
     except document_errors.InvalidDocumentError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_REJECTED) from error
+        raise typer.Exit(command_line.EXIT_REJECTED) from error
     typer.echo(f"section {section} is valid")
 
 
@@ -394,7 +385,7 @@
     output: OutputOption = Output.TEXT,
 ) -> None:
     """Show groups, terms, primaries, replica lag, connections and unreachable instances."""
-    host, port = _parse_address(instance)
+    host, port = command_line.parse_address(instance)
     reply = _run(_gather_status(host, port, _tls_context(files)))
     if output is Output.JSON:
         body = [json_format.MessageToDict(item, preserving_proto_field_name=True) for item in reply]
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -345,10 +345,7 @@
         )
 
     def preview(self) -> "Directory":
-        """Return a copy whose ``gateways_for`` and services decide without a trace in this one.
-
-        Nothing may be sent by it.
-        """
+        """Return a copy whose ``gateways_for`` decides as this one's would now, without a trace."""
         copied = copy.copy(self)
         copied.forwarder = self.forwarder.preview() if self.forwarder is not None else None
         return copied
--- /dev/null
+++ b/src/mustardswitch/proxy/explanation.py
@@ -0,0 +1,411 @@
+"""Explains where a statement would go now and why, by this instance's own decisions.
+
+Decisions that take effect, such as a turn of the rotation, run on copies. Nothing is sent, counted
+or opened, and no state of the instance changes.
+"""
+
+import asyncio
+import dataclasses
+import enum
+
+from mustardswitch.internal import clock, ids, positions
+from mustardswitch.internal.placement import health, read_placement, server_choice
+from mustardswitch.proxy import (
+    directory,
+    errors,
+    forwarded,
+    placing,
+    pool_forecast,
+    reading,
+    requests,
+    routes,
+    server,
+    service,
+    statement_context,
+    tenant_state,
+)
+
+MAX_LISTED = 16
+"""Servers, and gateways, that an explanation lists: more than are tried for a statement. The rest
+is only counted, which bounds the size of an answer."""
+REQUEST = ids.RequestId("explain")
+
+
+class Kind(enum.Enum):
+    """Kind of the statement that is explained."""
+
+    READ = "read"
+    """A read outside of transactions."""
+    WRITE = "write"
+    """A write outside of transactions."""
+    TRANSACTION = "transaction"
+    """The first statement of a transaction that may write."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RouteState:
+    """The route of the database."""
+
+    service: ids.ServiceName
+    type: str
+    priority: int
+    timeout_s: float
+    max_staleness_s: float
+    target_latency_s: float | None
+    public: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LimitState:
+    """This instance's part of the tenant's rate limit; rates in operations per second."""
+
+    rate_per_s: float
+    burst: float
+    admits: bool
+    """Whether one operation would be admitted here now."""
+    retry_s: float | None
+    """Time until the next operation may start; None if it never may as things are."""
+    available: float
+    """Operations that may start at once."""
+    held_per_s: float
+    """Share of the limit that may be used, without what is lent."""
+    lent_per_s: float
+    borrowed_per_s: float
+    is_home: bool
+    waiting: bool
+    """Whether a former home may still use the share."""
+    connected: bool
+    """Whether the list of instances is certainly valid."""
+    homes: list[ids.InstanceId]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayState:
+    """A gateway, in the order in which it would be tried."""
+
+    instance: ids.InstanceId
+    address: str
+    reasons: list[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PoolState:
+    """The connections to a server, and what a request for one would meet."""
+
+    action: str
+    ahead: int
+    reason: str
+    size: int
+    allowed: int
+    """Connections that may be in use now."""
+    idle: int
+    busy: int
+    opening: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerState:
+    """A server, in the order in which it would be tried."""
+
+    server: ids.ServerId
+    zone: ids.ZoneName
+    leads: bool
+    cost_s: float
+    """Estimated cost by which reads are ordered."""
+    latency_s: float
+    in_flight: int
+    reasons: list[str]
+    pool: PoolState
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Explanation:
+    """Where a statement would go, and why."""
+
+    instance: ids.InstanceId
+    zone: ids.ZoneName
+    version: int
+    """Version of the configuration in force."""
+    database: ids.DatabaseName
+    tenant: ids.TenantName
+    kind: str
+    route: RouteState
+    verdict: str
+    """What would happen, in one sentence."""
+    limit: LimitState | None
+    gateways: list[GatewayState]
+    gateways_found: int
+    """Gateways in the order, the first ``MAX_LISTED`` of which are listed."""
+    min_position: str | None
+    """Log position that a replica must hold for the read; None if none applies or it is unknown."""
+    leader: ids.ServerId | None
+    servers: list[ServerState]
+    """Servers in the order for this instance, also if gateways are tried first."""
+    servers_found: int
+    notes: list[str]
+
+
+class UnknownTargetError(errors.ProxyError):
+    """Raised when the database or tenant is not configured; the message repeats neither."""
+
+
+def explain(
+    found: directory.Directory, database: ids.DatabaseName, tenant: ids.TenantName, kind: Kind
+) -> Explanation:
+    """Explain where a statement would go now; raises UnknownTargetError. Changes no state."""
+    configuration = found.configuration
+    if configuration is None:
+        raise UnknownTargetError("no configuration is in force yet")
+    version = configuration.version
+    route = found.route(database)
+    if route is None:
+        raise UnknownTargetError(f"configuration version {version} has no such database")
+    if not found.serves_tenant(tenant, route):
+        why = "has no such tenant" if tenant else "needs a tenant's name for this database"
+        raise UnknownTargetError(f"configuration version {version} {why}")
+    return _Explainer(found=found.preview(), route=route, tenant=tenant, kind=kind).explain()
+
+
+class _Explainer:
+    """Collects the decisions on one statement; ``found`` is a preview of the directory."""
+
+    def __init__(
+        self,
+        *,
+        found: directory.Directory,
+        route: routes.Route,
+        tenant: ids.TenantName,
+        kind: Kind,
+    ) -> None:
+        self.found = found
+        self.route = route
+        self.tenant = tenant
+        self.kind = kind
+        self.notes: list[str] = []
+        self.min_position: positions.Position | None = None
+
+    def __repr__(self) -> str:
+        return f"_Explainer(route={self.route!r}, tenant={self.tenant!r}, kind={self.kind!r})"
+
+    def explain(self) -> Explanation:
+        route = self.route
+        target = self.found.service(route.service)
+        limit = self._limit()
+        gateways: list[forwarded.Gateway] = []
+        backends: list[server.Server] = []
+        states: list[ServerState] = []
+        leader = None
+        verdict = f"refused: no server of service {route.service} is known"
+        if target is not None:
+            context = self._context(target.preview())
+            gateways = self.found.gateways_for(context, single_read=self.kind is Kind.READ) or []
+            backends = self._servers(context)
+            leader = context.service.leader
+            states = [self._server_state(each, leader, context) for each in backends[:MAX_LISTED]]
+            verdict = self._verdict(context, gateways, states, limit)
+        return Explanation(
+            instance=self.found.instance,
+            zone=self.found.location.zone,
+            version=self.found.configuration.version,
+            database=route.database,
+            tenant=self.tenant,
+            kind=self.kind.value,
+            route=RouteState(
+                service=route.service,
+                type=route.kind.value,
+                priority=route.priority,
+                timeout_s=route.statement_timeout_s,
+                max_staleness_s=route.max_staleness_s,
+                target_latency_s=route.target_latency_s,
+                public=route.public,
+            ),
+            verdict=verdict,
+            limit=limit,
+            gateways=[self._gateway_state(each) for each in gateways[:MAX_LISTED]],
+            gateways_found=len(gateways),
+            min_position=str(self.min_position) if self.min_position is not None else None,
+            leader=leader.server if leader is not None else None,
+            servers=states,
+            servers_found=len(backends),
+            notes=self.notes,
+        )
+
+    def _context(self, target: service.Service) -> statement_context.StatementContext:
+        return statement_context.StatementContext(
+            request=REQUEST,
+            session=statement_context.SessionState(),
+            route=self.route,
+            service=target,
+            tenant=self.tenant,
+            first_byte_s=clock.now_s(),
+            deadline_s=asyncio.get_running_loop().time() + self.route.statement_timeout_s,
+        )
+
+    def _limit(self) -> LimitState | None:
+        now_s = clock.now_s()
+        known = self.found.limits.preview(self.tenant, now_s)
+        if known is None:
+            return None
+        wait_s = known.wait_s(now_s)
+        return LimitState(
+            rate_per_s=known.limit.rate_per_s,
+            burst=known.limit.burst,
+            admits=wait_s <= 0,
+            retry_s=wait_s if wait_s != float("inf") else None,
+            available=known.available,
+            held_per_s=known.share.rate_per_s,
+            lent_per_s=known.lent_per_s,
+            borrowed_per_s=known.borrowed_per_s,
+            is_home=known.role.is_home,
+            waiting=known.grant.waiting,
+            connected=known.connected,
+            homes=self.found.homes_of(self.tenant)[:MAX_LISTED],
+        )
+
+    # Gateways
+
+    def _gateway_state(self, gateway: forwarded.Gateway) -> GatewayState:
+        reasons = []
+        forwarder = self.found.forwarder
+        if gateway.instance in forwarder.recent_failures.active(now_s=clock.now_s()):
+            reasons.append("failed within the last 2 s")
+        judged = forwarder.placing.records.get(gateway.instance) if forwarder.placing else None
+        if judged is not None:
+            reasons += _health_reasons(judged.health)
+            reasons.append(
+                f"latency {judged.health.latency_s:.3f} s, {len(judged.pending)} in flight"
+            )
+        if gateway.instance in self.found.homes_of(self.tenant):
+            reasons.append("home of the tenant")
+        return GatewayState(
+            instance=gateway.instance,
+            address=f"{gateway.address.host}:{gateway.address.port}",
+            reasons=reasons,
+        )
+
+    # Servers
+
+    def _servers(self, context: statement_context.StatementContext) -> list[server.Server]:
+        """Return the servers in the order in which this instance would try them."""
+        leader = context.service.leader
+        at_leader = [leader] if leader is not None else []
+        if self.kind is not Kind.READ:
+            return at_leader
+        if self.route.kind is requests.RouteKind.PRIMARY:
+            self.notes.append("reads of a primary route run at the leader, in a transaction")
+            return at_leader
+        run = reading.ReadRun(context)
+        self.min_position = run.known_min_position()
+        if self.min_position is None:
+            self.notes.append("the leader's position is too old; it would be queried first")
+        if self.route.kind is requests.RouteKind.READ_YOUR_WRITES:
+            self.notes.append("a session with commits of its own may need a later position")
+        return run.ordered_servers(self.min_position, may_probe=True)
+
+    def _server_state(
+        self,
+        backend: server.Server,
+        leader: server.Server | None,
+        context: statement_context.StatementContext,
+    ) -> ServerState:
+        candidate = backend.read_candidate(leads=backend is leader)
+        cost_s, latency_s = read_placement.cost_s(candidate), candidate.latency_s
+        if context.service.placing is not None:
+            judged = placing.judge(backend, leader=leader, now_s=clock.now_s())
+            cost_s, latency_s = server_choice.cost_s(judged), judged.latency_s
+        holds = self.kind is Kind.TRANSACTION
+        pool = backend.pool
+        forecast = pool_forecast.forecast(
+            pool, context.connection_request(backend, None, holds=holds)
+        )
+        return ServerState(
+            server=backend.server,
+            zone=backend.entry.zone,
+            leads=backend is leader,
+            cost_s=cost_s,
+            latency_s=latency_s,
+            in_flight=backend.in_flight,
+            reasons=self._reasons(backend, candidate),
+            pool=PoolState(
+                action=forecast.action.value,
+                ahead=forecast.ahead,
+                reason=forecast.reason,
+                size=pool.size,
+                allowed=pool.limit.allowed,
+                idle=len(pool.idle),
+                busy=pool.busy,
+                opening=pool.opening,
+            ),
+        )
+
+    def _reasons(
+        self, backend: server.Server, candidate: read_placement.ReadCandidate
+    ) -> list[str]:
+        now_s = clock.now_s()
+        reasons = [f"distance {candidate.distance.name.lower()}"]
+        if candidate.leads:
+            reasons.append("leads")
+        if read_placement.is_lagging(candidate, self.min_position):
+            left_s = backend.recheck_at_s - now_s
+            reasons.append(
+                f"lags: position {candidate.missing_position} was missing, is checked again in"
+                f" {left_s:.2f} s"
+            )
+        if now_s < backend.avoided_until_s:
+            reasons.append("failed within the last 0.5 s")
+        if backend.unreachable:
+            reasons.append("the last connection could not be opened")
+        if backend.pace is not None and backend.pace.limited:
+            reasons.append(f"limited after its start to {backend.pace.allowed()} in flight")
+        if backend.health is not None:
+            reasons += _health_reasons(backend.health)
+        return reasons
+
+    # Verdict
+
+    def _verdict(
+        self,
+        context: statement_context.StatementContext,
+        gateways: list[forwarded.Gateway],
+        states: list[ServerState],
+        limit: LimitState | None,
+    ) -> str:
+        if gateways:
+            refused = self.found.forwarder.refuse(gateways[0], context)
+            if refused is not None:
+                return f"refused here: gateway {gateways[0].instance}: {refused.detail}"
+            self.notes.append(
+                f"limit and connections of {gateways[0].instance} decide; ask that instance"
+            )
+            if self.kind is not Kind.TRANSACTION:
+                self.notes.append("the servers are used from here only if no gateway answers")
+            return f"forwarded to gateway {gateways[0].instance}"
+        if limit is not None and not limit.admits:
+            retry_s = float("inf") if limit.retry_s is None else limit.retry_s
+            return f"refused: {tenant_state.refusal(self.tenant, retry_s).detail}"
+        if not states:
+            return "waits for a leader: no server leads"
+        return self._verdict_at(context, states[0])
+
+    def _verdict_at(self, context: statement_context.StatementContext, first: ServerState) -> str:
+        backend = context.service.servers[first.server]
+        if self.kind is not Kind.READ and not context.service.may_commit(backend):
+            return f"waits: primary {first.server} is being replaced"
+        pool = first.pool
+        waits = f" behind {pool.ahead} statements" if pool.ahead else ""
+        why = f": {pool.reason}" if pool.reason else ""
+        return f"runs here at server {first.server}, {pool.action}{waits}{why}"
+
+
+def _health_reasons(judged: health.Health) -> list[str]:
+    reasons = []
+    if judged.state is not health.State.NORMAL:
+        reasons.append(
+            f"work {judged.state.value}: error rate {judged.error_rate:.2f},"
+            f" share {judged.share:.2f}"
+        )
+    if judged.displaced:
+        reasons.append("slower than others, gets single reads only")
+    if judged.probe_due(clock.now_s()):
+        reasons.append("a probe is due")
+    return reasons
--- a/src/mustardswitch/proxy/gateway_placing.py
+++ b/src/mustardswitch/proxy/gateway_placing.py
@@ -143,6 +143,7 @@
     def preview(self) -> "GatewayPlacing":
         """Return a copy that decides as this one would now, without a trace in this one."""
         copied = copy.copy(self)
+        copied.reporter = placing.SilentReporter(kind="gateway", registry=self.reporter.registry)
         copied.records = {gateway: each.preview() for gateway, each in self.records.items()}
         copied.random = copy.copy(self.random)
         return copied
--- a/src/mustardswitch/proxy/placing.py
+++ b/src/mustardswitch/proxy/placing.py
@@ -73,6 +73,15 @@
         self.registry.count("attempts_cut_short", self.kind)
 
 
+class SilentReporter(Reporter):
+    """Reports nothing, for decisions that are only tried."""
+
+    def note_change(
+        self, target: str, judged: health.Health, cause: health.Cause, reason: str
+    ) -> None:
+        """Ignore the change."""
+
+
 def judge(
     backend: server.Server, *, leader: server.Server | None, now_s: float
 ) -> server_choice.JudgedServer:
--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -65,7 +65,7 @@
         """
         super()._open_missing(min(wanted, 1))
 
-    def _idle_of(
+    def idle_of(
         self, tenant: str, fitness: collections.abc.Callable[[typing.Any], int] | None = None
     ) -> ports.Link | None:
         """Return the idle connection of a tenant that was used last, or the fittest one."""
@@ -94,13 +94,13 @@
 
     def free_connection(self, request: connection_pool.ConnectionRequest) -> ports.Link | None:
         """Return the idle connection that a request gets at once; None if it has to wait."""
-        link = self._idle_of(request.caller, request.fitness)
+        link = self.idle_of(request.caller, request.fitness)
         free = self.busy + self.opening < self.limit.allowed and not self.waiting
         return link if link is not None and free and self._has_room(request) else None
 
     def is_unreachable_for(self, request: connection_pool.ConnectionRequest) -> bool:
         """Return whether a request that would have to wait is refused as unreachable."""
-        paused = self._idle_of(request.caller) is None and self._paused()
+        paused = self.idle_of(request.caller) is None and self._paused()
         return paused or super().is_unreachable_for(request)
 
     @property
@@ -138,7 +138,7 @@
                 return
             if waiting.ticket.done():
                 continue
-            link = self._idle_of(waiting.caller)
+            link = self.idle_of(waiting.caller)
             if link is not None:
                 link = self._take(link, holds=waiting.holds, priority=waiting.priority)
                 waiting.ticket.set_result(link)
