--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mustardswitch.operators import explanations
 from mustardswitch_standins import platform_deployment
 
 KEY = "tester"
@@ -41,10 +42,24 @@
     return process.returncode, output.decode(), problem.decode()
 
 
+async def _wait_until_admitted(port):
+    """Wait for a share of the tenant's limit, which a new instance does not have at once."""
+    while True:
+        found = await explanations.fetch(
+            "127.0.0.1", port, database="db-primary", tenant="acme", kind="write"
+        )
+        if found["limit"]["admits"]:
+            return
+        assert "rate limit" in found["verdict"]
+        await asyncio.sleep(0.1)
+
+
 async def test_an_operator_asks_a_running_instance(deployment):
     instance = await deployment.start_instance("one")
     caller = await instance.session("db-primary")
-    assert any("COMPLETE" in line for line in await caller.query("WRITE item x"))
+    await asyncio.wait_for(_wait_until_admitted(instance.metrics), 60.0)
+    answer = await caller.query("WRITE item x")
+    assert any(line.startswith("COMPLETE") for line in answer), answer
     target = ("--database", "db-primary", "--tenant", "acme", "--kind", "write")
     status, output, _ = await _mustardctl(instance.metrics, *target, "--json")
     found = json.loads(output)
