--- a/src/mustardswitch/proxy/explanation.py
+++ b/src/mustardswitch/proxy/explanation.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import dataclasses
 import enum
 
 from mustardswitch.internal import clock, ids, positions
@@ -13,6 +12,7 @@
 from mustardswitch.proxy import (
     directory,
     errors,
+    explanation_fields,
     forwarded,
     placing,
     pool_forecast,
@@ -42,116 +42,13 @@
     """The first statement of a transaction that may write."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RouteState:
-    """The route of the database."""
-
-    service: ids.ServiceName
-    type: str
-    priority: int
-    timeout_s: float
-    max_staleness_s: float
-    target_latency_s: float | None
-    public: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LimitState:
-    """This instance's part of the tenant's rate limit; rates in operations per second."""
-
-    rate_per_s: float
-    burst: float
-    admits: bool
-    """Whether one operation would be admitted here now."""
-    retry_s: float | None
-    """Time until the next operation may start; None if it never may as things are."""
-    available: float
-    """Operations that may start at once."""
-    held_per_s: float
-    """Share of the limit that may be used, without what is lent."""
-    lent_per_s: float
-    borrowed_per_s: float
-    is_home: bool
-    waiting: bool
-    """Whether a former home may still use the share."""
-    connected: bool
-    """Whether the list of instances is certainly valid."""
-    homes: list[ids.InstanceId]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class GatewayState:
-    """A gateway, in the order in which it would be tried."""
-
-    instance: ids.InstanceId
-    address: str
-    reasons: list[str]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PoolState:
-    """The connections to a server, and what a request for one would meet."""
-
-    action: str
-    ahead: int
-    reason: str
-    size: int
-    allowed: int
-    """Connections that may be in use now."""
-    idle: int
-    busy: int
-    opening: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServerState:
-    """A server, in the order in which it would be tried."""
-
-    server: ids.ServerId
-    zone: ids.ZoneName
-    leads: bool
-    cost_s: float
-    """Estimated cost by which reads are ordered."""
-    latency_s: float
-    in_flight: int
-    reasons: list[str]
-    pool: PoolState
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Explanation:
-    """Where a statement would go, and why."""
-
-    instance: ids.InstanceId
-    zone: ids.ZoneName
-    version: int
-    """Version of the configuration in force."""
-    database: ids.DatabaseName
-    tenant: ids.TenantName
-    kind: str
-    route: RouteState
-    verdict: str
-    """What would happen, in one sentence."""
-    limit: LimitState | None
-    gateways: list[GatewayState]
-    gateways_found: int
-    """Gateways in the order, the first ``MAX_LISTED`` of which are listed."""
-    min_position: str | None
-    """Log position that a replica must hold for the read; None if none applies or it is unknown."""
-    leader: ids.ServerId | None
-    servers: list[ServerState]
-    """Servers in the order for this instance, also if gateways are tried first."""
-    servers_found: int
-    notes: list[str]
-
-
 class UnknownTargetError(errors.ProxyError):
     """Raised when the database or tenant is not configured; the message repeats neither."""
 
 
 def explain(
     found: directory.Directory, database: ids.DatabaseName, tenant: ids.TenantName, kind: Kind
-) -> Explanation:
+) -> explanation_fields.Explanation:
     """Explain where a statement would go now; raises UnknownTargetError. Changes no state."""
     configuration = found.configuration
     if configuration is None:
@@ -181,19 +78,20 @@
         self.route = route
         self.tenant = tenant
         self.kind = kind
+        self.homes = found.homes_of(tenant)
         self.notes: list[str] = []
         self.min_position: positions.Position | None = None
 
     def __repr__(self) -> str:
         return f"_Explainer(route={self.route!r}, tenant={self.tenant!r}, kind={self.kind!r})"
 
-    def explain(self) -> Explanation:
+    def explain(self) -> explanation_fields.Explanation:
         route = self.route
         target = self.found.service(route.service)
         limit = self._limit()
         gateways: list[forwarded.Gateway] = []
         backends: list[server.Server] = []
-        states: list[ServerState] = []
+        states: list[explanation_fields.ServerState] = []
         leader = None
         verdict = f"refused: no server of service {route.service} is known"
         if target is not None:
@@ -203,14 +101,14 @@
             leader = context.service.leader
             states = [self._server_state(each, leader, context) for each in backends[:MAX_LISTED]]
             verdict = self._verdict(context, gateways, states, limit)
-        return Explanation(
+        return explanation_fields.Explanation(
             instance=self.found.instance,
             zone=self.found.location.zone,
             version=self.found.configuration.version,
             database=route.database,
             tenant=self.tenant,
             kind=self.kind.value,
-            route=RouteState(
+            route=explanation_fields.RouteState(
                 service=route.service,
                 type=route.kind.value,
                 priority=route.priority,
@@ -241,13 +139,13 @@
             deadline_s=asyncio.get_running_loop().time() + self.route.statement_timeout_s,
         )
 
-    def _limit(self) -> LimitState | None:
+    def _limit(self) -> explanation_fields.LimitState | None:
         now_s = clock.now_s()
         known = self.found.limits.preview(self.tenant, now_s)
         if known is None:
             return None
         wait_s = known.wait_s(now_s)
-        return LimitState(
+        return explanation_fields.LimitState(
             rate_per_s=known.limit.rate_per_s,
             burst=known.limit.burst,
             admits=wait_s <= 0,
@@ -259,12 +157,12 @@
             is_home=known.role.is_home,
             waiting=known.grant.waiting,
             connected=known.connected,
-            homes=self.found.homes_of(self.tenant)[:MAX_LISTED],
+            homes=self.homes[:MAX_LISTED],
         )
 
     # Gateways
 
-    def _gateway_state(self, gateway: forwarded.Gateway) -> GatewayState:
+    def _gateway_state(self, gateway: forwarded.Gateway) -> explanation_fields.GatewayState:
         reasons = []
         forwarder = self.found.forwarder
         if gateway.instance in forwarder.recent_failures.active(now_s=clock.now_s()):
@@ -275,9 +173,9 @@
             reasons.append(
                 f"latency {judged.health.latency_s:.3f} s, {len(judged.pending)} in flight"
             )
-        if gateway.instance in self.found.homes_of(self.tenant):
+        if gateway.instance in self.homes:
             reasons.append("home of the tenant")
-        return GatewayState(
+        return explanation_fields.GatewayState(
             instance=gateway.instance,
             address=f"{gateway.address.host}:{gateway.address.port}",
             reasons=reasons,
@@ -307,7 +205,7 @@
         backend: server.Server,
         leader: server.Server | None,
         context: statement_context.StatementContext,
-    ) -> ServerState:
+    ) -> explanation_fields.ServerState:
         candidate = backend.read_candidate(leads=backend is leader)
         cost_s, latency_s = read_placement.cost_s(candidate), candidate.latency_s
         if context.service.placing is not None:
@@ -318,7 +216,7 @@
         forecast = pool_forecast.forecast(
             pool, context.connection_request(backend, None, holds=holds)
         )
-        return ServerState(
+        return explanation_fields.ServerState(
             server=backend.server,
             zone=backend.entry.zone,
             leads=backend is leader,
@@ -326,7 +224,7 @@
             latency_s=latency_s,
             in_flight=backend.in_flight,
             reasons=self._reasons(backend, candidate),
-            pool=PoolState(
+            pool=explanation_fields.PoolState(
                 action=forecast.action.value,
                 ahead=forecast.ahead,
                 reason=forecast.reason,
@@ -367,8 +265,8 @@
         self,
         context: statement_context.StatementContext,
         gateways: list[forwarded.Gateway],
-        states: list[ServerState],
-        limit: LimitState | None,
+        states: list[explanation_fields.ServerState],
+        limit: explanation_fields.LimitState | None,
     ) -> str:
         if gateways:
             refused = self.found.forwarder.refuse(gateways[0], context)
@@ -387,7 +285,9 @@
             return "waits for a leader: no server leads"
         return self._verdict_at(context, states[0])
 
-    def _verdict_at(self, context: statement_context.StatementContext, first: ServerState) -> str:
+    def _verdict_at(
+        self, context: statement_context.StatementContext, first: explanation_fields.ServerState
+    ) -> str:
         backend = context.service.servers[first.server]
         if self.kind is not Kind.READ and not context.service.may_commit(backend):
             return f"waits: primary {first.server} is being replaced"
--- a/tests/proxy/test_explanation.py
+++ b/tests/proxy/test_explanation.py
@@ -143,6 +143,19 @@
     assert len(before) > 500
 
 
+async def test_a_gateway_that_an_explanation_finds_slow_is_not_reported():
+    """Guards against events and counters of work that has not moved."""
+    world = await _used_world(feature_set.Features(placement=True))
+    _add_gateways(world)
+    quick = world.directory.forwarder.placing.record(ids.InstanceId("g3"))
+    for _ in range(30):
+        quick.health.note_answer(0.001, clock.now_s())
+    before = state_walk.describe(world.directory)
+    explained = _explain(world)
+    assert any("slower" in reason for each in explained.gateways for reason in each.reasons)
+    assert state_walk.describe(world.directory) == before
+
+
 # Reasons
 
 
