--- a/src/mustardswitch/proxy/tenant_pool.py
+++ b/src/mustardswitch/proxy/tenant_pool.py
@@ -67,11 +67,13 @@
         """
         super()._open_missing(min(wanted, 1))
 
-    def _idle_of(
+    def idle_of(
         self, tenant: str, fitness: collections.abc.Callable[[typing.Any], int] | None = None
     ) -> ports.Link | None:
         """Return the idle connection of a tenant that was used last, or the fittest one."""
-        found = [link for link in self.idle if tenant in (ANY_TENANT, link.tenant)]
+        found = [
+            link for link in self.idle if tenant in (ANY_TENANT, link.tenant) and not link.broken
+        ]
         if not found:
             return None
         return found[-1] if fitness is None else max(reversed(found), key=fitness)
@@ -86,15 +88,28 @@
             raise errors.PoolUnreachableError("this instance is no longer connected to the server")
         self._check_time_left(request)
         self._drop_broken()
-        link = self._idle_of(request.caller, request.fitness)
-        free = self.busy + self.opening < self.limit.allowed and not self.waiting
-        if link is not None and free and self._has_room(request):
+        link = self.free_connection(request)
+        if link is not None:
             self._note_served_at_once(request)
             return self._take(link, holds=request.holds, priority=request.priority)
-        if link is None and self._paused():
-            raise errors.PoolUnreachableError("the server is unreachable")
         return await self._wait_in_queue(request)
 
+    def free_connection(self, request: connection_pool.ConnectionRequest) -> ports.Link | None:
+        """Return the idle connection that a request gets at once; None if it has to wait."""
+        link = self.idle_of(request.caller, request.fitness)
+        free = self.busy + self.opening < self.limit.allowed and not self.waiting
+        return link if link is not None and free and self._has_room(request) else None
+
+    def is_unreachable_for(self, request: connection_pool.ConnectionRequest) -> bool:
+        """Return whether a request that would have to wait is refused as unreachable."""
+        paused = self.idle_of(request.caller) is None and self._paused()
+        return paused or super().is_unreachable_for(request)
+
+    @property
+    def room(self) -> int:
+        """Number of waiting requests that may be served now."""
+        return max(0, self.limit.allowed - self.busy - self.opening)
+
     def _drop_broken(self) -> None:
         for link in [link for link in self.idle if link.broken]:
             self._forget(link)
@@ -119,16 +134,16 @@
 
     def _serve_queue(self) -> None:
         self._drop_broken()
-        while self.busy + self.opening < self.limit.allowed:
+        while self.room:
             if self.opening >= self.max_openings:
-                self._serve_idle(self._tenants_in_turn())
+                self._serve_idle(self.tenants_in_turn())
                 return
-            waiting = self._take_waiting(preferred=self._tenants_in_turn())
+            waiting = self._take_waiting(preferred=self.tenants_in_turn())
             if waiting is None:
                 return
             if waiting.ticket.done():
                 continue
-            link = self._idle_of(waiting.caller)
+            link = self.idle_of(waiting.caller)
             if link is not None:
                 link = self._take(link, holds=waiting.holds, priority=waiting.priority)
                 waiting.ticket.set_result(link)
@@ -144,7 +159,7 @@
 
         With ``tenants`` only to theirs.
         """
-        while self.idle and self.busy + self.opening < self.limit.allowed:
+        while self.idle and self.room:
             served = frozenset(link.tenant for link in self.idle)
             served = served if tenants is None else served & tenants
             waiting = self._take_waiting(preferred=served)
@@ -152,22 +167,27 @@
                 return
             if waiting.ticket.done():
                 continue
-            link = self._idle_of(waiting.caller)
+            link = self.idle_of(waiting.caller)
             if link is None or waiting.caller not in (ANY_TENANT, *served):
                 self.admission.put_back(waiting)
                 return
             link = self._take(link, holds=waiting.holds, priority=waiting.priority)
             waiting.ticket.set_result(link)
 
-    def _tenants_in_turn(self) -> frozenset[str]:
+    def tenants_in_turn(self) -> frozenset[str]:
         """Return the tenants of idle connections that may serve another statement of theirs."""
         return frozenset(
             link.tenant for link in self.idle if self.turns.get(id(link), 0) % TURN_LENGTH
         )
 
+    @property
+    def would_exchange(self) -> bool:
+        """Whether the next connection is opened in place of one of another tenant."""
+        return self.held >= self.size and bool(self.idle)
+
     def _open_for(self, waiting: limits.Waiting[asyncio.Future[ports.Link]]) -> None:
         """Open a connection for a waiting statement, in place of another tenant's if necessary."""
-        if self.held >= self.size and self.idle:
+        if self.would_exchange:
             self._forget(self.idle[0])
             self.on_exchange()
         self.opening += 1
