--- a/src/mustardswitch/platform/caller_limits.py
+++ b/src/mustardswitch/clients/caller_limits.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import os
+import resource
 import typing
 
 from mustardswitch import events, metrics
@@ -25,6 +26,12 @@
 DESCRIPTOR_DIRECTORY = "/proc/self/fd"
 
 
+def allowed_descriptors(max_fds: int) -> int:
+    """Return a limit of descriptors, or the process's own limit if that is lower."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max_fds if soft == resource.RLIM_INFINITY else min(max_fds, soft)
+
+
 class Reason(enum.Enum):
     """Why a connection was ended."""
 
--- a/src/mustardswitch/platform/caller_stream.py
+++ b/src/mustardswitch/clients/caller_stream.py
@@ -3,8 +3,8 @@
 import asyncio
 import collections.abc
 
+from mustardswitch.clients import errors
 from mustardswitch.internal.admission import memory
-from mustardswitch.platform import errors, lines
 
 READ_BYTES = 64 * 1024
 """Size of the buffer into which all connections of a process are read, one at a time."""
@@ -23,11 +23,15 @@
         self,
         *,
         read_buffer: memoryview,
+        end_of_line: bytes,
+        max_line_bytes: int,
         on_connected: collections.abc.Callable[["CallerStream"], None],
         on_lost: collections.abc.Callable[["CallerStream"], None],
         on_held: collections.abc.Callable[["CallerStream"], None],
     ) -> None:
         self.read_buffer = read_buffer
+        self.end_of_line = end_of_line
+        self.max_line_bytes = max_line_bytes
         self.on_connected = on_connected
         self.on_lost = on_lost
         self.on_held = on_held
@@ -78,7 +82,7 @@
         size = len(received)
         if self.line_waiter is not None:
             self._find_line_end()
-            if self.line_end >= 0 or size > lines.MAX_LINE_BYTES + 1:
+            if self.line_end >= 0 or size > self.max_line_bytes + 1:
                 self._wake(self.line_waiter)
         elif size > AHEAD_BYTES and not self.paused:
             self.paused = True
@@ -92,7 +96,7 @@
         self.on_held(self)
 
     def _find_line_end(self) -> None:
-        self.line_end = self.received.find(lines.END, self.searched)
+        self.line_end = self.received.find(self.end_of_line, self.searched)
         if self.line_end < 0 and self.received:
             self.searched = len(self.received) - 1
 
@@ -143,7 +147,7 @@
         if self.received:
             self._find_line_end()
         while self.line_end < 0:
-            if len(self.received) > lines.MAX_LINE_BYTES + 1:
+            if len(self.received) > self.max_line_bytes + 1:
                 raise errors.LineTooLongError("the line is too long")
             self.check()
             if self.ended:
@@ -155,9 +159,9 @@
             await self.line_waiter
             self.line_waiter = None
         end = self.line_end
-        if end > lines.MAX_LINE_BYTES:
+        if end > self.max_line_bytes:
             raise errors.LineTooLongError("the line is too long")
-        received, rest = self.received, end + len(lines.END)
+        received, rest = self.received, end + len(self.end_of_line)
         if rest == len(received):
             self.received = bytearray()
             del received[end:]
--- a/src/mustardswitch/operators/explanations.py
+++ b/src/mustardswitch/operators/explanations.py
@@ -7,7 +7,8 @@
 
 from mustardswitch.operators import errors
 from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import explain_page, http
+from mustardswitch.platform import http
+from mustardswitch.proxy import explain_page
 
 TIMEOUT_S = 5.0
 """Time for the connection and the answer; an instance that serves answers within milliseconds."""
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from mustardswitch import events, listening, metrics, tasks
+from mustardswitch.clients import caller_limits, caller_stream
+from mustardswitch.clients import errors as client_errors
 from mustardswitch.internal import clock
 from mustardswitch.internal.admission import memory
-from mustardswitch.platform import caller_limits, caller_stream, errors, lines
+from mustardswitch.platform import errors, lines
 from mustardswitch.proxy import requests, session
 
 LARGE_LINE_BYTES = 64 * 1024
@@ -121,7 +123,7 @@
         except (OSError, EOFError):
             if self.ended is None:
                 self.registry.count("callers_vanished")
-        except errors.LineTooLongError as error:
+        except client_errors.LineTooLongError as error:
             self._reject(requests.Refusal.TOO_LARGE, str(error))
         except errors.InvalidLineError as error:
             self._reject(requests.Refusal.MALFORMED, str(error))
@@ -272,6 +274,8 @@
     def _build_stream(self) -> caller_stream.CallerStream:
         return caller_stream.CallerStream(
             read_buffer=self.read_buffer,
+            end_of_line=lines.END,
+            max_line_bytes=lines.MAX_LINE_BYTES,
             on_connected=self._accept,
             on_lost=self._lose,
             on_held=self._note,
--- a/src/mustardswitch/platform/errors.py
+++ b/src/mustardswitch/platform/errors.py
@@ -23,7 +23,3 @@
 
 class HistoryLostError(AdapterError):
     """Raised when the store no longer has the changes that a watch asked for."""
-
-
-class LineTooLongError(AdapterError):
-    """Raised when a line of a caller is longer than the protocol allows."""
--- a/src/mustardswitch/platform/health.py
+++ b/src/mustardswitch/platform/health.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from mustardswitch import metrics, pages
-from mustardswitch.platform import explain_page
+from mustardswitch.proxy import explain_page
 
 READY_PATH = "/readiness"
 METRICS_PATH = "/metrics"
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -1,10 +1,11 @@
 """Builds and runs an instance on the platform, and shuts it down on SIGTERM."""
 
 import asyncio
-import resource
+import functools
 import signal
 
-from mustardswitch import events, metrics, pages, tasks
+from mustardswitch import events, metrics, tasks
+from mustardswitch.clients import caller_limits
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import memory
 from mustardswitch.internal.tenants import handover
@@ -18,10 +19,8 @@
 )
 from mustardswitch.platform import (
     backends,
-    caller_limits,
     callers,
     errors,
-    explain_page,
     follower,
     health,
     promotions,
@@ -31,6 +30,7 @@
 from mustardswitch.proxy import (
     coordination,
     directory,
+    explain_page,
     failover_watch,
     forwarded,
     record_source,
@@ -50,11 +50,6 @@
 """Interval of the check whether all forwarded statements have ended."""
 
 
-def _allowed_descriptors(limits: settings.Limits) -> int:
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return limits.max_fds if soft == resource.RLIM_INFINITY else min(limits.max_fds, soft)
-
-
 class Instance:
     """All components and tasks of one process."""
 
@@ -82,7 +77,7 @@
             limits=frame_limits.FrameLimits(
                 registry=self.registry,
                 limit_bytes=memory.divide(config.limits.memory_mb * memory.MB).peers,
-                max_fds=_allowed_descriptors(config.limits),
+                max_fds=caller_limits.allowed_descriptors(config.limits.max_fds),
             ),
             renew_lease=self.client.renew_lease,
         )
@@ -120,10 +115,16 @@
         self.health = health.build_server(
             is_ready=self._is_ready,
             registry=self.registry,
-            explain=self._explain if config.metrics is None else None,
+            explain=(
+                functools.partial(explain_page.answer, self.directory)
+                if config.metrics is None
+                else None
+            ),
         )
         self.metrics = health.build_server(
-            is_ready=self._is_ready, registry=self.registry, explain=self._explain
+            is_ready=self._is_ready,
+            registry=self.registry,
+            explain=functools.partial(explain_page.answer, self.directory),
         )
         """Pages of the metrics address, in addition to those of the health address."""
         self.stopping = asyncio.Event()
@@ -148,13 +149,10 @@
     def _build_limits(self) -> caller_limits.CallerLimits:
         return caller_limits.CallerLimits(
             shares=memory.divide(self.config.limits.memory_mb * memory.MB),
-            max_fds=_allowed_descriptors(self.config.limits),
+            max_fds=caller_limits.allowed_descriptors(self.config.limits.max_fds),
             registry=self.registry,
         )
 
-    def _explain(self, query: str) -> pages.Page:
-        return explain_page.answer(self.directory, query)
-
     def _is_ready(self) -> bool:
         return self.accepting and not self.stopping.is_set()
 
--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -7,8 +7,9 @@
 import pytest
 
 from mustardswitch import metrics
+from mustardswitch.clients import caller_limits
 from mustardswitch.internal.admission import memory
-from mustardswitch.platform import caller_limits, callers, lines
+from mustardswitch.platform import callers, lines
 from mustardswitch.proxy import requests, routes, session
 
 ROW = "x" * (1 << 20)
--- a/tests/proxy/test_explanation.py
+++ b/tests/proxy/test_explanation.py
@@ -14,9 +14,9 @@
 from mustardswitch.internal.placement import forwarding, health
 from mustardswitch.operators import explanations
 from mustardswitch.peers import datagrams, relay_client
-from mustardswitch.platform import explain_page
 from mustardswitch.proxy import (
     directory,
+    explain_page,
     explanation,
     feature_set,
     forwarded,
