--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -112,19 +112,14 @@
         self.callers = callers.CallerServer(
             opener=self._open_session, registry=self.registry, limits=self._build_limits()
         )
+        explain = functools.partial(explain_page.answer, self.directory)
         self.health = health.build_server(
             is_ready=self._is_ready,
             registry=self.registry,
-            explain=(
-                functools.partial(explain_page.answer, self.directory)
-                if config.metrics is None
-                else None
-            ),
+            explain=explain if config.metrics is None else None,
         )
         self.metrics = health.build_server(
-            is_ready=self._is_ready,
-            registry=self.registry,
-            explain=functools.partial(explain_page.answer, self.directory),
+            is_ready=self._is_ready, registry=self.registry, explain=explain
         )
         """Pages of the metrics address, in addition to those of the health address."""
         self.stopping = asyncio.Event()
