--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -126,7 +126,7 @@
     contracts = reader.value("contracts", list)
     return feature_set.Features(
         admission="pressure" in contracts,
-        placement="health" in contracts,
+        placement="placement" in contracts,
         pace="health" in contracts,
     )
 
