--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -125,7 +125,7 @@
     """Return the features that the platform's contracts of the deployment ask for."""
     contracts = reader.value("contracts", list)
     return feature_set.Features(
-        admission="pressure" in contracts,
+        admission="admission" in contracts,
         placement="placement" in contracts,
         pace="health" in contracts,
     )
