--- a/src/mustardswitch/clients/caller_limits.py
+++ b/src/mustardswitch/clients/caller_limits.py
@@ -9,7 +9,7 @@
 import typing
 
 from mustardswitch import events, metrics
-from mustardswitch.internal.admission import descriptors, memory
+from mustardswitch.internal.admission import descriptors, memory, sweeps
 
 FIRST_LINE_S = 10.0
 """Time for a connection's first line."""
@@ -19,10 +19,6 @@
 """Time in which a caller must read an answer."""
 LARGE_WAIT_S = 2.0
 """Longest wait of a large statement for memory; half of what callers wait for an answer."""
-SWEEP_INTERVAL_S = 1.0
-MAX_SWEEP_STEP_S = 2.0
-"""Longest time that one sweep counts: a process that was stopped must not end the connections whose
-messages arrived meanwhile."""
 DESCRIPTOR_DIRECTORY = "/proc/self/fd"
 
 
@@ -186,13 +182,13 @@
     async def run(self) -> None:
         """Check all connections again and again."""
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await asyncio.sleep(sweeps.INTERVAL_S)
             self.sweep(asyncio.get_running_loop().time())
 
     def sweep(self, now_s: float) -> None:
         """End the connections that take too long, and measure what else is open."""
-        since_s = SWEEP_INTERVAL_S if self.last_sweep_s is None else now_s - self.last_sweep_s
-        elapsed_s, self.last_sweep_s = min(MAX_SWEEP_STEP_S, since_s), now_s
+        elapsed_s = sweeps.elapsed_s(last_sweep_s=self.last_sweep_s, now_s=now_s)
+        self.last_sweep_s = now_s
         for connection in list(self.held.held):
             reason = connection.overdue(elapsed_s)
             if reason is not None:
--- a/src/mustardswitch/internal/admission/descriptors.py
+++ b/src/mustardswitch/internal/admission/descriptors.py
@@ -1,5 +1,7 @@
 """Decides how many connections of clients a process accepts, by its limit of open descriptors."""
 
+DEFAULT_MAX_FDS = 16384
+"""Limit of open descriptors where the settings name none."""
 RESERVE_SHARE = 0.25
 """Share of the descriptors that stays free for connections to servers, peers and the store, beyond
 those that are open now; statements that are forwarded all at once take one each."""
--- a/src/mustardswitch/internal/admission/memory.py
+++ b/src/mustardswitch/internal/admission/memory.py
@@ -12,6 +12,8 @@
 Key = typing.TypeVar("Key", bound=collections.abc.Hashable)
 
 MB = 1_000_000
+DEFAULT_MB = 512
+"""Memory of a process where the settings name none."""
 OWN_BYTES = 80 * MB
 """What a process needs without clients: 30 MB at the start, the records of a large deployment,
 connections to servers, and at most 24 MB while one message of 1 MiB is parsed."""
--- a/src/mustardswitch/internal/placement/forwarding.py
+++ b/src/mustardswitch/internal/placement/forwarding.py
@@ -36,6 +36,18 @@
         return any(instance in zone_gateways for zone_gateways in self.gateways_by_zone.values())
 
 
+def choose_in_zones(
+    candidates: collections.abc.Sequence[gateways.Candidate], *, key: str, per_zone: int
+) -> dict[ids.ZoneName, tuple[ids.InstanceId, ...]]:
+    """Return the first ``per_zone`` instances of each zone in the ranking for ``key``."""
+    return {
+        zone: tuple(
+            gateways.ranked([each for each in candidates if each.zone == zone], key)[:per_zone]
+        )
+        for zone in sorted({candidate.zone for candidate in candidates})
+    }
+
+
 def plan(
     candidates: collections.abc.Sequence[gateways.Candidate],
     *,
@@ -52,14 +64,8 @@
         return None
     zones = sorted({candidate.zone for candidate in candidates})
     per_zone = max(1, connections // (CONNECTIONS_PER_GATEWAY * len(zones)))
-    by_zone = {
-        zone: tuple(
-            gateways.ranked([each for each in candidates if each.zone == zone], service)[:per_zone]
-        )
-        for zone in zones
-    }
     return GatewayPlan(
-        gateways_by_zone=by_zone,
+        gateways_by_zone=choose_in_zones(candidates, key=service, per_zone=per_zone),
         connections=max(1, connections // (per_zone * len(zones))),
     )
 
--- a/src/mustardswitch/internal/placement/gateway_choice.py
+++ b/src/mustardswitch/internal/placement/gateway_choice.py
@@ -43,8 +43,6 @@
 HOME_MARGIN_S = 0.15
 """The same for the home of a tenant: at another gateway the tenant's connections have to be opened
 first, and its rate limit is not there."""
-SILENT_S = 0.1
-"""Age of an unanswered statement from which it makes a gateway count as slow."""
 RECENT_S = 3.0
 """A gateway that was not measured for longer is no standard for others: under overload those that
 are in use would seem slow against one that is not."""
@@ -98,16 +96,12 @@
     @property
     def latency_s(self) -> float:
         """Estimated latency of a usual statement."""
-        return max(self.health.current_latency_s(self.now_s), self.silent_s)
+        return self.health.expected_latency_s(self.now_s, silent_s=self.silent_s)
 
     @property
     def steady_latency_s(self) -> float:
         """The same without the waits that are usual between two answers."""
-        return (
-            self.latency_s
-            if self.silent_s > SILENT_S
-            else self.health.current_latency_s(self.now_s)
-        )
+        return self.health.steady_latency_s(self.now_s, silent_s=self.silent_s)
 
     @property
     def cost_s(self) -> float:
--- a/src/mustardswitch/internal/placement/health.py
+++ b/src/mustardswitch/internal/placement/health.py
@@ -41,6 +41,9 @@
 absence counts: a statement that waited long for a connection has little time for the answer."""
 LONG_WAIT_S = 0.3
 """A wait of this length always counts; only the longest usual work of a read takes as long."""
+SILENT_S = 0.1
+"""Age of an unanswered command from which it makes a server or gateway count as slow; several times
+the usual work of a read."""
 MIN_HOLD_S = 0.25
 """Pause before the first probe after work was withdrawn: a quarter of the time within which a
 server that has recovered is to be used again."""
@@ -155,6 +158,18 @@
         decay = 0.5 ** ((now_s - self.measured_at_s) / LATENCY_HALF_LIFE_S)
         return self.baseline_s + (self.latency_s - self.baseline_s) * decay
 
+    def expected_latency_s(self, now_s: float, *, silent_s: float) -> float:
+        """Return the expected latency while the oldest command has had no answer for ``silent_s``.
+
+        An unanswered command shows that it has grown before any answer.
+        """
+        return max(self.current_latency_s(now_s), silent_s)
+
+    def steady_latency_s(self, now_s: float, *, silent_s: float) -> float:
+        """The same without the waits that are usual between two answers."""
+        counted_s = silent_s if silent_s > SILENT_S else 0.0
+        return self.expected_latency_s(now_s, silent_s=counted_s)
+
     # Observations
 
     def note_attempt(self, now_s: float) -> None:
--- a/src/mustardswitch/internal/placement/server_choice.py
+++ b/src/mustardswitch/internal/placement/server_choice.py
@@ -27,9 +27,6 @@
 SLOW_MARGIN_S = 0.01
 """A server counts as slow when its work takes this multiple of the fastest one's and this much
 longer, until it falls below the lower multiple; the work of usual reads varies by less."""
-SILENT_S = 0.1
-"""Age of an unanswered command from which it makes a server count as slow; several times the usual
-work of a read."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,16 +45,12 @@
     @property
     def latency_s(self) -> float:
         """Estimated latency: an unanswered command shows that it has grown before any answer."""
-        return max(self.health.current_latency_s(self.now_s), self.silent_s)
+        return self.health.expected_latency_s(self.now_s, silent_s=self.silent_s)
 
     @property
     def steady_latency_s(self) -> float:
         """The same without the waits that are usual between two answers."""
-        return (
-            self.latency_s
-            if self.silent_s > SILENT_S
-            else self.health.current_latency_s(self.now_s)
-        )
+        return self.health.steady_latency_s(self.now_s, silent_s=self.silent_s)
 
     @property
     def work_s(self) -> float:
--- a/src/mustardswitch/internal/tenants/homes.py
+++ b/src/mustardswitch/internal/tenants/homes.py
@@ -45,16 +45,9 @@
     """
     if not candidates:
         return None
-    zones = sorted({candidate.zone for candidate in candidates})
+    zones = {candidate.zone for candidate in candidates}
     per_zone = max(1, connections // (CONNECTIONS_PER_GATEWAY * len(zones)))
-    by_zone = {
-        zone: tuple(
-            gateways.ranked([each for each in candidates if each.zone == zone], f"tenants/{group}")[
-                :per_zone
-            ]
-        )
-        for zone in zones
-    }
+    by_zone = forwarding.choose_in_zones(candidates, key=f"tenants/{group}", per_zone=per_zone)
     count = sum(len(zone_gateways) for zone_gateways in by_zone.values())
     return forwarding.GatewayPlan(gateways_by_zone=by_zone, connections=max(1, usable // count))
 
@@ -72,16 +65,23 @@
     regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName],
 ) -> list[ids.InstanceId]:
     """Rank the gateways of a region for a tenant, and then those of the other regions."""
-    candidates = [
+    candidates = _gateways(plan, regions)
+    near = [candidate for candidate in candidates if candidate.region == region]
+    far = [candidate for candidate in candidates if candidate.region != region]
+    return [*gateways.ranked(near, tenant), *gateways.ranked(far, tenant)]
+
+
+def _gateways(
+    plan: forwarding.GatewayPlan,
+    regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName],
+) -> list[gateways.Candidate]:
+    return [
         gateways.Candidate(
             instance=gateway, zone=zone, region=regions.get(zone, ids.RegionName(""))
         )
         for zone, zone_gateways in plan.gateways_by_zone.items()
         for gateway in zone_gateways
     ]
-    near = [candidate for candidate in candidates if candidate.region == region]
-    far = [candidate for candidate in candidates if candidate.region != region]
-    return [*gateways.ranked(near, tenant), *gateways.ranked(far, tenant)]
 
 
 def homes(
@@ -93,18 +93,12 @@
 ) -> dict[ids.RegionName, tuple[ids.InstanceId, ...]]:
     """Return the homes of a tenant in each region that has gateways."""
     count = homes_per_region(rate_per_s)
-    found = {regions.get(zone, ids.RegionName("")) for zone in plan.gateways_by_zone}
+    candidates = _gateways(plan, regions)
     return {
         region: tuple(
-            gateway
-            for gateway in order_for_tenant(plan, tenant, region=region, regions=regions)[:count]
-            if any(
-                gateway in plan.gateways_by_zone[zone]
-                for zone in plan.gateways_by_zone
-                if regions.get(zone, ids.RegionName("")) == region
-            )
+            gateways.ranked([each for each in candidates if each.region == region], tenant)[:count]
         )
-        for region in sorted(found)
+        for region in sorted({candidate.region for candidate in candidates})
     }
 
 
--- a/src/mustardswitch/peers/frame_limits.py
+++ b/src/mustardswitch/peers/frame_limits.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mustardswitch import events, metrics
-from mustardswitch.internal.admission import descriptors, memory
+from mustardswitch.internal.admission import descriptors, memory, sweeps
 from mustardswitch.peers import errors, relay_codec
 
 FIRST_FRAME_S = 10.0
@@ -16,11 +16,6 @@
 """Frames up to this are not counted."""
 SERVED_FACTOR = 3
 """Copies of a frame while its statement is served: the frame, its texts, and what is sent on."""
-SWEEP_INTERVAL_S = 1.0
-MAX_SWEEP_STEP_S = 2.0
-"""Longest time that one sweep counts, for a process that was stopped."""
-DEFAULT_MAX_FDS = 16384
-DEFAULT_MEMORY_MB = 512
 
 
 class FrameConnection:
@@ -99,8 +94,8 @@
         self,
         *,
         registry: metrics.Registry,
-        limit_bytes: int = memory.divide(DEFAULT_MEMORY_MB * memory.MB).peers,
-        max_fds: int = DEFAULT_MAX_FDS,
+        limit_bytes: int = memory.divide(memory.DEFAULT_MB * memory.MB).peers,
+        max_fds: int = descriptors.DEFAULT_MAX_FDS,
     ) -> None:
         self.registry = registry
         self.budget: memory.Budget[FrameConnection] = memory.Budget(limit_bytes=limit_bytes)
@@ -154,13 +149,13 @@
     async def run(self) -> None:
         """Check all connections again and again."""
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await asyncio.sleep(sweeps.INTERVAL_S)
             self.sweep(asyncio.get_running_loop().time())
 
     def sweep(self, now_s: float) -> None:
         """End the connections that take too long."""
-        since_s = SWEEP_INTERVAL_S if self.last_sweep_s is None else now_s - self.last_sweep_s
-        elapsed_s, self.last_sweep_s = min(MAX_SWEEP_STEP_S, since_s), now_s
+        elapsed_s = sweeps.elapsed_s(last_sweep_s=self.last_sweep_s, now_s=now_s)
+        self.last_sweep_s = now_s
         for connection in list(self.connections):
             reason = connection.overdue(elapsed_s)
             if reason is not None:
--- a/src/mustardswitch/peers/lease_renewals.py
+++ b/src/mustardswitch/peers/lease_renewals.py
@@ -70,20 +70,14 @@
         known = self.addresses()
         for address in random.sample(known, min(ASKED_INSTANCES, len(known))):
             try:
-                renewed = await self._ask(address, lease)
+                renewed = await self.client.ask(
+                    address,
+                    encode_request(lease),
+                    timeout_s=EXCHANGE_TIMEOUT_S,
+                    decode=decode_answer,
+                )
             except errors.PeerError:
                 continue
             if renewed is not None:
                 return renewed
         return None
-
-    async def _ask(self, address: datagrams.PeerAddress, lease: int) -> bool | None:
-        connection = await self.client.acquire(address)
-        body = await connection.exchange(encode_request(lease), EXCHANGE_TIMEOUT_S)
-        try:
-            renewed = decode_answer(body)
-        except errors.InvalidFrameError:
-            connection.close()
-            raise
-        self.client.release(address, connection)
-        return renewed
--- a/src/mustardswitch/peers/limit_loans.py
+++ b/src/mustardswitch/peers/limit_loans.py
@@ -124,12 +124,6 @@
 
     async def ask(self, address: datagrams.PeerAddress, request: Request) -> Answer:
         """Return the answer of an instance; raises PeerError without a valid one."""
-        connection = await self.client.acquire(address)
-        body = await connection.exchange(encode_request(request), EXCHANGE_TIMEOUT_S)
-        try:
-            answer = decode_answer(body)
-        except errors.InvalidFrameError:
-            connection.close()
-            raise
-        self.client.release(address, connection)
-        return answer
+        return await self.client.ask(
+            address, encode_request(request), timeout_s=EXCHANGE_TIMEOUT_S, decode=decode_answer
+        )
--- a/src/mustardswitch/peers/relay_client.py
+++ b/src/mustardswitch/peers/relay_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import collections.abc
+import typing
 
 from mustardswitch.peers import datagrams, errors, relay_codec
 from mustardswitch.proxy import requests
@@ -63,6 +65,9 @@
             raise
 
 
+Answer = typing.TypeVar("Answer")
+
+
 class RelayClient:
     """Pool of connections to gateways; idle ones are kept."""
 
@@ -91,6 +96,25 @@
         else:
             kept.append(connection)
 
+    async def ask(
+        self,
+        address: datagrams.PeerAddress,
+        frame: bytes,
+        *,
+        timeout_s: float,
+        decode: collections.abc.Callable[[bytes], Answer],
+    ) -> Answer:
+        """Send a frame and return the decoded answer; raises PeerError without a valid one."""
+        connection = await self.acquire(address)
+        body = await connection.exchange(frame, timeout_s)
+        try:
+            answer = decode(body)
+        except errors.InvalidFrameError:
+            connection.close()
+            raise
+        self.release(address, connection)
+        return answer
+
     def close(self) -> None:
         """Close all idle connections."""
         for kept in self.idle.values():
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -8,6 +8,7 @@
 import yaml
 
 from mustardswitch.internal import ids
+from mustardswitch.internal.admission import descriptors, memory
 from mustardswitch.platform import errors
 from mustardswitch.proxy import feature_set
 
@@ -32,9 +33,9 @@
 class Limits:
     """What the process may use; the defaults have room for 6,400 callers of an instance."""
 
-    memory_mb: int = 512
+    memory_mb: int = memory.DEFAULT_MB
     """Resident memory, in units of 1,000,000 bytes."""
-    max_fds: int = 16384
+    max_fds: int = descriptors.DEFAULT_MAX_FDS
     """Open descriptors; less if the system allows less."""
 
 
@@ -114,10 +115,9 @@
 def _read_limits(reader: "_Reader") -> Limits:
     """Return the limits; one that is omitted has its default."""
     given = _Reader(fields=reader.value("limits", dict), source=f"{reader.source}: limits")
-    defaults = Limits()
     return Limits(
-        memory_mb=given.count("memory_mb", defaults.memory_mb),
-        max_fds=given.count("max_fds", defaults.max_fds),
+        memory_mb=given.count("memory_mb", memory.DEFAULT_MB),
+        max_fds=given.count("max_fds", descriptors.DEFAULT_MAX_FDS),
     )
 
 
--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -8,7 +8,7 @@
 
 from mustardswitch import metrics
 from mustardswitch.clients import caller_limits
-from mustardswitch.internal.admission import memory
+from mustardswitch.internal.admission import memory, sweeps
 from mustardswitch.platform import callers, lines
 from mustardswitch.proxy import requests, routes, session
 
@@ -63,7 +63,7 @@
         """Sweep as if so much time had passed."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
-            self.now_s += caller_limits.SWEEP_INTERVAL_S
+            self.now_s += sweeps.INTERVAL_S
             self.limits.sweep(self.now_s)
 
     def ended(self, reason: caller_limits.Reason) -> int:
