--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -106,24 +106,18 @@
             async with asyncio.timeout(timeout_s):
                 answer = await self._read_answer()
         except TimeoutError as error:
-            self.close()
-            raise backend_errors.ConnectionBrokenError(
-                f"server {self.name} did not answer within {timeout_s:.2f} s"
-            ) from error
-        except (OSError, EOFError, asyncio.LimitOverrunError) as error:
-            self.close()
-            raise backend_errors.ConnectionBrokenError(
-                f"the connection to server {self.name} broke: {error}"
-            ) from error
-        except errors.InvalidLineError as error:
-            self.close()
-            raise backend_errors.ConnectionBrokenError(
-                f"server {self.name} sent an invalid answer: {error}"
-            ) from error
+            raise self._break(f"did not answer within {timeout_s:.2f} s") from error
+        except (OSError, EOFError, asyncio.LimitOverrunError, errors.InvalidLineError) as error:
+            raise self._break(f"gave no valid answer: {error}") from error
         if self.sent_at_s:
             self.sent_at_s.popleft()
         return answer
 
+    def _break(self, reason: str) -> backend_errors.ConnectionBrokenError:
+        """Close the connection, and return the error that is to be raised."""
+        self.close()
+        return backend_errors.ConnectionBrokenError(f"server {self.name} {reason}")
+
     async def _read_answer(self) -> requests.Answer:
         while self.unread_resets:
             answer = await self._read_next_answer()
@@ -150,10 +144,8 @@
             async with asyncio.timeout(timeout_s):
                 line = await self.reader.readuntil(lines.END)
             answer = decoder.feed(line[: -len(lines.END)])
-        except (OSError, TimeoutError, EOFError, asyncio.LimitOverrunError) as error:
+        except (OSError, EOFError, asyncio.LimitOverrunError, errors.InvalidLineError) as error:
             raise backend_errors.ConnectionBrokenError(f"server {self.name}: {error!r}") from error
-        except errors.InvalidLineError as error:
-            raise backend_errors.ConnectionBrokenError(f"server {self.name}: {error}") from error
         if answer is not None:
             return None
         return requests.refuse(decoder.refusal or requests.Refusal.FAILED, decoder.detail)
@@ -168,9 +160,7 @@
     async def _query_status(self, data: bytes, timeout_s: float) -> promotion.ServerStatus:
         answer = await self._query(data, timeout_s)
         if not answer.rows:
-            raise backend_errors.BackendError(
-                f"server {self.name} answered a status query without a row"
-            )
+            raise backend_errors.BackendError(f"server {self.name} answered without a status row")
         try:
             return lines.parse_status(answer.rows[0])
         except errors.InvalidLineError as error:
@@ -184,6 +174,10 @@
         """Stop a replica from receiving under any lower term; raises BackendError."""
         return await self._query_status(lines.encode_pause(term), timeout_s)
 
+    async def step_down(self, term: ids.Term, timeout_s: float) -> promotion.ServerStatus:
+        """Make a primary of a lower term a replica; raises BackendError."""
+        return await self._query_status(lines.encode_step_down(term), timeout_s)
+
     async def resume(self, timeout_s: float) -> None:
         """Let a replica receive again; raises BackendError."""
         await self._query(lines.RESUME, timeout_s)
--- a/src/mustardswitch/platform/lines.py
+++ b/src/mustardswitch/platform/lines.py
@@ -304,6 +304,11 @@
     return f"QUERY - PAUSE {term}\r\n".encode()
 
 
+def encode_step_down(term: ids.Term) -> bytes:
+    """Encode the command that makes a primary of a lower term a replica."""
+    return f"QUERY - STEPDOWN {term}\r\n".encode()
+
+
 class AnswerDecoder:
     """Assembles the lines of one answer."""
 
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -108,6 +108,12 @@
         Raises ``BackendError``.
         """
 
+    async def step_down(self, term: ids.Term, timeout_s: float) -> promotion.ServerStatus:
+        """Make a primary of a lower term a replica, and return its status.
+
+        It takes no commits from then on. Raises ``BackendError``.
+        """
+
     async def resume(self, timeout_s: float) -> None:
         """Let a paused replica receive commits again; raises ``BackendError``."""
 
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -130,6 +130,11 @@
         new_primary.role = promotion.Role.PRIMARY
         return True
 
+    def step_down(self, server: FakeServer, term: int) -> None:
+        """Make the primary a replica if its term is below ``term``; no server leads then."""
+        if server.role is promotion.Role.PRIMARY and term > self.term:
+            server.role = promotion.Role.REPLICA
+
     def catch_up(self, replica: FakeServer) -> None:
         """Copy the primary's log to a replica, unless the replica can't receive."""
         primary = self.primary
@@ -367,6 +372,15 @@
             self.server.paused_term = max(term, self.server.paused_term)
         return self.group.status(self.server)
 
+    async def step_down(self, term: ids.Term, timeout_s: float) -> promotion.ServerStatus:
+        """Make the primary a replica if its term is lower; return its status."""
+        if self.server.silent:
+            await asyncio.sleep(timeout_s)
+        self._check()
+        self.server.received_commands.append("step_down")
+        self.group.step_down(self.server, term)
+        return self.group.status(self.server)
+
     async def resume(self, timeout_s: float) -> None:
         """Resume replication and let the replica catch up."""
         self._check()
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -18,6 +18,8 @@
     requests.Refusal.READ_ONLY: "READONLY",
 }
 """Codes of ``ERROR`` lines; any other refusal is sent as ``FAILED``."""
+ORDERS = {"PAUSE": "pause", "RESUME": "resume", "STEPDOWN": "step_down"}
+"""Orders to a server, and the methods of a link that execute them."""
 STATES = {
     requests.TransactionState.IDLE: "I",
     requests.TransactionState.OPEN: "T",
@@ -126,14 +128,18 @@
         text: str,
     ) -> bytes:
         verb, _, rest = text.partition(" ")
-        if verb in ("PAUSE", "RESUME") and server.order_delay_s:
-            order = link.resume if verb == "RESUME" else functools.partial(link.pause, int(rest))
+        if verb in ORDERS and server.order_delay_s:
+            order = link.resume
+            if verb != "RESUME":
+                order = functools.partial(getattr(link, ORDERS[verb]), int(rest))
             await asyncio.sleep(server.order_delay_s)
             await order(ANSWER_TIMEOUT_S)
             raise EOFError("the order stays unanswered")
-        if verb in ("STATUS", "PAUSE", "RESUME"):
+        if verb == "STATUS" or verb in ORDERS:
             if verb == "PAUSE":
                 await link.pause(ids.Term(int(rest)), ANSWER_TIMEOUT_S)
+            elif verb == "STEPDOWN":
+                await link.step_down(ids.Term(int(rest)), ANSWER_TIMEOUT_S)
             elif verb == "RESUME":
                 await link.resume(ANSWER_TIMEOUT_S)
             status = await link.status(ANSWER_TIMEOUT_S)
