--- a/tests/platform/test_changes_of_primary.py
+++ b/tests/platform/test_changes_of_primary.py
@@ -19,20 +19,25 @@
         self.deployment = deployment
         self.group = deployment.group
         self.requested: asyncio.Future[ids.ServerId] = asyncio.Future()
+        self.instances: list[platform_deployment.Instance] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.written = 0
 
     async def start(self) -> None:
         """Start everything; each promotion request is accepted and takes effect later."""
         self.deployment.store.promote = self._promote
-        instances = [await self.deployment.start_instance(name) for name in ("one", "two")]
+        self.instances = [await self.deployment.start_instance(name) for name in ("one", "two")]
         self.tasks.append(asyncio.create_task(self._keep_listed()))
-        for instance in instances:
-            for _ in range(2):
-                self.tasks.append(asyncio.create_task(self._write(instance)))
+        self.add_writers(2)
         while self.written < 20:
             await asyncio.sleep(0.02)
 
+    def add_writers(self, count: int) -> None:
+        """Start callers that write all the time, ``count`` on each instance."""
+        for instance in self.instances:
+            for _ in range(count):
+                self.tasks.append(asyncio.create_task(self._write(instance)))
+
     async def stop(self) -> None:
         """Stop the callers."""
         await tasks.cancel_and_wait(self.tasks)
@@ -100,3 +105,18 @@
     changes.group.servers[successor].not_receiving = True
     await changes.wait_for_primary(successor)
     assert changes.group.lost == []
+
+
+async def test_commits_confirmed_only_by_a_server_that_is_not_listed_survive_a_handover(changes):
+    """Commits were still made after the successor was compared with the primary, and confirmed by a
+    replica that had started and was not listed yet. The successor leads with what it had received
+    when its promotion was requested.
+    """
+    changes.add_writers(6)
+    await asyncio.sleep(0.3)
+    changes.group.start_server(zone="d")
+    changes.group.primary.leaving = True
+    successor = await changes.requested
+    changes.group.servers[successor].not_receiving = True
+    await changes.wait_for_primary(successor)
+    assert changes.group.lost == []
