--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -144,6 +144,8 @@
     """Replicas that another instance left paused are resumed."""
     CLAIM_LAPSED = EventKind(521, logbook.WARNING, "claim expired during a takeover")
     """The next holder of the claim resumes the replicas."""
+    PRIMARY_STOPPED = EventKind(524, logbook.WARNING, "primary stopped")
+    """A primary that is to be replaced takes no commits any more; its log ends at ``end``."""
     CLAIM_DELAYED = EventKind(522, logbook.INFO, "claim delayed after a restore of the store")
     """Claims that the restored store has lost may still be held; services are claimed later."""
     ERA_OPENED = EventKind(523, logbook.INFO, "services may be claimed in a new era")
--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -1,10 +1,12 @@
-"""Decides which replica may be promoted without losing an acknowledged commit.
-
-A commit is acknowledged once one replica has received it. A paused replica receives nothing, so
-once every replica is paused no further commit is acknowledged, and the highest paused log holds
-every commit that was. While the primary answers, one replica stays unpaused: only it can confirm
-commits, so it holds all of them as soon as it has reached the highest paused log, and writes
-continue until the promotion.
+"""Decides which server may be promoted without losing an acknowledged commit.
+
+A commit is acknowledged once one replica has received it, and a promoted server leads with what it
+had received when its promotion was requested. So when the request is sent, the log must hold every
+commit that was acknowledged, and none may be acknowledged until the server leads. ``proof`` is the
+rule for all promotions: either the primary takes no commits any more and the log has reached the
+end of its log, or every server that may have confirmed a commit is paused and none has a longer
+log. Only the first holds beside servers that are not known, such as one that has started and is not
+listed yet.
 """
 
 import collections.abc
@@ -34,6 +36,11 @@
     paused: bool = False
     """Whether it receives nothing."""
 
+    @property
+    def leads(self) -> bool:
+        """Whether the server is the primary by its own account."""
+        return self.role is Role.PRIMARY
+
 
 class Verdict(enum.Enum):
     """Result of evaluating the statuses of a service's replicas."""
@@ -48,6 +55,33 @@
     """A server with a newer term leads already."""
 
 
+class Proof(enum.Enum):
+    """What shows that a log holds every acknowledged commit, and that no other is acknowledged."""
+
+    PRIMARY_STOPPED = "primary_stopped"
+    """The primary takes no commits any more, and the log has reached the end of its log."""
+    ALL_PAUSED = "all_paused"
+    """Every server that may have confirmed a commit is paused, and none has a longer log."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Evidence:
+    """What the holder of a claim knows of the servers of a service."""
+
+    expected: collections.abc.Set[ids.ServerId]
+    """Servers that may have confirmed a commit. A primary counts as soon as it answers as a
+    replica."""
+    paused: collections.abc.Mapping[ids.ServerId, ServerStatus]
+    """Statuses of those that receive nothing."""
+    receiving: collections.abc.Mapping[ids.ServerId, ServerStatus] = dataclasses.field(
+        default_factory=dict
+    )
+    """Statuses of others that answered."""
+    stopped_end: positions.Position | None = None
+    """End of the log of the primary, read after it had stopped taking commits; None if it was not
+    stopped."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
     """The verdict and its reason, and the replica to promote if there is one."""
@@ -55,6 +89,24 @@
     verdict: Verdict
     server: ids.ServerId | None = None
     reason: str = ""
+    proof: Proof | None = None
+    """What proves that the server may be promoted; None before the primary was stopped."""
+
+
+def proof(server: ids.ServerId, evidence: Evidence) -> Proof | None:
+    """Return what proves that a server may be promoted; None if nothing does.
+
+    The end of a stopped primary's log covers all that it ever acknowledged, whoever confirmed it.
+    If the primary is lost after it was stopped, the pauses are left to prove it.
+    """
+    status = evidence.paused.get(server) or evidence.receiving.get(server)
+    if status is None or status.leads:
+        return None
+    if evidence.stopped_end is not None and status.received >= evidence.stopped_end:
+        return Proof.PRIMARY_STOPPED
+    highest = max((each.received for each in evidence.paused.values()), default=None)
+    all_paused = evidence.expected <= evidence.paused.keys() and server in evidence.paused
+    return Proof.ALL_PAUSED if all_paused and status.received == highest else None
 
 
 def may_take_commits(leader: ids.ServerId, *, requested: ids.ServerId | None) -> bool:
@@ -78,39 +130,76 @@
     Of several, the one whose promotion may have been ``requested`` before is preferred, then any
     other than the ``known`` primary, which is to be replaced.
     """
-    leading = [name for name, status in statuses.items() if status.role is Role.PRIMARY]
+    leading = [name for name, status in statuses.items() if status.leads]
     others = [name for name in leading if name != known]
     if requested in others:
         return requested
     return next(iter(others or leading), None)
 
 
+def choose(
+    evidence: Evidence,
+    *,
+    leaving: collections.abc.Set[ids.ServerId],
+    requested: ids.ServerId | None = None,
+) -> Choice:
+    """Choose the server to promote, of those for which there is a proof.
+
+    The one whose promotion may have been ``requested`` before is preferred, then one that is not
+    ``leaving``.
+    """
+    statuses = {**evidence.receiving, **evidence.paused}
+    if any(status.leads for status in statuses.values()):
+        return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
+    proofs = {name: proof(name, evidence) for name in statuses}
+    proved = sorted(name for name, found in proofs.items() if found is not None)
+    if not proved:
+        return Choice(verdict=Verdict.WAIT, reason=_missing_proof(evidence, statuses))
+    if requested in proved:
+        chosen = requested
+    else:
+        chosen = next((name for name in proved if name not in leaving), proved[0])
+    return Choice(
+        verdict=Verdict.PROMOTE,
+        server=chosen,
+        reason=_describe_proof(proofs[chosen], evidence, statuses[chosen].received),
+        proof=proofs[chosen],
+    )
+
+
+def _missing_proof(
+    evidence: Evidence, statuses: collections.abc.Mapping[ids.ServerId, ServerStatus]
+) -> str:
+    if not statuses:
+        return "no replica is known"
+    missing = evidence.expected - evidence.paused.keys()
+    reasons = [f"no answer from {', '.join(sorted(missing))}"] if missing else []
+    if evidence.stopped_end is not None:
+        reasons.append(f"no server has reached the primary's end {evidence.stopped_end}")
+    return "; ".join(reasons) or "no replica is paused"
+
+
+def _describe_proof(found: Proof, evidence: Evidence, end: positions.Position) -> str:
+    if found is Proof.PRIMARY_STOPPED:
+        return f"the primary was stopped and ends at {evidence.stopped_end}"
+    return f"the highest paused log ends at {end}"
+
+
 def choose_after_failure(
     *,
     expected: collections.abc.Set[ids.ServerId],
     paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
     leaving: collections.abc.Set[ids.ServerId],
     requested: ids.ServerId | None = None,
+    stopped_end: positions.Position | None = None,
 ) -> Choice:
-    """Choose the replica to promote when the primary does not answer.
+    """Choose the server to promote when no primary answers.
 
-    ``expected`` are all servers that may hold an acknowledged commit, without the primary;
-    ``paused`` are the statuses of those that no longer receive anything. Of several replicas with
-    the highest log, the one whose promotion may have been ``requested`` before is preferred, then
-    one that is not ``leaving``.
+    ``expected`` are all servers that may hold an acknowledged commit; ``paused`` are the statuses
+    of those that no longer receive anything. For the rest see ``choose`` and ``Evidence``.
     """
-    missing = expected - set(paused)
-    if missing:
-        return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
-    if not paused:
-        return Choice(verdict=Verdict.WAIT, reason="no replica is known")
-    if any(status.role is Role.PRIMARY for status in paused.values()):
-        return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
-    end = max(status.received for status in paused.values())
-    holders = [server for server, status in paused.items() if status.received == end]
-    if requested in holders:
-        holders = [requested]
-    return _prefer_staying(holders, leaving, f"the highest paused log ends at {end}")
+    evidence = Evidence(expected=expected, paused=paused, stopped_end=stopped_end)
+    return choose(evidence, leaving=leaving, requested=requested)
 
 
 def choose_successor(
@@ -139,28 +228,19 @@
     paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
     successor: ids.ServerId,
     successor_status: ServerStatus,
-    final_end: positions.Position | None = None,
-    end_may_be_unconfirmed: bool = False,
     primary_leaves: bool = False,
 ) -> Choice:
-    """Evaluate whether the unpaused successor holds every acknowledged commit.
+    """Evaluate whether the unpaused successor can take over, so that the primary may be stopped.
 
-    ``final_end`` is the end of the primary's log since when no commits are made; None before that.
-    A successor that has reached it holds all commits, whoever else has confirmed them, also a
-    server that is not known yet. So a primary that leaves, and will soon serve nobody, does not
-    wait for a server that gives no answer. When all have answered, a successor that does not reach
-    the end after a while suffices: ``end_may_be_unconfirmed``, since nobody receives.
+    The proof follows when the primary has stopped. Until then all others are to be paused, so that
+    the successor alone confirms commits and lacks none that the stopped primary holds. A primary
+    that leaves, and will soon serve nobody, does not wait for a server that gives no answer.
     """
-    if successor_status.role is Role.PRIMARY:
+    if successor_status.leads:
         return Choice(verdict=Verdict.ALREADY_LED, reason="the successor leads already")
     missing = expected - set(paused) - {successor}
     if missing and not primary_leaves:
         return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
-    lags = final_end is not None and successor_status.received < final_end
-    if lags and (missing or not end_may_be_unconfirmed):
-        return Choice(
-            verdict=Verdict.WAIT, reason=f"the successor lags behind the primary's end {final_end}"
-        )
     ahead = [
         server for server, status in paused.items() if status.received > successor_status.received
     ]
@@ -169,8 +249,6 @@
             verdict=Verdict.WAIT, reason=f"the successor lags behind {', '.join(sorted(ahead))}"
         )
     reason = f"every other replica is paused at or below {successor_status.received}"
-    if missing:
-        reason = f"no answer from {', '.join(sorted(missing))}; the primary ends at {final_end}"
     return Choice(verdict=Verdict.PROMOTE, server=successor, reason=reason)
 
 
@@ -206,13 +284,3 @@
     return {
         name for name, status in statuses.items() if status.paused and requested in (None, name)
     }
-
-
-def _prefer_staying(
-    holders: collections.abc.Sequence[ids.ServerId],
-    leaving: collections.abc.Set[ids.ServerId],
-    reason: str,
-) -> Choice:
-    staying = sorted(server for server in holders if server not in leaving)
-    chosen = staying[0] if staying else sorted(holders)[0]
-    return Choice(verdict=Verdict.PROMOTE, server=chosen, reason=reason)
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -55,6 +55,16 @@
 
         return await self._run_on_all(servers, pause)
 
+    async def step_down(
+        self, servers: collections.abc.Set[ids.ServerId], term: ids.Term
+    ) -> Statuses:
+        """Make primaries of a lower term replicas; return the status of each one that answers."""
+
+        async def step_down(link: ports.Link) -> promotion.ServerStatus:
+            return await link.step_down(term, QUERY_TIMEOUT_S)
+
+        return await self._run_on_all(servers, step_down)
+
     async def resume(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> collections.abc.Set[ids.ServerId]:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -6,8 +6,8 @@
 A request without an answer may be executed seconds later. So the server is recorded in the store
 before its promotion is requested, and until the record is removed only this server may confirm
 commits: the others stay paused, and whoever holds the claim next promotes the same server.
-Instances that see the record send no commits to another primary, since servers may start or restart
-meanwhile.
+Instances that see the record send no commits to another primary. Others may not have read it, or
+have lost the store, so a primary that answers is stopped before the request.
 """
 
 import asyncio
@@ -16,12 +16,15 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, ids, positions, promotion
 from mustardswitch.proxy import errors, ports, server_commands, service
 
 HANDOVER_TIMEOUT_S = 2.5
-"""Time for the successor to catch up; a leaving primary keeps running for several times as long."""
-FINAL_END_WAIT_S = 0.6
+"""Time for the other servers to be paused, and for the primary to be stopped; a leaving primary
+keeps running for several times as long."""
+STOP_ORDERS = 2
+"""Orders to stop which a primary answers without stopping, after which it is asked no more."""
+SUCCESSOR_LAG_S = 0.6
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
@@ -61,7 +64,9 @@
         self.promoter = promoter
         self.commands = server_commands.ServerCommands(target=target)
         self.term = ids.Term(0)
-        """The term under which replicas are paused."""
+        """The term under which replicas are paused and the primary is stopped."""
+        self.stopped_end: positions.Position | None = None
+        """End of the log of the primary, which takes no commits any more; None before that."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
         self.requested_before: ids.ServerId | None = None
@@ -99,10 +104,10 @@
         try:
             choice = await self._decide_and_record(primary, silent)
             if choice.verdict is promotion.Verdict.PROMOTE:
-                async with self._kept_paused({primary, choice.server}):
+                async with self._kept_paused(choice.server, primary=primary):
                     done = await self._promote(choice.server)
             elif choice.verdict is promotion.Verdict.KEEP:
-                async with self._kept_paused({choice.server}):
+                async with self._kept_paused(choice.server):
                     await self._keep(choice.server)
             elif choice.verdict is promotion.Verdict.ALREADY_LED:
                 await self.target.find_leader()
@@ -188,7 +193,9 @@
         self._raise_term(statuses)
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
-            return await self._decide_after_failure(primary, statuses)
+            return await self._decide_without_primary(primary, statuses)
+        # A primary that was stopped leads again after a crash.
+        self.stopped_end = None
         if leader != primary and self.requested in (None, leader):
             return promotion.Choice(
                 verdict=promotion.Verdict.ALREADY_LED,
@@ -243,8 +250,20 @@
             )
         if replicas[successor].paused:
             await self.commands.resume({successor})
-        # No commits are made once the successor's promotion is recorded.
-        final_end = statuses[primary].received if self.requested == successor else None
+        if not await self._reaches(successor, statuses[primary].received):
+            return promotion.Choice(
+                verdict=promotion.Verdict.WAIT,
+                reason=f"the successor lags behind the primary's end {statuses[primary].received}",
+            )
+        choice = await self._decide_successor(primary, successor, statuses)
+        if choice.verdict is promotion.Verdict.PROMOTE and self.requested == successor:
+            return await self._stop_primary(primary, successor)
+        return choice
+
+    async def _decide_successor(
+        self, primary: ids.ServerId, successor: ids.ServerId, statuses: server_commands.Statuses
+    ) -> promotion.Choice:
+        """Pause the other servers until the successor alone confirms commits and lacks none."""
         started_s = clock.now_s()
         while True:
             paused = await self._pause_others(statuses, spared={primary, successor})
@@ -258,8 +277,6 @@
                     paused=paused,
                     successor=successor,
                     successor_status=latest[successor],
-                    final_end=final_end,
-                    end_may_be_unconfirmed=clock.now_s() - started_s > FINAL_END_WAIT_S,
                     primary_leaves=primary in self._leaving(),
                 )
             waiting = choice.verdict is promotion.Verdict.WAIT
@@ -268,23 +285,84 @@
             await asyncio.sleep(POLL_S)
             statuses = await self.commands.query(self._confirming() - {primary, successor})
 
-    async def _decide_after_failure(
+    async def _reaches(self, server: ids.ServerId, end: positions.Position) -> bool:
+        """Return whether a server receives a position within ``SUCCESSOR_LAG_S``."""
+        started_s = clock.now_s()
+        while True:
+            status = (await self.commands.query({server})).get(server)
+            if status is not None and status.received >= end:
+                return True
+            if clock.now_s() - started_s > SUCCESSOR_LAG_S:
+                return False
+            await asyncio.sleep(POLL_S)
+
+    async def _stop_primary(
+        self, primary: ids.ServerId, successor: ids.ServerId
+    ) -> promotion.Choice:
+        """Stop a primary, and choose a server that has reached the end of its log.
+
+        That is the primary itself if the successor does not reach the end in time: what the
+        successor lacks may have been confirmed by a server that is not known. A primary that does
+        not stop is treated like one that gives no answer.
+        """
+        started_s = clock.now_s()
+        orders_ignored = 0
+        while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
+            answers = await self.commands.step_down({primary}, self.term)
+            orders_ignored += any(status.leads for status in answers.values())
+            statuses = await self.commands.query({primary, successor})
+            if primary in statuses:
+                self._note_stopped(primary, statuses[primary])
+            if self.stopped_end is not None:
+                if clock.now_s() - started_s < SUCCESSOR_LAG_S:
+                    statuses.pop(primary, None)
+                choice = self._choose(expected=self._confirming(), paused={}, receiving=statuses)
+                if choice.verdict is not promotion.Verdict.WAIT:
+                    return choice
+            await asyncio.sleep(POLL_S)
+        return await self._decide_without_primary(primary, {})
+
+    def _note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> None:
+        """Note the end of a primary's log if it has stopped; it leads again after a crash."""
+        if not status.leads and self.stopped_end is None:
+            events.log(
+                events.Event.PRIMARY_STOPPED,
+                service=self.target.name,
+                server=primary,
+                term=self.term,
+                end=status.received,
+            )
+        self.stopped_end = None if status.leads else status.received
+
+    def _choose(
+        self,
+        *,
+        expected: collections.abc.Set[ids.ServerId],
+        paused: server_commands.Statuses,
+        receiving: server_commands.Statuses,
+    ) -> promotion.Choice:
+        evidence = promotion.Evidence(
+            expected=expected, paused=paused, receiving=receiving, stopped_end=self.stopped_end
+        )
+        return promotion.choose(evidence, leaving=self._leaving(), requested=self.requested)
+
+    async def _decide_without_primary(
         self, primary: ids.ServerId | None, statuses: server_commands.Statuses
     ) -> promotion.Choice:
+        """Pause all servers, and choose one when no other may hold more.
+
+        The former primary is one of them if it answers: it has been stopped, or was replaced.
+        """
         started_s = clock.now_s()
         while True:
-            paused = await self._pause_others(statuses, spared={primary})
-            choice = promotion.choose_after_failure(
-                expected=self._confirming() - {primary},
-                paused=paused,
-                leaving=self._leaving(),
-                requested=self.requested,
-            )
+            spared = {primary} - set(statuses)
+            paused = await self._pause_others(statuses, spared=spared)
+            choice = self._choose(expected=self._confirming() - spared, paused=paused, receiving={})
             waiting = choice.verdict is promotion.Verdict.WAIT
             if not waiting or clock.now_s() - started_s > PAUSE_TIMEOUT_S:
                 return choice
             await asyncio.sleep(POLL_S)
-            statuses = await self.commands.query(self._confirming() - {primary})
+            statuses = await self.commands.query(self._confirming() - spared)
 
     def _confirming(self) -> set[ids.ServerId]:
         """Return the servers that may confirm commits, as far as they are known now."""
@@ -309,7 +387,7 @@
         return {
             name: status
             for name, status in statuses.items()
-            if name in expected and (status.paused or status.role is promotion.Role.PRIMARY)
+            if name in expected and (status.paused or status.leads)
         }
 
     def _leaving(self) -> set[ids.ServerId]:
@@ -415,19 +493,24 @@
 
     @contextlib.asynccontextmanager
     async def _kept_paused(
-        self, spared: collections.abc.Set[ids.ServerId | None]
+        self, promoted: ids.ServerId, *, primary: ids.ServerId | None = None
     ) -> collections.abc.AsyncIterator[None]:
-        """Keep all servers but the ``spared`` ones paused while the context is open.
+        """Keep other servers from confirming commits, and a stopped primary from leading again.
 
         A promotion takes effect some time after its request. Until then a restart, a delayed
         RESUME or a server that has just started may end or evade a pause.
         """
 
         async def keep_paused() -> None:
+            stopped = {primary} - {promoted} if self.stopped_end is not None else set()
             while True:
                 await asyncio.sleep(POLL_S)
-                statuses = await self.commands.query(self._confirming() - spared)
-                await self._pause_others(statuses, spared=spared)
+                statuses = await self.commands.query(
+                    self._confirming() - {promoted, primary} | stopped
+                )
+                await self._pause_others(statuses, spared={promoted, primary})
+                if any(statuses[name].leads for name in stopped & set(statuses)):
+                    await self.commands.step_down(stopped, self.term)
 
         keeping = asyncio.create_task(keep_paused())
         try:
@@ -438,7 +521,7 @@
     async def _leads(self, successor: ids.ServerId) -> bool:
         query_sent_at_s = clock.now_s()
         status = (await self.commands.query({successor})).get(successor)
-        if status is None or status.role is not promotion.Role.PRIMARY:
+        if status is None or not status.leads:
             return False
         self.target.note_leading(
             successor, query_sent_at_s=query_sent_at_s, position=status.received
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -87,7 +87,12 @@
         return leading[0] if leading else None
 
     def commit(self, server: FakeServer, data: str) -> bool:
-        """Append a commit at the primary and replicate it; return whether a replica received it."""
+        """Append a commit at the primary and replicate it; return whether a replica received it.
+
+        A server that does not lead takes no commit.
+        """
+        if server.role is not promotion.Role.PRIMARY:
+            return False
         server.log.append(LogEntry(term=self.term, data=data))
         receivers = [replica for replica in self.servers.values() if self._receives(replica)]
         for replica in receivers:
--- a/tests/platform/test_changes_of_primary.py
+++ b/tests/platform/test_changes_of_primary.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mustardswitch import tasks
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, promotion
 from mustardswitch_standins import platform_deployment
 
 PROMOTION_DELAY_S = 0.9
@@ -69,7 +69,7 @@
     async def wait_for_primary(self, name: ids.ServerId) -> None:
         """Wait until a server leads and has taken writes."""
         async with asyncio.timeout(10.0):
-            while self.group.primary.name != name:
+            while self.group.servers[name].role is not promotion.Role.PRIMARY:
                 await asyncio.sleep(0.02)
         written = self.written
         async with asyncio.timeout(10.0):
--- a/tests/proxy/test_change_of_primary_machine.py
+++ b/tests/proxy/test_change_of_primary_machine.py
@@ -25,11 +25,12 @@
     """One claim holder's change of primary."""
 
     token: int
-    primary: ids.ServerId
+    primary: ids.ServerId | None
     leaves: bool
     requested_before: ids.ServerId | None
     requested: ids.ServerId | None
     term: int = 0
+    stopped_end: positions.Position | None = None
     confirmed: bool = False
     request_sent: bool = False
     verdict: promotion.Verdict = promotion.Verdict.WAIT
@@ -37,10 +38,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LateOrder:
-    """An order to a server that is executed at some later time; a RESUME has no term."""
+    """An order to a server that is executed at some later time; a RESUME has no term.
+
+    One that ``stops`` is a STEPDOWN, one with a term otherwise a PAUSE.
+    """
 
     server: ids.ServerId
     term: int | None = None
+    stops: bool = False
 
 
 class Changes(stateful.RuleBasedStateMachine):
@@ -49,6 +54,7 @@
     hold_commits = True
     record_requests = True
     compare_ends = True
+    stop_primary = True
     count_expired = True
     check_pauses = True
     resume_requested_only = True
@@ -66,12 +72,16 @@
         self.late_orders: list[LateOrder] = []
         self.effects: list[ids.ServerId] = []
         self.written = 0
+        self.stopped: ids.ServerId | None = None
+        """The primary that was stopped last."""
 
     # What callers do
 
     @stateful.rule()
     def write(self) -> None:
         primary = self.group.primary
+        if primary is None:
+            return
         held = self.hold_commits and not promotion.may_take_commits(
             primary.name, requested=self.record
         )
@@ -85,7 +95,7 @@
         return self.listed | (self.expired if self.count_expired else set())
 
     def _is_primary(self, name: ids.ServerId) -> bool:
-        return self.group.primary.name == name
+        return self.group.primary is not None and self.group.primary.name == name
 
     @stateful.rule(name=servers)
     def toggle_receiving(self, name: ids.ServerId) -> None:
@@ -100,6 +110,9 @@
             server = self.group.servers[name]
             server.up = not server.up
             server.paused_term = 0
+            if server.up and self.group.primary is None and name == self.stopped:
+                # The platform has promoted no other server.
+                server.role = promotion.Role.PRIMARY
             self.group.catch_up(server)
             self._list_before_suspicion(name)
 
@@ -138,7 +151,7 @@
         self.tokens += 1
         self.attempt = Attempt(
             token=self.tokens,
-            primary=self.group.primary.name,
+            primary=self.group.primary.name if self.group.primary else None,
             leaves=leaves,
             requested_before=self.record,
             requested=self.record,
@@ -183,15 +196,22 @@
         if leader not in (None, attempt.primary) and attempt.requested in (None, leader):
             return promotion.Choice(verdict=promotion.Verdict.ALREADY_LED)
         if leader is None:
-            paused = self._pause_others(statuses, {attempt.primary}, late)
-            return promotion.choose_after_failure(
-                expected=self._known() - {attempt.primary},
-                paused=paused,
-                leaving=set(),
-                requested=attempt.requested,
-            )
+            return self._decide_without_primary(statuses, late)
+        attempt.stopped_end = None
         return self._decide_handover(statuses, leader, late)
 
+    def _decide_without_primary(
+        self, statuses: dict[ids.ServerId, promotion.ServerStatus], late: ids.ServerId | None
+    ) -> promotion.Choice:
+        attempt = self.attempt
+        spared = {attempt.primary} - set(statuses)
+        evidence = promotion.Evidence(
+            expected=self._known() - spared,
+            paused=self._pause_others(statuses, spared, late),
+            stopped_end=attempt.stopped_end,
+        )
+        return promotion.choose(evidence, leaving=set(), requested=attempt.requested)
+
     def _decide_handover(
         self,
         statuses: dict[ids.ServerId, promotion.ServerStatus],
@@ -210,17 +230,44 @@
             return promotion.Choice(verdict=verdict, server=primary)
         if statuses[successor].paused:
             self._execute(LateOrder(server=successor))
-        end: positions.Position | None = None
-        if self.compare_ends and attempt.requested == successor:
-            end = statuses[primary].received
-        return promotion.evaluate_handover(
+        replica = self.group.servers[successor]
+        if self.compare_ends and replica.position < statuses[primary].received:
+            return promotion.Choice(verdict=promotion.Verdict.WAIT)
+        choice = promotion.evaluate_handover(
             expected=self._known() - {primary},
             paused=self._pause_others(statuses, {primary, successor}, late),
             successor=successor,
-            successor_status=self.group.status(self.group.servers[successor]),
-            final_end=end,
-            primary_leaves=attempt.leaves and self.compare_ends,
+            successor_status=self.group.status(replica),
+            primary_leaves=attempt.leaves,
+        )
+        promotes = choice.verdict is promotion.Verdict.PROMOTE
+        if not promotes or attempt.requested != successor or not self.stop_primary:
+            return choice
+        return self._stop(primary, successor, late)
+
+    def _stop(
+        self, primary: ids.ServerId, successor: ids.ServerId, late: ids.ServerId | None
+    ) -> promotion.Choice:
+        """Stop the primary; a late order to stop leaves the pauses to prove the choice."""
+        attempt = self.attempt
+        order = LateOrder(server=primary, term=attempt.term, stops=True)
+        if late == primary:
+            self.late_orders.append(order)
+            statuses = self._statuses()
+            del statuses[primary]
+            return self._decide_without_primary(statuses, late)
+        self._execute(order)
+        statuses = {
+            name: self.group.status(self.group.servers[name]) for name in (primary, successor)
+        }
+        attempt.stopped_end = statuses[primary].received
+        evidence = promotion.Evidence(
+            expected=self._known(),
+            paused={},
+            receiving=statuses,
+            stopped_end=attempt.stopped_end,
         )
+        return promotion.choose(evidence, leaving=set(), requested=successor)
 
     @stateful.precondition(lambda self: self.attempt and not self.attempt.confirmed)
     @stateful.rule(late=MAY_BE_LATE)
@@ -260,7 +307,7 @@
     def keep_primary(self) -> None:
         """Promote the present primary again, and wait until accepted requests have taken effect."""
         primary = self.group.primary
-        if not primary.up or primary.silent:
+        if primary is None or not primary.up or primary.silent:
             return
         self._receive_request(primary.name, self.attempt.token)
         while self.effects:
@@ -315,6 +362,10 @@
         if order.term is None:
             server.paused_term = 0
             self.group.catch_up(server)
+        elif order.stops:
+            if server.up and self._is_primary(server.name):
+                self.group.step_down(server, order.term)
+                self.stopped = server.name
         elif server.up and not self._is_primary(server.name) and order.term > self.group.term:
             server.paused_term = max(order.term, server.paused_term)
 
@@ -389,6 +440,17 @@
     machine.take_effect()
 
 
+def _commit_follows_the_comparison(machine: Changes) -> None:
+    machine.start_server()
+    machine.begin(leaves=False)
+    machine.decide(late=None)
+    machine.decide(late=None)
+    machine.toggle_receiving(C)
+    machine.write()
+    machine.request(late=False)
+    machine.take_effect()
+
+
 def _late_resume_ends_a_pause(machine: Changes) -> None:
     machine.late_orders.append(LateOrder(server=B))
     _hand_over(machine)
@@ -399,14 +461,17 @@
     machine.take_effect()
 
 
+NOT_STOPPED = {"stop_primary": False}
+UNREAD = {"hold_commits": False}
+"""Commits of instances that have not read the record, or have lost the store."""
 SEQUENCES = [
-    ("hold_commits", _server_starts_before_the_effect, {}),
+    ("hold_commits", _server_starts_before_the_effect, NOT_STOPPED),
     ("record_requests", _holder_dies_in_its_request, {}),
-    ("compare_ends", _server_starts_before_the_decision, {}),
+    ("compare_ends", _server_starts_before_the_decision, NOT_STOPPED),
+    ("stop_primary", _commit_follows_the_comparison, UNREAD),
     ("count_expired", _entry_of_the_only_holder_expires, {}),
-    # Commits of an instance that has lost the store, and does not see the record.
-    ("check_pauses", _late_resume_ends_a_pause, {"hold_commits": False}),
-    ("resume_requested_only", _holder_dies_in_its_request, {"hold_commits": False}),
+    ("check_pauses", _late_resume_ends_a_pause, {**UNREAD, **NOT_STOPPED}),
+    ("resume_requested_only", _holder_dies_in_its_request, UNREAD),
 ]
 
 
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -24,12 +24,15 @@
 """Time for which the users' leaving servers go on serving."""
 
 
-async def _take_over(world: proxy_world.World, primary: ids.ServerId | None = A) -> bool:
+async def _take_over(
+    world: proxy_world.World, primary: ids.ServerId | None = A, *, silent: bool = False
+) -> bool:
     return await claimed_changes.run_claimed(
         target=world.service,
         coordination=world.coordination,
         promoter=world.promoter,
         primary=primary,
+        silent=silent,
     )
 
 
@@ -133,7 +136,7 @@
     while not world.promoter.promotion_requests:
         await asyncio.sleep(0.01)
     world.group.servers[C].not_receiving = True
-    world.group.commit(world.group.primary, "x")
+    world.group.commit(world.group.servers[A], "x")
     assert await changing
     assert world.group.lost == []
 
@@ -204,7 +207,7 @@
 ):
     """The other server gives no answer, or has just started and is not known yet."""
     monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(takeover, "FINAL_END_WAIT_S", 1.0)
+    monkeypatch.setattr(takeover, "SUCCESSOR_LAG_S", 1.0)
     world = proxy_world.World()
     world.group.servers[A].leaving = True
     world.list_servers()
@@ -385,12 +388,18 @@
     assert world.group.primary.name == A and world.group.lost == []
 
 
-async def _hand_over_slowly(world: proxy_world.World) -> tuple[asyncio.Task, ids.ServerId]:
-    """Start to hand over from a leaving primary; returns once the promotion was requested."""
-    world.group.servers[A].leaving = True
+async def _hand_over_slowly(
+    world: proxy_world.World, *, silent: bool = False
+) -> tuple[asyncio.Task, ids.ServerId]:
+    """Start to replace a primary; returns once the promotion was requested.
+
+    The primary leaves, or with ``silent`` gives this instance no answer, although others reach it.
+    """
+    world.group.servers[A].leaving = not silent
+    world.group.servers[A].silent = silent
     world.list_servers()
     world.promoter.effect_delay_s = 0.6
-    changing = asyncio.create_task(_take_over(world))
+    changing = asyncio.create_task(_take_over(world, silent=silent))
     while not world.promoter.promotion_requests:
         await asyncio.sleep(0.01)
     return changing, world.promoter.promotion_requests[0][0]
@@ -418,14 +427,15 @@
     """Commit what the successor has not received by the time at which it leads."""
     await asyncio.sleep(0.3)
     world.group.servers[successor].not_receiving = True
-    world.group.commit(world.group.primary, "x")
+    assert not world.group.commit(world.group.servers[A], "x")
 
 
+@pytest.mark.parametrize("silent", [False, True])
 @pytest.mark.parametrize("event", ["resumed late", "restarted"])
-async def test_a_pause_that_ends_before_the_promotion_takes_effect_is_repeated(event):
+async def test_a_pause_that_ends_before_the_promotion_takes_effect_is_repeated(event, silent):
     """Reproduces review/4: the resumed replica confirmed commits before the successor had them."""
     world = proxy_world.World()
-    changing, successor = await _hand_over_slowly(world)
+    changing, successor = await _hand_over_slowly(world, silent=silent)
     paused = next(name for name in (B, C) if name != successor)
     assert world.group.servers[paused].paused_term
     world.group.servers[paused].paused_term = 0
@@ -437,11 +447,13 @@
     assert world.group.lost == []
 
 
-async def test_a_pause_that_ended_before_the_request_is_noticed(monkeypatch):
+@pytest.mark.parametrize("silent", [False, True])
+async def test_a_pause_that_ended_before_the_request_is_noticed(monkeypatch, silent):
     """A decision rests on a pause that a late RESUME ends while the promotion is recorded."""
     monkeypatch.setattr(takeover, "POLL_S", 0.2)
     world = proxy_world.World()
-    world.group.servers[A].leaving = True
+    world.group.servers[A].leaving = not silent
+    world.group.servers[A].silent = silent
     world.list_servers()
     record = world.coordination.record_promotion
 
@@ -455,38 +467,92 @@
 
     async def promote_after_commit(**request):
         world.group.servers[request["server"]].not_receiving = True
-        world.group.commit(world.group.primary, "x")
+        assert not world.group.commit(world.group.servers[A], "x")
         return await promote(**request)
 
     monkeypatch.setattr(world.promoter, "promote", promote_after_commit)
-    assert await _take_over(world)
+    assert await _take_over(world, silent=silent)
     assert world.group.lost == []
 
 
+@pytest.mark.parametrize("silent", [False, True])
 @pytest.mark.parametrize("listed", [True, False])
-async def test_a_server_that_starts_before_a_promotion_takes_effect_confirms_no_commit(listed):
+async def test_a_server_that_starts_before_a_promotion_takes_effect_confirms_no_commit(
+    listed, silent
+):
     """Reproduces review/2 and the lost commits of Qafaz grown: a new replica confirmed commits
     that the successor had not received. Its entry may not even be known by then.
     """
     world = proxy_world.World()
     caller = world.open_session(PRIMARY)
     await world.run(caller, proxy_world.WRITE)
-    changing, successor = await _hand_over_slowly(world)
+    changing, successor = await _hand_over_slowly(world, silent=silent)
     world.group.start_server(zone="d")
     if listed:
         world.list_servers()
     world.group.servers[successor].not_receiving = True
     writing = asyncio.create_task(world.run(caller, proxy_world.WRITE))
     await asyncio.sleep(0.3)
-    if listed:
+    if listed or not silent:
         # Also what an instance sends that has lost the store is confirmed by no one.
-        assert not world.group.commit(world.group.primary, "x")
+        assert not world.group.commit(world.group.servers[A], "x")
     assert await changing
     assert world.group.lost == []
     assert (await writing).succeeded
     assert world.group.statements[-1].server == successor
 
 
+async def test_a_primary_takes_no_commits_from_the_comparison_with_its_successor_on():
+    """Commits of instances that had not read the record were confirmed by a server that was not
+    listed; the successor led with what it had received when its promotion was requested.
+    """
+    world = proxy_world.World()
+    world.group.start_server(zone="d")
+    record = world.coordination.record_promotion
+
+    async def record_before_a_commit(claim, server):
+        recorded = await record(claim, server)
+        world.group.commit(world.group.servers[A], "x")
+        return recorded
+
+    world.coordination.record_promotion = record_before_a_commit
+    changing, successor = await _hand_over_slowly(world)
+    world.group.servers[successor].not_receiving = True
+    assert not world.group.commit(world.group.servers[A], "y")
+    assert await changing
+    assert world.group.primary.name == successor and world.group.lost == []
+
+
+async def test_a_stopped_primary_is_promoted_again_when_its_successor_lacks_its_end():
+    """What the successor lacks may have been confirmed by a server that is not known."""
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    world.group.start_server(zone="d")
+    step_down = world.group.step_down
+
+    def commit_and_step_down(server, term):
+        world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = True
+        world.group.commit(server, "x")
+        step_down(server, term)
+
+    world.group.step_down = commit_and_step_down
+    assert await _take_over(world)
+    assert world.group.primary.name == A and world.group.term == 2
+    assert world.group.acknowledged == ["x"] and world.group.lost == []
+    assert world.coordination.promotions == {}
+
+
+async def test_a_stopped_primary_that_leads_again_after_a_crash_is_stopped_again():
+    world = proxy_world.World()
+    changing, _ = await _hand_over_slowly(world)
+    world.group.servers[A].role = promotion.Role.PRIMARY
+    while world.group.servers[A].role is promotion.Role.PRIMARY:
+        await asyncio.sleep(0.01)
+    assert world.promoter.promotion_requests and world.group.primary is None
+    assert await changing
+
+
 async def test_a_server_that_starts_while_a_change_is_decided_is_paused():
     """The servers that may confirm commits were read once, at the start of the decision."""
     world = proxy_world.World()
