--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -232,14 +232,13 @@
             fleet_records.apply(self.directory, item)
 
     def _apply_server(self, item: change_log.Item) -> None:
+        server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
         if item.value is None:
-            server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
             self.directory.servers.remove(server, clock.now_s())
         else:
             try:
                 entry = records.decode_server(item.key, item.value, item.revision)
             except errors.InvalidRecordError:
-                server = ids.ServerId(item.key.removeprefix(records.SERVERS_PREFIX))
                 self.directory.servers.note_overwritten(server, clock.now_s())
                 raise
             known = self.directory.servers.entries.get(entry.server)
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -24,6 +24,7 @@
     follower,
     health,
     promotions,
+    records,
     settings,
     store,
 )
@@ -84,12 +85,13 @@
         self.follower = follower.Follower(
             client=self.client, directory=self.directory, record_relays=self.records
         )
-        peer_address = datagrams.PeerAddress(host=config.peers.host, port=config.peers.port)
         self.coordination = coordination.Coordination(
             client=self.client,
             directory=self.directory,
             zone=config.zone,
-            peer_address=peer_address,
+            peer_address=datagrams.PeerAddress(host=config.peers.host, port=config.peers.port),
+            list_servers=functools.partial(self.client.list_all, records.SERVERS_PREFIX),
+            apply_item=self.follower.apply,
             on_call_failed=self.follower.interrupt_watch,
             renew_through_peer=lease_renewals.LeaseRenewals(
                 client=self.relays, addresses=self.directory.peer_addresses
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -18,7 +18,7 @@
 import uuid
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, own_records, revisions
+from mustardswitch.internal import change_log, clock, ids, own_records, revisions
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import directory, errors, fleet_records, ports
 
@@ -40,6 +40,8 @@
 written by another."""
 
 
+ServerListing = collections.abc.Callable[[], collections.abc.Awaitable[change_log.Listing]]
+"""Returns the servers' entries that the store holds now; raises StoreError."""
 PeerRenewal = collections.abc.Callable[[int], collections.abc.Awaitable[bool | None]]
 """Renews a lease through another instance; None when none could."""
 
@@ -47,7 +49,8 @@
 class Coordination:
     """Registers this instance in the store, and writes its votes and claims there.
 
-    ``on_call_failed`` is called after each failed call for the registration.
+    ``on_call_failed`` is called after each failed call for the registration. The listing of
+    ``list_servers`` is applied with ``apply_item``.
     """
 
     def __init__(
@@ -57,12 +60,16 @@
         directory: directory.Directory,
         zone: ids.ZoneName,
         peer_address: datagrams.PeerAddress,
+        list_servers: ServerListing | None = None,
+        apply_item: collections.abc.Callable[[change_log.Item], None] = lambda item: None,
         on_call_failed: collections.abc.Callable[[], None] = lambda: None,
         renew_through_peer: PeerRenewal | None = None,
     ) -> None:
         self.on_call_failed = on_call_failed
         self.renew_through_peer = renew_through_peer
         self.client = client
+        self.list_servers = list_servers
+        self.apply_item = apply_item
         self.directory = directory
         self.zone = zone
         self.peer_address = peer_address
@@ -351,6 +358,18 @@
             return None
         return dataclasses.replace(claim, expires_at_s=expires_at_s)
 
+    async def refresh_servers(self) -> None:
+        """Apply the servers' entries that the store holds now; the watch may be seconds behind.
+
+        Raises StoreError.
+        """
+        if self.list_servers is None:
+            return
+        listing = await self.list_servers()
+        for item in listing.items:
+            self.apply_item(item)
+        self.directory.refresh()
+
     async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
         """Record the server whose promotion will be requested; False when the claim is lost.
 
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -259,6 +259,9 @@
     async def renew(self, claim: Claim) -> Claim | None:
         """Return a claim with a later expiry; None when it is lost."""
 
+    async def refresh_servers(self) -> None:
+        """Bring the list of servers up to the store's present one; the watch may be behind."""
+
     async def record_promotion(self, claim: Claim, server: ids.ServerId) -> bool:
         """Record the server whose promotion will be requested under a claim.
 
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -354,6 +354,13 @@
         The former primary is one of them if it answers: it has been stopped, or was replaced.
         """
         started_s = clock.now_s()
+        try:
+            await self.coordination.refresh_servers()
+        except errors.StoreError as error:
+            events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
+            return promotion.Choice(
+                verdict=promotion.Verdict.WAIT, reason="the store did not list the servers"
+            )
         while True:
             spared = {primary} - set(statuses)
             paused = await self._pause_others(statuses, spared=spared)
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -493,6 +493,9 @@
             return None
         return dataclasses.replace(claim, expires_at_s=now_s + self.claim_s)
 
+    async def refresh_servers(self) -> None:
+        """Leave the directory as it is; a test may replace this to list servers."""
+
     async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
         """Record the server whose promotion will be requested, and mark the change."""
         if clock.now_s() >= claim.expires_at_s:
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import collections.abc
+import functools
 
 from mustardswitch import metrics
 from mustardswitch.internal import clock, ids, revisions
 from mustardswitch.peers import datagrams
-from mustardswitch.platform import follower, store
+from mustardswitch.platform import follower, records, store
 from mustardswitch.proxy import coordination, directory, fleet_records, service
 from mustardswitch_standins import fleet, http_store
 from tests.common import platform_records
@@ -54,6 +55,8 @@
             directory=known,
             zone=ids.ZoneName("puget-a"),
             peer_address=datagrams.PeerAddress(host="127.0.0.1", port=1),
+            list_servers=functools.partial(client.list_all, records.SERVERS_PREFIX),
+            apply_item=self.follower.apply,
         )
 
     def join(self, instance: str) -> coordination.Coordination:
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -9,6 +9,7 @@
 from mustardswitch.proxy import (
     claimed_changes,
     directory,
+    errors,
     failover_watch,
     ports,
     requests,
@@ -88,6 +89,29 @@
     assert world.promoter.promotion_requests == []
 
 
+@pytest.mark.parametrize("fails", [False, True])
+async def test_a_server_that_the_watch_has_not_reported_counts_when_the_primary_gives_no_answer(
+    monkeypatch, fails
+):
+    """The watch of the claim's holder may be seconds behind the store."""
+    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    world = proxy_world.World()
+    world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = True
+    started = world.group.start_server(zone="d")
+    assert world.group.commit(world.group.primary, "x")
+    world.group.servers[A].silent = True
+
+    async def refresh_servers():
+        if fails:
+            raise errors.StoreError("no response in time")
+        world.list_servers()
+
+    monkeypatch.setattr(world.coordination, "refresh_servers", refresh_servers)
+    assert await _take_over(world, silent=True) is not fails
+    assert world.group.primary.name == (A if fails else started.name)
+    assert world.group.lost == []
+
+
 async def test_a_replica_whose_entry_expired_takes_over_if_it_answers():
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
