--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -308,6 +308,8 @@
         started_s = clock.now_s()
         orders_ignored = 0
         while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
+            if not self.holds_claim():
+                break
             answers = await self.commands.step_down({primary}, self.term)
             orders_ignored += any(status.leads for status in answers.values())
             statuses = await self.commands.query({primary, successor})
@@ -516,7 +518,8 @@
                     self._confirming() - {promoted, primary} | stopped
                 )
                 await self._pause_others(statuses, spared={promoted, primary})
-                if any(statuses[name].leads for name in stopped & set(statuses)):
+                leads_again = any(statuses[name].leads for name in stopped & set(statuses))
+                if leads_again and self.holds_claim():
                     await self.commands.step_down(stopped, self.term)
 
         keeping = asyncio.create_task(keep_paused())
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -307,6 +307,24 @@
     assert world.group.servers[B].paused_term == 7
 
 
+async def test_a_holder_whose_claim_expires_while_it_records_stops_no_primary(monkeypatch):
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    world.coordination.claim_s = 0.8
+    record = world.coordination.record_promotion
+
+    async def record_slowly(claim, server):
+        recorded = await record(claim, server)
+        await asyncio.sleep(0.5)
+        return recorded
+
+    monkeypatch.setattr(world.coordination, "record_promotion", record_slowly)
+    assert not await _take_over(world)
+    assert "step_down" not in world.group.servers[A].received_commands
+    assert world.group.primary.name == A and world.promoter.promotion_requests == []
+
+
 async def test_a_holder_delayed_past_its_claim_leaves_the_replicas_to_the_next_holder():
     world = proxy_world.World()
     world.group.servers[A].up = False
