--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -148,6 +148,30 @@
     """Claims that the restored store has lost may still be held; services are claimed later."""
     ERA_OPENED = EventKind(523, logbook.INFO, "services may be claimed in a new era")
     """The claims that a restored store may have lost have expired."""
+    COMMITS_HELD = EventKind(524, logbook.INFO, "commits held back")
+    """This instance learned that a server's promotion is recorded, and sends no commits to another
+    one; the fields tell the record's revision and how old the list of servers is."""
+    COMMITS_RESUMED = EventKind(525, logbook.INFO, "commits no longer held back")
+    """The promoted server leads, or the record is removed; the fields tell for how long commits
+    were held back, how many writes waited or were aborted, and whether the store was lost."""
+    COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
+    """Another server leads. The last commit of the former primary that was acknowledged through
+    this instance is above the position ``above``, and at or below ``shown``."""
+    COMMITS_MISSING = EventKind(527, logbook.ERROR, "acknowledged commits are missing")
+    """The log of a new primary ends below a commit that was acknowledged through this instance;
+    ``missing`` is the least number of commits."""
+    COMMITS_MISSING_BY_OFFSET = EventKind(
+        529, logbook.WARNING, "acknowledged commits are missing by offset"
+    )
+    """The log of a new primary has entries of its own term already, and is still shorter than one
+    with a commit that was acknowledged through this instance. Valid if offsets number the entries
+    of a log across terms."""
+    COMMITS_POSSIBLY_MISSING = EventKind(
+        528, logbook.INFO, "acknowledged commits may be missing, or only unacknowledged ones"
+    )
+    """The log of a new primary ends below a position that the former one has shown with an
+    acknowledged commit. The last entries below that position may be of commits that were never
+    acknowledged."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement rejected")
     """A statement has no result; the fields give the reason and the time taken."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -31,6 +31,20 @@
         self.outage = False
         self.recovered_at_s = float("-inf")
         self.first_read_at_s = float("inf")
+        self.confirmed_at_s = float("-inf")
+        """When the store last confirmed the list, to this instance or its relay
+        (``clock.now_s``)."""
+        self.revision = 0
+        """The highest revision of the store that was received."""
+
+    def age_s(self, now_s: float) -> float:
+        """Return the seconds since the store last confirmed the list; infinite before that."""
+        return now_s - self.confirmed_at_s
+
+    def note_confirmed(self, confirmed_at_s: float, *, revision: int) -> None:
+        """Record when the store confirmed the list, and at which revision."""
+        self.confirmed_at_s = max(self.confirmed_at_s, confirmed_at_s)
+        self.revision = max(self.revision, revision)
 
     def is_complete(self, now_s: float) -> bool:
         """Return whether every running server has had time to be listed since the first reading."""
--- a/src/mustardswitch/metrics.py
+++ b/src/mustardswitch/metrics.py
@@ -27,11 +27,11 @@
         self.histograms: dict[str, histogram.HdrHistogram] = {}
         self.gauges: dict[CounterKey, float] = {}
 
-    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+    def count(self, name: str, label: str = "", amount: float = 1) -> None:
         """Add ``amount`` to a counter; ``label`` is the value of its label ``kind``."""
         self.counters[CounterKey(name=name, label=label)] += amount
 
-    def total(self, name: str, label: str = "") -> int:
+    def total(self, name: str, label: str = "") -> float:
         """Return the value of a counter at one label."""
         return self.counters[CounterKey(name=name, label=label)]
 
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -112,8 +112,7 @@
             )
         self.available = True
         self.last_available_s = clock.now_s()
-        self.directory.servers.note_recovery(self.last_available_s)
-        self.directory.instances.note_recovery(self.last_available_s)
+        self.record_relays.note_recovery(self.last_available_s)
 
     async def _load(self) -> int:
         if not self.directory.instances.entries:
--- /dev/null
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -0,0 +1,92 @@
+"""Reports for how long the commits of a service are held back, and what that affects.
+
+They are held back from when an instance learns of a recorded promotion until it learns that the
+promoted server leads, or that the record is removed.
+"""
+
+import typing
+
+from mustardswitch import events, metrics
+from mustardswitch.internal import clock, ids, registration_list
+
+SourceList = registration_list.RegistrationList[typing.Any, typing.Any]
+"""The list of servers, which tells whether and when the store was reached."""
+
+
+class CommitHold:
+    """The present hold of one service's commits at this instance, if there is one."""
+
+    def __init__(
+        self,
+        *,
+        service: ids.ServiceName,
+        registry: metrics.Registry,
+        registrations: SourceList | None = None,
+    ) -> None:
+        self.service = service
+        self.registry = registry
+        self.registrations = registrations or registration_list.RegistrationList()
+        self.since_s: float | None = None
+        """When the hold began (``clock.now_s``); None without one."""
+        self.requested: ids.ServerId | None = None
+        self.waited = 0
+        """Writes that have waited for a leader that may take them, during the hold."""
+        self.aborted = 0
+        """Transactions that were aborted at their COMMIT, during the hold."""
+        self.began_without_store = False
+
+    def __repr__(self) -> str:
+        return f"CommitHold(service={self.service!r})"
+
+    def update(
+        self,
+        *,
+        requested: ids.ServerId | None,
+        leader: ids.ServerId | None,
+        revision: int | None = None,
+    ) -> None:
+        """Begin or end the hold.
+
+        ``requested`` is the server whose promotion is recorded, ``revision`` that of the record;
+        None for a record that this instance has just written.
+        """
+        held = requested is not None and requested != leader
+        if self.since_s is not None and (not held or requested != self.requested):
+            self._end(requested, leader)
+        if held and self.since_s is None:
+            self._begin(requested, leader, revision)
+
+    def _begin(
+        self, requested: ids.ServerId, leader: ids.ServerId | None, revision: int | None
+    ) -> None:
+        self.since_s, self.requested = clock.now_s(), requested
+        self.waited = self.aborted = 0
+        self.began_without_store = self.registrations.outage
+        self.registry.set_gauge("commits_held", 1, self.service)
+        events.log(
+            events.Event.COMMITS_HELD,
+            service=self.service,
+            server=requested,
+            leader=leader,
+            revision=revision,
+            list_age_s=round(self.registrations.age_s(self.since_s), 3),
+            store_lost=self.began_without_store,
+        )
+
+    def _end(self, requested: ids.ServerId | None, leader: ids.ServerId | None) -> None:
+        held_s = clock.now_s() - self.since_s
+        lost = self.registrations.outage or self.registrations.recovered_at_s > self.since_s
+        self.registry.count("commits_held_seconds", self.service, round(held_s, 3))
+        self.registry.remove_gauge("commits_held", self.service)
+        events.log(
+            events.Event.COMMITS_RESUMED,
+            service=self.service,
+            server=self.requested,
+            leader=leader,
+            requested=requested,
+            held_s=round(held_s, 3),
+            waited=self.waited,
+            aborted=self.aborted,
+            store_lost=self.began_without_store or lost,
+        )
+        self.since_s = None
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -133,15 +133,24 @@
         """Return a service, or None when no server of it is known."""
         return self.services.get(name)
 
-    def note_recorded_promotion(self, name: ids.ServiceName, promoted: ids.ServerId | None) -> None:
-        """Record that a server's promotion may take effect, or with None that none can."""
+    def note_recorded_promotion(
+        self,
+        name: ids.ServiceName,
+        promoted: ids.ServerId | None,
+        *,
+        revision: int | None = None,
+    ) -> None:
+        """Record that a server's promotion may take effect, or with None that none can.
+
+        ``revision`` is that of the record, for the log.
+        """
         if promoted is None:
             self.promotions.pop(name, None)
         else:
             self.promotions[name] = promoted
         target = self.services.get(name)
         if target is not None:
-            target.note_recorded_promotion(promoted)
+            target.note_recorded_promotion(promoted, revision=revision)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply a configuration unless the same or a newer version is in force."""
@@ -194,6 +203,7 @@
                     features=self.features,
                     paces=self.paces,
                     stall_meter=self.stall_meter,
+                    registrations=self.servers,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -103,6 +103,7 @@
 
     def _check(self, watch: ServiceWatch, stall_s: float) -> None:
         leader = watch.target.leader
+        watch.target.acknowledged.review(leader.server if leader else None, clock.now_s())
         self._search(watch, leader)
         self._vote(watch, leader, stall_s)
         if watch.changing is None or watch.changing.done():
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -89,7 +89,7 @@
     elif key.startswith(PROMOTIONS):
         service = ids.ServiceName(key.removeprefix(PROMOTIONS))
         promoted = None if item.value is None else decode_promotion(item.value)
-        known.note_recorded_promotion(service, promoted)
+        known.note_recorded_promotion(service, promoted, revision=item.revision)
 
 
 def _apply_vote(known: directory.Directory, item: change_log.Item) -> None:
--- a/src/mustardswitch/proxy/record_source.py
+++ b/src/mustardswitch/proxy/record_source.py
@@ -78,6 +78,14 @@
         """Pass on what the store has answered just now, when asked at ``asked_at_s``."""
         self.feed.publish(listing, confirmed_at_s=clock.now_s(), as_of_s=asked_at_s)
 
+    def note_recovery(self, now_s: float) -> None:
+        """Tell the directory that this instance follows the store, and as of when it does."""
+        for registrations in (self.directory.servers, self.directory.instances):
+            registrations.note_recovery(now_s)
+            registrations.note_confirmed(
+                self.feed.confirmed_at_s, revision=self.feed.log.revision or 0
+            )
+
     def note_outage(self) -> None:
         """Tell the followers of this instance that it does not follow the store any more."""
         self.feed.note_outage()
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -19,6 +19,8 @@
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.placement import read_placement
 from mustardswitch.proxy import (
+    acknowledged,
+    commit_holds,
     errors,
     feature_set,
     placing,
@@ -96,6 +98,7 @@
         features: feature_set.Features = feature_set.NO_FEATURES,
         paces: server_pace.PaceBook | None = None,
         stall_meter: stalls.StallMeter | None = None,
+        registrations: commit_holds.SourceList | None = None,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -118,6 +121,12 @@
         """Replicas whose entries expired lately."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is recorded and may take effect; None without one."""
+        self.requested_revision: int | None = None
+        """The revision of that record; None without one, and if this instance wrote it."""
+        self.hold = commit_holds.CommitHold(
+            service=name, registry=registry, registrations=registrations
+        )
+        self.acknowledged = acknowledged.AcknowledgedCommits(service=name, registry=registry)
         self.leadership = leadership.Leadership()
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
         self.changed = asyncio.Event()
@@ -205,6 +214,7 @@
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
         self.leadership.forget(backend.server)
+        self.acknowledged.forget(backend.server)
         if self.placing is not None:
             self.placing.note_removed(backend)
         backend.close()
@@ -324,6 +334,7 @@
                 before=self.logged_leader,
             )
             self.logged_leader = found
+        self.hold.update(requested=self.requested, leader=found, revision=self.requested_revision)
         for backend in self.servers.values():
             if backend.pace is not None:
                 backend.pace.note_leads(backend.server == found)
@@ -339,6 +350,7 @@
         """
         self.leadership.note_leading(leader, at_s=query_sent_at_s)
         if position is not None:
+            self.acknowledged.note_shown(leader, position)
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
@@ -350,10 +362,12 @@
         self.leadership.note_not_leading(refused_by, at_s=query_sent_at_s)
         self._note_change()
 
-    def note_recorded_promotion(self, requested: ids.ServerId | None) -> None:
+    def note_recorded_promotion(
+        self, requested: ids.ServerId | None, *, revision: int | None = None
+    ) -> None:
         """Record that a server's promotion may take effect, or with None that none can."""
         if requested != self.requested:
-            self.requested = requested
+            self.requested, self.requested_revision = requested, revision
             self._note_change()
 
     def may_commit(self, leader: server.Server) -> bool:
@@ -366,7 +380,11 @@
         With ``for_commits`` a leader that is being replaced is not returned. Raises NoLeaderError.
         """
         loop = asyncio.get_running_loop()
+        held = False
         while (found := self.leader) is None or (for_commits and not self.may_commit(found)):
+            if found is not None and not held:
+                held = True
+                self.hold.waited += 1
             changed = self.changed
             try:
                 async with asyncio.timeout(deadline_s - loop.time()):
@@ -442,6 +460,7 @@
     def _note_status(
         self, backend: server.Server, status: promotion.ServerStatus, query_sent_at_s: float
     ) -> None:
+        self.acknowledged.note_status(backend.server, status)
         if status.role is promotion.Role.PRIMARY:
             self.note_leading(
                 backend.server, query_sent_at_s=query_sent_at_s, position=status.received
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -17,7 +17,7 @@
 
 from mustardswitch import events, tasks
 from mustardswitch.internal import clock, ids, promotion
-from mustardswitch.proxy import errors, ports, server_commands, service
+from mustardswitch.proxy import errors, ports, server_commands, service, takeover_report
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the successor to catch up; a leaving primary keeps running for several times as long."""
@@ -59,7 +59,7 @@
         self.claim = claim
         self.coordination = coordination
         self.promoter = promoter
-        self.commands = server_commands.ServerCommands(target=target)
+        self.commands = takeover_report.RecordedCommands(target=target)
         self.term = ids.Term(0)
         """The term under which replicas are paused."""
         self.may_be_paused: set[ids.ServerId] = set()
@@ -93,6 +93,7 @@
             primary=primary,
             fencing_token=self.claim.fencing_token,
             requested=self.requested,
+            **self.commands.note_start(primary),
         )
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT, reason="not decided")
         done = False
@@ -122,6 +123,7 @@
             verdict=choice.verdict.value,
             reason=choice.reason,
             done=done,
+            **self.commands.end_fields(),
         )
         return done
 
@@ -358,6 +360,7 @@
 
     async def _request(self, server: ids.ServerId) -> ports.PromotionOutcome:
         self.request_sent = True
+        fields = self.commands.note_request(server)
         outcome = await self.promoter.promote(
             service=self.target.name, server=server, fencing_token=self.claim.fencing_token
         )
@@ -367,6 +370,7 @@
             server=server,
             fencing_token=self.claim.fencing_token,
             outcome=outcome.value,
+            **fields,
         )
         return outcome
 
--- /dev/null
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -0,0 +1,119 @@
+"""Keeps what the servers answered in a change of primary, for the log lines of the change."""
+
+import dataclasses
+
+from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.proxy import server_commands, service
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """A server's latest answer, and when it came (``clock.now_s``)."""
+
+    status: promotion.ServerStatus
+    at_s: float
+
+
+def format_answer(answered: Answered, now_s: float) -> str:
+    """Format an answer as its role, term, end of the log, state, and age in seconds."""
+    status = answered.status
+    state = "paused" if status.paused else "unpaused"
+    age_s = now_s - answered.at_s
+    return f"{status.role.value}/{status.term}/{status.received}/{state}/{age_s:.3f}s"
+
+
+class RecordedCommands(server_commands.ServerCommands):
+    """Sends the commands of one attempt to change a primary, and keeps the latest answers."""
+
+    def __init__(self, *, target: service.Service) -> None:
+        super().__init__(target=target)
+        self.answers: dict[ids.ServerId, Answered] = {}
+        self.primary: ids.ServerId | None = None
+        """The primary that is replaced: the known one, or the first that answered as such."""
+        self.requested: ids.ServerId | None = None
+        """The server whose promotion was requested; None before that."""
+        self.first_end: promotion.ServerStatus | None = None
+        """The status in which that server was first seen to lead."""
+
+    async def _run_on(
+        self, name: ids.ServerId, query: server_commands.Query
+    ) -> promotion.ServerStatus | None:
+        status = await super()._run_on(name, query)
+        if status is None:
+            return None
+        self.answers[name] = Answered(status=status, at_s=clock.now_s())
+        self.target.acknowledged.note_status(name, status)
+        if status.role is promotion.Role.PRIMARY:
+            if self.requested is None and self.primary is None:
+                self.primary = name
+            if self.requested == name and self.first_end is None:
+                self.first_end = status
+        return status
+
+    def note_start(self, primary: ids.ServerId | None) -> dict[str, object]:
+        """Return the fields that tell which servers count, and how old their list is."""
+        self.primary = primary
+        listed, counted = self.target.servers, self.target.servers_with_commits()
+        known = self.target.known_servers()
+        registrations = self.target.hold.registrations
+        return {
+            "listed": _names(listed),
+            "expired": _names(counted.keys() - listed.keys()),
+            "expired_long_ago": _names(known.keys() - counted.keys()),
+            "list_revision": registrations.revision,
+            "list_age_s": round(registrations.age_s(clock.now_s()), 3),
+            "store_lost": registrations.outage,
+        }
+
+    def note_request(self, server: ids.ServerId) -> dict[str, object]:
+        """Return the fields that tell why a server may be promoted; count the first request."""
+        if self.requested is None:
+            self.target.registry.count("promotions_requested", self._kind(server))
+        self.requested = server
+        return {
+            "end": self._end_of(server),
+            "primary": self.primary,
+            "primary_end": self._end_of(self.primary),
+            "unanswered": _names(self._unanswered()),
+            "answers": self._format_answers(),
+        }
+
+    def end_fields(self) -> dict[str, object]:
+        """Return the fields that tell how an attempt ended."""
+        first = self.first_end
+        return {
+            "first_end": first.received if first else None,
+            "first_term": first.term if first else None,
+            "unanswered": _names(self._unanswered()),
+            "answers": self._format_answers(),
+        }
+
+    def _kind(self, server: ids.ServerId) -> str:
+        if server == self.primary:
+            return "kept"
+        answered = self.primary in self.answers
+        unpaused = [
+            name
+            for name in self.target.servers_with_commits().keys() - {server, self.primary}
+            if name not in self.answers or not self.answers[name].status.paused
+        ]
+        kind = "primary_answered" if answered else "primary_silent"
+        return f"{kind}_not_all_paused" if unpaused else kind
+
+    def _unanswered(self) -> set[ids.ServerId]:
+        return self.target.servers_with_commits().keys() - self.answers.keys()
+
+    def _end_of(self, server: ids.ServerId | None) -> object:
+        answered = self.answers.get(server) if server is not None else None
+        return answered.status.received if answered else None
+
+    def _format_answers(self) -> str:
+        now_s = clock.now_s()
+        return ", ".join(
+            f"{name}={format_answer(answered, now_s)}"
+            for name, answered in sorted(self.answers.items())
+        )
+
+
+def _names(servers: object) -> str:
+    return ", ".join(sorted(servers))
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -107,6 +107,7 @@
         pinned = self.pinned
         backend, link = pinned.backend, pinned.link
         query_sent_at_s = clock.now_s()
+        shown_before = context.service.acknowledged.shown_by(backend.server)
         backend.in_flight += 1
         try:
             context.sent = True
@@ -124,6 +125,10 @@
         if answer.succeeded:
             is_commit = isinstance(command, requests.Commit)
             backend.note_answer(clock.now_s() - query_sent_at_s, self._work_of(command))
+            if is_commit and self.wrote:
+                context.service.acknowledged.note_acknowledged(
+                    backend.server, above=shown_before, shown=answer.position
+                )
             if pinned.at_leader and (not is_commit or self.wrote):
                 context.service.note_leading(
                     backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
@@ -156,6 +161,7 @@
         while True:
             if self.wrote and not self.service.may_commit(self.pinned.backend):
                 # It would be aborted when the promotion takes effect; the caller can retry now.
+                self.service.hold.aborted += 1
                 self._roll_back()
                 return requests.refuse(
                     requests.Refusal.ABORTED, "the primary is being replaced", state=IDLE
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -50,6 +50,7 @@
     statement: requests.Plain | ports.RunPrepared,
 ) -> requests.Answer:
     query_sent_at_s = clock.now_s()
+    shown_before = context.service.acknowledged.shown_by(backend.server)
     backend.in_flight += 1
     try:
         context.sent = True
@@ -72,6 +73,9 @@
         context.service.note_leading(
             backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
         )
+        context.service.acknowledged.note_acknowledged(
+            backend.server, above=shown_before, shown=answer.position
+        )
         context.session.note_commit(context.service.name, answer.position)
     elif answer.refusal is requests.Refusal.READ_ONLY:
         context.service.note_not_leading(backend.server, query_sent_at_s=query_sent_at_s)
