--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -155,8 +155,8 @@
     """The promoted server leads, or the record is removed; the fields tell for how long commits
     were held back, how many writes waited or were aborted, and whether the store was lost."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
-    """Another server leads. The last commit of the former primary that was acknowledged through
-    this instance is above the position ``above``, and at or below ``shown``."""
+    """Another server leads. The last commits of the former primary that were acknowledged through
+    this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
     COMMITS_MISSING = EventKind(527, logbook.ERROR, "acknowledged commits are missing")
     """The log of a new primary ends below a commit that was acknowledged through this instance;
     ``missing`` is the least number of commits."""
--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -53,6 +53,8 @@
     server: ids.ServerId
     above: positions.Position
     """A position that the commit is above."""
+    request: ids.RequestId
+    """The commit that is above it; the first one if there are several."""
     shown: positions.Position
     """The end of the log in the answer; the commit is at or below it."""
 
@@ -155,8 +157,9 @@
         *,
         above: positions.Position,
         shown: positions.Position | None,
+        request: ids.RequestId,
     ) -> None:
-        """Record an acknowledged commit.
+        """Record the acknowledged commit of a request.
 
         ``above`` is the result of ``shown_by`` before the commit was sent, ``shown`` the position
         in its answer. A commit that shows no higher position has written nothing.
@@ -165,10 +168,12 @@
             return
         known = self.latest.get(leader)
         if known is not None and known.shown.term == shown.term:
-            above, shown = max(above, known.above), max(shown, known.shown)
+            shown = max(shown, known.shown)
+            if above <= known.above:
+                above, request = known.above, known.request
         elif known is not None and known.shown.term > shown.term:
             return
-        self.latest[leader] = Acknowledged(server=leader, above=above, shown=shown)
+        self.latest[leader] = Acknowledged(server=leader, above=above, shown=shown, request=request)
 
     def forget(self, server: ids.ServerId) -> None:
         """Drop what a server has shown, since it may return with another log."""
@@ -246,6 +251,7 @@
             service=self.service,
             before=last.server,
             above=last.above,
+            request=last.request,
             shown=last.shown,
             server=leader,
             term=found.term if found else None,
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -127,7 +127,10 @@
             backend.note_answer(clock.now_s() - query_sent_at_s, self._work_of(command))
             if is_commit and self.wrote:
                 context.service.acknowledged.note_acknowledged(
-                    backend.server, above=shown_before, shown=answer.position
+                    backend.server,
+                    above=shown_before,
+                    shown=answer.position,
+                    request=context.request,
                 )
             if pinned.at_leader and (not is_commit or self.wrote):
                 context.service.note_leading(
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -74,7 +74,10 @@
             backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
         )
         context.service.acknowledged.note_acknowledged(
-            backend.server, above=shown_before, shown=answer.position
+            backend.server,
+            above=shown_before,
+            shown=answer.position,
+            request=context.request,
         )
         context.session.note_commit(context.service.name, answer.position)
     elif answer.refusal is requests.Refusal.READ_ONLY:
