--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -17,7 +17,7 @@
 
 from mustardswitch import events, tasks
 from mustardswitch.internal import clock, ids, positions, promotion
-from mustardswitch.proxy import errors, ports, server_commands, service
+from mustardswitch.proxy import errors, ports, server_commands, service, takeover_report
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the other servers to be paused, and for the primary to be stopped; a leaving primary
@@ -62,7 +62,7 @@
         self.claim = claim
         self.coordination = coordination
         self.promoter = promoter
-        self.commands = server_commands.ServerCommands(target=target)
+        self.commands = takeover_report.RecordedCommands(target=target)
         self.term = ids.Term(0)
         """The term under which replicas are paused and the primary is stopped."""
         self.stopped_end: positions.Position | None = None
@@ -98,6 +98,7 @@
             primary=primary,
             fencing_token=self.claim.fencing_token,
             requested=self.requested,
+            **self.commands.note_start(primary),
         )
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT, reason="not decided")
         done = False
@@ -127,6 +128,7 @@
             verdict=choice.verdict.value,
             reason=choice.reason,
             done=done,
+            **self.commands.end_fields(),
         )
         return done
 
@@ -445,6 +447,7 @@
 
     async def _request(self, server: ids.ServerId) -> ports.PromotionOutcome:
         self.request_sent = True
+        fields = self.commands.note_request(server)
         outcome = await self.promoter.promote(
             service=self.target.name, server=server, fencing_token=self.claim.fencing_token
         )
@@ -454,6 +457,7 @@
             server=server,
             fencing_token=self.claim.fencing_token,
             outcome=outcome.value,
+            **fields,
         )
         return outcome
 
