--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -14,6 +14,7 @@
     ports,
     requests,
     service,
+    successor_choice,
     takeover,
 )
 from mustardswitch_standins import database_group
@@ -49,7 +50,7 @@
 
 
 async def test_no_server_is_promoted_while_a_replica_has_not_answered(monkeypatch):
-    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.group.servers[B].not_receiving = True
     world.group.commit(world.group.primary, "x")
@@ -80,7 +81,7 @@
     primary and of the only replica with the last commits from the store. Both entries expired, and
     the remaining replica was promoted without these commits.
     """
-    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
     world.group.servers[C].up = False
@@ -94,7 +95,7 @@
     monkeypatch, fails
 ):
     """The watch of the claim's holder may be seconds behind the store."""
-    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = True
     started = world.group.start_server(zone="d")
@@ -230,8 +231,8 @@
     monkeypatch, silent
 ):
     """The other server gives no answer, or has just started and is not known yet."""
-    monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(takeover, "SUCCESSOR_LAG_S", 1.0)
+    monkeypatch.setattr(successor_choice, "HANDOVER_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(successor_choice, "SUCCESSOR_LAG_S", 1.0)
     world = proxy_world.World()
     world.group.servers[A].leaving = True
     world.list_servers()
@@ -246,7 +247,7 @@
 
 
 async def test_a_handover_waits_until_the_successor_has_the_paused_logs(monkeypatch):
-    monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(successor_choice, "HANDOVER_TIMEOUT_S", 1.0)
     world = proxy_world.World()
     world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = False
     world.group.commit(world.group.primary, "x")
@@ -285,7 +286,7 @@
 
 
 async def test_a_successor_left_paused_takes_over_from_a_leaving_primary(monkeypatch):
-    monkeypatch.setattr(takeover, "HANDOVER_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(successor_choice, "HANDOVER_TIMEOUT_S", 0.5)
     world = proxy_world.World()
     world.group.servers[A].leaving = True
     world.list_servers()
@@ -401,7 +402,7 @@
 
 async def test_a_claim_keeps_the_record_of_an_earlier_promotion_until_it_is_settled(monkeypatch):
     """A second holder that dies right after its claim must not hide the first one's request."""
-    monkeypatch.setattr(takeover, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.share_marks()
     world.coordination.promotions[database_group.SERVICE] = B
@@ -492,7 +493,7 @@
 @pytest.mark.parametrize("silent", [False, True])
 async def test_a_pause_that_ended_before_the_request_is_noticed(monkeypatch, silent):
     """A decision rests on a pause that a late RESUME ends while the promotion is recorded."""
-    monkeypatch.setattr(takeover, "POLL_S", 0.2)
+    monkeypatch.setattr(successor_choice, "POLL_S", 0.2)
     world = proxy_world.World()
     world.group.servers[A].leaving = not silent
     world.group.servers[A].silent = silent
@@ -811,7 +812,7 @@
     """
     monkeypatch.setattr(takeover, "CLAIM_RENEWAL_S", 0.1)
     world = proxy_world.World()
-    world.coordination.claim_s = takeover.CLAIM_MARGIN_S + 0.4
+    world.coordination.claim_s = successor_choice.CLAIM_MARGIN_S + 0.4
     promote = world.promoter.promote
 
     async def promote_slowly(**request):
@@ -831,7 +832,7 @@
         return None
 
     monkeypatch.setattr(world.coordination, "renew", lose)
-    monkeypatch.setattr(takeover.Takeover, "_decide", _decide_late)
+    monkeypatch.setattr(takeover.Takeover, "_decide_once", _decide_late)
     world.group.servers[A].up = False
     assert not await _take_over(world)
     assert world.promoter.promotion_requests == []
