--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -23,6 +23,8 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
+HOLD_S = 0.15
+"""Time in which most instances read a record and hold commits back."""
 UNLIKELY_ANSWER_S = 0.15
 """Time that a replica whose entry expired long ago gets to answer after the others; a new
 connection and a query between regions."""
@@ -32,6 +34,10 @@
 """Time before the claim's expiry from which its holder does nothing more; a promotion request may
 be under way for this long, between regions or to a slow platform."""
 
+NOT_RECORDED = promotion.Choice(
+    verdict=promotion.Verdict.WAIT, reason="the promotion cannot be recorded"
+)
+
 
 class SuccessorChoice:
     """The choice of the next primary of a service by the holder of a claim."""
@@ -102,9 +108,7 @@
         choice = await self._decide_once(primary, silent)
         while choice.verdict is promotion.Verdict.PROMOTE and choice.server != self.requested:
             if not await self._record(choice.server):
-                return promotion.Choice(
-                    verdict=promotion.Verdict.WAIT, reason="the promotion cannot be recorded"
-                )
+                return NOT_RECORDED
             choice = await self._decide_once(primary, silent)
         return choice
 
@@ -273,9 +277,11 @@
     ) -> promotion.Choice:
         """Pause all servers, and choose one when no other may hold more.
 
-        The former primary is one of them if it answers: it has been stopped, or was replaced.
+        The former primary is one of them if it answers: it has been stopped, or was replaced. It
+        may still lead for instances that reach it, so commits are held back first: what is
+        committed once the known servers are paused would be confirmed by unknown ones only.
         """
-        started_s = clock.now_s()
+        spared = {primary} - set(statuses)
         try:
             await self.coordination.refresh_servers()
         except errors.StoreError as error:
@@ -283,8 +289,14 @@
             return promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="the store did not list the servers"
             )
+        likely = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
+        if self.requested is None and likely is not None:
+            if not await self._record(likely):
+                return NOT_RECORDED
+            await asyncio.sleep(HOLD_S)
+            statuses = await self.commands.query(self.confirming() - spared)
+        started_s = clock.now_s()
         while True:
-            spared = {primary} - set(statuses)
             paused = await self.pause_others(statuses, spared=spared)
             choice = self._choose(expected=self.confirming() - spared, paused=paused, receiving={})
             waiting = choice.verdict is promotion.Verdict.WAIT
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -566,6 +566,24 @@
     assert world.group.primary.name == successor and world.group.lost == []
 
 
+async def test_commits_are_held_back_before_replicas_are_paused_in_a_failover(monkeypatch):
+    """A primary that gives the holder no answer led for other instances; once the known replicas
+    were paused, only a server that was not listed yet confirmed what they committed.
+    """
+    world = proxy_world.World()
+    world.group.start_server(zone="d")
+    world.group.servers[A].silent = True
+    record = world.coordination.record_promotion
+
+    async def record_after_a_commit(claim, server):
+        assert world.group.commit(world.group.servers[A], "x")
+        return await record(claim, server)
+
+    monkeypatch.setattr(world.coordination, "record_promotion", record_after_a_commit)
+    assert await _take_over(world, silent=True)
+    assert world.group.primary.name in (B, C) and world.group.lost == []
+
+
 async def test_a_stopped_primary_is_promoted_again_when_its_successor_lacks_its_end():
     """What the successor lacks may have been confirmed by a server that is not known."""
     world = proxy_world.World()
