--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -80,6 +80,8 @@
         """What is still to be repaired after a restore of the store."""
         self.due = asyncio.Event()
         """Set when the registration is lost or a repair is needed."""
+        self.seen_revision = 0
+        """The revision of the store at which the directory is."""
         self.opening_delay_s = random.uniform(0.0, MAX_OPENING_DELAY_S)
 
     def __repr__(self) -> str:
@@ -99,6 +101,7 @@
         ``run`` registers the instance again if it is not listed. After a restore of the store it
         also casts and withdraws votes, releases claims and marks unfinished changes again.
         """
+        self.seen_revision = revision
         if self.leaving:
             return
         known = self.directory
@@ -367,7 +370,9 @@
             return
         listing = await self.list_servers()
         for item in listing.items:
-            self.apply_item(item)
+            # What is older was applied, and may have been removed since.
+            if item.revision > self.seen_revision:
+                self.apply_item(item)
         self.directory.refresh()
 
     async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
--- a/tests/platform/test_server_listing.py
+++ b/tests/platform/test_server_listing.py
@@ -40,3 +40,21 @@
     world.store.down = True
     with pytest.raises(errors.StoreError):
         await world.coordination.refresh_servers()
+
+
+async def test_a_server_that_was_removed_while_it_was_listed_stays_removed(world):
+    """It came back until the next complete listing, and every failover waited for its answer."""
+    world.put_server(STARTED)
+    await world.follow()
+    list_servers = world.coordination.list_servers
+
+    async def answer_late():
+        listing = await list_servers()
+        world.store.delete(f"servers/{STARTED}")
+        await world.follow()
+        assert STARTED not in world.directory.servers.entries
+        return listing
+
+    world.coordination.list_servers = answer_late
+    await world.coordination.refresh_servers()
+    assert STARTED not in world.directory.servers.entries
