--- a/src/mustardswitch/internal/leadership.py
+++ b/src/mustardswitch/internal/leadership.py
@@ -24,6 +24,11 @@
         """Record a refusal or report that the server did not lead at ``at_s``."""
         self.not_leading_at_s[server] = max(at_s, self.not_leading_at_s.get(server, at_s))
 
+    def has_stopped(self, server: ids.ServerId) -> bool:
+        """Return whether a server that led has since answered or reported that it does not."""
+        stopped_at_s = self.not_leading_at_s.get(server, float("-inf"))
+        return stopped_at_s > self.leading_at_s.get(server, float("-inf"))
+
     def forget(self, server: ids.ServerId) -> None:
         """Drop the evidence about a server that was removed."""
         self.leading_at_s.pop(server, None)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -238,7 +238,7 @@
         has_left = backend.entry.leaving and (now_s - backend.entry_written_at_s < EXPIRY_SILENCE_S)
         leader = self.leadership.leader(self.servers)
         leads = backend.entry.role is promotion.Role.PRIMARY and leader in (None, backend.server)
-        if not has_left and not leads:
+        if not has_left and (not leads or self.leadership.has_stopped(backend.server)):
             self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=now_s)
 
     def note_running(self, name: ids.ServerId) -> None:
