--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -256,12 +256,14 @@
             return self._unlisted_primary(watch)
         if leader.entry.leaving:
             return leader.server
-        voters = self.directory.voters(watch.target.name, leader.server)
-        if voters and suspicion.votes_suffice(
-            votes=len(voters), instances=self.directory.connected_instance_count(watch.target.name)
-        ):
-            return leader.server
-        return None
+        return leader.server if self._is_voted_out(watch.target.name, leader.server) else None
+
+    def _is_voted_out(self, name: ids.ServiceName, primary: ids.ServerId) -> bool:
+        """Return whether enough instances vote to replace a primary."""
+        voters = self.directory.voters(name, primary)
+        return bool(voters) and suspicion.votes_suffice(
+            votes=len(voters), instances=self.directory.connected_instance_count(name)
+        )
 
     def _unlisted_primary(self, watch: ServiceWatch) -> ids.ServerId | None:
         """Return ``UNLISTED_PRIMARY`` if the former primary is no longer listed.
@@ -290,7 +292,8 @@
             coordination=self.coordination,
             promoter=self.promoter,
             primary=None if primary == UNLISTED_PRIMARY else primary,
-            silent=primary == watch.suspected,
+            # Without enough votes, others may reach a primary that leaves, and it is to be stopped.
+            silent=primary == watch.suspected and self._is_voted_out(watch.target.name, primary),
             unfinished=self._unfinished(watch.target.name),
         )
         if done and self.peers is not None and watch.target.leader is not None:
