--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -97,13 +97,13 @@
     """Return what proves that a server may be promoted; None if nothing does.
 
     The end of a stopped primary's log covers all that it ever acknowledged, whoever confirmed it.
-    If the primary is lost after it was stopped, the pauses are left to prove it.
+    While that end is known, nothing else proves a log that does not reach it.
     """
     status = evidence.paused.get(server) or evidence.receiving.get(server)
     if status is None or status.leads:
         return None
-    if evidence.stopped_end is not None and status.received >= evidence.stopped_end:
-        return Proof.PRIMARY_STOPPED
+    if evidence.stopped_end is not None:
+        return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
     highest = max((each.received for each in evidence.paused.values()), default=None)
     all_paused = evidence.expected <= evidence.paused.keys() and server in evidence.paused
     return Proof.ALL_PAUSED if all_paused and status.received == highest else None
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -28,6 +28,8 @@
     def __init__(self, *, target: service.Service) -> None:
         self.target = target
         self.links: dict[ids.ServerId, ports.Link] = {}
+        self.refusing: set[ids.ServerId] = set()
+        """Servers whose latest answer was a refusal, so that they run."""
 
     def __repr__(self) -> str:
         return f"ServerCommands(target={self.target!r})"
@@ -107,8 +109,14 @@
             link = await self._link(backend)
             status = await query(link)
             self.target.note_running(name)
+            self.refusing.discard(name)
             return status
         except (backend_errors.BackendError, TimeoutError) as error:
+            refused = type(error) in (
+                backend_errors.BackendError,
+                backend_errors.ConnectionLimitError,
+            )
+            (self.refusing.add if refused else self.refusing.discard)(name)
             events.log(
                 events.Event.TAKEOVER_UNANSWERED,
                 service=self.target.name,
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -37,6 +37,12 @@
 NOT_RECORDED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the promotion cannot be recorded"
 )
+STARTED_ANEW = promotion.Choice(
+    verdict=promotion.Verdict.WAIT, reason="the primary has started anew; its end is not known"
+)
+IGNORED = promotion.Choice(
+    verdict=promotion.Verdict.WAIT, reason="the primary runs and does not take the order to stop"
+)
 
 
 class SuccessorChoice:
@@ -57,6 +63,10 @@
         """The term under which replicas are paused and the primary is stopped."""
         self.stopped_end: positions.Position | None = None
         """End of the log of the primary, which takes no commits any more; None before that."""
+        self.primary_end = positions.ORIGIN
+        """The highest end of the log that a primary has shown to this holder."""
+        self.ordered_to_stop = False
+        """Whether a primary was ordered to stop under ``term``."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
         self.requested: ids.ServerId | None = None
@@ -114,7 +124,13 @@
 
     async def _decide_once(self, primary: ids.ServerId | None, silent: bool) -> promotion.Choice:
         statuses = await self._query_known(self.answering(primary, silent))
+        started_s = clock.now_s()
+        while primary in self._refusing_to_leave() and clock.now_s() - started_s < PAUSE_TIMEOUT_S:
+            await asyncio.sleep(POLL_S)
+            statuses = await self._query_known(self.answering(primary, silent))
         self._raise_term(statuses)
+        if primary in self._refusing_to_leave():
+            return IGNORED
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self._decide_without_primary(primary, statuses)
@@ -145,8 +161,11 @@
         """Raise the term of this change above those of the servers that are not paused.
 
         The term under which a server is paused does not count: a PAUSE that is executed after the
-        promotion must not be above the term that it began.
+        promotion must not be above the term that it began. A stopped primary may report the term
+        of the order.
         """
+        if self.ordered_to_stop:
+            return
         known = [status.term for status in statuses.values() if not status.paused]
         known += [status.received.term for status in statuses.values()]
         self.term = ids.Term(max([self.term, *(1 + term for term in known)]))
@@ -174,6 +193,7 @@
             )
         if replicas[successor].paused:
             await self.commands.resume({successor})
+        self.primary_end = max(self.primary_end, statuses[primary].received)
         if not await self._reaches(successor, statuses[primary].received):
             return promotion.Choice(
                 verdict=promotion.Verdict.WAIT,
@@ -231,25 +251,46 @@
         """
         started_s = clock.now_s()
         orders_ignored = 0
+        statuses: server_commands.Statuses = {}
+        self.ordered_to_stop = True
         while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
             if not self.holds_claim():
                 break
             answers = await self.commands.step_down({primary}, self.term)
             orders_ignored += any(status.leads for status in answers.values())
-            statuses = await self.commands.query({primary, successor})
-            if primary in statuses:
-                self._note_stopped(primary, statuses[primary])
+            in_time = clock.now_s() - started_s < SUCCESSOR_LAG_S
+            others = set() if in_time else self.confirming()
+            statuses = await self.commands.query({primary, successor} | others)
+            if primary in statuses and not self._note_stopped(primary, statuses[primary]):
+                return STARTED_ANEW
             if self.stopped_end is not None:
-                if clock.now_s() - started_s < SUCCESSOR_LAG_S:
-                    statuses.pop(primary, None)
-                choice = self._choose(expected=self.confirming(), paused={}, receiving=statuses)
+                proved = {successor} if in_time else set(statuses)
+                choice = self._choose(
+                    expected=self.confirming(),
+                    paused={},
+                    receiving={name: statuses[name] for name in proved & set(statuses)},
+                )
                 if choice.verdict is not promotion.Verdict.WAIT:
                     return choice
             await asyncio.sleep(POLL_S)
+        runs = primary in statuses or primary in self.commands.refusing
+        if runs and self.stopped_end is None and orders_ignored < STOP_ORDERS:
+            return IGNORED
         return await self._decide_without_primary(primary, {})
 
-    def _note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> None:
-        """Note the end of a primary's log if it has stopped; it leads again after a crash."""
+    def _refusing_to_leave(self) -> set[ids.ServerId]:
+        """Return the leaving servers that run, but refuse to answer, for example as overloaded."""
+        return self.commands.refusing & self._leaving()
+
+    def _note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> bool:
+        """Note the end of a primary's log once it has stopped; it leads again after a crash.
+
+        Returns False if its log is shorter than it was: it has started anew and proves nothing.
+        """
+        if status.received < self.primary_end:
+            self.stopped_end = None
+            return False
+        self.primary_end = status.received
         if not status.leads and self.stopped_end is None:
             events.log(
                 events.Event.PRIMARY_STOPPED,
@@ -259,6 +300,7 @@
                 end=status.received,
             )
         self.stopped_end = None if status.leads else status.received
+        return True
 
     def _choose(
         self,
@@ -298,7 +340,15 @@
         started_s = clock.now_s()
         while True:
             paused = await self.pause_others(statuses, spared=spared)
-            choice = self._choose(expected=self.confirming() - spared, paused=paused, receiving={})
+            choice = self._choose(
+                expected=self.confirming() - spared,
+                paused=paused,
+                receiving={
+                    name: status
+                    for name, status in statuses.items()
+                    if name not in paused and not status.leads
+                },
+            )
             waiting = choice.verdict is promotion.Verdict.WAIT
             if not waiting or clock.now_s() - started_s > PAUSE_TIMEOUT_S:
                 return choice
--- /dev/null
+++ b/tests/common/takeovers.py
@@ -0,0 +1,68 @@
+"""Changes of primary by one instance in front of the in-memory group."""
+
+import asyncio
+
+from mustardswitch.internal import clock, ids
+from mustardswitch.proxy import claimed_changes
+from tests.common import proxy_world
+
+A = ids.ServerId("server-a")
+"""The first primary."""
+
+
+async def take_over(
+    world: proxy_world.World, primary: ids.ServerId | None = A, *, silent: bool = False
+) -> bool:
+    """Change the primary under a claim; returns whether another server leads."""
+    return await claimed_changes.run_claimed(
+        target=world.service,
+        coordination=world.coordination,
+        promoter=world.promoter,
+        primary=primary,
+        silent=silent,
+    )
+
+
+def expire_entry(world: proxy_world.World, server: ids.ServerId) -> None:
+    """List all servers but one."""
+    world.directory.servers.replace(
+        {entry.server: entry for entry in world.group.entries() if entry.server != server},
+        clock.now_s(),
+    )
+    world.directory.refresh()
+
+
+def lose_entry(world: proxy_world.World, server: ids.ServerId, *, silent_s: float) -> None:
+    """Remove an entry some time after it was written last."""
+    world.service.servers[server].entry_written_at_s -= silent_s
+    expire_entry(world, server)
+
+
+async def hand_over_slowly(
+    world: proxy_world.World, *, silent: bool = False
+) -> tuple[asyncio.Task, ids.ServerId]:
+    """Start to replace a primary; returns once the promotion was requested.
+
+    The primary leaves, or with ``silent`` gives this instance no answer, although others reach it.
+    """
+    world.group.servers[A].leaving = not silent
+    world.group.servers[A].silent = silent
+    world.list_servers()
+    world.promoter.effect_delay_s = 0.6
+    changing = asyncio.create_task(take_over(world, silent=silent))
+    while not world.promoter.promotion_requests:
+        await asyncio.sleep(0.01)
+    return changing, world.promoter.promotion_requests[0][0]
+
+
+async def watch_until(world: proxy_world.World, reached, limit_s: float = 4.0) -> None:
+    """Run the watch until a condition holds; fails if it does not in time."""
+    watching = asyncio.create_task(world.watch.run())
+    try:
+        started_s = clock.now_s()
+        while not reached() and clock.now_s() - started_s < limit_s:
+            await asyncio.sleep(0.02)
+        assert reached()
+    finally:
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -18,7 +18,7 @@
     takeover,
 )
 from mustardswitch_standins import database_group
-from tests.common import proxy_world
+from tests.common import proxy_world, takeovers
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
 PRIMARY = requests.RouteKind.PRIMARY
@@ -26,24 +26,12 @@
 """Time for which the users' leaving servers go on serving."""
 
 
-async def _take_over(
-    world: proxy_world.World, primary: ids.ServerId | None = A, *, silent: bool = False
-) -> bool:
-    return await claimed_changes.run_claimed(
-        target=world.service,
-        coordination=world.coordination,
-        promoter=world.promoter,
-        primary=primary,
-        silent=silent,
-    )
-
-
 async def test_the_replica_with_the_longest_log_takes_over():
     world = proxy_world.World()
     world.group.servers[B].not_receiving = True
     world.group.commit(world.group.primary, "x")
     world.group.servers[A].up = False
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == C
     assert world.group.lost == []
     assert not world.group.servers[B].paused_term
@@ -56,20 +44,12 @@
     world.group.commit(world.group.primary, "x")
     world.group.servers[A].up = False
     world.group.servers[C].up = False
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
     assert not world.group.servers[B].paused_term
     assert world.coordination.claimed == set()
 
 
-def _expire_entry(world, server):
-    world.directory.servers.replace(
-        {entry.server: entry for entry in world.group.entries() if entry.server != server},
-        clock.now_s(),
-    )
-    world.directory.refresh()
-
-
 def _commit_on_primary_and_c(world):
     world.group.servers[B].not_receiving = True
     world.group.commit(world.group.primary, "x")
@@ -85,8 +65,8 @@
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
     world.group.servers[C].up = False
-    _expire_entry(world, C)
-    assert not await _take_over(world)
+    takeovers.expire_entry(world, C)
+    assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
 
 
@@ -108,7 +88,7 @@
         world.list_servers()
 
     monkeypatch.setattr(world.coordination, "refresh_servers", refresh_servers)
-    assert await _take_over(world, silent=True) is not fails
+    assert await takeovers.take_over(world, silent=True) is not fails
     assert world.group.primary.name == (A if fails else started.name)
     assert world.group.lost == []
 
@@ -116,8 +96,8 @@
 async def test_a_replica_whose_entry_expired_takes_over_if_it_answers():
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
-    _expire_entry(world, C)
-    await _take_over(world)
+    takeovers.expire_entry(world, C)
+    await takeovers.take_over(world)
     assert world.group.primary.name == C
     assert world.group.lost == []
 
@@ -126,8 +106,8 @@
     monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 0.0)
     world = proxy_world.World()
     world.group.servers[A].up = world.group.servers[C].up = False
-    _expire_entry(world, C)
-    assert await _take_over(world)
+    takeovers.expire_entry(world, C)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == B
 
 
@@ -136,28 +116,22 @@
     world.group.servers[C].leaving = True
     world.list_servers()
     world.group.servers[A].up = world.group.servers[C].up = False
-    _expire_entry(world, C)
-    assert await _take_over(world)
+    takeovers.expire_entry(world, C)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == B
 
 
-def _lose_entry(world: proxy_world.World, server: ids.ServerId, *, silent_s: float) -> None:
-    """Remove an entry some time after it was written last."""
-    world.service.servers[server].entry_written_at_s -= silent_s
-    _expire_entry(world, server)
-
-
 async def test_a_leaving_replica_whose_entry_expired_is_paused_in_a_handover():
     """Reproduces review/3: it confirmed commits that the successor had not received yet."""
     world = proxy_world.World()
     world.group.servers[B].leaving = True
     world.list_servers()
-    _lose_entry(world, B, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, B, silent_s=service.EXPIRY_SILENCE_S)
     world.service.servers[A].entry = dataclasses.replace(
         world.service.servers[A].entry, leaving=True
     )
     world.promoter.effect_delay_s = 0.4
-    changing = asyncio.create_task(_take_over(world))
+    changing = asyncio.create_task(takeovers.take_over(world))
     while not world.promoter.promotion_requests:
         await asyncio.sleep(0.01)
     world.group.servers[C].not_receiving = True
@@ -171,14 +145,14 @@
     monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 0.05)
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
-    _lose_entry(world, C, silent_s=10.0)
+    takeovers.lose_entry(world, C, silent_s=10.0)
     await asyncio.sleep(0.1)
     assert C not in world.service.servers_with_commits()
     monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 6.0)
     world.service.unlisted[C] = dataclasses.replace(
         world.service.unlisted[C], since_s=clock.now_s() - 20.0
     )
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == C
     assert world.group.lost == []
 
@@ -186,7 +160,7 @@
 async def test_a_former_primary_that_lost_the_store_with_its_lead_counts_as_a_replica():
     world = proxy_world.World()
     world.service.note_leading(B, query_sent_at_s=clock.now_s() + 0.1, position=None)
-    _lose_entry(world, A, silent_s=10.0)
+    takeovers.lose_entry(world, A, silent_s=10.0)
     assert A in world.service.servers_with_commits()
 
 
@@ -197,7 +171,7 @@
     world.group.servers[A].leaving = True
     world.list_servers()
     started_s = clock.now_s()
-    await _watch_until(world, lambda: world.group.primary.name != A)
+    await takeovers.watch_until(world, lambda: world.group.primary.name != A)
     assert clock.now_s() - started_s >= failover_watch.RECENT_START_DELAY_S
 
 
@@ -206,7 +180,7 @@
     world.group.servers[A].leaving = True
     world.list_servers()
     world.group.commit(world.group.primary, "x")
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name in (B, C)
     assert world.group.lost == []
 
@@ -221,7 +195,7 @@
     world.group.servers[A].leaving = True
     world.list_servers()
     started_s = clock.now_s()
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == B and world.group.lost == []
     assert clock.now_s() - started_s < DRAIN_S
 
@@ -242,7 +216,7 @@
         world.group.start_server(zone="d")
     assert world.group.commit(world.group.primary, "x")
     world.group.servers[C].silent = silent
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.group.lost == [] and world.promoter.promotion_requests == []
 
 
@@ -256,7 +230,7 @@
     world.group.servers[B].not_receiving = True
     world.group.commit(world.group.primary, "y")
     world.group.servers[C].not_receiving = True
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == C
     assert world.group.lost == []
 
@@ -265,7 +239,7 @@
     world = proxy_world.World()
     world.group.servers[A].up = False
     world.promoter.lose_answers = 2
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert {server for server, _ in world.promoter.promotion_requests} == {world.group.primary.name}
 
 
@@ -273,7 +247,7 @@
     world = proxy_world.World()
     world.group.servers[A].up = False
     world.promoter.highest_token = 99
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.group.primary.name == A
 
 
@@ -281,7 +255,7 @@
     world = proxy_world.World()
     world.group.promote(C)
     world.group.servers[B].paused_term = 7
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert not world.group.servers[B].paused_term
 
 
@@ -294,7 +268,7 @@
         world.group.servers[replica].paused_term = 7
     world.group.servers[B].log.append(database_group.LogEntry(term=1, data="sent by A"))
     world.group.servers[A].log.append(database_group.LogEntry(term=1, data="sent by A"))
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.lost == []
 
 
@@ -303,7 +277,7 @@
     world.group.servers[A].up = False
     world.coordination.claim_s = 0.0
     world.group.servers[B].paused_term = 7
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
     assert world.group.servers[B].paused_term == 7
 
@@ -321,7 +295,7 @@
         return recorded
 
     monkeypatch.setattr(world.coordination, "record_promotion", record_slowly)
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert "step_down" not in world.group.servers[A].received_commands
     assert world.group.primary.name == A and world.promoter.promotion_requests == []
 
@@ -332,12 +306,12 @@
     world.coordination.claim_s = 0.8
     world.promoter.lose_answers = 99
     world.promoter.executes = False
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.group.servers[B].paused_term and world.group.servers[C].paused_term
     world.coordination.claim_s = database_group.CLAIM_S
     world.promoter.lose_answers = 0
     world.promoter.executes = True
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert not world.group.servers[B].paused_term and not world.group.servers[C].paused_term
 
 
@@ -352,12 +326,12 @@
     world.group.servers[A].silent = True
     world.coordination.claim_s = 1.6
     world.promoter.lose_answers, world.promoter.executes = 99, False
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     requested = world.promoter.delayed[0][0]
     world.group.servers[A].silent = False
     world.promoter.lose_answers = 0
     world.coordination.claim_s = database_group.CLAIM_S
-    await _watch_until(world, lambda: not world.coordination.unfinished)
+    await takeovers.watch_until(world, lambda: not world.coordination.unfinished)
     world.group.servers[requested].not_receiving = True
     world.group.commit(world.group.primary, "x")
     world.promoter.execute_delayed()
@@ -375,7 +349,7 @@
     world.share_marks()
     world.group.servers[A].silent = True
     world.promoter.hang_requests = True
-    dying = asyncio.create_task(_take_over(world))
+    dying = asyncio.create_task(takeovers.take_over(world))
     while not world.promoter.delayed:
         await asyncio.sleep(0.01)
     requested = world.promoter.delayed[0][0]
@@ -383,7 +357,7 @@
     world.promoter.hang_requests = False
     world.coordination.claimed.clear()
     if recovers:
-        await _watch_until(world, lambda: not world.coordination.unfinished)
+        await takeovers.watch_until(world, lambda: not world.coordination.unfinished)
     else:
         assert await claimed_changes.run_claimed(
             target=world.service,
@@ -408,7 +382,7 @@
     world.coordination.promotions[database_group.SERVICE] = B
     world.group.servers[A].up = world.group.servers[C].up = False
     world.group.servers[B].paused_term = world.group.servers[C].paused_term = 7
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.coordination.promotions == {database_group.SERVICE: B}
     assert world.group.servers[C].paused_term
 
@@ -424,36 +398,19 @@
     world.promoter.delayed.append((C, 0))
     world.group.servers[B].paused_term = 7
     world.group.servers[C].silent = True
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.coordination.promotions == {} and not world.group.servers[B].paused_term
     world.group.commit(world.group.primary, "x")
     world.promoter.execute_delayed()
     assert world.group.primary.name == A and world.group.lost == []
 
 
-async def _hand_over_slowly(
-    world: proxy_world.World, *, silent: bool = False
-) -> tuple[asyncio.Task, ids.ServerId]:
-    """Start to replace a primary; returns once the promotion was requested.
-
-    The primary leaves, or with ``silent`` gives this instance no answer, although others reach it.
-    """
-    world.group.servers[A].leaving = not silent
-    world.group.servers[A].silent = silent
-    world.list_servers()
-    world.promoter.effect_delay_s = 0.6
-    changing = asyncio.create_task(_take_over(world, silent=silent))
-    while not world.promoter.promotion_requests:
-        await asyncio.sleep(0.01)
-    return changing, world.promoter.promotion_requests[0][0]
-
-
 async def test_no_server_is_resumed_after_a_promotion_that_ended_its_pause(monkeypatch):
     """Reproduces review/4: a RESUME after a finished change, which was not needed, stayed
     unanswered, was executed seconds later and ended a pause of the next change.
     """
     world = proxy_world.World()
-    changing, successor = await _hand_over_slowly(world)
+    changing, successor = await takeovers.hand_over_slowly(world)
     leads = takeover.Takeover._leads
 
     async def note_leading_late(attempt, server):
@@ -478,7 +435,7 @@
 async def test_a_pause_that_ends_before_the_promotion_takes_effect_is_repeated(event, silent):
     """Reproduces review/4: the resumed replica confirmed commits before the successor had them."""
     world = proxy_world.World()
-    changing, successor = await _hand_over_slowly(world, silent=silent)
+    changing, successor = await takeovers.hand_over_slowly(world, silent=silent)
     paused = next(name for name in (B, C) if name != successor)
     assert world.group.servers[paused].paused_term
     world.group.servers[paused].paused_term = 0
@@ -514,7 +471,7 @@
         return await promote(**request)
 
     monkeypatch.setattr(world.promoter, "promote", promote_after_commit)
-    assert await _take_over(world, silent=silent)
+    assert await takeovers.take_over(world, silent=silent)
     assert world.group.lost == []
 
 
@@ -529,7 +486,7 @@
     world = proxy_world.World()
     caller = world.open_session(PRIMARY)
     await world.run(caller, proxy_world.WRITE)
-    changing, successor = await _hand_over_slowly(world, silent=silent)
+    changing, successor = await takeovers.hand_over_slowly(world, silent=silent)
     world.group.start_server(zone="d")
     if listed:
         world.list_servers()
@@ -559,7 +516,7 @@
         return recorded
 
     world.coordination.record_promotion = record_before_a_commit
-    changing, successor = await _hand_over_slowly(world)
+    changing, successor = await takeovers.hand_over_slowly(world)
     world.group.servers[successor].not_receiving = True
     assert not world.group.commit(world.group.servers[A], "y")
     assert await changing
@@ -580,7 +537,7 @@
         return await record(claim, server)
 
     monkeypatch.setattr(world.coordination, "record_promotion", record_after_a_commit)
-    assert await _take_over(world, silent=True)
+    assert await takeovers.take_over(world, silent=True)
     assert world.group.primary.name in (B, C) and world.group.lost == []
 
 
@@ -598,7 +555,7 @@
         step_down(server, term)
 
     world.group.step_down = commit_and_step_down
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.group.primary.name == A and world.group.term == 2
     assert world.group.acknowledged == ["x"] and world.group.lost == []
     assert world.coordination.promotions == {}
@@ -606,7 +563,7 @@
 
 async def test_a_stopped_primary_that_leads_again_after_a_crash_is_stopped_again():
     world = proxy_world.World()
-    changing, _ = await _hand_over_slowly(world)
+    changing, _ = await takeovers.hand_over_slowly(world)
     world.group.servers[A].role = promotion.Role.PRIMARY
     while world.group.servers[A].role is promotion.Role.PRIMARY:
         await asyncio.sleep(0.01)
@@ -619,7 +576,7 @@
     world = proxy_world.World()
     world.group.servers[A].up = False
     world.group.servers[C].silent = True
-    changing = asyncio.create_task(_take_over(world))
+    changing = asyncio.create_task(takeovers.take_over(world))
     await asyncio.sleep(0.1)
     started = world.group.start_server(zone="d")
     world.list_servers()
@@ -641,7 +598,7 @@
         world.group.servers[B].silent = False
 
     answering = asyncio.create_task(answer_again())
-    await _watch_until(world, lambda: not world.group.servers[B].paused_term, limit_s=8.0)
+    await takeovers.watch_until(world, lambda: not world.group.servers[B].paused_term, limit_s=8.0)
     await answering
 
 
@@ -667,44 +624,32 @@
 async def test_an_answered_promotion_request_leaves_no_unfinished_change():
     world = proxy_world.World()
     world.group.servers[A].up = False
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.coordination.unfinished == {}
 
 
 async def test_a_service_claimed_by_another_instance_is_left_alone():
     world = proxy_world.World()
     world.coordination.claimed.add(database_group.SERVICE)
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
 
 
 async def test_a_primary_found_to_lead_already_is_kept():
     world = proxy_world.World()
     world.group.promote(B)
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
     assert world.service.leader.server == B
 
 
-async def _watch_until(world: proxy_world.World, reached, limit_s: float = 4.0) -> None:
-    watching = asyncio.create_task(world.watch.run())
-    try:
-        started_s = clock.now_s()
-        while not reached() and clock.now_s() - started_s < limit_s:
-            await asyncio.sleep(0.02)
-        assert reached()
-    finally:
-        watching.cancel()
-        await asyncio.gather(watching, return_exceptions=True)
-
-
 async def test_a_primary_that_is_no_longer_listed_is_replaced():
     world = proxy_world.World()
     world.group.servers[A].up = False
     listed = {entry.server: entry for entry in world.group.entries() if entry.server != A}
     world.directory.servers.replace(listed, clock.now_s())
     world.directory.refresh()
-    await _watch_until(world, lambda: world.group.primary.name != A)
+    await takeovers.watch_until(world, lambda: world.group.primary.name != A)
     assert world.group.lost == []
 
 
@@ -736,7 +681,7 @@
     world = proxy_world.World()
     world.group.servers[A].leaving = True
     world.list_servers()
-    await _watch_until(world, lambda: world.group.primary.name != A)
+    await takeovers.watch_until(world, lambda: world.group.primary.name != A)
 
 
 async def test_a_crashed_primary_is_voted_for_and_replaced_when_votes_suffice():
@@ -755,7 +700,7 @@
         )
 
     casting = asyncio.create_task(cast_votes())
-    await _watch_until(world, lambda: world.group.primary.name != A, limit_s=8.0)
+    await takeovers.watch_until(world, lambda: world.group.primary.name != A, limit_s=8.0)
     await casting
     assert world.group.lost == []
 
@@ -764,7 +709,7 @@
     world = proxy_world.World()
     world.group.servers[B].paused_term = 7
     world.directory.unfinished[database_group.SERVICE] = ports.UnfinishedChange.PAUSED
-    await _watch_until(world, lambda: not world.group.servers[B].paused_term)
+    await takeovers.watch_until(world, lambda: not world.group.servers[B].paused_term)
 
 
 async def test_a_healthy_primary_is_left_alone():
@@ -839,7 +784,7 @@
 
     monkeypatch.setattr(world.promoter, "promote", promote_slowly)
     world.group.servers[A].up = False
-    assert await _take_over(world)
+    assert await takeovers.take_over(world)
 
 
 async def test_a_holder_whose_claim_the_store_has_lost_stops(monkeypatch):
@@ -852,7 +797,7 @@
     monkeypatch.setattr(world.coordination, "renew", lose)
     monkeypatch.setattr(takeover.Takeover, "_decide_once", _decide_late)
     world.group.servers[A].up = False
-    assert not await _take_over(world)
+    assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
 
 
