--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -2,7 +2,8 @@
 
 Emulates the platform's databases: a commit is acknowledged once at least one replica has received
 it, a paused replica or one with ``not_receiving`` set receives nothing, and a promotion truncates
-longer logs of the other servers to the new primary's log.
+longer logs of the other servers to the new primary's log. ``replication`` has a group whose
+replicas receive after a delay.
 """
 
 import asyncio
@@ -39,12 +40,21 @@
         """Whether the server neither answers nor refuses connections and requests."""
         self.not_receiving = False
         """Whether replicated entries don't reach this replica."""
+        self.awaited_promotions = 0
+        """Number of accepted promotions that have not taken effect and keep it from receiving."""
         self.leaving = False
+        self.born_ms = 1
+        """Unix time of its start, in milliseconds."""
+        self.starts = 1
+        """Number of its starts; a message sent to an earlier one is lost."""
+        self.listed_from_s = 0.0
+        """Monotonic time from which it is registered; it receives and confirms before."""
+        self.was_listed = False
         self.busy = 0
         """Number of further statements that are answered as overloaded."""
         self.answer_delay_s = 0.0
         self.order_delay_s = 0.0
-        """Delay after which PAUSE and RESUME are executed, without an answer; 0: at once."""
+        """Delay after which orders are executed, without an answer; 0: at once."""
         self.received_commands: list[str] = []
         self.links: list[FakeLink] = []
 
@@ -74,6 +84,10 @@
         self.acknowledged: list[str] = []
         self.lost: list[str] = []
         """Acknowledged commits that a promotion discarded."""
+        self.holders_of_lost: dict[str, list[str]] = {}
+        """Other servers with a lost commit in their logs as it was discarded."""
+        self.promotes_as_of_request = False
+        """Whether a server receives nothing from an accepted promotion until it takes effect."""
         self.executed: list[str] = []
         """Request ids of the executed statements, in their order."""
         self.statements: list[FakeStatement] = []
@@ -101,12 +115,19 @@
             self.acknowledged.append(data)
         return bool(receivers)
 
+    async def confirm(self, server: FakeServer, writes: list[str], timeout_s: float) -> bool:
+        """Commit at the primary; return whether a replica has received all within the limit."""
+        del timeout_s
+        confirmed = [self.commit(server, data) for data in writes]
+        return all(confirmed)
+
     def _receives(self, replica: FakeServer) -> bool:
         return (
             replica.role is promotion.Role.REPLICA
             and replica.up
             and not replica.not_receiving
             and not replica.paused_term
+            and not replica.awaited_promotions
         )
 
     def start_server(self, *, zone: str) -> FakeServer:
@@ -116,6 +137,21 @@
         self.catch_up(server)
         return server
 
+    def request_promotion(self, name: ids.ServerId, delay_s: float) -> bool:
+        """Accept the promotion of a running server, which takes effect after a delay."""
+        server = self.servers.get(name)
+        if server is None or not server.up:
+            return False
+        if self.promotes_as_of_request:
+            server.awaited_promotions += 1
+        asyncio.get_running_loop().call_later(delay_s, self._take_effect, server)
+        return True
+
+    def _take_effect(self, server: FakeServer) -> None:
+        server.awaited_promotions = max(0, server.awaited_promotions - 1)
+        if server.name in self.servers:
+            self.promote(server.name)
+
     def promote(self, name: ids.ServerId) -> bool:
         """Make a server the primary of the next term with its present log.
 
@@ -124,8 +160,7 @@
         new_primary = self.servers[name]
         if not new_primary.up or new_primary.role is promotion.Role.PRIMARY:
             return new_primary.up
-        held = {entry.data for entry in new_primary.log}
-        self.lost += [data for data in self.acknowledged if data not in held]
+        self._note_lost(new_primary)
         self.term += 1
         for server in self.servers.values():
             server.role = promotion.Role.REPLICA
@@ -135,6 +170,17 @@
         new_primary.role = promotion.Role.PRIMARY
         return True
 
+    def _note_lost(self, new_primary: FakeServer) -> None:
+        held = {entry.data for entry in new_primary.log}
+        lost = [data for data in self.acknowledged if data not in held and data not in self.lost]
+        self.lost += lost
+        for data in lost:
+            self.holders_of_lost[data] = [
+                server.name if server.was_listed else f"{server.name} (never listed)"
+                for server in self.servers.values()
+                if any(entry.data == data for entry in server.log)
+            ]
+
     def step_down(self, server: FakeServer, term: int) -> None:
         """Make the primary a replica if its term is below ``term``; no server leads then."""
         if server.role is promotion.Role.PRIMARY and term > self.term:
@@ -167,7 +213,7 @@
                 slots=3,
                 leaving=server.leaving,
                 role=server.role,
-                started_ms=1,
+                started_ms=server.born_ms,
             )
             for server in self.servers.values()
         ]
@@ -221,6 +267,8 @@
         self.open_term: int | None = None
         """Term in which the open transaction began; None without one."""
         self.read_only = False
+        self.unconfirmed: list[str] = []
+        """Writes of the commit that is being executed."""
         self.writes: list[str] = []
         """Request ids of the open transaction's writes."""
         self.state = requests.TransactionState.IDLE
@@ -267,6 +315,8 @@
         if not self.pending:
             self.unanswered_since_s = None
         answer = self._execute(command, request)
+        if self.unconfirmed:
+            answer = await self._commit(timeout_s)
         self.state = answer.state
         return answer
 
@@ -317,8 +367,8 @@
     ) -> requests.Answer:
         if isinstance(command, requests.Rollback | requests.Commit):
             writes, self.writes, self.open_term = self.writes, [], None
-            if isinstance(command, requests.Commit) and writes:
-                return self._commit(writes)
+            if isinstance(command, requests.Commit):
+                self.unconfirmed = writes
             return self._answer()
         access = _access(command)
         if access is None:
@@ -328,8 +378,9 @@
                 return self._answer(requests.Refusal.READ_ONLY)
             self._record_statement(request)
             if self.open_term is None:
-                return self._commit([str(request)])
-            self.writes.append(str(request))
+                self.unconfirmed = [str(request)]
+            else:
+                self.writes.append(str(request))
             return self._answer()
         self._record_statement(request)
         return self._answer()
@@ -345,9 +396,9 @@
             )
         )
 
-    def _commit(self, writes: list[str]) -> requests.Answer:
-        acknowledged = [self.group.commit(self.server, data) for data in writes]
-        if not all(acknowledged):
+    async def _commit(self, timeout_s: float) -> requests.Answer:
+        writes, self.unconfirmed = self.unconfirmed, []
+        if not await self.group.confirm(self.server, writes, timeout_s):
             self.close()
             raise backend_errors.ConnectionBrokenError("no replica confirmed the commit")
         return self._answer()
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import json
+import time
 
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids, positions
@@ -33,10 +34,14 @@
 
     def __init__(self, *, group: database_group.Group) -> None:
         self.group = group
-        self.listeners: list[asyncio.Server] = []
+        self.server_listeners: dict[ids.ServerId, asyncio.Server] = {}
         self.ports: dict[ids.ServerId, int] = {}
         """Port under which each server is registered; may be replaced by a link's port."""
         self.writers: dict[ids.ServerId, list[asyncio.StreamWriter]] = {}
+        self.entry_expiry_s = 0.0
+        """Time from the last registration of a server that crashed until its entry is removed."""
+        self.expires_at_s: dict[ids.ServerId, float] = {}
+        """Monotonic time at which each entry is removed unless its server registers again."""
         self.row_padding_bytes: dict[str, int] = {}
         """Bytes that are appended to each row of the answers to reads of an item."""
 
@@ -47,23 +52,27 @@
 
     async def start_server(self, server: database_group.FakeServer) -> None:
         """Start the listener of a server, which ``list_servers`` then registers."""
+        self.ports[server.name] = await self.listen(server)
+
+    async def listen(self, server: database_group.FakeServer) -> int:
+        """Start the listener of a server and return its port."""
         listener = await asyncio.start_server(
             self._make_handler(server), "127.0.0.1", 0, limit=lines.MAX_LINE_BYTES
         )
-        self.listeners.append(listener)
-        self.ports[server.name] = listener.sockets[0].getsockname()[1]
+        self.server_listeners[server.name] = listener
+        return listener.sockets[0].getsockname()[1]
 
     def close(self) -> None:
         """Stop listening; open connections stay."""
-        for listener in self.listeners:
+        for listener in self.server_listeners.values():
             listener.close()
 
     def list_servers(self, store: http_store.HttpStore) -> None:
-        """Write the registration of each running server and remove those of the others."""
+        """Write the registration of each listed server and remove those that have expired."""
+        now_s = time.monotonic()
         for server in self.group.servers.values():
-            if server.name not in self.ports:
+            if server.name not in self.ports or not server.up or now_s < server.listed_from_s:
                 continue
-            key = f"servers/{server.name}"
             entry = {
                 "service": database_group.SERVICE,
                 "addr": f"127.0.0.1:{self.ports[server.name]}",
@@ -73,20 +82,35 @@
                 "state": "draining" if server.leaving else "ready",
                 "warmup_left_ms": 0,
                 "db_role": server.role.value,
-                "born": 1,
+                "born": server.born_ms,
                 "seq": 1,
             }
-            if server.up:
-                store.put(key, json.dumps(entry).encode())
-            else:
-                store.delete(key)
+            store.put(f"servers/{server.name}", json.dumps(entry).encode())
+            server.was_listed = True
+            self.expires_at_s[server.name] = now_s + self.entry_expiry_s
+        for name, expires_at_s in self.expires_at_s.items():
+            server = self.group.servers.get(name)
+            if (server is None or not server.up) and now_s >= expires_at_s:
+                store.delete(f"servers/{name}")
 
     def crash(self, name: ids.ServerId) -> None:
         """Crash a server: mark it down and abort its connections."""
         self.group.servers[name].up = False
+        self._abort_connections(name)
+
+    def _abort_connections(self, name: ids.ServerId) -> None:
         for writer in self.writers.pop(name, []):
             writer.transport.abort()
 
+    def end(self, server: database_group.FakeServer, *, says_so: bool) -> None:
+        """End a server for good, which removes its own entry if it ``says_so``."""
+        server.up = False
+        self.group.servers.pop(server.name, None)
+        if says_so:
+            self.expires_at_s[server.name] = 0.0
+        self.server_listeners[server.name].close()
+        self._abort_connections(server.name)
+
     def _make_handler(self, server: database_group.FakeServer):
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.writers.setdefault(server.name, []).append(writer)
--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -19,6 +19,8 @@
 """Limit on the start of one instance until it is ready."""
 INSTANCES = "instances"
 """Name of the instances' end of each link to a server."""
+STORE = "store"
+"""Name of the store's end of the link from each instance."""
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -41,15 +43,24 @@
 class Deployment:
     """Runs the emulators in this process and each instance as a process of its own."""
 
-    def __init__(self, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        *,
+        group: database_group.Group | None = None,
+        links_to_store: bool = False,
+    ) -> None:
         self.directory = directory
-        self.group = database_group.Group()
+        self.group = group or database_group.Group()
         self.databases = line_protocol_databases.LineProtocolDatabases(group=self.group)
         self.store = http_store.HttpStore(
             promote=line_protocol_databases.make_promote_call(self.databases)
         )
         self.store_port = fleet.free_ports(1)[0]
         self.links = links.LinkSet()
+        self.links_to_store = links_to_store
+        """Whether each instance reaches the store, but not the promotion call, over a link."""
+        self.store_link_ports: dict[str, int] = {}
         self.processes: list[asyncio.subprocess.Process] = []
 
     async def start(self) -> None:
@@ -57,18 +68,26 @@
 
         The store is one that instances have used before: services may be claimed at once.
         """
-        await self.databases.start()
-        for server, port in self.databases.ports.items():
-            listener = links.Listener(
-                source=INSTANCES, target=server, port=fleet.free_ports(1)[0], target_port=port
-            )
-            await self.links.listen(listener)
-            self.databases.ports[server] = listener.port
+        for server in self.group.servers.values():
+            await self.start_server(server)
         await self.store.start(self.store_port)
         self.databases.list_servers(self.store)
         self.store.put(f"{fleet_records.ERAS}{self.store.era}", b"")
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
 
+    async def start_server(self, server: database_group.FakeServer) -> None:
+        """Start a server, which instances reach over a link once it is listed."""
+        port = await self.databases.listen(server)
+        self.databases.ports[server.name] = await self._link(INSTANCES, server.name, port)
+
+    async def _link(self, source: str, target: str, target_port: int) -> int:
+        """Start a link and return its port."""
+        listener = links.Listener(
+            source=source, target=target, port=fleet.free_ports(1)[0], target_port=target_port
+        )
+        await self.links.listen(listener)
+        return listener.port
+
     async def start_instance(self, name: str, limits: dict[str, int] | None = None) -> "Instance":
         """Start an instance, with ``limits`` in its settings, and wait until it is ready.
 
@@ -81,6 +100,11 @@
             metrics=fleet.free_ports(1)[0],
             peers=fleet.free_ports(1)[0],
         )
+        store_port = self.store_port
+        if self.links_to_store:
+            if name not in self.store_link_ports:
+                self.store_link_ports[name] = await self._link(name, STORE, self.store_port)
+            store_port = self.store_link_ports[name]
         settings = self.directory / f"{name}.yaml"
         settings.write_text(f"""
 instance: {name}
@@ -90,7 +114,7 @@
 health: 127.0.0.1:{instance.health}
 metrics: 127.0.0.1:{instance.metrics}
 peers: 127.0.0.1:{instance.peers}
-store: 127.0.0.1:{self.store_port}
+store: 127.0.0.1:{store_port}
 promotions: 127.0.0.1:{self.store_port}
 stop_grace_s: 3
 limits: {json.dumps(limits)}
--- /dev/null
+++ b/src/mustardswitch_standins/replication.py
@@ -0,0 +1,178 @@
+"""A group of database servers whose replicas receive and confirm after the delays of their links.
+
+Every log is a prefix of the primary's, as a promotion truncates all others: a replica that receives
+an entry receives all before it.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import time
+
+from mustardswitch.internal import ids, promotion
+from mustardswitch_standins import database_group
+
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+SAME_ZONE_S = 0.0002
+SAME_REGION_S = 0.0005
+OTHER_REGION_S = 0.02
+"""One-way delays of a link within a zone, within a region and between regions."""
+
+
+def link_delay_s(first: str, second: str) -> float:
+    """Return the one-way delay between two zones."""
+    if first == second:
+        return SAME_ZONE_S
+    return SAME_REGION_S if REGIONS.get(first) == REGIONS.get(second) else OTHER_REGION_S
+
+
+@dataclasses.dataclass(kw_only=True)
+class Commit:
+    """Entries of a primary's log that wait until the first replica has received them."""
+
+    primary: database_group.FakeServer
+    starts: int
+    """Starts of the primary as it made the commit."""
+    term: int
+    end: int
+    """Length of the log with the last of them."""
+    writes: list[str]
+    confirmed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+class ReplicatedGroup(database_group.Group):
+    """A group with asynchronous replication, in which a promotion leads with what it had received.
+
+    A commit is acknowledged once the first replica has received it; the others receive it later.
+    Entries that were sent are delivered even if the primary steps down or crashes meanwhile, unless
+    a promotion takes effect first.
+    """
+
+    def __init__(
+        self,
+        *,
+        zones: tuple[str, ...] = ("a", "b", "c"),
+        link_delay_s: collections.abc.Callable[[str, str], float] = link_delay_s,
+    ) -> None:
+        super().__init__(zones=zones)
+        self.promotes_as_of_request = True
+        self.link_delay_s = link_delay_s
+        self.leader = self.primary
+        """The primary of the present term, also after it has stepped down."""
+        self.names_given = 0
+
+    async def confirm(
+        self, server: database_group.FakeServer, writes: list[str], timeout_s: float
+    ) -> bool:
+        """Commit at the primary; return whether a replica has received all within the limit."""
+        server.log += [database_group.LogEntry(term=self.term, data=data) for data in writes]
+        commit = Commit(
+            primary=server,
+            starts=server.starts,
+            term=self.term,
+            end=len(server.log),
+            writes=writes,
+        )
+        for replica in self.servers.values():
+            if replica is not server:
+                self._send(commit, replica, self.link_delay_s(server.zone, replica.zone))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await commit.confirmed.wait()
+        return commit.confirmed.is_set()
+
+    def _send(self, commit: Commit, replica: database_group.FakeServer, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._deliver, commit, replica, replica.starts)
+
+    def _deliver(self, commit: Commit, replica: database_group.FakeServer, starts: int) -> None:
+        if self.term != commit.term or replica.starts != starts or not self._receives(replica):
+            return
+        if len(replica.log) < commit.end:
+            replica.log = commit.primary.log[: commit.end]
+        delay_s = self.link_delay_s(commit.primary.zone, replica.zone)
+        asyncio.get_running_loop().call_later(delay_s, self._acknowledge, commit, replica, starts)
+
+    def _acknowledge(self, commit: Commit, replica: database_group.FakeServer, starts: int) -> None:
+        """Acknowledge a commit, unless either server has ended or another leads."""
+        primary = commit.primary
+        running = primary.up and primary.starts == commit.starts and replica.starts == starts
+        if running and self.term == commit.term and not commit.confirmed.is_set():
+            commit.confirmed.set()
+            self.acknowledged += commit.writes
+
+    def catch_up(self, replica: database_group.FakeServer) -> None:
+        """Send a replica what it has missed: a request to the primary and its answer."""
+        primary = self.primary
+        if primary is None or not primary.up or primary is replica:
+            return
+        commit = Commit(
+            primary=primary,
+            starts=primary.starts,
+            term=self.term,
+            end=len(primary.log),
+            writes=[],
+        )
+        self._send(commit, replica, 2 * self.link_delay_s(primary.zone, replica.zone))
+
+    def promote(self, name: ids.ServerId) -> bool:
+        """Make a server the primary of the next term; the others receive what they lack."""
+        term = self.term
+        done = super().promote(name)
+        if self.term != term:
+            self.leader = self.servers[name]
+            for server in self.servers.values():
+                self.catch_up(server)
+        return done
+
+    def start_replacement(
+        self, former: database_group.FakeServer, *, listed_after_s: float = 0.0
+    ) -> database_group.FakeServer:
+        """Start a replica in the zone of another server, with the log of that server.
+
+        It receives and confirms at once, and is listed ``listed_after_s`` later.
+        """
+        self.names_given += 1
+        server = database_group.FakeServer(
+            name=f"server-{former.zone}{self.names_given}", zone=former.zone
+        )
+        server.born_ms = int(time.time() * 1000)
+        server.listed_from_s = time.monotonic() + listed_after_s
+        server.log = list(former.log)
+        self.servers[server.name] = server
+        self.catch_up(server)
+        return server
+
+    def restart(self, server: database_group.FakeServer, *, leads_again: bool = False) -> None:
+        """Start a crashed server again with its log.
+
+        A primary that had stepped down ``leads_again`` if no other was promoted meanwhile.
+        """
+        self._start_again(server)
+        if leads_again and server is self.leader:
+            server.role = promotion.Role.PRIMARY
+        self.catch_up(server)
+
+    def restart_empty(self, replica: database_group.FakeServer) -> None:
+        """Start a replica again under its id; it knows nothing of before."""
+        replica.log = []
+        replica.born_ms = int(time.time() * 1000)
+        self._start_again(replica)
+        self.catch_up(replica)
+
+    def _start_again(self, server: database_group.FakeServer) -> None:
+        server.starts += 1
+        server.paused_term = 0
+        server.up = True
+
+    def is_expendable(self, server: database_group.FakeServer) -> bool:
+        """Whether other replicas that run and were listed hold every acknowledged commit.
+
+        Otherwise no choice of a successor avoids a loss if this server and the primary end.
+        """
+        held: set[str] = set()
+        for other in self.servers.values():
+            if other not in (server, self.leader) and other.up and other.was_listed:
+                held.update(entry.data for entry in other.log)
+        return all(data in held or data in self.holders_of_lost for data in self.acknowledged)
