--- /dev/null
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -0,0 +1,136 @@
+"""The platform's promotion call and the claims of services, in memory."""
+
+import asyncio
+import dataclasses
+
+from mustardswitch.internal import clock, ids
+from mustardswitch.proxy import ports
+from mustardswitch_standins import database_group
+
+
+class FakePromoter:
+    """Emulates the platform's promotion call, which rejects outdated fencing tokens."""
+
+    def __init__(self, *, group: database_group.Group) -> None:
+        self.group = group
+        self.highest_token = 0
+        self.promotion_requests: list[tuple[ids.ServerId, int]] = []
+        self.lose_answers = 0
+        """Number of further requests that get no answer."""
+        self.delayed: list[tuple[ids.ServerId, int]] = []
+        """Promotion requests without an answer that were not executed yet."""
+        self.executes = True
+        """Whether a promotion request whose answer is lost is executed nevertheless."""
+        self.effect_delay_s = 0.0
+        """Time from the answer to a request until its server leads."""
+        self.hang_requests = False
+        """Whether requests are delayed and never return."""
+
+    async def promote(
+        self, *, service: ids.ServiceName, server: ids.ServerId, fencing_token: int
+    ) -> ports.PromotionOutcome:
+        """Promote a server, unless a request with a higher token was executed before."""
+        self.promotion_requests.append((server, fencing_token))
+        if self.hang_requests:
+            self.delayed.append((server, fencing_token))
+            await asyncio.Event().wait()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            if self.executes:
+                self._execute(server, fencing_token)
+            else:
+                self.delayed.append((server, fencing_token))
+            return ports.PromotionOutcome.UNKNOWN
+        return self._execute(server, fencing_token)
+
+    def execute_delayed(self) -> None:
+        """Execute the delayed promotion requests in their order."""
+        while self.delayed:
+            self._execute(*self.delayed.pop(0))
+
+    def _execute(self, server: ids.ServerId, fencing_token: int) -> ports.PromotionOutcome:
+        if fencing_token < self.highest_token:
+            return ports.PromotionOutcome.REJECTED
+        self.highest_token = fencing_token
+        if self.effect_delay_s:
+            asyncio.get_running_loop().call_later(self.effect_delay_s, self.group.promote, server)
+            return ports.PromotionOutcome.ACCEPTED
+        done = self.group.promote(server)
+        return ports.PromotionOutcome.ACCEPTED if done else ports.PromotionOutcome.REJECTED
+
+
+class FakeCoordination:
+    """Claims, votes and marks of unfinished changes in memory."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.claimed: set[ids.ServiceName] = set()
+        self.votes: list[tuple[ids.ServiceName, ids.ServerId]] = []
+        self.released: list[ports.Claim] = []
+        self.claim_s = database_group.CLAIM_S
+        self.unfinished: dict[ids.ServiceName, ports.UnfinishedChange] = {}
+        """Marks of unfinished changes; may be shared with a directory."""
+        self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
+        """Servers whose promotion was recorded; may be shared with a directory."""
+
+    async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
+        """Claim a service and mark its change as unfinished; None when it is claimed already."""
+        if service in self.claimed:
+            return None
+        self.claimed.add(service)
+        self.revision += 1
+        self.unfinished[service] = ports.UnfinishedChange.PAUSED
+        return ports.Claim(
+            service=service,
+            fencing_token=self.revision,
+            expires_at_s=clock.now_s() + self.claim_s,
+        )
+
+    async def renew(self, claim: ports.Claim) -> ports.Claim | None:
+        """Extend a claim unless it has expired."""
+        now_s = clock.now_s()
+        if now_s >= claim.expires_at_s:
+            return None
+        return dataclasses.replace(claim, expires_at_s=now_s + self.claim_s)
+
+    async def refresh_servers(self) -> None:
+        """Leave the directory as it is; a test may replace this to list servers."""
+
+    async def record_promotion(self, claim: ports.Claim, server: ids.ServerId) -> bool:
+        """Record the server whose promotion will be requested, and mark the change."""
+        if clock.now_s() >= claim.expires_at_s:
+            return False
+        self.unfinished[claim.service] = ports.UnfinishedChange.PROMOTION_REQUESTED
+        self.promotions[claim.service] = server
+        return True
+
+    async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
+        """Return the recorded server."""
+        return self.promotions.get(service)
+
+    async def release(
+        self,
+        claim: ports.Claim,
+        *,
+        unfinished: ports.UnfinishedChange | None = None,
+        promoted: ids.ServerId | None = None,
+    ) -> None:
+        """Release a claim and set or clear its marks; an expired claim changes no mark."""
+        self.claimed.discard(claim.service)
+        self.released.append(claim)
+        if clock.now_s() >= claim.expires_at_s:
+            return
+        self.unfinished.pop(claim.service, None)
+        self.promotions.pop(claim.service, None)
+        if unfinished is not None:
+            self.unfinished[claim.service] = unfinished
+        if promoted is not None:
+            self.promotions[claim.service] = promoted
+
+    async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
+        """Record a vote against a server of a service."""
+        self.votes.append((service, server))
+
+    async def withdraw_vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
+        """Withdraw a vote."""
+        self.votes.remove((service, server))
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -14,7 +14,7 @@
     service,
     session,
 )
-from mustardswitch_standins import database_group
+from mustardswitch_standins import database_group, promotion_calls
 
 REGIONS = {
     ids.ZoneName("a"): ids.RegionName("north"),
@@ -65,8 +65,8 @@
         **changes: object,
     ) -> None:
         self.group = database_group.Group()
-        self.promoter = database_group.FakePromoter(group=self.group)
-        self.coordination = database_group.FakeCoordination()
+        self.promoter = promotion_calls.FakePromoter(group=self.group)
+        self.coordination = promotion_calls.FakeCoordination()
         self.directory = directory.Directory(
             instance=ids.InstanceId("one"),
             location=service.Location(zone=ids.ZoneName(zone), regions=REGIONS),
