--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -116,9 +116,17 @@
 class Soak:
     """A run with the faults of one seed."""
 
-    def __init__(self, *, seed: int, seconds: float, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        fault_names: collections.abc.Sequence[str] = soak_faults.ALL,
+    ) -> None:
         self.seed = seed
         self.seconds = seconds
+        self.fault_names = fault_names
         self.random = random.Random(seed)
         self.group = replication.ReplicatedGroup()
         self.deployment = platform_deployment.Deployment(
@@ -145,7 +153,7 @@
                 self.instances[name] = await self.deployment.start_instance(name)
             background += [asyncio.create_task(self._run_sessions()) for _ in range(CALLERS)]
             background += [asyncio.create_task(self._keep_writing()) for _ in range(WRITERS)]
-            await self.faults.inject(self.seconds)
+            await self.faults.inject(self.seconds, self.fault_names)
             found = await self._wait_for_recovery()
         finally:
             await tasks.cancel_and_wait(background)
@@ -237,13 +245,24 @@
         return [f"no write succeeded within {RECOVERY_TIMEOUT_S} s of the end of the faults"]
 
 
-def run_seed(seed: int, seconds: float, logs: pathlib.Path | None = None) -> list[str]:
+def run_seed(
+    seed: int,
+    seconds: float,
+    *,
+    logs: pathlib.Path | None = None,
+    fault_names: collections.abc.Sequence[str] = soak_faults.ALL,
+) -> list[str]:
     """Run one seed, print a summary and return a description of each violated guarantee.
 
     Keeps the logs of the instances and the events of a failed run in ``logs``, if that is given.
     """
     with tempfile.TemporaryDirectory() as directory:
-        soak = Soak(seed=seed, seconds=seconds, directory=pathlib.Path(directory))
+        soak = Soak(
+            seed=seed,
+            seconds=seconds,
+            directory=pathlib.Path(directory),
+            fault_names=fault_names,
+        )
         found = asyncio.run(asyncio.wait_for(soak.run(), RUN_TIMEOUT_S + seconds))
         if found and logs is not None:
             (pathlib.Path(directory) / "events.log").write_text(
@@ -270,10 +289,17 @@
         "--seconds", type=float, default=8.0, help="seconds of faults for each seed"
     )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for logs of failed seeds")
+    parser.add_argument(
+        "--faults",
+        nargs="+",
+        choices=sorted(set(soak_faults.ALL)),
+        default=soak_faults.ALL,
+        help="faults that are injected",
+    )
     options = parser.parse_args()
     violation_count = 0
     for seed in range(options.first, options.first + options.seeds):
-        for line in run_seed(seed, options.seconds, options.logs):
+        for line in run_seed(seed, options.seconds, logs=options.logs, fault_names=options.faults):
             violation_count += 1
             print(f"seed {seed}: {line}", flush=True)
     return 1 if violation_count else 0
--- a/src/mustardswitch_standins/soak_faults.py
+++ b/src/mustardswitch_standins/soak_faults.py
@@ -34,6 +34,30 @@
 EXPENDABLE_S = 3.0
 """Limit on the wait until other servers hold all commits of one that is to end."""
 MAX_SERVERS = 6
+ALL = (
+    "kill",
+    "kill_all",
+    "stop",
+    "freeze",
+    "store_outage",
+    "lapse_entries",
+    "turn_away",
+    "crash_server",
+    "lose_server",
+    "restart_empty",
+    "stop_receiving",
+    "cut",
+    "delay",
+    "reset",
+    "delay_promotions",
+    "delay_orders",
+    "leave",
+    "start_server",
+    "replace_primary",
+    "replace_primary",
+    "replace_replica",
+)
+"""Names of the faults; each is drawn as often as it is named."""
 
 
 class Faults:
@@ -59,47 +83,21 @@
         deployment.databases.entry_expiry_s = ENTRY_EXPIRY_S
         deployment.store.promote = self._promote
 
-    async def inject(self, seconds: float) -> None:
-        """Inject faults that may overlap for some seconds, and wait until all have ended."""
+    async def inject(self, seconds: float, names: collections.abc.Sequence[str] = ALL) -> None:
+        """Inject faults of these names for some seconds, and wait until all have ended.
+
+        They may overlap.
+        """
         end_s = time.monotonic() + seconds
         running: set[asyncio.Task[None]] = set()
-        faults = self.all_faults()
         while time.monotonic() < end_s:
-            fault = self.random.choice(faults)
-            self.group.note(f"fault {fault.__name__}")
-            running.add(asyncio.create_task(fault()))
+            name = self.random.choice(names)
+            self.group.note(f"fault {name}")
+            running.add(asyncio.create_task(getattr(self, name)()))
             await asyncio.sleep(self.random.uniform(0.2, 1.2))
         await asyncio.gather(*running)
         self.group.note("all faults have ended")
 
-    def all_faults(
-        self,
-    ) -> list[collections.abc.Callable[[], collections.abc.Coroutine[None, None, None]]]:
-        """Return the faults, from which each is drawn with the same probability."""
-        return [
-            self.kill,
-            self.kill_all,
-            self.stop,
-            self.freeze,
-            self.store_outage,
-            self.lapse_entries,
-            self.turn_away,
-            self.crash_server,
-            self.lose_server,
-            self.restart_empty,
-            self.stop_receiving,
-            self.cut,
-            self.delay,
-            self.reset,
-            self.delay_promotions,
-            self.delay_orders,
-            self.leave,
-            self.start_server,
-            self.replace_primary,
-            self.replace_primary,
-            self.replace_replica,
-        ]
-
     def _promote(self, service: str, server: str, token: int) -> bool:
         """Accept a request to promote a running server, which takes effect some time later."""
         del service, token
