--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -140,10 +140,15 @@
         return server
 
     def request_promotion(self, name: ids.ServerId, delay_s: float) -> bool:
-        """Accept the promotion of a running server, which takes effect after a delay."""
+        """Accept the promotion of a running server, which takes effect after a delay.
+
+        For the present primary it changes nothing, even if it has stepped down by then.
+        """
         server = self.servers.get(name)
         if server is None or not server.up:
             return False
+        if server.role is promotion.Role.PRIMARY:
+            return True
         if self.promotes_as_of_request:
             server.awaited_promotions += 1
         asyncio.get_running_loop().call_later(delay_s, self._take_effect, server)
--- a/tests/platform/test_replication.py
+++ b/tests/platform/test_replication.py
@@ -61,6 +61,16 @@
     assert await _write(group, "z")
 
 
+async def test_a_promotion_of_the_present_primary_changes_nothing_after_it_has_stepped_down(group):
+    assert group.request_promotion(A, delay_s=0.05)
+    group.step_down(group.servers[A], 2)
+    await asyncio.sleep(0.1)
+    assert group.primary is None and group.term == 1
+    assert group.request_promotion(A, delay_s=0.05)
+    await asyncio.sleep(0.1)
+    assert group.primary is group.servers[A] and group.term == 2
+
+
 async def test_a_primary_that_stepped_down_delivers_what_it_had_sent(group):
     writing = asyncio.create_task(_write(group, "x"))
     await asyncio.sleep(0)
