--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -52,6 +52,8 @@
         self.listed_from_s = 0.0
         """Monotonic time from which it is registered; it receives and confirms before."""
         self.was_listed = False
+        self.registrations = 0
+        """Number of times that it was registered since its start."""
         self.busy = 0
         """Number of further statements that are answered as overloaded."""
         self.answer_delay_s = 0.0
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -38,6 +38,10 @@
         self.ports: dict[ids.ServerId, int] = {}
         """Port under which each server is registered; may be replaced by a link's port."""
         self.writers: dict[ids.ServerId, list[asyncio.StreamWriter]] = {}
+        self.heartbeat_s = 0.0
+        """Interval after which the registration of a server that has not changed is written."""
+        self.written: dict[ids.ServerId, tuple[dict[str, object], float]] = {}
+        """Last registration of each server, without its number, and its monotonic time."""
         self.entry_expiry_s = 0.0
         """Time from the last registration of a server that crashed until its entry is removed."""
         self.expires_at_s: dict[ids.ServerId, float] = {}
@@ -68,11 +72,15 @@
             listener.close()
 
     def list_servers(self, store: http_store.HttpStore) -> None:
-        """Write the registration of each listed server and remove those that have expired."""
+        """Write the registration of each listed server and remove those that have expired.
+
+        One that has not changed is written again after a heartbeat.
+        """
         now_s = time.monotonic()
         for server in self.group.servers.values():
             if server.name not in self.ports or not server.up or now_s < server.listed_from_s:
                 continue
+            key = f"servers/{server.name}"
             entry = {
                 "service": database_group.SERVICE,
                 "addr": f"127.0.0.1:{self.ports[server.name]}",
@@ -83,10 +91,16 @@
                 "warmup_left_ms": 0,
                 "db_role": server.role.value,
                 "born": server.born_ms,
-                "seq": 1,
             }
-            store.put(f"servers/{server.name}", json.dumps(entry).encode())
+            written, written_at_s = self.written.get(server.name, ({}, 0.0))
+            due = now_s >= written_at_s + self.heartbeat_s or key not in store.keys
+            if entry == written and not due:
+                continue
+            server.registrations += 1
+            encoded = json.dumps({**entry, "seq": server.registrations}).encode()
+            store.put(key, encoded)
             server.was_listed = True
+            self.written[server.name] = entry, now_s
             self.expires_at_s[server.name] = now_s + self.entry_expiry_s
         for name, expires_at_s in self.expires_at_s.items():
             server = self.group.servers.get(name)
--- a/src/mustardswitch_standins/replication.py
+++ b/src/mustardswitch_standins/replication.py
@@ -183,6 +183,7 @@
     def restart_empty(self, replica: database_group.FakeServer) -> None:
         """Start a replica again under its id; it knows nothing of before."""
         replica.log = []
+        replica.registrations = 0
         replica.born_ms = int(time.time() * 1000)
         self._start_again(replica)
         self.catch_up(replica)
--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -165,7 +165,7 @@
         while True:
             if not self.deployment.store.down:
                 self.deployment.databases.list_servers(self.deployment.store)
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(0.05)
 
     # Callers
 
--- a/src/mustardswitch_standins/soak_faults.py
+++ b/src/mustardswitch_standins/soak_faults.py
@@ -26,6 +26,8 @@
 """Time that a server serves after it has announced that it leaves."""
 RELISTED_S = 2.0
 """Limit on the time from an outage of the store until the entries that lapsed are back."""
+HEARTBEAT_S = 1.2
+"""Interval at which a server registers again."""
 ENTRY_EXPIRY_S = 3.6
 """Time after which the entry of a silent server is removed."""
 ORDER_DELAYS_S = (1.0, 4.0)
@@ -80,6 +82,7 @@
         """Monotonic time at which the last late promotion has been executed."""
         for server in group.servers.values():
             server.answer_delay_s = STATEMENT_S
+        deployment.databases.heartbeat_s = HEARTBEAT_S
         deployment.databases.entry_expiry_s = ENTRY_EXPIRY_S
         deployment.store.promote = self._promote
 
--- a/tests/platform/test_replication.py
+++ b/tests/platform/test_replication.py
@@ -104,6 +104,24 @@
     databases.close()
 
 
+async def test_a_server_registers_again_when_it_changes_and_after_a_heartbeat(group):
+    databases = line_protocol_databases.LineProtocolDatabases(group=group)
+    databases.heartbeat_s = 0.2
+    store = http_store.HttpStore(promote=lambda *call: False)
+    await databases.start()
+    databases.list_servers(store)
+    revision = store.revision
+    databases.list_servers(store)
+    assert store.revision == revision
+    group.servers[B].leaving = True
+    databases.list_servers(store)
+    assert store.revision == revision + 1
+    await asyncio.sleep(0.2)
+    databases.list_servers(store)
+    assert store.revision == revision + 4
+    databases.close()
+
+
 @pytest.mark.parametrize("says_so", [True, False])
 async def test_the_entry_of_a_server_that_says_nothing_expires_later(group, says_so):
     databases = line_protocol_databases.LineProtocolDatabases(group=group)
