--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -79,6 +79,7 @@
     # The claim
 
     def note_claim_lost(self) -> None:
+        """Act from now on as if the claim had expired."""
         self.claim = dataclasses.replace(self.claim, expires_at_s=clock.now_s())
 
     def holds_claim(self) -> bool:
@@ -134,7 +135,7 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self._decide_without_primary(primary, statuses)
-        # A primary that was stopped leads again after a crash.
+        # A primary that was stopped may lead again after a crash.
         self.stopped_end = None
         if leader != primary and self.requested in (None, leader):
             return promotion.Choice(
@@ -245,9 +246,10 @@
     ) -> promotion.Choice:
         """Stop a primary, and choose a server that has reached the end of its log.
 
-        That is the primary itself if the successor does not reach the end in time: what the
-        successor lacks may have been confirmed by a server that is not known. A primary that does
-        not stop is treated like one that gives no answer.
+        If the successor does not reach the end in time, any server that has may be chosen, also the
+        primary itself: what the successor lacks may have been confirmed by a server that is not
+        known. A primary that refuses the order is kept. One that accepts it and leads on, or is
+        lost, leaves the pauses to prove a choice.
         """
         started_s = clock.now_s()
         orders_ignored = 0
