--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -221,9 +221,10 @@
                     self.confirming() - {promoted, primary} | stopped
                 )
                 await self.pause_others(statuses, spared={promoted, primary})
-                leads_again = any(statuses[name].leads for name in stopped & set(statuses))
-                if leads_again and self.holds_claim():
-                    await self.commands.step_down(stopped, self.term)
+                for name in stopped & set(statuses):
+                    if statuses[name].leads and self.holds_claim():
+                        term = max(self.term, ids.Term(1 + statuses[name].term))
+                        await self.commands.step_down({name}, term)
 
         keeping = asyncio.create_task(keep_paused())
         try:
