--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -249,6 +249,35 @@
     _let_take_effect(machine)
 
 
+def _earlier_request_takes_effect_after_the_choice(machine: rule_machine.Promotions) -> None:
+    """The next holder does not know the server that was requested, and chooses the primary."""
+    machine.prepare(0)
+    machine.request(0, late=True)
+    machine.expire_entry(C)
+    machine.restart_all_instances()
+    machine.expire_claim()
+    machine.prepare(0)
+    machine.execute_late_request()
+    machine.take_effect()
+    machine.commit_to(1, B)
+    _complete(machine)
+
+
+def _successor_of_a_stale_primary_is_lost(machine: rule_machine.Promotions) -> None:
+    machine.prepare(0)
+    machine.deliver(B)
+    machine.deliver(C)
+    machine.request(0)
+    _let_take_effect(machine)
+    machine.commit_to(0, A)
+    machine.lose_or_start_anew(C)
+    machine.lose_or_start_anew(C)
+    machine.expire_claim()
+    machine.prepare(1, silent=True)
+    machine.request(1)
+    _let_take_effect(machine)
+
+
 KNOWN_LIMITS = [
     (Limit.UNKNOWN_WITHOUT_STORE, _unlisted_server_confirms_without_the_store),
     (Limit.FORGOTTEN, _all_instances_start_anew),
@@ -262,6 +291,8 @@
     (Limit.RESTARTED, _restart_confirms_a_waiting_commit),
     (Limit.STARTED_ANEW, _server_starts_anew_before_a_late_request),
     (Limit.LED_AGAIN, _stopped_primary_leads_again_before_a_late_request),
+    (Limit.EARLIER_REQUEST, _earlier_request_takes_effect_after_the_choice),
+    (Limit.STALE_PRIMARY, _successor_of_a_stale_primary_is_lost),
 ]
 
 
