--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -272,8 +272,9 @@
         elif choice.verdict is promotion.Verdict.ALREADY_LED:
             self.done, self.step = True, Step.END
         elif choice.server != self.requested:
-            self.requested = choice.server
+            self.requested, led_by = choice.server, self.led_by
             if self._record(choice.server) and not self.parts.decide_again:
+                self.led_by = led_by
                 self._proceed(choice)
         else:
             self._proceed(choice)
