--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -9,7 +9,8 @@
 
 from mustardswitch.internal import ids, positions, promotion
 from tests.common import promotion_parts, promotion_world
-from tests.common.promotion_world import OrderKind
+
+OrderKind = promotion_world.OrderKind
 
 Statuses = dict[ids.ServerId, promotion.ServerStatus]
 
--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -13,8 +13,6 @@
 
 from mustardswitch.internal import ids
 from tests.common import promotion_attempt, promotion_parts, promotion_world
-from tests.common.promotion_attempt import Step
-from tests.common.promotion_world import LeadsFrom, State
 
 A, B, C, D = (ids.ServerId(f"server-{zone}") for zone in "abcd")
 INSTANCES = 3
@@ -79,7 +77,7 @@
 class Promotions(stateful.RuleBasedStateMachine):
     """Runs commits, faults, late executions and the steps of holders in any order."""
 
-    leads_from = LeadsFrom.ACCEPTANCE
+    leads_from = promotion_world.LeadsFrom.ACCEPTANCE
     parts = promotion_parts.Parts()
 
     def __init__(self) -> None:
@@ -97,7 +95,9 @@
         """Return the losses that no limit explains."""
         return [loss for loss in self.world.losses if limit_of(loss, self.forgotten) is None]
 
-    def _server(self, name: ids.ServerId, *states: State) -> promotion_world.Server | None:
+    def _server(
+        self, name: ids.ServerId, *states: promotion_world.State
+    ) -> promotion_world.Server | None:
         server = self.world.servers.get(name)
         return server if server is not None and server.state in states else None
 
@@ -122,28 +122,28 @@
 
     @stateful.rule(name=servers)
     def toggle_receiving(self, name: ids.ServerId) -> None:
-        if server := self._server(name, State.RUNNING):
+        if server := self._server(name, promotion_world.State.RUNNING):
             server.receiving = not server.receiving
 
     @stateful.rule(name=servers)
     def crash_or_return(self, name: ids.ServerId) -> None:
-        if server := self._server(name, State.RUNNING):
+        if server := self._server(name, promotion_world.State.RUNNING):
             self.world.crash(server)
-        elif server := self._server(name, State.DOWN):
+        elif server := self._server(name, promotion_world.State.DOWN):
             self.world.come_back(server)
 
     @stateful.rule(name=servers)
     def restart(self, name: ids.ServerId) -> None:
         """Let a running server crash and return."""
-        if server := self._server(name, State.RUNNING):
+        if server := self._server(name, promotion_world.State.RUNNING):
             self.world.crash(server)
             self.world.come_back(server)
 
     @stateful.rule(name=servers)
     def lose_or_start_anew(self, name: ids.ServerId) -> None:
-        if server := self._server(name, State.RUNNING, State.DOWN):
+        if server := self._server(name, promotion_world.State.RUNNING, promotion_world.State.DOWN):
             self.world.lose(server)
-        elif server := self._server(name, State.GONE):
+        elif server := self._server(name, promotion_world.State.GONE):
             self.world.start_anew(server)
 
     @stateful.precondition(lambda self: D not in self.world.servers)
@@ -154,7 +154,7 @@
     @stateful.rule(name=servers)
     def leave(self, name: ids.ServerId) -> None:
         """Report a planned end, or end after that."""
-        if server := self._server(name, State.RUNNING):
+        if server := self._server(name, promotion_world.State.RUNNING):
             if server.leaving:
                 self.world.listed.pop(name, None)
                 self.world.lose(server)
@@ -164,7 +164,7 @@
 
     @stateful.rule(name=servers)
     def write_entry(self, name: ids.ServerId) -> None:
-        if server := self._server(name, State.RUNNING):
+        if server := self._server(name, promotion_world.State.RUNNING):
             self.world.write_entry(server)
 
     @stateful.rule(name=servers)
@@ -193,7 +193,9 @@
         This is ``UNLISTED_RETENTION_S`` of ``proxy.service``.
         """
         known = self.world.instances[instance]
-        known.expired -= {name for name in known.expired if self._server(name, State.GONE)}
+        known.expired -= {
+            name for name in known.expired if self._server(name, promotion_world.State.GONE)
+        }
 
     @stateful.rule()
     def restart_all_instances(self) -> None:
@@ -237,9 +239,9 @@
     def prepare(self, instance: int, silent: bool = False) -> None:
         """Begin, and go on until a promotion is to be requested, or for a while."""
         self.begin(instance, silent)
-        self.advance_to(Step.REQUEST, instance=instance)
+        self.advance_to(promotion_attempt.Step.REQUEST, instance=instance)
 
-    def advance_to(self, step: Step, *, instance: int = 0) -> None:
+    def advance_to(self, step: promotion_attempt.Step, *, instance: int = 0) -> None:
         """Advance an attempt until it is at a step, or for as many steps as any needs."""
         for _ in range(20):
             if instance in self.attempts and self.attempts[instance].step is not step:
@@ -315,7 +317,7 @@
 class PromotionsFromEffect(Promotions):
     """The same with a server that receives commits until its promotion takes effect."""
 
-    leads_from = LeadsFrom.EFFECT
+    leads_from = promotion_world.LeadsFrom.EFFECT
 
 
 TestPromotions = Promotions.TestCase
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -4,15 +4,14 @@
 
 import pytest
 
-from tests.common import promotion_world
-from tests.common.promotion_attempt import Step
-from tests.common.promotion_world import LeadsFrom, OrderKind
+from tests.common import promotion_attempt, promotion_world
 from tests.proxy import test_promotion_rule_machine as rule_machine
-from tests.proxy.test_promotion_rule_machine import A, B, C, D, Limit
+
+A, B, C, D = rule_machine.A, rule_machine.B, rule_machine.C, rule_machine.D
 
 
 def _complete(machine: rule_machine.Promotions) -> None:
-    machine.advance_to(Step.REQUEST)
+    machine.advance_to(promotion_attempt.Step.REQUEST)
     machine.request(0)
     _let_take_effect(machine)
 
@@ -27,7 +26,7 @@
 def _commit_precedes_the_stop(machine: rule_machine.Promotions) -> None:
     machine.start_server()
     machine.begin(0)
-    machine.advance_to(Step.STOP)
+    machine.advance_to(promotion_attempt.Step.STOP)
     machine.commit_to(1, D)
     _complete(machine)
 
@@ -123,7 +122,7 @@
     machine.expire_claim()
     machine.cut_or_heal(1, C)
     machine.begin(1)
-    machine.advance_to(Step.END, instance=1)
+    machine.advance_to(promotion_attempt.Step.END, instance=1)
     machine.end(1)
     machine.read_store(1)
     machine.commit_to(1, B)
@@ -165,7 +164,7 @@
 ]
 
 
-@pytest.mark.parametrize("leads_from", LeadsFrom)
+@pytest.mark.parametrize("leads_from", promotion_world.LeadsFrom)
 @pytest.mark.parametrize("part, sequence", SEQUENCES)
 def test_a_sequence_loses_a_commit_only_without_its_part(part, sequence, leads_from):
     whole = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
@@ -209,7 +208,9 @@
     machine.commit(1)
     machine.prepare(0, silent=True)
     machine.request(0)
-    machine.late_orders.append(promotion_world.Order(kind=OrderKind.RESUME, server=B))
+    machine.late_orders.append(
+        promotion_world.Order(kind=promotion_world.OrderKind.RESUME, server=B)
+    )
     machine.execute_late_order()
     machine.deliver(B)
     _let_take_effect(machine)
@@ -219,7 +220,9 @@
     machine.lose_or_reach_store(1)
     machine.prepare(0, silent=True)
     machine.request(0)
-    machine.late_orders.append(promotion_world.Order(kind=OrderKind.RESUME, server=B))
+    machine.late_orders.append(
+        promotion_world.Order(kind=promotion_world.OrderKind.RESUME, server=B)
+    )
     machine.execute_late_order()
     machine.commit_to(1, B)
     _let_take_effect(machine)
@@ -285,18 +288,18 @@
 
 
 KNOWN_LIMITS = [
-    (Limit.RESUMED, _resume_confirms_a_waiting_commit),
-    (Limit.UNKNOWN, _primary_dies_beside_an_unlisted_server),
-    (Limit.UNKNOWN_WITHOUT_STORE, _unlisted_server_confirms_without_the_store),
-    (Limit.FORGOTTEN, _all_instances_start_anew),
-    (Limit.RESUMED_WITHOUT_STORE, _resume_confirms_a_commit_without_the_store),
+    (rule_machine.Limit.RESUMED, _resume_confirms_a_waiting_commit),
+    (rule_machine.Limit.UNKNOWN, _primary_dies_beside_an_unlisted_server),
+    (rule_machine.Limit.UNKNOWN_WITHOUT_STORE, _unlisted_server_confirms_without_the_store),
+    (rule_machine.Limit.FORGOTTEN, _all_instances_start_anew),
+    (rule_machine.Limit.RESUMED_WITHOUT_STORE, _resume_confirms_a_commit_without_the_store),
 ]
 OPEN_LIMITS = [
-    (Limit.RESTARTED, _restart_confirms_a_waiting_commit),
-    (Limit.STARTED_ANEW, _server_starts_anew_before_a_late_request),
-    (Limit.LED_AGAIN, _stopped_primary_leads_again_before_a_late_request),
-    (Limit.EARLIER_REQUEST, _earlier_request_takes_effect_after_the_choice),
-    (Limit.STALE_PRIMARY, _successor_of_a_stale_primary_is_lost),
+    (rule_machine.Limit.RESTARTED, _restart_confirms_a_waiting_commit),
+    (rule_machine.Limit.STARTED_ANEW, _server_starts_anew_before_a_late_request),
+    (rule_machine.Limit.LED_AGAIN, _stopped_primary_leads_again_before_a_late_request),
+    (rule_machine.Limit.EARLIER_REQUEST, _earlier_request_takes_effect_after_the_choice),
+    (rule_machine.Limit.STALE_PRIMARY, _successor_of_a_stale_primary_is_lost),
 ]
 
 
