--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -185,23 +185,6 @@
     return f"the highest paused log ends at {end}"
 
 
-def choose_after_failure(
-    *,
-    expected: collections.abc.Set[ids.ServerId],
-    paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    leaving: collections.abc.Set[ids.ServerId],
-    requested: ids.ServerId | None = None,
-    stopped_end: positions.Position | None = None,
-) -> Choice:
-    """Choose the server to promote when no primary answers.
-
-    ``expected`` are all servers that may hold an acknowledged commit; ``paused`` are the statuses
-    of those that no longer receive anything. For the rest see ``choose`` and ``Evidence``.
-    """
-    evidence = Evidence(expected=expected, paused=paused, stopped_end=stopped_end)
-    return choose(evidence, leaving=leaving, requested=requested)
-
-
 def choose_successor(
     *,
     replicas: collections.abc.Mapping[ids.ServerId, ServerStatus],
--- a/tests/proxy/test_promotion_safety.py
+++ b/tests/proxy/test_promotion_safety.py
@@ -92,7 +92,9 @@
         expected = set(NAMES) - {self.attempt.primary}
         if not self.need_all_replicas:
             expected &= set(paused)
-        choice = promotion.choose_after_failure(expected=expected, paused=paused, leaving=set())
+        choice = promotion.choose(
+            promotion.Evidence(expected=expected, paused=paused), leaving=set()
+        )
         if choice.verdict is promotion.Verdict.PROMOTE:
             chosen = choice.server if self.compare_logs else min(paused)
             self.group.promote(chosen)
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -736,16 +736,16 @@
 @pytest.mark.parametrize("offsets, chosen", [((3, 5), C), ((5, 3), B), ((5, 5), B)])
 def test_the_highest_paused_log_is_chosen(offsets, chosen):
     paused = {B: _status(offsets[0]), C: _status(offsets[1])}
-    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving=set())
+    choice = promotion.choose(promotion.Evidence(expected={B, C}, paused=paused), leaving=set())
     assert choice.server == chosen
 
 
 def test_a_leaving_replica_is_chosen_only_when_its_log_alone_is_the_highest():
     paused = {B: _status(5), C: _status(5)}
-    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving={B})
+    choice = promotion.choose(promotion.Evidence(expected={B, C}, paused=paused), leaving={B})
     assert choice.server == C
     paused = {B: _status(5), C: _status(3)}
-    choice = promotion.choose_after_failure(expected={B, C}, paused=paused, leaving={B})
+    choice = promotion.choose(promotion.Evidence(expected={B, C}, paused=paused), leaving={B})
     assert choice.server == B
 
 
