--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -148,7 +148,7 @@
 
     def note_status(self, server: ids.ServerId, status: promotion.ServerStatus) -> None:
         """Record a server's answer to a status query."""
-        if status.role is promotion.Role.PRIMARY:
+        if status.leads:
             self.note_shown(server, status.received, term=status.term)
 
     def note_acknowledged(
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -461,7 +461,7 @@
         self, backend: server.Server, status: promotion.ServerStatus, query_sent_at_s: float
     ) -> None:
         self.acknowledged.note_status(backend.server, status)
-        if status.role is promotion.Role.PRIMARY:
+        if status.leads:
             self.note_leading(
                 backend.server, query_sent_at_s=query_sent_at_s, position=status.received
             )
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -43,7 +43,7 @@
             return None
         self.answers[name] = Answered(status=status, at_s=clock.now_s())
         self.target.acknowledged.note_status(name, status)
-        if status.role is promotion.Role.PRIMARY:
+        if status.leads:
             if self.requested is None and self.primary is None:
                 self.primary = name
             if self.requested == name and self.first_end is None:
