Logs tell what proved a promotion, and how the former primary was heard last

531 and 533 begin with the proof and the last sign of the former primary: answered, refused (CONNLIMIT, BUSY), connected without an answer, or not listening. 532 tells which servers and how old the oldest commit is. 537 is new: how many commits an instance had sent without an answer when it confirmed the hold. The holder's line names who has not confirmed.

No decision changes. A check of the order inside the summary is replaced by one of the same fields in their new order.

--- a/src/mustardswitch/backends/errors.py
+++ b/src/mustardswitch/backends/errors.py
@@ -17,6 +17,10 @@
     """Raised when a backend server rejected a connection at its limit of connections."""
 
 
+class SessionUnansweredError(BackendUnreachableError):
+    """Raised when a connection was opened, and the server did not accept a session in time."""
+
+
 class ConnectionBrokenError(BackendError):
     """Raised when a connection broke, or no answer came in time, after something was sent."""
 
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -178,8 +178,9 @@
     PRIMARY_STOPPED = EventKind(530, logbook.WARNING, "primary stopped")
     """A primary that is to be replaced takes no commits any more; its log ends at ``end``."""
     PROMOTION_PROVED = EventKind(531, logbook.WARNING, "promotion proved")
-    """The promotion of a server is requested for the first time; one line tells what proves it, the
-    ends and ages of the servers that count, and the known ones that are left out."""
+    """The promotion of a server is requested for the first time; one line tells what proves it, how
+    the former primary was heard last, for how long commits were held, the ends and ages of the
+    servers that count, and the known ones that are left out."""
     PROMOTION_TOLD = EventKind(533, logbook.WARNING, "promotion proved by another instance")
     """The line of the instance that has changed a primary, as it told the others."""
     ACKNOWLEDGED_IGNORED = EventKind(536, logbook.ERROR, "acknowledged commits given up")
@@ -193,7 +194,12 @@
     COMMITS_ABANDONED = EventKind(532, logbook.WARNING, "commits under way abandoned")
     """Commits were not answered while their outcome could still be told: a promotion was
     ``announced``, or this instance is not ``permitted`` to send commits, since it does not hear
-    from the store. Their callers are told that the outcome is unknown."""
+    from the store. Their callers are told that the outcome is unknown. The oldest was sent
+    ``oldest_s`` ago; the ``servers`` may still run them."""
+    HOLD_CONFIRMED = EventKind(537, logbook.INFO, "hold of commits confirmed")
+    """This instance sends no commits to the ``former`` primary, which it has last heard as told.
+    Of ``unanswered`` commits that it sent there it has heard nothing; the oldest was sent
+    ``oldest_s`` ago. The former primary may still run them."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement rejected")
     """A statement has no result; the fields give the reason and the time taken."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- /dev/null
+++ b/src/mustardswitch/internal/server_contact.py
@@ -0,0 +1,65 @@
+"""What an instance has last heard of a server: whether its process runs, as far as it can tell."""
+
+import dataclasses
+import enum
+
+from mustardswitch.internal import clock
+
+
+class Sign(enum.Enum):
+    """What an attempt to reach a server has shown."""
+
+    ANSWERED = "answered"
+    """The server answered a statement or a query."""
+    REFUSED = "refused"
+    """It refused a session or a query, for example as overloaded; its process runs."""
+    CONNECTED = "connected"
+    """A connection was opened at its address; the server itself gave no answer in time."""
+    NOT_LISTENING = "not_listening"
+    """Its machine refused the connection: no process listens at its address."""
+    UNREACHABLE = "unreachable"
+    """No connection could be opened in time."""
+
+    @property
+    def is_of_life(self) -> bool:
+        """Whether the process of the server may run."""
+        return self in (Sign.ANSWERED, Sign.REFUSED, Sign.CONNECTED)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Contact:
+    """The latest sign of a server, and how long ago it was, in seconds."""
+
+    sign: Sign
+    age_s: float
+
+    def __str__(self) -> str:
+        return f"{self.sign.value} {self.age_s:.1f}s ago"
+
+
+class ContactLog:
+    """The times of the latest signs of one server (``clock.now_s``)."""
+
+    def __init__(self) -> None:
+        self.at_s: dict[Sign, float] = {}
+
+    def __repr__(self) -> str:
+        return f"ContactLog(at_s={self.at_s!r})"
+
+    def note(self, sign: Sign) -> None:
+        """Record a sign that was seen now."""
+        self.at_s[sign] = clock.now_s()
+
+    def heard_at_s(self) -> float:
+        """Return when the last sign of life was seen; minus infinity before the first one."""
+        return max(
+            (at_s for sign, at_s in self.at_s.items() if sign.is_of_life), default=float("-inf")
+        )
+
+    def latest(self) -> Contact | None:
+        """Return the latest sign of life, or that no process listens; None without any."""
+        known = {sign: at_s for sign, at_s in self.at_s.items() if sign is not Sign.UNREACHABLE}
+        if not known:
+            return None
+        sign = max(known, key=known.__getitem__)
+        return Contact(sign=sign, age_s=clock.now_s() - known[sign])
--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -217,7 +217,7 @@
     try:
         rejection = await link.receive_start(CONNECT_TIMEOUT_S)
     except backend_errors.ConnectionBrokenError as error:
-        raise backend_errors.BackendUnreachableError(str(error)) from error
+        raise backend_errors.SessionUnansweredError(str(error)) from error
     if rejection is not None:
         error_type = backend_errors.BackendUnreachableError
         if rejection.refusal is requests.Refusal.TOO_MANY_CONNECTIONS:
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -14,6 +14,9 @@
 """Time before the claim's expiry from which its holder does nothing more; a promotion request may
 be under way for this long, between regions or to a slow platform."""
 
+MAX_UNCONFIRMED = 5
+"""Instances that have not confirmed a hold and are named in a log line."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Record:
@@ -55,6 +58,8 @@
         """Servers that may be paused and have not been resumed."""
         self.record: Record | None = None
         """The record of this holder; None before it."""
+        self.report: ports.HoldReport | None = None
+        """The latest report about the hold for that record; None before it was asked for."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
@@ -101,12 +106,21 @@
 
     def hold_commits(self) -> ports.HoldReport:
         """Ask the instances to hold commits back for the server that this holder has recorded."""
-        return self.coordination.hold_commits(
+        self.report = self.coordination.hold_commits(
             self.claim,
             self.record.server,
             revision=self.record.revision,
             recorded_at_s=self.record.at_s,
         )
+        return self.report
+
+    def describe_hold(self) -> str:
+        """Describe for how long commits were held, and who has not confirmed it."""
+        if self.record is None or self.report is None:
+            return ""
+        held = f"held {clock.now_s() - self.record.at_s:.1f}s"
+        unconfirmed = sorted(self.report.unconfirmed)[:MAX_UNCONFIRMED]
+        return f"{held} without {' '.join(unconfirmed)}" if unconfirmed else held
 
     async def _record_end(self, primary: ids.ServerId, end: positions.Position) -> None:
         """Record the end of a stopped primary, for the next holder, unless that was done."""
--- a/src/mustardswitch/proxy/commit_gate.py
+++ b/src/mustardswitch/proxy/commit_gate.py
@@ -1,5 +1,6 @@
 """Decides whether commits of a service may be sent, and ends those under way when they may not."""
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -9,6 +10,11 @@
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import ports
 
+MAX_GIVEN_UP = 64
+"""Commits without an answer that are counted for each server."""
+GIVEN_UP_S = 60.0
+"""Time for which they are counted; several times as long as a change of primary takes."""
+
 
 class Records(typing.Protocol):
     """The records of the store that were applied last."""
@@ -26,6 +32,16 @@
     server: ids.ServerId
     interruptions: int
     """``CommitPermission.interruptions`` as it was sent."""
+    sent_at_s: float = dataclasses.field(default_factory=clock.now_s)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnansweredCommits:
+    """Commits to one server of which this instance has heard nothing; the server may run them."""
+
+    count: int
+    oldest_s: float
+    """Seconds since the first of them was sent; 0 without any."""
 
 
 class CommitGate:
@@ -46,6 +62,8 @@
         """The promotion that another instance has announced last."""
         self.under_way: dict[ports.Link, CommitUnderWay] = {}
         """Commits that are not answered yet, by their connections."""
+        self.given_up: dict[ids.ServerId, collections.deque[float]] = {}
+        """When the latest commits were sent whose connections were closed before an answer."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is in the records; None without one."""
         self.requested_revision = 0
@@ -55,6 +73,8 @@
         self.kept: ids.ServerId | None = None
         self.kept_until_s = float("-inf")
         """Until when commits are held for ``kept``, which a restored store may lack."""
+        self.abandoned: tuple[CommitUnderWay, ...] = ()
+        """The commits whose connections the latest call of ``abandon`` has closed."""
         self.closed_since_s: float | None = None
         """Since when a commit is under way that may not be sent any more; None without one."""
 
@@ -123,10 +143,22 @@
         commit = CommitUnderWay(server=server, interruptions=self.permission.interruptions)
         if counts:
             self.under_way[link] = commit
+        answered = False
         try:
             yield commit
+            answered = True
         finally:
             self.under_way.pop(link, None)
+            if counts and not answered:
+                known = self.given_up.setdefault(server, collections.deque(maxlen=MAX_GIVEN_UP))
+                known.append(commit.sent_at_s)
+
+    def unanswered(self, server: ids.ServerId) -> UnansweredCommits:
+        """Return the commits that were sent to a server lately and never answered."""
+        now_s = clock.now_s()
+        sent = [each.sent_at_s for each in self.under_way.values() if each.server == server]
+        sent += [at_s for at_s in self.given_up.get(server, ()) if now_s < at_s + GIVEN_UP_S]
+        return UnansweredCommits(count=len(sent), oldest_s=now_s - min(sent, default=now_s))
 
     def may_acknowledge(self, commit: CommitUnderWay) -> bool:
         """Return whether the answer to a commit that was under way may be passed on.
@@ -174,4 +206,5 @@
         ]
         for link in closed:
             link.close()
+        self.abandoned = tuple(self.under_way[link] for link in closed)
         return len(closed)
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -463,10 +463,10 @@
             return
         events.log(
             events.Event.PROMOTION_TOLD,
+            summary=update.summary,
             service=update.new_primary.service,
             server=update.new_primary.server,
             instance=update.instance,
-            summary=update.summary,
         )
         target = self.services.get(update.new_primary.service)
         primary = target.servers.get(update.new_primary.server) if target is not None else None
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -5,7 +5,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, commit_permission, ids, positions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, ports
+from mustardswitch.proxy import directory, ports, service
 
 ANNOUNCE_REPEAT_S = 0.1
 """Interval at which a recorded promotion is announced to instances that have not confirmed it; a
@@ -28,6 +28,8 @@
             datagrams.RecordedPromotion, dict[ids.InstanceId, positions.Position | None]
         ] = {}
         """Confirmations of the promotions that this instance has announced."""
+        self.reported: dict[ids.ServiceName, datagrams.RecordedPromotion] = {}
+        """Promotions for which the confirmation of the hold was logged last."""
         self.announced_at_s: dict[ids.ServiceName, float] = {}
         self.seen: dict[ids.InstanceId, tuple[directory.Peer, float]] = {}
         """Other instances that are or were registered, and when they were listed last."""
@@ -50,10 +52,14 @@
             abandoned = target.commits.abandon()
             if abandoned:
                 self.directory.registry.count("commits_abandoned", target.name, amount=abandoned)
+                closed = target.commits.abandoned
+                oldest_s = clock.now_s() - min(commit.sent_at_s for commit in closed)
                 events.log(
                     events.Event.COMMITS_ABANDONED,
-                    service=target.name,
                     commits=abandoned,
+                    oldest_s=round(oldest_s, 3),
+                    servers=" ".join(sorted({commit.server for commit in closed})),
+                    service=target.name,
                     announced=target.commits.awaited,
                     permitted=target.commits.permitted(),
                 )
@@ -128,6 +134,7 @@
         known = (target.requested, target.commits.awaited)
         if promoted.server not in known or not target.commits.is_clear_for(promoted.server):
             return None
+        self._report_hold(target, promoted)
         return datagrams.HeldCommits(
             service=promoted.service,
             server=promoted.server,
@@ -135,6 +142,25 @@
             above=target.acknowledged.highest_above(but=promoted.server),
         )
 
+    def _report_hold(self, target: service.Service, promoted: datagrams.RecordedPromotion) -> None:
+        """Log once for each record what this instance knows of the former primary."""
+        if self.reported.get(promoted.service) == promoted:
+            return
+        self.reported[promoted.service] = promoted
+        former = target.leader
+        if former is None or former.server == promoted.server:
+            return
+        unanswered = target.commits.unanswered(former.server)
+        events.log(
+            events.Event.HOLD_CONFIRMED,
+            unanswered=unanswered.count,
+            oldest_s=round(unanswered.oldest_s, 3),
+            former=f"{former.server} {former.contacts.latest() or 'unheard'}",
+            service=promoted.service,
+            server=promoted.server,
+            revision=promoted.revision,
+        )
+
     def _answer(self, instance: ids.InstanceId, update: datagrams.PeerUpdate | None) -> None:
         peer = self.directory.instances.entries.get(instance)
         if self.peers is None or update is None or peer is None or peer.address is None:
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -7,11 +7,12 @@
 
 from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors
-from mustardswitch.internal import clock, ids, positions, promotion
+from mustardswitch.internal import clock, ids, positions, promotion, server_contact
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.pace import references
 from mustardswitch.internal.placement import health, read_placement
 from mustardswitch.proxy import (
+    contact_signs,
     feature_set,
     paced_limit,
     ports,
@@ -81,6 +82,8 @@
         self.abandoned_since_s: float | None = None
         """Since when commands and attempts to connect that were abandoned have had no answer
         (``clock.now_s``); None after any answer."""
+        self.contacts = server_contact.ContactLog()
+        """What this instance has last heard of the server."""
         self.failed_probes = 0
         self.unreachable = False
         """Whether the last attempt to open a connection failed."""
@@ -177,6 +180,7 @@
         return link
 
     def _note_unreachable(self, error: errors.BackendError) -> None:
+        contact_signs.note_error(self.contacts, error)
         if self.health is not None and self.pool.held <= self.pool.opening:
             self.health.note_unreachable(clock.now_s(), reason=str(error))
         if self.pace is not None and not isinstance(error, errors.ConnectionLimitError):
@@ -254,6 +258,7 @@
     ) -> None:
         """Record an answer; ``latency_s`` is given for reads and writes only."""
         now_s = clock.now_s()
+        self.contacts.note(server_contact.Sign.ANSWERED)
         self.answered_at_s = now_s
         self.refused_connections = 0
         self.failed_probes = 0
@@ -415,10 +420,12 @@
             async with asyncio.timeout(timeout_s):
                 link = await self.opener(self.entry)
                 status = await link.status(timeout_s)
-        except errors.ConnectionLimitError:
+        except errors.ConnectionLimitError as error:
             self.note_answer()
+            contact_signs.note_error(self.contacts, error)
             return None
-        except (errors.BackendError, TimeoutError):
+        except (errors.BackendError, TimeoutError) as error:
+            contact_signs.note_error(self.contacts, error)
             self.failed_probes += 1
             return None
         finally:
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -6,8 +6,8 @@
 
 from mustardswitch import events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import ids, promotion
-from mustardswitch.proxy import ports, server, service
+from mustardswitch.internal import ids, promotion, server_contact
+from mustardswitch.proxy import contact_signs, ports, server, service
 
 QUERY_TIMEOUT_S = 0.5
 """Time for opening a connection, and for the answer to a query over it; the work of opening one and
@@ -140,10 +140,12 @@
         try:
             link = await self._link(backend)
             status = await query(link)
+            backend.contacts.note(server_contact.Sign.ANSWERED)
             self.target.note_running(name)
             self.refusing.discard(name)
             return status
         except (backend_errors.BackendError, TimeoutError) as error:
+            contact_signs.note_error(backend.contacts, error)
             refused = type(error) in (
                 backend_errors.BackendError,
                 backend_errors.ConnectionLimitError,
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -68,9 +68,11 @@
             if choice.verdict in (promotion.Verdict.PROMOTE, promotion.Verdict.KEEP):
                 events.log(
                     events.Event.PROMOTION_PROVED,
+                    summary=self.commands.summarize(
+                        choice.server, choice, hold=self.describe_hold()
+                    ),
                     service=self.target.name,
                     fencing_token=self.claim.fencing_token,
-                    summary=self.commands.summarize(choice.server, choice),
                 )
             if choice.verdict is promotion.Verdict.PROMOTE:
                 async with self._kept_paused(choice.server, primary=primary):
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -26,15 +26,19 @@
     counted: set[ids.ServerId],
     known: set[ids.ServerId],
     now_s: float,
+    former: str = "unknown",
+    hold: str = "",
 ) -> str:
     """Summarize in one short line why a server may be promoted.
 
-    Each server that counts is given with its end, ``p`` if it is paused or ``L`` if it leads, and
-    the age of its answer in seconds; those that count and gave none, and those that are known and
-    do not count, follow.
+    What proves it and how the ``former`` primary was heard last come first, since collected lines
+    may be cut. Then follow for how long commits were held, each server that counts with its end,
+    ``p`` if it is paused or ``L`` if it leads, and the age of its answer in seconds, those that
+    count and gave none, and those that are known and do not count.
     """
     proof = choice.proof.value if choice.proof is not None else choice.verdict.value
-    parts = [f"{server} {proof}"]
+    parts = [proof, f"former {former}", server]
+    parts += [hold] if hold else []
     for name in sorted(counted & answers.keys()):
         status = answers[name].status
         state = "L" if status.leads else "p" if status.paused else ""
@@ -97,7 +101,12 @@
             "store_lost": registrations.outage,
         }
 
-    def summarize(self, server: ids.ServerId, choice: promotion.Choice) -> str:
+    def _describe_former(self) -> str:
+        backend = self.target.known_servers().get(self.primary)
+        contact = backend.contacts.latest() if backend is not None else None
+        return f"{self.primary} {contact or 'unheard'}"
+
+    def summarize(self, server: ids.ServerId, choice: promotion.Choice, *, hold: str = "") -> str:
         """Summarize why a server may be promoted, and keep that for the other instances."""
         self.target.promotion_summary = summarize(
             server=server,
@@ -106,6 +115,8 @@
             counted=set(self.target.servers_with_commits()),
             known=set(self.target.known_servers()),
             now_s=clock.now_s(),
+            former=self._describe_former(),
+            hold=hold,
         )
         return self.target.promotion_summary
 
--- a/tests/proxy/test_takeover_events.py
+++ b/tests/proxy/test_takeover_events.py
@@ -7,6 +7,7 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import change_log, clock, ids, positions, promotion, registration_list
+from mustardswitch.peers import datagrams
 from mustardswitch.proxy import (
     acknowledged,
     claimed_changes,
@@ -325,6 +326,27 @@
     assert await _take_over(world)
     [proved] = log.fields(events.Event.PROMOTION_PROVED)
     successor = world.group.primary.name
-    assert proved["summary"].startswith(f"{successor} primary_stopped; ")
+    assert proved["summary"].startswith(f"primary_stopped; former {A} answered 0.")
+    assert f"; {successor}; " in proved["summary"]
     assert all(f"{name}=" in proved["summary"] for name in (A, B, C))
     assert len(proved["summary"]) <= takeover_report.MAX_SUMMARY
+
+
+async def test_a_line_cut_at_200_characters_tells_the_proof_and_the_former_primary(log):
+    """Collected lines were cut right before the word that tells the hypotheses apart."""
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    assert await _take_over(world)
+    told = datagrams.PeerUpdate(
+        instance=ids.InstanceId("two"),
+        new_primary=datagrams.PrimaryRef(service=SERVICE, server=world.group.primary.name),
+        summary=world.service.promotion_summary,
+    )
+    world.directory.receive_update(told)
+    proving = (events.Event.PROMOTION_PROVED, events.Event.PROMOTION_TOLD)
+    records = [each for each in log.handler.records if each.extra["event"] in proving]
+    lines = [events.format_record(record, None)[:200] for record in records]
+    assert len(lines) == len(proving)
+    for line in lines:
+        assert "primary_stopped" in line[:150] and f"former {A} answered" in line
