--- a/src/mustardswitch_standins/full_run/database_program.py
+++ b/src/mustardswitch_standins/full_run/database_program.py
@@ -194,6 +194,15 @@
         await asyncio.sleep(for_s)
         delays_s.pop(server.name, None)
 
+    async def fault_stall(self, for_s: float) -> None:
+        """Let the primary execute nothing for a while, and then what it has received."""
+        server = self.group.leader
+        self.group.note(f"{server.name} executes nothing for {for_s} s")
+        self.databases.stalled.add(server.name)
+        await asyncio.sleep(for_s)
+        self.databases.stalled.discard(server.name)
+        self.group.note(f"{server.name} goes on")
+
     async def fault_reset(self, share: float) -> None:
         """Reset a share of the open connections."""
         for writers in self.databases.writers.values():
--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -135,6 +135,17 @@
     )
 
 
+def stalled_release(size: figures.Size) -> Day:
+    """Release primaries that execute nothing for a while, and then what was sent to them."""
+    return Day(
+        steps=[
+            _step(5.0, "release", services=size.services),
+            _step(5.3, "stall_primary", for_s=3.0),
+        ],
+        length_s=20.0,
+    )
+
+
 DAYS: dict[str, Make] = {
     "release": release,
     "trouble-1": trouble_1,
@@ -143,6 +154,7 @@
     "scale-2": scale_2,
     "slow-release": slow_release,
     "late-release": late_release,
+    "stalled-release": stalled_release,
 }
 
 
--- a/src/mustardswitch_standins/full_run/run.py
+++ b/src/mustardswitch_standins/full_run/run.py
@@ -274,6 +274,11 @@
         for client in self.databases.values():
             await client.call("slow", delay_s=delay_s, for_s=for_s, executes_late=executes_late)
 
+    async def step_stall_primary(self, for_s: float) -> None:
+        """Let the primary of each service execute nothing for a while."""
+        for client in self.databases.values():
+            await client.call("stall", for_s=for_s)
+
     async def step_freeze(self, share: float, for_s: float) -> None:
         """Stop the processes of some instances for a while without ending them."""
         frozen = [each.process for each in self._pick(share) if each.pid is not None]
