Show commits lost that a stalled primary runs after its successor was requested

The primary executes nothing while it is voted out; its instances close the connections of their commits and confirm the hold; all known replicas are paused, and the promotion is requested.

--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -13,6 +13,7 @@
 from mustardswitch_standins import database_group, http_store
 
 ANSWER_TIMEOUT_S = 5.0
+STALL_CHECK_S = 0.01
 REFUSALS = {
     requests.Refusal.OVERLOADED: "BUSY",
     requests.Refusal.BEHIND: "LAGGING",
@@ -46,6 +47,8 @@
         """Time from the last registration of a server that crashed until its entry is removed."""
         self.expires_at_s: dict[ids.ServerId, float] = {}
         """Monotonic time at which each entry is removed unless its server registers again."""
+        self.stalled: set[ids.ServerId] = set()
+        """Servers that accept connections, and execute nothing until they go on."""
         self.row_padding_bytes: dict[str, int] = {}
         """Bytes that are appended to each row of the answers to reads of an item."""
 
@@ -144,6 +147,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         start = (await reader.readuntil(b"\r\n")).decode().split()
+        await self.pass_stall(server)
         if not server.up or start[-1] != server.name:
             writer.write(b"ERROR WRONGNODE -\r\n")
             return
@@ -154,9 +158,15 @@
             line = (await reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
             if line == "TERMINATE":
                 return
+            await self.pass_stall(server)
             _, request, text = line.split(" ", 2)
             writer.write(await self._answer(server, link, prepared_access, request, text))
 
+    async def pass_stall(self, server: database_group.FakeServer) -> None:
+        """Wait while a server is stalled."""
+        while server.name in self.stalled:
+            await asyncio.sleep(STALL_CHECK_S)
+
     async def _answer(
         self,
         server: database_group.FakeServer,
--- a/tests/common/commit_runs.py
+++ b/tests/common/commit_runs.py
@@ -20,6 +20,8 @@
 """Time from the start of a server until it is listed."""
 RELISTED_AFTER_S = 4.0
 """Time from an outage of the store until the entry of a slow server is back."""
+STALL_S = 6.0
+"""Time after which a stalled server goes on in any case."""
 CHANGE_S = 15.0
 """Limit on the time until the next server leads and takes writes."""
 WRITES = 20
@@ -94,6 +96,23 @@
         rule = self.deployment.links.rule(server.name, platform_deployment.INSTANCES)
         rule.delay_s = SLOW_ANSWER_S
 
+    def stall(self, server: database_group.FakeServer) -> None:
+        """Let a server execute nothing until a promotion is requested, then what it has received.
+
+        Its connections stay open, and statements of connections that were closed run as well.
+        """
+        self.background.append(asyncio.create_task(self._stall(server)))
+
+    async def _stall(self, server: database_group.FakeServer) -> None:
+        stalled = self.deployment.databases.stalled
+        stalled.add(server.name)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STALL_S):
+                while not any(each.awaited_promotions for each in self.group.servers.values()):
+                    await asyncio.sleep(0.01)
+        self.group.note(f"{server.name} goes on")
+        stalled.discard(server.name)
+
     async def start_unlisted(self, former: database_group.FakeServer) -> None:
         """Start a server that confirms commits, and is listed much later."""
         started = self.group.start_replacement(former, listed_after_s=LISTED_AFTER_S)
--- a/tests/platform/test_lost_commits_at_promotions.py
+++ b/tests/platform/test_lost_commits_at_promotions.py
@@ -1,7 +1,10 @@
 """Changes of primary by real processes in which something goes on confirming commits."""
 
+import asyncio
+
 import pytest
 
+from mustardswitch.internal import commit_permission
 from tests.common import commit_runs
 
 
@@ -32,6 +35,19 @@
     assert run.group.holders_of_lost == {}
 
 
+async def test_commits_that_a_stalled_primary_runs_after_they_were_given_up_are_not_lost(run):
+    """Its instances had closed the connections of these commits and confirmed the hold."""
+    await run.start("one", "two", "three")
+    # Instances that have just started wait for longer.
+    await asyncio.sleep(commit_permission.HOLD_LIMIT_S)
+    former = run.group.primary
+    await run.start_unlisted(former)
+    former.leaving = True
+    run.stall(former)
+    await run.wait_for_another_primary(former)
+    assert run.group.holders_of_lost == {}
+
+
 async def test_entries_that_are_back_late_after_all_instances_restarted_lose_no_commit(run):
     await run.start("one", "two")
     former = run.group.primary
