--- a/src/mustardswitch/backends/errors.py
+++ b/src/mustardswitch/backends/errors.py
@@ -17,6 +17,10 @@
     """Raised when a backend server rejected a connection at its limit of connections."""
 
 
+class AddressReusedError(BackendUnreachableError):
+    """Raised when another process answers at the address of a server, whose own one has ended."""
+
+
 class SessionUnansweredError(BackendUnreachableError):
     """Raised when a connection was opened, and the server did not accept a session in time."""
 
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -200,6 +200,11 @@
     """This instance sends no commits to the ``former`` primary, which it has last heard as told.
     Of ``unanswered`` commits that it sent there it has heard nothing; the oldest was sent
     ``oldest_s`` ago. The former primary may still run them."""
+    STOP_ORDERED = EventKind(538, logbook.WARNING, "order to stop answered")
+    """A primary that is to be replaced has answered the order of this instance to stop. ``result``
+    is ``stopped``, or ``replica`` if it was one before; its log ends at ``end``."""
+    STOP_UNANSWERED = EventKind(539, logbook.INFO, "order to stop not answered")
+    """The order could not be sent, or the primary refused it; it is sent again."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement rejected")
     """A statement has no result; the fields give the reason and the time taken."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -3,11 +3,16 @@
 A commit is acknowledged once one replica has received it, and a promoted server leads with what it
 had received when its promotion was requested. So when the request is sent, the log must hold every
 commit that was acknowledged, and none may be acknowledged until the server leads. ``proof`` is the
-rule for all promotions: either the primary takes no commits any more and the log has reached the
-end of its log; or no instance sends commits any more, every server that may have confirmed one is
-paused, none of them has a longer log, and the log reaches beyond what the instances have
-acknowledged. Both hold beside servers that are not known, such as one that has started and is not
-listed yet, and however long an answer takes.
+rule for all promotions. No instance sends commits any more, and either the primary was stopped and
+the log has reached the end of its log; or the primary executes nothing any more, also nothing that
+it received before, every server that may have confirmed a commit is paused, none of them has a
+longer log, and the log reaches beyond what the instances have acknowledged. Both hold beside
+servers that are not known, such as one that has started and is not listed yet, and however long an
+answer takes.
+
+What instances have sent is not over when they close its connection, nor when they end themselves:
+it may wait at the primary and be executed at any later time. Only the primary's own answers tell
+that it executes none of it, or that its process has ended (``FormerPrimary``).
 """
 
 import collections.abc
@@ -60,10 +65,32 @@
     """What shows that a log holds every acknowledged commit, and that no other is acknowledged."""
 
     PRIMARY_STOPPED = "primary_stopped"
-    """The primary takes no commits any more, and the log has reached the end of its log."""
+    """The primary was stopped, no instance sends commits, and the log has reached the end of the
+    primary's log."""
     ALL_PAUSED = "all_paused"
-    """No instance sends commits, every known server that may have confirmed one is paused, and none
-    has a longer log."""
+    """No instance sends commits, the primary executes none, every known server that may have
+    confirmed one is paused, and none has a longer log."""
+
+
+class FormerPrimary(enum.Enum):
+    """Whether the primary that is to be replaced may execute commits that it received before."""
+
+    MAY_RUN = "may_run"
+    """It runs, or nothing tells that it does not."""
+    REPLICA = "replica"
+    """It has answered as a replica, which executes no commits."""
+    NOT_LISTENING = "not_listening"
+    """No process listens at its address, so what it had received ended with it."""
+    GONE = "gone"
+    """Its entry was removed, and no instance has heard of it for longer than a server keeps a
+    connection whose remote end cannot be reached."""
+    UNKNOWN = "unknown"
+    """No server is known or listed as the primary."""
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether it executes nothing that it received before."""
+        return self is not FormerPrimary.MAY_RUN
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +113,13 @@
     """End of a primary that an earlier holder has stopped; None if none is known."""
     commits_held: bool = False
     """Whether no instance sends commits, nor waits for the answer to one."""
+    former_primary: FormerPrimary = FormerPrimary.MAY_RUN
+    """What is known of the primary that was not stopped."""
+    final_ends: collections.abc.Mapping[ids.ServerId, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Ends of logs that an earlier holder has read after commits had ended, so that they are not
+    longer now. These servers need not answer again."""
     acknowledged_above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None if none is known."""
 
@@ -112,13 +146,20 @@
         return None
     if evidence.required_end is not None and status.received < evidence.required_end:
         return None
+    if not evidence.commits_held:
+        # A stopped primary that crashes leads again when it returns.
+        return None
     if evidence.stopped_end is not None:
         return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
-    if not evidence.commits_held or lacks_acknowledged(status, evidence.acknowledged_above):
+    if not evidence.former_primary.has_ended:
+        return None
+    if lacks_acknowledged(status, evidence.acknowledged_above):
         return None
-    highest = max((each.received for each in evidence.paused.values()), default=None)
-    all_paused = evidence.expected <= evidence.paused.keys() and server in evidence.paused
-    return Proof.ALL_PAUSED if all_paused and status.received == highest else None
+    ends = [each.received for each in evidence.paused.values()]
+    ends += [end for name, end in evidence.final_ends.items() if name in evidence.expected]
+    known = evidence.paused.keys() | evidence.final_ends.keys()
+    all_paused = evidence.expected <= known and server in evidence.paused
+    return Proof.ALL_PAUSED if all_paused and status.received == max(ends) else None
 
 
 def lacks_acknowledged(status: ServerStatus, above: positions.Position | None) -> bool:
@@ -189,10 +230,12 @@
 ) -> str:
     if not statuses:
         return "no replica is known"
-    missing = evidence.expected - evidence.paused.keys()
+    missing = evidence.expected - evidence.paused.keys() - evidence.final_ends.keys()
     reasons = [f"no answer from {', '.join(sorted(missing))}"] if missing else []
-    if not evidence.commits_held and evidence.stopped_end is None:
+    if not evidence.commits_held:
         reasons.append("instances may send commits")
+    if evidence.stopped_end is None and not evidence.former_primary.has_ended:
+        reasons.append("the former primary may execute commits")
     if evidence.required_end is not None:
         reasons.append(f"an earlier holder stopped the primary at {evidence.required_end}")
     if all(lacks_acknowledged(status, evidence.acknowledged_above) for status in statuses.values()):
@@ -205,7 +248,8 @@
 def _describe_proof(found: Proof, evidence: Evidence, end: positions.Position) -> str:
     if found is Proof.PRIMARY_STOPPED:
         return f"the primary was stopped and ends at {evidence.stopped_end}"
-    return f"the highest paused log ends at {end}"
+    former = evidence.former_primary.value
+    return f"the former primary is {former}; the highest paused log ends at {end}"
 
 
 def choose_successor(
--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -12,7 +12,7 @@
 import json
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import ids, positions
+from mustardswitch.internal import former_primary, ids, positions
 from mustardswitch.peers import errors
 
 MAX_BYTES = 1200
@@ -57,6 +57,23 @@
     """A position below a commit that was acknowledged through the sender; None without one."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StopOrder:
+    """Asks the receivers to order a primary to stop under a term, and to tell what they hear."""
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PrimaryReport:
+    """Answers an order to stop with what the sender knows of the primary."""
+
+    order: StopOrder
+    report: former_primary.Report
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PeerUpdate:
     """What an instance tells the others."""
@@ -78,6 +95,9 @@
     promotions: tuple[RecordedPromotion, ...] = ()
     """Promotions that are recorded. The receivers hold commits back, and answer with ``held``."""
     held: tuple[HeldCommits, ...] = ()
+    stop_orders: tuple[StopOrder, ...] = ()
+    """Primaries that are being replaced; the receivers answer with ``primary_reports``."""
+    primary_reports: tuple[PrimaryReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,17 +129,38 @@
         ]
     if update.held:
         fields["held"] = [
+            [each.service, each.server, each.revision, _encode_position(each.above)]
+            for each in update.held
+        ]
+    if update.stop_orders:
+        fields["stop"] = [_encode_order(each) for each in update.stop_orders]
+    if update.primary_reports:
+        fields["primaries"] = [
             [
-                each.service,
-                each.server,
-                each.revision,
-                None if each.above is None else [each.above.term, each.above.offset],
+                *_encode_order(each.order),
+                each.report.order.value,
+                _encode_position(each.report.end),
+                _encode_age(each.report.answered_s),
+                _encode_age(each.report.connected_s),
+                _encode_age(each.report.refused_s),
             ]
-            for each in update.held
+            for each in update.primary_reports
         ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
+def _encode_position(position: positions.Position | None) -> list[int] | None:
+    return None if position is None else [position.term, position.offset]
+
+
+def _encode_order(order: StopOrder) -> list[object]:
+    return [order.service, order.server, order.term]
+
+
+def _encode_age(age_s: float) -> float | None:
+    return None if age_s == former_primary.NEVER_S else round(age_s, 3)
+
+
 def _decode_primary(value: object) -> PrimaryRef:
     if not isinstance(value, list) or len(value) != 2:
         raise errors.InvalidDatagramError("expected a pair of service and server")
@@ -160,14 +201,59 @@
 def _decode_held(value: object) -> HeldCommits:
     if not isinstance(value, list) or len(value) != 4:
         raise errors.InvalidDatagramError("expected a recorded promotion and a position")
-    promoted, above = _decode_promotion(value[:3]), None
-    if value[3] is not None:
-        if not isinstance(value[3], list) or len(value[3]) != 2:
-            raise errors.InvalidDatagramError("expected a term and an offset")
-        term, offset = map(_decode_number, value[3])
-        above = positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
+    promoted = _decode_promotion(value[:3])
     return HeldCommits(
-        service=promoted.service, server=promoted.server, revision=promoted.revision, above=above
+        service=promoted.service,
+        server=promoted.server,
+        revision=promoted.revision,
+        above=_decode_position(value[3]),
+    )
+
+
+def _decode_position(value: object) -> positions.Position | None:
+    if value is None:
+        return None
+    if not isinstance(value, list) or len(value) != 2:
+        raise errors.InvalidDatagramError("expected a term and an offset")
+    term, offset = map(_decode_number, value)
+    return positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
+
+
+def _decode_order(value: object) -> StopOrder:
+    if not isinstance(value, list) or len(value) != 3:
+        raise errors.InvalidDatagramError("expected a service, a server and a term")
+    primary = _decode_primary(value[:2])
+    return StopOrder(
+        service=primary.service, server=primary.server, term=ids.Term(_decode_number(value[2]))
+    )
+
+
+def _decode_age(value: object) -> float:
+    age_s = _decode_time(value)
+    if age_s is None:
+        return former_primary.NEVER_S
+    if age_s < 0:
+        raise errors.InvalidDatagramError("expected an age in seconds")
+    return age_s
+
+
+def _decode_report(value: object) -> PrimaryReport:
+    if not isinstance(value, list) or len(value) != 8:
+        raise errors.InvalidDatagramError("expected an order to stop and what was heard")
+    try:
+        order = former_primary.Order(value[3])
+    except ValueError as error:
+        raise errors.InvalidDatagramError("expected the result of an order to stop") from error
+    answered_s, connected_s, refused_s = map(_decode_age, value[5:])
+    return PrimaryReport(
+        order=_decode_order(value[:3]),
+        report=former_primary.Report(
+            order=order,
+            end=_decode_position(value[4]),
+            answered_s=answered_s,
+            connected_s=connected_s,
+            refused_s=refused_s,
+        ),
     )
 
 
@@ -184,6 +270,8 @@
     lacking = _decode_list(fields.get("lacking", []), MAX_VOTES)
     recorded = _decode_list(fields.get("recorded", []), MAX_PROMOTIONS)
     held = _decode_list(fields.get("held", []), MAX_PROMOTIONS)
+    stop = _decode_list(fields.get("stop", []), MAX_PROMOTIONS)
+    reports = _decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
     leading = fields.get("leading")
     summary = fields.get("summary", "")
     if not isinstance(summary, str):
@@ -198,6 +286,8 @@
         answers_s=_decode_time(fields.get("answers")),
         promotions=tuple(_decode_promotion(each) for each in recorded),
         held=tuple(_decode_held(each) for each in held),
+        stop_orders=tuple(_decode_order(each) for each in stop),
+        primary_reports=tuple(_decode_report(each) for each in reports),
     )
 
 
--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -184,11 +184,14 @@
 
 
 async def open_link(
-    entry: ports.ServerEntry, tenant: ids.TenantName = routes.NO_TENANT
+    entry: ports.ServerEntry,
+    tenant: ids.TenantName = routes.NO_TENANT,
+    *,
+    session_timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> BackendLink:
     """Open a connection to a server and start a session of a tenant on it.
 
-    Raises BackendError.
+    The server may take ``session_timeout_s`` to accept the session. Raises BackendError.
     """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -205,21 +208,23 @@
         ) from error
     link = BackendLink(name=entry.server, reader=reader, writer=writer, tenant=tenant)
     try:
-        await _start_session(link, entry)
+        await _start_session(link, entry, session_timeout_s)
     except BaseException:
         link.close()
         raise
     return link
 
 
-async def _start_session(link: BackendLink, entry: ports.ServerEntry) -> None:
+async def _start_session(link: BackendLink, entry: ports.ServerEntry, timeout_s: float) -> None:
     link.writer.write(lines.encode_start(entry.service, entry.server, link.tenant))
     try:
-        rejection = await link.receive_start(CONNECT_TIMEOUT_S)
+        rejection = await link.receive_start(timeout_s)
     except backend_errors.ConnectionBrokenError as error:
         raise backend_errors.SessionUnansweredError(str(error)) from error
     if rejection is not None:
         error_type = backend_errors.BackendUnreachableError
         if rejection.refusal is requests.Refusal.TOO_MANY_CONNECTIONS:
             error_type = backend_errors.ConnectionLimitError
+        elif rejection.refusal is requests.Refusal.WRONG_SERVER:
+            error_type = backend_errors.AddressReusedError
         raise error_type(f"server {entry.server} rejected the session: {rejection.detail}")
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -50,6 +50,8 @@
         """The primary that this holder or an earlier one has stopped, as recorded in the store."""
         self.primary_end = positions.ORIGIN
         """The highest end of the log that a primary has shown to this holder."""
+        self.replica_end: positions.Position | None = None
+        """End of a silent primary that has answered another order as a replica; None without."""
         self.ordered_to_stop = False
         """Whether a primary was ordered to stop under ``term``."""
         self.ignores_acknowledged = False
@@ -104,13 +106,17 @@
             return True
         return await self._record(successor)
 
-    def hold_commits(self) -> ports.HoldReport:
-        """Ask the instances to hold commits back for the server that this holder has recorded."""
+    def hold_commits(self, stop: ports.StopRequest | None = None) -> ports.HoldReport:
+        """Ask the instances to hold commits back for the server that this holder has recorded.
+
+        With ``stop`` they are to order a primary to stop as well.
+        """
         self.report = self.coordination.hold_commits(
             self.claim,
             self.record.server,
             revision=self.record.revision,
             recorded_at_s=self.record.at_s,
+            stop=stop,
         )
         return self.report
 
@@ -136,9 +142,11 @@
             self.recorded_end = stopped
 
     def _required_end(self) -> positions.Position | None:
-        """Return the end of a primary that an earlier holder stopped, while that server counts."""
+        """Return the end of a primary that was stopped before, while that server counts."""
         stopped = self.recorded_end
-        return stopped.end if stopped is not None and stopped.server in self.confirming() else None
+        counts = stopped is not None and stopped.server in self.confirming()
+        ends = [stopped.end if counts else None, self.replica_end]
+        return max((end for end in ends if end is not None), default=None)
 
     # Servers
 
--- a/src/mustardswitch/proxy/contact_signs.py
+++ b/src/mustardswitch/proxy/contact_signs.py
@@ -19,6 +19,7 @@
     return server_contact.Sign.REFUSED if type(error) is errors.BackendError else None
 
 
+@sign_of.register(errors.AddressReusedError)
 @sign_of.register
 def _(error: errors.ServerRefusedError) -> server_contact.Sign:
     del error
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -409,14 +409,21 @@
         *,
         revision: revisions.Revision,
         recorded_at_s: float,
+        stop: ports.StopRequest | None = None,
     ) -> ports.HoldReport:
-        """Announce a recorded promotion; return which instances hold commits back for it."""
+        """Announce a recorded promotion; return which instances hold commits back for it.
+
+        With ``stop`` they are asked to order a primary to stop as well.
+        """
         promoted = datagrams.RecordedPromotion(
             service=claim.service, server=server, revision=revision
         )
         if self.updates is None:
             return ports.HoldReport(complete=not self.directory.other_instances())
-        return self.updates.hold_commits(promoted, recorded_at_s=recorded_at_s)
+        order = None
+        if stop is not None:
+            order = datagrams.StopOrder(service=claim.service, server=stop.server, term=stop.term)
+        return self.updates.hold_commits(promoted, recorded_at_s=recorded_at_s, order=order)
 
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
         """Return the server whose promotion an earlier holder may have requested.
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -61,6 +61,7 @@
         instance: ids.InstanceId,
         location: service.Location,
         opener: ports.LinkOpener,
+        order_opener: ports.LinkOpener | None = None,
         registry: metrics.Registry,
         forwarder: forwarded.Forwarder | None = None,
         features: feature_set.Features = feature_set.NO_FEATURES,
@@ -77,6 +78,7 @@
         self.instance = instance
         self.location = location
         self.opener = opener
+        self.order_opener = order_opener
         self.registry = registry
         self.configuration: routes.Configuration | None = None
         self.servers: registration_list.RegistrationList[ids.ServerId, ports.ServerEntry] = (
@@ -215,6 +217,7 @@
                     name=name,
                     location=self.location,
                     opener=self.opener,
+                    order_opener=self.order_opener,
                     registry=self.registry,
                     features=self.features,
                     paces=self.paces,
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -1,11 +1,12 @@
 """Exchanges updates with the other instances: votes, recorded promotions, and stale records."""
 
 import collections.abc
+import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, commit_permission, ids, positions
+from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, ports, service
+from mustardswitch.proxy import directory, ports, service, stop_orders
 
 ANNOUNCE_REPEAT_S = 0.1
 """Interval at which a recorded promotion is announced to instances that have not confirmed it; a
@@ -28,6 +29,11 @@
             datagrams.RecordedPromotion, dict[ids.InstanceId, positions.Position | None]
         ] = {}
         """Confirmations of the promotions that this instance has announced."""
+        self.stop_orders = stop_orders.StopOrders()
+        self.primary_reports: dict[
+            datagrams.StopOrder, dict[ids.InstanceId, tuple[former_primary.Report, float]]
+        ] = {}
+        """What other instances know of primaries that this one replaces, and since when."""
         self.reported: dict[ids.ServiceName, datagrams.RecordedPromotion] = {}
         """Promotions for which the confirmation of the hold was logged last."""
         self.announced_at_s: dict[ids.ServiceName, float] = {}
@@ -46,6 +52,7 @@
         Must be called every ``commit_permission.CHECK_S``.
         """
         self.note_instances()
+        self.stop_orders.expire()
         self._tell_stale()
         self._report_permission()
         for target in self.directory.services.values():
@@ -120,6 +127,19 @@
             held = tuple(confirmed)
             update_back = datagrams.PeerUpdate(instance=self.directory.instance, held=held)
             self._answer(update.instance, update_back)
+        for told in update.primary_reports:
+            known = self.primary_reports.get(told.order)
+            if known is not None:
+                known[update.instance] = told.report, clock.now_s()
+        if update.stop_orders:
+            told_back = tuple(
+                self.stop_orders.receive(order, self.directory.services.get(order.service))
+                for order in update.stop_orders
+            )
+            self._answer(
+                update.instance,
+                datagrams.PeerUpdate(instance=self.directory.instance, primary_reports=told_back),
+            )
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
             self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
 
@@ -208,19 +228,27 @@
         )
 
     def hold_commits(
-        self, promoted: datagrams.RecordedPromotion, *, recorded_at_s: float
+        self,
+        promoted: datagrams.RecordedPromotion,
+        *,
+        recorded_at_s: float,
+        order: datagrams.StopOrder | None = None,
     ) -> ports.HoldReport:
         """Announce a recorded promotion, and return which instances have confirmed the hold.
 
+        With an ``order`` they are also asked to stop a primary, until they have.
+
         Must be called at short intervals. ``recorded_at_s`` is when the store had confirmed the
         record (``clock.now_s``); after ``commit_permission.HOLD_LIMIT_S`` instances that have not
         read it send no commits either.
         """
+        # This instance is one of those that hold commits, and abandons its own in time.
+        self.directory.note_announced_promotion(promoted)
         target = self.directory.services[promoted.service]
         confirmed = self.held.setdefault(promoted, {})
         self.note_instances()
         missing = self.seen.keys() - confirmed.keys()
-        self._announce(promoted, missing)
+        self._announce(promoted, missing, order)
         if not target.commits.is_clear_for(promoted.server):
             missing.add(self.directory.instance)
         known = [each for each in confirmed.values() if each is not None]
@@ -233,17 +261,35 @@
             complete=now_s >= recorded_at_s + limit_s or not (missing or starting),
             unconfirmed=frozenset(missing),
             above=max(known, default=None),
+            instances=frozenset(self.seen),
+            primary_reports=self._primary_reports(order),
         )
 
+    def _primary_reports(
+        self, order: datagrams.StopOrder | None
+    ) -> dict[ids.InstanceId, former_primary.Report]:
+        """Return what the other instances have reported about a primary, as of now."""
+        now_s = clock.now_s()
+        return {
+            instance: report.aged(now_s - at_s)
+            for instance, (report, at_s) in self.primary_reports.get(order, {}).items()
+        }
+
     def end_hold(self, name: ids.ServiceName) -> None:
         """Forget the confirmations for a service; a later change needs new ones."""
         for promoted in [promoted for promoted in self.held if promoted.service == name]:
             del self.held[promoted]
+        for order in [order for order in self.primary_reports if order.service == name]:
+            del self.primary_reports[order]
         self.announced_at_s.pop(name, None)
 
     def _announce(
-        self, promoted: datagrams.RecordedPromotion, to: collections.abc.Set[ids.InstanceId]
+        self,
+        promoted: datagrams.RecordedPromotion,
+        to: collections.abc.Set[ids.InstanceId],
+        order: datagrams.StopOrder | None,
     ) -> None:
+        """Send a recorded promotion ``to`` some instances, and an ``order`` to stop to all."""
         now_s = clock.now_s()
         last_s = self.announced_at_s.get(promoted.service, float("-inf"))
         if self.peers is None or now_s < last_s + ANNOUNCE_REPEAT_S:
@@ -252,4 +298,8 @@
         peers = [self.seen[name][0] for name in to & self.seen.keys()]
         addresses = [peer.address for peer in peers if peer.address is not None]
         update = datagrams.PeerUpdate(instance=self.directory.instance, promotions=(promoted,))
+        if order is not None:
+            self.primary_reports.setdefault(order, {})
+            update = dataclasses.replace(update, stop_orders=(order,))
+            addresses = [peer.address for peer, _ in self.seen.values() if peer.address]
         self.peers.send(update, addresses)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -5,7 +5,14 @@
 import enum
 import typing
 
-from mustardswitch.internal import change_log, ids, positions, promotion, revisions
+from mustardswitch.internal import (
+    change_log,
+    former_primary,
+    ids,
+    positions,
+    promotion,
+    revisions,
+)
 from mustardswitch.proxy import requests, routes
 
 
@@ -208,6 +215,20 @@
     """Instances that have not confirmed it."""
     above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None without one."""
+    instances: frozenset[ids.InstanceId] = frozenset()
+    """The other instances that may have sent commits."""
+    primary_reports: collections.abc.Mapping[ids.InstanceId, former_primary.Report] = (
+        dataclasses.field(default_factory=dict)
+    )
+    """What those that were asked to stop the primary have heard of it, as of now."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StopRequest:
+    """A primary that all instances are to order to stop, and the term of the order."""
+
+    server: ids.ServerId
+    term: ids.Term
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -302,11 +323,12 @@
         *,
         revision: revisions.Revision,
         recorded_at_s: float,
+        stop: StopRequest | None = None,
     ) -> HoldReport:
         """Ask all instances to hold commits back, and return which of them have confirmed that.
 
         Must be called at short intervals. ``revision`` and ``recorded_at_s`` are those of the
-        record of the server's promotion.
+        record of the server's promotion. With ``stop`` the instances also order a primary to stop.
         """
 
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -67,38 +67,6 @@
 
         return await self._run_on_all(servers, step_down)
 
-    async def order_to_stop(
-        self, name: ids.ServerId, term: ids.Term, timeout_s: float
-    ) -> promotion.ServerStatus | None:
-        """Order a primary to stop over a connection of its own.
-
-        Returns None without an answer, or if the server does not lead ``term - 1`` or a later term:
-        the end of a server that was replaced before tells nothing. Opening the connection, and each
-        answer, may take ``timeout_s``.
-        """
-        backend = self.target.known_servers().get(name)
-        if backend is None:
-            return None
-        link: ports.Link | None = None
-        try:
-            async with asyncio.timeout(timeout_s):
-                link = await backend.opener(backend.entry)
-            status = await link.status(timeout_s)
-            if not status.leads or status.term < term - 1:
-                return None
-            return await link.step_down(term, timeout_s)
-        except (backend_errors.BackendError, TimeoutError) as error:
-            events.log(
-                events.Event.TAKEOVER_UNANSWERED,
-                service=self.target.name,
-                server=name,
-                reason=str(error) or type(error).__name__,
-            )
-            return None
-        finally:
-            if link is not None:
-                link.close()
-
     async def resume(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> collections.abc.Set[ids.ServerId]:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -11,6 +11,7 @@
 from mustardswitch.internal import (
     clock,
     commit_permission,
+    former_primary,
     ids,
     leadership,
     position_history,
@@ -93,6 +94,16 @@
     """When its entry expired, or this instance learned of it from the record of members."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnlistedPrimary:
+    """A server whose entry was removed while it led, and when (``clock.now_s``)."""
+
+    backend: server.Server
+    since_s: float
+    has_left: bool
+    """Whether it had reported that it leaves, and removed the entry itself."""
+
+
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -102,6 +113,7 @@
         name: ids.ServiceName,
         location: Location,
         opener: ports.LinkOpener,
+        order_opener: ports.LinkOpener | None = None,
         registry: metrics.Registry,
         features: feature_set.Features = feature_set.NO_FEATURES,
         paces: server_pace.PaceBook | None = None,
@@ -115,6 +127,8 @@
         self.name = name
         self.location = location
         self.opener = opener
+        self.order_opener = order_opener or opener
+        """Opens connections for orders to stop, with more time for a server that is slow."""
         self.registry = registry
         self.features = features
         self.placing = (
@@ -129,6 +143,8 @@
         self.servers: dict[ids.ServerId, server.Server] = {}
         self.unlisted: dict[ids.ServerId, UnlistedReplica] = {}
         """Replicas whose entries expired lately."""
+        self.former_primary: UnlistedPrimary | None = None
+        """The last server whose entry was removed while it led; None if a primary is listed."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is recorded and may take effect; None without one."""
         self.requested_revision: int | None = None
@@ -257,6 +273,8 @@
         leads = backend.entry.role is promotion.Role.PRIMARY and leader in (None, backend.server)
         if not has_left and (not leads or self.leadership.has_stopped(backend.server)):
             self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=now_s)
+        elif leads:
+            self.former_primary = UnlistedPrimary(backend=backend, since_s=now_s, has_left=has_left)
 
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
@@ -295,9 +313,24 @@
     def known_servers(self) -> dict[ids.ServerId, server.Server]:
         """Return the listed servers and all replicas whose entries expired lately.
 
-        Those that do not count among ``servers_with_commits`` are most likely gone.
+        Those that do not count among ``servers_with_commits`` are most likely gone. The last
+        primary is one of them.
         """
-        return self._unlisted_since(UNLISTED_MEMORY_S) | self.servers
+        former = self.former_primary
+        led = {former.backend.server: former.backend} if former is not None else {}
+        return led | self._unlisted_since(UNLISTED_MEMORY_S) | self.servers
+
+    def listing_of(self, name: ids.ServerId) -> former_primary.Listing:
+        """Return what the list says of a server that led."""
+        if name in self.servers:
+            return former_primary.Listing(listed=True)
+        now_s, known = clock.now_s(), self.former_primary
+        if known is not None and known.backend.server == name:
+            return former_primary.Listing(
+                listed=False, unlisted_s=now_s - known.since_s, has_left=known.has_left
+            )
+        expired_s = self.unlisted[name].expired_s if name in self.unlisted else now_s
+        return former_primary.Listing(listed=False, unlisted_s=now_s - expired_s)
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
@@ -349,6 +382,8 @@
 
     def _note_change(self) -> None:
         found = self.leadership.leader(self.servers)
+        if found is not None:
+            self.former_primary = None
         if found != self.logged_leader:
             events.log(
                 events.Event.LEADER_CHANGED,
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -2,8 +2,10 @@
 
 The decisions are made by ``internal.promotion``. The server is recorded in the store first, and
 instances that see the record send no commits to another primary. Others may not have read it, or
-have lost the store, so the primary is stopped. If it does not answer, a choice is made once all
-instances have confirmed that they hold commits back, or may send none without newer records.
+have lost the store, so the primary is stopped, and all instances confirm that they hold commits
+back, or may send none without newer records. If the primary does not answer this instance, the
+others order it to stop as well; without any answer a choice is made only once its process has
+ended.
 """
 
 import asyncio
@@ -11,8 +13,8 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, ids, positions, promotion
-from mustardswitch.proxy import claimed_attempt, errors, ports, server_commands
+from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.proxy import claimed_attempt, errors, ports, server_commands, stop_orders
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the other servers to be paused, and for the primary to be stopped; a leaving primary
@@ -23,8 +25,6 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
-STOP_ANSWER_S = 2.0
-"""Time for the answer of a primary that has left shorter queries unanswered."""
 ACKNOWLEDGED_WAIT_S = 6.0
 """Time to wait for a server that has an acknowledged commit which all known servers lack; as long
 as a server that has started takes to be listed."""
@@ -186,8 +186,7 @@
 
         If the successor does not reach the end in time, any server that has may be chosen, also the
         primary itself: what the successor lacks may have been confirmed by a server that is not
-        known. A primary that refuses the order is kept. One that accepts it and leads on, or is
-        lost, leaves the pauses to prove a choice.
+        known. A primary that runs and does not stop is kept.
         """
         started_s = clock.now_s()
         orders_ignored = 0
@@ -214,12 +213,13 @@
                     expected=self.confirming(),
                     paused={},
                     receiving={name: statuses[name] for name in proved & set(statuses)},
+                    report=self.hold_commits(),
                 )
                 if choice.verdict is not promotion.Verdict.WAIT:
                     return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
         runs = primary in statuses or primary in self.commands.refusing
-        if runs and self.stopped_end is None and orders_ignored < STOP_ORDERS:
+        if runs and self.stopped_end is None:
             return IGNORED
         return await self._decide_without_primary(primary, {})
 
@@ -232,23 +232,32 @@
         return self.commands.refusing & self._leaving()
 
     def _note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> bool:
-        """Note the end of a primary's log once it has stopped; it leads again after a crash.
+        """Note the status of a primary that was ordered to stop; see ``note_end``."""
+        if status.leads:
+            self.stopped_end = None
+            started_anew = status.received < self.primary_end
+            self.primary_end = max(self.primary_end, status.received)
+            return not started_anew
+        return self.note_end(primary, status.received)
+
+    def note_end(self, primary: ids.ServerId, end: positions.Position) -> bool:
+        """Note the end of a stopped primary's log.
 
         Returns False if its log is shorter than it was: it has started anew and proves nothing.
         """
-        if status.received < self.primary_end:
+        if end < self.primary_end:
             self.stopped_end = None
             return False
-        self.primary_end = status.received
-        if not status.leads and self.stopped_end is None:
+        self.primary_end = end
+        if self.stopped_end is None:
             events.log(
                 events.Event.PRIMARY_STOPPED,
                 service=self.target.name,
                 server=primary,
                 term=self.term,
-                end=status.received,
+                end=end,
             )
-        self.stopped_end = None if status.leads else status.received
+        self.stopped_end = end
         return True
 
     def _choose(
@@ -259,6 +268,7 @@
         receiving: server_commands.Statuses,
         report: ports.HoldReport = NOT_HELD,
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
+        former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         evidence = promotion.Evidence(
@@ -268,6 +278,7 @@
             stopped_end=self.stopped_end,
             required_end=self._required_end(),
             commits_held=report.complete,
+            former_primary=former,
             acknowledged_above=report.above,
         )
         return promotion.choose(
@@ -296,12 +307,13 @@
             return NOT_RECORDED
         if not await self._refresh(self.coordination.refresh_instances()):
             return NOT_LISTED
-        silent = primary if primary not in statuses else None
-        stopping = asyncio.create_task(self._order_to_stop(silent))
+        order = self._order_to_stop(primary, statuses)
+        sending = asyncio.create_task(order.run()) if order is not None else None
         try:
-            return await self._end_commits(primary, statuses, stopping)
+            return await self._end_commits(primary, statuses, order)
         finally:
-            await tasks.cancel_and_wait([stopping])
+            if sending is not None:
+                await tasks.cancel_and_wait([sending])
 
     async def _refresh(self, listing: collections.abc.Awaitable[None]) -> bool:
         """Return whether the store has answered with a listing."""
@@ -312,48 +324,81 @@
             return False
         return True
 
-    async def _order_to_stop(self, primary: ids.ServerId | None) -> promotion.ServerStatus | None:
-        """Order a primary that has not answered to stop, until it answers that it has."""
-        self.ordered_to_stop = self.ordered_to_stop or primary is not None
-        while primary is not None and self.holds_claim():
-            status = await self.commands.order_to_stop(primary, self.term, STOP_ANSWER_S)
-            if status is not None and not status.leads:
-                return status
-            await asyncio.sleep(claimed_attempt.POLL_S)
-        return None
+    def _order_to_stop(
+        self, primary: ids.ServerId | None, statuses: server_commands.Statuses
+    ) -> stop_orders.StopOrder | None:
+        """Return the order to a primary that has not answered; None without one.
+
+        A primary whose entry is gone is the last one that led.
+        """
+        unlisted = self.target.former_primary
+        if primary is None and unlisted is not None:
+            primary = unlisted.backend.server
+        backend = self.target.known_servers().get(primary)
+        if primary in statuses or backend is None:
+            return None
+        self.ordered_to_stop = True
+        return stop_orders.StopOrder(target=self.target, backend=backend, term=self.term)
+
+    def _former_primary(
+        self,
+        order: stop_orders.StopOrder | None,
+        report: ports.HoldReport,
+        *,
+        held_since_s: float | None,
+    ) -> promotion.FormerPrimary:
+        """Return whether a primary that was ordered to stop may execute commits."""
+        if order is None:
+            return promotion.FormerPrimary.UNKNOWN
+        reporting = report.primary_reports.keys()
+        return former_primary.state_of(
+            [order.report(), *report.primary_reports.values()],
+            held_s=None if held_since_s is None else clock.now_s() - held_since_s,
+            all_report=report.instances <= reporting and not report.unconfirmed,
+            confirmed_report=report.instances - report.unconfirmed <= reporting,
+            listing=self.target.listing_of(order.backend.server),
+        )
 
     async def _end_commits(
         self,
         primary: ids.ServerId | None,
         statuses: server_commands.Statuses,
-        stopping: asyncio.Task[promotion.ServerStatus | None],
+        order: stop_orders.StopOrder | None,
     ) -> promotion.Choice:
-        """Wait until a choice is proved: the primary has stopped, or all instances hold commits.
+        """Wait until a choice is proved: the primary has stopped, or its process has ended.
 
         The likely successor receives until then, and all others are paused.
         """
         # One that the list, read anew, names as a replica may confirm commits of its successor.
         spared = {primary} - set(statuses) if self._is_listed_primary(primary) else set()
-        held_since_s = stopped_since_s = None
+        stop = None
+        if order is not None:
+            stop = ports.StopRequest(server=order.backend.server, term=self.term)
+        held_since_s = ended_since_s = stopped_since_s = None
         while True:
-            report = self.hold_commits()
-            if stopped_since_s is None and stopping.done() and stopping.result() is not None:
-                stopped_since_s = clock.now_s()
-                if not self._note_stopped(primary, stopping.result()):
-                    return STARTED_ANEW
+            report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
                 held_since_s = clock.now_s()
+            if stopped_since_s is None and order is not None:
+                if not self._note_stopped_by_any(order, report):
+                    return STARTED_ANEW
+                if self.stopped_end is not None:
+                    stopped_since_s = clock.now_s()
+                    await self._record_end(order.backend.server, self.stopped_end)
+            former = self._former_primary(order, report, held_since_s=held_since_s)
+            if ended_since_s is None and held_since_s is not None and former.has_ended:
+                ended_since_s = clock.now_s()
             in_time = stopped_since_s is not None and (
                 clock.now_s() - stopped_since_s < SUCCESSOR_LAG_S
             )
-            if held_since_s is not None and clock.now_s() - held_since_s > ACKNOWLEDGED_WAIT_S:
+            if ended_since_s is not None and clock.now_s() - ended_since_s > ACKNOWLEDGED_WAIT_S:
                 report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
             behind = status is not None and promotion.lacks_acknowledged(status, report.above)
-            receives = {self.requested} if in_time or held_since_s is None or behind else set()
+            receives = {self.requested} if in_time or ended_since_s is None or behind else set()
             paused = await self.pause_others(statuses, spared=spared | receives)
             if stopped_since_s is not None and not in_time:
-                statuses = statuses | {primary: stopping.result()}
+                statuses = statuses | await self.commands.query({primary} & spared)
             choice = self._choose(
                 expected=self.confirming() - spared,
                 paused=paused,
@@ -364,18 +409,30 @@
                 },
                 report=report,
                 avoided={primary},
+                former=former,
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
-            if held_since_s is not None and self._gives_up(held_since_s, paused, report):
+            if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
                 return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
             statuses = await self.commands.query(self.confirming() - spared)
 
+    def _note_stopped_by_any(self, order: stop_orders.StopOrder, report: ports.HoldReport) -> bool:
+        """Note the end of a primary that any instance has stopped.
+
+        One that answered as a replica was stopped or replaced before; its end is required, and
+        does not prove a choice. Returns False if its log is shorter than it was.
+        """
+        reports = [order.report(), *report.primary_reports.values()]
+        self.replica_end = former_primary.end_of(reports, former_primary.Order.REPLICA)
+        end = former_primary.end_of(reports, former_primary.Order.STOPPED)
+        return end is None or self.note_end(order.backend.server, end)
+
     def _gives_up(
-        self, held_since_s: float, paused: server_commands.Statuses, report: ports.HoldReport
+        self, ended_since_s: float, paused: server_commands.Statuses, report: ports.HoldReport
     ) -> bool:
-        """Return whether to end an attempt in which the servers prove no choice.
+        """Return whether to end an attempt in which commits have ended and no choice is proved.
 
         If the servers lack an acknowledged commit, one may receive it, or another that has it may
         be listed soon.
@@ -383,7 +440,7 @@
         lacking = any(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
         lacking = lacking or self.requested not in paused
         limit_s = ACKNOWLEDGED_WAIT_S if lacking and report.above is not None else 0.0
-        return clock.now_s() - held_since_s > limit_s + PAUSE_TIMEOUT_S
+        return clock.now_s() - ended_since_s > limit_s + PAUSE_TIMEOUT_S
 
     def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
         """Return a report without the acknowledged positions, which no known server reaches.
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -252,7 +252,7 @@
             stopped = {primary} - {promoted} if self.stopped_end is not None else set()
             while True:
                 await asyncio.sleep(claimed_attempt.POLL_S)
-                if self.record is not None and self.stopped_end is None:
+                if self.record is not None:
                     self.hold_commits()
                 statuses = await self.commands.query(
                     self.confirming() - {promoted, primary} | stopped
--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -122,6 +122,7 @@
         *,
         revision: revisions.Revision,
         recorded_at_s: float,
+        stop: ports.StopRequest | None = None,
     ) -> ports.HoldReport:
         """Return the report that a test has set; by default there is no other instance."""
         return self.hold_report
