--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -7,7 +7,7 @@
 import collections.abc
 
 from mustardswitch.internal import ids, positions, promotion
-from tests.common import promotion_claim, promotion_servers
+from tests.common import promotion_claim, promotion_instances, promotion_servers
 
 OrderKind = promotion_servers.OrderKind
 Statuses = promotion_claim.Statuses
@@ -67,7 +67,9 @@
             if self.step is Step.END:
                 return promotion.Choice(verdict=promotion.Verdict.WAIT)
         held = self._commits_held()
-        receives = {self.requested} if in_time and (self.stop_status or not held) else set()
+        former = self._former_primary(primary, held)
+        ended = held and former.has_ended
+        receives = {self.requested} if in_time and (self.stop_status or not ended) else set()
         paused = self._pause_others(self.statuses, spared=self.spared | receives, late=late)
         statuses = dict(self.statuses)
         if self.stop_status is not None and not in_time:
@@ -84,9 +86,45 @@
             if name not in paused and not status.leads
         }
         return self._choose(
-            expected=expected, paused=paused, receiving=receiving, held=held, avoided={primary}
+            expected=expected,
+            paused=paused,
+            receiving=receiving,
+            held=held,
+            avoided={primary},
+            former=former,
         )
 
+    def _former_primary(self, primary: ids.ServerId | None, held: bool) -> promotion.FormerPrimary:
+        """Return what the instances that exchange datagrams with the holder know of the primary."""
+        primary = primary or self.instance.led_last
+        server = self.world.servers.get(primary)
+        if server is None or primary in self.statuses or not self.parts.end_primary:
+            return promotion.FormerPrimary.UNKNOWN
+        if held and not server.runs:
+            return promotion.FormerPrimary.NOT_LISTENING
+        if any(not self.world.status(primary).leads for _ in self._carriers(primary)):
+            return promotion.FormerPrimary.REPLICA
+        passed = self.hold is not None and self.world.periods > self.hold.since
+        unreached = all(primary in each.unreachable for each in self.world.instances)
+        if passed and unreached and primary not in self.world.listed:
+            return promotion.FormerPrimary.GONE
+        return promotion.FormerPrimary.MAY_RUN
+
+    def _carriers(self, primary: ids.ServerId) -> list[promotion_instances.Instance]:
+        """Return the instances that reach the primary and report to the holder."""
+        reporting = [
+            each
+            for each in self.world.instances
+            if each is self.instance
+            or (
+                self.parts.any_instance_stops
+                and each.reaches_instances
+                and self.instance.reaches_instances
+            )
+        ]
+        runs = self.world.servers[primary].runs
+        return [each for each in reporting if runs and primary not in each.unreachable]
+
     def _begin_to_end_commits(self, primary: ids.ServerId | None) -> promotion.Choice:
         """Record the likely successor; the instances are asked to hold commits from then on."""
         choice = promotion.Choice(verdict=promotion.Verdict.WAIT)
@@ -113,15 +151,19 @@
 
         That is so only if it led the newest term before the order.
         """
-        before = self._ask({primary} - {late}).get(primary)
-        led = before is not None and before.leads and before.term >= self.term - 1
+        if not self._carriers(primary):
+            return
+        before = self.world.status(primary)
+        led = before.leads and before.term >= self.term - 1
         if self.parts.stop_leaders_only and not led:
             return
-        self._order(
-            promotion_servers.Order(kind=OrderKind.STEP_DOWN, server=primary, term=self.term), late
-        )
-        status = self._ask({primary} - {late}).get(primary)
-        if status is None or status.leads or not self.stop_answered:
+        order = promotion_servers.Order(kind=OrderKind.STEP_DOWN, server=primary, term=self.term)
+        if primary == late:
+            self.late_orders.append(order)
+            return
+        self.world.execute(order)
+        status = self.world.status(primary)
+        if status.leads or not self.stop_answered:
             return
         if status.received < self.primary_end:
             self.step = Step.END
@@ -139,6 +181,7 @@
         receiving: Statuses,
         held: bool = False,
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
+        former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
     ) -> promotion.Choice:
         end = self.stopped_end
         if end is not None and not self.parts.compare_end:
@@ -150,6 +193,7 @@
             stopped_end=end,
             required_end=self._required_end(),
             commits_held=held,
+            former_primary=former,
             acknowledged_above=(
                 self.hold.above() if self.hold and self.parts.compare_acknowledged else None
             ),
@@ -178,7 +222,6 @@
             pause_ends=self.pause_ends,
             unanswered=unanswered,
             primary=primary,
-            primary_returns=self.world.servers[primary].returns if primary is not None else 0,
             acknowledged=self.world.acknowledgements,
             replaced_before=self.replaced_before,
             given_up=primary if unanswered else None,
@@ -295,7 +338,13 @@
             return
         if not others:
             statuses.pop(self.led_by, None)
-        choice = self._choose(expected=self._confirming(), paused={}, receiving=statuses)
+        self._announce()
+        choice = self._choose(
+            expected=self._confirming(),
+            paused={},
+            receiving=statuses,
+            held=self._commits_held() or not self.parts.hold_after_stop,
+        )
         if choice.verdict is not promotion.Verdict.WAIT:
             self._settle(choice)
 
--- a/tests/common/promotion_claim.py
+++ b/tests/common/promotion_claim.py
@@ -147,9 +147,7 @@
 
     def _announce(self) -> None:
         if self.hold is not None and self.parts.record:
-            self.hold.announce(
-                self.instance, self.world.instances, abandon=self.parts.abandon_commits
-            )
+            self.hold.announce(self.instance, self.world.instances)
 
     def _commits_held(self) -> bool:
         if not self.parts.wait_for_hold:
--- a/tests/common/promotion_instances.py
+++ b/tests/common/promotion_instances.py
@@ -21,6 +21,8 @@
     announced: ids.ServerId | None = None
     """A recorded promotion that it was told of since it read the records."""
     leader: ids.ServerId | None = None
+    led_last: ids.ServerId | None = None
+    """The last server that was listed as the primary."""
     listed: dict[ids.ServerId, bool] = dataclasses.field(default_factory=dict)
     """The servers as it has read the list, and whether they are leaving."""
     expired: set[ids.ServerId] = dataclasses.field(default_factory=set)
@@ -109,22 +111,19 @@
         self,
         holder: Instance,
         instances: collections.abc.Sequence[Instance],
-        *,
-        abandon: bool,
     ) -> None:
         """Tell the instances of the record; those without commits under way confirm.
 
-        With ``abandon`` commits that are under way now are ended before the next announcement,
-        and otherwise they are not waited for.
+        Commits that are under way now are abandoned before the next announcement.
         """
         for number, instance in enumerate(instances):
             reached = instance.reaches_instances and holder.reaches_instances
             if instance is not holder and not reached:
                 continue
-            if abandon and instance.announced == self.promoted:
+            if instance.announced == self.promoted:
                 instance.abandon(but=self.promoted)
             instance.announced = self.promoted
-            if instance.is_clear_for(self.promoted) or not abandon:
+            if instance.is_clear_for(self.promoted):
                 self.confirmed[number] = instance.above(but=self.promoted)
 
     def is_complete(self, instances: int, periods: int) -> bool:
--- a/tests/common/promotion_parts.py
+++ b/tests/common/promotion_parts.py
@@ -15,14 +15,18 @@
     """The list is read anew before all servers are paused."""
     wait_for_hold: bool = True
     """Without the primary's end, a server is chosen only once no instance sends commits."""
-    abandon_commits: bool = True
-    """An instance confirms the hold only once no commit is under way."""
     need_permission: bool = True
     """An instance whose records are old sends no commits."""
     compare_acknowledged: bool = True
     """A log must reach beyond the positions that instances have acknowledged."""
     stop_silent_primary: bool = True
     """A primary that gives no answer is ordered to stop; its end counts if it answers."""
+    any_instance_stops: bool = True
+    """Every instance that reaches a silent primary orders it to stop, not only the holder."""
+    end_primary: bool = True
+    """Without the primary's end, a server is chosen only once the primary executes no commits."""
+    hold_after_stop: bool = True
+    """A server is chosen by the primary's end only once no instance sends commits."""
     stop_leaders_only: bool = True
     """The end of a silent primary counts only if it led the newest term before the order."""
     pause_replaced: bool = True
--- a/tests/common/promotion_sequences.py
+++ b/tests/common/promotion_sequences.py
@@ -282,6 +282,30 @@
     stopped_primary_leads_again_before_a_late_request(machine)
 
 
+def abandoned_commit_waits_at_the_primary(machine: rule_machine.Promotions) -> None:
+    """Its instance confirms the hold; the primary executes it once the promotion is requested."""
+    machine.start_server()
+    machine.commit(1, late=True)
+    _prepare_without_primary(machine)
+    _execute_waiting_before_the_effect(machine)
+
+
+def commit_of_an_ended_instance_waits_at_the_primary(machine: rule_machine.Promotions) -> None:
+    machine.start_server()
+    machine.commit(1, late=True)
+    machine.restart_all_instances()
+    _prepare_without_primary(machine)
+    _execute_waiting_before_the_effect(machine)
+
+
+def _execute_waiting_before_the_effect(machine: rule_machine.Promotions) -> None:
+    machine.request(0)
+    while machine.world.waiting:
+        machine.execute_waiting_commit()
+    machine.deliver(D)
+    _let_take_effect(machine)
+
+
 def first_commit_is_confirmed_by_an_unlisted_server(machine: rule_machine.Promotions) -> None:
     """The instance had seen no position of the primary before."""
     machine.commit_to(0, B)
--- a/tests/common/promotion_servers.py
+++ b/tests/common/promotion_servers.py
@@ -53,7 +53,7 @@
     acknowledged: bool = False
     """Whether an instance has passed that answer on to its caller."""
     acknowledged_as: int | None = None
-    """Number of commits that were acknowledged before it; None until it is."""
+    """Number of commits that a replica had confirmed before it; None until one has."""
 
 
 @dataclasses.dataclass(eq=False, kw_only=True, slots=True)
@@ -70,8 +70,6 @@
     was_listed: bool = False
     starts: int = 1
     """Number of starts without a log."""
-    returns: int = 0
-    """Number of returns with the log."""
 
     @property
     def runs(self) -> bool:
@@ -122,8 +120,6 @@
     """Whether the choice was made without an answer of the primary."""
     primary: ids.ServerId | None = None
     """The server that led last when the choice was made."""
-    primary_returns: int = 0
-    """``Server.returns`` of it."""
     acknowledged: int = 0
     """Number of commits that were acknowledged when the choice was made."""
     replaced_before: bool = False
@@ -143,5 +139,3 @@
     """What ended pauses of those holders that the sender of the request knew."""
     started_anew: bool
     """Whether the promoted server had started again, with an empty log, since it was chosen."""
-    led_again: bool
-    """Whether the primary had returned since the choice was made."""
--- a/tests/common/promotion_world.py
+++ b/tests/common/promotion_world.py
@@ -1,11 +1,11 @@
 """Model of a service's servers, of the platform that promotes them, and of the instances.
 
 Replication is asynchronous: each replica receives the commits in order, one delivery at a time, and
-the primary answers a commit with the first one. The commit is acknowledged when the instance that
-made it passes this answer on to its caller, which it does unless it has abandoned the commit. What
-the primary answered and no caller was told counts as unanswered. A server is listed some time after
-its start; an instance reads the list and the record of a promotion at any later time. Requests and
-orders may be executed late.
+the primary answers a commit with the first one. The commit is acknowledged from then on, whether
+its caller is told or not. A primary may execute a commit long after it was sent, also one that its
+instance has abandoned, or of an instance that has ended; what waits in it ends with its process. A
+server is listed some time after its start; an instance reads the list and the record of a promotion
+at any later time. Requests and orders may be executed late.
 
 A promotion loses a commit if it was acknowledged, is missing from the log with which the promoted
 server leads, and is held by a server that runs or will return with its log. A server that is lost
@@ -37,6 +37,10 @@
         self.servers[names[0]].role = promotion.Role.PRIMARY
         self.term = 1
         self.commits: list[promotion_servers.Commit] = []
+        self.waiting: list[
+            tuple[promotion_servers.Commit, ids.ServerId, promotion_instances.Instance]
+        ] = []
+        """Commits that a server has received and not executed, and who sent them."""
         self.listed: dict[ids.ServerId, bool] = {}
         self.remembered: set[ids.ServerId] = set()
         """The servers in the store's durable record, which outlasts their entries."""
@@ -56,8 +60,6 @@
         self.pause_ends: list[tuple[ids.ServerId, promotion_servers.PauseEnd]] = []
         """The pauses that have ended, in their order."""
         self.losses: list[promotion_servers.Loss] = []
-        self.unanswered_losses: list[promotion_servers.Commit] = []
-        """Commits that were lost after the primary had answered, of which no caller was told."""
         self.instances = [promotion_instances.Instance() for _ in range(instances)]
         for instance in self.instances:
             self.read_store(instance)
@@ -70,8 +72,11 @@
         *,
         held_by_record: bool = True,
         need_permission: bool = True,
+        late: bool = False,
     ) -> None:
-        """Commit at the primary, if the instance reaches it and may."""
+        """Commit at the primary, if the instance reaches it and may.
+
+        A ``late`` commit waits at the primary."""
         leader = self.leader()
         if leader is None or leader.name in instance.unreachable:
             return
@@ -81,8 +86,18 @@
             number=len(self.commits), term=self.term, store_lost=not instance.reaches_store
         )
         self.commits.append(made)
-        leader.log.append(made)
         instance.send(made, leader.name)
+        if late:
+            self.waiting.append((made, leader.name, instance))
+        else:
+            leader.log.append(made)
+
+    def execute_waiting_commit(self) -> None:
+        """Let a server execute the oldest commit that waits in it; a replica rejects it."""
+        commit, name, _ = self.waiting.pop(0)
+        if self.servers[name].leads:
+            commit.term = self.term
+            self.servers[name].log.append(commit)
 
     def leader(self) -> promotion_servers.Server | None:
         """Return the server that accepts commits."""
@@ -101,6 +116,8 @@
             replica.log.append(delivered)
             if delivered.waiting and source.leads:
                 delivered.waiting, delivered.confirmed = False, True
+                delivered.acknowledged_as = self.acknowledgements
+                self.acknowledgements += 1
                 for instance in self.instances:
                     self.answer(instance, delivered)
             if not everything:
@@ -111,9 +128,8 @@
     ) -> None:
         """Pass the answer to a commit on to the instance that waits for it, and to its caller."""
         leader = self.servers.get(instance.under_way.get(commit))
-        if leader is not None and instance.receive_answer(commit, leader.position):
-            commit.acknowledged_as = self.acknowledgements
-            self.acknowledgements += 1
+        if leader is not None:
+            instance.receive_answer(commit, leader.position)
 
     def _receives(self, replica: promotion_servers.Server) -> bool:
         promoting = {request.server for request in self.accepted}
@@ -133,12 +149,12 @@
     def crash(self, server: promotion_servers.Server) -> None:
         """Stop a process, which will return with its log."""
         server.state = promotion_servers.State.DOWN
+        self.waiting = [each for each in self.waiting if each[1] != server.name]
         self._forget_waiting(server)
 
     def come_back(self, server: promotion_servers.Server) -> None:
         """Start a process that crashed; it leads if it led last, also after it was stopped."""
         server.state = promotion_servers.State.RUNNING
-        server.returns += 1
         self._end_pause(server, promotion_servers.PauseEnd.RESTART)
         if server.name == self.upstream:
             server.role = promotion.Role.PRIMARY
@@ -148,6 +164,7 @@
     def lose(self, server: promotion_servers.Server) -> None:
         """End a process for good, and its log with it."""
         self._forget_waiting(server)
+        self.waiting = [each for each in self.waiting if each[1] != server.name]
         self._end_pause(server, promotion_servers.PauseEnd.RESTART)
         server.state, server.log = promotion_servers.State.GONE, []
         server.role = promotion.Role.REPLICA
@@ -188,8 +205,12 @@
             self.read_list(instance)
 
     def let_period_pass(self) -> None:
-        """Let records become old at the instances that do not read them anew."""
+        """Let records become old at the instances that do not read them anew.
+
+        A server drops connections whose remote ends it cannot reach, with what waits.
+        """
         self.periods += 1
+        self.waiting = [each for each in self.waiting if each[1] not in each[2].unreachable]
         for instance in self.instances:
             self.read_store(instance)
             if not instance.reaches_store:
@@ -216,6 +237,7 @@
         roles = {name: self.servers[name].role for name in self.listed}
         leading = (name for name, role in roles.items() if role is promotion.Role.PRIMARY)
         instance.leader = next(leading, None)
+        instance.led_last = instance.leader or instance.led_last
 
     def status(self, name: ids.ServerId) -> promotion.ServerStatus:
         """Return a server's answer to a status query."""
@@ -286,13 +308,9 @@
             for server in self.servers.values()
             if server.state is not promotion_servers.State.GONE and server.name != request.given_up
         ]
-        primary = self.servers.get(request.primary)
         for commit in self.commits:
             holders = [server for server in others if commit in server.log]
-            known = commit.acknowledged or (
-                commit.confirmed and any(commit in each.under_way for each in self.instances)
-            )
-            if known and holders and commit not in promoted.log:
+            if commit.confirmed and holders and commit not in promoted.log:
                 loss = promotion_servers.Loss(
                     commit=commit,
                     request=request,
@@ -303,11 +321,8 @@
                         if name in request.expected and commit in self.servers[name].log
                     ),
                     started_anew=promoted.starts != request.starts,
-                    led_again=primary is not None and primary.returns > request.primary_returns,
                 )
                 self.losses.append(loss)
-            elif commit.confirmed and holders and commit not in promoted.log:
-                self.unanswered_losses.append(commit)
 
     def _roll_back(
         self, server: promotion_servers.Server, log: list[promotion_servers.Commit]
--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -36,9 +36,6 @@
     docs/PLATFORM.md."""
     STARTED_ANEW = "started_anew"
     """The server starts again under its id before a late or repeated request is executed."""
-    LED_AGAIN = "led_again"
-    """The stopped primary crashes, and leads again until the request takes effect. An instance that
-    is not told of the record, and may still send commits without newer records, commits there."""
     STALE_END = "stale_end"
     """The holder has not read that the server which it takes for the primary was replaced. That one
     answers the order to stop, and its end is compared, which does not cover its successor's."""
@@ -60,7 +57,7 @@
     if loss.holders & (request.known - request.expected) - {request.primary}:
         return Limit.STALE_PRIMARY
     if not request.unanswered:
-        return Limit.LED_AGAIN if loss.led_again else None
+        return None
     before = loss.commit.acknowledged_as is not None and (
         loss.commit.acknowledged_as < request.acknowledged
     )
@@ -97,14 +94,20 @@
 
     # Commits and replication
 
-    @stateful.rule(instance=instances)
-    def commit(self, instance: int) -> None:
+    @stateful.rule(instance=instances, late=st.booleans())
+    def commit(self, instance: int, late: bool = False) -> None:
         self.world.commit(
             self.world.instances[instance],
             held_by_record=self.parts.hold_commits,
             need_permission=self.parts.need_permission,
+            late=late,
         )
 
+    @stateful.precondition(lambda self: self.world.waiting)
+    @stateful.rule()
+    def execute_waiting_commit(self) -> None:
+        self.world.execute_waiting_commit()
+
     @stateful.rule(name=servers, everything=st.booleans())
     def deliver(self, name: ids.ServerId, everything: bool = True) -> None:
         if name in self.world.servers:
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -13,40 +13,59 @@
 """Commits of instances that have not read the record."""
 SPARED = {"pause_replaced": False}
 """The list names a server that has stopped or was replaced as the primary."""
+ALONE = {"any_instance_stops": False}
+"""Instances that reach the primary, and cannot stop it."""
+MAY_RUN = {"end_primary": False, "any_instance_stops": False}
+"""The holder is cut off from the primary, of which nothing more is known."""
 SEQUENCES = [
+    ("end_primary", promotion_sequences.abandoned_commit_waits_at_the_primary, ALONE),
+    ("end_primary", promotion_sequences.commit_of_an_ended_instance_waits_at_the_primary, ALONE),
+    ("end_primary", promotion_sequences.resume_confirms_a_waiting_commit, ALONE),
+    ("end_primary", promotion_sequences.restart_confirms_a_waiting_commit, ALONE),
+    (
+        "hold_after_stop",
+        promotion_sequences.stopped_primary_leads_again_for_an_instance_cut_off,
+        {},
+    ),
     ("compare_end", promotion_sequences.commit_precedes_the_stop, {"record_end": False}),
     ("stop_primary", promotion_sequences.commit_follows_the_choice, {}),
-    ("wait_for_hold", promotion_sequences.commit_follows_the_record, {}),
-    ("abandon_commits", promotion_sequences.resume_confirms_a_waiting_commit, {}),
-    ("abandon_commits", promotion_sequences.restart_confirms_a_waiting_commit, {}),
-    ("need_permission", promotion_sequences.commit_follows_the_period, {}),
+    ("wait_for_hold", promotion_sequences.commit_follows_the_record, MAY_RUN),
+    ("need_permission", promotion_sequences.commit_follows_the_period, MAY_RUN),
     ("compare_acknowledged", promotion_sequences.primary_dies_beside_an_unlisted_server, {}),
-    ("stop_silent_primary", promotion_sequences.silent_primary_takes_the_order_to_stop, UNHELD),
+    (
+        "stop_silent_primary",
+        promotion_sequences.silent_primary_takes_the_order_to_stop,
+        UNHELD | MAY_RUN,
+    ),
     (
         "stop_leaders_only",
         promotion_sequences.stale_primary_answers_the_order_to_stop,
-        SPARED,
+        SPARED | MAY_RUN,
+    ),
+    (
+        "pause_replaced",
+        promotion_sequences.successor_of_a_stale_primary_is_lost,
+        UNCOMPARED | MAY_RUN,
     ),
-    ("pause_replaced", promotion_sequences.successor_of_a_stale_primary_is_lost, UNCOMPARED),
     ("void_first", promotion_sequences.earlier_request_for_the_stopped_primary, UNHELD),
     ("record_end", promotion_sequences.holder_dies_after_the_stop, UNCOMPARED | SPARED),
     ("durable_list", promotion_sequences.all_instances_start_anew, {}),
     ("read_list", promotion_sequences.list_of_the_holder_is_behind, UNCOMPARED),
-    ("need_all_paused", promotion_sequences.only_holder_gives_no_answer, UNCOMPARED),
-    ("choose_highest", promotion_sequences.one_replica_lags, UNCOMPARED),
-    ("count_expired", promotion_sequences.entry_of_the_only_holder_expires, UNCOMPARED),
-    ("record", promotion_sequences.holder_dies_in_its_request, {}),
-    ("record_outlives_claim", promotion_sequences.holder_dies_in_its_request, {}),
-    ("decide_again", promotion_sequences.pause_ends_before_the_second_record, UNHELD),
-    ("hold_commits", promotion_sequences.pause_ends_after_the_record_is_read, {}),
+    ("need_all_paused", promotion_sequences.only_holder_gives_no_answer, UNCOMPARED | MAY_RUN),
+    ("choose_highest", promotion_sequences.one_replica_lags, UNCOMPARED | MAY_RUN),
+    ("count_expired", promotion_sequences.entry_of_the_only_holder_expires, UNCOMPARED | MAY_RUN),
+    ("record", promotion_sequences.holder_dies_in_its_request, MAY_RUN),
+    ("record_outlives_claim", promotion_sequences.holder_dies_in_its_request, MAY_RUN),
+    ("decide_again", promotion_sequences.pause_ends_before_the_second_record, UNHELD | MAY_RUN),
+    ("hold_commits", promotion_sequences.pause_ends_after_the_record_is_read, MAY_RUN),
     (
         "resume_requested_only",
         promotion_sequences.holder_dies_beside_an_instance_without_the_store,
-        UNHELD,
+        UNHELD | MAY_RUN,
     ),
-    ("keep_paused", promotion_sequences.pause_ends_before_the_effect, UNHELD),
-    ("fence_requests", promotion_sequences.primary_is_kept, {}),
-    ("void_request", promotion_sequences.primary_is_kept, {}),
+    ("keep_paused", promotion_sequences.pause_ends_before_the_effect, UNHELD | MAY_RUN),
+    ("fence_requests", promotion_sequences.primary_is_kept, MAY_RUN),
+    ("void_request", promotion_sequences.primary_is_kept, MAY_RUN),
 ]
 
 
@@ -74,10 +93,6 @@
 ]
 OPEN_LIMITS = [
     (rule_machine.Limit.STARTED_ANEW, promotion_sequences.server_starts_anew_before_a_late_request),
-    (
-        rule_machine.Limit.LED_AGAIN,
-        promotion_sequences.stopped_primary_leads_again_for_an_instance_cut_off,
-    ),
 ]
 FORMER_LIMITS = [
     promotion_sequences.primary_dies_beside_an_unlisted_server,
@@ -86,7 +101,10 @@
     promotion_sequences.resume_confirms_a_waiting_commit,
     promotion_sequences.resume_confirms_a_commit_without_the_store,
     promotion_sequences.restart_confirms_a_waiting_commit,
+    promotion_sequences.abandoned_commit_waits_at_the_primary,
+    promotion_sequences.commit_of_an_ended_instance_waits_at_the_primary,
     promotion_sequences.stopped_primary_leads_again_before_a_late_request,
+    promotion_sequences.stopped_primary_leads_again_for_an_instance_cut_off,
     promotion_sequences.earlier_request_takes_effect_after_the_choice,
     promotion_sequences.stale_primary_answers_the_order_to_stop,
     promotion_sequences.successor_of_a_stale_primary_is_lost,
@@ -114,17 +132,3 @@
     machine = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
     sequence(machine)
     assert machine.world.losses == []
-
-
-@pytest.mark.parametrize(
-    "sequence",
-    [
-        promotion_sequences.resume_confirms_a_waiting_commit,
-        promotion_sequences.restart_confirms_a_waiting_commit,
-    ],
-)
-def test_an_abandoned_commit_is_lost_without_an_answer_to_its_caller(sequence):
-    machine = rule_machine.Promotions()
-    sequence(machine)
-    assert machine.world.losses == []
-    assert len(machine.world.unanswered_losses) == 1
