Orders to stop: findings of a review and of unit tests

A connection that is open and unanswered is a sign of life, from the moment the machine accepts it; so a primary that stands still is not taken for gone. An instance that knows nothing of a primary sends no report, and one that has known it for a short time may have heard it right before. A listed primary that no instance reaches has ended its connections if it has written its entry since. A replica's end is read twice; a primary that has led under the order and is a replica later was stopped. The successor is resumed if it was paused before the primary's end was known. Reports travel with the confirmations. Unused connections are closed whether they were used or not.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -411,6 +411,11 @@
         while self.idle and self.returned_at_s.get(id(self.idle[0]), oldest_s) < oldest_s:
             self._close(self.idle.popleft())
 
+    def close_idle(self) -> None:
+        """Close all connections that nobody uses."""
+        while self.idle:
+            self._close(self.idle.popleft())
+
     def resize(self, size: int) -> None:
         """Hold up to ``size`` connections from now on.
 
--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -64,8 +64,8 @@
     listed: bool
     unlisted_s: float = 0.0
     """Seconds since its entry was removed; 0 while it is listed."""
-    has_left: bool = False
-    """Whether it had reported that it leaves, and removed its entry itself."""
+    written_s: float = NEVER_S
+    """Seconds since it last wrote its entry, so that its process ran; ``NEVER_S`` if unlisted."""
 
 
 def end_of(reports: collections.abc.Iterable[Report], order: Order) -> positions.Position | None:
@@ -92,16 +92,15 @@
         return promotion.FormerPrimary.REPLICA
     if held_s is None:
         return promotion.FormerPrimary.MAY_RUN
-    if listing.has_left and not listing.listed:
-        return promotion.FormerPrimary.GONE
     answered_s = min((report.answered_s for report in reports), default=NEVER_S)
     connected_s = min((report.connected_s for report in reports), default=NEVER_S)
     refused_s = min((report.refused_s for report in reports), default=NEVER_S)
     if confirmed_report and refused_s < held_s < connected_s:
         return promotion.FormerPrimary.NOT_LISTENING
-    if listing.listed:
-        return promotion.FormerPrimary.MAY_RUN
     unreached = all_report and connected_s >= UNREACHED_S
+    if listing.listed:
+        # One that has written its entry since then runs, and has dropped the connections.
+        unreached = unreached and connected_s - listing.written_s >= UNREACHED_S
     silent = listing.unlisted_s >= GONE_S and answered_s >= UNREACHED_S
     if unreached or silent:
         return promotion.FormerPrimary.GONE
--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -82,7 +82,7 @@
     NOT_LISTENING = "not_listening"
     """No process listens at its address, so what it had received ended with it."""
     GONE = "gone"
-    """Its entry was removed, and no instance has heard of it for longer than a server keeps a
+    """Its entry was removed, or no instance has reached it for longer than a server keeps a
     connection whose remote end cannot be reached."""
     UNKNOWN = "unknown"
     """No server is known or listed as the primary."""
--- a/src/mustardswitch/internal/server_contact.py
+++ b/src/mustardswitch/internal/server_contact.py
@@ -20,11 +20,6 @@
     UNREACHABLE = "unreachable"
     """No connection could be opened in time."""
 
-    @property
-    def is_of_life(self) -> bool:
-        """Whether the process of the server may run."""
-        return self in (Sign.ANSWERED, Sign.REFUSED, Sign.CONNECTED)
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Contact:
@@ -41,6 +36,8 @@
     """The times of the latest signs of one server (``clock.now_s``)."""
 
     def __init__(self) -> None:
+        self.since_s = clock.now_s()
+        """Since when signs are recorded; the server may have been heard right before."""
         self.at_s: dict[Sign, float] = {}
 
     def __repr__(self) -> str:
@@ -50,11 +47,10 @@
         """Record a sign that was seen now."""
         self.at_s[sign] = clock.now_s()
 
-    def heard_at_s(self) -> float:
-        """Return when the last sign of life was seen; minus infinity before the first one."""
-        return max(
-            (at_s for sign, at_s in self.at_s.items() if sign.is_of_life), default=float("-inf")
-        )
+    def age_s(self, *signs: Sign) -> float:
+        """Return the seconds since the latest of some signs, or since they are recorded."""
+        seen_s = [self.at_s.get(sign, self.since_s) for sign in signs]
+        return clock.now_s() - max(seen_s)
 
     def latest(self) -> Contact | None:
         """Return the latest sign of life, or that no process listens; None without any."""
--- a/src/mustardswitch/platform/backends.py
+++ b/src/mustardswitch/platform/backends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, promotion
@@ -14,6 +15,9 @@
 CONNECT_TIMEOUT_S = 0.5
 """Covers a server's work on a new connection (12 to 27 ms) and several inter-region round trips."""
 
+ORDER_SESSION_TIMEOUT_S = 10.0
+"""Time for a slow server to accept the session of an order; as long as a claim is renewed."""
+
 
 class BackendLink:
     """A connection to a backend server; answers come in the order of the commands."""
@@ -183,11 +187,21 @@
         await self._query(lines.RESUME, timeout_s)
 
 
+async def open_for_order(
+    entry: ports.ServerEntry, on_connected: collections.abc.Callable[[], None]
+) -> BackendLink:
+    """Open a connection for an order; see ``ports.OrderOpener``."""
+    return await open_link(
+        entry, session_timeout_s=ORDER_SESSION_TIMEOUT_S, on_connected=on_connected
+    )
+
+
 async def open_link(
     entry: ports.ServerEntry,
     tenant: ids.TenantName = routes.NO_TENANT,
     *,
     session_timeout_s: float = CONNECT_TIMEOUT_S,
+    on_connected: collections.abc.Callable[[], None] = lambda: None,
 ) -> BackendLink:
     """Open a connection to a server and start a session of a tenant on it.
 
@@ -206,6 +220,7 @@
         raise backend_errors.BackendUnreachableError(
             f"server {entry.server} is unreachable: {error!r}"
         ) from error
+    on_connected()
     link = BackendLink(name=entry.server, reader=reader, writer=writer, tenant=tenant)
     try:
         await _start_session(link, entry, session_timeout_s)
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -41,7 +41,6 @@
     requests,
     service,
     session,
-    stop_orders,
 )
 from mustardswitch.proxy import errors as proxy_errors
 
@@ -70,9 +69,7 @@
             instance=config.instance,
             location=service.Location(zone=config.zone, regions=config.regions),
             opener=backends.open_link,
-            order_opener=functools.partial(
-                backends.open_link, session_timeout_s=stop_orders.ANSWER_TIMEOUT_S
-            ),
+            order_opener=backends.open_for_order,
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
             features=config.features,
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -61,7 +61,7 @@
         instance: ids.InstanceId,
         location: service.Location,
         opener: ports.LinkOpener,
-        order_opener: ports.LinkOpener | None = None,
+        order_opener: ports.OrderOpener | None = None,
         registry: metrics.Registry,
         forwarder: forwarded.Forwarder | None = None,
         features: feature_set.Features = feature_set.NO_FEATURES,
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -123,26 +123,28 @@
         confirmed = [
             held for promoted in update.promotions if (held := self._hold(promoted)) is not None
         ]
-        if confirmed and not update.stale:
-            held = tuple(confirmed)
-            update_back = datagrams.PeerUpdate(instance=self.directory.instance, held=held)
-            self._answer(update.instance, update_back)
         for told in update.primary_reports:
             known = self.primary_reports.get(told.order)
             if known is not None:
                 known[update.instance] = told.report, clock.now_s()
-        if update.stop_orders:
-            told_back = tuple(
-                self.stop_orders.receive(order, self.directory.services.get(order.service))
-                for order in update.stop_orders
-            )
-            self._answer(
-                update.instance,
-                datagrams.PeerUpdate(instance=self.directory.instance, primary_reports=told_back),
+        reports = [
+            report
+            for order in update.stop_orders
+            if (report := self._report_primary(order)) is not None
+        ]
+        if reports or (confirmed and not update.stale):
+            update_back = datagrams.PeerUpdate(
+                instance=self.directory.instance,
+                held=() if update.stale else tuple(confirmed),
+                primary_reports=tuple(reports),
             )
+            self._answer(update.instance, update_back)
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
             self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
 
+    def _report_primary(self, order: datagrams.StopOrder) -> datagrams.PrimaryReport | None:
+        return self.stop_orders.receive(order, self.directory.services.get(order.service))
+
     def _hold(self, promoted: datagrams.RecordedPromotion) -> datagrams.HeldCommits | None:
         """Hold commits back for a promotion; None if some are still under way."""
         self.directory.note_announced_promotion(promoted)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -169,6 +169,19 @@
         """Open a connection that serves a tenant, or raise a ``BackendError``."""
 
 
+class OrderOpener(typing.Protocol):
+    """Opens connections for orders to servers that may be slow."""
+
+    def __call__(
+        self, entry: ServerEntry, on_connected: collections.abc.Callable[[], None]
+    ) -> collections.abc.Awaitable[Link]:
+        """Open a connection, or raise a ``BackendError``.
+
+        ``on_connected`` is called once the server's machine has accepted the connection, before
+        the server itself has answered.
+        """
+
+
 class PromotionOutcome(enum.Enum):
     """The platform's answer to a promotion request."""
 
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -94,16 +94,6 @@
     """When its entry expired, or this instance learned of it from the record of members."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class UnlistedPrimary:
-    """A server whose entry was removed while it led, and when (``clock.now_s``)."""
-
-    backend: server.Server
-    since_s: float
-    has_left: bool
-    """Whether it had reported that it leaves, and removed the entry itself."""
-
-
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -113,7 +103,7 @@
         name: ids.ServiceName,
         location: Location,
         opener: ports.LinkOpener,
-        order_opener: ports.LinkOpener | None = None,
+        order_opener: ports.OrderOpener | None = None,
         registry: metrics.Registry,
         features: feature_set.Features = feature_set.NO_FEATURES,
         paces: server_pace.PaceBook | None = None,
@@ -127,7 +117,7 @@
         self.name = name
         self.location = location
         self.opener = opener
-        self.order_opener = order_opener or opener
+        self.order_opener = order_opener or self._open_for_order
         """Opens connections for orders to stop, with more time for a server that is slow."""
         self.registry = registry
         self.features = features
@@ -143,8 +133,10 @@
         self.servers: dict[ids.ServerId, server.Server] = {}
         self.unlisted: dict[ids.ServerId, UnlistedReplica] = {}
         """Replicas whose entries expired lately."""
-        self.former_primary: UnlistedPrimary | None = None
+        self.former_primary: server.Server | None = None
         """The last server whose entry was removed while it led; None if a primary is listed."""
+        self.removed_at_s: dict[ids.ServerId, float] = {}
+        """When servers were removed from the list lately (``clock.now_s``)."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is recorded and may take effect; None without one."""
         self.requested_revision: int | None = None
@@ -179,6 +171,13 @@
         copied.placing = self.placing.preview() if self.placing is not None else None
         return copied
 
+    async def _open_for_order(
+        self, entry: ports.ServerEntry, on_connected: collections.abc.Callable[[], None]
+    ) -> ports.Link:
+        link = await self.opener(entry)
+        on_connected()
+        return link
+
     # Membership
 
     def apply(self, entries: collections.abc.Iterable[ports.ServerEntry]) -> None:
@@ -246,6 +245,12 @@
 
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
+        now_s = clock.now_s()
+        self.removed_at_s = {
+            name: at_s
+            for name, at_s in self.removed_at_s.items()
+            if at_s > now_s - UNLISTED_MEMORY_S
+        } | {backend.server: now_s}
         self.leadership.forget(backend.server)
         self.acknowledged.forget(backend.server)
         if self.placing is not None:
@@ -274,7 +279,7 @@
         if not has_left and (not leads or self.leadership.has_stopped(backend.server)):
             self.unlisted[backend.server] = UnlistedReplica(backend=backend, since_s=now_s)
         elif leads:
-            self.former_primary = UnlistedPrimary(backend=backend, since_s=now_s, has_left=has_left)
+            self.former_primary = backend
 
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
@@ -317,20 +322,17 @@
         primary is one of them.
         """
         former = self.former_primary
-        led = {former.backend.server: former.backend} if former is not None else {}
+        led = {former.server: former} if former is not None else {}
         return led | self._unlisted_since(UNLISTED_MEMORY_S) | self.servers
 
     def listing_of(self, name: ids.ServerId) -> former_primary.Listing:
         """Return what the list says of a server that led."""
-        if name in self.servers:
-            return former_primary.Listing(listed=True)
-        now_s, known = clock.now_s(), self.former_primary
-        if known is not None and known.backend.server == name:
-            return former_primary.Listing(
-                listed=False, unlisted_s=now_s - known.since_s, has_left=known.has_left
-            )
-        expired_s = self.unlisted[name].expired_s if name in self.unlisted else now_s
-        return former_primary.Listing(listed=False, unlisted_s=now_s - expired_s)
+        now_s, backend = clock.now_s(), self.servers.get(name)
+        if backend is not None:
+            written_s = now_s - backend.entry_written_at_s
+            return former_primary.Listing(listed=True, written_s=written_s)
+        removed_at_s = self.removed_at_s.get(name, float("-inf"))
+        return former_primary.Listing(listed=False, unlisted_s=now_s - removed_at_s)
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
--- a/src/mustardswitch/proxy/stop_orders.py
+++ b/src/mustardswitch/proxy/stop_orders.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from mustardswitch import events, tasks
 from mustardswitch.backends import errors as backend_errors
@@ -20,41 +21,53 @@
 """Time after which another order is sent while one is unanswered."""
 MAX_ORDERS = 2
 """Orders that are unanswered at a time."""
-RETRY_S = 0.1
+RETRY_S = 0.2
 """Pause after an order that was refused, or could not be sent."""
 ORDER_TTL_S = 1.0
 """Time after which an order of another instance ends unless it is repeated, several times within
 this time."""
 
 
+def report_contacts(backend: server.Server) -> former_primary.Report:
+    """Return what this instance has heard of a server."""
+    contacts, sign = backend.contacts, server_contact.Sign
+    answered_s = contacts.age_s(sign.ANSWERED, sign.REFUSED)
+    refused = sign.NOT_LISTENING in contacts.at_s
+    return former_primary.Report(
+        answered_s=answered_s,
+        connected_s=min(answered_s, contacts.age_s(sign.CONNECTED)),
+        refused_s=contacts.age_s(sign.NOT_LISTENING) if refused else former_primary.NEVER_S,
+    )
+
+
 class StopOrder:
     """This instance's order to one primary under one term; ``run`` until it is carried out."""
 
     def __init__(self, *, target: service.Service, backend: server.Server, term: ids.Term) -> None:
         self.target = target
-        self.backend = backend
+        self.first_backend = backend
         self.term = term
+        self.led_newest = False
+        """Whether the primary has answered under this order that it leads the newest term."""
         self.result = former_primary.Report()
+        self.connected = 0
+        """Connections that are open and wait for an answer."""
 
     def __repr__(self) -> str:
         return f"StopOrder(target={self.target!r}, backend={self.backend!r}, term={self.term!r})"
 
+    @property
+    def backend(self) -> server.Server:
+        """The server, which is another object once it was removed and listed again."""
+        name = self.first_backend.server
+        return self.target.known_servers().get(name, self.first_backend)
+
     def report(self) -> former_primary.Report:
         """Return what this instance knows of the primary now."""
-        now_s, at_s = clock.now_s(), self.backend.contacts.at_s
-        ages = {sign: now_s - seen_s for sign, seen_s in at_s.items()}
-        never_s = former_primary.NEVER_S
-        answered_s = min(
-            ages.get(server_contact.Sign.ANSWERED, never_s),
-            ages.get(server_contact.Sign.REFUSED, never_s),
-        )
-        return former_primary.Report(
-            order=self.result.order,
-            end=self.result.end,
-            answered_s=answered_s,
-            connected_s=min(answered_s, ages.get(server_contact.Sign.CONNECTED, never_s)),
-            refused_s=ages.get(server_contact.Sign.NOT_LISTENING, never_s),
-        )
+        report = report_contacts(self.backend)
+        if self.connected:
+            report = dataclasses.replace(report, connected_s=0.0)
+        return dataclasses.replace(report, order=self.result.order, end=self.result.end)
 
     @property
     def is_pending(self) -> bool:
@@ -68,19 +81,29 @@
             while self.is_pending:
                 if len(sent) < MAX_ORDERS:
                     sent.add(asyncio.create_task(self._send()))
-                _, sent = await asyncio.wait(
+                done, sent = await asyncio.wait(
                     sent, timeout=FOLLOWING_ORDER_S, return_when=asyncio.FIRST_COMPLETED
                 )
+                for each in done:
+                    each.result()
         finally:
             await tasks.cancel_and_wait(list(sent))
 
     async def _send(self) -> None:
         """Send one order over a connection of its own, and wait for its answer."""
         # Connections that nobody uses take the room of the order's session.
-        self.backend.pool.trim(idle_s=0.0)
+        self.backend.pool.close_idle()
         link: ports.Link | None = None
+        connected = False
+
+        def note_connected() -> None:
+            nonlocal connected
+            connected = True
+            self.connected += 1
+            self.backend.contacts.note(server_contact.Sign.CONNECTED)
+
         try:
-            link = await self.target.order_opener(self.backend.entry)
+            link = await self.target.order_opener(self.backend.entry, note_connected)
             await self._order_over(link)
         except (backend_errors.BackendError, TimeoutError) as error:
             contact_signs.note_error(self.backend.contacts, error)
@@ -93,28 +116,28 @@
             )
             await asyncio.sleep(RETRY_S)
         finally:
+            self.connected -= connected
             if link is not None:
                 link.close()
 
     async def _order_over(self, link: ports.Link) -> None:
-        self.backend.contacts.note(server_contact.Sign.CONNECTED)
         before = await link.status(ANSWER_TIMEOUT_S)
         self.backend.contacts.note(server_contact.Sign.ANSWERED)
-        if not before.leads:
-            self._settle(former_primary.Order.REPLICA, before.received)
-            return
-        if before.term >= self.term:
-            # It was promoted since; this order is outdated.
+        if before.leads:
+            if before.term >= self.term:
+                # It was promoted since; this order is outdated.
+                await asyncio.sleep(RETRY_S)
+                return
+            self.led_newest = self.led_newest or before.term >= self.term - 1
+            await link.step_down(self.term, ANSWER_TIMEOUT_S)
+            self.backend.contacts.note(server_contact.Sign.ANSWERED)
+        # A commit that was under way may have been appended until it had stopped.
+        after = await link.status(ANSWER_TIMEOUT_S)
+        if after.leads:
             await asyncio.sleep(RETRY_S)
             return
-        stopped = await link.step_down(self.term, ANSWER_TIMEOUT_S)
-        self.backend.contacts.note(server_contact.Sign.ANSWERED)
-        if not stopped.leads:
-            # A commit that was under way may have been appended until it had stopped.
-            after = await link.status(ANSWER_TIMEOUT_S)
-            led_newest = before.term >= self.term - 1 and not after.leads
-            order = former_primary.Order.STOPPED if led_newest else former_primary.Order.REPLICA
-            self._settle(order, max(stopped.received, after.received))
+        order = former_primary.Order.STOPPED if self.led_newest else former_primary.Order.REPLICA
+        self._settle(order, after.received)
 
     def _settle(self, order: former_primary.Order, end: object) -> None:
         if self.is_pending:
@@ -141,15 +164,17 @@
 
     def receive(
         self, order: datagrams.StopOrder, target: service.Service | None
-    ) -> datagrams.PrimaryReport:
+    ) -> datagrams.PrimaryReport | None:
         """Send an order, unless that is being done, and return what is known of the primary.
 
-        An instance without connections to the service sends its statements through others, and has
-        nothing to report.
+        An instance without connections to the service sends its statements through others, and
+        sends no order. Returns None if nothing is known of the primary.
         """
         backend = target.known_servers().get(order.server) if target is not None else None
-        if backend is None or not target.holds_connections:
-            return datagrams.PrimaryReport(order=order, report=former_primary.Report())
+        if backend is None:
+            return None
+        if not target.holds_connections:
+            return datagrams.PrimaryReport(order=order, report=report_contacts(backend))
         self.asked_at_s[order] = clock.now_s()
         if order not in self.running:
             sending = StopOrder(target=target, backend=backend, term=order.term)
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -80,7 +80,10 @@
             statuses = await self._query_known(self.answering(primary, silent))
         self._raise_term(statuses)
         if primary in self._refusing_to_leave():
-            return IGNORED
+            if self.requested is None:
+                return IGNORED
+            # Commits are held for an earlier change, so it is stopped however long that takes.
+            return await self._decide_without_primary(primary, statuses)
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self._decide_without_primary(primary, statuses)
@@ -333,7 +336,7 @@
         """
         unlisted = self.target.former_primary
         if primary is None and unlisted is not None:
-            primary = unlisted.backend.server
+            primary = unlisted.server
         backend = self.target.known_servers().get(primary)
         if primary in statuses or backend is None:
             return None
@@ -379,12 +382,14 @@
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
                 held_since_s = clock.now_s()
-            if stopped_since_s is None and order is not None:
+            if order is not None and self.stopped_end is None:
                 if not self._note_stopped_by_any(order, report):
                     return STARTED_ANEW
                 if self.stopped_end is not None:
-                    stopped_since_s = clock.now_s()
                     await self._record_end(order.backend.server, self.stopped_end)
+            replica = self.stopped_end is not None or self.replica_end is not None
+            if stopped_since_s is None and replica:
+                stopped_since_s = clock.now_s()
             former = self._former_primary(order, report, held_since_s=held_since_s)
             if ended_since_s is None and held_since_s is not None and former.has_ended:
                 ended_since_s = clock.now_s()
@@ -396,6 +401,8 @@
             status = statuses.get(self.requested)
             behind = status is not None and promotion.lacks_acknowledged(status, report.above)
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
+            if in_time and status is not None and status.paused and self.holds_claim():
+                await self.commands.resume(receives)
             paused = await self.pause_others(statuses, spared=spared | receives)
             if stopped_since_s is not None and not in_time:
                 statuses = statuses | await self.commands.query({primary} & spared)
--- a/tests/common/takeovers.py
+++ b/tests/common/takeovers.py
@@ -33,7 +33,9 @@
 
 
 def cut_off(world: proxy_world.World, server: ids.ServerId = A) -> None:
-    """Let a server reach nobody: it gives no answer, and its entry expires."""
+    """Let a server reach nobody for long: it gives no answer, and its entry expires."""
+    contacts = world.service.servers[server].contacts
+    contacts.at_s, contacts.since_s = {}, float("-inf")
     world.group.servers[server].silent = True
     world.directory.servers.remove(server, clock.now_s())
     world.directory.refresh()
