--- a/tests/decisions/test_datagrams.py
+++ b/tests/decisions/test_datagrams.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mustardswitch.internal import ids, positions
+from mustardswitch.internal import former_primary, ids, positions
 from mustardswitch.peers import datagrams, errors
 
 ALPHABET = 'ab-/"\\é\n\0\U0001f600'
@@ -27,6 +27,20 @@
     revision=NUMBERS,
     above=st.none() | POSITIONS,
 )
+ORDERS = st.builds(datagrams.StopOrder, service=NAMES, server=NAMES, term=NUMBERS)
+AGES = st.just(former_primary.NEVER_S) | st.integers(0, 10**9).map(lambda age_ms: age_ms / 1000)
+REPORTS = st.builds(
+    datagrams.PrimaryReport,
+    order=ORDERS,
+    report=st.builds(
+        former_primary.Report,
+        order=st.sampled_from(former_primary.Order),
+        end=st.none() | POSITIONS,
+        answered_s=AGES,
+        connected_s=AGES,
+        refused_s=AGES,
+    ),
+)
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | TEXTS,
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(TEXTS, inner),
@@ -40,6 +54,8 @@
     "stale": True,
     "recorded": [["s", "b", 7]],
     "held": [["s", "b", 7, [1, 2]], ["t", "b", 7, None]],
+    "stop": [["s", "a", 3]],
+    "primaries": [["s", "a", 3, "stopped", [1, 2], 0.5, 0, None]],
 }
 
 
@@ -55,6 +71,8 @@
         stale=draw(st.booleans()),
         promotions=tuple(draw(st.lists(PROMOTIONS, max_size=datagrams.MAX_PROMOTIONS // 2))),
         held=tuple(draw(st.lists(HELD, max_size=datagrams.MAX_PROMOTIONS // 2))),
+        stop_orders=tuple(draw(st.lists(ORDERS, max_size=1))),
+        primary_reports=tuple(draw(st.lists(REPORTS, max_size=1))),
     )
 
 
@@ -69,6 +87,41 @@
     assert datagrams.decode(datagrams.encode(update)) == update
 
 
+@given(orders=st.lists(ORDERS, max_size=datagrams.MAX_PROMOTIONS))
+def test_as_many_orders_to_stop_as_are_permitted_arrive(orders):
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), stop_orders=tuple(orders))
+    assert datagrams.decode(datagrams.encode(update)) == update
+
+
+@given(age_s=st.floats(0, 1e9))
+def test_an_age_arrives_to_the_millisecond(age_s):
+    report = former_primary.Report(answered_s=age_s)
+    order = datagrams.StopOrder(service="s", server="a", term=3)
+    told = datagrams.PrimaryReport(order=order, report=report)
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), primary_reports=(told,))
+    arrived = datagrams.decode(datagrams.encode(update)).primary_reports[0].report
+    assert arrived.answered_s == pytest.approx(age_s, abs=0.0006)
+    assert (arrived.connected_s, arrived.refused_s) == (former_primary.NEVER_S,) * 2
+
+
+def test_the_answer_to_as_many_orders_as_are_sent_at_once_fits_into_a_datagram():
+    """The names are as long as those of the platform, the numbers as long as in years."""
+    order = datagrams.StopOrder(service="orders-" + "x" * 20, server="y" * 36, term=10**6)
+    end = positions.Position(term=10**6, offset=10**12)
+    report = former_primary.Report(
+        order=former_primary.Order.STOPPED,
+        end=end,
+        answered_s=1234.567,
+        connected_s=1234.567,
+        refused_s=1234.567,
+    )
+    told = datagrams.PrimaryReport(order=order, report=report)
+    update = datagrams.PeerUpdate(
+        instance=ids.InstanceId("z" * 36), primary_reports=(told,) * datagrams.MAX_PROMOTIONS
+    )
+    assert len(datagrams.encode(update)) <= datagrams.MAX_BYTES
+
+
 @given(field=st.sampled_from(sorted(VALID)), value=VALUES)
 def test_a_field_of_any_value_is_decoded_fully_or_raises_one_error(field, value):
     data = json.dumps({**VALID, field: value}).encode()
@@ -86,6 +139,7 @@
 
 
 POSITION = [1, 2]
+REPORT = VALID["primaries"][0]
 
 
 @pytest.mark.parametrize(
@@ -122,6 +176,26 @@
         {"held": [["s", "b", 7, [1, -2]]]},
         {"held": [["s", "b", 7, [1, None]]]},
         {"held": [["s", "b", 7, "12"]]},
+        {"stop": {"s": "a"}},
+        {"stop": [["s", "a", 3]] * (datagrams.MAX_PROMOTIONS + 1)},
+        {"stop": [["s", "a"]]},
+        {"stop": [["s", "", 3]]},
+        {"stop": [["s", "a", -1]]},
+        {"stop": [["s", "a", 3.0]]},
+        {"primaries": None},
+        {"primaries": [REPORT] * (datagrams.MAX_PROMOTIONS + 1)},
+        {"primaries": [REPORT[:-1]]},
+        {"primaries": [[*REPORT, None]]},
+        {"primaries": [["s", 5, *REPORT[2:]]]},
+        {"primaries": [[*REPORT[:2], None, *REPORT[3:]]]},
+        {"primaries": [[*REPORT[:3], "STOPPED", *REPORT[4:]]]},
+        {"primaries": [[*REPORT[:3], None, *REPORT[4:]]]},
+        {"primaries": [[*REPORT[:3], ["stopped"], *REPORT[4:]]]},
+        {"primaries": [[*REPORT[:4], [1], *REPORT[5:]]]},
+        {"primaries": [[*REPORT[:5], -0.1, 0, 0]]},
+        {"primaries": [[*REPORT[:5], 0, "0", 0]]},
+        {"primaries": [[*REPORT[:5], 0, 0, float("nan")]]},
+        {"primaries": [[*REPORT[:5], 0, True, 0]]},
     ],
     ids=str,
 )
--- /dev/null
+++ b/tests/proxy/test_stop_orders.py
@@ -0,0 +1,191 @@
+"""Every instance orders a primary that is to be replaced to stop, until it has."""
+
+import asyncio
+
+import pytest
+
+from mustardswitch.backends import errors as backend_errors
+from mustardswitch.internal import former_primary, ids, promotion, server_contact
+from mustardswitch.peers import datagrams
+from mustardswitch.proxy import requests, stop_orders
+from mustardswitch_standins import database_group
+from tests.common import builders, peer_world, proxy_world
+from tests.common.stop_orders import (
+    ORDER,
+    TERM,
+    A,
+    answer_late,
+    order_of,
+    refuse_first,
+    run_briefly,
+)
+
+Order, Role = former_primary.Order, promotion.Role
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch):
+    monkeypatch.setattr(stop_orders, "RETRY_S", 0.005)
+    monkeypatch.setattr(stop_orders, "FOLLOWING_ORDER_S", 0.02)
+
+
+@pytest.fixture
+def world():
+    built = proxy_world.World()
+    built.group.commit(built.group.primary, "old")
+    return built
+
+
+async def test_a_primary_that_answers_late_is_stopped_by_an_order_that_is_not_given_up(
+    world, monkeypatch
+):
+    answer_late(monkeypatch, late_s=8.0, scale=100)
+    order = order_of(world)
+    await asyncio.wait_for(order.run(), 2.0)
+    assert world.group.servers[A].role is Role.REPLICA
+    assert not order.is_pending and order.report().end == world.group.servers[A].position
+    links = world.group.servers[A].links
+    assert len(links) == stop_orders.MAX_ORDERS and all(link.broken for link in links)
+
+
+async def test_the_reported_end_has_a_commit_that_was_under_way_at_the_stop(world, monkeypatch):
+    step_down = database_group.FakeLink.step_down
+
+    async def step_down_and_append(link, term, timeout_s):
+        stopped = await step_down(link, term, timeout_s)
+        link.server.log.append(database_group.LogEntry(term=1, data="late"))
+        return stopped
+
+    monkeypatch.setattr(database_group.FakeLink, "step_down", step_down_and_append)
+    order = order_of(world)
+    await order.run()
+    assert order.report().end == builders.position(1, 2)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        backend_errors.BackendError("BUSY"),
+        backend_errors.ConnectionLimitError("full"),
+        backend_errors.ServerRefusedError("down"),
+        TimeoutError(),
+    ],
+    ids=repr,
+)
+async def test_a_primary_that_refuses_the_order_is_asked_again_until_it_accepts(world, error):
+    errors = [error] * 5
+    refuse_first(world, errors)
+    order = order_of(world)
+    await asyncio.wait_for(order.run(), 2.0)
+    assert errors == [] and order.report().order is Order.STOPPED
+
+
+@pytest.mark.parametrize("command", ["status", "step_down"])
+async def test_a_primary_that_refuses_a_command_is_asked_again(world, monkeypatch, command):
+    accepted, refusals = getattr(database_group.FakeLink, command), iter(range(5))
+
+    async def refuse_first_times(link, *arguments):
+        if next(refusals, None) is not None:
+            raise backend_errors.BackendError("BUSY")
+        return await accepted(link, *arguments)
+
+    monkeypatch.setattr(database_group.FakeLink, command, refuse_first_times)
+    order = order_of(world)
+    await asyncio.wait_for(order.run(), 2.0)
+    assert order.report().order is Order.STOPPED
+
+
+async def test_a_server_that_answers_as_a_replica_reports_its_end_and_was_not_stopped(world):
+    world.group.servers[A].role = Role.REPLICA
+    order = order_of(world)
+    await order.run()
+    assert order.report().order is Order.REPLICA
+    assert order.report().end == world.group.servers[A].position
+    assert world.group.servers[A].received_commands == ["status"]
+
+
+async def test_a_primary_of_an_older_term_that_was_stopped_did_not_lead_the_newest(world):
+    order = order_of(world, term=TERM + 1)
+    await order.run()
+    assert world.group.servers[A].role is Role.REPLICA
+    assert order.report().order is Order.REPLICA
+
+
+@pytest.mark.parametrize("term", [TERM, TERM + 3])
+async def test_a_primary_that_leads_the_term_of_the_order_or_a_newer_one_is_not_stopped(
+    world, term
+):
+    world.group.term = term
+    order = order_of(world)
+    await run_briefly(order)
+    assert world.group.servers[A].role is Role.PRIMARY
+    assert order.is_pending and "step_down" not in world.group.servers[A].received_commands
+
+
+async def test_idle_connections_make_room_for_the_session_of_the_order(world):
+    caller = world.open_session(requests.RouteKind.PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    await world.settle()
+    used = list(world.group.servers[A].links)
+    assert used and not all(link.broken for link in used)
+    await order_of(world).run()
+    assert all(link.broken for link in used)
+
+
+async def test_a_report_tells_the_latest_signs_of_the_primary(monkeypatch):
+    world = peer_world.World(monkeypatch)
+    order, contacts = order_of(world), world.service.servers[A].contacts
+    assert order.report() == former_primary.Report()
+    contacts.note(server_contact.Sign.ANSWERED)
+    world.now_s += 1.0
+    contacts.note(server_contact.Sign.REFUSED)
+    world.now_s += 1.0
+    contacts.note(server_contact.Sign.CONNECTED)
+    world.now_s += 1.0
+    contacts.note(server_contact.Sign.NOT_LISTENING)
+    world.now_s += 1.0
+    contacts.note(server_contact.Sign.UNREACHABLE)
+    assert order.report() == former_primary.Report(answered_s=3.0, connected_s=2.0, refused_s=1.0)
+
+
+# Orders of other instances
+
+
+async def test_an_order_of_another_instance_ends_when_it_is_not_repeated(monkeypatch):
+    world, orders = peer_world.World(monkeypatch), stop_orders.StopOrders()
+    world.group.servers[A].silent = True
+    orders.receive(ORDER, world.service)
+    _, task = orders.running[ORDER]
+    for _ in range(3):
+        world.now_s += stop_orders.ORDER_TTL_S - 0.01
+        orders.expire()
+        orders.receive(ORDER, world.service)
+        await asyncio.sleep(0)
+    assert orders.running[ORDER][1] is task and not task.done()
+    world.now_s += stop_orders.ORDER_TTL_S + 0.01
+    orders.expire()
+    await asyncio.gather(task, return_exceptions=True)
+    assert task.cancelled() and not orders.running and not orders.asked_at_s
+
+
+async def test_a_repeated_order_tells_its_result(world):
+    orders = stop_orders.StopOrders()
+    assert orders.receive(ORDER, world.service).report.order is Order.PENDING
+    await world.settle()
+    told = orders.receive(ORDER, world.service)
+    assert told.order == ORDER and told.report.order is Order.STOPPED
+
+
+@pytest.mark.parametrize("case", ["holds none", "unknown service", "unknown server"])
+async def test_an_instance_without_connections_to_the_primary_reports_nothing(world, case):
+    orders, order, target = stop_orders.StopOrders(), ORDER, world.service
+    target.servers[A].contacts.note(server_contact.Sign.ANSWERED)
+    if case == "holds none":
+        target.resize(1, holds_connections=False)
+    elif case == "unknown service":
+        target = None
+    else:
+        order = datagrams.StopOrder(service=ORDER.service, server=ids.ServerId("x"), term=TERM)
+    told = orders.receive(order, target)
+    assert told == datagrams.PrimaryReport(order=order, report=former_primary.Report())
+    assert not orders.running
