--- a/tests/common/peer_world.py
+++ b/tests/common/peer_world.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from mustardswitch.internal import clock, commit_permission, ids, positions
+from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import directory, peer_updates, ports
 from mustardswitch_standins import database_group
@@ -67,12 +67,27 @@
         """Remove the registration of an instance."""
         self.directory.instances.remove(name, self.now_s)
 
-    def report(self, promoted: datagrams.RecordedPromotion | None = None) -> ports.HoldReport:
+    def report(
+        self,
+        promoted: datagrams.RecordedPromotion | None = None,
+        *,
+        order: datagrams.StopOrder | None = None,
+    ) -> ports.HoldReport:
         """Record that a promotion is announced, and return the present report."""
         return self.updates.hold_commits(
-            promoted or promotion_of(), recorded_at_s=self.recorded_at_s
+            promoted or promotion_of(), recorded_at_s=self.recorded_at_s, order=order
         )
 
+    def tell_primary(
+        self,
+        instance: ids.InstanceId,
+        report: former_primary.Report,
+        order: datagrams.StopOrder,
+    ) -> None:
+        """Receive what another instance knows of a primary."""
+        told = datagrams.PrimaryReport(order=order, report=report)
+        self.updates.receive(datagrams.PeerUpdate(instance=instance, primary_reports=(told,)))
+
     def confirm(
         self, *names: ids.InstanceId, above: positions.Position | None = None, **changes: object
     ) -> None:
--- /dev/null
+++ b/tests/proxy/test_contact_signs.py
@@ -0,0 +1,50 @@
+"""What an error shows about the process of a server."""
+
+import pytest
+
+from mustardswitch.backends import errors
+from mustardswitch.internal import clock, server_contact
+from mustardswitch.proxy import contact_signs
+
+Sign = server_contact.Sign
+
+
+@pytest.mark.parametrize(
+    ("error", "sign"),
+    [
+        (errors.BackendError("BUSY"), Sign.REFUSED),
+        (errors.ConnectionLimitError("full"), Sign.REFUSED),
+        (errors.SessionUnansweredError("late"), Sign.CONNECTED),
+        (errors.ServerRefusedError("down"), Sign.NOT_LISTENING),
+        (errors.AddressReusedError("another"), Sign.NOT_LISTENING),
+        (errors.BackendUnreachableError("silent"), Sign.UNREACHABLE),
+        (errors.ConnectionBrokenError("late"), None),
+        (errors.NothingSentError("closed"), None),
+        (errors.PoolFullError("full"), None),
+        (errors.PoolUnreachableError("closed"), None),
+        (TimeoutError(), None),
+        (OSError(), None),
+    ],
+    ids=repr,
+)
+def test_an_error_is_recorded_as_what_it_shows(error, sign):
+    contacts = server_contact.ContactLog()
+    contact_signs.note_error(contacts, error)
+    assert list(contacts.at_s) == ([] if sign is None else [sign])
+
+
+def test_only_signs_of_life_count_as_heard_and_an_unreachable_server_shows_nothing(monkeypatch):
+    now_s = 10.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    contacts = server_contact.ContactLog()
+    assert contacts.latest() is None and contacts.heard_at_s() == float("-inf")
+    contacts.note(Sign.UNREACHABLE)
+    assert contacts.latest() is None and contacts.heard_at_s() == float("-inf")
+    for sign in (Sign.ANSWERED, Sign.REFUSED, Sign.CONNECTED, Sign.NOT_LISTENING):
+        now_s += 1.0
+        contacts.note(sign)
+        assert contacts.latest() == server_contact.Contact(sign=sign, age_s=0.0)
+    assert contacts.heard_at_s() == now_s - 1.0
+    now_s += 1.0
+    contacts.note(Sign.UNREACHABLE)
+    assert str(contacts.latest()) == "not_listening 1.0s ago"
--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -1,17 +1,24 @@
 """How instances hold commits back for a promotion that another instance has recorded."""
 
+import asyncio
+import dataclasses
+
 import pytest
 
-from mustardswitch.internal import commit_permission, ids
+from mustardswitch.internal import commit_permission, former_primary, ids, server_contact
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import peer_updates, ports
 from mustardswitch_standins import database_group
-from tests.common import builders, peer_world
+from tests.common import builders, peer_world, stop_orders
 
 ONE, TWO, THREE = peer_world.ONE, peer_world.TWO, peer_world.THREE
 A, B, C = peer_world.A, peer_world.B, peer_world.C
 REVISION = peer_world.REVISION
 LIMIT_S = commit_permission.HOLD_LIMIT_S
+ORDER = stop_orders.ORDER
+STOPPED = former_primary.Report(
+    order=former_primary.Order.STOPPED, end=builders.position(1, 7), answered_s=1.0, connected_s=0.5
+)
 
 
 @pytest.fixture
@@ -153,6 +160,59 @@
     assert world.peers.hosts == [{TWO, THREE}]
 
 
+def test_the_holder_learns_what_the_others_know_of_the_primary_as_of_now(world):
+    assert world.report(order=ORDER).primary_reports == {}
+    world.tell_primary(TWO, STOPPED, ORDER)
+    world.now_s += 2.0
+    world.tell_primary(THREE, former_primary.Report(), ORDER)
+    aged = dataclasses.replace(STOPPED, answered_s=3.0, connected_s=2.5)
+    known = world.report(order=ORDER).primary_reports
+    assert known == {TWO: aged, THREE: former_primary.Report()}
+    newer = dataclasses.replace(STOPPED, answered_s=0.0, connected_s=0.0)
+    world.tell_primary(TWO, newer, ORDER)
+    assert world.report(order=ORDER).primary_reports[TWO] == newer
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"term": stop_orders.TERM - 1},
+        {"term": stop_orders.TERM + 1},
+        {"server": C},
+        {"service": ids.ServiceName("another")},
+    ],
+)
+def test_reports_that_answer_another_order_do_not_count(world, changes):
+    world.report(order=ORDER)
+    world.tell_primary(TWO, STOPPED, dataclasses.replace(ORDER, **changes))
+    assert world.report(order=ORDER).primary_reports == {}
+
+
+def test_reports_that_nobody_asked_for_do_not_count(world):
+    world.tell_primary(TWO, STOPPED, ORDER)
+    assert world.report(order=ORDER).primary_reports == {}
+
+
+def test_reports_of_an_ended_change_do_not_count_for_a_later_one(world):
+    world.report(order=ORDER)
+    world.tell_primary(TWO, STOPPED, ORDER)
+    world.updates.end_hold(ids.ServiceName("another"))
+    assert world.report(order=ORDER).primary_reports
+    world.updates.end_hold(ORDER.service)
+    assert world.report(order=ORDER).primary_reports == {}
+
+
+def test_all_instances_are_asked_to_stop_the_primary_also_those_that_have_confirmed(world):
+    world.updates.note_instances()
+    world.remove_instance(THREE)
+    world.report()
+    world.confirm(TWO, THREE)
+    world.now_s += peer_updates.ANNOUNCE_REPEAT_S
+    world.report(order=ORDER)
+    assert world.peers.sent[-1].stop_orders == (ORDER,)
+    assert world.peers.hosts[-1] == {TWO, THREE}
+
+
 # The other instances
 
 
@@ -213,3 +273,27 @@
     world.directory.refresh()
     confirmed = bool(world.peers.sent)
     assert not (confirmed and world.service.may_commit(world.service.servers[A]))
+
+
+async def test_an_instance_answers_an_order_to_stop_with_what_it_knows_of_the_primary(world):
+    world.service.servers[A].contacts.note(server_contact.Sign.REFUSED)
+    world.now_s += 2.0
+    asked = datagrams.PeerUpdate(instance=TWO, stop_orders=(ORDER,))
+    world.updates.receive(asked)
+    known = former_primary.Report(answered_s=2.0, connected_s=2.0)
+    told = datagrams.PrimaryReport(order=ORDER, report=known)
+    assert world.peers.sent == [datagrams.PeerUpdate(instance=ONE, primary_reports=(told,))]
+    assert world.peers.hosts == [{TWO}]
+    await world.settle()
+    world.updates.receive(asked)
+    assert world.peers.sent[-1].primary_reports[0].report.order is former_primary.Order.STOPPED
+
+
+async def test_an_order_that_the_holder_does_not_repeat_is_ended_by_the_regular_check(world):
+    world.group.servers[A].silent = True
+    world.updates.receive(datagrams.PeerUpdate(instance=TWO, stop_orders=(ORDER,)))
+    [(_, task)] = world.updates.stop_orders.running.values()
+    world.now_s += 1.1
+    await world.check()
+    await asyncio.gather(task, return_exceptions=True)
+    assert task.cancelled()
