--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -88,7 +88,7 @@
                 self.requested = self.recorded_end = None
                 # A promotion ends all pauses.
                 self.may_be_paused = set()
-            elif not self.request_sent:
+            elif not self.request_sent and not self.final_ends.known:
                 self.requested = self.requested_before
             await asyncio.shield(self._end(self.answering(primary, silent)))
         events.log(
