--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -6,7 +6,14 @@
 
 from mustardswitch import events
 from mustardswitch.internal import clock, ids, positions, promotion, revisions
-from mustardswitch.proxy import errors, ports, server_commands, service, takeover_report
+from mustardswitch.proxy import (
+    errors,
+    final_ends,
+    ports,
+    server_commands,
+    service,
+    takeover_report,
+)
 
 POLL_S = 0.05
 """Pause between queries to a server that is catching up or is being promoted."""
@@ -48,6 +55,8 @@
         """End of the log of the primary, which takes no commits any more; None before that."""
         self.recorded_end: ports.StoppedPrimary | None = None
         """The primary that this holder or an earlier one has stopped, as recorded in the store."""
+        self.final_ends = final_ends.FinalEnds(target=target, coordination=coordination)
+        """Ends of logs that were read after commits had ended."""
         self.primary_end = positions.ORIGIN
         """The highest end of the log that a primary has shown to this holder."""
         self.replica_end: positions.Position | None = None
@@ -97,6 +106,8 @@
             # Under one claim commits are held without a break, whichever server is named.
             at_s = clock.now_s() if self.record is None else self.record.at_s
             self.record = Record(server=successor, revision=revision, at_s=at_s)
+            self.final_ends.may_be_recorded = False
+            await self.final_ends.write(self.claim, revision)
             return True
         return False
 
@@ -106,6 +117,11 @@
             return True
         return await self._record(successor)
 
+    async def withdraw_final_ends(self) -> bool:
+        """Remove final ends from the store; False when that is not possible under the claim."""
+        self.final_ends.clear()
+        return not self.final_ends.may_be_recorded or await self._record(self.requested)
+
     def hold_commits(self, stop: ports.StopRequest | None = None) -> ports.HoldReport:
         """Ask the instances to hold commits back for the server that this holder has recorded.
 
--- a/src/mustardswitch/proxy/claimed_changes.py
+++ b/src/mustardswitch/proxy/claimed_changes.py
@@ -26,6 +26,8 @@
         return False
     # Instances of an earlier build mark a request without naming its server.
     unnamed = unfinished is ports.UnfinishedChange.PROMOTION_REQUESTED and attempt.requested is None
+    if unnamed:
+        attempt.final_ends.clear()
     done = False
     try:
         if unnamed and target.requested is not None:
@@ -92,11 +94,13 @@
         try:
             attempt.requested_before = await coordination.recorded_promotion(target.name)
             attempt.recorded_end = await coordination.recorded_end(target.name)
+            recorded = await coordination.recorded_final_ends(target.name)
         except errors.StoreError as error:
             events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
             await asyncio.sleep(claimed_attempt.POLL_S)
         else:
             attempt.requested = attempt.requested_before
+            attempt.final_ends.take_over(recorded, requested=attempt.requested is not None)
             return attempt
     # Not released, which would remove a record that was not read.
     return None
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -400,7 +400,11 @@
         knows which server may be promoted late. Raises StoreError.
         """
         puts = _promotion_records(claim.service, server)
-        return await self.client.change(expected=self._condition(claim), puts=puts)
+        return await self.client.change(
+            expected=self._condition(claim),
+            puts=puts,
+            deletes=[f"{fleet_records.FINAL_ENDS}{claim.service}"],
+        )
 
     def hold_commits(
         self,
@@ -443,6 +447,43 @@
         """Return the primary that a holder has stopped; raises StoreError."""
         return await self._read_record(f"{fleet_records.ENDS}{service}", fleet_records.decode_end)
 
+    async def record_final_ends(
+        self,
+        claim: ports.Claim,
+        ends: collections.abc.Set[ports.FinalEnd],
+        *,
+        revision: revisions.Revision,
+    ) -> None:
+        """Record final ends under the claim; raises StoreError.
+
+        Nothing is written unless the promotion's record still has the ``revision``, so a write that
+        is executed late is void once that record was written anew.
+        """
+        promoted = f"{fleet_records.PROMOTIONS}{claim.service}"
+        put = ports.Put(
+            key=f"{fleet_records.FINAL_ENDS}{claim.service}",
+            value=fleet_records.encode_final_ends(ends),
+        )
+        await self.client.change(
+            expected={**self._condition(claim), promoted: revision}, puts=[put]
+        )
+
+    async def recorded_final_ends(self, service: ids.ServiceName) -> frozenset[ports.FinalEnd]:
+        """Return the final ends that are recorded; raises StoreError.
+
+        Instances of earlier builds write and delete the promotion's record without removing the
+        final ends, and a restored store may hold those of a change that was completed since.
+        """
+        key = f"{fleet_records.FINAL_ENDS}{service}"
+        found = await self.client.read(key)
+        if found is None:
+            return frozenset()
+        promoted = await self.client.read(f"{fleet_records.PROMOTIONS}{service}")
+        outdated = promoted is None or promoted.revision > found.revision
+        if outdated or revisions.era_of(found.revision) != self.client.era:
+            return frozenset()
+        return await self._read_record(key, fleet_records.decode_final_ends) or frozenset()
+
     async def _read_record(
         self, key: str, decode: collections.abc.Callable[[bytes], Record]
     ) -> Record | None:
@@ -495,6 +536,7 @@
             deletes.append(f"{fleet_records.UNFINISHED}{service}")
         if promoted is None:
             deletes.append(f"{fleet_records.PROMOTIONS}{service}")
+            deletes.append(f"{fleet_records.FINAL_ENDS}{service}")
         if stopped is None:
             deletes.append(f"{fleet_records.ENDS}{service}")
         released = await self.client.change(
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -1,5 +1,7 @@
 """Records that instances write to the store for each other: their keys, codecs and effects."""
 
+import collections.abc
+
 from mustardswitch.internal import change_log, clock, ids, positions
 from mustardswitch.internal import errors as internal_errors
 from mustardswitch.peers import datagrams
@@ -12,6 +14,7 @@
 UNFINISHED = f"{PREFIX}unfinished/"
 PROMOTIONS = f"{PREFIX}promotions/"
 ENDS = f"{PREFIX}ends/"
+FINAL_ENDS = f"{PREFIX}final-ends/"
 ERAS = f"{PREFIX}eras/"
 MEMBERS = f"{PREFIX}members/"
 MAX_PORT = 65535
@@ -78,6 +81,46 @@
         raise errors.FleetRecordError(f"a stopped primary needs a position: {error}") from error
 
 
+def encode_final_ends(ends: collections.abc.Set[ports.FinalEnd]) -> bytes:
+    """Encode final ends, one a line: the server, its start in milliseconds, and the end."""
+    return "\n".join(
+        sorted(f"{each.server} {each.started_ms} {each.end}" for each in ends)
+    ).encode()
+
+
+def decode_final_ends(value: bytes) -> frozenset[ports.FinalEnd]:
+    """Decode final ends; raises FleetRecordError."""
+    try:
+        lines = value.decode().split("\n") if value else []
+    except UnicodeDecodeError as error:
+        raise errors.FleetRecordError("final ends must name servers in UTF-8") from error
+    ends = [_decode_final_end(line) for line in lines]
+    if len({each.server for each in ends}) < len(ends):
+        raise errors.FleetRecordError("final ends must name each server once")
+    return frozenset(ends)
+
+
+def _decode_final_end(line: str) -> ports.FinalEnd:
+    server, _, rest = line.partition(" ")
+    started_ms, _, end = rest.partition(" ")
+    if not (server and started_ms.isascii() and started_ms.isdigit() and end.isascii()):
+        raise errors.FleetRecordError(
+            "a final end needs a server, its start in milliseconds and a position"
+        )
+    try:
+        return ports.FinalEnd(
+            server=ids.ServerId(server),
+            started_ms=int(started_ms),
+            end=positions.parse_position(end),
+        )
+    except ValueError as error:
+        raise errors.FleetRecordError(
+            f"a final end needs a start and a position: {error}"
+        ) from error
+    except internal_errors.InvalidPositionError as error:
+        raise errors.FleetRecordError(f"a final end needs a position: {error}") from error
+
+
 def apply(known: directory.Directory, item: change_log.Item) -> None:
     """Apply the change of a record to a directory; raises FleetRecordError."""
     key = item.key
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -240,6 +240,16 @@
     """End of its log, read after it had stopped."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FinalEnd:
+    """The end of a paused server's log, read after commits had ended."""
+
+    server: ids.ServerId
+    started_ms: int
+    """When the server started, in milliseconds; see ``ServerEntry``."""
+    end: positions.Position
+
+
 class UnfinishedChange(enum.Enum):
     """The state in which a change of primary that was not completed left its service."""
 
@@ -313,7 +323,7 @@
         """Record the server whose promotion will be requested under a claim.
 
         Returns the revision of the record. Returns None when the claim is lost; no promotion may
-        be requested then.
+        be requested then. Final ends that are recorded are removed.
         """
 
     def hold_commits(
@@ -340,6 +350,21 @@
     async def recorded_end(self, service: ids.ServiceName) -> StoppedPrimary | None:
         """Return the primary that a holder has stopped in a change which is not complete."""
 
+    async def record_final_ends(
+        self,
+        claim: Claim,
+        ends: collections.abc.Set[FinalEnd],
+        *,
+        revision: revisions.Revision,
+    ) -> None:
+        """Record final ends, unless the promotion's record has another revision by now."""
+
+    async def recorded_final_ends(self, service: ids.ServiceName) -> frozenset[FinalEnd]:
+        """Return the final ends recorded since the promotion's record was written.
+
+        No promotion was requested since then.
+        """
+
     async def release(
         self,
         claim: Claim,
@@ -351,7 +376,7 @@
         """Release a claim; an unfinished change stays recorded for the other instances.
 
         ``promoted`` is the server whose promotion may still take effect, and ``stopped`` a primary
-        that was stopped and not replaced; their records stay.
+        that was stopped and not replaced; their records stay. The final ends stay with the former.
         """
 
     async def vote(self, service: ids.ServiceName, server: ids.ServerId) -> None:
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -84,6 +84,9 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self._decide_without_primary(primary, statuses)
+        # Its replicas may receive more of its log.
+        if not await self.withdraw_final_ends():
+            return NOT_RECORDED
         # A primary that was stopped may lead again after a crash.
         self.stopped_end = None
         # A leader that is not listed serves no callers; it is replaced if that lasts.
@@ -279,6 +282,7 @@
             required_end=self._required_end(),
             commits_held=report.complete,
             former_primary=former,
+            final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
         )
         return promotion.choose(
@@ -375,6 +379,7 @@
         if order is not None:
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
+        queried_s = float("-inf")
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -415,7 +420,14 @@
                 return choice
             if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
                 return choice
+            ended = report.complete and former.has_ended
+            if ended and ended_since_s is not None and queried_s > ended_since_s:
+                primary_end = self.stopped_end or self.replica_end
+                await self.final_ends.add(
+                    self.claim, paused, revision=self.record.revision, primary_end=primary_end
+                )
             await asyncio.sleep(claimed_attempt.POLL_S)
+            queried_s = clock.now_s()
             statuses = await self.commands.query(self.confirming() - spared)
 
     def _note_stopped_by_any(self, order: stop_orders.StopOrder, report: ports.HoldReport) -> bool:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -181,6 +181,8 @@
 
         Without an answer the request is repeated for the same server only.
         """
+        if not await self.withdraw_final_ends():
+            return False
         while self.holds_claim():
             outcome = await self._request(successor)
             if outcome is ports.PromotionOutcome.REJECTED:
--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -1,6 +1,7 @@
 """The platform's promotion call and the claims of services, in memory."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from mustardswitch.internal import clock, ids, revisions
@@ -72,6 +73,8 @@
         self.claim_s = database_group.CLAIM_S
         self.ends: dict[ids.ServiceName, ports.StoppedPrimary] = {}
         """Primaries that were stopped in changes which are not complete."""
+        self.final_ends: dict[ids.ServiceName, frozenset[ports.FinalEnd]] = {}
+        """Ends that were read after commits had ended in changes which are not complete."""
         self.hold_report = ports.HoldReport(complete=True)
         self.unfinished: dict[ids.ServiceName, ports.UnfinishedChange] = {}
         """Marks of unfinished changes; may be shared with a directory."""
@@ -112,6 +115,7 @@
             return None
         self.unfinished[claim.service] = ports.UnfinishedChange.PROMOTION_REQUESTED
         self.promotions[claim.service] = server
+        self.final_ends.pop(claim.service, None)
         self.revision += 1
         return revisions.Revision(self.revision)
 
@@ -139,6 +143,21 @@
         """Return the recorded end."""
         return self.ends.get(service)
 
+    async def record_final_ends(
+        self,
+        claim: ports.Claim,
+        ends: collections.abc.Set[ports.FinalEnd],
+        *,
+        revision: revisions.Revision,
+    ) -> None:
+        """Record final ends unless the claim has expired."""
+        if clock.now_s() < claim.expires_at_s:
+            self.final_ends[claim.service] = frozenset(ends)
+
+    async def recorded_final_ends(self, service: ids.ServiceName) -> frozenset[ports.FinalEnd]:
+        """Return the recorded final ends."""
+        return self.final_ends.get(service, frozenset())
+
     async def release(
         self,
         claim: ports.Claim,
@@ -154,6 +173,8 @@
             return
         self.unfinished.pop(claim.service, None)
         self.promotions.pop(claim.service, None)
+        if promoted is None:
+            self.final_ends.pop(claim.service, None)
         if stopped is None:
             self.ends.pop(claim.service, None)
         if unfinished is not None:
