--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -14,6 +14,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import random
 import typing
 import uuid
@@ -462,7 +463,7 @@
         promoted = f"{fleet_records.PROMOTIONS}{claim.service}"
         put = ports.Put(
             key=f"{fleet_records.FINAL_ENDS}{claim.service}",
-            value=fleet_records.encode_final_ends(ends),
+            value=fleet_records.encode_final_ends(ends, era=revisions.era_of(claim.fencing_token)),
         )
         await self.client.change(
             expected={**self._condition(claim), promoted: revision}, puts=[put]
@@ -479,10 +480,10 @@
         if found is None:
             return frozenset()
         promoted = await self.client.read(f"{fleet_records.PROMOTIONS}{service}")
-        outdated = promoted is None or promoted.revision > found.revision
-        if outdated or revisions.era_of(found.revision) != self.client.era:
+        if promoted is None or promoted.revision > found.revision:
             return frozenset()
-        return await self._read_record(key, fleet_records.decode_final_ends) or frozenset()
+        decode = functools.partial(fleet_records.decode_final_ends, era=self.client.era)
+        return await self._read_record(key, decode) or frozenset()
 
     async def _read_record(
         self, key: str, decode: collections.abc.Callable[[bytes], Record]
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -81,44 +81,41 @@
         raise errors.FleetRecordError(f"a stopped primary needs a position: {error}") from error
 
 
-def encode_final_ends(ends: collections.abc.Set[ports.FinalEnd]) -> bytes:
-    """Encode final ends, one a line: the server, its start in milliseconds, and the end."""
-    return "\n".join(
-        sorted(f"{each.server} {each.started_ms} {each.end}" for each in ends)
-    ).encode()
+def encode_final_ends(ends: collections.abc.Set[ports.FinalEnd], *, era: int) -> bytes:
+    """Encode the store's era, and final ends: server, start in milliseconds and end, one a line."""
+    lines = sorted(f"{each.server} {each.started_ms} {each.end}" for each in ends)
+    return "\n".join([str(era), *lines]).encode()
 
 
-def decode_final_ends(value: bytes) -> frozenset[ports.FinalEnd]:
-    """Decode final ends; raises FleetRecordError."""
+def decode_final_ends(value: bytes, *, era: int) -> frozenset[ports.FinalEnd]:
+    """Decode final ends; those of another era are left out. Raises FleetRecordError."""
     try:
-        lines = value.decode().split("\n") if value else []
+        written_in, *lines = value.decode().split("\n")
     except UnicodeDecodeError as error:
         raise errors.FleetRecordError("final ends must name servers in UTF-8") from error
+    if not (written_in.isascii() and written_in.isdigit()):
+        raise errors.FleetRecordError("final ends must begin with the store's era, a number")
     ends = [_decode_final_end(line) for line in lines]
     if len({each.server for each in ends}) < len(ends):
         raise errors.FleetRecordError("final ends must name each server once")
-    return frozenset(ends)
+    return frozenset(ends) if written_in == str(era) else frozenset()
 
 
 def _decode_final_end(line: str) -> ports.FinalEnd:
-    server, _, rest = line.partition(" ")
-    started_ms, _, end = rest.partition(" ")
-    if not (server and started_ms.isascii() and started_ms.isdigit() and end.isascii()):
-        raise errors.FleetRecordError(
-            "a final end needs a server, its start in milliseconds and a position"
-        )
+    parts = line.split(" ")
+    if len(parts) != 3 or not parts[0] or not line.isprintable():
+        raise errors.FleetRecordError("a final end needs a server, its start and a position")
+    server, started_ms, end = parts
     try:
         return ports.FinalEnd(
             server=ids.ServerId(server),
             started_ms=int(started_ms),
             end=positions.parse_position(end),
         )
-    except ValueError as error:
+    except (ValueError, internal_errors.InvalidPositionError) as error:
         raise errors.FleetRecordError(
-            f"a final end needs a start and a position: {error}"
+            f"a final end needs a start in milliseconds and a position: {error}"
         ) from error
-    except internal_errors.InvalidPositionError as error:
-        raise errors.FleetRecordError(f"a final end needs a position: {error}") from error
 
 
 def apply(known: directory.Directory, item: change_log.Item) -> None:
