--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -418,14 +418,22 @@
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
-            if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
-                return choice
-            ended = report.complete and former.has_ended
-            if ended and ended_since_s is not None and queried_s > ended_since_s:
-                primary_end = self.stopped_end or self.replica_end
+            if ended_since_s is not None and report.complete and former.has_ended:
                 await self.final_ends.add(
-                    self.claim, paused, revision=self.record.revision, primary_end=primary_end
+                    self.claim,
+                    # Those that were paused before may have been queried before commits ended.
+                    {
+                        name: status
+                        for name, status in paused.items()
+                        if queried_s > ended_since_s
+                        or name not in statuses
+                        or not statuses[name].paused
+                    },
+                    revision=self.record.revision,
+                    primary_end=self.stopped_end or self.replica_end,
                 )
+            if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
+                return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
             queried_s = clock.now_s()
             statuses = await self.commands.query(self.confirming() - spared)
--- a/tests/proxy/test_final_ends.py
+++ b/tests/proxy/test_final_ends.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mustardswitch.internal import clock, ids, positions
-from mustardswitch.proxy import errors, fleet_records, ports, successor_choice
+from mustardswitch.proxy import errors, fleet_records, ports
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
@@ -17,9 +17,8 @@
 
 
 @pytest.fixture
-def world(monkeypatch):
+def world():
     """Return a group whose primary has ended, and whose server ``D`` gives no answer."""
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.3)
     built = proxy_world.World()
     assert built.group.commit(built.group.primary, "old")
     built.group.start_server(zone="d").silent = True
@@ -39,10 +38,15 @@
     async def end_without_release(claim, **changes):
         coordination.claimed.discard(claim.service)
 
-    coordination.release, coordination.claim_s = end_without_release, 1.0
+    async def keep(claim):
+        return claim
+
+    renew, coordination.renew = coordination.renew, keep
+    coordination.release, coordination.claim_s = end_without_release, 2.0
     world.group.servers[A].up = False
     assert not await takeovers.take_over(world, silent=True)
-    coordination.release, coordination.claim_s = release, database_group.CLAIM_S
+    coordination.release, coordination.renew = release, renew
+    coordination.claim_s = database_group.CLAIM_S
     assert not world.promoter.promotion_requests
 
 
