--- a/tests/proxy/test_final_ends.py
+++ b/tests/proxy/test_final_ends.py
@@ -68,7 +68,7 @@
 
 async def test_a_recorded_end_above_all_that_answer_is_waited_for(world):
     """The dead server alone holds the last commit."""
-    world.group.servers[B].not_receiving = True
+    world.group.servers[B].not_receiving = _silent(world).not_receiving = True
     assert world.group.commit(world.group.primary, "last")
     await _let_a_holder_die(world)
     ends = {each.server: each.end for each in world.coordination.final_ends[SERVICE]}
