--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -1,5 +1,7 @@
 """Records that instances write to the store for each other: their keys, codecs and effects."""
 
+import collections.abc
+
 from mustardswitch.internal import change_log, clock, ids, positions
 from mustardswitch.internal import errors as internal_errors
 from mustardswitch.peers import datagrams
@@ -12,6 +14,7 @@
 UNFINISHED = f"{PREFIX}unfinished/"
 PROMOTIONS = f"{PREFIX}promotions/"
 ENDS = f"{PREFIX}ends/"
+FINAL_ENDS = f"{PREFIX}final-ends/"
 ERAS = f"{PREFIX}eras/"
 MEMBERS = f"{PREFIX}members/"
 MAX_PORT = 65535
@@ -78,6 +81,43 @@
         raise errors.FleetRecordError(f"a stopped primary needs a position: {error}") from error
 
 
+def encode_final_ends(ends: collections.abc.Set[ports.FinalEnd], *, era: int) -> bytes:
+    """Encode the store's era, and final ends: server, start in milliseconds and end, one a line."""
+    lines = sorted(f"{each.server} {each.started_ms} {each.end}" for each in ends)
+    return "\n".join([str(era), *lines]).encode()
+
+
+def decode_final_ends(value: bytes, *, era: int) -> frozenset[ports.FinalEnd]:
+    """Decode final ends; those of another era are left out. Raises FleetRecordError."""
+    try:
+        written_in, *lines = value.decode().split("\n")
+    except UnicodeDecodeError as error:
+        raise errors.FleetRecordError("final ends must name servers in UTF-8") from error
+    if not (written_in.isascii() and written_in.isdigit()):
+        raise errors.FleetRecordError("final ends must begin with the store's era, a number")
+    ends = [_decode_final_end(line) for line in lines]
+    if len({each.server for each in ends}) < len(ends):
+        raise errors.FleetRecordError("final ends must name each server once")
+    return frozenset(ends) if written_in == str(era) else frozenset()
+
+
+def _decode_final_end(line: str) -> ports.FinalEnd:
+    parts = line.split(" ")
+    if len(parts) != 3 or not parts[0] or not line.isprintable():
+        raise errors.FleetRecordError("a final end needs a server, its start and a position")
+    server, started_ms, end = parts
+    try:
+        return ports.FinalEnd(
+            server=ids.ServerId(server),
+            started_ms=int(started_ms),
+            end=positions.parse_position(end),
+        )
+    except (ValueError, internal_errors.InvalidPositionError) as error:
+        raise errors.FleetRecordError(
+            f"a final end needs a start in milliseconds and a position: {error}"
+        ) from error
+
+
 def apply(known: directory.Directory, item: change_log.Item) -> None:
     """Apply the change of a record to a directory; raises FleetRecordError."""
     key = item.key
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -87,6 +87,9 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self._decide_without_primary(primary, statuses)
+        # Its replicas may receive more of its log.
+        if not await self.withdraw_final_ends():
+            return NOT_RECORDED
         # A primary that was stopped may lead again after a crash.
         self.stopped_end = None
         # A leader that is not listed serves no callers; it is replaced if that lasts.
@@ -282,6 +285,7 @@
             required_end=self._required_end(),
             commits_held=report.complete,
             former_primary=former,
+            final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
         )
         return promotion.choose(
@@ -378,6 +382,7 @@
         if order is not None:
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
+        queried_s = float("-inf")
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -420,9 +425,24 @@
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
+            if ended_since_s is not None and report.complete and former.has_ended:
+                await self.final_ends.add(
+                    self.claim,
+                    # Those that were paused before may have been queried before commits ended.
+                    {
+                        name: status
+                        for name, status in paused.items()
+                        if queried_s > ended_since_s
+                        or name not in statuses
+                        or not statuses[name].paused
+                    },
+                    revision=self.record.revision,
+                    primary_end=self.stopped_end or self.replica_end,
+                )
             if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
                 return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
+            queried_s = clock.now_s()
             statuses = await self.commands.query(self.confirming() - spared)
 
     def _note_stopped_by_any(self, order: stop_orders.StopOrder, report: ports.HoldReport) -> bool:
