--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -95,7 +95,7 @@
     answered_s = min((report.answered_s for report in reports), default=NEVER_S)
     connected_s = min((report.connected_s for report in reports), default=NEVER_S)
     refused_s = min((report.refused_s for report in reports), default=NEVER_S)
-    if confirmed_report and refused_s < held_s < connected_s:
+    if confirmed_report and refused_s < min(held_s, connected_s):
         return promotion.FormerPrimary.NOT_LISTENING
     unreached = all_report and connected_s >= UNREACHED_S
     if listing.listed:
--- a/src/mustardswitch/proxy/stop_orders.py
+++ b/src/mustardswitch/proxy/stop_orders.py
@@ -116,7 +116,9 @@
             )
             await asyncio.sleep(RETRY_S)
         finally:
-            self.connected -= connected
+            if connected:
+                self.connected -= 1
+                self.backend.contacts.note(server_contact.Sign.CONNECTED)
             if link is not None:
                 link.close()
 
