--- a/src/mustardswitch/platform/http.py
+++ b/src/mustardswitch/http_calls.py
@@ -6,13 +6,15 @@
 
 import h11
 
-from mustardswitch.platform import errors
-
 READ_BYTES = 65536
 MAX_BODY_BYTES = 8 << 20
 """Holds eight of the store's largest values."""
 
 
+class CallError(Exception):
+    """Raised when an HTTP call got no response; the server may still execute it."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
     """Status, body and headers of an HTTP response; the names of headers are in lower case."""
@@ -64,10 +66,10 @@
                     return await self._exchange(method, target, body, headers, timer, timeout_s)
             except TimeoutError as error:
                 self.close()
-                raise errors.CallError(f"{method} {target}: no response in time") from error
+                raise CallError(f"{method} {target}: no response in time") from error
             except (OSError, EOFError, h11.ProtocolError) as error:
                 self.close()
-                raise errors.CallError(f"{method} {target}: {error!r}") from error
+                raise CallError(f"{method} {target}: {error!r}") from error
             except BaseException:
                 self.close()
                 raise
--- a/src/mustardswitch/operators/explanations.py
+++ b/src/mustardswitch/operators/explanations.py
@@ -5,9 +5,8 @@
 import typing
 import urllib.parse
 
+from mustardswitch import http_calls
 from mustardswitch.operators import errors
-from mustardswitch.platform import errors as platform_errors
-from mustardswitch.platform import http
 from mustardswitch.proxy import explain_page
 
 TIMEOUT_S = 5.0
@@ -23,10 +22,10 @@
     Raises InstanceUnreachableError without an answer, and RefusedError with the instance's reason.
     """
     query = urllib.parse.urlencode({"database": database, "tenant": tenant, "kind": kind})
-    connection = http.Connection(host=host, port=port)
+    connection = http_calls.Connection(host=host, port=port)
     try:
         response = await connection.call("GET", f"{explain_page.PATH}?{query}", timeout_s=TIMEOUT_S)
-    except platform_errors.CallError as error:
+    except http_calls.CallError as error:
         raise errors.InstanceUnreachableError(
             f"instance {host}:{port} gave no answer; check that it runs and that the port is that"
             " of its metrics address"
--- a/src/mustardswitch/platform/errors.py
+++ b/src/mustardswitch/platform/errors.py
@@ -17,9 +17,5 @@
     """Raised when the settings file is invalid; the message names the field and the remedy."""
 
 
-class CallError(AdapterError):
-    """Raised when an HTTP call got no response; the server may still execute it."""
-
-
 class HistoryLostError(AdapterError):
     """Raised when the store no longer has the changes that a watch asked for."""
--- a/src/mustardswitch/platform/promotions.py
+++ b/src/mustardswitch/platform/promotions.py
@@ -2,9 +2,8 @@
 
 import json
 
-from mustardswitch import events
+from mustardswitch import events, http_calls
 from mustardswitch.internal import ids
-from mustardswitch.platform import errors, http
 from mustardswitch.proxy import ports
 
 CALL_TIMEOUT_S = 1.0
@@ -15,7 +14,7 @@
     """Client of the platform's promotion call."""
 
     def __init__(self, *, host: str, port: int, instance: ids.InstanceId) -> None:
-        self.connection = http.Connection(host=host, port=port)
+        self.connection = http_calls.Connection(host=host, port=port)
         self.instance = instance
 
     def __repr__(self) -> str:
@@ -46,7 +45,7 @@
                 ],
                 timeout_s=CALL_TIMEOUT_S,
             )
-        except errors.CallError as error:
+        except http_calls.CallError as error:
             events.log(
                 events.Event.PROMOTION_UNANSWERED,
                 service=service,
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -7,9 +7,9 @@
 import json
 import urllib.parse
 
-from mustardswitch import events
+from mustardswitch import events, http_calls
 from mustardswitch.internal import change_log, clock, revisions
-from mustardswitch.platform import errors, http
+from mustardswitch.platform import errors
 from mustardswitch.proxy import errors as proxy_errors
 from mustardswitch.proxy import ports
 
@@ -48,8 +48,8 @@
     """
 
     def __init__(self, *, host: str, port: int) -> None:
-        self.calls = http.Connection(host=host, port=port)
-        self.watches = http.Connection(host=host, port=port)
+        self.calls = http_calls.Connection(host=host, port=port)
+        self.watches = http_calls.Connection(host=host, port=port)
         self.era = 0
         """Latest era that an answer carried; 0 before the first one."""
         self.era_since_s = clock.now_s()
@@ -71,7 +71,7 @@
         query: collections.abc.Mapping[str, object] | None = None,
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
-        connection: http.Connection | None = None,
+        connection: http_calls.Connection | None = None,
     ) -> _Answer:
         target = path if query is None else f"{path}?{urllib.parse.urlencode(query)}"
         data = b"" if body is None else json.dumps(body).encode()
@@ -80,7 +80,7 @@
                 method, target, body=data, timeout_s=timeout_s
             )
             decoded = json.loads(response.body) if response.body else {}
-        except (errors.CallError, ValueError, RecursionError) as error:
+        except (http_calls.CallError, ValueError, RecursionError) as error:
             raise proxy_errors.StoreError(str(error)) from error
         era = self._note_era(response)
         if response.status in (429, 503) or response.status >= 500:
@@ -88,7 +88,7 @@
         body = decoded if isinstance(decoded, dict) else {}
         return _Answer(status=response.status, body=body, era=era)
 
-    def _note_era(self, response: http.Response) -> int:
+    def _note_era(self, response: http_calls.Response) -> int:
         """Return the era of an answer; 0 if it names none."""
         field = response.headers.get(ERA_HEADER, "")
         era = int(field) if field.isdecimal() else 0
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -8,9 +8,10 @@
 import pytest
 from hypothesis import strategies as st
 
+from mustardswitch import http_calls
 from mustardswitch.internal import change_log, clock, ids, promotion, registration_list
 from mustardswitch.peers import datagrams
-from mustardswitch.platform import errors, follower, http, records, settings, store
+from mustardswitch.platform import errors, follower, records, settings, store
 from mustardswitch.proxy import directory, fleet_records, ports, requests
 from mustardswitch.proxy import errors as proxy_errors
 from mustardswitch_standins import fleet, http_store
@@ -317,9 +318,9 @@
     client = store.Store(host="127.0.0.1", port=1)
 
     async def answer(*arguments, **options):
-        return http.Response(status=200, body=body)
+        return http_calls.Response(status=200, body=body)
 
-    monkeypatch.setattr(http.Connection, "call", answer)
+    monkeypatch.setattr(http_calls.Connection, "call", answer)
     for call in (
         client.list_all(""),
         client.watch("", after=1, wait_s=1.0),
