A primary that no instance can open a connection to has dropped theirs, listed or not

Servers drop a connection whose remote end they cannot reach after 3 s, and roll it back. An entry adds nothing to that: a failover beside a machine that has stopped waited for its expiry as well.

--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -4,7 +4,7 @@
 before they were held back may wait in it, whether their connections are still open or not. Each
 instance that sends it statements orders it to stop, and reports what it has heard of it. A primary
 that runs is stopped; silence is no evidence that it has ended, unless the platform has removed its
-entry as well.
+entry as well. If no instance can even open a connection, the primary has dropped theirs.
 """
 
 import collections.abc
@@ -13,7 +13,7 @@
 
 from mustardswitch.internal import positions, promotion
 
-UNREACHED_S = 3.3
+UNREACHED_S = 3.1
 """Time without any contact after which a server has dropped a connection whose remote end cannot be
 reached, and rolled its statements back; the platform's servers do so after 3 s."""
 GONE_S = 2.5
@@ -64,8 +64,6 @@
     listed: bool
     unlisted_s: float = 0.0
     """Seconds since its entry was removed; 0 while it is listed."""
-    written_s: float = NEVER_S
-    """Seconds since it last wrote its entry, so that its process ran; ``NEVER_S`` if unlisted."""
 
 
 def end_of(reports: collections.abc.Iterable[Report], order: Order) -> positions.Position | None:
@@ -98,9 +96,6 @@
     if confirmed_report and refused_s < min(held_s, connected_s):
         return promotion.FormerPrimary.NOT_LISTENING
     unreached = all_report and connected_s >= UNREACHED_S
-    if listing.listed:
-        # One that has written its entry since then runs, and has dropped the connections.
-        unreached = unreached and connected_s - listing.written_s >= UNREACHED_S
     silent = listing.unlisted_s >= GONE_S and answered_s >= UNREACHED_S
     if unreached or silent:
         return promotion.FormerPrimary.GONE
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -327,12 +327,10 @@
 
     def listing_of(self, name: ids.ServerId) -> former_primary.Listing:
         """Return what the list says of a server that led."""
-        now_s, backend = clock.now_s(), self.servers.get(name)
-        if backend is not None:
-            written_s = now_s - backend.entry_written_at_s
-            return former_primary.Listing(listed=True, written_s=written_s)
+        if name in self.servers:
+            return former_primary.Listing(listed=True)
         removed_at_s = self.removed_at_s.get(name, float("-inf"))
-        return former_primary.Listing(listed=False, unlisted_s=now_s - removed_at_s)
+        return former_primary.Listing(listed=False, unlisted_s=clock.now_s() - removed_at_s)
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
