--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -95,7 +95,7 @@
     refused_s = min((report.refused_s for report in reports), default=NEVER_S)
     if confirmed_report and refused_s < min(held_s, connected_s):
         return promotion.FormerPrimary.NOT_LISTENING
-    unreached = all_report and connected_s >= UNREACHED_S
+    unreached = all_report and min(connected_s, refused_s) >= UNREACHED_S
     silent = listing.unlisted_s >= GONE_S and answered_s >= UNREACHED_S
     if unreached or silent:
         return promotion.FormerPrimary.GONE
