--- a/tests/proxy/test_gaps_in_promotions.py
+++ b/tests/proxy/test_gaps_in_promotions.py
@@ -7,7 +7,7 @@
 from mustardswitch import metrics
 from mustardswitch.internal import clock, commit_permission, ids, positions, promotion
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import acknowledged, ports, successor_choice
+from mustardswitch.proxy import acknowledged, end_of_commits, ports
 from mustardswitch_standins import database_group
 from tests.common import peer_world, proxy_world, takeovers
 
@@ -75,8 +75,8 @@
 
 async def test_commits_that_only_lost_servers_hold_do_not_end_a_service(monkeypatch):
     """No server that is known, or will be, has the last acknowledged commit."""
-    monkeypatch.setattr(successor_choice, "ACKNOWLEDGED_WAIT_S", 0.2)
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(end_of_commits, "ACKNOWLEDGED_WAIT_S", 0.2)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.2)
     world = proxy_world.World()
     above = positions.Position(term=ids.Term(1), offset=ids.Offset(1000))
     world.service.acknowledged.note_acknowledged(
@@ -95,7 +95,7 @@
 
 async def test_a_replica_that_lacks_acknowledged_commits_goes_on_receiving_them(monkeypatch):
     """The primary gives this instance no answer, and replicates on, a moment late."""
-    monkeypatch.setattr(successor_choice, "ACKNOWLEDGED_WAIT_S", 1.0)
+    monkeypatch.setattr(end_of_commits, "ACKNOWLEDGED_WAIT_S", 1.0)
     world = proxy_world.World()
     takeovers.expire_entry(world, C)
     world.service.unlisted.clear()
--- a/tests/proxy/test_stopped_primary.py
+++ b/tests/proxy/test_stopped_primary.py
@@ -7,7 +7,7 @@
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, promotion
-from mustardswitch.proxy import directory, failover_watch, successor_choice
+from mustardswitch.proxy import directory, end_of_commits, failover_watch, successor_choice
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
@@ -102,7 +102,7 @@
 
 async def test_a_leaving_primary_that_refuses_queries_is_kept_until_it_answers(monkeypatch):
     """An overloaded primary was replaced as if it had given no answer."""
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.2)
     world = _leaving_world()
     world.group.start_server(zone="d")
     status = database_group.FakeLink.status
@@ -206,7 +206,7 @@
     """
     world = _leaving_world()
     world.share_marks()
-    monkeypatch.setattr(successor_choice, "SUCCESSOR_LAG_S", 5.0)
+    monkeypatch.setattr(end_of_commits, "SUCCESSOR_LAG_S", 5.0)
     _commit_on_an_unlisted_server_at_the_stop(monkeypatch, world, lambda orders: None)
     dying = asyncio.create_task(takeovers.take_over(world))
     while world.group.primary is not None:
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -10,6 +10,7 @@
     claimed_attempt,
     claimed_changes,
     directory,
+    end_of_commits,
     errors,
     failover_watch,
     ports,
@@ -39,7 +40,7 @@
 
 
 async def test_no_server_is_promoted_while_a_replica_has_not_answered(monkeypatch):
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.group.servers[B].not_receiving = True
     world.group.commit(world.group.primary, "x")
@@ -62,7 +63,7 @@
     primary and of the only replica with the last commits from the store. Both entries expired, and
     the remaining replica was promoted without these commits.
     """
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     _commit_on_primary_and_c(world)
     world.group.servers[C].up = False
@@ -76,7 +77,7 @@
     monkeypatch, fails
 ):
     """The watch of the claim's holder may be seconds behind the store."""
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = True
     started = world.group.start_server(zone="d")
@@ -207,7 +208,7 @@
 ):
     """The other server gives no answer, or has just started and is not known yet."""
     monkeypatch.setattr(successor_choice, "HANDOVER_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(successor_choice, "SUCCESSOR_LAG_S", 1.0)
+    monkeypatch.setattr(end_of_commits, "SUCCESSOR_LAG_S", 1.0)
     world = proxy_world.World()
     world.group.servers[A].leaving = True
     world.list_servers()
@@ -380,7 +381,7 @@
 
 async def test_a_claim_keeps_the_record_of_an_earlier_promotion_until_it_is_settled(monkeypatch):
     """A second holder that dies right after its claim must not hide the first one's request."""
-    monkeypatch.setattr(successor_choice, "PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.share_marks()
     world.coordination.promotions[database_group.SERVICE] = B
--- a/tests/proxy/test_takeover_events.py
+++ b/tests/proxy/test_takeover_events.py
@@ -93,7 +93,7 @@
 
 
 async def test_a_takeover_that_promotes_nobody_tells_who_gave_no_answer(log, monkeypatch):
-    monkeypatch.setattr("mustardswitch.proxy.successor_choice.PAUSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("mustardswitch.proxy.end_of_commits.PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
     world.group.servers[A].up = world.group.servers[C].up = False
     assert not await _take_over(world)
