--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -297,3 +297,23 @@
     await world.check()
     await asyncio.gather(task, return_exceptions=True)
     assert task.cancelled()
+
+
+async def test_the_holder_abandons_its_own_commits_as_soon_as_the_others_do(world):
+    """They kept the hold open until the records that had allowed them were too old."""
+
+    class Link:
+        closed = False
+
+        def close(self) -> None:
+            self.closed = True
+
+    link = Link()
+    with world.service.commits.tracking(link, A):
+        passed_s = 0.0
+        while not link.closed and passed_s < LIMIT_S:
+            world.report()
+            world.now_s += commit_permission.CHECK_S
+            passed_s += commit_permission.CHECK_S
+            await world.check()
+    assert link.closed and passed_s < 2 * commit_permission.ABANDON_S
