--- a/tests/platform/test_instances_without_the_store.py
+++ b/tests/platform/test_instances_without_the_store.py
@@ -9,6 +9,8 @@
 NAMES = ("one", "two", "three")
 OUTAGE_S = 7.0
 """More than twice as long as records allow commits."""
+KNOWN_S = 1.0
+"""Time in which all instances read of the last one, several times as long as they usually need."""
 WITHOUT_OWN_RECORDS = slice(3, 7)
 """Seconds of the outage in which the last records that the store sent allow no commits."""
 
@@ -17,6 +19,8 @@
 async def run(tmp_path):
     async with commit_runs.running(tmp_path) as started:
         await started.start(*NAMES)
+        # One that the others have not read of yet gets no answer from them in an outage.
+        await asyncio.sleep(KNOWN_S)
         yield started
 
 
