Less state about a former primary; one place that tells a refusal

Found in a read-through; behaviour is unchanged. - former_primary.Listing had a field that nothing read any more: the decision takes the seconds since the entry was removed. Tests pass these, with the same cases and outcomes; one that had two equal cases now has two ages. - The change of a primary told refusals from other errors a second time, by the same two types as contact_signs does. - A pool's close has the loop of close_idle. - Each answer of a server read the clock twice for the same moment.

--- a/src/mustardswitch/connection_pool.py
+++ b/src/mustardswitch/connection_pool.py
@@ -442,8 +442,7 @@
         self.closed = True
         for task in self.tasks:
             task.cancel()
-        while self.idle:
-            self._close(self.idle.pop())
+        self.close_idle()
         self.reject_waiters(
             "this instance is no longer connected to the server", include_waiting_for_server=True
         )
--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -57,15 +57,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Listing:
-    """What the platform's list says of the primary."""
-
-    listed: bool
-    unlisted_s: float = 0.0
-    """Seconds since its entry was removed; 0 while it is listed."""
-
-
 def end_of(reports: collections.abc.Iterable[Report], order: Order) -> positions.Position | None:
     """Return the highest end in the reports with a result; None without one."""
     ends = [report.end for report in reports if report.order is order]
@@ -78,13 +69,14 @@
     held_s: float | None,
     all_report: bool,
     confirmed_report: bool,
-    listing: Listing,
+    unlisted_s: float,
 ) -> promotion.FormerPrimary:
     """Return what is known of a primary.
 
     ``reports`` are of the same moment. ``held_s`` is for how long no instance has sent commits;
     None while some may. ``all_report`` tells whether the reports are those of all instances that
     may have sent statements, ``confirmed_report`` of all that have confirmed the hold.
+    ``unlisted_s`` is the seconds since the primary's entry was removed; 0 while it is listed.
     """
     if any(report.order is not Order.PENDING for report in reports):
         return promotion.FormerPrimary.REPLICA
@@ -96,7 +88,7 @@
     if confirmed_report and refused_s < min(held_s, connected_s):
         return promotion.FormerPrimary.NOT_LISTENING
     unreached = all_report and min(connected_s, refused_s) >= UNREACHED_S
-    silent = listing.unlisted_s >= GONE_S and answered_s >= UNREACHED_S
+    silent = unlisted_s >= GONE_S and answered_s >= UNREACHED_S
     if unreached or silent:
         return promotion.FormerPrimary.GONE
     return promotion.FormerPrimary.MAY_RUN
--- a/src/mustardswitch/internal/server_contact.py
+++ b/src/mustardswitch/internal/server_contact.py
@@ -43,9 +43,9 @@
     def __repr__(self) -> str:
         return f"ContactLog(at_s={self.at_s!r})"
 
-    def note(self, sign: Sign) -> None:
-        """Record a sign that was seen now."""
-        self.at_s[sign] = clock.now_s()
+    def note(self, sign: Sign, now_s: float | None = None) -> None:
+        """Record a sign that was seen now; ``now_s`` is the time if the caller has read it."""
+        self.at_s[sign] = clock.now_s() if now_s is None else now_s
 
     def age_s(self, *signs: Sign) -> float:
         """Return the seconds since the latest of some signs, or since they are recorded."""
--- a/src/mustardswitch/proxy/contact_signs.py
+++ b/src/mustardswitch/proxy/contact_signs.py
@@ -44,8 +44,11 @@
     return server_contact.Sign.CONNECTED
 
 
-def note_error(contacts: server_contact.ContactLog, error: BaseException) -> None:
-    """Record what an error shows about a server."""
+def note_error(
+    contacts: server_contact.ContactLog, error: BaseException
+) -> server_contact.Sign | None:
+    """Record what an error shows about a server, and return it; None if it shows nothing."""
     sign = sign_of(error)
     if sign is not None:
         contacts.note(sign)
+    return sign
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -161,7 +161,7 @@
             held_s=None if held_since_s is None else clock.now_s() - held_since_s,
             all_report=report.instances <= reporting and not report.unconfirmed,
             confirmed_report=report.instances - report.unconfirmed <= reporting,
-            listing=self.target.listing_of(order.backend.server),
+            unlisted_s=self.target.unlisted_s(order.backend.server),
         )
 
     async def _end_commits(
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -258,7 +258,7 @@
     ) -> None:
         """Record an answer; ``latency_s`` is given for reads and writes only."""
         now_s = clock.now_s()
-        self.contacts.note(server_contact.Sign.ANSWERED)
+        self.contacts.note(server_contact.Sign.ANSWERED, now_s)
         self.answered_at_s = now_s
         self.refused_connections = 0
         self.failed_probes = 0
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -113,11 +113,8 @@
             self.refusing.discard(name)
             return status
         except (backend_errors.BackendError, TimeoutError) as error:
-            contact_signs.note_error(backend.contacts, error)
-            refused = type(error) in (
-                backend_errors.BackendError,
-                backend_errors.ConnectionLimitError,
-            )
+            sign = contact_signs.note_error(backend.contacts, error)
+            refused = sign is server_contact.Sign.REFUSED
             (self.refusing.add if refused else self.refusing.discard)(name)
             events.log(
                 events.Event.TAKEOVER_UNANSWERED,
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -11,7 +11,6 @@
 from mustardswitch.internal import (
     clock,
     commit_permission,
-    former_primary,
     ids,
     leadership,
     position_history,
@@ -325,12 +324,11 @@
         led = {former.server: former} if former is not None else {}
         return led | self._unlisted_since(UNLISTED_MEMORY_S) | self.servers
 
-    def listing_of(self, name: ids.ServerId) -> former_primary.Listing:
-        """Return what the list says of a server that led."""
+    def unlisted_s(self, name: ids.ServerId) -> float:
+        """Return the seconds since a server's entry was removed; 0 while it is listed."""
         if name in self.servers:
-            return former_primary.Listing(listed=True)
-        removed_at_s = self.removed_at_s.get(name, float("-inf"))
-        return former_primary.Listing(listed=False, unlisted_s=clock.now_s() - removed_at_s)
+            return 0.0
+        return clock.now_s() - self.removed_at_s.get(name, float("-inf"))
 
     def resize(self, connections: int, *, holds_connections: bool = True) -> None:
         """Hold up to ``connections`` connections to each server from now on."""
--- a/tests/decisions/test_former_primary.py
+++ b/tests/decisions/test_former_primary.py
@@ -7,29 +7,25 @@
 from hypothesis import strategies as st
 
 from mustardswitch.internal import former_primary
-from mustardswitch.internal.former_primary import GONE_S, NEVER_S, UNREACHED_S, Listing, Order
+from mustardswitch.internal.former_primary import GONE_S, NEVER_S, UNREACHED_S, Order
 from mustardswitch.internal.promotion import FormerPrimary
 from tests.common import builders
 
 HELD_S = 10.0
-LISTED = Listing(listed=True)
+LISTED = 0.0
 SILENT = former_primary.Report()
 AGES = st.sampled_from([0.0, 1.0, GONE_S, 3.0, UNREACHED_S, 5.0, HELD_S, 20.0, NEVER_S])
 
 
-def _unlisted(age_s: float) -> Listing:
-    return Listing(listed=False, unlisted_s=age_s)
-
-
 def _heard(answered_s: float = NEVER_S, connected_s: float = NEVER_S, refused_s: float = NEVER_S):
     return former_primary.Report(
         answered_s=answered_s, connected_s=min(answered_s, connected_s), refused_s=refused_s
     )
 
 
-def _state(*reports: former_primary.Report, listing: Listing = LISTED, **changes) -> FormerPrimary:
+def _state(*reports: former_primary.Report, unlisted_s: float = LISTED, **changes) -> FormerPrimary:
     known = {"held_s": HELD_S, "all_report": True, "confirmed_report": True, **changes}
-    return former_primary.state_of(reports, listing=listing, **known)
+    return former_primary.state_of(reports, unlisted_s=unlisted_s, **known)
 
 
 @pytest.mark.parametrize("age_s", [0.0, UNREACHED_S, HELD_S + 1, 1e9, NEVER_S])
@@ -57,10 +53,13 @@
 
 
 @pytest.mark.parametrize("order", [Order.STOPPED, Order.REPLICA])
-@pytest.mark.parametrize("listing", [LISTED, _unlisted(0.0)], ids=["listed", "unlisted"])
-def test_an_answer_as_a_replica_to_one_instance_is_an_end(order, listing):
+@pytest.mark.parametrize("unlisted_s", [LISTED, GONE_S], ids=["listed", "unlisted"])
+def test_an_answer_as_a_replica_to_one_instance_is_an_end(order, unlisted_s):
     answered = dataclasses.replace(_heard(0.0), order=order)
-    assert _state(_heard(0.0), answered, listing=listing, all_report=False) is FormerPrimary.REPLICA
+    assert (
+        _state(_heard(0.0), answered, unlisted_s=unlisted_s, all_report=False)
+        is FormerPrimary.REPLICA
+    )
 
 
 @pytest.mark.parametrize(
@@ -69,8 +68,8 @@
         ([_heard(refused_s=9.9)], {}, True),
         ([_heard(refused_s=9.9), SILENT], {"all_report": False}, True),
         ([_heard(answered_s=10.1, refused_s=9.9)], {}, True),
-        ([_heard(refused_s=9.9)], {"listing": _unlisted(0.0)}, True),
-        ([_heard(answered_s=0.1, refused_s=9.9)], {"listing": _unlisted(0.0)}, False),
+        ([_heard(refused_s=9.9)], {"unlisted_s": 0.0}, True),
+        ([_heard(answered_s=0.1, refused_s=9.9)], {"unlisted_s": 0.0}, False),
         ([_heard(refused_s=HELD_S)], {"all_report": False}, False),
         ([_heard(refused_s=10.1)], {"all_report": False}, False),
         ([_heard(refused_s=1.0), _heard(connected_s=9.9)], {}, True),
@@ -87,39 +86,36 @@
 
 
 @pytest.mark.parametrize(
-    ("reports", "listing", "all_report", "gone"),
+    ("reports", "unlisted_s", "all_report", "gone"),
     [
-        ([_heard(UNREACHED_S)], _unlisted(GONE_S), False, True),
-        ([_heard(connected_s=0.1)], _unlisted(GONE_S), False, True),
-        ([_heard(connected_s=0.1)], _unlisted(GONE_S - 0.1), True, False),
-        ([SILENT], _unlisted(GONE_S - 0.1), False, False),
-        ([SILENT, _heard(UNREACHED_S - 0.1)], _unlisted(GONE_S), True, False),
-        ([SILENT, _heard(0.1)], _unlisted(HELD_S), True, False),
-        ([SILENT, _heard(UNREACHED_S)], _unlisted(0.0), True, True),
-        ([SILENT, _heard(connected_s=UNREACHED_S)], _unlisted(0.0), True, True),
-        ([SILENT, _heard(connected_s=UNREACHED_S - 0.1)], _unlisted(0.0), True, False),
-        ([_heard(0.1)], _unlisted(GONE_S), False, False),
+        ([_heard(UNREACHED_S)], GONE_S, False, True),
+        ([_heard(connected_s=0.1)], GONE_S, False, True),
+        ([_heard(connected_s=0.1)], GONE_S - 0.1, True, False),
+        ([SILENT], GONE_S - 0.1, False, False),
+        ([SILENT, _heard(UNREACHED_S - 0.1)], GONE_S, True, False),
+        ([SILENT, _heard(0.1)], HELD_S, True, False),
+        ([SILENT, _heard(UNREACHED_S)], 0.0, True, True),
+        ([SILENT, _heard(connected_s=UNREACHED_S)], 0.0, True, True),
+        ([SILENT, _heard(connected_s=UNREACHED_S - 0.1)], 0.0, True, False),
+        ([_heard(0.1)], GONE_S, False, False),
         ([SILENT], LISTED, False, False),
     ],
 )
-def test_a_removed_entry_is_an_end_only_after_silence(reports, listing, all_report, gone):
+def test_a_removed_entry_is_an_end_only_after_silence(reports, unlisted_s, all_report, gone):
     expected = FormerPrimary.GONE if gone else FormerPrimary.MAY_RUN
-    assert _state(*reports, listing=listing, all_report=all_report) is expected
+    assert _state(*reports, unlisted_s=unlisted_s, all_report=all_report) is expected
 
 
-@pytest.mark.parametrize("listing", [LISTED, _unlisted(1e9)], ids=str)
+@pytest.mark.parametrize("unlisted_s", [LISTED, 1e9], ids=str)
 @pytest.mark.parametrize("report", [SILENT, _heard(refused_s=0.0), _heard(1e9)], ids=str)
-def test_no_silence_is_an_end_while_commits_are_not_held(report, listing):
-    assert _state(report, listing=listing, held_s=None) is FormerPrimary.MAY_RUN
-
-
-LISTINGS = st.builds(Listing, listed=st.booleans(), unlisted_s=AGES)
+def test_no_silence_is_an_end_while_commits_are_not_held(report, unlisted_s):
+    assert _state(report, unlisted_s=unlisted_s, held_s=None) is FormerPrimary.MAY_RUN
 
 
 @given(
     reports=st.lists(st.builds(_heard, AGES, AGES, AGES), min_size=1, max_size=3),
     later=st.builds(_heard, AGES, AGES),
-    listing=LISTINGS,
+    unlisted_s=AGES,
     held_s=st.none() | AGES,
     all_report=st.booleans(),
     confirmed_report=st.booleans(),
