A health connection that ends with the event loop leaves standard error empty

Cause: asyncio.run cancels the handlers of connections that are still open, and this version's callback of a cancelled handler raises, which is written to standard error. The handler now ends without the cancellation.

--- a/src/mustardswitch/pages.py
+++ b/src/mustardswitch/pages.py
@@ -93,6 +93,10 @@
         except TimeoutError:
             self.registry.count("health_connections_broken")
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # Only the end of the event loop cancels it. Some versions of asyncio write a cancelled
+            # handler to standard error.
+            writer.transport.abort()
         finally:
             self.connections.pop(writer, None)
             writer.close()
