--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -4,7 +4,7 @@
 import functools
 import signal
 
-from mustardswitch import events, metrics, tasks
+from mustardswitch import build, events, metrics, tasks
 from mustardswitch.clients import caller_limits
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import memory
@@ -196,6 +196,7 @@
             events.log(
                 events.Event.STARTED,
                 instance=self.config.instance,
+                build=build.build_id(),
                 callers=self.config.callers,
                 version=self.directory.configuration.version,
             )
--- a/src/mustardswitch/programs/mustardswitchd.py
+++ b/src/mustardswitch/programs/mustardswitchd.py
@@ -9,7 +9,7 @@
 import grpclib.server
 import typer
 
-from mustardswitch import events, settings, tls, tracing
+from mustardswitch import build, events, settings, tls, tracing
 from mustardswitch.callers import server as caller_server
 from mustardswitch.instance import node
 from mustardswitch.peers import server as peer_server
@@ -111,7 +111,12 @@
         gauges = asyncio.create_task(_update_gauges(entry, callers))
         await callers.start()
         await health_server.start(self.config.health.address, self.config.health.port)
-        events.log(events.Event.STARTED, instance=self.config.instance, zone=self.config.zone)
+        events.log(
+            events.Event.STARTED,
+            instance=self.config.instance,
+            build=build.build_id(),
+            zone=self.config.zone,
+        )
         await stop_requested.wait()
         deadline_s = time.monotonic() + self.config.drain_s
         await callers.stop_listening()
