An acknowledged commit above the new primary's end is an error in two more cases

Two cases of a certain loss were not logged as an error: - the first answer of the new primary that an instance sees has entries of the new term already. Then the end of its log at the promotion was not known, and a log that has grown beyond the lost commits hid them. Only lines and counters change: which acknowledged commits are kept for the confirmation of a hold is as before.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -160,18 +160,15 @@
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
-    COMMITS_MISSING = EventKind(527, logbook.ERROR, "acknowledged commits are missing")
+    COMMITS_MISSING = EventKind(527, logbook.ERROR, "commits lost")
     """The log of a new primary ends below a commit that was acknowledged through this instance;
-    ``missing`` is the least number of commits."""
-    COMMITS_MISSING_BY_OFFSET = EventKind(
-        529, logbook.WARNING, "acknowledged commits are missing by offset"
-    )
+    ``missing`` is the least number of commits. If the log has entries of its own term already,
+    ``end`` is the one with which the holder of the claim has promoted it."""
+    COMMITS_MISSING_BY_OFFSET = EventKind(529, logbook.WARNING, "commits lost by offset")
     """The log of a new primary has entries of its own term already, and is still shorter than one
     with a commit that was acknowledged through this instance. Valid if offsets number the entries
     of a log across terms."""
-    COMMITS_POSSIBLY_MISSING = EventKind(
-        528, logbook.INFO, "acknowledged commits may be missing, or only unacknowledged ones"
-    )
+    COMMITS_POSSIBLY_MISSING = EventKind(528, logbook.INFO, "commits may be missing")
     """The log of a new primary ends below a position that the former one has shown with an
     acknowledged commit. The last entries below that position may be of commits that were never
     acknowledged."""
--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -24,6 +24,11 @@
 """Acknowledged commits of a server whose positions are kept; more than are under way at once."""
 
 
+PROMOTED_END_S = 5.0
+"""Time from the proof of a promotion until its server is seen to lead, several times as long as a
+promotion takes to be effective."""
+
+
 class Comparison(enum.Enum):
     """What the log of a new primary tells about the commits acknowledged before it."""
 
@@ -64,6 +69,15 @@
     """The end of the log in the answer; the commit is at or below it."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PromotedEnd:
+    """The end that a server's log had when its promotion was proved."""
+
+    server: ids.ServerId
+    end: positions.Position
+    told_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaderEnd:
     """The lowest end that a server's log had in a term, as far as this instance has seen it."""
@@ -97,6 +111,10 @@
     return max(1, 1 + acknowledged.above.offset - found.end.offset)
 
 
+def _by_shown(last: Acknowledged) -> tuple[positions.Position, ids.ServerId]:
+    return last.shown, last.server
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ReportedChange:
     """A change of primary, and what was logged about it."""
@@ -127,6 +145,10 @@
         self.recent: dict[ids.ServerId, collections.deque[positions.Position]] = {}
         """Positions below the latest acknowledged commits, one for each, by server."""
         self.change: ReportedChange | None = None
+        self.promoted: PromotedEnd | None = None
+        """What was told about the latest promotion; None once it does not apply."""
+        self.promoted_led = False
+        """Whether that server was seen to lead since."""
 
     def __repr__(self) -> str:
         return f"AcknowledgedCommits(service={self.service!r})"
@@ -153,6 +175,12 @@
         if known is None or (known.term, found.end) < (found.term, known.end):
             self.ends[leader] = found
 
+    def latest_term(self, leader: ids.ServerId | None) -> ids.Term | None:
+        """Return the term in which a server leads; None unless it is the latest one known."""
+        known = self.ends.get(leader)
+        latest = max((found.term for found in self.ends.values()), default=None)
+        return known.term if known is not None and known.term == latest else None
+
     def note_status(self, server: ids.ServerId, status: promotion.ServerStatus) -> None:
         """Record a server's answer to a status query."""
         if status.leads:
@@ -200,12 +228,46 @@
                 found.append(dataclasses.replace(above, offset=ids.Offset(above.offset + rank)))
         return max(found, default=None)
 
+    def highest_shown(self, *, but: ids.ServerId) -> positions.Position | None:
+        """Return the highest position that came with an acknowledged commit; None without any.
+
+        Leaves out the commits of the server ``but``.
+        """
+        shown = [each.shown for each in self.latest.values() if each.server != but]
+        return max(shown, default=None)
+
     def forget(self, server: ids.ServerId) -> None:
         """Drop what a server has shown, since it may return with another log."""
         self.shown.pop(server, None)
         self.ends.pop(server, None)
         self.recent.pop(server, None)
 
+    def note_promoted(self, server: ids.ServerId, end: positions.Position, *, now_s: float) -> None:
+        """Record the end of a log with which a server is about to be promoted."""
+        self.promoted = PromotedEnd(server=server, end=end, told_at_s=now_s)
+        self.promoted_led = False
+
+    def _review_promoted(self, leader: ids.ServerId, now_s: float) -> None:
+        """Drop the end of a promotion that came to nothing, or that another one has followed."""
+        told = self.promoted
+        if told is None:
+            return
+        in_time = now_s < told.told_at_s + PROMOTED_END_S
+        leads = leader == told.server
+        self.promoted_led |= leads and in_time
+        if not (leads if self.promoted_led else in_time):
+            self.promoted = None
+
+    def _found(self, leader: ids.ServerId, last: Acknowledged) -> LeaderEnd | None:
+        """Return the end of a new primary's log before its own entries, if known or told."""
+        found = self.ends.get(leader)
+        if found is None or found.end.term <= last.shown.term:
+            return found
+        told = self.promoted
+        if told is None or told.server != leader or told.end.term > last.shown.term:
+            return found
+        return dataclasses.replace(found, end=told.end)
+
     # Reporting
 
     def review(self, leader: ids.ServerId | None, now_s: float) -> None:
@@ -215,14 +277,17 @@
         primary has answered late raise the positions, at most every ``REPORT_INTERVAL_S``.
         """
         others = [each for each in self.latest.values() if each.server != leader]
-        if leader is None or not others:
+        anew = [each for each in self.latest.values() if self._leads_anew(leader, each)]
+        if leader is not None:
+            self._review_promoted(leader, now_s)
+        if leader is None or not others + anew:
             return
-        last = max(others, key=lambda each: (each.shown, each.server))
-        self.latest = {
-            name: self.latest[name] for name in self.latest.keys() & {leader, last.server}
-        }
+        last = max(others + anew, key=_by_shown)
+        if others:
+            kept = {leader, max(others, key=_by_shown).server}
+            self.latest = {name: self.latest[name] for name in self.latest.keys() & kept}
         change = self._change_to(leader, last, now_s)
-        found = self.ends.get(leader)
+        found = self._found(leader, last)
         if found is None and now_s < change.since_s + REPORT_INTERVAL_S:
             return
         comparison = compare(last, found)
@@ -232,6 +297,11 @@
         if comparison in EVENTS:
             self._note_missing(change, last, found, comparison)
 
+    def _leads_anew(self, leader: ids.ServerId | None, last: Acknowledged) -> bool:
+        """Return whether a server leads in a later term than that of its own last commit."""
+        found = self.ends.get(leader)
+        return found is not None and last.server == leader and found.term > last.shown.term
+
     def _change_to(self, leader: ids.ServerId, last: Acknowledged, now_s: float) -> ReportedChange:
         known = self.change
         key = (last.server, leader, last.shown.term)
@@ -271,17 +341,17 @@
         comparison: str,
         **fields: object,
     ) -> None:
-        found = self.ends.get(leader)
+        found = self._found(leader, last)
         events.log(
             event,
             service=self.service,
-            before=last.server,
+            server=leader,
             above=last.above,
-            request=last.request,
+            end=found.end if found else None,
+            **fields,
+            before=last.server,
             shown=last.shown,
-            server=leader,
+            request=last.request,
             term=found.term if found else None,
-            end=found.end if found else None,
             comparison=comparison,
-            **fields,
         )
