Lines 510 and 525 tell the proof, the holder, the hold's confirmation and the build

Of each instance's lines about a service, the first and last ones of 410, 510, 525 and 613 came through in users' records, cut at about 200 characters; 531 and 533, which tell the proof, once in four. So 510 tells the term of the new lead, what proved the promotion and who promoted, and 525 for how long commits were held, whether this instance had confirmed that to the holder, and the build. The holder tells the others its proof when it has it (one datagram for each instance and change, beside the one after the change), so that it is known when the server leads. An instance of an earlier build ignores it. Evidence: tests on the first 200 characters with names of 7, 10 and 20 characters.

--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -74,6 +74,16 @@
     report: former_primary.Report
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProvedPromotion:
+    """A promotion that is about to be requested."""
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    end: positions.Position | None
+    """The end of the server's log; None if the server leads already."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PeerUpdate:
     """What an instance tells the others."""
@@ -84,7 +94,9 @@
     new_primary: PrimaryRef | None = None
     """A server that now leads its service."""
     summary: str = ""
-    """Why its promotion was proved; for the log."""
+    """Why its promotion, or that of ``proved``, was proved; for the log."""
+    proved: ProvedPromotion | None = None
+    """A promotion that the sender is about to request; for the log."""
     stale: bool = False
     """Whether the sender does not hear from the store; ``promotions`` are then all it knows."""
     asked_at_s: float | None = None
@@ -116,6 +128,10 @@
     }
     if update.new_primary is not None:
         fields["leading"] = [update.new_primary.service, update.new_primary.server]
+    if update.proved is not None:
+        end = _encode_position(update.proved.end)
+        fields["proved"] = [update.proved.service, update.proved.server, end]
+    if update.new_primary is not None or update.proved is not None:
         fields["summary"] = update.summary
     if update.stale:
         fields["stale"] = True
@@ -169,6 +185,15 @@
     return PrimaryRef(service=ids.ServiceName(value[0]), server=ids.ServerId(value[1]))
 
 
+def _decode_proved(value: object) -> ProvedPromotion:
+    if not isinstance(value, list) or len(value) != 3:
+        raise errors.InvalidDatagramError("expected a service, a server and a position")
+    primary = _decode_primary(value[:2])
+    return ProvedPromotion(
+        service=primary.service, server=primary.server, end=_decode_position(value[2])
+    )
+
+
 def _decode_list(value: object, limit: int) -> list:
     if not isinstance(value, list) or len(value) > limit:
         raise errors.InvalidDatagramError(f"expected a list of at most {limit} items")
@@ -272,7 +297,7 @@
     held = _decode_list(fields.get("held", []), MAX_PROMOTIONS)
     stop = _decode_list(fields.get("stop", []), MAX_PROMOTIONS)
     reports = _decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
-    leading = fields.get("leading")
+    leading, proved = fields.get("leading"), fields.get("proved")
     summary = fields.get("summary", "")
     if not isinstance(summary, str):
         raise errors.InvalidDatagramError("the summary must be a text")
@@ -281,6 +306,7 @@
         suspected_primaries=tuple(_decode_primary(each) for each in lacking),
         new_primary=None if leading is None else _decode_primary(leading),
         summary=summary,
+        proved=None if proved is None else _decode_proved(proved),
         stale=fields.get("stale") is True,
         asked_at_s=_decode_time(fields.get("asked")),
         answers_s=_decode_time(fields.get("answers")),
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -4,15 +4,26 @@
 promoted server leads, or that the record is removed.
 """
 
+import enum
 import typing
 
-from mustardswitch import events, metrics
+from mustardswitch import build, events, metrics
 from mustardswitch.internal import clock, ids, registration_list
 
 SourceList = registration_list.RegistrationList[typing.Any, typing.Any]
 """The list of servers, which tells whether and when the store was reached."""
 
 
+class Confirmation(enum.Enum):
+    """Whether this instance has confirmed a hold to the instance that changes the primary."""
+
+    NO = "no"
+    """It has not, or only for an earlier record."""
+    YES = "yes"
+    HOLDER = "holder"
+    """It is the instance that changes the primary."""
+
+
 class CommitHold:
     """The present hold of one service's commits at this instance, if there is one."""
 
@@ -34,6 +45,9 @@
         self.aborted = 0
         """Transactions that were aborted at their COMMIT, during the hold."""
         self.began_without_store = False
+        self.confirmation = Confirmation.NO
+        self.asked_revision = 0
+        """The highest revision of a record for which the hold was to be confirmed."""
 
     def __repr__(self) -> str:
         return f"CommitHold(service={self.service!r})"
@@ -56,11 +70,20 @@
         if held and self.since_s is None:
             self._begin(requested, leader, revision)
 
+    def note_asked(self, revision: int, confirmation: Confirmation) -> None:
+        """Record the answer to the holder of the claim, which has a record of a revision."""
+        if self.since_s is None or revision < self.asked_revision:
+            return
+        if revision > self.asked_revision or confirmation is not Confirmation.NO:
+            self.confirmation = confirmation
+        self.asked_revision = revision
+
     def _begin(
         self, requested: ids.ServerId, leader: ids.ServerId | None, revision: int | None
     ) -> None:
         self.since_s, self.requested = clock.now_s(), requested
-        self.waited = self.aborted = 0
+        self.waited = self.aborted = self.asked_revision = 0
+        self.confirmation = Confirmation.NO
         self.began_without_store = self.registrations.outage
         self.registry.set_gauge("commits_held", 1, self.service)
         events.log(
@@ -82,9 +105,11 @@
             events.Event.COMMITS_RESUMED,
             service=self.service,
             server=self.requested,
+            held_s=round(held_s, 2),
+            confirmed=self.confirmation.value,
+            build=build.build_id(),
             leader=leader,
             requested=requested,
-            held_s=round(held_s, 3),
             waited=self.waited,
             aborted=self.aborted,
             store_lost=self.began_without_store or lost,
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -462,6 +462,10 @@
         for each in update.suspected_primaries:
             vote = Vote(service=each.service, server=each.server, instance=update.instance)
             self.peer_votes[vote] = clock.now_s()
+        if update.proved is not None and update.proved.service in self.services:
+            self.services[update.proved.service].note_proved(
+                update.proved, summary=update.summary, holder=update.instance
+            )
         if update.new_primary is None:
             return
         events.log(
@@ -472,6 +476,10 @@
             instance=update.instance,
         )
         target = self.services.get(update.new_primary.service)
+        if target is not None:
+            target.leader_changes.note_told(
+                update.new_primary.server, holder=update.instance, summary=update.summary
+            )
         primary = target.servers.get(update.new_primary.server) if target is not None else None
         if primary is not None and target.leader is not primary:
             target.start(target.query_status(primary))
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -6,7 +6,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, ports, service, stop_orders
+from mustardswitch.proxy import commit_holds, directory, ports, service, stop_orders
 
 ANNOUNCE_REPEAT_S = 0.1
 """Interval at which a recorded promotion is announced to instances that have not confirmed it; a
@@ -36,6 +36,8 @@
         """What other instances know of primaries that this one replaces, and since when."""
         self.reported: dict[ids.ServiceName, datagrams.RecordedPromotion] = {}
         """Promotions for which the confirmation of the hold was logged last."""
+        self.proved_told: dict[ids.ServiceName, datagrams.ProvedPromotion] = {}
+        """The promotions whose proof the other instances were told last."""
         self.announced_at_s: dict[ids.ServiceName, float] = {}
         self.seen: dict[ids.InstanceId, tuple[directory.Peer, float]] = {}
         """Other instances that are or were registered, and when they were listed last."""
@@ -123,6 +125,8 @@
         confirmed = [
             held for promoted in update.promotions if (held := self._hold(promoted)) is not None
         ]
+        if not update.stale:
+            self._note_asked(update, confirmed)
         for told in update.primary_reports:
             known = self.primary_reports.get(told.order)
             if known is not None:
@@ -164,6 +168,23 @@
             above=target.acknowledged.highest_above(but=promoted.server),
         )
 
+    def _note_asked(
+        self,
+        update: datagrams.PeerUpdate,
+        confirmed: collections.abc.Sequence[datagrams.HeldCommits],
+    ) -> None:
+        """Keep for the log which holds of commits are confirmed to the sender of an update."""
+        reached = self._address_of(update.instance) is not None
+        names = {each.service for each in confirmed} if reached else set()
+        for promoted in update.promotions:
+            target = self.directory.services.get(promoted.service)
+            if target is not None:
+                answer = commit_holds.Confirmation.NO
+                if promoted.service in names:
+                    answer = commit_holds.Confirmation.YES
+                target.hold.note_asked(promoted.revision, answer)
+                target.leader_changes.note_told(promoted.server, holder=update.instance)
+
     def _report_hold(self, target: service.Service, promoted: datagrams.RecordedPromotion) -> None:
         """Log once for each record what this instance knows of the former primary."""
         if self.reported.get(promoted.service) == promoted:
@@ -184,10 +205,14 @@
         )
 
     def _answer(self, instance: ids.InstanceId, update: datagrams.PeerUpdate | None) -> None:
+        address = self._address_of(instance)
+        if update is not None and address is not None:
+            self.peers.send(update, [address])
+
+    def _address_of(self, instance: ids.InstanceId) -> datagrams.PeerAddress | None:
+        """Return where an instance can be answered; None if it cannot."""
         peer = self.directory.instances.entries.get(instance)
-        if self.peers is None or update is None or peer is None or peer.address is None:
-            return
-        self.peers.send(update, [peer.address])
+        return None if self.peers is None or peer is None else peer.address
 
     # Sending
 
@@ -247,10 +272,13 @@
         # This instance is one of those that hold commits, and abandons its own in time.
         self.directory.note_announced_promotion(promoted)
         target = self.directory.services[promoted.service]
+        target.hold.note_asked(promoted.revision, commit_holds.Confirmation.HOLDER)
+        target.leader_changes.note_told(promoted.server, holder=self.directory.instance)
         confirmed = self.held.setdefault(promoted, {})
         self.note_instances()
         missing = self.seen.keys() - confirmed.keys()
         self._announce(promoted, missing, order)
+        self._tell_proof(target)
         if not target.commits.is_clear_for(promoted.server):
             missing.add(self.directory.instance)
         known = [each for each in confirmed.values() if each is not None]
@@ -267,6 +295,18 @@
             primary_reports=self._primary_reports(order),
         )
 
+    def _tell_proof(self, target: service.Service) -> None:
+        """Tell the others once what proved a promotion, for their logs, before it takes effect."""
+        proved = target.proved
+        if self.peers is None or proved is None or proved is self.proved_told.get(target.name):
+            return
+        self.proved_told[target.name] = proved
+        self.peers.send(
+            datagrams.PeerUpdate(
+                instance=self.directory.instance, proved=proved, summary=target.promotion_summary
+            )
+        )
+
     def _primary_reports(
         self, order: datagrams.StopOrder | None
     ) -> dict[ids.InstanceId, former_primary.Report]:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -27,6 +27,7 @@
     commit_holds,
     errors,
     feature_set,
+    leader_changes,
     placing,
     ports,
     requests,
@@ -142,6 +143,8 @@
         """The revision of that record; None without one, and if this instance wrote it."""
         self.promotion_summary = ""
         """Why the promotion that this instance requested last was proved; empty without one."""
+        self.proved: datagrams.ProvedPromotion | None = None
+        """That promotion; None without one."""
         self.hold = commit_holds.CommitHold(
             service=name, registry=registry, registrations=registrations
         )
@@ -157,8 +160,7 @@
         """Set, and then replaced, when the servers or the leader may have changed."""
         self.refreshing: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.logged_leader: ids.ServerId | None = None
-        """The leader that the latest LEADER_CHANGED event named."""
+        self.leader_changes = leader_changes.LeaderChanges(service=name)
 
     def __repr__(self) -> str:
         return f"Service(name={self.name!r}, location={self.location!r})"
@@ -382,14 +384,8 @@
         found = self.leadership.leader(self.servers)
         if found is not None:
             self.former_primary = None
-        if found != self.logged_leader:
-            events.log(
-                events.Event.LEADER_CHANGED,
-                service=self.name,
-                server=found,
-                before=self.logged_leader,
-            )
-            self.logged_leader = found
+        if found != self.leader_changes.logged:
+            self.leader_changes.log(found, term=self.acknowledged.latest_term(found))
         self.hold.update(
             requested=self.requested or self.commits.awaited,
             leader=found,
@@ -414,7 +410,7 @@
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
-        if leader != self.logged_leader:
+        if leader != self.leader_changes.logged:
             self._note_change()
 
     def note_not_leading(self, refused_by: ids.ServerId, *, query_sent_at_s: float) -> None:
@@ -438,6 +434,20 @@
         if self.commits.awaited != before:
             self._note_change()
 
+    def note_proved(
+        self,
+        proved: datagrams.ProvedPromotion,
+        *,
+        summary: str,
+        holder: ids.InstanceId | None = None,
+    ) -> None:
+        """Keep for the log what proved a promotion; without ``holder``, one of this instance."""
+        if holder is None:
+            self.proved = proved
+        self.leader_changes.note_told(proved.server, holder=holder, summary=summary)
+        if proved.end is not None:
+            self.acknowledged.note_promoted(proved.server, proved.end, now_s=clock.now_s())
+
     def recorded_promotions(self) -> list[datagrams.RecordedPromotion]:
         """Return the promotions that are known to be recorded and may take effect."""
         found = []
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.peers import datagrams
 from mustardswitch.proxy import server_commands, service
 
 
@@ -26,17 +27,21 @@
     counted: set[ids.ServerId],
     known: set[ids.ServerId],
     now_s: float,
+    state: promotion.FormerPrimary | None = None,
     former: str = "unknown",
     hold: str = "",
 ) -> str:
     """Summarize in one short line why a server may be promoted.
 
-    What proves it and how the ``former`` primary was heard last come first, since collected lines
-    may be cut. Then follow for how long commits were held, each server that counts with its end,
-    ``p`` if it is paused or ``L`` if it leads, and the age of its answer in seconds, those that
-    count and gave none, and those that are known and do not count.
+    What proves it, with the ``state`` of a primary that was not stopped, and how the ``former``
+    primary was heard last come first, since collected lines may be cut. Then follow for how long
+    commits were held, each server that counts with its end, ``p`` if it is paused or ``L`` if it
+    leads, and the age of its answer in seconds, those that count and gave none, and those that are
+    known and do not count.
     """
     proof = choice.proof.value if choice.proof is not None else choice.verdict.value
+    if choice.proof is promotion.Proof.ALL_PAUSED and state is not None:
+        proof = f"{proof}/{state.value}"
     parts = [proof, f"former {former}", server]
     parts += [hold] if hold else []
     for name in sorted(counted & answers.keys()):
@@ -66,6 +71,8 @@
         self.answers: dict[ids.ServerId, Answered] = {}
         self.primary: ids.ServerId | None = None
         """The primary that is replaced: the known one, or the first that answered as such."""
+        self.former_state: promotion.FormerPrimary | None = None
+        """Why the primary executes nothing, as of the latest choice; None before it."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion was requested; None before that."""
         self.first_end: promotion.ServerStatus | None = None
@@ -115,9 +122,15 @@
             counted=set(self.target.servers_with_commits()),
             known=set(self.target.known_servers()),
             now_s=clock.now_s(),
+            state=self.former_state,
             former=self._describe_former(),
             hold=hold,
         )
+        end = self._end_of(server) if choice.verdict is promotion.Verdict.PROMOTE else None
+        self.target.note_proved(
+            datagrams.ProvedPromotion(service=self.target.name, server=server, end=end),
+            summary=self.target.promotion_summary,
+        )
         return self.target.promotion_summary
 
     def note_request(self, server: ids.ServerId) -> dict[str, object]:
--- a/tests/decisions/test_datagrams.py
+++ b/tests/decisions/test_datagrams.py
@@ -27,6 +27,9 @@
     revision=NUMBERS,
     above=st.none() | POSITIONS,
 )
+PROVED = st.builds(
+    datagrams.ProvedPromotion, service=NAMES, server=NAMES, end=st.none() | POSITIONS
+)
 ORDERS = st.builds(datagrams.StopOrder, service=NAMES, server=NAMES, term=NUMBERS)
 AGES = st.just(former_primary.NEVER_S) | st.integers(0, 10**9).map(lambda age_ms: age_ms / 1000)
 REPORTS = st.builds(
@@ -51,6 +54,7 @@
     "lacking": [["s", "a"]],
     "leading": ["s", "b"],
     "summary": "b all_paused",
+    "proved": ["s", "b", [1, 2]],
     "stale": True,
     "recorded": [["s", "b", 7]],
     "held": [["s", "b", 7, [1, 2]], ["t", "b", 7, None]],
@@ -61,13 +65,14 @@
 
 @st.composite
 def updates(draw):
-    """Draw an update that fits into a datagram; a summary belongs to a new primary."""
-    new_primary = draw(st.none() | PRIMARIES)
+    """Draw an update that fits into a datagram; a summary belongs to a promotion."""
+    new_primary, proved = draw(st.none() | PRIMARIES), draw(st.none() | PROVED)
     return datagrams.PeerUpdate(
         instance=ids.InstanceId(draw(NAMES)),
         suspected_primaries=tuple(draw(st.lists(PRIMARIES, max_size=datagrams.MAX_VOTES // 2))),
         new_primary=new_primary,
-        summary="" if new_primary is None else draw(TEXTS),
+        summary="" if new_primary is None and proved is None else draw(TEXTS),
+        proved=proved,
         stale=draw(st.booleans()),
         promotions=tuple(draw(st.lists(PROMOTIONS, max_size=datagrams.MAX_PROMOTIONS // 2))),
         held=tuple(draw(st.lists(HELD, max_size=datagrams.MAX_PROMOTIONS // 2))),
@@ -127,7 +132,7 @@
     data = json.dumps({**VALID, field: value}).encode()
     with contextlib.suppress(errors.InvalidDatagramError):
         update = datagrams.decode(data)
-        if update.new_primary is None:
+        if update.new_primary is None and update.proved is None:
             update = dataclasses.replace(update, summary="")
         assert datagrams.decode(datagrams.encode(update)) == update
 
@@ -151,6 +156,10 @@
         {"lacking": [["s", "a"]] * (datagrams.MAX_VOTES + 1)},
         {"leading": 0},
         {"leading": ["s", ""]},
+        {"proved": 0},
+        {"proved": ["s", "b"]},
+        {"proved": ["s", "", None]},
+        {"proved": ["s", "b", [1]]},
         {"summary": None},
         {"summary": 5},
         {"recorded": None},
--- /dev/null
+++ b/tests/proxy/test_cut_log_lines.py
@@ -0,0 +1,285 @@
+"""The first 200 characters of a line, which is what collected logs keep, tell what it is for."""
+
+import dataclasses
+import json
+import re
+import time
+
+import logbook
+import pytest
+
+from mustardswitch import build, events, metrics
+from mustardswitch.internal import clock, ids, positions, promotion
+from mustardswitch.peers import datagrams
+from mustardswitch.proxy import (
+    acknowledged,
+    claimed_changes,
+    commit_holds,
+    failover_watch,
+    leader_changes,
+    ports,
+    requests,
+)
+from mustardswitch_standins import database_group
+from tests.common import peer_world, proxy_world
+
+CUT = 200
+SERVICE = ids.ServiceName("woyy70f")
+FORMER, PROMOTED = ids.ServerId("i-30a0e682"), ids.ServerId("i-940e7b62")
+HOLDER = ids.InstanceId("edge-kamchatka-c-123")
+LAST = ids.RequestId("q281473054070096-123")
+A, B, C = peer_world.A, peer_world.B, peer_world.C
+
+
+@pytest.fixture
+def handler():
+    with logbook.TestHandler() as handler:
+        yield handler
+
+
+def _lines(handler: logbook.TestHandler, event: events.Event) -> list[str]:
+    """Return the lines of an event as collected logs keep them."""
+    return [
+        events.format_record(record, None)[:CUT]
+        for record in handler.records
+        if record.extra["event"] is event
+    ]
+
+
+def _fields(line: str) -> dict[str, str]:
+    """Return the fields that are complete in a cut line."""
+    for end in range(len(line), 0, -1):
+        if line[end - 1] == '"':
+            try:
+                return json.loads(f"{line[:end]}}}")
+            except ValueError:
+                continue
+    raise AssertionError(f"no complete field in {line!r}")
+
+
+def _position(offset: int, *, term: int = 12) -> positions.Position:
+    return positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
+
+
+def _summary(handler: logbook.TestHandler) -> str:
+    """Return the whole summary of the promotion that was proved."""
+    (record,) = [
+        each for each in handler.records if each.extra["event"] is events.Event.PROMOTION_PROVED
+    ]
+    return record.extra["fields"]["summary"]
+
+
+# The end of a hold
+
+
+def _ended_hold(handler: logbook.TestHandler, monkeypatch, confirmation) -> dict[str, str]:
+    now_s = clock.now_s()
+    hold = commit_holds.CommitHold(service=SERVICE, registry=metrics.Registry())
+    hold.update(requested=PROMOTED, leader=FORMER, revision=631)
+    hold.note_asked(631, confirmation)
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 12.345)
+    hold.update(requested=PROMOTED, leader=PROMOTED)
+    (line,) = _lines(handler, events.Event.COMMITS_RESUMED)
+    return _fields(line)
+
+
+@pytest.mark.parametrize("confirmation", commit_holds.Confirmation)
+def test_the_end_of_a_hold_tells_its_length_the_confirmation_and_the_build(
+    handler, monkeypatch, confirmation
+):
+    fields = _ended_hold(handler, monkeypatch, confirmation)
+    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
+    assert fields["confirmed"] == confirmation.value
+    assert fields["build"] == build.build_id()
+    assert float(fields["held_s"]) == pytest.approx(12.345, abs=0.02)
+
+
+def _confirmed(handler: logbook.TestHandler, world: peer_world.World) -> str:
+    world.directory.note_recorded_promotion(database_group.SERVICE, None, revision=99)
+    world.directory.servers.note_confirmed(world.now_s, revision=99)
+    world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
+    (line,) = _lines(handler, events.Event.COMMITS_RESUMED)
+    return _fields(line)["confirmed"]
+
+
+def test_an_instance_that_confirms_a_hold_says_so_when_it_ends(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of())
+    assert _confirmed(handler, world) == "yes"
+
+
+def test_a_hold_that_was_only_read_from_the_store_was_not_confirmed(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.directory.note_recorded_promotion(database_group.SERVICE, B, revision=20)
+    assert _confirmed(handler, world) == "no"
+
+
+def test_a_hold_that_an_instance_without_the_store_has_told_was_not_confirmed(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of(), stale=True)
+    assert _confirmed(handler, world) == "no"
+
+
+def test_a_confirmation_for_an_earlier_record_does_not_count(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of())
+    monkeypatch.setattr(world.service.commits, "is_clear_for", lambda promoted: False)
+    world.announce(peer_world.promotion_of(revision=peer_world.REVISION + 1))
+    assert _confirmed(handler, world) == "no"
+
+
+def test_the_holder_says_that_it_is_the_one(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.report()
+    assert _confirmed(handler, world) == "holder"
+
+
+# Another leader
+
+
+@pytest.mark.parametrize(
+    "word, code",
+    [("primary_stopped", "stopped")]
+    + [
+        (f"all_paused/{state.value}", leader_changes.PROOF_CODES[f"all_paused/{state.value}"])
+        for state in promotion.FormerPrimary
+        if state.has_ended
+    ],
+)
+def test_a_new_leader_tells_its_term_what_proved_it_and_who_promoted_it(handler, word, code):
+    changes = leader_changes.LeaderChanges(service=SERVICE)
+    changes.log(FORMER, term=ids.Term(11))
+    changes.note_told(PROMOTED, holder=HOLDER)
+    changes.note_told(PROMOTED, holder=HOLDER, summary=f"{word}; former {FORMER} answered 0.3")
+    changes.log(PROMOTED, term=ids.Term(12))
+    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
+    fields = _fields(line)
+    assert (fields["service"], fields["server"], fields["before"]) == (SERVICE, PROMOTED, FORMER)
+    assert fields["by"] == f"12 {code} {HOLDER}"
+
+
+def test_the_first_leader_of_an_instance_tells_the_build(handler):
+    leader_changes.LeaderChanges(service=SERVICE).log(PROMOTED, term=ids.Term(12))
+    (line,) = _lines(handler, events.Event.LEADER_CHANGED)
+    assert _fields(line)["build"] == build.build_id()
+
+
+def test_what_was_told_of_one_promotion_is_not_told_of_the_next_one(handler):
+    changes = leader_changes.LeaderChanges(service=SERVICE)
+    changes.note_told(PROMOTED, holder=HOLDER, summary="primary_stopped; former x")
+    for leader in (PROMOTED, None, PROMOTED, FORMER, PROMOTED):
+        changes.log(leader, term=None)
+    told = [_fields(line)["by"] for line in _lines(handler, events.Event.LEADER_CHANGED)]
+    known, unknown = f"? stopped {HOLDER}", "? ? ?"
+    assert told == [known, unknown, known, unknown, unknown]
+
+
+def test_an_announcement_tells_who_promotes_before_the_proof_is_known(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of())
+    world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
+    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
+    assert _fields(line)["by"].split() == ["?", "?", peer_world.TWO]
+
+
+def test_the_holder_tells_the_proof_once_before_the_promotion_takes_effect(handler, monkeypatch):
+    world, receiver = peer_world.World(monkeypatch), peer_world.World(monkeypatch)
+    proved = datagrams.ProvedPromotion(service=database_group.SERVICE, server=B, end=_position(30))
+    world.report()
+    world.service.promotion_summary = "all_paused/gone; former server-a connected 4.0"
+    world.service.note_proved(proved, summary=world.service.promotion_summary)
+    world.report()
+    world.report()
+    (told,) = [each for each in world.peers.sent if each.proved is not None]
+    told = datagrams.decode(datagrams.encode(dataclasses.replace(told, instance=peer_world.TWO)))
+    receiver.updates.receive(told)
+    receiver.service.note_leading(B, query_sent_at_s=receiver.now_s + 1, position=None)
+    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
+    assert _fields(line)["by"].split() == ["?", "p:gone", peer_world.TWO]
+
+
+# Commits that a new primary lacks
+
+
+def _commits(*, above: int, shown: int) -> acknowledged.AcknowledgedCommits:
+    """Return what an instance knows after the former primary has acknowledged a commit."""
+    commits = acknowledged.AcknowledgedCommits(service=SERVICE, registry=metrics.Registry())
+    commits.note_shown(FORMER, _position(above))
+    commits.note_acknowledged(
+        FORMER, above=commits.shown_by(FORMER), shown=_position(shown), request=LAST
+    )
+    return commits
+
+
+def _lost(handler: logbook.TestHandler) -> dict[str, str]:
+    (line,) = _lines(handler, events.Event.COMMITS_MISSING)
+    return _fields(line)
+
+
+def test_lost_commits_tell_their_position_and_the_end_of_the_log(handler):
+    commits = _commits(above=123_456, shown=123_457)
+    commits.note_shown(PROMOTED, _position(123_400), term=ids.Term(13))
+    commits.review(PROMOTED, clock.now_s())
+    fields = _lost(handler)
+    assert fields["level"] == "error"
+    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
+    assert (fields["above"], fields["end"]) == ("12:123456", "12:123400")
+    assert fields["missing"] == "57"
+    assert commits.registry.total("commits_missing", SERVICE) == 57
+
+
+@pytest.mark.parametrize("first_seen", [123_410, 123_500])
+def test_commits_are_lost_although_the_first_answer_seen_has_entries_of_the_new_term(
+    handler, first_seen
+):
+    """Without the end at the promotion, a log that has grown beyond them hides the loss."""
+    commits, now_s = _commits(above=123_456, shown=123_457), clock.now_s()
+    commits.note_promoted(PROMOTED, _position(123_400), now_s=now_s)
+    commits.review(FORMER, now_s + 0.1)
+    commits.note_shown(PROMOTED, _position(first_seen, term=13), term=ids.Term(13))
+    commits.review(PROMOTED, now_s + 1.1)
+    assert (_lost(handler)["above"], _lost(handler)["end"]) == ("12:123456", "12:123400")
+    assert commits.registry.total("commits_missing", SERVICE) == 57
+
+
+def test_commits_are_lost_by_a_server_that_leads_again_without_them(handler):
+    commits = _commits(above=30, shown=31)
+    commits.forget(FORMER)
+    commits.note_shown(FORMER, _position(12), term=ids.Term(13))
+    commits.review(FORMER, clock.now_s())
+    assert (_lost(handler)["above"], _lost(handler)["end"]) == ("12:30", "12:12")
+
+
+def test_a_server_that_leads_again_with_its_log_has_lost_nothing(handler):
+    commits = _commits(above=30, shown=31)
+    commits.note_shown(FORMER, _position(31), term=ids.Term(13))
+    commits.review(FORMER, clock.now_s())
+    assert not any(_lines(handler, each) for each in acknowledged.EVENTS.values())
+
+
+def test_a_log_that_reaches_only_what_may_be_unacknowledged_is_no_error(handler):
+    commits, now_s = _commits(above=30, shown=40), clock.now_s()
+    commits.note_promoted(PROMOTED, _position(31), now_s=now_s)
+    commits.note_shown(PROMOTED, _position(50, term=13), term=ids.Term(13))
+    commits.review(PROMOTED, now_s + 1.0)
+    assert _lines(handler, events.Event.COMMITS_MISSING) == []
+    assert len(_lines(handler, events.Event.COMMITS_POSSIBLY_MISSING)) == 1
+
+
+def test_the_end_of_an_earlier_promotion_is_not_taken_for_that_of_the_next_one(handler):
+    commits, now_s = _commits(above=30, shown=40), clock.now_s()
+    commits.note_promoted(PROMOTED, _position(20), now_s=now_s)
+    commits.review(FORMER, now_s + acknowledged.PROMOTED_END_S)
+    commits.note_shown(PROMOTED, _position(50, term=13), term=ids.Term(13))
+    commits.review(PROMOTED, now_s + acknowledged.PROMOTED_END_S + 1.0)
+    assert _lines(handler, events.Event.COMMITS_MISSING) == []
+
+
+def test_the_end_of_a_promotion_counts_until_another_server_leads(handler):
+    commits, now_s = _commits(above=30, shown=40), clock.now_s()
+    commits.note_promoted(PROMOTED, _position(35), now_s=now_s)
+    commits.review(PROMOTED, now_s + 1.0)
+    commits.review(PROMOTED, now_s + 60.0)
+    assert commits.promoted is not None
+    commits.review(FORMER, now_s + 60.1)
+    assert commits.promoted is None
