410 tells how long a server ran unlisted, 531 what the holder knew

The summary of 531 and 533 has the seconds since the holder first read the list, the highest position below an acknowledged commit of any instance, and the highest that came with one of the holder's.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -107,7 +107,8 @@
     RELAY_SKIPPED = EventKind(315, logbook.INFO, "relay skipped")
     """A relay of the store's records did not answer or lost the store; another source is used."""
     SERVER_LISTED = EventKind(410, logbook.INFO, "server listed")
-    """A backend server appeared in the platform's list."""
+    """A backend server appeared in the platform's list, ``age_s`` after its start by the time of
+    day."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
     """A backend server announced that it leaves; it receives no new work."""
     SERVER_GONE = EventKind(412, logbook.INFO, "server removed")
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -137,10 +137,20 @@
         return self.report
 
     def describe_hold(self) -> str:
-        """Describe for how long commits were held, and who has not confirmed it."""
+        """Describe for how long commits were held, who has not confirmed it, and what this knows.
+
+        That is the highest position below a commit that an instance has acknowledged, the highest
+        one that came with a commit acknowledged here, and the seconds since the first reading of
+        the list of servers.
+        """
         if self.record is None or self.report is None:
             return ""
-        held = f"held {clock.now_s() - self.record.at_s:.1f}s"
+        now_s = clock.now_s()
+        age_s = now_s - self.target.hold.registrations.first_read_at_s
+        held = (
+            f"held {now_s - self.record.at_s:.1f}s age {age_s:.1f}s above {self.report.above}"
+            f" shown {self.target.acknowledged.highest_shown(but=self.record.server)}"
+        )
         unconfirmed = sorted(self.report.unconfirmed)[:MAX_UNCONFIRMED]
         return f"{held} without {' '.join(unconfirmed)}" if unconfirmed else held
 
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -5,6 +5,7 @@
 import contextlib
 import copy
 import dataclasses
+import time
 
 from mustardswitch import connection_pool, events, metrics
 from mustardswitch.backends import errors as backend_errors
@@ -94,6 +95,11 @@
     """When its entry expired, or this instance learned of it from the record of members."""
 
 
+def _age_s(entry: ports.ServerEntry) -> float | None:
+    """Return the seconds since a server started, by the time of day; None if unknown."""
+    return round(time.time() - entry.started_ms / 1000, 1) if entry.started_ms else None
+
+
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -222,8 +228,9 @@
                 service=self.name,
                 server=entry.server,
                 role=entry.role.value,
-                leaving=entry.leaving,
+                age_s=_age_s(entry),
                 revision=entry.revision,
+                leaving=entry.leaving,
             )
         elif backend.entry.revision != entry.revision:
             backend.entry_written_at_s = clock.now_s()
--- a/tests/proxy/test_cut_log_lines.py
+++ b/tests/proxy/test_cut_log_lines.py
@@ -283,3 +283,48 @@
     assert commits.promoted is not None
     commits.review(FORMER, now_s + 60.1)
     assert commits.promoted is None
+
+
+# The line of the holder
+
+
+async def test_the_holder_tells_what_the_former_primary_was_and_what_it_knows(handler):
+    world = proxy_world.World()
+    caller = world.open_session(requests.RouteKind.PRIMARY)
+    for _ in range(3):
+        await world.run(caller, proxy_world.WRITE)
+    world.coordination.hold_report = ports.HoldReport(complete=True, above=_position(2, term=1))
+    world.group.servers[A].up = False
+    assert await claimed_changes.run_claimed(
+        target=world.service,
+        coordination=world.coordination,
+        promoter=world.promoter,
+        primary=A,
+    )
+    (line,) = _lines(handler, events.Event.PROMOTION_PROVED)
+    assert f'"summary": "all_paused/not_listening; former {A} not_listening ' in line
+    pattern = r"; held [0-9.]+s age ([0-9.]+)s above (\S+) shown ([^;]+);"
+    told = re.search(pattern, _summary(handler))
+    assert float(told[1]) >= failover_watch.RECENT_START_S
+    assert (told[2], told[3]) == ("1:2", "1:3")
+
+
+# Servers that are listed
+
+
+def test_a_listed_server_tells_how_long_it_has_run(handler):
+    world = proxy_world.World()
+    world.group.start_server(zone="d")
+    entry = world.group.entries()[-1]
+    entry = dataclasses.replace(
+        entry,
+        server=PROMOTED,
+        started_ms=int(1000 * (time.time() - 86_400)),
+        revision=631,
+        role=promotion.Role.REPLICA,
+    )
+    world.service.name = SERVICE
+    world.service.apply([entry])
+    fields = _fields(_lines(handler, events.Event.SERVER_LISTED)[-1])
+    assert (fields["service"], fields["server"], fields["revision"]) == (SERVICE, PROMOTED, "631")
+    assert float(fields["age_s"]) == pytest.approx(86_400, abs=5)
