A promotion waits for servers that may have started and are not listed yet

Cause: without the primary's end, the servers that count are those that the holder knows. A replacement confirms commits from its start, and is listed 6 s and a heartbeat later; an instance that has just started knows only what is listed at that moment. The positions that instances have acknowledged lie below their last commits, so a log may reach them without these commits. Class: a list is taken for complete. Change: without the primary's end, a promotion waits while the service has fewer staying servers than it had, or the holder has read the list for less than a listing takes, until that time has passed since the former primary's last answer. The time comes from the settings of the platform (catch_up_s and heartbeat_ms) and replaces a constant of 6 s, which also limited the wait for an acknowledged commit. Changed tests: two that patched the former constant set the time of the service instead; one that expects an attempt to give up because of a server without an entry waits for that one only.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -190,6 +190,10 @@
     ACKNOWLEDGED_IGNORED = EventKind(536, logbook.ERROR, "acknowledged commits given up")
     """No server that is or became known in time reaches the position ``above``, below which an
     instance has acknowledged a commit; a server without it may be promoted."""
+    SERVERS_AWAITED = EventKind(540, logbook.WARNING, "servers awaited that are not listed yet")
+    """The former primary has not told the end of its log, and the service has fewer servers than it
+    had, or this instance has not read the list for long. A server that has started may hold
+    commits; it is listed within ``listing_s``."""
     COMMITS_NOT_PERMITTED = EventKind(534, logbook.WARNING, "commits not permitted")
     """This instance would not know of a recorded promotion: its records are too old, or do not list
     it. ``unheard`` are instances that have not said that they lack newer records, too."""
--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -6,9 +6,10 @@
 rule for all promotions. No instance sends commits any more, and either the primary was stopped and
 the log has reached the end of its log; or the primary executes nothing any more, also nothing that
 it received before, every server that may have confirmed a commit is paused, none of them has a
-longer log, and the log reaches beyond what the instances have acknowledged. Both hold beside
-servers that are not known, such as one that has started and is not listed yet, and however long an
-answer takes.
+longer log, and the log reaches beyond what the instances have acknowledged. The primary's end holds
+beside servers that are not known, such as one that has started and is not listed yet; without it,
+servers that may have started are given the time to be listed (``unlisted_servers``). Both hold
+however long an answer takes.
 
 What instances have sent is not over when they close its connection, nor when they end themselves:
 it may wait at the primary and be executed at any later time. Only the primary's own answers tell
@@ -122,6 +123,8 @@
     longer now. These servers need not answer again."""
     acknowledged_above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None if none is known."""
+    unlisted_may_hold: bool = False
+    """Whether a server that runs and is not listed yet may have confirmed a commit."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -151,7 +154,7 @@
         return None
     if evidence.stopped_end is not None:
         return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
-    if not evidence.former_primary.has_ended:
+    if not evidence.former_primary.has_ended or evidence.unlisted_may_hold:
         return None
     if lacks_acknowledged(status, evidence.acknowledged_above):
         return None
@@ -236,6 +239,8 @@
         reasons.append("instances may send commits")
     if evidence.stopped_end is None and not evidence.former_primary.has_ended:
         reasons.append("the former primary may execute commits")
+    if evidence.stopped_end is None and evidence.unlisted_may_hold:
+        reasons.append("a server that is not listed yet may hold commits")
     if evidence.required_end is not None:
         reasons.append(f"an earlier holder stopped the primary at {evidence.required_end}")
     if all(lacks_acknowledged(status, evidence.acknowledged_above) for status in statuses.values()):
--- /dev/null
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -0,0 +1,60 @@
+"""Decides whether a server that is not listed yet may hold commits that no known server has.
+
+The platform starts a server for each one that leaves or is lost. The new server confirms commits as
+soon as it runs, and is listed some time later. If the primary ends meanwhile, nothing else tells of
+these commits. So without the primary's end, a promotion waits until the service has as many servers
+as it had, or until a server that has confirmed a commit of the former primary must be listed.
+"""
+
+DEFAULT_LISTING_S = 7.2
+"""Time from the start of a server until it is listed, unless the settings give another one."""
+RELISTED_S = 2.5
+"""Time after an outage of the store in which the servers that run are listed; the platform promises
+about two seconds."""
+
+
+class ServerCount:
+    """How many servers of a service are listed and stay, at most and now."""
+
+    def __init__(self) -> None:
+        self.usual = 0
+        """The most that were listed at a time."""
+        self.present = 0
+
+    def __repr__(self) -> str:
+        return f"ServerCount(usual={self.usual!r}, present={self.present!r})"
+
+    @property
+    def missing(self) -> int:
+        """Number of servers that have left, leave or were lost and are not replaced yet."""
+        return self.usual - self.present
+
+    def note(self, present: int) -> None:
+        """Record how many servers are listed and do not leave.
+
+        A primary whose entry was removed before it left is one of them: while it serves, no other
+        is started for it.
+        """
+        self.present = present
+        self.usual = max(self.usual, present)
+
+
+def may_hold_commits(
+    *,
+    missing: int,
+    knows_since_s: float,
+    store_back_s: float,
+    primary_silent_s: float,
+    listing_s: float,
+) -> bool:
+    """Return whether a server that is not listed may have confirmed commits of a former primary.
+
+    ``missing`` are the servers that may have been started and are not listed, ``knows_since_s``
+    the seconds for which the list has been read, as earlier changes of it are not known,
+    ``store_back_s`` those since an outage of the store, and ``primary_silent_s`` those since the
+    former primary has answered anybody. A server is listed within ``listing_s`` seconds after its
+    start, or soon after an outage.
+    """
+    if missing <= 0 and knows_since_s >= listing_s:
+        return False
+    return primary_silent_s < listing_s or store_back_s < RELISTED_S
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -73,6 +73,7 @@
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
             features=config.features,
+            listing_s=config.listing_s,
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -7,7 +7,7 @@
 
 import yaml
 
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, unlisted_servers
 from mustardswitch.internal.admission import descriptors, memory
 from mustardswitch.platform import errors
 from mustardswitch.proxy import feature_set
@@ -62,6 +62,8 @@
     features: feature_set.Features = feature_set.NO_FEATURES
     """Features that the deployment asks for."""
     limits: Limits = dataclasses.field(default_factory=Limits)
+    listing_s: float = unlisted_servers.DEFAULT_LISTING_S
+    """Seconds from the start of a backend server until it is listed."""
 
 
 def settings_path() -> pathlib.Path:
@@ -109,9 +111,20 @@
         stop_grace_s=reader.seconds("stop_grace_s"),
         features=_read_features(reader) if fields.get("contracts") else feature_set.NO_FEATURES,
         limits=_read_limits(reader) if fields.get("limits") else Limits(),
+        listing_s=_read_listing_s(reader),
     )
 
 
+def _read_listing_s(reader: "_Reader") -> float:
+    """Return the time in which servers are listed: they register once they have caught up."""
+    if not reader.fields.get("servers"):
+        return unlisted_servers.DEFAULT_LISTING_S
+    given = _Reader(fields=reader.value("servers", dict), source=f"{reader.source}: servers")
+    if given.fields.get("catch_up_s") is None or given.fields.get("heartbeat_ms") is None:
+        return unlisted_servers.DEFAULT_LISTING_S
+    return given.seconds("catch_up_s") + given.seconds("heartbeat_ms") / 1000
+
+
 def _read_limits(reader: "_Reader") -> Limits:
     """Return the limits; one that is omitted has its default."""
     given = _Reader(fields=reader.value("limits", dict), source=f"{reader.source}: limits")
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -6,7 +6,14 @@
 import dataclasses
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import clock, commit_permission, gateways, ids, registration_list
+from mustardswitch.internal import (
+    clock,
+    commit_permission,
+    gateways,
+    ids,
+    registration_list,
+    unlisted_servers,
+)
 from mustardswitch.internal.admission import connection_shares
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import homes
@@ -65,8 +72,11 @@
         registry: metrics.Registry,
         forwarder: forwarded.Forwarder | None = None,
         features: feature_set.Features = feature_set.NO_FEATURES,
+        listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
     ) -> None:
         self.features = features
+        self.listing_s = listing_s
+        """Time from the start of a server until it is listed."""
         self.paces = server_pace.PaceBook(registry=registry) if features.pace else None
         self.forwarder = forwarder
         self.stall_meter = stalls.StallMeter() if features.placement else None
@@ -225,6 +235,7 @@
                     registrations=self.servers,
                     permission=self.permission,
                     permitted=self.may_send_commits,
+                    listing_s=self.listing_s,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -9,16 +9,20 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.internal import (
+    clock,
+    former_primary,
+    ids,
+    positions,
+    promotion,
+    unlisted_servers,
+)
 from mustardswitch.proxy import claimed_attempt, errors, ports, server_commands, stop_orders
 
 SUCCESSOR_LAG_S = 0.6
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
-ACKNOWLEDGED_WAIT_S = 6.0
-"""Time to wait for a server that has an acknowledged commit which all known servers lack; as long
-as a server that has started takes to be listed."""
 
 NOT_HELD = ports.HoldReport(complete=False)
 NOT_RECORDED = promotion.Choice(
@@ -32,6 +36,13 @@
 )
 
 
+def _primary_silent_s(order: stop_orders.StopOrder | None, report: ports.HoldReport) -> float:
+    """Return the seconds since a primary that was ordered to stop has answered any instance."""
+    own = [] if order is None else [order.report()]
+    reports = [*own, *report.primary_reports.values()]
+    return min((each.answered_s for each in reports), default=0.0)
+
+
 class EndOfCommits(claimed_attempt.Attempt):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
@@ -73,6 +84,7 @@
         report: ports.HoldReport = NOT_HELD,
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
         former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
+        unlisted_may_hold: bool = False,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         evidence = promotion.Evidence(
@@ -85,6 +97,7 @@
             former_primary=former,
             final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
+            unlisted_may_hold=unlisted_may_hold,
         )
         return promotion.choose(
             evidence, leaving=self._leaving() | avoided, requested=self.requested
@@ -180,7 +193,7 @@
         if order is not None:
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
-        queried_s = float("-inf")
+        queried_s = awaited_s = float("-inf")
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -199,8 +212,13 @@
             in_time = stopped_since_s is not None and (
                 clock.now_s() - stopped_since_s < SUCCESSOR_LAG_S
             )
-            if ended_since_s is not None and clock.now_s() - ended_since_s > ACKNOWLEDGED_WAIT_S:
+            silent_s = _primary_silent_s(order, report)
+            if former in (promotion.FormerPrimary.REPLICA, promotion.FormerPrimary.UNKNOWN):
+                # Its answers as a replica are none of a primary.
+                silent_s = 0.0 if ended_since_s is None else clock.now_s() - ended_since_s
+            if ended_since_s is not None and silent_s >= self.target.listing_s:
                 report = self._ignore_acknowledged(report)
+            unlisted_may_hold = self._unlisted_may_hold(silent_s)
             status = statuses.get(self.requested)
             behind = status is not None and promotion.lacks_acknowledged(status, report.above)
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
@@ -220,6 +238,7 @@
                 report=report,
                 avoided={primary},
                 former=former,
+                unlisted_may_hold=unlisted_may_hold,
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
@@ -237,8 +256,11 @@
                     revision=self.record.revision,
                     primary_end=self.stopped_end or self.replica_end,
                 )
-            if ended_since_s is not None and self._gives_up(ended_since_s, paused, report):
-                return choice
+            if ended_since_s is not None:
+                if unlisted_may_hold or self._awaits_acknowledged(paused, report):
+                    awaited_s = clock.now_s()
+                if clock.now_s() - max(ended_since_s, awaited_s) > PAUSE_TIMEOUT_S:
+                    return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
             queried_s = clock.now_s()
             statuses = await self.commands.query(self.confirming() - spared)
@@ -254,18 +276,35 @@
         end = former_primary.end_of(reports, former_primary.Order.STOPPED)
         return end is None or self.note_end(order.backend.server, end)
 
-    def _gives_up(
-        self, ended_since_s: float, paused: server_commands.Statuses, report: ports.HoldReport
-    ) -> bool:
-        """Return whether to end an attempt in which commits have ended and no choice is proved.
+    def _unlisted_may_hold(self, primary_silent_s: float) -> bool:
+        """Return whether a server that is not listed yet may hold a commit; logs when it may."""
+        now_s, target = clock.now_s(), self.target
+        may_hold = unlisted_servers.may_hold_commits(
+            missing=target.server_count.missing,
+            knows_since_s=now_s - target.hold.registrations.first_read_at_s,
+            store_back_s=now_s - target.hold.registrations.recovered_at_s,
+            primary_silent_s=primary_silent_s,
+            listing_s=target.listing_s,
+        )
+        if may_hold and not self.awaits_unlisted:
+            self.awaits_unlisted = True
+            events.log(
+                events.Event.SERVERS_AWAITED,
+                service=target.name,
+                missing=target.server_count.missing,
+                primary_silent_s=round(primary_silent_s, 3),
+                listing_s=target.listing_s,
+            )
+        return may_hold
 
-        If the servers lack an acknowledged commit, one may receive it, or another that has it may
-        be listed soon.
-        """
+    def _awaits_acknowledged(
+        self, paused: server_commands.Statuses, report: ports.HoldReport
+    ) -> bool:
+        """Return whether a server may still receive, or be listed with, an acknowledged commit."""
+        if report.above is None:
+            return False
         lacking = any(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
-        lacking = lacking or self.requested not in paused
-        limit_s = ACKNOWLEDGED_WAIT_S if lacking and report.above is not None else 0.0
-        return clock.now_s() - ended_since_s > limit_s + PAUSE_TIMEOUT_S
+        return lacking or self.requested not in paused
 
     def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
         """Return a report without the acknowledged positions, which no known server reaches.
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -18,6 +18,7 @@
     positions,
     promotion,
     suspicion,
+    unlisted_servers,
 )
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.placement import read_placement
@@ -117,6 +118,7 @@
         registrations: commit_holds.SourceList | None = None,
         permission: commit_permission.CommitPermission | None = None,
         permitted: collections.abc.Callable[[], bool] = lambda: True,
+        listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -141,6 +143,9 @@
         """Replicas whose entries expired lately."""
         self.former_primary: server.Server | None = None
         """The last server whose entry was removed while it led; None if a primary is listed."""
+        self.listing_s = listing_s
+        """Time from the start of a server until it is listed."""
+        self.server_count = unlisted_servers.ServerCount()
         self.removed_at_s: dict[ids.ServerId, float] = {}
         """When servers were removed from the list lately (``clock.now_s``)."""
         self.requested: ids.ServerId | None = None
@@ -202,6 +207,7 @@
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
+        self._count_servers()
 
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
@@ -289,6 +295,12 @@
         elif leads:
             self.former_primary = backend
 
+    def _count_servers(self) -> None:
+        counted = [*self.servers.values()]
+        if self.former_primary is not None:
+            counted.append(self.former_primary)
+        self.server_count.note(sum(not backend.entry.leaving for backend in counted))
+
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
         known = self.unlisted.get(name)
--- a/tests/platform/test_records_and_settings.py
+++ b/tests/platform/test_records_and_settings.py
@@ -9,7 +9,14 @@
 from hypothesis import strategies as st
 
 from mustardswitch import http_calls
-from mustardswitch.internal import change_log, clock, ids, promotion, registration_list
+from mustardswitch.internal import (
+    change_log,
+    clock,
+    ids,
+    promotion,
+    registration_list,
+    unlisted_servers,
+)
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import errors, follower, records, settings, store
 from mustardswitch.proxy import directory, fleet_records, ports, requests
@@ -226,6 +233,7 @@
 promotions: 10.0.0.3:8783
 stop_grace_s: 6
 contracts: [base, pressure]
+servers: {"catch_up_s": 6, "heartbeat_ms": 1200}
 limits: {"memory_mb": 200, "max_fds": 4300, "cpu_share": 0.5}
 """
 
@@ -238,6 +246,17 @@
     assert read.limits == settings.Limits(memory_mb=200, max_fds=4300)
 
 
+def test_servers_are_listed_at_the_next_heartbeat_after_they_have_caught_up():
+    assert settings.parse_settings(SETTINGS, source="s.yaml").listing_s == pytest.approx(7.2)
+
+
+@pytest.mark.parametrize("given", ["", '{"catch_up_s": , "heartbeat_ms": }', '{"catch_up_s": 4}'])
+def test_settings_without_the_figures_of_servers_have_the_default(given):
+    changed = SETTINGS.replace('{"catch_up_s": 6, "heartbeat_ms": 1200}', given)
+    read = settings.parse_settings(changed, source="s.yaml")
+    assert read.listing_s == unlisted_servers.DEFAULT_LISTING_S
+
+
 def test_settings_without_limits_have_the_defaults():
     without = "".join(
         line for line in SETTINGS.splitlines(keepends=True) if not line.startswith("limits")
@@ -257,6 +276,8 @@
         ('"memory_mb": 200', '"memory_mb": "much"', "field memory_mb"),
         ('"max_fds": 4300', '"max_fds": 0', "give a number from 1"),
         ('{"memory_mb": 200,', "[200]  # {", "field limits"),
+        ('{"catch_up_s": 6,', "[6]  # {", "field servers"),
+        ('"catch_up_s": 6', '"catch_up_s": -6', "field catch_up_s"),
         ("instance: one", "instance: [", "not valid YAML"),
     ],
 )
--- a/tests/proxy/test_gaps_in_promotions.py
+++ b/tests/proxy/test_gaps_in_promotions.py
@@ -5,7 +5,14 @@
 import pytest
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, commit_permission, ids, positions, promotion
+from mustardswitch.internal import (
+    clock,
+    commit_permission,
+    former_primary,
+    ids,
+    positions,
+    promotion,
+)
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import acknowledged, end_of_commits, ports
 from mustardswitch_standins import database_group
@@ -75,9 +82,9 @@
 
 async def test_commits_that_only_lost_servers_hold_do_not_end_a_service(monkeypatch):
     """No server that is known, or will be, has the last acknowledged commit."""
-    monkeypatch.setattr(end_of_commits, "ACKNOWLEDGED_WAIT_S", 0.2)
     monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.2)
     world = proxy_world.World()
+    world.service.listing_s = 0.2
     above = positions.Position(term=ids.Term(1), offset=ids.Offset(1000))
     world.service.acknowledged.note_acknowledged(
         A,
@@ -93,9 +100,8 @@
     assert any(changed)
 
 
-async def test_a_replica_that_lacks_acknowledged_commits_goes_on_receiving_them(monkeypatch):
+async def test_a_replica_that_lacks_acknowledged_commits_goes_on_receiving_them():
     """The primary gives this instance no answer, and replicates on, a moment late."""
-    monkeypatch.setattr(end_of_commits, "ACKNOWLEDGED_WAIT_S", 1.0)
     world = proxy_world.World()
     takeovers.expire_entry(world, C)
     world.service.unlisted.clear()
@@ -103,7 +109,10 @@
     before = primary.position
     late.not_receiving = True
     world.group.commit(primary, "confirmed by a server that is not listed yet")
+    contacts = world.service.servers[A].contacts
     takeovers.cut_off(world)
+    contacts.since_s = clock.now_s() - former_primary.UNREACHED_S
+    world.service.listing_s = former_primary.UNREACHED_S + 1.0
     world.coordination.hold_commits = lambda *args, **changes: ports.HoldReport(
         complete=True, above=before
     )
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -65,6 +65,8 @@
     """
     monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.1)
     world = proxy_world.World()
+    # Only the server whose entry expired is waited for.
+    world.service.listing_s = 0.0
     _commit_on_primary_and_c(world)
     world.group.servers[C].up = False
     takeovers.expire_entry(world, C)
--- /dev/null
+++ b/tests/proxy/test_unlisted_servers.py
@@ -0,0 +1,126 @@
+"""Commits that only a server which is not listed yet has confirmed, and the end of the primary."""
+
+import asyncio
+
+import pytest
+
+from mustardswitch.internal import clock, ids, unlisted_servers
+from mustardswitch_standins import database_group
+from tests.common import proxy_world, takeovers
+
+A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+SETTLE_S = 0.3
+"""Time in which a promotion is requested that waits for nothing."""
+
+
+def _lose_replica(world: proxy_world.World) -> None:
+    """End a replica for good, long ago."""
+    del world.group.servers[C]
+    world.list_servers()
+    world.service.unlisted.clear()
+
+
+def _announce_end_of_primary(world: proxy_world.World) -> None:
+    world.group.servers[A].leaving = True
+    world.list_servers()
+
+
+def _start_instance_anew(world: proxy_world.World) -> None:
+    """Let the instance know the list for a moment only."""
+    world.directory.servers.first_read_at_s = clock.now_s()
+
+
+def _commit_on_unlisted_server(world: proxy_world.World) -> database_group.FakeServer:
+    """Let a server that has started confirm a commit that the listed replicas lack."""
+    started = world.group.start_server(zone="d")
+    for name in {B, C} & world.group.servers.keys():
+        world.group.servers[name].not_receiving = True
+    assert world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+    return started
+
+
+@pytest.mark.parametrize("prepare", [_lose_replica, _announce_end_of_primary, _start_instance_anew])
+async def test_a_primary_that_ends_before_its_only_confirming_server_is_listed_loses_no_commit(
+    prepare,
+):
+    world = proxy_world.World()
+    world.service.listing_s = 1.5
+    prepare(world)
+    started = _commit_on_unlisted_server(world)
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(SETTLE_S)
+    assert takeovers.requested_successors(world) == []
+    world.list_servers()
+    assert await changing
+    assert world.group.primary is started and world.group.lost == []
+
+
+async def test_an_instance_that_starts_while_entries_have_lapsed_promotes_no_lagging_replica():
+    """All instances had started anew, and knew one replica only, which had not received the last
+    commits. The primary and the replica that had confirmed them ran, and were listed later.
+    """
+    world = proxy_world.World()
+    world.service.listing_s = 1.5
+    world.group.servers[B].not_receiving = True
+    assert world.group.commit(world.group.primary, "x")
+    listed = {entry.server: entry for entry in world.group.entries() if entry.server == B}
+    world.directory.servers.replace(listed, clock.now_s())
+    world.directory.services.clear()
+    world.directory.refresh()
+    _start_instance_anew(world)
+    changing = asyncio.create_task(takeovers.take_over(world, None))
+    await asyncio.sleep(SETTLE_S)
+    world.list_servers()
+    await changing
+    assert world.group.lost == []
+
+
+async def test_a_service_with_all_its_servers_is_not_kept_waiting_for_others():
+    world = proxy_world.World()
+    world.group.servers[A].up = False
+    async with asyncio.timeout(SETTLE_S):
+        assert await takeovers.take_over(world, silent=True)
+
+
+async def test_a_server_that_is_not_listed_in_time_is_not_waited_for_any_longer():
+    world = proxy_world.World()
+    world.service.listing_s = 0.5
+    _lose_replica(world)
+    world.group.servers[A].up = False
+    assert await takeovers.take_over(world, silent=True)
+
+
+def test_a_server_that_replaces_a_lost_one_completes_the_service():
+    count = unlisted_servers.ServerCount()
+    for present in (2, 3, 2):
+        count.note(present)
+    assert count.missing == 1
+    count.note(3)
+    assert count.missing == 0
+
+
+@pytest.mark.parametrize(
+    "missing, knows_since_s, store_back_s, primary_silent_s, may_hold",
+    [
+        (1, 100.0, 100.0, 6.9, True),
+        (1, 100.0, 100.0, 7.0, False),
+        (0, 6.9, 100.0, 1.0, True),
+        (0, 7.0, 100.0, 1.0, False),
+        (0, 1.0, 100.0, 7.0, False),
+        (1, 100.0, 2.0, 9.0, True),
+        (1, 100.0, 2.5, 9.0, False),
+        (0, 100.0, 2.0, 9.0, False),
+    ],
+)
+def test_servers_that_started_before_the_last_answer_of_the_primary_are_listed_in_time(
+    missing, knows_since_s, store_back_s, primary_silent_s, may_hold
+):
+    found = unlisted_servers.may_hold_commits(
+        missing=missing,
+        knows_since_s=knows_since_s,
+        store_back_s=store_back_s,
+        primary_silent_s=primary_silent_s,
+        listing_s=7.0,
+    )
+    assert found is may_hold
