The most servers of a service are recorded, so that an instance that starts knows of a missing one

Callers would lose acknowledged commits (in memory): an instance that had started after a replica was lost, and had read the list for longer than a listing takes, took two servers for a whole service. Cause: the number of servers was known only to instances that had seen them. Change: the most that were listed at a time is recorded in the store, by the instances that write the record of members; one write a service. With a record, an instance that has just started waits only if a server is missing. Evidence: test_unlisted_servers[_lose_replica_before_the_start] fails without the record.

--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -17,17 +17,22 @@
     """How many servers of a service are listed and stay, at most and now."""
 
     def __init__(self) -> None:
-        self.usual = 0
-        """The most that were listed at a time."""
+        self.listed_at_most = 0
+        """The most that this instance has seen at a time."""
+        self.recorded = 0
+        """The most that any instance has recorded; 0 without a record."""
         self.present = 0
 
     def __repr__(self) -> str:
-        return f"ServerCount(usual={self.usual!r}, present={self.present!r})"
+        return (
+            f"ServerCount(listed_at_most={self.listed_at_most!r}, recorded={self.recorded!r},"
+            f" present={self.present!r})"
+        )
 
     @property
     def missing(self) -> int:
         """Number of servers that have left, leave or were lost and are not replaced yet."""
-        return self.usual - self.present
+        return max(self.listed_at_most, self.recorded) - self.present
 
     def note(self, present: int) -> None:
         """Record how many servers are listed and do not leave.
@@ -36,12 +41,16 @@
         is started for it.
         """
         self.present = present
-        self.usual = max(self.usual, present)
+        self.listed_at_most = max(self.listed_at_most, present)
+
+    def note_recorded(self, servers: int) -> None:
+        """Record how many servers the store's record names; 0 without one."""
+        self.recorded = servers
 
 
 def may_hold_commits(
     *,
-    missing: int,
+    count: ServerCount,
     knows_since_s: float,
     store_back_s: float,
     primary_silent_s: float,
@@ -49,12 +58,13 @@
 ) -> bool:
     """Return whether a server that is not listed may have confirmed commits of a former primary.
 
-    ``missing`` are the servers that may have been started and are not listed, ``knows_since_s``
-    the seconds for which the list has been read, as earlier changes of it are not known,
-    ``store_back_s`` those since an outage of the store, and ``primary_silent_s`` those since the
-    former primary has answered anybody. A server is listed within ``listing_s`` seconds after its
-    start, or soon after an outage.
+    A ``count`` without a record says little until the list has been read for a while, which are
+    ``knows_since_s`` seconds: servers may have been removed from it before. ``store_back_s`` are
+    those since an outage of the store, and ``primary_silent_s`` those since the former primary has
+    answered anybody. A server is listed within ``listing_s`` seconds after its start, or soon after
+    an outage.
     """
-    if missing <= 0 and knows_since_s >= listing_s:
+    is_known = count.recorded > 0 or knows_since_s >= listing_s
+    if is_known and count.missing <= 0:
         return False
     return primary_silent_s < listing_s or store_back_s < RELISTED_S
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -280,7 +280,7 @@
         """Return whether a server that is not listed yet may hold a commit; logs when it may."""
         now_s, target = clock.now_s(), self.target
         may_hold = unlisted_servers.may_hold_commits(
-            missing=target.server_count.missing,
+            count=target.server_count,
             knows_since_s=now_s - target.hold.registrations.first_read_at_s,
             store_back_s=now_s - target.hold.registrations.recovered_at_s,
             primary_silent_s=primary_silent_s,
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -17,6 +17,7 @@
 FINAL_ENDS = f"{PREFIX}final-ends/"
 ERAS = f"{PREFIX}eras/"
 MEMBERS = f"{PREFIX}members/"
+SIZES = f"{PREFIX}sizes/"
 MAX_PORT = 65535
 
 
@@ -149,6 +150,8 @@
         known.note_recorded_promotion(service, promoted, revision=item.revision)
     elif key.startswith(MEMBERS):
         known.members.apply(ids.ServiceName(key.removeprefix(MEMBERS)), item)
+    elif key.startswith(SIZES):
+        known.members.apply_size(ids.ServiceName(key.removeprefix(SIZES)), item)
 
 
 def _apply_vote(known: directory.Directory, item: change_log.Item) -> None:
--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -1,6 +1,8 @@
-"""The record of a service's members: its codec, and what an instance learns from it.
+"""The records of a service's members and of their number: codecs, and what instances learn.
 
-A member that an instance has never known counts like a replica whose entry has just expired.
+A member that an instance has never known counts like a replica whose entry has just expired. The
+number is the most servers that were listed at a time; it tells instances that start whether a
+server is missing.
 """
 
 import collections.abc
@@ -137,11 +139,38 @@
     return number
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SizeRecord:
+    """The recorded number of a service's servers, and the store's revision of the record."""
+
+    servers: int = 0
+    """0 for a record that cannot be decoded."""
+    revision: int = 0
+    """0 without a record."""
+
+
+NO_SIZE = SizeRecord()
+
+
+def encode_size(servers: int) -> bytes:
+    """Encode the number of a service's servers."""
+    return str(servers).encode()
+
+
+def decode_size(name: ids.ServiceName, value: bytes) -> int:
+    """Decode the number of a service's servers; raises FleetRecordError."""
+    text = value.decode(errors="replace")
+    if not (text.isascii() and text.isdigit() and len(text) <= 4 and 0 < int(text) <= MAX_MEMBERS):
+        raise errors.FleetRecordError(f"size of {name}: not a number from 1 to {MAX_MEMBERS}")
+    return int(text)
+
+
 class MemberBook:
     """The records of all services, and the members that this instance has known."""
 
     def __init__(self) -> None:
         self.records: dict[ids.ServiceName, MemberRecord] = {}
+        self.sizes: dict[ids.ServiceName, SizeRecord] = {}
         self.known: dict[ids.ServiceName, members.KnownMembers] = {}
 
     def __repr__(self) -> str:
@@ -173,11 +202,21 @@
         if revision > self.record(name).revision:
             self.records[name] = MemberRecord(entries=tuple(entries), revision=revision)
 
+    def apply_size(self, name: ids.ServiceName, item: change_log.Item) -> None:
+        """Apply the change of a service's recorded size; raises FleetRecordError."""
+        if item.value is None:
+            self.sizes.pop(name, None)
+            return
+        self.sizes[name] = SizeRecord(revision=item.revision)
+        servers = decode_size(name, item.value)
+        self.sizes[name] = SizeRecord(servers=servers, revision=item.revision)
+
     def seed(self, target: service.Service) -> None:
-        """Note the recorded members that are not known as servers whose entries expired now.
+        """Note the recorded size, and the members that are not known as expired entries.
 
         Must be called after each change of the listed servers.
         """
+        target.server_count.note_recorded(self.sizes.get(target.name, NO_SIZE).servers)
         known = self.known.setdefault(target.name, members.KnownMembers())
         for backend in target.servers.values():
             known.add(member_of(backend.entry))
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -1,4 +1,4 @@
-"""Writes the records of the services' members to the store."""
+"""Writes the records of the services' members, and of their numbers, to the store."""
 
 import asyncio
 import functools
@@ -18,6 +18,7 @@
         self.client = client
         self.directory = directory
         self.schedule = members.WriteSchedule()
+        self.size_schedule = members.WriteSchedule()
 
     def __repr__(self) -> str:
         return f"MemberWriter(client={self.client!r}, directory={self.directory!r})"
@@ -26,6 +27,7 @@
         """Write until cancelled."""
         while True:
             await self.check()
+            await self.check_sizes()
             await asyncio.sleep(CHECK_S)
 
     async def check(self) -> None:
@@ -45,6 +47,41 @@
                 await self._write(target)
                 return
 
+    async def check_sizes(self) -> None:
+        """Write the size of one service that has more servers than recorded."""
+        now_s = clock.now_s()
+        if self.directory.servers.outage or not self.directory.servers.is_complete(now_s):
+            return
+        for name, target in self.directory.services.items():
+            recorded = self.directory.members.sizes.get(name, member_records.NO_SIZE)
+            if target.server_count.listed_at_most <= recorded.servers:
+                self.size_schedule.note_equal(name)
+            elif self.size_schedule.is_due(
+                name,
+                revision=recorded.revision,
+                rank=functools.partial(self._rank, name),
+                now_s=now_s,
+            ):
+                await self._write_size(target, recorded)
+                return
+
+    async def _write_size(
+        self, target: service.Service, recorded: member_records.SizeRecord
+    ) -> None:
+        name, servers = target.name, target.server_count.listed_at_most
+        key = f"{fleet_records.SIZES}{name}"
+        put = ports.Put(key=key, value=member_records.encode_size(servers))
+        try:
+            revision = await self.client.change(expected={key: recorded.revision}, puts=[put])
+        except errors.StoreError as error:
+            events.log(events.Event.STORE_CALL_FAILED, call="size", reason=str(error))
+            revision = None
+        if revision is None:
+            self.size_schedule.note_failed(name, now_s=clock.now_s())
+        else:
+            written = member_records.SizeRecord(servers=servers, revision=revision)
+            self.directory.members.sizes[name] = written
+
     def _differs(self, target: service.Service, now_s: float) -> bool:
         counted = member_records.counted_entries(target)
         return members.needs_write(
--- a/tests/platform/test_member_writer.py
+++ b/tests/platform/test_member_writer.py
@@ -35,6 +35,11 @@
         await self.follow()
         self.tasks.append(asyncio.create_task(self.writer.run()))
 
+    def recorded_size(self) -> bytes | None:
+        """Return the recorded number of servers."""
+        found = self.store.keys.get(f"{fleet_records.SIZES}{SERVICE}")
+        return found.value if found is not None else None
+
     def recorded(self) -> set[ids.ServerId]:
         """Return the servers that the record names."""
         if KEY not in self.store.keys:
@@ -210,3 +215,35 @@
     await world.start_writing()
     assert gateways.ranked(world.directory.candidates(), SERVICE)[0] != "one"
     await world.wait_for(A)
+
+
+async def test_the_most_servers_that_were_listed_at_a_time_are_recorded(world):
+    """An instance that starts after a loss knows from it that a server is missing."""
+    for name in (A, B, C):
+        world.put_server(name)
+    await world.start_writing()
+    world.end_start()
+    await store_world.wait_until(lambda: world.recorded_size() == b"3")
+    world.store.delete(f"servers/{C}")
+    await world.follow()
+    await asyncio.sleep(SEVERAL_CHECKS_S)
+    assert world.recorded_size() == b"3"
+
+
+@pytest.mark.parametrize("value", [b"", b"0", b"-1", b"3.0", b"99999", b"\xff"])
+async def test_a_size_that_cannot_be_read_is_replaced(world, value):
+    world.store.put(f"{fleet_records.SIZES}{SERVICE}", value)
+    world.put_server(A)
+    await world.start_writing()
+    world.end_start()
+    await store_world.wait_until(lambda: world.recorded_size() == b"1")
+
+
+async def test_a_larger_size_is_not_overwritten_by_what_is_listed(world):
+    world.store.put(f"{fleet_records.SIZES}{SERVICE}", b"3")
+    world.put_server(A)
+    await world.start_writing()
+    world.end_start()
+    await asyncio.sleep(SEVERAL_CHECKS_S)
+    assert world.recorded_size() == b"3"
+    assert world.directory.services[SERVICE].server_count.missing == 2
--- a/tests/proxy/test_unlisted_servers.py
+++ b/tests/proxy/test_unlisted_servers.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from mustardswitch.internal import clock, ids, unlisted_servers
+from mustardswitch.internal import change_log, clock, ids, unlisted_servers
+from mustardswitch.proxy import fleet_records, member_records
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+SIZE = f"{fleet_records.SIZES}{database_group.SERVICE}"
 SETTLE_S = 0.3
 """Time in which a promotion is requested that waits for nothing."""
 
@@ -25,6 +27,15 @@
     world.list_servers()
 
 
+def _lose_replica_before_the_start(world: proxy_world.World) -> None:
+    """Let an instance know the list for long that has started after a replica was lost."""
+    _lose_replica(world)
+    world.directory.services.clear()
+    item = change_log.Item(key=SIZE, value=member_records.encode_size(3), revision=5)
+    fleet_records.apply(world.directory, item)
+    world.directory.refresh()
+
+
 def _start_instance_anew(world: proxy_world.World) -> None:
     """Let the instance know the list for a moment only."""
     world.directory.servers.first_read_at_s = clock.now_s()
@@ -91,33 +102,43 @@
     assert await takeovers.take_over(world, silent=True)
 
 
-def test_a_server_that_replaces_a_lost_one_completes_the_service():
+def _count(*present: int, recorded: int = 0) -> unlisted_servers.ServerCount:
     count = unlisted_servers.ServerCount()
-    for present in (2, 3, 2):
-        count.note(present)
-    assert count.missing == 1
-    count.note(3)
-    assert count.missing == 0
+    count.note_recorded(recorded)
+    for number in present:
+        count.note(number)
+    return count
+
+
+def test_a_server_that_replaces_a_lost_one_completes_the_service():
+    assert _count(2, 3, 2).missing == 1
+    assert _count(2, 3, 2, 3).missing == 0
+
+
+def test_a_server_that_was_lost_before_the_instance_started_is_missing():
+    assert _count(2, recorded=3).missing == 1
 
 
 @pytest.mark.parametrize(
-    "missing, knows_since_s, store_back_s, primary_silent_s, may_hold",
+    "count, knows_since_s, store_back_s, primary_silent_s, may_hold",
     [
-        (1, 100.0, 100.0, 6.9, True),
-        (1, 100.0, 100.0, 7.0, False),
-        (0, 6.9, 100.0, 1.0, True),
-        (0, 7.0, 100.0, 1.0, False),
-        (0, 1.0, 100.0, 7.0, False),
-        (1, 100.0, 2.0, 9.0, True),
-        (1, 100.0, 2.5, 9.0, False),
-        (0, 100.0, 2.0, 9.0, False),
+        (_count(3, 2), 100.0, 100.0, 6.9, True),
+        (_count(3, 2), 100.0, 100.0, 7.0, False),
+        (_count(3), 6.9, 100.0, 1.0, True),
+        (_count(3), 7.0, 100.0, 1.0, False),
+        (_count(3), 1.0, 100.0, 7.0, False),
+        (_count(3, recorded=3), 1.0, 100.0, 1.0, False),
+        (_count(2, recorded=3), 100.0, 100.0, 1.0, True),
+        (_count(3, 2), 100.0, 2.0, 9.0, True),
+        (_count(3, 2), 100.0, 2.5, 9.0, False),
+        (_count(3), 100.0, 2.0, 9.0, False),
     ],
 )
 def test_servers_that_started_before_the_last_answer_of_the_primary_are_listed_in_time(
-    missing, knows_since_s, store_back_s, primary_silent_s, may_hold
+    count, knows_since_s, store_back_s, primary_silent_s, may_hold
 ):
     found = unlisted_servers.may_hold_commits(
-        missing=missing,
+        count=count,
         knows_since_s=knows_since_s,
         store_back_s=store_back_s,
         primary_silent_s=primary_silent_s,
