A connection that WRONGNODE answers is no contact with the server

Cause: an order to stop notes a contact as soon as its connection is open, again when the order ends, and counts as connected during the pause after it. So each WRONGNODE was older than a contact of its own attempt. With 18 instances that try, one was always connected.

Change: an attempt counts as a contact while it is open and unanswered, as before, and after its end unless its last step shows that no process of the server listens. The pause after an attempt counts no more. Several orders to one server see each other's open connections (the log of contacts counts them), as they did through the early note.

A session names the service and the id of the entry, and this server accepted both while it led. A server that moved to another address would have started again, under another `born`, and its signs begin anew with its new entry; its former process has ended as well. A server that restarts between two attempts holds nothing that waits.

Stricter than before in one point: that nobody listens is known as of the beginning of the attempt, also for refused connections. The answer may have waited in an instance that was suspended, while the server came back and received commits before the hold.

Evidence: test_a_crashed_primary_whose_address_another_process_has_is_replaced_at_once ran into its limit of 5 s before, test_a_crashed_primary_whose_address_is_used_again_is_ no_contact failed; both pass, as do the tests of stop orders, contact signs, stopped primaries, takeovers and gaps (229). A connection that stays unanswered after a WRONGNODE is a contact (test of that name).

--- a/src/mustardswitch/internal/server_contact.py
+++ b/src/mustardswitch/internal/server_contact.py
@@ -39,21 +39,28 @@
         self.since_s = clock.now_s()
         """Since when signs are recorded; the server may have been heard right before."""
         self.at_s: dict[Sign, float] = {}
+        self.unanswered = 0
+        """Connections that are open and wait for the first answer, each of which is a contact."""
 
     def __repr__(self) -> str:
         return f"ContactLog(at_s={self.at_s!r})"
 
     def note(self, sign: Sign, now_s: float | None = None) -> None:
         """Record a sign that was seen now; ``now_s`` is the time if the caller has read it."""
-        self.at_s[sign] = clock.now_s() if now_s is None else now_s
+        at_s = clock.now_s() if now_s is None else now_s
+        self.at_s[sign] = max(at_s, self.at_s.get(sign, at_s))
 
     def age_s(self, *signs: Sign) -> float:
         """Return the seconds since the latest of some signs, or since they are recorded."""
+        if self.unanswered and Sign.CONNECTED in signs:
+            return 0.0
         seen_s = [self.at_s.get(sign, self.since_s) for sign in signs]
         return clock.now_s() - max(seen_s)
 
     def latest(self) -> Contact | None:
         """Return the latest sign of life, or that no process listens; None without any."""
+        if self.unanswered:
+            return Contact(sign=Sign.CONNECTED, age_s=0.0)
         known = {sign: at_s for sign, at_s in self.at_s.items() if sign is not Sign.UNREACHABLE}
         if not known:
             return None
--- a/src/mustardswitch/proxy/contact_signs.py
+++ b/src/mustardswitch/proxy/contact_signs.py
@@ -45,10 +45,14 @@
 
 
 def note_error(
-    contacts: server_contact.ContactLog, error: BaseException
+    contacts: server_contact.ContactLog, error: BaseException, *, since_s: float | None = None
 ) -> server_contact.Sign | None:
-    """Record what an error shows about a server, and return it; None if it shows nothing."""
+    """Record what an error shows about a server, and return it; None if it shows nothing.
+
+    ``since_s`` is when the attempt began (``clock.now_s``). That no process of the server listens
+    is recorded as of then: the answer may have waited, and the server may be back since.
+    """
     sign = sign_of(error)
     if sign is not None:
-        contacts.note(sign)
+        contacts.note(sign, since_s if sign is server_contact.Sign.NOT_LISTENING else None)
     return sign
--- a/src/mustardswitch/proxy/server.py
+++ b/src/mustardswitch/proxy/server.py
@@ -151,22 +151,22 @@
         return self.entry.server
 
     async def _open(self, tenant: ids.TenantName = routes.NO_TENANT) -> ports.Link:
-        self.opening_since_s = clock.now_s()
+        since_s = self.opening_since_s = clock.now_s()
         try:
             link = await self.opener(self.entry, tenant)
         except errors.ServerRefusedError as error:
             self.refused_connections += 1
             self._note_abandoned(self.opening_since_s)
-            self._note_unreachable(error)
+            self._note_unreachable(error, since_s)
             raise
         except errors.ConnectionLimitError as error:
             self.note_answer()
             self._avoid()
-            self._note_unreachable(error)
+            self._note_unreachable(error, since_s)
             raise
         except errors.BackendError as error:
             self._note_abandoned(self.opening_since_s)
-            self._note_unreachable(error)
+            self._note_unreachable(error, since_s)
             raise
         else:
             if self.pace is not None:
@@ -179,8 +179,8 @@
         self.links.add(link)
         return link
 
-    def _note_unreachable(self, error: errors.BackendError) -> None:
-        contact_signs.note_error(self.contacts, error)
+    def _note_unreachable(self, error: errors.BackendError, since_s: float) -> None:
+        contact_signs.note_error(self.contacts, error, since_s=since_s)
         if self.health is not None and self.pool.held <= self.pool.opening:
             self.health.note_unreachable(clock.now_s(), reason=str(error))
         if self.pace is not None and not isinstance(error, errors.ConnectionLimitError):
@@ -416,6 +416,7 @@
     async def probe(self, timeout_s: float) -> promotion.ServerStatus | None:
         """Query the server's status over a new connection; None without an answer."""
         link: ports.Link | None = None
+        since_s = clock.now_s()
         try:
             async with asyncio.timeout(timeout_s):
                 link = await self.opener(self.entry)
@@ -425,7 +426,7 @@
             contact_signs.note_error(self.contacts, error)
             return None
         except (errors.BackendError, TimeoutError) as error:
-            contact_signs.note_error(self.contacts, error)
+            contact_signs.note_error(self.contacts, error, since_s=since_s)
             self.failed_probes += 1
             return None
         finally:
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -6,7 +6,7 @@
 
 from mustardswitch import events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import ids, promotion, server_contact
+from mustardswitch.internal import clock, ids, promotion, server_contact
 from mustardswitch.proxy import contact_signs, ports, server, service
 
 QUERY_TIMEOUT_S = 0.5
@@ -105,6 +105,7 @@
         backend = self.target.known_servers().get(name)
         if backend is None:
             return None
+        since_s = clock.now_s()
         try:
             link = await self._link(backend)
             status = await query(link)
@@ -113,7 +114,7 @@
             self.refusing.discard(name)
             return status
         except (backend_errors.BackendError, TimeoutError) as error:
-            sign = contact_signs.note_error(backend.contacts, error)
+            sign = contact_signs.note_error(backend.contacts, error, since_s=since_s)
             refused = sign is server_contact.Sign.REFUSED
             (self.refusing.add if refused else self.refusing.discard)(name)
             events.log(
--- a/src/mustardswitch/proxy/stop_orders.py
+++ b/src/mustardswitch/proxy/stop_orders.py
@@ -93,20 +93,23 @@
         """Send one order over a connection of its own, and wait for its answer."""
         # Connections that nobody uses take the room of the order's session.
         self.backend.pool.close_idle()
+        contacts, since_s = self.backend.contacts, clock.now_s()
         link: ports.Link | None = None
-        connected = False
+        connected = failed = False
+        sign: server_contact.Sign | None = None
 
         def note_connected() -> None:
             nonlocal connected
             connected = True
             self.connected += 1
-            self.backend.contacts.note(server_contact.Sign.CONNECTED)
+            contacts.unanswered += 1
 
         try:
             link = await self.target.order_opener(self.backend.entry, note_connected)
             await self._order_over(link)
         except (backend_errors.BackendError, TimeoutError) as error:
-            contact_signs.note_error(self.backend.contacts, error)
+            failed = True
+            sign = contact_signs.note_error(self.backend.contacts, error, since_s=since_s)
             events.log(
                 events.Event.STOP_UNANSWERED,
                 server=self.backend.server,
@@ -114,13 +117,16 @@
                 service=self.target.name,
                 term=self.term,
             )
-            await asyncio.sleep(RETRY_S)
         finally:
             if connected:
                 self.connected -= 1
-                self.backend.contacts.note(server_contact.Sign.CONNECTED)
+                contacts.unanswered -= 1
+                if sign is not server_contact.Sign.NOT_LISTENING:
+                    self.backend.contacts.note(server_contact.Sign.CONNECTED)
             if link is not None:
                 link.close()
+        if failed:
+            await asyncio.sleep(RETRY_S)
 
     async def _order_over(self, link: ports.Link) -> None:
         before = await link.status(ANSWER_TIMEOUT_S)
--- a/tests/common/stop_orders.py
+++ b/tests/common/stop_orders.py
@@ -55,3 +55,18 @@
         return await world.group.open_link(entry)
 
     world.service.order_opener = open_order
+
+
+def reuse_address(world: proxy_world.World) -> asyncio.Queue[Exception]:
+    """Let another process accept the connections of orders.
+
+    It answers each with the next error of the returned queue, once there is one.
+    """
+    answers: asyncio.Queue[Exception] = asyncio.Queue()
+
+    async def open_order(entry, on_connected):
+        on_connected()
+        raise await answers.get()
+
+    world.service.order_opener = open_order
+    return answers
--- a/tests/proxy/test_contact_signs.py
+++ b/tests/proxy/test_contact_signs.py
@@ -53,3 +53,30 @@
     now_s += 1.0
     contacts.note(Sign.UNREACHABLE)
     assert str(contacts.latest()) == "not_listening 1.0s ago"
+
+
+@pytest.mark.parametrize(
+    "error", [errors.ServerRefusedError("down"), errors.AddressReusedError("another")], ids=repr
+)
+def test_that_no_process_listens_is_known_as_of_the_beginning_of_the_attempt(monkeypatch, error):
+    """An instance that is suspended reads an old answer, and the server may be back since."""
+    now_s = 10.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    contacts = server_contact.ContactLog()
+    contact_signs.note_error(contacts, error, since_s=7.0)
+    assert contacts.at_s == {Sign.NOT_LISTENING: 7.0}
+    contact_signs.note_error(contacts, error, since_s=6.0)
+    assert contacts.at_s == {Sign.NOT_LISTENING: 7.0}
+    contact_signs.note_error(contacts, errors.SessionUnansweredError("late"), since_s=7.0)
+    assert contacts.at_s[Sign.CONNECTED] == 10.0
+
+
+def test_a_connection_that_waits_for_an_answer_is_a_contact(monkeypatch):
+    now_s = 10.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    contacts = server_contact.ContactLog()
+    contacts.unanswered += 1
+    now_s += 5.0
+    assert contacts.age_s(Sign.CONNECTED) == contacts.age_s(Sign.ANSWERED, Sign.CONNECTED) == 0.0
+    assert contacts.age_s(Sign.ANSWERED) == 5.0
+    assert str(contacts.latest()) == "connected 0.0s ago"
--- a/tests/proxy/test_stop_orders.py
+++ b/tests/proxy/test_stop_orders.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mustardswitch import tasks
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import former_primary, ids, promotion, server_contact
 from mustardswitch.peers import datagrams
@@ -18,6 +19,7 @@
     answer_late,
     order_of,
     refuse_first,
+    reuse_address,
     run_briefly,
 )
 
@@ -185,6 +187,61 @@
     assert order.report().connected_s == 1.0
 
 
+async def test_a_crashed_primary_whose_address_is_used_again_is_no_contact(monkeypatch):
+    """Each order connected to the other process, which counted as a contact of the primary."""
+    world = peer_world.World(monkeypatch)
+    monkeypatch.setattr(stop_orders, "RETRY_S", 10.0)
+    monkeypatch.setattr(stop_orders, "MAX_ORDERS", 1)
+    answers = reuse_address(world)
+    world.service.servers[A].contacts.note(server_contact.Sign.ANSWERED)
+    world.now_s += 1.0
+    order = order_of(world)
+    running = asyncio.create_task(order.run())
+    await asyncio.sleep(0.01)
+    assert order.report().connected_s == 0.0
+    world.now_s += 2.0
+    assert order.report() == former_primary.Report(answered_s=3.0, connected_s=0.0)
+    answers.put_nowait(backend_errors.AddressReusedError("another"))
+    await asyncio.sleep(0.01)
+    # The other process may have answered right after the connection was opened.
+    report = former_primary.Report(answered_s=3.0, connected_s=3.0, refused_s=2.0)
+    assert order.report() == report
+    await tasks.cancel_and_wait([running])
+    assert order.report() == report
+
+
+async def test_a_connection_that_is_unanswered_after_the_address_was_used_again_is_a_contact(
+    monkeypatch,
+):
+    """The primary may have started again there."""
+    world = peer_world.World(monkeypatch)
+    answers = reuse_address(world)
+    order = order_of(world)
+    running = asyncio.create_task(order.run())
+    answers.put_nowait(backend_errors.AddressReusedError("another"))
+    await asyncio.sleep(0.1)
+    assert order.connected and order.report().connected_s == 0.0
+    world.now_s += 1.0
+    answers.put_nowait(backend_errors.SessionUnansweredError("late"))
+    await asyncio.sleep(0.1)
+    world.now_s += 1.0
+    await tasks.cancel_and_wait([running])
+    assert order.report().connected_s == 0.0 and order.report().refused_s == 2.0
+
+
+async def test_an_unanswered_connection_of_one_order_is_a_contact_to_the_order_of_a_later_term(
+    monkeypatch,
+):
+    world = peer_world.World(monkeypatch)
+    reuse_address(world)
+    first, second = order_of(world), order_of(world, term=TERM + 1)
+    running = asyncio.create_task(first.run())
+    await asyncio.sleep(0.01)
+    world.now_s += 5.0
+    assert second.report().connected_s == 0.0
+    await tasks.cancel_and_wait([running])
+
+
 # Orders of other instances
 
 
--- a/tests/proxy/test_stopped_primary.py
+++ b/tests/proxy/test_stopped_primary.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, ids, promotion, server_contact
 from mustardswitch.proxy import directory, end_of_commits, failover_watch, successor_choice
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
@@ -243,3 +243,20 @@
         world.promoter._execute(*world.promoter.delayed.pop(0))
     await changing
     assert world.group.lost == []
+
+
+async def test_a_crashed_primary_whose_address_another_process_has_is_replaced_at_once():
+    """Orders to stop that the other process accepted kept the service without a primary."""
+    world = proxy_world.World()
+    world.group.commit(world.group.primary, "old")
+    world.group.servers[A].up = False
+    world.service.servers[A].contacts.note(server_contact.Sign.ANSWERED)
+
+    async def open_order(entry, on_connected):
+        on_connected()
+        await asyncio.sleep(0.005)
+        raise backend_errors.AddressReusedError("another")
+
+    world.service.order_opener = open_order
+    assert await asyncio.wait_for(takeovers.take_over(world, silent=True), 5.0)
+    assert takeovers.another_leads(world) and world.group.lost == []
