A recorded server that leaves is not preferred unless its request may have been sent

Cause: a likely successor is recorded before anything is known of the logs, since the instances hold commits for a record. The choice then prefers the recorded server over all others, also if it leaves by then, although no request for it was ever sent.

Change: the recorded server is preferred without condition only if a request for it may have been sent: an earlier holder recorded it and no final ends stand beside the record (they are removed before a request). Otherwise one that stays is preferred; of several that stay, and of several that leave, the recorded one, so that nothing is recorded twice without need. A holder that takes over such a record of a server that leaves records one that stays at once, which costs no write, since it records anew in any case. If the choice names another server than this holder's own record, one more write and round of confirmations follow, as before; the time of the first record counts.

No condition of a proof changes: only servers with a proof are compared, and the record that is in force when the request is sent names the server of the request.

The model of an attempt follows (its own record binds it not).

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -200,11 +200,12 @@
     *,
     leaving: collections.abc.Set[ids.ServerId],
     requested: ids.ServerId | None = None,
+    may_be_sent: bool = True,
 ) -> Choice:
     """Choose the server to promote, of those for which there is a proof.
 
-    The one whose promotion may have been ``requested`` before is preferred, then one that is not
-    ``leaving``.
+    The one that is recorded as ``requested`` is preferred if its request ``may_be_sent``. After
+    that one that is not ``leaving`` is preferred, and of several the recorded one.
     """
     statuses = {**evidence.receiving, **evidence.paused}
     if any(status.leads for status in statuses.values()):
@@ -213,10 +214,10 @@
     proved = sorted(name for name, found in proofs.items() if found is not None)
     if not proved:
         return Choice(verdict=Verdict.WAIT, reason=_missing_proof(evidence, statuses))
-    if requested in proved:
+    if requested in proved and may_be_sent:
         chosen = requested
     else:
-        chosen = next((name for name in proved if name not in leaving), proved[0])
+        chosen = min(proved, key=lambda name: (name in leaving, name != requested))
     return Choice(
         verdict=Verdict.PROMOTE,
         server=chosen,
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -87,7 +87,10 @@
             acknowledged_above=report.above,
         )
         return promotion.choose(
-            evidence, leaving=self._leaving() | avoided, requested=self.requested
+            evidence,
+            leaving=self._leaving() | avoided,
+            requested=self.requested,
+            may_be_sent=not self.final_ends.allowed,
         )
 
     async def decide_without_primary(
@@ -100,10 +103,10 @@
         """
         if not await self._refresh(self.coordination.refresh_servers()):
             return NOT_LISTED
-        likely = self.requested or promotion.choose_successor(
-            replicas=statuses, leaving=self._leaving()
-        )
-        likely = likely or next(iter(sorted(statuses)), None)
+        likely = self.requested
+        if likely is None or (self._record_is_free and likely in self._leaving()):
+            staying = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
+            likely = staying or likely or next(iter(sorted(statuses)), None)
         if likely is None:
             return promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="no replica has answered"
@@ -120,6 +123,11 @@
             if sending is not None:
                 await tasks.cancel_and_wait([sending])
 
+    @property
+    def _record_is_free(self) -> bool:
+        """Whether the record is an earlier holder's, and its request was never sent."""
+        return self.record is None and self.final_ends.allowed
+
     async def _refresh(self, listing: collections.abc.Awaitable[None]) -> bool:
         """Return whether the store has answered with a listing."""
         try:
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -199,7 +199,10 @@
             ),
         )
         choice = promotion.choose(
-            evidence, leaving=self._leaving() | avoided, requested=self.requested
+            evidence,
+            leaving=self._leaving() | avoided,
+            requested=self.requested,
+            may_be_sent=self.requested_before is not None,
         )
         if choice.verdict is promotion.Verdict.PROMOTE:
             self._note_request(choice)
--- a/tests/proxy/test_final_ends.py
+++ b/tests/proxy/test_final_ends.py
@@ -141,6 +141,31 @@
     assert SERVICE not in world.coordination.final_ends
 
 
+def _let_leave(world: proxy_world.World, server: ids.ServerId) -> None:
+    world.group.servers[server].leaving = True
+    world.list_servers()
+
+
+async def test_a_leaving_server_that_an_earlier_holder_recorded_is_not_preferred(world):
+    """No request was sent, since final ends are recorded as well; it ended before it led."""
+    await _let_a_holder_die(world)
+    requested = world.coordination.promotions[SERVICE]
+    _silent(world).silent = False
+    _let_leave(world, requested)
+    assert await takeovers.take_over(world, silent=True)
+    leader = world.group.primary
+    assert leader.name != requested and not leader.leaving and world.group.lost == []
+
+
+async def test_a_leaving_server_whose_promotion_may_have_been_requested_is_preferred(world):
+    world.coordination.promotions[SERVICE] = C
+    world.group.servers[A].up = False
+    _silent(world).silent = False
+    _let_leave(world, C)
+    assert await takeovers.take_over(world, silent=True)
+    assert world.group.primary.name == C and world.group.lost == []
+
+
 def test_final_ends_are_read_as_written_in_the_era_of_the_record():
     """A restored store may hold the ends of a change that was completed since."""
     ends = frozenset({END, ports.FinalEnd(server=C, started_ms=5, end=END.end)})
--- a/tests/proxy/test_stopped_primary.py
+++ b/tests/proxy/test_stopped_primary.py
@@ -260,3 +260,40 @@
     world.service.order_opener = open_order
     assert await asyncio.wait_for(takeovers.take_over(world, silent=True), 5.0)
     assert takeovers.another_leads(world) and world.group.lost == []
+
+
+def _let_recorded_leave(monkeypatch, world: proxy_world.World) -> list[ids.ServerId]:
+    """Let the first server that is recorded begin to leave then; returns all recorded ones."""
+    record, recorded = world.coordination.record_promotion, []
+
+    async def record_and_leave(claim, server):
+        recorded.append(server)
+        world.group.servers[recorded[0]].leaving = True
+        world.list_servers()
+        return await record(claim, server)
+
+    monkeypatch.setattr(world.coordination, "record_promotion", record_and_leave)
+    return recorded
+
+
+async def test_a_recorded_server_that_leaves_is_not_promoted_beside_one_that_stays(monkeypatch):
+    """It ended before it led, and the service waited for the next promotion."""
+    world = proxy_world.World()
+    world.group.commit(world.group.primary, "old")
+    world.group.servers[A].up = False
+    recorded = _let_recorded_leave(monkeypatch, world)
+    assert await asyncio.wait_for(takeovers.take_over(world, silent=True), 5.0)
+    assert not world.group.primary.leaving and world.group.lost == []
+    assert len(recorded) == 2 and recorded[1] == world.group.primary.name
+
+
+async def test_a_recorded_server_that_leaves_is_promoted_if_it_alone_has_the_last_commit(
+    monkeypatch,
+):
+    world = proxy_world.World()
+    world.group.servers[B].not_receiving = True
+    world.group.commit(world.group.primary, "last")
+    world.group.servers[A].up = False
+    recorded = _let_recorded_leave(monkeypatch, world)
+    assert await asyncio.wait_for(takeovers.take_over(world, silent=True), 5.0)
+    assert world.group.primary.name == C and recorded == [C] and world.group.lost == []
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -22,7 +22,7 @@
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
-A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+A, B, C, D = (ids.ServerId(f"server-{zone}") for zone in "abcd")
 PRIMARY = requests.RouteKind.PRIMARY
 DRAIN_S = 7.0
 """Time for which the users' leaving servers go on serving."""
@@ -763,6 +763,30 @@
     assert choice.server == B
 
 
+@pytest.mark.parametrize(
+    ("requested", "may_be_sent", "chosen"),
+    [(B, True, B), (B, False, C), (D, True, D), (D, False, D), (None, False, C)],
+)
+def test_a_recorded_server_that_leaves_is_preferred_only_if_its_request_may_have_been_sent(
+    requested, may_be_sent, chosen
+):
+    paused = {B: _status(5), C: _status(5), D: _status(5)}
+    choice = promotion.choose(
+        _evidence(expected={B, C, D}, paused=paused),
+        leaving={B},
+        requested=requested,
+        may_be_sent=may_be_sent,
+    )
+    assert choice.server == chosen
+
+
+def test_a_recorded_server_that_leaves_is_chosen_among_others_that_leave():
+    paused = {B: _status(5), C: _status(5)}
+    evidence = _evidence(expected={B, C}, paused=paused)
+    choice = promotion.choose(evidence, leaving={B, C}, requested=C, may_be_sent=False)
+    assert choice.server == C
+
+
 async def test_an_unreachable_primary_is_suspected_although_its_connections_are_abandoned():
     world = proxy_world.World()
     caller = world.open_session(PRIMARY)
