A promoted server whose process has ended is not waited for

Cause: the holder waits for PROMOTION_TIMEOUT_S (4.0 s) until the server leads, whatever it learns of it meanwhile. Nothing looked at refused connections, WRONGNODE or a removed entry.

Not at once: a crashed server comes back with its log, and a promotion that takes effect late, after the next one, would discard that one's commits. One that is silent is waited for as before. What is left at the end stays: the record, the mark, and the pauses of all other servers.

Evidence: test_a_promoted_server_whose_process_has_ended_is_not_waited_for (crashed and left) ran into its limit before; with it those of a server that is back before the effect, and of one that gives no answer, which are waited for.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -12,7 +12,7 @@
 import contextlib
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, ids, promotion, server_contact
 from mustardswitch.proxy import claimed_attempt, errors, ports, service, successor_choice
 
 PROMOTION_TIMEOUT_S = 4.0
@@ -233,13 +233,30 @@
             await asyncio.sleep(claimed_attempt.POLL_S)
 
     async def _wait_until_leading(self, successor: ids.ServerId) -> bool:
+        """Wait until a server leads whose promotion was accepted; returns whether it does.
+
+        One that has ended, and was not back by the time at which promotions take effect, will not.
+        The record stays: a delayed effect is possible, so others stay paused for the next attempt.
+        """
         started_s = clock.now_s()
         while clock.now_s() - started_s < PROMOTION_TIMEOUT_S:
             if await self._leads(successor):
                 return True
+            waited_s = clock.now_s() - started_s
+            if waited_s > PROMOTION_DELAY_S and self._has_ended(successor, within_s=waited_s):
+                return False
             await asyncio.sleep(claimed_attempt.POLL_S)
         return False
 
+    def _has_ended(self, server: ids.ServerId, *, within_s: float) -> bool:
+        """Return whether a server has left, or was last found without a process ``within_s``."""
+        backend = self.target.known_servers().get(server)
+        if backend is None:
+            return True
+        contact = backend.contacts.latest()
+        ended = contact is not None and contact.sign is server_contact.Sign.NOT_LISTENING
+        return ended and contact.age_s < within_s
+
     @contextlib.asynccontextmanager
     async def _kept_paused(
         self, promoted: ids.ServerId, *, primary: ids.ServerId | None = None
--- a/tests/proxy/test_stopped_primary.py
+++ b/tests/proxy/test_stopped_primary.py
@@ -5,9 +5,17 @@
 import contextlib
 import dataclasses
 
+import pytest
+
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, promotion, server_contact
-from mustardswitch.proxy import directory, end_of_commits, failover_watch, successor_choice
+from mustardswitch.proxy import (
+    directory,
+    end_of_commits,
+    failover_watch,
+    successor_choice,
+    takeover,
+)
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
@@ -297,3 +305,64 @@
     recorded = _let_recorded_leave(monkeypatch, world)
     assert await asyncio.wait_for(takeovers.take_over(world, silent=True), 5.0)
     assert world.group.primary.name == C and recorded == [C] and world.group.lost == []
+
+
+@pytest.fixture
+def long_wait_for_effect(monkeypatch):
+    """Let a holder wait for long until a promoted server leads."""
+    monkeypatch.setattr(takeover, "PROMOTION_TIMEOUT_S", 30.0)
+    monkeypatch.setattr(takeover, "RENEWAL_LIMIT_S", 30.0)
+    monkeypatch.setattr(takeover, "PROMOTION_DELAY_S", 0.3)
+
+
+async def _request_promotion(world: proxy_world.World) -> tuple[asyncio.Task, ids.ServerId]:
+    """Promote a server after a crash; returns once the promotion is requested."""
+    world.group.commit(world.group.primary, "old")
+    world.group.servers[A].up = False
+    world.promoter.effect_delay_s = 1.0
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    while not world.promoter.promotion_requests:
+        await asyncio.sleep(0.01)
+    return changing, world.promoter.promotion_requests[0][0]
+
+
+@pytest.mark.parametrize("has_left", [False, True])
+async def test_a_promoted_server_whose_process_has_ended_is_not_waited_for(
+    long_wait_for_effect, has_left
+):
+    """The service waited as long as for one that is late."""
+    world = proxy_world.World()
+    changing, requested = await _request_promotion(world)
+    world.group.servers[requested].up = False
+    if has_left:
+        world.service.servers[requested].entry = dataclasses.replace(
+            world.service.servers[requested].entry, leaving=True
+        )
+        takeovers.expire_entry(world, requested)
+    assert not await asyncio.wait_for(changing, 5.0)
+    # The promotion may take effect once the server is back.
+    assert world.coordination.promotions[database_group.SERVICE] == requested
+    others = [each for name, each in world.group.servers.items() if name not in (A, requested)]
+    assert others and all(each.paused_term for each in others)
+
+
+async def test_a_promoted_server_that_is_back_before_its_promotion_takes_effect_is_waited_for(
+    long_wait_for_effect,
+):
+    world = proxy_world.World()
+    changing, requested = await _request_promotion(world)
+    world.group.servers[requested].up = False
+    await asyncio.sleep(0.15)
+    world.group.servers[requested].up = True
+    assert await asyncio.wait_for(changing, 5.0)
+    assert world.group.primary.name == requested and world.group.lost == []
+
+
+async def test_a_promoted_server_that_gives_no_answer_is_waited_for(long_wait_for_effect):
+    world = proxy_world.World()
+    changing, requested = await _request_promotion(world)
+    world.group.servers[requested].silent = True
+    await asyncio.sleep(1.5)
+    assert not changing.done()
+    world.group.servers[requested].silent = False
+    assert await asyncio.wait_for(changing, 5.0)
