Wait a second longer for instances whose watch of the store was deaf

Callers saw (in memory): an acknowledged commit missing from the promoted server's log. An instance that had lost the store sent it 3.6 s after the record of the promotion, when the holder had waited for its 3.5 s; the former primary led again after a crash, and a server that was not listed confirmed it.

Cause: a watch that ends without a change counts as asked 1.6 s later than it was. While the store drops its history, watches hear of no change for a second; so the records seem up to 0.92 s more current than they are, and the permission lasts until 3.92 s after a record that they lack.

Change: the holder's limit, and the time for which instances that have left are remembered, grow by that second (3.5 to 4.5 s). No call to the store is added, and an idle fleet keeps its permission.

Cost: up to 1 s more for each change in which an instance does not confirm, or whose holder has just started.

--- a/src/mustardswitch/internal/commit_permission.py
+++ b/src/mustardswitch/internal/commit_permission.py
@@ -25,7 +25,10 @@
 outcome is unknown."""
 CHECK_S = 0.1
 """Interval at which an instance checks for commits to abandon."""
-HOLD_LIMIT_S = PERMISSION_S + ABANDON_S + 2 * CHECK_S
+WATCH_LAG_S = 1.0
+"""Time for which watches of the store may hear of no change while it drops its history. An answer
+without a change that comes meanwhile makes records seem more current than they are."""
+HOLD_LIMIT_S = WATCH_LAG_S + PERMISSION_S + ABANDON_S + 2 * CHECK_S
 """Time from a record until no instance sends commits, or passes on an answer to one, without
 having read it."""
 STALE_S = 2.5
--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -139,7 +139,8 @@
         if listing is None:
             asked_at_s = clock.now_s()
             listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
-            # Without a change, the store has waited before it answered.
+            # Without a change, the store has waited before it answered. Only a watch that it cuts,
+            # up to ``commit_permission.WATCH_LAG_S`` later, shows that it was dropping its history.
             waited_s = 0.0 if listing.items else WAITED_SHARE * WATCH_WAIT_S
             self.record_relays.publish(listing, asked_at_s=asked_at_s + waited_s)
             pause_s += min(
--- a/tests/decisions/test_commit_permission.py
+++ b/tests/decisions/test_commit_permission.py
@@ -121,6 +121,7 @@
 
 def test_no_permission_lasts_longer_than_a_holder_waits():
     """A stale statement may be sent just before its sender hears from the store again."""
-    longest_s = max(commit_permission.PERMISSION_S, commit_permission.STALE_TTL_S)
+    records_s = commit_permission.WATCH_LAG_S + commit_permission.PERMISSION_S
+    longest_s = max(records_s, commit_permission.STALE_TTL_S)
     abandoned_s = longest_s + commit_permission.ABANDON_S + commit_permission.CHECK_S
     assert abandoned_s < commit_permission.HOLD_LIMIT_S
