Count a watch that was answered early from its question on

Callers would see (in memory): an acknowledged commit missing from the promoted server's log, sent 4.51 s after the record by an instance that had lost the store.

Cause: an answer without a change counted as 1.6 s newer than its question, also if it came before that time. The store's page says that a waiting watch may be cut; whether it ever answers one early without events was not observed.

Change: only an answer that comes after that time counts so.

Evidence: the added case failed before the change.

--- a/src/mustardswitch/platform/follower.py
+++ b/src/mustardswitch/platform/follower.py
@@ -141,7 +141,9 @@
             listing = await self.client.watch(ALL_KEYS, after=after, wait_s=WATCH_WAIT_S)
             # Without a change, the store has waited before it answered. Only a watch that it cuts,
             # up to ``commit_permission.WATCH_LAG_S`` later, shows that it was dropping its history.
-            waited_s = 0.0 if listing.items else WAITED_SHARE * WATCH_WAIT_S
+            waited_s = WAITED_SHARE * WATCH_WAIT_S
+            if listing.items or clock.now_s() < asked_at_s + waited_s:
+                waited_s = 0.0
             self.record_relays.publish(listing, asked_at_s=asked_at_s + waited_s)
             pause_s += min(
                 MAX_BATCH_DELAY_S, BATCH_DELAY_PER_INSTANCE_S * self.directory.instance_count
--- a/tests/platform/test_permission_of_watches.py
+++ b/tests/platform/test_permission_of_watches.py
@@ -25,6 +25,7 @@
         self.answered_after_s = answered_after_s
         self.watches = types.SimpleNamespace(close=lambda: None)
         self.era = 0
+        self.answered = False
         self.lost = asyncio.Event()
 
     async def list_all(self, prefix: str, *, serializable: bool = False) -> change_log.Listing:
@@ -33,9 +34,10 @@
 
     async def watch(self, prefix: str, *, after: int, wait_s: float) -> change_log.Listing:
         """Answer the first watch without a change, and no other one."""
-        if self.holder.now_s > self.holder.recorded_at_s:
+        if self.answered:
             self.lost.set()
             await asyncio.Event().wait()
+        self.answered = True
         self.holder.now_s += self.answered_after_s
         return change_log.Listing(items=(), revision=after)
 
@@ -74,10 +76,19 @@
     return Watching(monkeypatch)
 
 
-async def test_a_watch_that_was_deaf_while_the_store_dropped_its_history_loses_no_commit(watching):
+@pytest.mark.parametrize(
+    ("answered_after_s", "recorded_after_s"),
+    [
+        (follower.WATCH_WAIT_S, follower.WATCH_WAIT_S - COMPACTION_S),
+        (0.0, 0.01),
+    ],
+    ids=["deaf while the store dropped its history", "answered before its time"],
+)
+async def test_a_watch_that_told_of_no_change_loses_no_commit(
+    watching, answered_after_s, recorded_after_s
+):
     """The former primary leads again after a crash, and a server that is not listed confirms."""
-    waited_s = follower.WATCH_WAIT_S
-    await watching.watch(answered_after_s=waited_s, recorded_after_s=waited_s - COMPACTION_S)
+    await watching.watch(answered_after_s=answered_after_s, recorded_after_s=recorded_after_s)
     holder, group = watching.holder, watching.other.group
     group.servers[B].not_receiving = group.servers[C].not_receiving = True
     group.start_server(zone="d")
