Keep an announced promotion in force when the store is restored

Callers saw (in memory): an acknowledged commit missing from the promoted server's log, sent by an instance that had confirmed the hold.

Cause: its confirmation rested on the announcement, as it had not read the record yet. The store was then restored from a copy without the record. The revisions of the restored store are higher than the announcement's, so the announcement ended, and only a promotion in the records was kept until the holder's claim ends.

Change: one that is only announced is kept as well.

Evidence: both tests failed before the change, one with the lost commit.

--- a/src/mustardswitch/proxy/commit_gate.py
+++ b/src/mustardswitch/proxy/commit_gate.py
@@ -111,10 +111,12 @@
     def note_restored(self) -> None:
         """Record that the store was restored from a copy that may lack a recorded promotion.
 
-        Its holder may act until its claim expires.
+        Its holder may act until its claim expires. Must be called before the records are noted as
+        those of the restored store.
         """
-        if self.requested is not None:
-            self.kept = self.requested
+        known = self.awaited or self.requested
+        if known is not None:
+            self.kept = known
             self.kept_until_s = clock.now_s() + commit_permission.PERMISSION_S
 
     @property
--- a/tests/proxy/test_commit_gate.py
+++ b/tests/proxy/test_commit_gate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mustardswitch.internal import clock, commit_permission, ids
+from mustardswitch.internal import clock, commit_permission, ids, revisions
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import commit_gate, directory, requests
 from mustardswitch_standins import database_group
@@ -94,6 +94,16 @@
     assert held.allowed(requested=C) == set()
 
 
+def test_an_announced_promotion_that_a_restored_store_has_lost_is_held_until_its_claim_ends(held):
+    """The holder relies on the confirmation, and does not know of the restore."""
+    held.gate.note_announced(promotion_of(B, revision=11))
+    held.gate.note_restored()
+    held.records.revision = revisions.join(era=1, number=5)
+    assert held.allowed() == {B}
+    held.now_s += PERMISSION_S
+    assert held.allowed() == {A, B, C}
+
+
 def test_without_permission_no_server_takes_commits(held):
     held.permitted = False
     assert held.allowed() == set()
--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -5,11 +5,17 @@
 
 import pytest
 
-from mustardswitch.internal import commit_permission, former_primary, ids, server_contact
+from mustardswitch.internal import (
+    commit_permission,
+    former_primary,
+    ids,
+    revisions,
+    server_contact,
+)
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import peer_updates, ports
+from mustardswitch.proxy import peer_updates, ports, requests
 from mustardswitch_standins import database_group
-from tests.common import builders, peer_world, stop_orders
+from tests.common import builders, peer_world, proxy_world, stop_orders
 
 ONE, TWO, THREE = peer_world.ONE, peer_world.TWO, peer_world.THREE
 A, B, C = peer_world.A, peer_world.B, peer_world.C
@@ -317,3 +323,18 @@
             passed_s += commit_permission.CHECK_S
             await world.check()
     assert link.closed and passed_s < 2 * commit_permission.ABANDON_S
+
+
+async def test_a_hold_that_was_confirmed_before_the_store_was_restored_loses_no_commit(world):
+    """The holder does not know of the restore until its next call to the store."""
+    group = world.group
+    group.servers[B].not_receiving = group.servers[C].not_receiving = True
+    group.start_server(zone="d")
+    world.announce(peer_world.promotion_of(B))
+    assert world.peers.sent[-1].held
+    world.service.commits.note_restored()
+    world.directory.servers.note_confirmed(world.now_s, revision=revisions.join(era=1, number=5))
+    caller = world.open_session(requests.RouteKind.PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    group.promote(B)
+    assert group.lost == []
