Tell the promotions of unknown services with stale records

Callers saw (in memory): an acknowledged commit missing from the promoted server's log. Its instance had lost the store, and went on since all others had said that they have, too.

Cause: such a statement is to hold all promotions that its sender knows. Those of services of which the sender has never seen a server listed were left out, although it may have read or confirmed them.

Change: they are told as well.

--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -219,6 +219,7 @@
             for target in self.directory.services.values()
             for promoted in target.recorded_promotions()
         ]
+        known += self._promotions_of_unknown_services()
         if len(known) > datagrams.MAX_PROMOTIONS:
             return None
         return datagrams.PeerUpdate(
@@ -229,6 +230,22 @@
             answers_s=answers_s,
         )
 
+    def _promotions_of_unknown_services(self) -> list[datagrams.RecordedPromotion]:
+        """Return the recorded promotions of services of which no server was ever listed."""
+        listed = self.directory
+        known = [
+            datagrams.RecordedPromotion(
+                service=name, server=server, revision=listed.servers.revision
+            )
+            for name, server in listed.promotions.items()
+        ]
+        known += [
+            promoted
+            for promoted in listed.announced.values()
+            if promoted.revision > listed.servers.revision
+        ]
+        return [promoted for promoted in known if promoted.service not in listed.services]
+
     def hold_commits(
         self,
         promoted: datagrams.RecordedPromotion,
--- a/tests/proxy/test_stale_records.py
+++ b/tests/proxy/test_stale_records.py
@@ -1,14 +1,17 @@
 """What an instance that does not hear from the store tells the others, and what follows from it."""
 
+import dataclasses
+
 import pytest
 
 from mustardswitch.internal import commit_permission, ids
 from mustardswitch.peers import datagrams
+from mustardswitch.proxy import requests
 from mustardswitch_standins import database_group
-from tests.common import peer_world
+from tests.common import peer_world, proxy_world
 
 ONE, TWO, THREE = peer_world.ONE, peer_world.TWO, peer_world.THREE
-A, B = peer_world.A, peer_world.B
+A, B, C = peer_world.A, peer_world.B, peer_world.C
 
 
 @pytest.fixture
@@ -133,3 +136,32 @@
     told = world.service.recorded_promotions()
     other.announce(*told, stale=True)
     assert not other.service.may_commit(other.service.servers[A])
+
+
+@pytest.mark.parametrize("announced", [False, True])
+async def test_a_stale_instance_tells_the_promotions_of_services_that_it_does_not_know(
+    monkeypatch, world, announced
+):
+    """One that knows the service relied on the statement, and its commit was lost."""
+    other = peer_world.World(monkeypatch)
+    other.now_s = world.now_s
+    world.directory.services.clear()
+    promoted = peer_world.promotion_of(B)
+    if announced:
+        world.announce(promoted)
+    else:
+        world.directory.servers.note_confirmed(world.now_s, revision=promoted.revision)
+        world.directory.note_recorded_promotion(promoted.service, B, revision=promoted.revision)
+    other.now_s += commit_permission.PERMISSION_S
+    for name in (TWO, THREE):
+        world.updates.receive(datagrams.PeerUpdate(instance=name, asked_at_s=other.now_s))
+        told = dataclasses.replace(world.peers.sent[-1], instance=name)
+        other.updates.receive(told)
+    assert other.directory.may_send_commits()
+    group = other.group
+    group.servers[B].not_receiving = group.servers[C].not_receiving = True
+    group.start_server(zone="d")
+    caller = other.open_session(requests.RouteKind.PRIMARY)
+    await other.run(caller, proxy_world.WRITE)
+    group.promote(B)
+    assert group.lost == []
