Take the recorded primary for the former one when none is listed

Callers saw (in memory): an acknowledged commit missing from the promoted server's log. The holder had started while the primary's entry was gone; the primary ran, another instance heard from it, and it executed a commit that it had received before.

Cause: the holder knew the primary from the record of members only, as a replica whose entry had expired. Once that did not count any more, "no primary is known" passed for an end, and nobody was asked to stop it or to tell what he had heard.

Change: the recorded primary is the former one while no server leads. So all instances are asked to stop it, and it has ended only when the reports say so. Its entry counts as gone since the instance learned of it, not for ever.

One assertion of test_recorded_members_count_for_a_limited_time_and_once_only changes: such a primary stays known until another server leads, as one that the instance has seen listed does; the test now shows that it is forgotten then. Only a record of before the entry expired names the primary; its role there may be of before the last promotion.

--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -1,6 +1,7 @@
 """The record of a service's members: its codec, and what an instance learns from it.
 
-A member that an instance has never known counts like a replica whose entry has just expired.
+A member that an instance has never known counts like a replica whose entry has just expired; the
+recorded primary also as the former primary, while no server is known to lead.
 """
 
 import collections.abc
@@ -200,6 +201,10 @@
     # Callers' statements never run on it.
     backend.close()
     target.unlisted[entry.server] = service.UnlistedReplica(backend=backend, since_s=clock.now_s())
+    target.removed_at_s[entry.server] = clock.now_s()
+    if entry.role is promotion.Role.PRIMARY and target.leader is None:
+        # It may lead on, and be known to other instances.
+        target.former_primary = target.former_primary or backend
     events.log(
         events.Event.SERVER_RECALLED,
         service=target.name,
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, former_primary, ids, promotion
 from mustardswitch.proxy import (
     errors,
     failover_watch,
@@ -111,6 +111,18 @@
     assert set(world.service.known_servers()) == {A, B, C}
 
 
+async def test_the_entry_of_a_recorded_member_is_gone_since_this_instance_learned_of_it(
+    monkeypatch,
+):
+    """It counted as gone for ever, so its silence for 3 s sufficed as an end."""
+    world = member_world.MemberWorld(listed=[C])
+    start_s = clock.now_s()
+    assert world.service.unlisted_s(A) < 1.0
+    monkeypatch.setattr(clock, "now_s", lambda: start_s + 5.0)
+    assert world.service.unlisted_s(A) == pytest.approx(5.0, abs=1.0)
+    assert world.service.unlisted_s(C) == 0.0
+
+
 async def test_a_recorded_member_that_leaves_counts():
     world = member_world.MemberWorld(listed=[C])
     leaving = dataclasses.replace(OTHER_ENTRY, server=ids.ServerId("i-leaving"), leaving=True)
@@ -136,6 +148,10 @@
     monkeypatch.setattr(clock, "now_s", lambda: start_s + service.UNLISTED_MEMORY_S + 1.0)
     world.directory.refresh()
     world.directory.refresh()
+    # The former primary is asked until another server leads.
+    assert set(world.service.known_servers()) == {A, C}
+    world.group.promote(C)
+    world.list_servers()
     assert set(world.service.known_servers()) == {C}
 
 
@@ -239,3 +255,34 @@
     assert await takeovers.take_over(world, primary=None)
     assert world.group.primary is world.group.servers[B]
     assert world.group.lost == []
+
+
+async def _change_while_a_commit_waits(world: member_world.MemberWorld) -> None:
+    """Change the primary; the former one runs and executes a commit that it had received.
+
+    Another instance hears from it. A server that is not listed yet confirms the commit.
+    """
+    world.group.start_server(zone="d")
+    world.group.servers[A].silent = True
+    heard = former_primary.Report(answered_s=0.1, connected_s=0.1)
+    other = ids.InstanceId("two")
+    world.coordination.hold_report = ports.HoldReport(
+        complete=True, instances=frozenset({other}), primary_reports={other: heard}
+    )
+    world.promoter.effect_delay_s = 0.3
+    changing = asyncio.create_task(takeovers.take_over(world, primary=None))
+    ends_s = clock.now_s() + 2.0
+    while clock.now_s() < ends_s and not world.promoter.promotion_requests:
+        await asyncio.sleep(0.01)
+    world.group.commit(world.group.servers[A], "waiting")
+    await asyncio.wait({changing}, timeout=0.5)
+    changing.cancel()
+    await asyncio.gather(changing, return_exceptions=True)
+
+
+async def test_a_former_primary_that_only_the_record_names_and_that_runs_loses_no_commit():
+    world = member_world.MemberWorld(listed=[B, C])
+    # It has not answered this instance for as long as it counts.
+    del world.service.unlisted[A]
+    await _change_while_a_commit_waits(world)
+    assert world.group.lost == []
