Record a former primary as a member until another server leads

Callers saw (in memory): an acknowledged commit missing from the promoted server's log. The holder had started after the primary's entry had expired; the primary ran, another instance heard from it, and it executed a commit that it had received before.

Cause: 0.2 s after the entry expired, the instances that knew the primary wrote the record of members without it, so an instance that started after that did not know of it.

Change: it stays in the record, unless it has left, until another server leads.

Evidence: the first two tests failed before the change, one with the lost commit. Cost: an instance that starts then expects an answer from such a primary for 6 s after its start, as from any recorded member. The number of writes stays: the record is written once another leads.

--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -56,8 +56,15 @@
 
 
 def counted_entries(target: service.Service) -> list[ports.ServerEntry]:
-    """Return the entries of the servers that may hold acknowledged commits, as recorded."""
-    return _limited(backend.entry for backend in target.servers_with_commits().values())
+    """Return the entries of the servers that may hold acknowledged commits, as recorded.
+
+    A former primary whose entry expired is one of them until another server leads.
+    """
+    counted = target.servers_with_commits()
+    former = target.former_primary
+    if former is not None and not former.entry.leaving:
+        counted = {former.server: former} | counted
+    return _limited(backend.entry for backend in counted.values())
 
 
 def encode(entries: collections.abc.Iterable[ports.ServerEntry]) -> bytes:
--- a/tests/common/member_world.py
+++ b/tests/common/member_world.py
@@ -13,8 +13,12 @@
 class MemberWorld(proxy_world.World):
     """One instance whose first listing has some servers only; the record names all of them."""
 
-    def __init__(self, *, listed: collections.abc.Iterable[ids.ServerId]) -> None:
+    def __init__(
+        self, *, listed: collections.abc.Iterable[ids.ServerId], value: bytes | None = None
+    ) -> None:
         self.listed = set(listed)
+        self.value = value
+        """The record, if it does not name all servers."""
         self.recorded = False
         super().__init__()
 
@@ -22,7 +26,7 @@
         """List the servers in ``listed``; the first time, read the record of all, too."""
         if not self.recorded:
             self.recorded = True
-            self.record(member_records.encode(self.group.entries()))
+            self.record(self.value or member_records.encode(self.group.entries()))
         for name in set(self.directory.servers.entries) - self.listed:
             del self.directory.servers.entries[name]
         for entry in self.group.entries():
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -286,3 +286,34 @@
     del world.service.unlisted[A]
     await _change_while_a_commit_waits(world)
     assert world.group.lost == []
+
+
+async def test_a_primary_whose_entry_expired_before_the_holder_started_loses_no_commit():
+    """The instances that had seen it listed wrote the record without it."""
+    earlier = proxy_world.World()
+    takeovers.lose_entry(earlier, A, silent_s=service.EXPIRY_SILENCE_S)
+    recorded = member_records.encode(member_records.counted_entries(earlier.service))
+    world = member_world.MemberWorld(listed=[B, C], value=recorded)
+    world.service.unlisted.pop(A, None)
+    await _change_while_a_commit_waits(world)
+    assert world.group.lost == []
+
+
+async def test_a_former_primary_is_recorded_until_another_server_leads():
+    world = proxy_world.World()
+    takeovers.lose_entry(world, A, silent_s=service.EXPIRY_SILENCE_S)
+    recorded = {entry.server for entry in member_records.counted_entries(world.service)}
+    assert recorded == {A, B, C}
+    world.group.promote(B)
+    takeovers.expire_entry(world, A)
+    recorded = {entry.server for entry in member_records.counted_entries(world.service)}
+    assert recorded == {B, C}
+
+
+async def test_a_former_primary_that_has_left_is_not_recorded():
+    world = proxy_world.World()
+    world.group.servers[A].leaving = True
+    world.list_servers()
+    takeovers.expire_entry(world, A)
+    recorded = {entry.server for entry in member_records.counted_entries(world.service)}
+    assert recorded == {B, C}
