--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -1,8 +1,8 @@
 """The records of a service's members and of their number: codecs, and what instances learn.
 
-A member that an instance has never known counts like a replica whose entry has just expired. The
-number is the most servers that were listed at a time; it tells instances that start whether a
-server is missing.
+A member that an instance has never known counts like a replica whose entry has just expired; the
+recorded primary also as the former primary, while no server is known to lead. The number is the
+most servers that were listed at a time; it tells instances that start whether a server is missing.
 """
 
 import collections.abc
@@ -57,8 +57,15 @@
 
 
 def counted_entries(target: service.Service) -> list[ports.ServerEntry]:
-    """Return the entries of the servers that may hold acknowledged commits, as recorded."""
-    return _limited(backend.entry for backend in target.servers_with_commits().values())
+    """Return the entries of the servers that may hold acknowledged commits, as recorded.
+
+    A former primary whose entry expired is one of them until another server leads.
+    """
+    counted = target.servers_with_commits()
+    former = target.former_primary
+    if former is not None and not former.entry.leaving:
+        counted = {former.server: former} | counted
+    return _limited(backend.entry for backend in counted.values())
 
 
 def encode(entries: collections.abc.Iterable[ports.ServerEntry]) -> bytes:
@@ -239,6 +246,10 @@
     # Callers' statements never run on it.
     backend.close()
     target.unlisted[entry.server] = service.UnlistedReplica(backend=backend, since_s=clock.now_s())
+    target.removed_at_s[entry.server] = clock.now_s()
+    if entry.role is promotion.Role.PRIMARY and target.leader is None:
+        # It may lead on, and be known to other instances.
+        target.former_primary = target.former_primary or backend
     events.log(
         events.Event.SERVER_RECALLED,
         service=target.name,
