Runs that start at once get different ports; an empty readiness answer is tried again

Seen: three of four starts of full_run beside other runs ended in IndexError in Instance.get, on an empty answer to GET /readiness. Cause: free ports were chosen from an offset of 131 per process id and only probed, so two runs with neighbouring ids chose the same ones before either used them; and an answer that is not HTTP was split without a check. Change: each process claims blocks of ports by file locks until it ends; an answer that is not HTTP is an OSError that names the port and what came back, printed once and tried again.

--- a/src/mustardswitch_standins/fleet.py
+++ b/src/mustardswitch_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import fcntl
 import itertools
 import json
 import os
@@ -11,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -108,21 +110,48 @@
     health_port: int
 
 
-# Ports below the range from which the kernel takes the source ports of outgoing connections. The
-# search starts at a port that depends on the process id, so that parallel runs use different ones.
+# Ports below the range from which the kernel takes the source ports of outgoing connections. Each
+# process claims whole blocks by locks on files: between the choice of a port and its use, another
+# run could choose it as well. The search starts at a block that depends on the process id.
 FIRST_PORT = 10_000
 PORT_COUNT = 20_000
-_next_port = itertools.count(os.getpid() * 131)
+BLOCK_PORTS = 50
+BLOCK_COUNT = PORT_COUNT // BLOCK_PORTS
+_next_index = itertools.count(os.getpid() * 131 % BLOCK_COUNT * BLOCK_PORTS)
+_claimed: dict[int, int] = {}
+"""File descriptors of the locks of claimed blocks, which last until the process ends."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that no socket uses now and that no outgoing connection gets assigned."""
+    """Return ports that no socket uses now and that no outgoing connection gets assigned.
+
+    No other process gets them from this function while this one runs. Raises ``OSError`` if there
+    are not enough.
+    """
     found: list[int] = []
-    while len(found) < count:
-        port = FIRST_PORT + next(_next_port) % PORT_COUNT
-        if _is_free(port):
-            found.append(port)
-    return found
+    for _ in range(PORT_COUNT):
+        if len(found) == count:
+            return found
+        index = next(_next_index) % PORT_COUNT
+        if _claim_block(index // BLOCK_PORTS) and _is_free(FIRST_PORT + index):
+            found.append(FIRST_PORT + index)
+    raise OSError(f"fewer than {count} ports are free; other runs have claimed the others")
+
+
+def _claim_block(block: int) -> bool:
+    """Claim a block of ports for this process; return whether it has it."""
+    if block in _claimed:
+        return True
+    directory = pathlib.Path(tempfile.gettempdir()) / "mustardswitch-ports"
+    directory.mkdir(exist_ok=True)
+    lock = os.open(directory / str(block), os.O_RDWR | os.O_CREAT, 0o666)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return False
+    _claimed[block] = lock
+    return True
 
 
 def _is_free(port: int) -> bool:
--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -155,21 +155,38 @@
         """File that receives its standard error."""
 
     async def get(self, path: str) -> tuple[int, str]:
-        """Send a GET request to the health port and return the status code and body."""
+        """Send a GET request to the health port and return the status code and body.
+
+        Raises ``OSError`` if it cannot be sent, or if what comes back is no answer over HTTP.
+        """
         reader, writer = await asyncio.open_connection("127.0.0.1", self.health)
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-        head, _, body = (await reader.read()).decode().partition("\r\n\r\n")
-        writer.close()
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+            answer = await reader.read()
+        finally:
+            writer.close()
+        if not answer.startswith(b"HTTP/"):
+            met = repr(answer[:60]) if answer else "no answer"
+            raise ConnectionResetError(f"{met} to GET {path} at port {self.health} of {self.name}")
+        head, _, body = answer.decode().partition("\r\n\r\n")
         return int(head.split()[1]), body
 
     async def wait_ready(self) -> None:
-        """Wait until the readiness check succeeds, which is when a load balancer sends callers."""
+        """Wait until the readiness check succeeds, which is when a load balancer sends callers.
+
+        Failures other than a port that is not open yet are printed to standard error, each once.
+        """
+        printed: set[str] = set()
         while True:
             try:
                 if (await self.get("/readiness"))[0] == 200:
                     return
-            except OSError:
+            except ConnectionRefusedError:
                 pass
+            except OSError as error:
+                if str(error) not in printed:
+                    print(f"trying again after {error}", file=sys.stderr)
+                printed.add(str(error))
             await asyncio.sleep(0.05)
 
     async def session(self, database: str) -> "Caller":
