--- a/src/mustardswitch_standins/full_run/__main__.py
+++ b/src/mustardswitch_standins/full_run/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import dataclasses
+import json
 import pathlib
 import random
 import shutil
@@ -24,7 +25,9 @@
         rate=options.rate or size.rate,
         runs_closed=options.runs_closed,
     )
-    day = days.vary(days.DAYS[options.day](size), random.Random(f"{seed} {options.day}"))
+    day = days.vary(
+        days.DAYS[options.day](size, **options.fields), random.Random(f"{seed} {options.day}")
+    )
     with tempfile.TemporaryDirectory() as directory:
         started = run.Run(
             directory=pathlib.Path(directory),
@@ -37,7 +40,7 @@
         )
         target = None
         if options.logs is not None:
-            target = options.logs / f"{options.size}-{options.day}-{seed}"
+            target = options.logs / f"{options.name or options.size}-{options.day}-{seed}"
         try:
             judged = asyncio.run(asyncio.wait_for(started.run(), RUN_TIMEOUT_S + day.length_s))
         except Exception:
@@ -48,7 +51,8 @@
         if target is not None and (options.keep_all or not judged.passes):
             (pathlib.Path(directory) / "verdict.log").write_text("\n".join(lines) + "\n")
             shutil.copytree(directory, target, dirs_exist_ok=True)
-    prefix = f"{options.size} {options.day} seed {seed} busy {options.busy}:"
+    day_name = " ".join([options.day, *([json.dumps(options.fields)] if options.fields else [])])
+    prefix = f"{options.size} {day_name} seed {seed} busy {options.busy}:"
     for line in lines:
         print(f"{prefix} {line}")
     counts = ", ".join(f"{count} {name}" for name, count in sorted(started.counts.items()))
@@ -60,6 +64,9 @@
     """Run the seeds; return 1 if one lost a commit or was without writes for too long."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--day", choices=days.DAYS, default="trouble-2")
+    parser.add_argument(
+        "--fields", type=json.loads, default={}, help="arguments of the day, as a JSON object"
+    )
     parser.add_argument("--size", choices=figures.SIZES, default="small")
     parser.add_argument("--instances", type=int, help="number of instances at the start")
     parser.add_argument("--rate", type=float, help="operations per second")
@@ -75,6 +82,7 @@
         help="let servers run statements whose connections were closed meanwhile",
     )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for logs of failed runs")
+    parser.add_argument("--name", help="name of the logs' directories; default: the size")
     parser.add_argument("--keep-all", action="store_true", help="keep the logs of all runs")
     parser.add_argument(
         "--source",
--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -8,8 +8,9 @@
 
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids
-from mustardswitch_standins import database_group, line_protocol_databases
-from mustardswitch_standins.full_run import figures, measured_group
+from mustardswitch.platform import lines
+from mustardswitch_standins import database_group, fleet, line_protocol_databases
+from mustardswitch_standins.full_run import control, figures, measured_group
 
 SLOT_VERBS = {"READ", "WRITE", "EXECUTE", "COMMIT", "AFTER", "STATUS", "PAUSE", "STEPDOWN"}
 """First words of the statements that occupy a slot."""
@@ -135,10 +136,31 @@
         """Mean delay after which a slow server executes what it has received."""
 
     async def listen(self, server: database_group.FakeServer) -> int:
-        """Start the listener of a server and return its port."""
+        """Start the listener of a server and return its port, which it keeps."""
         self.slots[server.name] = Slots(size=self.size)
         self.cuts[server.name] = Cut()
-        return await super().listen(server)
+        (port,) = fleet.free_ports(1)
+        await self._listen_at(server, port)
+        return port
+
+    async def _listen_at(self, server: database_group.FakeServer, port: int) -> None:
+        self.server_listeners[server.name] = await asyncio.start_server(
+            self._make_handler(server), control.HOST, port, limit=lines.MAX_LINE_BYTES
+        )
+
+    def crash(self, name: ids.ServerId, *, address_reused: bool = False) -> None:
+        """Crash a server, so that connections to it are refused until it is ``reopened``.
+
+        If its ``address_reused`` by another process, that one accepts them and answers WRONGNODE.
+        """
+        super().crash(name)
+        if not address_reused:
+            self.server_listeners[name].close()
+
+    async def reopen(self, server: database_group.FakeServer) -> None:
+        """Listen again, at the same port, for a server that crashed."""
+        if not self.server_listeners[server.name].is_serving():
+            await self._listen_at(server, self.ports[server.name])
 
     async def _serve(
         self,
--- a/src/mustardswitch_standins/full_run/database_program.py
+++ b/src/mustardswitch_standins/full_run/database_program.py
@@ -32,6 +32,8 @@
         """Monotonic time before which a server does not register again after a failure."""
         self.unregistered: set[ids.ServerId] = set()
         """Servers that cannot reach the store."""
+        self.lost: database_group.FakeServer | None = None
+        """The replica that ended for good without notice."""
         self.faults: set[asyncio.Task[None]] = set()
 
     async def run(self, control_port: int) -> None:
@@ -113,43 +115,74 @@
 
     # Faults
 
-    async def fault_release(self) -> None:
-        """Replace the primary by a server that starts now and is listed later."""
+    async def fault_release(self, drain_s: float | None = None) -> None:
+        """Replace the primary by a server that starts now and is listed later.
+
+        The primary ends after ``drain_s``, by default that of the size.
+        """
         former = self.group.leader
-        started = self.group.start_replacement(former, listed_after_s=self.size.catch_up_s)
-        await self.databases.start_server(started)
+        await self.fault_replace(former)
         former.leaving = True
         self.group.note(f"{former.name} reports draining")
-        await asyncio.sleep(self.size.drain_s)
+        await asyncio.sleep(self.size.drain_s if drain_s is None else drain_s)
         if former.name in self.group.servers:
             self.group.note(f"{former.name} has left as a {former.role.value}")
             self.databases.end(former, says_so=True)
             await self.store.call("remove", id=former.name)
 
-    async def fault_crash(self, for_s: float, dark: bool = False) -> None:
-        """Crash the primary, which comes back with its log; a dark one resets no connection."""
+    async def fault_replace(self, former: database_group.FakeServer | None = None) -> None:
+        """Start a replica in the place of another or of the lost one, which is listed later."""
+        former = former or self.lost or self.group.leader
+        started = self.group.start_replacement(former, listed_after_s=self.size.catch_up_s)
+        await self.databases.start_server(started)
+
+    async def fault_crash(
+        self,
+        for_s: float,
+        dark: bool = False,
+        address_reused: bool = False,
+        loses_sent: bool = False,
+    ) -> None:
+        """Crash the primary, which comes back with its log; a dark one resets no connection.
+
+        If its ``address_reused`` until then, another process answers there. If it ``loses_sent``
+        entries, replicas do not receive those that are on the way.
+        """
         server = self.group.leader
-        self.group.note(f"{server.name} crashes, dark: {dark}")
+        if loses_sent:
+            self.group.undelivered_lost.add((server.name, server.starts))
+        self.group.note(f"{server.name} crashes, dark: {dark}, address reused: {address_reused}")
         if dark:
             server.up, server.silent = False, True
         else:
-            self.databases.crash(server.name)
+            self.databases.crash(server.name, address_reused=address_reused)
         await asyncio.sleep(for_s)
         if dark:
             server.silent = False
-            self.databases.crash(server.name)
+            self.databases.crash(server.name, address_reused=True)
+        await self.databases.reopen(server)
         self.group.restart(server, leads_again=True)
         self.group.note(f"{server.name} is back as a {server.role.value}")
 
+    async def fault_end_primary(
+        self, address_reused: bool = False, loses_sent: bool = False
+    ) -> None:
+        """End the primary for good without notice; see ``fault_crash`` for the arguments."""
+        server = self.group.leader
+        if loses_sent:
+            self.group.undelivered_lost.add((server.name, server.starts))
+        self.group.note(f"{server.name} ends for good, address reused: {address_reused}")
+        self.databases.end(server, says_so=False, address_reused=address_reused)
+
     async def fault_lose(self) -> None:
         """End a replica for good without notice."""
-        server = self._pick_replicas(1)[0]
-        self.group.note(f"{server.name} is lost for good")
-        self.databases.end(server, says_so=False)
+        self.lost = self._pick_replicas(1)[0]
+        self.group.note(f"{self.lost.name} is lost for good")
+        self.databases.end(self.lost, says_so=False)
 
-    async def fault_deaf(self, count: int, for_s: float) -> None:
-        """Let some replicas receive nothing for a while."""
-        chosen = self._pick_replicas(count)
+    async def fault_deaf(self, count: int, for_s: float, listed: bool = False) -> None:
+        """Let some replicas, or only ``listed`` ones, receive nothing for a while."""
+        chosen = self._pick_replicas(count, listed=listed)
         self.group.note(f"{', '.join(each.name for each in chosen)} receive nothing")
         for server in chosen:
             server.not_receiving = True
@@ -158,9 +191,11 @@
             server.not_receiving = False
             self.group.catch_up(server)
 
-    async def fault_lag(self, count: int, factor: float, for_s: float) -> None:
-        """Multiply the replication delay of some replicas for a while."""
-        chosen = self._pick_replicas(count)
+    async def fault_lag(
+        self, count: int, factor: float, for_s: float, listed: bool = False
+    ) -> None:
+        """Multiply the replication delay of some replicas, or only ``listed`` ones, for a while."""
+        chosen = self._pick_replicas(count, listed=listed)
         self.group.note(f"{', '.join(each.name for each in chosen)} lag by {factor}")
         for server in chosen:
             self.group.lag_factors[server.name] = factor
@@ -218,11 +253,18 @@
             self.databases.crash(server.name)
         await asyncio.sleep(for_s)
         for server in servers:
+            await self.databases.reopen(server)
             self.group.restart(server, leads_again=True)
             await asyncio.sleep(self.source.uniform(0.0, 0.3))
 
-    def _pick_replicas(self, count: int) -> list[database_group.FakeServer]:
-        replicas = [each for each in self.group.servers.values() if each is not self.group.leader]
+    def _pick_replicas(
+        self, count: int, *, listed: bool = False
+    ) -> list[database_group.FakeServer]:
+        replicas = [
+            each
+            for each in self.group.servers.values()
+            if each is not self.group.leader and (each.was_listed or not listed)
+        ]
         return self.source.sample(replicas, min(count, len(replicas)))
 
 
--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import random
 
 from mustardswitch_standins.full_run import figures
@@ -17,6 +18,8 @@
     at_s: float
     name: str
     fields: dict = dataclasses.field(default_factory=dict)
+    follows: bool = False
+    """Whether its time changes with that of the step before, so that the interval is kept."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -27,7 +30,8 @@
     length_s: float
 
 
-Make = collections.abc.Callable[[figures.Size], Day]
+Make = collections.abc.Callable[..., Day]
+"""Makes a day for a size; some take further arguments that replace their defaults."""
 
 
 def _step(at_s: float, name: str, **fields: object) -> Step:
@@ -146,6 +150,84 @@
     )
 
 
+def replaced_replica_then_end_of_primary(
+    size: figures.Size,
+    *,
+    killed: float = 0.65,
+    killed_at_end: float = 0.0,
+    lag: collections.abc.Sequence[float] = (60.0, 80.0, 70.0, 60.0),
+    deaf_s: collections.abc.Sequence[float] = (),
+    end: str = "crash",
+    end_after_s: collections.abc.Sequence[float] = (0.3, 0.6, 1.0, 2.0),
+    end_fields: dict | None = None,
+    drain_s: float | None = None,
+    turned_away: float = 0.0,
+) -> Day:
+    """End the primaries while a replacement that is not listed confirms what the others miss.
+
+    A replica of each service is lost and some instances are killed; its replacement starts after
+    the instances have. The listed replicas lag by a factor, or receive nothing from some seconds
+    before the ``end`` of the primary on, which comes some seconds after the start of the
+    replacement. Sequences give a value for each service, in turn. With ``drain_s``, it is the
+    primary that is replaced, and it ends that long after its report.
+    """
+    lost_s, replaced_s = 4.0, 10.0
+    names = figures.service_names(size)
+    followed = [_on_servers(lost_s, "lose", names)]
+    if killed:
+        followed.append(_step(lost_s, "kill", share=killed, down_s=3.0))
+    if turned_away:
+        followed.append(
+            _step(
+                lost_s + 1.0,
+                "turn_away",
+                share=turned_away,
+                for_s=9.0,
+                silent=False,
+                revokes=True,
+            )
+        )
+    if drain_s is None:
+        followed.append(_on_servers(replaced_s, "replace", names))
+    else:
+        followed.append(_on_servers(replaced_s, "release", names, drain_s=drain_s))
+    for number, name in enumerate(names):
+        ends_s = replaced_s + end_after_s[number % len(end_after_s)]
+        if deaf_s:
+            deaf_from_s = ends_s - deaf_s[number % len(deaf_s)]
+            followed.append(
+                _on_servers(deaf_from_s, "deaf", [name], count=2, for_s=6.5, listed=True)
+            )
+        else:
+            factor = lag[number % len(lag)]
+            followed.append(
+                _on_servers(
+                    ends_s - 2.0, "lag", [name], count=2, factor=factor, for_s=6.5, listed=True
+                )
+            )
+        if end:
+            followed.append(_on_servers(ends_s, end, [name], **(end_fields or ENDS[end])))
+    if killed_at_end:
+        at_s = replaced_s + min(end_after_s)
+        followed.append(_step(at_s, "kill", share=killed_at_end, down_s=2.0))
+    followed = sorted(followed, key=lambda step: step.at_s)
+    steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
+    return Day(steps=steps, length_s=30.0)
+
+
+ENDS: dict[str, dict] = {
+    "crash": {"for_s": 7.0},
+    "end_primary": {},
+    "stall": {"for_s": 2.0},
+    "slow": {"delay_s": 0.8, "for_s": 6.0, "executes_late": True},
+}
+"""Faults of a primary that is replaced, and their fields."""
+
+
+def _on_servers(at_s: float, fault: str, services: list[str], **fields: object) -> Step:
+    return _step(at_s, "on_servers", fault=fault, services=services, **fields)
+
+
 DAYS: dict[str, Make] = {
     "release": release,
     "trouble-1": trouble_1,
@@ -155,15 +237,37 @@
     "slow-release": slow_release,
     "late-release": late_release,
     "stalled-release": stalled_release,
+    "replaced-replica-then-crash": replaced_replica_then_end_of_primary,
+    "replaced-replica-then-lost-primary": functools.partial(
+        replaced_replica_then_end_of_primary, end="end_primary"
+    ),
+    "deaf-replica-then-crash": functools.partial(
+        replaced_replica_then_end_of_primary, deaf_s=(0.05, 0.1, 0.2, 0.4)
+    ),
+    "deaf-replica-then-lost-primary": functools.partial(
+        replaced_replica_then_end_of_primary, deaf_s=(0.05, 0.1, 0.2, 0.4), end="end_primary"
+    ),
+    "lost-replica-then-early-leave": functools.partial(
+        replaced_replica_then_end_of_primary, drain_s=3.0, end=""
+    ),
+    "lost-replica-then-late-leave": functools.partial(
+        replaced_replica_then_end_of_primary, drain_s=10.0, end="slow"
+    ),
+    "lost-replica-then-stalled-leave": functools.partial(
+        replaced_replica_then_end_of_primary, drain_s=10.0, end="stall"
+    ),
+    "turned-away-then-crash": functools.partial(
+        replaced_replica_then_end_of_primary, turned_away=0.33
+    ),
 }
 
 
 def vary(day: Day, source: random.Random) -> Day:
     """Return a day whose steps have changed times, in their order."""
-    steps = [
-        dataclasses.replace(
-            step, at_s=max(0.5, step.at_s + source.uniform(-VARIATION_S, VARIATION_S))
-        )
-        for step in day.steps
-    ]
+    steps = []
+    shift_s = 0.0
+    for step in day.steps:
+        if not step.follows:
+            shift_s = source.uniform(-VARIATION_S, VARIATION_S)
+        steps.append(dataclasses.replace(step, at_s=max(0.5, step.at_s + shift_s)))
     return Day(steps=sorted(steps, key=lambda step: step.at_s), length_s=day.length_s)
--- a/src/mustardswitch_standins/full_run/measured_group.py
+++ b/src/mustardswitch_standins/full_run/measured_group.py
@@ -44,6 +44,8 @@
         self.source = source
         self.lag_factors: dict[ids.ServerId, float] = {}
         """Factor of the replication delay of each lagging server."""
+        self.undelivered_lost: set[tuple[ids.ServerId, int]] = set()
+        """Primaries, with their starts, whose entries on the way were lost with them."""
         self.promotions: list[Promotion] = []
         self.calls: dict[ids.ServerId, tuple[float, list[str]]] = {}
         """Time of the last call to promote each server, and the servers that were listed then."""
@@ -69,6 +71,10 @@
     def _send(self, commit, replica, delay_s: float) -> None:
         super()._send(commit, replica, delay_s * self.lag_factors.get(replica.name, 1.0))
 
+    def _deliver(self, commit, replica: database_group.FakeServer, starts: int) -> None:
+        if (commit.primary.name, commit.starts) not in self.undelivered_lost:
+            super()._deliver(commit, replica, starts)
+
     def _acknowledge(self, commit, replica, starts: int) -> None:
         before = len(self.acknowledged)
         super()._acknowledge(commit, replica, starts)
--- a/src/mustardswitch_standins/full_run/processes.py
+++ b/src/mustardswitch_standins/full_run/processes.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 
+from mustardswitch import tasks
 from mustardswitch_standins import fleet, platform_deployment
 from mustardswitch_standins.full_run import figures
 
@@ -20,6 +21,12 @@
 """Code of a process that only uses the processor, for as many seconds as its argument says."""
 END_S = 5.0
 """Limit on the wait for a program's end after the end of its input."""
+START_TRIES = 3
+"""Starts of an instance before its failure is reported; another run may have taken its ports."""
+
+
+class StartError(Exception):
+    """An instance ended each time before it was ready."""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -39,7 +46,11 @@
     """Held while the process is started, so that two steps at once start only one."""
 
     def __post_init__(self) -> None:
-        """Choose the ports."""
+        """Choose the first ports."""
+        self.choose_ports()
+
+    def choose_ports(self) -> None:
+        """Choose ports for the next start."""
         callers, health, metrics, peers = fleet.free_ports(4)
         self.ports = platform_deployment.Instance(
             name=self.name, callers=callers, health=health, metrics=metrics, peers=peers
@@ -84,8 +95,31 @@
                 )
 
     async def wait_ready(self) -> None:
-        """Wait until it is ready; raises ``TimeoutError``."""
-        await asyncio.wait_for(self.ports.wait_ready(), platform_deployment.START_TIMEOUT_S)
+        """Wait until it is ready; one that ends before is started again with other ports.
+
+        Raises ``TimeoutError``, and ``StartError`` after ``START_TRIES`` starts that failed.
+        """
+        async with asyncio.timeout(platform_deployment.START_TIMEOUT_S):
+            for _ in range(START_TRIES):
+                if await self._becomes_ready():
+                    return
+                log = self.directory / f"{self.name}-{self.starts}.log"
+                met = (log.read_text().splitlines() or ["no output"])[-1]
+                print(f"{self.name} ended at its start: {met}", file=sys.stderr)
+                self.choose_ports()
+                await self.start()
+        raise StartError(f"{self.name} ended {START_TRIES} times at its start: {met}")
+
+    async def _becomes_ready(self) -> bool:
+        """Return whether the process is ready before it ends."""
+        waits = [
+            asyncio.create_task(wait) for wait in (self.ports.wait_ready(), self.process.wait())
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            return self.pid is not None and waits[0].done()
+        finally:
+            await tasks.cancel_and_wait(waits)
 
     async def end(self, signal_number: signal.Signals) -> None:
         """Send a signal and wait for the end, which is forced after the grace period."""
--- a/src/mustardswitch_standins/full_run/run.py
+++ b/src/mustardswitch_standins/full_run/run.py
@@ -214,11 +214,21 @@
         await asyncio.sleep(down_s)
         await asyncio.gather(*(each.start() for each in self.started))
 
-    async def step_turn_away(self, share: float, for_s: float, silent: bool) -> None:
-        """Let the store turn some instances away."""
+    async def step_kill(self, share: float, down_s: float) -> None:
+        """Kill some instances at once and start them again after a while."""
+        killed = self._pick(share)
+        self._note(f"killed: {', '.join(each.name for each in killed)}")
+        await asyncio.gather(*(each.end(signal.SIGKILL) for each in killed))
+        await asyncio.sleep(down_s)
+        await asyncio.gather(*(each.start() for each in killed))
+
+    async def step_turn_away(
+        self, share: float, for_s: float, silent: bool, revokes: bool = False
+    ) -> None:
+        """Let the store turn some instances away, and end their leases if it ``revokes`` them."""
         names = [each.name for each in self._pick(share)]
         self._note(f"turned away: {', '.join(names)}")
-        await self.store.call("turn_away", names=names, for_s=for_s, silent=silent)
+        await self.store.call("turn_away", names=names, for_s=for_s, silent=silent, revokes=revokes)
 
     async def step_outage(self, for_s: float, silent: bool, lapses: bool) -> None:
         """Let nobody reach the store."""
@@ -228,12 +238,17 @@
         """Slow the store down."""
         await self.store.call("slow", for_s=for_s, delay_s=delay_s)
 
-    async def step_release(self, services: int) -> None:
+    async def step_release(self, services: int, drain_s: float | None = None) -> None:
         """Release the primaries of some services, within a second."""
         for client in self.random.sample(list(self.databases.values()), services):
-            await client.call("release")
+            await client.call("release", drain_s=drain_s)
             await asyncio.sleep(self.random.uniform(0.0, 1.0 / services))
 
+    async def step_on_servers(self, fault: str, services: list[str], **fields: object) -> None:
+        """Inject a fault into the servers of some services."""
+        for service in services:
+            await self.databases[service].call(fault, **fields)
+
     async def step_cut(self, share: float, for_s: float, one_way: bool) -> None:
         """Cut the primaries off from some instances."""
         pids = [each.pid for each in self._pick(share) if each.pid is not None]
--- a/src/mustardswitch_standins/full_run/store_program.py
+++ b/src/mustardswitch_standins/full_run/store_program.py
@@ -106,8 +106,13 @@
                 elif now_s >= expires_at_s:
                     self._remove(key)
 
-    async def fault_turn_away(self, names: list[str], for_s: float, silent: bool) -> None:
-        """Turn instances away: answer nothing if ``silent``, and else reset their connections."""
+    async def fault_turn_away(
+        self, names: list[str], for_s: float, silent: bool, revokes: bool = False
+    ) -> None:
+        """Turn instances away: answer nothing if ``silent``, and else reset their connections.
+
+        If it ``revokes`` their registrations, their leases end at once.
+        """
         rules = []
         for name in names:
             rules += [self.links.rule(name, STORE), self.links.rule(STORE, name)]
@@ -116,6 +121,9 @@
         if not silent:
             for name in names:
                 self.links.break_connections(name, STORE)
+        if revokes:
+            for name in names:
+                self.store.end_lease_of(f"{fleet_records.INSTANCES}{name}")
         await asyncio.sleep(for_s)
         for rule in rules:
             rule.cut = rule.refuses = False
--- a/src/mustardswitch_standins/http_store.py
+++ b/src/mustardswitch_standins/http_store.py
@@ -128,6 +128,11 @@
         for lease in [lease for lease, (_, end_s) in self.leases.items() if end_s < now_s]:
             self._end_lease(lease)
 
+    def end_lease_of(self, key: str) -> None:
+        """End the lease of a key, if there is one."""
+        if key in self.keys and self.keys[key].lease:
+            self._end_lease(self.keys[key].lease)
+
     def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
         for key in [key for key, existing in self.keys.items() if existing.lease == lease]:
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -113,20 +113,28 @@
     def crash(self, name: ids.ServerId) -> None:
         """Crash a server: mark it down and abort its connections."""
         self.group.servers[name].up = False
-        self._abort_connections(name)
+        self.abort_connections(name)
 
-    def _abort_connections(self, name: ids.ServerId) -> None:
+    def abort_connections(self, name: ids.ServerId) -> None:
+        """Reset the open connections to a server."""
         for writer in self.writers.pop(name, []):
             writer.transport.abort()
 
-    def end(self, server: database_group.FakeServer, *, says_so: bool) -> None:
-        """End a server for good, which removes its own entry if it ``says_so``."""
+    def end(
+        self, server: database_group.FakeServer, *, says_so: bool, address_reused: bool = False
+    ) -> None:
+        """End a server for good, which removes its own entry if it ``says_so``.
+
+        If its ``address_reused`` by another process, that one answers WRONGNODE; else connections
+        are refused.
+        """
         server.up = False
         self.group.servers.pop(server.name, None)
         if says_so:
             self.expires_at_s[server.name] = 0.0
-        self.server_listeners[server.name].close()
-        self._abort_connections(server.name)
+        if not address_reused:
+            self.server_listeners[server.name].close()
+        self.abort_connections(server.name)
 
     def _make_handler(self, server: database_group.FakeServer):
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- /dev/null
+++ b/tests/platform/test_full_run_days.py
@@ -0,0 +1,158 @@
+"""The steps of days of full runs, and the faults of their servers."""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from mustardswitch.internal import promotion
+from mustardswitch_standins import fleet
+from mustardswitch_standins.full_run import (
+    database_program,
+    days,
+    figures,
+    processes,
+    store_program,
+)
+
+SEED = 7
+
+
+@pytest.fixture
+async def program():
+    size = dataclasses.replace(figures.SIZES["small"], catch_up_s=600.0)
+    made = database_program.DatabaseProgram(
+        service="service-0", size=size, seed=str(SEED), store_port=1
+    )
+    await made.databases.start()
+    for server in made.group.servers.values():
+        server.was_listed = True
+    yield made
+    made.databases.close()
+
+
+async def start_session(program, server):
+    """Open a session with a server, and return the first line of its answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", program.databases.ports[server])
+    writer.write(f"STARTUP service-0 tester {server}\r\n".encode())
+    answer = await reader.readline()
+    writer.close()
+    return answer
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(30.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_a_crashed_server_refuses_connections_until_it_is_back_at_its_port(program):
+    primary = program.group.leader
+    port = program.databases.ports[primary.name]
+    crash = asyncio.create_task(program.fault_crash(for_s=0.3))
+    await wait_until(lambda: not primary.up)
+    with pytest.raises(ConnectionRefusedError):
+        await start_session(program, primary.name)
+    await crash
+    assert program.databases.ports[primary.name] == port
+    assert (await start_session(program, primary.name)).startswith(b"READY")
+    assert primary.role is promotion.Role.PRIMARY
+
+
+async def test_another_process_answers_at_the_reused_address_of_a_crashed_server(program):
+    primary = program.group.leader
+    crash = asyncio.create_task(program.fault_crash(for_s=0.3, address_reused=True))
+    await wait_until(lambda: not primary.up)
+    assert (await start_session(program, primary.name)).startswith(b"ERROR WRONGNODE")
+    await crash
+    assert (await start_session(program, primary.name)).startswith(b"READY")
+
+
+@pytest.mark.parametrize("address_reused", [False, True])
+async def test_a_server_that_ended_for_good_does_not_come_back(program, address_reused):
+    primary = program.group.leader
+    await program.fault_end_primary(address_reused=address_reused)
+    assert primary.name not in program.group.servers
+    if address_reused:
+        assert (await start_session(program, primary.name)).startswith(b"ERROR WRONGNODE")
+    else:
+        with pytest.raises(ConnectionRefusedError):
+            await start_session(program, primary.name)
+
+
+async def test_entries_on_the_way_are_lost_with_a_primary_if_asked(program):
+    group = program.group
+    group.link_delay_s = lambda first, second: 0.1
+    confirming = asyncio.create_task(group.confirm(group.leader, ["w1"], 0.3))
+    await asyncio.sleep(0.0)
+    await program.fault_end_primary(loses_sent=True)
+    assert not await confirming
+    assert all(not server.log for server in group.servers.values())
+
+
+async def test_only_listed_replicas_lag_beside_a_replacement_that_is_not_listed(program):
+    await program.fault_lose()
+    await program.fault_replace()
+    (started,) = [each for each in program.group.servers.values() if not each.was_listed]
+    await program.fault_lag(count=2, factor=60.0, for_s=0.0, listed=True)
+    picked = program._pick_replicas(3, listed=True)
+    assert program.lost not in picked
+    assert started not in picked
+    assert program.group.leader not in picked
+    assert len(picked) == 1
+
+
+def test_the_store_ends_the_lease_of_a_registration_that_it_revokes():
+    store = store_program.ForwardingStore(databases={})
+    store.leases[5] = (10.0, 1e12)
+    store.put("instances/a", b"", 5)
+    store.put("claims/a", b"", 5)
+    store.put("instances/b", b"")
+    for name in ("a", "b", "c"):
+        store.end_lease_of(f"instances/{name}")
+    assert list(store.keys) == ["instances/b"]
+
+
+@pytest.mark.parametrize("name", days.DAYS)
+def test_every_day_keeps_the_order_of_the_steps_that_follow_each_other(name):
+    day = days.DAYS[name](figures.SIZES["grown"])
+    for seed in range(20):
+        varied = days.vary(day, random.Random(seed))
+        shifts = {
+            round(changed.at_s - step.at_s, 6)
+            for step in day.steps
+            for changed in varied.steps
+            if step.follows and (changed.name, changed.fields) == (step.name, step.fields)
+        }
+        assert len(shifts) <= 1
+        assert max(step.at_s for step in varied.steps) < varied.length_s
+
+
+async def test_an_instance_whose_port_is_taken_starts_with_others(tmp_path, capsys):
+    instance = processes.InstanceProcess(
+        name="instance-a-0",
+        zone="a",
+        store_port=fleet.free_ports(1)[0],
+        promotion_port=1,
+        source=processes.SOURCE,
+        directory=tmp_path,
+    )
+    taken = instance.ports.health
+
+    async def refuse(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"ERROR WRONGNODE -\r\n")
+        writer.close()
+
+    listener = await asyncio.start_server(refuse, "127.0.0.1", taken)
+    await instance.start()
+    waiting = asyncio.create_task(instance.wait_ready())
+    try:
+        await wait_until(lambda: instance.starts == 2)
+    finally:
+        waiting.cancel()
+        await instance.end(processes.signal.SIGKILL)
+        listener.close()
+    assert instance.ports.health != taken
+    assert "ended at its start" in capsys.readouterr().err
