--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -155,6 +155,7 @@
     *,
     killed: float = 0.65,
     killed_at_end: float = 0.0,
+    down_s: float = 2.0,
     lag: collections.abc.Sequence[float] = (60.0, 80.0, 70.0, 60.0),
     deaf_s: collections.abc.Sequence[float] = (),
     end: str = "crash",
@@ -209,7 +210,7 @@
             followed.append(_on_servers(ends_s, end, [name], **(end_fields or ENDS[end])))
     if killed_at_end:
         at_s = replaced_s + min(end_after_s)
-        followed.append(_step(at_s, "kill", share=killed_at_end, down_s=2.0))
+        followed.append(_step(at_s, "kill", share=killed_at_end, down_s=down_s))
     followed = sorted(followed, key=lambda step: step.at_s)
     steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
     return Day(steps=steps, length_s=30.0)
