--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -163,6 +163,9 @@
     end_fields: dict | None = None,
     drain_s: float | None = None,
     turned_away: float = 0.0,
+    killed_s: float = 4.0,
+    replaced_s: float = 10.0,
+    length_s: float = 30.0,
 ) -> Day:
     """End the primaries while a replacement that is not listed confirms what the others miss.
 
@@ -172,11 +175,11 @@
     replacement. Sequences give a value for each service, in turn. With ``drain_s``, it is the
     primary that is replaced, and it ends that long after its report.
     """
-    lost_s, replaced_s = 4.0, 10.0
+    lost_s = 4.0
     names = figures.service_names(size)
     followed = [_on_servers(lost_s, "lose", names)]
     if killed:
-        followed.append(_step(lost_s, "kill", share=killed, down_s=3.0))
+        followed.append(_step(killed_s, "kill", share=killed, down_s=3.0))
     if turned_away:
         followed.append(
             _step(
@@ -213,7 +216,7 @@
         followed.append(_step(at_s, "kill", share=killed_at_end, down_s=down_s))
     followed = sorted(followed, key=lambda step: step.at_s)
     steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
-    return Day(steps=steps, length_s=30.0)
+    return Day(steps=steps, length_s=length_s)
 
 
 ENDS: dict[str, dict] = {
@@ -257,6 +260,16 @@
     "lost-replica-then-stalled-leave": functools.partial(
         replaced_replica_then_end_of_primary, drain_s=10.0, end="stall"
     ),
+    "late-replacement-then-lost-primary": functools.partial(
+        replaced_replica_then_end_of_primary,
+        killed=1.0,
+        killed_s=9.0,
+        replaced_s=18.0,
+        deaf_s=(0.05, 0.1, 0.2, 0.4),
+        end_after_s=(2.0, 3.0, 4.0, 5.0),
+        end="end_primary",
+        length_s=38.0,
+    ),
     "turned-away-then-crash": functools.partial(
         replaced_replica_then_end_of_primary, turned_away=0.33
     ),
