The lines of an instance beside the holder are tested through a whole change

Two instances in one process exchange encoded datagrams: the one that does not hold the claim knows the proof, the holder and the end of the promoted log before it sees the server lead, for a stopped primary and for one whose process has ended.

--- a/tests/proxy/test_cut_log_lines.py
+++ b/tests/proxy/test_cut_log_lines.py
@@ -15,8 +15,10 @@
     acknowledged,
     claimed_changes,
     commit_holds,
+    directory,
     failover_watch,
     leader_changes,
+    peer_updates,
     ports,
     requests,
 )
@@ -198,6 +200,62 @@
     assert _fields(line)["by"].split() == ["?", "p:gone", peer_world.TWO]
 
 
+class Linked(proxy_world.World):
+    """An instance whose datagrams another one receives at once."""
+
+    def __init__(self, name: str, other: str) -> None:
+        super().__init__()
+        self.other: Linked | None = None
+        self.directory.instance = ids.InstanceId(name)
+        self.directory.instances.entries.clear()
+        for each in (name, other):
+            peer = directory.Peer(zone=ids.ZoneName("a"), address=peer_world.address_of(each))
+            self.directory.instances.put(ids.InstanceId(each), peer)
+        self.directory.instances.note_recovery(clock.now_s() - peer_world.LIMIT_S)
+        self.updates = peer_updates.PeerUpdates(directory=self.directory, peers=self)
+        self.coordination.hold_commits = self._hold_commits
+
+    def _hold_commits(self, claim, server, *, revision, recorded_at_s, stop=None):
+        promoted = datagrams.RecordedPromotion(
+            service=claim.service, server=server, revision=revision
+        )
+        order = None
+        if stop is not None:
+            order = datagrams.StopOrder(service=claim.service, server=stop.server, term=stop.term)
+        return self.updates.hold_commits(promoted, recorded_at_s=recorded_at_s, order=order)
+
+    def send(self, update: datagrams.PeerUpdate, addresses=None) -> None:
+        """Pass an update to the other instance."""
+        self.other.updates.receive(datagrams.decode(datagrams.encode(update)))
+
+
+@pytest.mark.parametrize("runs, proof", [(True, "stopped"), (False, "p:ended")])
+async def test_an_instance_beside_the_holder_tells_the_whole_change(handler, runs, proof):
+    holder, beside = Linked("one", "two"), Linked("two", "one")
+    holder.other, beside.other = beside, holder
+    for world in (holder, beside):
+        world.directory.refresh()
+    holder.group.servers[A].up = beside.group.servers[A].up = runs
+    holder.group.servers[A].leaving = runs
+    holder.list_servers()
+    holder.promoter.effect_delay_s = 0.2
+    assert await claimed_changes.run_claimed(
+        target=holder.service,
+        coordination=holder.coordination,
+        promoter=holder.promoter,
+        primary=A,
+    )
+    promoted = holder.group.primary.name
+    handler.records.clear()
+    position = holder.group.servers[promoted].position
+    beside.service.note_leading(promoted, query_sent_at_s=clock.now_s() + 1, position=position)
+    (leads,) = _lines(handler, events.Event.LEADER_CHANGED)
+    (resumed,) = _lines(handler, events.Event.COMMITS_RESUMED)
+    assert _fields(leads)["by"].split()[1:] == [proof, "one"]
+    assert _fields(resumed)["confirmed"] == "yes"
+    assert beside.service.acknowledged.promoted.end == position
+
+
 # Commits that a new primary lacks
 
 
