Tests of a recorded server that leaves list another one for it

With the wait for servers that are not listed yet, a service that lacks a server waits up to 7.2 s for its replacement, longer than these tests allow a change. They are about the choice, so the replacement is listed.

--- a/tests/proxy/test_stopped_primary.py
+++ b/tests/proxy/test_stopped_primary.py
@@ -271,13 +271,18 @@
 
 
 def _let_recorded_leave(monkeypatch, world: proxy_world.World) -> list[ids.ServerId]:
-    """Let the first server that is recorded begin to leave then; returns all recorded ones."""
+    """Let the first server that is recorded begin to leave then, and another be listed for it.
+
+    Returns all recorded servers.
+    """
     record, recorded = world.coordination.record_promotion, []
 
     async def record_and_leave(claim, server):
+        if not recorded:
+            world.group.servers[server].leaving = True
+            world.group.start_server(zone="d")
+            world.list_servers()
         recorded.append(server)
-        world.group.servers[recorded[0]].leaving = True
-        world.list_servers()
         return await record(claim, server)
 
     monkeypatch.setattr(world.coordination, "record_promotion", record_and_leave)
