Prove that a fleet without the store may lose commits to a new instance

Weighed, not done: stop once the own registration may have expired (ends all writes 6 s into each outage of the store); count instances that left the list just before (covers a restart only, and ends all writes in an outage that begins beside a restart).

--- a/tests/proxy/test_stale_records.py
+++ b/tests/proxy/test_stale_records.py
@@ -165,3 +165,28 @@
     await other.run(caller, proxy_world.WRITE)
     group.promote(B)
     assert group.lost == []
+
+
+async def test_an_instance_that_started_after_the_others_lost_the_store_loses_no_commit(
+    monkeypatch, world
+):
+    """The others do not know of it, and it knows none whose registration has expired."""
+    world.remove_instance(THREE)
+    started = peer_world.World(monkeypatch)
+    started.now_s = world.now_s
+    started.directory.instance = THREE
+    for name in (ONE, TWO):
+        started.remove_instance(name)
+    group = started.group = world.group
+    group.servers[B].not_receiving = group.servers[C].not_receiving = True
+    group.start_server(zone="d")
+    # Both worlds read the clock of the second one.
+    started.now_s += 20.0
+    world.updates.receive(datagrams.PeerUpdate(instance=TWO, stale=True, answers_s=started.now_s))
+    started.recorded_at_s = started.now_s
+    while not started.report().complete:
+        started.now_s += 0.01
+    caller = world.open_session(requests.RouteKind.PRIMARY)
+    await world.run(caller, proxy_world.WRITE)
+    group.promote(B)
+    assert group.lost == []
