--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -107,7 +107,8 @@
     RELAY_SKIPPED = EventKind(315, logbook.INFO, "relay skipped")
     """A relay of the store's records did not answer or lost the store; another source is used."""
     SERVER_LISTED = EventKind(410, logbook.INFO, "server listed")
-    """A backend server appeared in the platform's list."""
+    """A backend server appeared in the platform's list, ``age_s`` after its start by the time of
+    day."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
     """A backend server announced that it leaves; it receives no new work."""
     SERVER_GONE = EventKind(412, logbook.INFO, "server removed")
@@ -123,8 +124,12 @@
     SERVER_RECALLED = EventKind(417, logbook.INFO, "server taken from the record of members")
     """A backend server that this instance has never seen listed counts among those that may hold
     commits, like one whose entry has expired."""
-    LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
-    """The latest evidence names another leader for a service."""
+    LEADER_CHANGED = EventKind(510, logbook.INFO, "leads")
+    """The latest evidence names another leader for a service. ``by`` tells the term of its lead,
+    what proved the promotion, and the instance that held the claim, as far as this instance knows
+    them (``?``). Proofs: ``stopped`` if the former primary was; otherwise all known servers were
+    paused, and the former primary was a replica (``p:replica``), its process had ended
+    (``p:ended``), it could not be reached (``p:gone``), or was not known (``p:unknown``)."""
     PRIMARY_SUSPECTED = EventKind(511, logbook.WARNING, "primary suspected")
     """This instance receives no answer from the primary and votes to replace it."""
     PRIMARY_TRUSTED = EventKind(512, logbook.INFO, "primary trusted")
@@ -154,24 +159,23 @@
     COMMITS_HELD = EventKind(524, logbook.INFO, "commits held back")
     """This instance learned that a server's promotion is recorded, and sends no commits to another
     one; the fields tell the record's revision and how old the list of servers is."""
-    COMMITS_RESUMED = EventKind(525, logbook.INFO, "commits no longer held back")
-    """The promoted server leads, or the record is removed; the fields tell for how long commits
-    were held back, how many writes waited or were aborted, and whether the store was lost."""
+    COMMITS_RESUMED = EventKind(525, logbook.INFO, "hold ended")
+    """Commits are no longer held back: the promoted server leads, or the record is removed; the
+    fields tell for how long they were, whether this instance has ``confirmed`` that to the holder
+    of the claim (``yes``, ``no``, or ``holder`` if it is the one), its build, how many writes
+    waited or were aborted, and whether the store was lost."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
-    COMMITS_MISSING = EventKind(527, logbook.ERROR, "acknowledged commits are missing")
+    COMMITS_MISSING = EventKind(527, logbook.ERROR, "commits lost")
     """The log of a new primary ends below a commit that was acknowledged through this instance;
-    ``missing`` is the least number of commits."""
-    COMMITS_MISSING_BY_OFFSET = EventKind(
-        529, logbook.WARNING, "acknowledged commits are missing by offset"
-    )
+    ``missing`` is the least number of commits. If the log has entries of its own term already,
+    ``end`` is the one with which the holder of the claim has promoted it."""
+    COMMITS_MISSING_BY_OFFSET = EventKind(529, logbook.WARNING, "commits lost by offset")
     """The log of a new primary has entries of its own term already, and is still shorter than one
     with a commit that was acknowledged through this instance. Valid if offsets number the entries
     of a log across terms."""
-    COMMITS_POSSIBLY_MISSING = EventKind(
-        528, logbook.INFO, "acknowledged commits may be missing, or only unacknowledged ones"
-    )
+    COMMITS_POSSIBLY_MISSING = EventKind(528, logbook.INFO, "commits may be missing")
     """The log of a new primary ends below a position that the former one has shown with an
     acknowledged commit. The last entries below that position may be of commits that were never
     acknowledged."""
@@ -186,6 +190,10 @@
     ACKNOWLEDGED_IGNORED = EventKind(536, logbook.ERROR, "acknowledged commits given up")
     """No server that is or became known in time reaches the position ``above``, below which an
     instance has acknowledged a commit; a server without it may be promoted."""
+    SERVERS_AWAITED = EventKind(540, logbook.WARNING, "servers awaited that are not listed yet")
+    """The former primary has not told the end of its log, and the service has fewer servers than it
+    had, or this instance has not read the list for long. A server that has started may hold
+    commits; it is listed within ``listing_s``."""
     COMMITS_NOT_PERMITTED = EventKind(534, logbook.WARNING, "commits not permitted")
     """This instance would not know of a recorded promotion: its records are too old, or do not list
     it. ``unheard`` are instances that have not said that they lack newer records, too."""
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -4,7 +4,7 @@
 import functools
 import signal
 
-from mustardswitch import events, metrics, tasks
+from mustardswitch import build, events, metrics, tasks
 from mustardswitch.clients import caller_limits
 from mustardswitch.internal import ids
 from mustardswitch.internal.admission import memory
@@ -73,6 +73,7 @@
             registry=self.registry,
             forwarder=forwarded.Forwarder(client=self.relays),
             features=config.features,
+            listing_s=config.listing_s,
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
@@ -196,6 +197,7 @@
             events.log(
                 events.Event.STARTED,
                 instance=self.config.instance,
+                build=build.build_id(),
                 callers=self.config.callers,
                 version=self.directory.configuration.version,
             )
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -5,6 +5,7 @@
 import contextlib
 import copy
 import dataclasses
+import time
 
 from mustardswitch import connection_pool, events, metrics
 from mustardswitch.backends import errors as backend_errors
@@ -17,6 +18,7 @@
     positions,
     promotion,
     suspicion,
+    unlisted_servers,
 )
 from mustardswitch.internal.admission import in_turn
 from mustardswitch.internal.placement import read_placement
@@ -27,6 +29,7 @@
     commit_holds,
     errors,
     feature_set,
+    leader_changes,
     placing,
     ports,
     requests,
@@ -93,6 +96,11 @@
     """When its entry expired, or this instance learned of it from the record of members."""
 
 
+def _age_s(entry: ports.ServerEntry) -> float | None:
+    """Return the seconds since a server started, by the time of day; None if unknown."""
+    return round(time.time() - entry.started_ms / 1000, 1) if entry.started_ms else None
+
+
 class Service:
     """This instance's state of one service, and its connections to the service's servers."""
 
@@ -110,6 +118,7 @@
         registrations: commit_holds.SourceList | None = None,
         permission: commit_permission.CommitPermission | None = None,
         permitted: collections.abc.Callable[[], bool] = lambda: True,
+        listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -134,6 +143,9 @@
         """Replicas whose entries expired lately."""
         self.former_primary: server.Server | None = None
         """The last server whose entry was removed while it led; None if a primary is listed."""
+        self.listing_s = listing_s
+        """Time from the start of a server until it is listed."""
+        self.server_count = unlisted_servers.ServerCount()
         self.removed_at_s: dict[ids.ServerId, float] = {}
         """When servers were removed from the list lately (``clock.now_s``)."""
         self.requested: ids.ServerId | None = None
@@ -142,6 +154,8 @@
         """The revision of that record; None without one, and if this instance wrote it."""
         self.promotion_summary = ""
         """Why the promotion that this instance requested last was proved; empty without one."""
+        self.proved: datagrams.ProvedPromotion | None = None
+        """That promotion; None without one."""
         self.hold = commit_holds.CommitHold(
             service=name, registry=registry, registrations=registrations
         )
@@ -157,8 +171,7 @@
         """Set, and then replaced, when the servers or the leader may have changed."""
         self.refreshing: asyncio.Task[None] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.logged_leader: ids.ServerId | None = None
-        """The leader that the latest LEADER_CHANGED event named."""
+        self.leader_changes = leader_changes.LeaderChanges(service=name)
 
     def __repr__(self) -> str:
         return f"Service(name={self.name!r}, location={self.location!r})"
@@ -194,6 +207,7 @@
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
+        self._count_servers()
 
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
@@ -220,8 +234,9 @@
                 service=self.name,
                 server=entry.server,
                 role=entry.role.value,
-                leaving=entry.leaving,
+                age_s=_age_s(entry),
                 revision=entry.revision,
+                leaving=entry.leaving,
             )
         elif backend.entry.revision != entry.revision:
             backend.entry_written_at_s = clock.now_s()
@@ -280,6 +295,12 @@
         elif leads:
             self.former_primary = backend
 
+    def _count_servers(self) -> None:
+        counted = [*self.servers.values()]
+        if self.former_primary is not None:
+            counted.append(self.former_primary)
+        self.server_count.note(sum(not backend.entry.leaving for backend in counted))
+
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
         known = self.unlisted.get(name)
@@ -382,14 +403,8 @@
         found = self.leadership.leader(self.servers)
         if found is not None:
             self.former_primary = None
-        if found != self.logged_leader:
-            events.log(
-                events.Event.LEADER_CHANGED,
-                service=self.name,
-                server=found,
-                before=self.logged_leader,
-            )
-            self.logged_leader = found
+        if found != self.leader_changes.logged:
+            self.leader_changes.log(found, term=self.acknowledged.latest_term(found))
         self.hold.update(
             requested=self.requested or self.commits.awaited,
             leader=found,
@@ -414,7 +429,7 @@
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
-        if leader != self.logged_leader:
+        if leader != self.leader_changes.logged:
             self._note_change()
 
     def note_not_leading(self, refused_by: ids.ServerId, *, query_sent_at_s: float) -> None:
@@ -438,6 +453,20 @@
         if self.commits.awaited != before:
             self._note_change()
 
+    def note_proved(
+        self,
+        proved: datagrams.ProvedPromotion,
+        *,
+        summary: str,
+        holder: ids.InstanceId | None = None,
+    ) -> None:
+        """Keep for the log what proved a promotion; without ``holder``, one of this instance."""
+        if holder is None:
+            self.proved = proved
+        self.leader_changes.note_told(proved.server, holder=holder, summary=summary)
+        if proved.end is not None:
+            self.acknowledged.note_promoted(proved.server, proved.end, now_s=clock.now_s())
+
     def recorded_promotions(self) -> list[datagrams.RecordedPromotion]:
         """Return the promotions that are known to be recorded and may take effect."""
         found = []
