Record a service's size only once servers had time to be listed

All instances restarted before a size was recorded, and two of three servers were listed again 6 s later.

Cause: 2 s after its first reading, the instance that had started recorded the one server that it listed as the size of the service. A recorded size counts as known by others, so no server was missing, and the promotion did not wait for those that are not listed yet.

Change: the size is recorded once the list has been read for as long as servers take to be listed.

--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -49,8 +49,9 @@
 
     async def check_sizes(self) -> None:
         """Write the size of one service that has more servers than recorded."""
-        now_s = clock.now_s()
-        if self.directory.servers.outage or not self.directory.servers.is_complete(now_s):
+        now_s, listed = clock.now_s(), self.directory.servers
+        # Until then, servers that run may be missing from the list.
+        if listed.outage or listed.is_recent(now_s, self.directory.listing_s):
             return
         for name, target in self.directory.services.items():
             recorded = self.directory.members.sizes.get(name, member_records.NO_SIZE)
--- a/tests/platform/test_member_writer.py
+++ b/tests/platform/test_member_writer.py
@@ -247,3 +247,16 @@
     await asyncio.sleep(SEVERAL_CHECKS_S)
     assert world.recorded_size() == b"3"
     assert world.directory.services[SERVICE].server_count.missing == 2
+
+
+async def test_a_list_that_may_lack_servers_is_not_recorded_as_the_size(world):
+    """All instances had restarted before a size was recorded; one of them listed one of three
+    servers, recorded that, took it for the whole service, and promoted the server.
+    """
+    world.put_server(B)
+    await world.start_writing()
+    world.directory.servers.first_read_at_s -= world.directory.listing_s - 2.0
+    await asyncio.sleep(SEVERAL_CHECKS_S)
+    assert world.recorded_size() is None
+    world.end_start()
+    await store_world.wait_until(lambda: world.recorded_size() == b"1")
