--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -163,6 +163,7 @@
     end_fields: dict | None = None,
     drain_s: float | None = None,
     turned_away: float = 0.0,
+    lost_s: float = 4.0,
     killed_s: float = 4.0,
     replaced_s: float = 10.0,
     length_s: float = 30.0,
@@ -175,7 +176,6 @@
     replacement. Sequences give a value for each service, in turn. With ``drain_s``, it is the
     primary that is replaced, and it ends that long after its report.
     """
-    lost_s = 4.0
     names = figures.service_names(size)
     followed = [_on_servers(lost_s, "lose", names)]
     if killed:
