Failing tests: the number of a service's servers is counted too large

A former primary that is listed again as a replica is counted twice; a replacement that is listed beside the entry of the lost server makes the service larger for ever.

--- /dev/null
+++ b/tests/proxy/test_service_counted_too_large.py
@@ -0,0 +1,49 @@
+"""Services whose number of servers is counted too large, so that each later crash waits."""
+
+from mustardswitch.internal import clock, ids
+from tests.common import proxy_world, takeovers
+
+A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+
+
+def test_a_former_primary_that_is_listed_again_as_a_replica_is_counted_once():
+    world = proxy_world.World()
+    takeovers.expire_entry(world, A)
+    assert world.service.server_count.present == 3
+    world.group.step_down(world.group.servers[A], 2)
+    world.list_servers()
+    assert world.service.server_count.listed_at_most == 3
+
+
+def test_a_lost_server_is_missing_beside_a_former_primary_that_is_listed_again():
+    world = proxy_world.World()
+    takeovers.expire_entry(world, A)
+    world.group.step_down(world.group.servers[A], 2)
+    del world.group.servers[C]
+    world.list_servers()
+    assert world.service.server_count.missing == 1
+
+
+def test_a_replacement_beside_an_entry_that_an_outage_kept_leaves_no_server_missing():
+    """A replica was lost in an outage of the store, and its replacement is listed after it."""
+    world = proxy_world.World()
+    world.directory.servers.note_outage()
+    del world.group.servers[C]
+    world.list_servers()
+    world.directory.servers.note_recovery(clock.now_s())
+    world.group.start_server(zone="d")
+    world.list_servers()
+    world.directory.servers.recovered_at_s = float("-inf")
+    world.directory.expire()
+    assert sorted(world.service.servers) == [A, B, "server-d"]
+    assert world.service.server_count.missing == 0
+
+
+def test_a_replacement_that_is_listed_before_the_old_entry_expires_leaves_no_server_missing():
+    """A lost replica's entry stays for three heartbeats, longer if leases paused in an outage."""
+    world = proxy_world.World()
+    world.group.start_server(zone="d")
+    world.list_servers()
+    del world.group.servers[C]
+    world.list_servers()
+    assert world.service.server_count.missing == 0
