Failing tests: waits without a primary that add up

A stopped primary that answers, an instance that starts after a crash (as one that reports, and as the holder), and attempts that begin their wait anew.

--- /dev/null
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -0,0 +1,110 @@
+"""Times without a primary that grow by waits which no server can end."""
+
+import asyncio
+
+from mustardswitch.internal import change_log, clock, former_primary, ids
+from mustardswitch.proxy import fleet_records, member_records, ports, service, takeover
+from mustardswitch_standins import database_group
+from tests.common import proxy_world, takeovers
+
+A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
+SLACK_S = 0.4
+"""Time of a change that waits for nothing, and of its queries."""
+
+
+def _lose_replica(world: proxy_world.World) -> None:
+    """End a replica for good, long ago."""
+    del world.group.servers[C]
+    world.list_servers()
+    world.service.unlisted.clear()
+
+
+def _start_instance_anew(
+    world: proxy_world.World, entries: list[ports.ServerEntry], *, servers: int
+) -> None:
+    """Let the instance know what the records tell, and what is listed."""
+    world.directory.services.clear()
+    world.directory.members = member_records.MemberBook()
+    records = {
+        fleet_records.MEMBERS: member_records.encode(entries),
+        fleet_records.SIZES: member_records.encode_size(servers),
+    }
+    for revision, (prefix, value) in enumerate(records.items(), start=5):
+        item = change_log.Item(
+            key=f"{prefix}{database_group.SERVICE}", value=value, revision=revision
+        )
+        fleet_records.apply(world.directory, item)
+    world.directory.refresh()
+
+
+async def test_a_stopped_primary_that_answers_needs_no_wait_for_unlisted_servers():
+    """The next holder finds it as a replica, with its whole log, and its end is recorded."""
+    world = proxy_world.World()
+    world.service.listing_s = 1.5
+    world.group.servers[A].leaving = True
+    assert world.group.commit(world.group.primary, "x")
+    end = world.group.servers[A].position
+    world.group.step_down(world.group.servers[A], 2)
+    world.coordination.ends[database_group.SERVICE] = ports.StoppedPrimary(server=A, end=end)
+    world.list_servers()
+    started_s = clock.now_s()
+    assert await takeovers.take_over(world)
+    assert clock.now_s() - started_s < SLACK_S and world.group.lost == []
+
+
+async def test_an_instance_that_starts_after_a_crash_does_not_prolong_the_wait():
+    """It has never heard the primary, and reports how long it has run."""
+    world = proxy_world.World()
+    world.service.listing_s = 1.0
+    _lose_replica(world)
+    world.group.servers[A].up = False
+    started_s = clock.now_s()
+
+    def report(*_: object, **__: object) -> ports.HoldReport:
+        age_s = clock.now_s() - started_s - 0.8
+        known = former_primary.Report(answered_s=age_s, connected_s=age_s, refused_s=0.0)
+        return ports.HoldReport(
+            complete=True,
+            instances=frozenset({ids.InstanceId("two")}),
+            primary_reports={ids.InstanceId("two"): known} if age_s > 0 else {},
+        )
+
+    world.coordination.hold_commits = report
+    assert await takeovers.take_over(world, silent=True)
+    assert clock.now_s() - started_s < world.service.listing_s + SLACK_S
+
+
+async def test_an_instance_that_starts_after_a_crash_expects_no_answer_from_the_crashed_primary(
+    monkeypatch,
+):
+    """It is a recorded member, its entry has expired, and its address refuses connections."""
+    monkeypatch.setattr(service, "UNLISTED_RETENTION_S", 2.0)
+    world = proxy_world.World()
+    takeovers.expire_entry(world, A)
+    recorded = member_records.counted_entries(world.service)
+    world.group.servers[A].up = False
+    _start_instance_anew(world, recorded, servers=3)
+    assert world.service.former_primary.server == A
+    async with asyncio.timeout(SLACK_S):
+        assert await takeovers.take_over(world, None)
+
+
+async def test_waits_without_a_known_former_primary_do_not_start_anew_with_each_attempt(
+    monkeypatch,
+):
+    """The instances have started after the primary had left, and one server is missing."""
+    monkeypatch.setattr(takeover, "RENEWAL_LIMIT_S", 0.6)
+    monkeypatch.setattr(takeover, "CLAIM_RENEWAL_S", 0.1)
+    world = proxy_world.World()
+    world.coordination.claim_s = 1.0
+    for name in (A, C):
+        world.group.servers[name].up = False
+    del world.group.servers[C]
+    takeovers.expire_entry(world, A)
+    _start_instance_anew(world, [], servers=3)
+    assert world.service.former_primary is None
+    world.service.listing_s = 1.5
+    started_s = clock.now_s()
+    while not await takeovers.take_over(world, None):
+        assert clock.now_s() - started_s < 2 * world.service.listing_s
+    assert clock.now_s() - started_s < 2 * world.service.listing_s
