Count a former primary that is listed again once

Callers would wait up to 7.2 s after each later crash (reading): a former primary that is listed again as a replica, while no server leads, was counted twice. The number of the service's servers became too large and was recorded for good; beside a lost server, none seemed to be missing. Cause: the former primary is forgotten only once a server leads. Change: servers are counted by id. Evidence: two tests of test_service_counted_too_large failed before; test_unlisted_servers and test_member_writer passed.

--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -296,10 +296,9 @@
             self.former_primary = backend
 
     def _count_servers(self) -> None:
-        counted = [*self.servers.values()]
-        if self.former_primary is not None:
-            counted.append(self.former_primary)
-        self.server_count.note(sum(not backend.entry.leaving for backend in counted))
+        former = self.former_primary
+        counted = ({former.server: former} if former is not None else {}) | self.servers
+        self.server_count.note(sum(not backend.entry.leaving for backend in counted.values()))
 
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
