The wait for servers that are not listed ends neither too early nor never

Lost commits (in memory): the wait ended by time while the holder's watch was behind the store; a holder without connections to the primary took its own silence for the primary's; a replica could not report that it leaves while the store was down, so that the service looked whole. Waits that are too long: a replacement that is listed beside the entry of the lost server made the service larger for ever; a crashed primary known from the record of members was expected to answer; an instance that started after a crash, and each attempt without a known primary, began the wait anew. Change: the list is read from the store once more when the time is over (proxy/listing_wait.py). Silence counts from the record unless all instances that may have had answers report it, or from the first of a row of refused connections. More servers count once they were listed together for 4 s.

--- a/src/mustardswitch/internal/server_contact.py
+++ b/src/mustardswitch/internal/server_contact.py
@@ -32,6 +32,11 @@
         return f"{self.sign.value} {self.age_s:.1f}s ago"
 
 
+MAX_GAP_S = 1.0
+"""Longest time between two findings that no process listens, in which none has been started and has
+ended again; servers take longer to start."""
+
+
 class ContactLog:
     """The times of the latest signs of one server (``clock.now_s``)."""
 
@@ -39,6 +44,8 @@
         self.since_s = clock.now_s()
         """Since when signs are recorded; the server may have been heard right before."""
         self.at_s: dict[Sign, float] = {}
+        self.not_listening_since_s: float | None = None
+        """Since when no process was found to listen, again and again; None if one may."""
         self.unanswered = 0
         """Connections that are open and wait for the first answer, each of which is a contact."""
 
@@ -48,8 +55,22 @@
     def note(self, sign: Sign, now_s: float | None = None) -> None:
         """Record a sign that was seen now; ``now_s`` is the time if the caller has read it."""
         at_s = clock.now_s() if now_s is None else now_s
+        if sign is Sign.NOT_LISTENING:
+            known_s = self.at_s.get(sign, float("-inf"))
+            if self.not_listening_since_s is None or at_s > known_s + MAX_GAP_S:
+                self.not_listening_since_s = at_s
+        elif sign is not Sign.UNREACHABLE:
+            self.not_listening_since_s = None
         self.at_s[sign] = max(at_s, self.at_s.get(sign, at_s))
 
+    def not_listening_s(self) -> float:
+        """Return for how many seconds no process has listened, as far as is known; 0 if one may."""
+        since_s, found_s = self.not_listening_since_s, self.at_s.get(Sign.NOT_LISTENING, 0.0)
+        now_s = clock.now_s()
+        if self.unanswered or since_s is None or now_s > found_s + MAX_GAP_S:
+            return 0.0
+        return now_s - since_s
+
     def age_s(self, *signs: Sign) -> float:
         """Return the seconds since the latest of some signs, or since they are recorded."""
         if self.unanswered and Sign.CONNECTED in signs:
--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -13,15 +13,23 @@
 about two seconds."""
 
 
+SETTLED_S = 4.0
+"""Time for which servers must be listed together to count as so many; the entry of one that has
+ended stays for three heartbeats, beside that of its replacement."""
+
+
 class ServerCount:
     """How many servers of a service are listed and stay, at most and now."""
 
     def __init__(self) -> None:
         self.listed_at_most = 0
-        """The most that this instance has seen at a time."""
+        """The most that this instance has seen together for ``SETTLED_S``, or at first."""
         self.recorded = 0
         """The most that any instance has recorded; 0 without a record."""
         self.present = 0
+        self.more = 0
+        """How many more than ``listed_at_most`` were listed all the time since ``more_since_s``."""
+        self.more_since_s = float("inf")
 
     def __repr__(self) -> str:
         return (
@@ -34,37 +42,51 @@
         """Number of servers that have left, leave or were lost and are not replaced yet."""
         return max(self.listed_at_most, self.recorded) - self.present
 
-    def note(self, present: int) -> None:
-        """Record how many servers are listed and do not leave.
+    def note(self, present: int, now_s: float) -> None:
+        """Record how many servers are listed and do not leave; must be called repeatedly.
 
         A primary whose entry was removed before it left is one of them: while it serves, no other
         is started for it.
         """
+        if not self.listed_at_most:
+            self.listed_at_most = present
         self.present = present
-        self.listed_at_most = max(self.listed_at_most, present)
+        more = max(0, present - self.listed_at_most)
+        if not self.more or not more:
+            self.more_since_s = now_s
+        self.more = min(more, self.more or more)
+        if self.more and now_s >= self.more_since_s + SETTLED_S:
+            self.listed_at_most += self.more
+            self.more = 0
 
     def note_recorded(self, servers: int) -> None:
         """Record how many servers the store's record names; 0 without one."""
         self.recorded = servers
 
 
+def is_complete(count: ServerCount, *, knows_since_s: float, listing_s: float) -> bool:
+    """Return whether no server of a service is missing from the list.
+
+    A ``count`` without a record says little until the list has been read for ``listing_s``:
+    servers may have been removed from it before.
+    """
+    is_known = count.recorded > 0 or knows_since_s >= listing_s
+    return is_known and count.missing <= 0
+
+
 def may_hold_commits(
     *,
-    count: ServerCount,
-    knows_since_s: float,
+    is_complete: bool,
     store_back_s: float,
     primary_silent_s: float,
     listing_s: float,
 ) -> bool:
     """Return whether a server that is not listed may have confirmed commits of a former primary.
 
-    A ``count`` without a record says little until the list has been read for a while, which are
-    ``knows_since_s`` seconds: servers may have been removed from it before. ``store_back_s`` are
-    those since an outage of the store, and ``primary_silent_s`` those since the former primary has
-    answered anybody. A server is listed within ``listing_s`` seconds after its start, or soon after
-    an outage.
+    A server is listed within ``listing_s`` seconds after its start, and ``primary_silent_s`` are
+    those since the former primary has answered anybody. ``store_back_s`` are those since an outage
+    of the store, in which servers can neither be listed nor report that they leave.
     """
-    is_known = count.recorded > 0 or knows_since_s >= listing_s
-    if is_known and count.missing <= 0:
-        return False
-    return primary_silent_s < listing_s or store_back_s < RELISTED_S
+    if store_back_s < RELISTED_S:
+        return True
+    return not is_complete and primary_silent_s < listing_s
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -65,8 +65,6 @@
         """Whether a primary was ordered to stop under ``term``."""
         self.ignores_acknowledged = False
         """Whether commits that no known server has are given up."""
-        self.awaits_unlisted = False
-        """Whether the choice has waited for servers that are not listed yet."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
         self.record: Record | None = None
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -9,15 +9,15 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import (
-    clock,
-    former_primary,
-    ids,
-    positions,
-    promotion,
-    unlisted_servers,
+from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.proxy import (
+    claimed_attempt,
+    errors,
+    listing_wait,
+    ports,
+    server_commands,
+    stop_orders,
 )
-from mustardswitch.proxy import claimed_attempt, errors, ports, server_commands, stop_orders
 
 SUCCESSOR_LAG_S = 0.6
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
@@ -36,13 +36,6 @@
 )
 
 
-def _primary_silent_s(order: stop_orders.StopOrder | None, report: ports.HoldReport) -> float:
-    """Return the seconds since a primary that was ordered to stop has answered any instance."""
-    own = [] if order is None else [order.report()]
-    reports = [*own, *report.primary_reports.values()]
-    return min((each.answered_s for each in reports), default=0.0)
-
-
 class EndOfCommits(claimed_attempt.Attempt):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
@@ -195,6 +188,8 @@
 
         The likely successor receives until then, and all others are paused.
         """
+        if primary is None and order is not None:
+            primary = order.backend.server
         # One that the list, read anew, names as a replica may confirm commits of its successor.
         spared = {primary} - set(statuses) if self._is_listed_primary(primary) else set()
         stop = None
@@ -202,6 +197,7 @@
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
+        listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -220,13 +216,21 @@
             in_time = stopped_since_s is not None and (
                 clock.now_s() - stopped_since_s < SUCCESSOR_LAG_S
             )
-            silent_s = _primary_silent_s(order, report)
-            if former in (promotion.FormerPrimary.REPLICA, promotion.FormerPrimary.UNKNOWN):
-                # Its answers as a replica are none of a primary.
-                silent_s = 0.0 if ended_since_s is None else clock.now_s() - ended_since_s
+            silent_s = listing.primary_silent_s(
+                order,
+                report,
+                former=former,
+                ended_s=0.0 if ended_since_s is None else clock.now_s() - ended_since_s,
+            )
+            unlisted_may_hold = listing.may_hold_commits(silent_s)
+            if ended_since_s is not None and not unlisted_may_hold and listing.needs_list(silent_s):
+                listing.note_list_read(clock.now_s())
+                if not await self._refresh(self.coordination.refresh_servers()):
+                    return NOT_LISTED
+                statuses = await self.commands.query(self.confirming() - spared)
+                continue
             if ended_since_s is not None and silent_s >= self.target.listing_s:
                 report = self._ignore_acknowledged(report)
-            unlisted_may_hold = self._unlisted_may_hold(silent_s)
             status = statuses.get(self.requested)
             behind = status is not None and promotion.lacks_acknowledged(status, report.above)
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
@@ -284,27 +288,6 @@
         end = former_primary.end_of(reports, former_primary.Order.STOPPED)
         return end is None or self.note_end(order.backend.server, end)
 
-    def _unlisted_may_hold(self, primary_silent_s: float) -> bool:
-        """Return whether a server that is not listed yet may hold a commit; logs when it may."""
-        now_s, target = clock.now_s(), self.target
-        may_hold = unlisted_servers.may_hold_commits(
-            count=target.server_count,
-            knows_since_s=now_s - target.hold.registrations.first_read_at_s,
-            store_back_s=now_s - target.hold.registrations.recovered_at_s,
-            primary_silent_s=primary_silent_s,
-            listing_s=target.listing_s,
-        )
-        if may_hold and not self.awaits_unlisted:
-            self.awaits_unlisted = True
-            events.log(
-                events.Event.SERVERS_AWAITED,
-                service=target.name,
-                missing=target.server_count.missing,
-                primary_silent_s=round(primary_silent_s, 3),
-                listing_s=target.listing_s,
-            )
-        return may_hold
-
     def _awaits_acknowledged(
         self, paused: server_commands.Statuses, report: ports.HoldReport
     ) -> bool:
--- /dev/null
+++ b/src/mustardswitch/proxy/listing_wait.py
@@ -0,0 +1,99 @@
+"""The wait of a change of primary for servers that may have started and are not listed yet.
+
+The decision is made by ``internal.unlisted_servers``.
+"""
+
+from mustardswitch import events
+from mustardswitch.internal import clock, commit_permission, promotion, unlisted_servers
+from mustardswitch.proxy import ports, service, stop_orders
+
+
+class ListingWait:
+    """What one attempt knows of the servers that are not listed, from its record on."""
+
+    def __init__(self, *, target: service.Service, recorded_at_s: float) -> None:
+        self.target = target
+        self.recorded_at_s = recorded_at_s
+        """When the promotion was recorded (``clock.now_s``)."""
+        self.list_read_at_s = clock.now_s()
+        """When the list of servers was last read from the store."""
+        self.has_waited = False
+
+    def __repr__(self) -> str:
+        return f"ListingWait(target={self.target!r}, recorded_at_s={self.recorded_at_s!r})"
+
+    def primary_silent_s(
+        self,
+        order: stop_orders.StopOrder | None,
+        report: ports.HoldReport,
+        *,
+        former: promotion.FormerPrimary,
+        ended_s: float,
+    ) -> float:
+        """Return the seconds for which the former primary has answered nobody as a primary.
+
+        ``ended_s`` are those since commits have ended, 0 before. An instance that has ended, and
+        so reports nothing, may have had an answer until commits were held for the record.
+        """
+        if order is None:
+            return max(ended_s, self._leaderless_s())
+        if former is promotion.FormerPrimary.REPLICA:
+            return ended_s
+        reports = [*report.primary_reports.values()]
+        if self.target.holds_connections:
+            reports.append(order.report())
+        silent_s = clock.now_s() - self.recorded_at_s
+        if reports and report.instances <= report.primary_reports.keys():
+            silent_s = min(each.answered_s for each in reports)
+        return max(silent_s, order.backend.contacts.not_listening_s())
+
+    def _leaderless_s(self) -> float:
+        """Return for how long no instance has sent commits to a server that this one knows of."""
+        if self.target.leader is not None:
+            return 0.0
+        registrations = self.target.hold.registrations
+        since_s = max(registrations.first_read_at_s, self.target.led_until_s)
+        return clock.now_s() - since_s - commit_permission.HOLD_LIMIT_S
+
+    def may_hold_commits(self, primary_silent_s: float) -> bool:
+        """Return whether a server that is not listed yet may hold a commit; logs when it may."""
+        now_s, target = clock.now_s(), self.target
+        may_hold = unlisted_servers.may_hold_commits(
+            is_complete=self._is_complete(),
+            store_back_s=now_s - target.hold.registrations.recovered_at_s,
+            primary_silent_s=primary_silent_s,
+            listing_s=target.listing_s,
+        )
+        if may_hold and not self.has_waited:
+            self.has_waited = True
+            events.log(
+                events.Event.SERVERS_AWAITED,
+                service=target.name,
+                missing=target.server_count.missing,
+                primary_silent_s=round(primary_silent_s, 3),
+                listing_s=target.listing_s,
+            )
+        return may_hold
+
+    def needs_list(self, primary_silent_s: float) -> bool:
+        """Return whether the list was last read before all servers had to be in it.
+
+        The watch may be seconds behind the store.
+        """
+        target = self.target
+        due_s = target.hold.registrations.recovered_at_s + unlisted_servers.RELISTED_S
+        if not self._is_complete():
+            due_s = max(due_s, clock.now_s() - primary_silent_s + target.listing_s)
+        return self.list_read_at_s < due_s
+
+    def note_list_read(self, read_at_s: float) -> None:
+        """Record when the store was asked for its list (``clock.now_s``)."""
+        self.list_read_at_s = read_at_s
+
+    def _is_complete(self) -> bool:
+        target = self.target
+        return unlisted_servers.is_complete(
+            target.server_count,
+            knows_since_s=clock.now_s() - target.hold.registrations.first_read_at_s,
+            listing_s=target.listing_s,
+        )
--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -233,6 +233,7 @@
                 continue
             known.add(member_of(entry))
             _note_unlisted(target, entry)
+        target.count_servers()
 
 
 def _note_unlisted(target: service.Service, entry: ports.ServerEntry) -> None:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -145,6 +145,8 @@
         """The last server whose entry was removed while it led; None if a primary is listed."""
         self.listing_s = listing_s
         """Time from the start of a server until it is listed."""
+        self.led_until_s = float("-inf")
+        """Until when this instance last knew a leader that it does not know any more."""
         self.server_count = unlisted_servers.ServerCount()
         self.removed_at_s: dict[ids.ServerId, float] = {}
         """When servers were removed from the list lately (``clock.now_s``)."""
@@ -207,7 +209,7 @@
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
-        self._count_servers()
+        self.count_servers()
 
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
@@ -295,10 +297,12 @@
         elif leads:
             self.former_primary = backend
 
-    def _count_servers(self) -> None:
+    def count_servers(self) -> None:
+        """Count the listed servers, and a former primary; must be called after each change."""
         former = self.former_primary
         counted = ({former.server: former} if former is not None else {}) | self.servers
-        self.server_count.note(sum(not backend.entry.leaving for backend in counted.values()))
+        staying = [backend for backend in counted.values() if not backend.entry.leaving]
+        self.server_count.note(len(staying), clock.now_s())
 
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
@@ -402,6 +406,8 @@
         found = self.leadership.leader(self.servers)
         if found is not None:
             self.former_primary = None
+        elif self.leader_changes.logged is not None:
+            self.led_until_s = clock.now_s()
         if found != self.leader_changes.logged:
             self.leader_changes.log(found, term=self.acknowledged.latest_term(found))
         self.hold.update(
