A recorded server that lags is paused once another has all acknowledged commits; a change tells what it waits for

A server that receives is not paused, so no other one could be proved, however complete its log. Change: it is left to receive only while no server that answers has the acknowledged commits. Event 541 tells each second what a change waits for. Evidence: test_a_recorded_server_that_lags_is_paused_once_another_has_all_acknowledged_commits failed before.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -194,6 +194,9 @@
     """The former primary has not told the end of its log, and the service has fewer servers than it
     had, or this instance has not read the list for long. A server that has started may hold
     commits; it is listed within ``listing_s``."""
+    CHANGE_WAITS = EventKind(541, logbook.WARNING, "change waits")
+    """A change of primary has waited for another second for the stated ``reason``; ``former`` is
+    what is known of the former primary, which has answered nobody for ``silent_s``."""
     COMMITS_NOT_PERMITTED = EventKind(534, logbook.WARNING, "commits not permitted")
     """This instance would not know of a recorded promotion: its records are too old, or do not list
     it. ``unheard`` are instances that have not said that they lack newer records, too."""
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -23,6 +23,8 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
+WAIT_REPORT_INTERVAL_S = 1.0
+"""Interval of reports about what a change waits for."""
 
 NOT_HELD = ports.HoldReport(complete=False)
 NOT_RECORDED = promotion.Choice(
@@ -197,6 +199,7 @@
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
+        reported_at_s = clock.now_s()
         listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
         while True:
             report = self.hold_commits(stop)
@@ -232,7 +235,12 @@
             if ended_since_s is not None and silent_s >= self.target.listing_s:
                 report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
-            behind = status is not None and promotion.lacks_acknowledged(status, report.above)
+            # Another one that lacks nothing is chosen once all are paused.
+            behind = status is not None and all(
+                promotion.lacks_acknowledged(each, report.above)
+                for each in statuses.values()
+                if not each.leads
+            )
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
             if in_time and status is not None and status.paused and self.holds_claim():
                 await self.commands.resume(receives)
@@ -254,6 +262,15 @@
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
+            if clock.now_s() >= reported_at_s + WAIT_REPORT_INTERVAL_S:
+                reported_at_s = clock.now_s()
+                events.log(
+                    events.Event.CHANGE_WAITS,
+                    service=self.target.name,
+                    former=former.value,
+                    silent_s=round(silent_s, 1),
+                    reason=choice.reason,
+                )
             if ended_since_s is not None and report.complete and former.has_ended:
                 await self.final_ends.add(
                     self.claim,
@@ -294,8 +311,7 @@
         """Return whether a server may still receive, or be listed with, an acknowledged commit."""
         if report.above is None:
             return False
-        lacking = any(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
-        return lacking or self.requested not in paused
+        return all(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
 
     def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
         """Return a report without the acknowledged positions, which no known server reaches.
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -108,3 +108,24 @@
     while not await takeovers.take_over(world, None):
         assert clock.now_s() - started_s < 2 * world.service.listing_s
     assert clock.now_s() - started_s < 2 * world.service.listing_s
+
+
+async def test_a_recorded_server_that_lags_is_paused_once_another_has_all_acknowledged_commits():
+    """It was left to receive what nobody sent it, so that no other could be chosen."""
+    world = proxy_world.World()
+    _lose_replica(world)
+    lagging = world.group.servers[B]
+    started = world.group.start_server(zone="d")
+    above = lagging.position
+    lagging.not_receiving = True
+    assert world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+    world.coordination.hold_commits = lambda *args, **changes: ports.HoldReport(
+        complete=True, above=above
+    )
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(SLACK_S)
+    world.list_servers()
+    async with asyncio.timeout(SLACK_S):
+        assert await changing
+    assert world.group.primary is started and world.group.lost == []
