Remember the instances that were removed while the holder was frozen

Callers saw (in memory): an acknowledged commit missing from the promoted server's log. An instance whose registration was revoked, and which read nothing more, sent it after the hold was complete.

Cause: an instance that has left the list is asked for 4.5 s after it was listed last. A holder that had been frozen had looked at its list before that time, and read the removal when it woke; so it forgot the instance at once, and promoted as soon as the others had confirmed.

Change: the time runs from when the instance is first missing from the list.

Evidence: both tests failed before the change, one with the lost commit. test_an_instance_that_was_removed_long_ago_is_not_waited_for looks at the list after the removal now, as the regular check does every 0.1 s; its assertions are the same.

--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -40,7 +40,9 @@
         """The promotions whose proof the other instances were told last."""
         self.announced_at_s: dict[ids.ServiceName, float] = {}
         self.seen: dict[ids.InstanceId, tuple[directory.Peer, float]] = {}
-        """Other instances that are or were registered, and when they were listed last."""
+        """Other instances that are or were registered, and until when they may have been listed."""
+        self.listed_before: frozenset[ids.InstanceId] = frozenset()
+        """Those that were listed when they were looked at last."""
         self.stale_sent_at_s = float("-inf")
         self.not_permitted_since_s: float | None = None
         """Since when this instance may send no commits; None if it may."""
@@ -104,8 +106,13 @@
         """
         now_s = clock.now_s()
         oldest_s = now_s - commit_permission.HOLD_LIMIT_S
+        for name in self.listed_before:
+            # An instance that is removed now may have been listed until now: this one may have been
+            # frozen since the last call.
+            self.seen[name] = (self.seen[name][0], now_s)
         self.seen = {name: known for name, known in self.seen.items() if known[1] >= oldest_s}
-        for name in self.directory.other_instances():
+        self.listed_before = frozenset(self.directory.other_instances())
+        for name in self.listed_before:
             self.seen[name] = (self.directory.instances.entries[name], now_s)
 
     # Receiving
--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -94,9 +94,24 @@
     assert world.report().complete
 
 
+def test_an_instance_that_was_removed_while_the_holder_was_frozen_may_still_send_commits(world):
+    """It was forgotten at once, since the holder had listed it last before it froze."""
+    world.updates.note_instances()
+    world.now_s += 2 * LIMIT_S
+    world.remove_instance(THREE)
+    world.recorded_at_s = world.now_s
+    world.report()
+    world.confirm(TWO)
+    assert world.report().unconfirmed == {THREE}
+    world.now_s += LIMIT_S + 0.01
+    world.recorded_at_s = world.now_s
+    assert world.report().complete
+
+
 def test_an_instance_that_was_removed_long_ago_is_not_waited_for(world):
     world.updates.note_instances()
     world.remove_instance(THREE)
+    world.updates.note_instances()
     world.now_s += LIMIT_S + 0.01
     world.recorded_at_s = world.now_s
     world.report()
@@ -338,3 +353,28 @@
     await world.run(caller, proxy_world.WRITE)
     group.promote(B)
     assert group.lost == []
+
+
+async def test_an_instance_that_was_removed_while_the_holder_was_frozen_loses_no_commit(
+    monkeypatch, world
+):
+    """Its registration was revoked just before, and it reads nothing more."""
+    world.updates.note_instances()
+    # Both worlds read the clock of the second one.
+    other = peer_world.World(monkeypatch)
+    other.directory.instance = THREE
+    other.now_s = world.now_s + 2 * LIMIT_S
+    other.directory.permission.note_current(other.now_s)
+    world.remove_instance(THREE)
+    world.recorded_at_s = other.now_s
+    world.report()
+    world.confirm(TWO)
+    while not world.report().complete:
+        other.now_s += 0.01
+    group = other.group
+    group.servers[B].not_receiving = group.servers[C].not_receiving = True
+    group.start_server(zone="d")
+    caller = other.open_session(requests.RouteKind.PRIMARY)
+    await other.run(caller, proxy_world.WRITE)
+    group.promote(B)
+    assert group.lost == []
