--- a/src/mustardswitch_standins/full_run/verdict.py
+++ b/src/mustardswitch_standins/full_run/verdict.py
@@ -25,12 +25,18 @@
     """The result of a run."""
 
     promotions: list[measured_group.Promotion]
-    gap: Gap
+    gaps: list[Gap]
+    """One for each service."""
     acknowledged: int
     """Acknowledged commits."""
     lost_of_callers: list[str]
     """Lost commits that were answered to their callers with success."""
 
+    @property
+    def gap(self) -> Gap:
+        """The longest time without an acknowledged write of all services."""
+        return max(self.gaps, key=lambda gap: gap.length_s)
+
     @property
     def lost(self) -> int:
         """Acknowledged commits that promotions discarded."""
@@ -69,7 +75,7 @@
     ]
     return Verdict(
         promotions=sorted(promotions, key=lambda each: each.effective_s),
-        gap=max(gaps, key=lambda gap: gap.length_s),
+        gaps=gaps,
         acknowledged=sum(len(report["acknowledged_at_s"]) for report in reports.values()),
         lost_of_callers=[data for each in promotions for data in each.lost if data in written],
     )
@@ -88,6 +94,8 @@
     """Return a line for each promotion and a summary."""
     lines = [_describe_promotion(each, from_s) for each in verdict.promotions]
     gap = verdict.gap
+    lengths = ", ".join(f"{each.service} {each.length_s:.1f}" for each in verdict.gaps)
+    lines.append(f"longest times without an acknowledged write in s: {lengths}")
     lines.append(
         f"{len(verdict.promotions)} promotions, {verdict.lost} commits lost"
         f" ({len(verdict.lost_of_callers)} answered to callers),"
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -62,7 +62,7 @@
         f"{former.name} (never listed)": 2,
         f"{other.name} (never listed)": 2,
     }
-    line, summary = verdict.describe(judged, from_s=started_s)
+    line, _, summary = verdict.describe(judged, from_s=started_s)
     assert "2 LOST, w1 to w2" in line
     assert summary.startswith("1 promotions, 2 commits lost (1 answered to callers)")
 
@@ -89,6 +89,8 @@
     judged = verdict.judge(reports, from_s=100.0, until_s=115.0)
     assert judged.gap == verdict.Gap(service="service-0", starts_s=102.0, length_s=12.0)
     assert not judged.passes
+    line, _ = verdict.describe(judged, from_s=100.0)
+    assert line.endswith("in s: service-0 12.0, service-1 5.0")
 
 
 async def test_a_server_with_a_full_queue_refuses_statements_and_orders():
