--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -219,6 +219,32 @@
     return Day(steps=steps, length_s=length_s)
 
 
+def two_ends_of_primaries(
+    size: figures.Size,
+    *,
+    replaced_s: float = 11.0,
+    deaf_s: collections.abc.Sequence[float] = (0.05, 0.1, 0.15, 0.25),
+    end_after_s: collections.abc.Sequence[float] = (1.0, 2.0, 3.0, 4.0),
+) -> Day:
+    """Lose the primaries, and then their successors while replacements are not listed yet.
+
+    The only other listed replica receives nothing from some seconds before the second end on.
+    Sequences give a value for each service, in turn.
+    """
+    names = figures.service_names(size)
+    followed = [_on_servers(5.0, "end_primary", names), _on_servers(replaced_s, "replace", names)]
+    for number, name in enumerate(names):
+        ends_s = replaced_s + end_after_s[number % len(end_after_s)]
+        deaf_from_s = ends_s - deaf_s[number % len(deaf_s)]
+        followed += [
+            _on_servers(deaf_from_s, "deaf", [name], count=2, for_s=6.5, listed=True),
+            _on_servers(ends_s, "end_primary", [name]),
+        ]
+    followed = sorted(followed, key=lambda step: step.at_s)
+    steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
+    return Day(steps=steps, length_s=30.0)
+
+
 ENDS: dict[str, dict] = {
     "crash": {"for_s": 7.0},
     "end_primary": {},
@@ -270,6 +296,7 @@
         end="end_primary",
         length_s=38.0,
     ),
+    "two-lost-primaries": two_ends_of_primaries,
     "turned-away-then-crash": functools.partial(
         replaced_replica_then_end_of_primary, turned_away=0.33
     ),
