--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -222,6 +222,7 @@
 def two_ends_of_primaries(
     size: figures.Size,
     *,
+    killed: float = 0.0,
     replaced_s: float = 11.0,
     deaf_s: collections.abc.Sequence[float] = (0.05, 0.1, 0.15, 0.25),
     end_after_s: collections.abc.Sequence[float] = (1.0, 2.0, 3.0, 4.0),
@@ -233,6 +234,8 @@
     """
     names = figures.service_names(size)
     followed = [_on_servers(5.0, "end_primary", names), _on_servers(replaced_s, "replace", names)]
+    if killed:
+        followed.append(_step(5.0, "kill", share=killed, down_s=0.5))
     for number, name in enumerate(names):
         ends_s = replaced_s + end_after_s[number % len(end_after_s)]
         deaf_from_s = ends_s - deaf_s[number % len(deaf_s)]
@@ -242,7 +245,7 @@
         ]
     followed = sorted(followed, key=lambda step: step.at_s)
     steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
-    return Day(steps=steps, length_s=30.0)
+    return Day(steps=steps, length_s=replaced_s + 19.0)
 
 
 ENDS: dict[str, dict] = {
