The record of members names the primary of now

Callers would lose a commit (in memory, found by a reader): an instance that started while the primary's entry was gone knew it as a replica, did not ask others about it, and promoted another one while it ran. Cause: the record compared servers and starts, not roles, so after the first change of primary it named the former one. Change: the record is written when the listed primary differs from the recorded one; one write a change. Evidence: test_a_change_of_the_primary_is_recorded_once failed before. The test that no change of primary writes was of this fault; heartbeats and reports of leaving servers still write nothing.

--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -50,6 +50,11 @@
     return entry.server, entry.started_ms
 
 
+def primaries(entries: collections.abc.Iterable[ports.ServerEntry]) -> set[ids.ServerId]:
+    """Return the servers that report the role of the primary in their entries."""
+    return {entry.server for entry in entries if entry.role is promotion.Role.PRIMARY}
+
+
 def _limited(entries: collections.abc.Iterable[ports.ServerEntry]) -> list[ports.ServerEntry]:
     """Return the entries that a record lists, in its order."""
     primary = promotion.Role.PRIMARY
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -85,8 +85,12 @@
 
     def _differs(self, target: service.Service, now_s: float) -> bool:
         counted = member_records.counted_entries(target)
+        record = self.directory.members.record(target.name)
+        listed = member_records.primaries(each.entry for each in target.servers.values())
+        if record.entries and listed and listed != member_records.primaries(record.entries):
+            return True
         return members.needs_write(
-            self.directory.members.record(target.name).members,
+            record.members,
             frozenset(member_records.member_of(entry) for entry in counted),
             any_listed=bool(target.servers),
             complete=self.directory.servers.is_complete(now_s),
