--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -65,6 +65,8 @@
         """Whether a primary was ordered to stop under ``term``."""
         self.ignores_acknowledged = False
         """Whether commits that no known server has are given up."""
+        self.list_read_at_s = float("-inf")
+        """When the store was last asked for the list of servers (``clock.now_s``)."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
         self.record: Record | None = None
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -109,6 +109,7 @@
         It may still lead for instances that reach it, or have stopped and be one of the servers
         that answer. Whether it can be stopped or not, the instances are asked to hold commits back.
         """
+        self.list_read_at_s = clock.now_s()
         if not await self._refresh(self.coordination.refresh_servers()):
             return NOT_LISTED
         likely = self.requested
@@ -200,7 +201,11 @@
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
         reported_at_s = clock.now_s()
-        listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
+        listing = listing_wait.ListingWait(
+            target=self.target,
+            recorded_at_s=self.record.at_s,
+            list_read_at_s=self.list_read_at_s,
+        )
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
--- a/src/mustardswitch/proxy/listing_wait.py
+++ b/src/mustardswitch/proxy/listing_wait.py
@@ -11,12 +11,14 @@
 class ListingWait:
     """What one attempt knows of the servers that are not listed, from its record on."""
 
-    def __init__(self, *, target: service.Service, recorded_at_s: float) -> None:
+    def __init__(
+        self, *, target: service.Service, recorded_at_s: float, list_read_at_s: float
+    ) -> None:
         self.target = target
         self.recorded_at_s = recorded_at_s
         """When the promotion was recorded (``clock.now_s``)."""
-        self.list_read_at_s = clock.now_s()
-        """When the list of servers was last read from the store."""
+        self.list_read_at_s = list_read_at_s
+        """When the store was last asked for the list of servers."""
         self.has_waited = False
 
     def __repr__(self) -> str:
