--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -9,20 +9,22 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import (
-    clock,
-    former_primary,
-    ids,
-    positions,
-    promotion,
-    unlisted_servers,
+from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.proxy import (
+    claimed_attempt,
+    errors,
+    listing_wait,
+    ports,
+    server_commands,
+    stop_orders,
 )
-from mustardswitch.proxy import claimed_attempt, errors, ports, server_commands, stop_orders
 
 SUCCESSOR_LAG_S = 0.6
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
+WAIT_REPORT_INTERVAL_S = 1.0
+"""Interval of reports about what a change waits for."""
 
 NOT_HELD = ports.HoldReport(complete=False)
 NOT_RECORDED = promotion.Choice(
@@ -36,13 +38,6 @@
 )
 
 
-def _primary_silent_s(order: stop_orders.StopOrder | None, report: ports.HoldReport) -> float:
-    """Return the seconds since a primary that was ordered to stop has answered any instance."""
-    own = [] if order is None else [order.report()]
-    reports = [*own, *report.primary_reports.values()]
-    return min((each.answered_s for each in reports), default=0.0)
-
-
 class EndOfCommits(claimed_attempt.Attempt):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
@@ -195,6 +190,8 @@
 
         The likely successor receives until then, and all others are paused.
         """
+        if primary is None and order is not None:
+            primary = order.backend.server
         # One that the list, read anew, names as a replica may confirm commits of its successor.
         spared = {primary} - set(statuses) if self._is_listed_primary(primary) else set()
         stop = None
@@ -202,6 +199,8 @@
             stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
+        reported_at_s = clock.now_s()
+        listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -220,15 +219,28 @@
             in_time = stopped_since_s is not None and (
                 clock.now_s() - stopped_since_s < SUCCESSOR_LAG_S
             )
-            silent_s = _primary_silent_s(order, report)
-            if former in (promotion.FormerPrimary.REPLICA, promotion.FormerPrimary.UNKNOWN):
-                # Its answers as a replica are none of a primary.
-                silent_s = 0.0 if ended_since_s is None else clock.now_s() - ended_since_s
+            silent_s = listing.primary_silent_s(
+                order,
+                report,
+                former=former,
+                ended_s=0.0 if ended_since_s is None else clock.now_s() - ended_since_s,
+            )
+            unlisted_may_hold = listing.may_hold_commits(silent_s)
+            if ended_since_s is not None and not unlisted_may_hold and listing.needs_list(silent_s):
+                listing.note_list_read(clock.now_s())
+                if not await self._refresh(self.coordination.refresh_servers()):
+                    return NOT_LISTED
+                statuses = await self.commands.query(self.confirming() - spared)
+                continue
             if ended_since_s is not None and silent_s >= self.target.listing_s:
                 report = self._ignore_acknowledged(report)
-            unlisted_may_hold = self._unlisted_may_hold(silent_s)
             status = statuses.get(self.requested)
-            behind = status is not None and promotion.lacks_acknowledged(status, report.above)
+            # Another one that lacks nothing is chosen once all are paused.
+            behind = status is not None and all(
+                promotion.lacks_acknowledged(each, report.above)
+                for each in statuses.values()
+                if not each.leads
+            )
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
             if in_time and status is not None and status.paused and self.holds_claim():
                 await self.commands.resume(receives)
@@ -250,6 +262,15 @@
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
+            if clock.now_s() >= reported_at_s + WAIT_REPORT_INTERVAL_S:
+                reported_at_s = clock.now_s()
+                events.log(
+                    events.Event.CHANGE_WAITS,
+                    service=self.target.name,
+                    former=former.value,
+                    silent_s=round(silent_s, 1),
+                    reason=choice.reason,
+                )
             if ended_since_s is not None and report.complete and former.has_ended:
                 await self.final_ends.add(
                     self.claim,
@@ -284,35 +305,13 @@
         end = former_primary.end_of(reports, former_primary.Order.STOPPED)
         return end is None or self.note_end(order.backend.server, end)
 
-    def _unlisted_may_hold(self, primary_silent_s: float) -> bool:
-        """Return whether a server that is not listed yet may hold a commit; logs when it may."""
-        now_s, target = clock.now_s(), self.target
-        may_hold = unlisted_servers.may_hold_commits(
-            count=target.server_count,
-            knows_since_s=now_s - target.hold.registrations.first_read_at_s,
-            store_back_s=now_s - target.hold.registrations.recovered_at_s,
-            primary_silent_s=primary_silent_s,
-            listing_s=target.listing_s,
-        )
-        if may_hold and not self.awaits_unlisted:
-            self.awaits_unlisted = True
-            events.log(
-                events.Event.SERVERS_AWAITED,
-                service=target.name,
-                missing=target.server_count.missing,
-                primary_silent_s=round(primary_silent_s, 3),
-                listing_s=target.listing_s,
-            )
-        return may_hold
-
     def _awaits_acknowledged(
         self, paused: server_commands.Statuses, report: ports.HoldReport
     ) -> bool:
         """Return whether a server may still receive, or be listed with, an acknowledged commit."""
         if report.above is None:
             return False
-        lacking = any(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
-        return lacking or self.requested not in paused
+        return all(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
 
     def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
         """Return a report without the acknowledged positions, which no known server reaches.
