A former primary is missing as soon as another server is known to lead

Cause: when an answer, not the list, tells of the new leader, the former primary was forgotten without a new count. Change: it is counted then. The file of tests is named after what they are about. Evidence: the test failed before.

--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -404,9 +404,10 @@
 
     def _note_change(self) -> None:
         found = self.leadership.leader(self.servers)
-        if found is not None:
+        if found is not None and self.former_primary is not None:
             self.former_primary = None
-        elif self.leader_changes.logged is not None:
+            self.count_servers()
+        elif found is None and self.leader_changes.logged is not None:
             self.led_until_s = clock.now_s()
         if found != self.leader_changes.logged:
             self.leader_changes.log(found, term=self.acknowledged.latest_term(found))
--- a/tests/proxy/test_service_counted_too_large.py
+++ b/tests/proxy/test_count_of_servers.py
@@ -1,4 +1,4 @@
-"""Services whose number of servers is counted too large, so that each later crash waits."""
+"""Services whose number of servers is counted wrongly, when servers are replaced."""
 
 from mustardswitch.internal import clock, ids
 from tests.common import proxy_world, takeovers
@@ -47,3 +47,12 @@
     del world.group.servers[C]
     world.list_servers()
     assert world.service.server_count.missing == 0
+
+
+def test_a_former_primary_is_missing_as_soon_as_another_server_is_known_to_lead():
+    """It was counted until the list changed, and nothing waited for its replacement."""
+    world = proxy_world.World()
+    takeovers.expire_entry(world, A)
+    assert world.service.server_count.missing == 0
+    world.service.note_leading(B, query_sent_at_s=clock.now_s(), position=None)
+    assert world.service.server_count.missing == 1
