--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -69,6 +69,7 @@
     "lose": "SYSTEM.md: databases crash, or are lost for good (srv_crash)",
     "restart replica": "PAUSE ... stops a replica from receiving until RESUME, a promote, or the "
     "replica's restart.",
+    "replica is silent": "SYSTEM.md: single machines are cut off; a response may be lost",
     "leave": "Before a planned shutdown, the database reports draining.",
     "end": "It continues serving for drain_ms ... and then exits; its log is gone with it",
     "end, log transferred": "Its log is transferred to a new database at its address.",
--- a/tests/common/exploration_state.py
+++ b/tests/common/exploration_state.py
@@ -76,6 +76,8 @@
     starts: int = 0
     unlisted: int = 0
     """Time since its entry was removed."""
+    silent: bool = False
+    """Whether a replica gives the instances no answer; it receives from the primary."""
 
 
 class Instance(typing.NamedTuple):
@@ -206,7 +208,7 @@
 def status_of(state: State, number: int) -> Status | None:
     """Return a server's answer; None if it does not run or does not answer."""
     server = state.servers[number]
-    if server.run != Run.UP or (number == A and state.reach != Reach.OK):
+    if server.run != Run.UP or server.silent or (number == A and state.reach != Reach.OK):
         return None
     return Status(server.leads, server.paused, position(state, server.log), state.term)
 
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -346,10 +346,10 @@
         if server.run == Run.UP and number == A:
             after = exploration_holder.end_commits(state, A, waiting=True)
             yield "crash", name, change_server(after, A, run=Run.DOWN, paused=False)
-        if server.run in (Run.UP, Run.DOWN) and (number == A or rules.replicas_last is False):
-            yield "lose", name, _end(state, number, entry=False)
-        elif server.run == Run.UP and number != D and number != A:
+        if server.run in (Run.UP, Run.DOWN):
             yield "lose", name, _end(state, number, entry=False)
+        if server.run == Run.UP and number != A and not server.silent:
+            yield "replica is silent", name, change_server(state, number, silent=True)
         if server.run == Run.UP and server.paused:
             yield "restart replica", name, change_server(state, number, paused=False)
         if server.run == Run.UP and server.listed and not server.leaving and number != D:
--- a/tests/common/promotion_exploration.py
+++ b/tests/common/promotion_exploration.py
@@ -22,6 +22,7 @@
         "return",
         "lose",
         "restart replica",
+        "replica is silent",
         "leave",
         "end",
         "end, log transferred",
--- /dev/null
+++ b/tests/proxy/test_promotion_exploration.py
@@ -0,0 +1,60 @@
+"""Exhaustive exploration of short changes of primary with the decisions of the code under test."""
+
+import dataclasses
+
+import pytest
+
+from tests.common import exploration_rules, promotion_exploration
+
+MENDED = exploration_rules.Rules(
+    await_unlisted=True, list_after_end=True, query_after_end=True, silence_of_process=True
+)
+"""The rule with all that the exploration has shown to be missing."""
+FEW = frozenset(exploration_rules.LINES) - {
+    "commit",
+    "receive",
+    "crash",
+    "begin",
+    "confirm",
+    "query",
+    "decide",
+    "execute request",
+}
+"""Steps that are left out of all explorations here unless they are named."""
+
+
+def explore(rules, *allowed, steps=9, faults=1, waits=0, commits=1):
+    """Explore up to the first loss with a few kinds of steps and the ``allowed`` ones."""
+    bounds = exploration_rules.Bounds(
+        commits=commits, steps=steps, faults=faults, waits=waits, without=FEW - set(allowed)
+    )
+    return promotion_exploration.explore(rules, bounds, first_only=True)
+
+
+LOSING = [
+    ("wait_for_hold", ["return", "restart replica"], {"faults": 2}),
+    ("end_primary", ["send", "execute commit", "restart replica"], {}),
+    ("need_all_paused", ["replica is silent"], {"faults": 2}),
+    ("compare_end", ["leave", "decide, stopped"], {}),
+    ("await_unlisted", ["leave", "start server", "lose"], {"faults": 2}),
+    ("list_after_end", ["leave", "start server", "lose"], {"faults": 2}),
+    ("query_after_end", ["hand over", "restart replica"], {"faults": 2}),
+    (
+        "silence_of_process",
+        ["leave", "start server", "stalled", "reachable", "send", "execute commit", "wait"],
+        {"faults": 3, "waits": 2, "steps": 12},
+    ),
+]
+
+
+@pytest.mark.parametrize(("part", "allowed", "bounds"), LOSING, ids=[each[0] for each in LOSING])
+def test_the_rule_loses_a_commit_without_each_part(part, allowed, bounds):
+    result = explore(dataclasses.replace(MENDED, **{part: False}), *allowed, **bounds)
+    assert result.losses
+
+
+@pytest.mark.parametrize(("part", "allowed", "bounds"), LOSING, ids=[each[0] for each in LOSING])
+def test_the_whole_rule_loses_no_commit(part, allowed, bounds):
+    result = explore(MENDED, *allowed, **bounds)
+    assert result.complete
+    assert not result.losses, promotion_exploration.describe(result.losses[0])
