--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -1,19 +1,15 @@
 """The holder of a claim in the exploration: what it gathers, and the real decisions on that."""
 
-import functools
-
-from mustardswitch.internal import former_primary, ids, promotion
-from tests.common import exploration_rules, exploration_state
+from mustardswitch.internal import ids, promotion
+from tests.common import exploration_former, exploration_rules, exploration_state
 from tests.common.exploration_state import (
     FRESH,
     MAX_AGE,
     NAMES,
     NOBODY,
     NUMBERS,
-    Acked,
     Holder,
     Position,
-    Reach,
     Run,
     Seen,
     State,
@@ -71,11 +67,15 @@
     return sum(not each.leaving for each in counted)
 
 
+def _first_count(rules: exploration_rules.Rules, seen: tuple[Seen, ...], primary: int) -> int:
+    """Return the number of servers that an instance takes for the usual one when it starts."""
+    listed = sum(each.listed for each in seen)
+    return listed if rules.count_leaving else present(seen, primary)
+
+
 def ask(state: State, numbers: set[int]) -> Statuses:
     """Return the answers of some servers."""
-    return tuple(
-        exploration_state.status_of(state, n) if n in numbers else None for n in SERVERS
-    )
+    return tuple(exploration_state.status_of(state, n) if n in numbers else None for n in SERVERS)
 
 
 def spared(holder: Holder) -> set[int]:
@@ -87,14 +87,23 @@
     return {primary} if seen.leads or not seen.listed else set()
 
 
-def begin(state: State, instance: int, primary: int, *, handover: bool) -> State | None:
+def begin(
+    state: State,
+    rules: exploration_rules.Rules,
+    instance: int,
+    primary: int,
+    *,
+    handover: bool,
+) -> State | None:
     """Claim the service, read the list and record the likely successor."""
     fresh = instance == FRESH
     if fresh:
         # Servers of the durable record count from the start of the instance.
         known = tuple(Seen(n != exploration_state.D, False, False) for n in SERVERS)
     else:
-        known = tuple(Seen(n != exploration_state.D, False, n == exploration_state.A) for n in SERVERS)
+        known = tuple(
+            Seen(n != exploration_state.D, False, n == exploration_state.A) for n in SERVERS
+        )
     seen = read_list(state, known, first=not fresh)
     if fresh and (primary == NOBODY) == any(each.leads for each in seen):
         return None
@@ -107,7 +116,7 @@
         term=state.term + 1,
         seen=seen,
         statuses=(None,) * len(NAMES),
-        usual=present(seen, primary) if fresh else 3,
+        usual=_first_count(rules, seen, primary) if fresh else 3,
         knows=0 if fresh else MAX_AGE,
     )
     state = state._replace(tokens=state.tokens + 1, holder=holder)
@@ -144,7 +153,11 @@
     if instance == FRESH:
         return state
     commits = tuple(
-        each._replace(open=False) if each.sender == instance and each.server != state.record else each
+        (
+            each._replace(open=False)
+            if each.sender == instance and each.server != state.record
+            else each
+        )
         for each in state.commits
     )
     state = state._replace(commits=commits)
@@ -211,103 +224,6 @@
     return state, paused
 
 
-def stop(state: State, number: int) -> State:
-    """Let a primary execute a STEPDOWN; the commits in its log are not acknowledged any more."""
-    state = exploration_state.change_server(state, number, leads=False)
-    return end_commits(state, number, waiting=False)
-
-
-def end_commits(state: State, number: int, *, waiting: bool) -> State:
-    """End the commits of a server that no replica has received, and with ``waiting`` those sent."""
-    ended = (Acked.IN_LOG, Acked.WAITING) if waiting else (Acked.IN_LOG,)
-    commits = tuple(
-        each._replace(state=Acked.ENDED) if each.server == number and each.state in ended else each
-        for each in state.commits
-    )
-    return state._replace(commits=commits)
-
-
-def can_answer(state: State) -> bool:
-    """Return whether the former primary may answer an order to stop."""
-    holder = state.holder
-    if holder.primary == NOBODY or state.servers[holder.primary].run != Run.UP:
-        return False
-    return holder.primary != exploration_state.A or _reaches_first(state) and (
-        state.reach != Reach.STALLED
-    )
-
-
-def _reaches_first(state: State) -> bool:
-    if state.reach != Reach.CUT:
-        return True
-    told = dict(state.holder.confirmed)
-    return state.instances[0].up and (0 in told or state.holder.instance == 0)
-
-
-def note_stopped(state: State) -> State | None:
-    """Let the former primary answer the order to stop; None if that proves nothing."""
-    holder = state.holder
-    number = holder.primary
-    server = state.servers[number]
-    if server.leads and state.term >= holder.term:
-        return None
-    led_newest = holder.handover or (server.leads and state.term >= holder.term - 1)
-    if server.leads:
-        state = stop(state, number)
-    end = exploration_state.position(state, server.log)
-    if not led_newest:
-        return state._replace(holder=holder._replace(replica_end=end))
-    if end < holder.primary_end:
-        return None
-    holder = holder._replace(primary_end=end, stopped_end=end)
-    return state._replace(holder=holder, recorded_end=(number, end))
-
-
-def former(state: State, *, held: bool) -> promotion.FormerPrimary:
-    """Return what is known of the former primary."""
-    holder = state.holder
-    number = holder.primary
-    if number == NOBODY or holder.statuses[number] is not None:
-        return promotion.FormerPrimary.UNKNOWN
-    if holder.stopped_end is not None or holder.replica_end is not None:
-        report = former_primary.Report(order=former_primary.Order.REPLICA)
-        return former_primary.state_of(
-            [report], held_s=None, all_report=False, confirmed_report=False, unlisted_s=0.0
-        )
-    server, reached = state.servers[number], _reaches_first(state) or number != exploration_state.A
-    silent, unconnected = state.silent, state.unconnected
-    if number != exploration_state.A or (reached and server.run == Run.UP):
-        unconnected = 0 if server.run == Run.UP else unconnected
-        silent = 0 if state.reach != Reach.STALLED and server.run == Run.UP else silent
-    removed = not holder.seen[number].listed
-    return _state_of(
-        refused=reached and server.run != Run.UP,
-        silent=silent,
-        unconnected=unconnected,
-        held=held,
-        all_report={0, 1} - {holder.instance} <= dict(holder.confirmed).keys(),
-        unlisted=server.unlisted if removed else 0,
-    )
-
-
-@functools.cache
-def _state_of(
-    *, refused: bool, silent: int, unconnected: int, held: bool, all_report: bool, unlisted: int
-) -> promotion.FormerPrimary:
-    report = former_primary.Report(
-        answered_s=silent / 10 + 0.02,
-        connected_s=unconnected / 10 + 0.02,
-        refused_s=0.0 if refused else former_primary.NEVER_S,
-    )
-    return former_primary.state_of(
-        [report],
-        held_s=0.01 if held else None,
-        all_report=all_report,
-        confirmed_report=True,
-        unlisted_s=unlisted / 10,
-    )
-
-
 def decide(state: State, rules: exploration_rules.Rules) -> State | None:
     """Evaluate the evidence once, and request or record a promotion; None if nothing changes."""
     before, holder = state, state.holder
@@ -318,7 +234,7 @@
     starting = holder.knows < exploration_state.HOLD_LIMIT
     held = holder.record_age >= exploration_state.HOLD_LIMIT or not (unconfirmed or starting)
     held = held or not rules.wait_for_hold
-    found = former(state, held=held)
+    found = exploration_former.former(state, held=held)
     if not rules.end_primary:
         found = promotion.FormerPrimary.UNKNOWN
     if held and found.has_ended and holder.ended == NOBODY:
@@ -331,8 +247,8 @@
         silent = max(0, holder.ended)
     missing = holder.usual - present(holder.seen, holder.primary)
     young = holder.knows < exploration_state.LISTING
-    may_hold = rules.await_unlisted and silent < exploration_state.LISTING and (
-        missing > 0 or young
+    may_hold = (
+        rules.await_unlisted and silent < exploration_state.LISTING and (missing > 0 or young)
     )
     limit = silent >= exploration_state.LISTING if rules.await_unlisted else holder.ended > 60
     above = None
--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -23,6 +23,9 @@
     query_after_end: bool = False
     """Use no status that was read before commits had ended."""
 
+    count_leaving: bool = False
+    """An instance that starts takes the servers that leave for replaced ones of the service."""
+
     # Assumptions about the platform
     listed_in_time: bool = True
     """A server is listed within ``listing_s`` after its start."""
@@ -34,10 +37,6 @@
     """A server is started only for one that leaves or is lost."""
     keeps_log: bool = True
     """No server starts anew under its id."""
-    primary_returns: bool = True
-    """A commit that the primary holds is not lost with the other server that confirmed it."""
-    replicas_last: bool = True
-    """No replica is lost for good."""
     transfers_late: bool = True
     """The log of a leaving server is transferred to one that is listed at once."""
 
@@ -50,6 +49,8 @@
     steps: int = 10
     faults: int = 3
     waits: int = 2
+    times: tuple[int, ...] = (10, 26, 36, 72)
+    """Tenths of a second that pass at once; their sums pass the rule's limits in each order."""
     requests: int = 2
     states: int = 3_000_000
     without: frozenset[str] = frozenset()
@@ -59,11 +60,11 @@
 LINES = {
     "commit": "Reads, writes and COMMIT are forwarded to a database",
     "send": "A response may be lost; QUERY is answered ... (no time is named)",
-    "execute commit": "These codes mean that there was a run: FAILED, TIMEOUT (a run without answer)",
-    "receive": "Replicas receive the commit over the network and apply it later. When sync_replicas "
-    "is 1, the commit is acknowledged once one replica has received it.",
+    "execute commit": "These codes mean that there was a run: FAILED, TIMEOUT (a run, no answer)",
+    "receive": "Replicas receive the commit over the network and apply it later. When "
+    "sync_replicas is 1, the commit is acknowledged once one replica has received it.",
     "receive, answered": "the commit is acknowledged once one replica has received it.",
-    "crash": "A primary that crashed comes back with its log; A database that crashes sends nothing",
+    "crash": "A primary that crashed comes back with its log; one that crashes sends nothing",
     "return": "A primary that crashed comes back with its log, as a replica if another database "
     "was promoted.",
     "lose": "SYSTEM.md: databases crash, or are lost for good (srv_crash)",
@@ -73,8 +74,8 @@
     "leave": "Before a planned shutdown, the database reports draining.",
     "end": "It continues serving for drain_ms ... and then exits; its log is gone with it",
     "end, log transferred": "Its log is transferred to a new database at its address.",
-    "start server": "a database that is draining receives ... until it ends. Its log is transferred "
-    "to a new database (when that starts, and is listed, is not said)",
+    "start server": "a database that is draining receives ... until it ends. Its log is "
+    "transferred to a new database (when that starts, and is listed, is not said)",
     "list server": "The databases register themselves in the platform's store (no time is named)",
     "entry gone": "It is removed when the database has left, or after three heartbeat intervals of "
     "silence, at times also while the store is down.",
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -1,35 +1,33 @@
 """The steps of the exploration of changes of primary: all that may happen next in a state."""
 
-import collections.abc
-
 from mustardswitch.internal import promotion
-from tests.common import exploration_holder, exploration_rules, exploration_state
+from tests.common import (
+    exploration_faults,
+    exploration_former,
+    exploration_holder,
+    exploration_rules,
+    exploration_state,
+)
 from tests.common.exploration_state import (
     FRESH,
     NAMES,
     NOBODY,
-    NUMBERS,
     A,
     Acked,
     Commit,
     D,
     Reach,
     Run,
-    Server,
     State,
     change_instance,
     change_server,
-    older,
     position,
     put,
 )
 
-Step = tuple[str, str, State]
-"""The kind of a step, what it is about, and the state after it."""
-Steps = collections.abc.Iterator[Step]
-WAITS = (10, 26, 36)
-"""Times that pass at once; sums of them pass the limits of the rule in each order."""
-LETTERS = "ABCD"
+LETTERS = exploration_faults.LETTERS
+Step = exploration_faults.Step
+Steps = exploration_faults.Steps
 
 
 def steps(state: State, rules: exploration_rules.Rules, bounds: exploration_rules.Bounds) -> Steps:
@@ -41,11 +39,11 @@
     yield from _holder_steps(state, rules, bounds)
     yield from _request_steps(state)
     if state.faults < bounds.faults:
-        for kind, about, after in _faults(state, rules):
+        for kind, about, after in exploration_faults.faults(state, rules):
             yield kind, about, after._replace(faults=state.faults + 1)
     if state.waits < bounds.waits:
-        for tenths in WAITS:
-            yield "wait", f"{tenths / 10} s", _wait(state, rules, tenths)
+        for tenths in bounds.times:
+            yield "wait", f"{tenths / 10} s", exploration_faults.wait(state, rules, tenths)
 
 
 # Commits
@@ -90,9 +88,7 @@
     commit = state.commits[number]
     made = commit._replace(state=Acked.IN_LOG, term=state.term)
     state = state._replace(commits=put(state.commits, number, made))
-    return change_server(
-        state, commit.server, log=(*state.servers[commit.server].log, number)
-    )
+    return change_server(state, commit.server, log=(*state.servers[commit.server].log, number))
 
 
 def _receive(state: State, number: int) -> Steps:
@@ -113,8 +109,10 @@
     confirmed = put(state.commits, made, commit._replace(state=Acked.CONFIRMED))
     yield "receive", about, state._replace(commits=confirmed)
     sender = state.instances[commit.sender]
-    reached = state.upstream != A or state.reach == Reach.OK or (
-        state.reach == Reach.CUT and commit.sender == 0
+    reached = (
+        state.upstream != A
+        or state.reach == Reach.OK
+        or (state.reach == Reach.CUT and commit.sender == 0)
     )
     if commit.open and sender.up and reached:
         shown = position(state, source.log)
@@ -148,10 +146,10 @@
         yield "start server", "D", change_server(state, D, run=Run.UP)._replace(started=0)
     for number, server in enumerate(state.servers):
         if server.leaving and server.run in (Run.UP, Run.DOWN):
-            yield "end", LETTERS[number], _end(state, number, entry=True)
+            yield "end", LETTERS[number], exploration_faults.end_process(state, number, entry=True)
             if spare.run == Run.ABSENT:
                 after = change_server(
-                    _end(state, number, entry=True),
+                    exploration_faults.end_process(state, number, entry=True),
                     D,
                     run=Run.UP,
                     log=server.log,
@@ -160,16 +158,6 @@
                 yield "end, log transferred", f"{LETTERS[number]} to D", after._replace(started=0)
 
 
-def _end(state: State, number: int, *, entry: bool) -> State:
-    """End a process for good; a planned end removes its ``entry``."""
-    state = exploration_holder.end_commits(state, number, waiting=True)
-    listed = state.servers[number].listed and not entry
-    state = change_server(
-        state, number, run=Run.GONE, log=(), leads=False, paused=False, listed=listed, unlisted=0
-    )
-    return state._replace(upstream=NOBODY) if number == state.upstream else state
-
-
 def _shared(log: tuple[int, ...], other: tuple[int, ...]) -> tuple[int, ...]:
     length = 0
     while length < min(len(log), len(other)) and log[length] == other[length]:
@@ -180,16 +168,12 @@
 def _entry_steps(state: State, rules: exploration_rules.Rules) -> Steps:
     for number, server in enumerate(state.servers):
         if server.listed and server.run in (Run.DOWN, Run.GONE):
-            yield "entry gone", LETTERS[number], _remove_entry(state, number)
+            yield "entry gone", LETTERS[number], exploration_faults.remove_entry(state, number)
         elif not server.listed and server.run == Run.UP:
             kind = "list server" if number == D else "entry back"
             yield kind, LETTERS[number], change_server(state, number, listed=True, unlisted=0)
 
 
-def _remove_entry(state: State, number: int) -> State:
-    return change_server(state, number, listed=False, unlisted=0)
-
-
 # Instances
 
 
@@ -219,7 +203,7 @@
     holder = state.holder
     if holder is None:
         if state.tokens < bounds.requests:
-            yield from _begin_steps(state)
+            yield from _begin_steps(state, rules)
         return
     if state.upstream == holder.requested and holder.sent:
         yield "finish", "", state._replace(holder=None, record=NOBODY, recorded_end=None)
@@ -227,7 +211,7 @@
     if after != state:
         yield "read list", "holder", after
     if holder.sent:
-        yield "holder ends", "", _resume(state, late=NOBODY)
+        yield "holder ends", "", exploration_faults.resume(state, late=NOBODY)
         return
     after = exploration_holder.query(state)
     if after != state:
@@ -236,12 +220,12 @@
     if after is not None:
         yield "decide", _chosen(state, after), after
     pending = holder.stopped_end is None and holder.replica_end is None
-    if pending and exploration_holder.can_answer(state):
-        stopped = exploration_holder.note_stopped(state)
+    if pending and exploration_former.can_answer(state):
+        stopped = exploration_former.note_stopped(state)
         after = exploration_holder.decide(stopped, rules) if stopped is not None else None
         if after is not None or stopped is not None:
             yield "decide, stopped", _chosen(state, after or stopped), after or stopped
-    yield "holder ends", "", _resume(state, late=NOBODY)
+    yield "holder ends", "", exploration_faults.resume(state, late=NOBODY)
 
 
 def _chosen(before: State, after: State) -> str:
@@ -252,7 +236,7 @@
     return "waits"
 
 
-def _begin_steps(state: State) -> Steps:
+def _begin_steps(state: State, rules: exploration_rules.Rules) -> Steps:
     leader = next((n for n, each in enumerate(state.servers) if each.listed and each.leads), NOBODY)
     for number in (0, 1, FRESH):
         if number != FRESH and not state.instances[number].up:
@@ -263,30 +247,12 @@
             for kind, handover in (("begin", False), ("hand over", True)):
                 if handover and primary == NOBODY:
                     continue
-                after = exploration_holder.begin(state, number, primary, handover=handover)
+                after = exploration_holder.begin(state, rules, number, primary, handover=handover)
                 if after is not None:
                     about = f"{name}: {LETTERS[primary] if primary != NOBODY else 'no primary'}"
                     yield kind, f"{about}, records {LETTERS[after.record]}", after
 
 
-def _resume(state: State, *, late: int) -> State:
-    """End the attempt; paused servers are resumed, one of them late."""
-    holder = state.holder
-    requested = holder.requested if holder.sent else holder.requested_before
-    asked = exploration_holder.ask(state, exploration_holder.confirming(holder))
-    statuses = {n: each for n, each in enumerate(asked) if each is not None}
-    resumed = promotion.servers_to_resume(
-        exploration_holder.real_statuses(statuses),
-        requested=NAMES[requested] if requested != NOBODY else None,
-    )
-    for name in resumed:
-        if NUMBERS[name] == late:
-            state = state._replace(late=(*state.late, ("RESUME", late, 0)))
-        else:
-            state = change_server(state, NUMBERS[name], paused=False)
-    return state._replace(holder=None, record=requested)
-
-
 def _request_steps(state: State) -> Steps:
     for rank, (number, token, _) in enumerate(state.requests):
         rest = state.requests[:rank] + state.requests[rank + 1 :]
@@ -302,7 +268,7 @@
         if server.run == Run.UP and kind == "RESUME":
             after = change_server(after, number, paused=False)
         elif server.run == Run.UP and server.leads and state.term < term:
-            after = exploration_holder.stop(after, number)
+            after = exploration_former.stop(after, number)
         yield "execute late", f"{kind} {LETTERS[number]}", after
 
 
@@ -317,7 +283,7 @@
     for rank, server in enumerate(state.servers):
         log = server.log if server.run == Run.DOWN else _shared(server.log, promoted.log)
         servers.append(server._replace(log=log, leads=rank == number, paused=False))
-        state = exploration_holder.end_commits(state, rank, waiting=False)
+        state = exploration_former.end_commits(state, rank, waiting=False)
     return state._replace(
         servers=tuple(servers), upstream=number, term=state.term + 1, losses=tuple(losses)
     )
@@ -335,105 +301,3 @@
         else:
             found.append(f"{LETTERS[number]} ({'listed' if server.listed else 'not listed'})")
     return ", ".join(found) or "nobody"
-
-
-# Faults
-
-
-def _faults(state: State, rules: exploration_rules.Rules) -> Steps:
-    for number, server in enumerate(state.servers):
-        name = LETTERS[number]
-        if server.run == Run.UP and number == A:
-            after = exploration_holder.end_commits(state, A, waiting=True)
-            yield "crash", name, change_server(after, A, run=Run.DOWN, paused=False)
-        if server.run in (Run.UP, Run.DOWN):
-            yield "lose", name, _end(state, number, entry=False)
-        if server.run == Run.UP and number != A and not server.silent:
-            yield "replica is silent", name, change_server(state, number, silent=True)
-        if server.run == Run.UP and server.paused:
-            yield "restart replica", name, change_server(state, number, paused=False)
-        if server.run == Run.UP and server.listed and not server.leaving and number != D:
-            yield "leave", name, change_server(state, number, leaving=True)
-        if server.run == Run.UP and server.listed:
-            yield "entry gone", f"{name}, which runs", _remove_entry(state, number)
-        if server.run == Run.GONE and not rules.keeps_log:
-            anew = Server(starts=server.starts + 1, listed=server.listed)
-            yield "start anew", name, state._replace(servers=put(state.servers, number, anew))
-    if state.reach == Reach.OK and state.servers[A].run in (Run.UP, Run.DOWN):
-        yield "stalled", "A", state._replace(reach=Reach.STALLED)
-        yield "cut off", "A, but from instance 0", state._replace(reach=Reach.CUT)
-    for number, instance in enumerate(state.instances):
-        if not instance.up:
-            after = change_instance(
-                state, number, up=True, age=0, requested=state.record, acks=(), shown=(0, 0)
-            )
-            yield "start instance", str(number), after
-            continue
-        after = change_instance(state, number, up=False)
-        if state.holder is not None and state.holder.instance == number:
-            after = after._replace(holder=None)
-        yield "kill instance", str(number), after
-    yield from _late_orders(state)
-
-
-def _late_orders(state: State) -> Steps:
-    holder = state.holder
-    if holder is None:
-        return
-    if holder.instance == FRESH:
-        yield "holder dies", "", state._replace(holder=None)
-    primary = holder.primary
-    if primary != NOBODY and state.servers[primary].leads:
-        order = ("STEPDOWN", primary, holder.term)
-        if order not in state.late:
-            yield "decide, stop is late", "", state._replace(late=(*state.late, order))
-    for number, server in enumerate(state.servers):
-        if server.run == Run.UP and server.paused:
-            after = _resume(state, late=number)
-            if after.late != state.late:
-                yield "holder ends, late", f"RESUME {LETTERS[number]}", after
-
-
-def _wait(state: State, rules: exploration_rules.Rules, tenths: int) -> State:
-    """Let time pass, with what must have happened at its end."""
-    servers = []
-    for number, server in enumerate(state.servers):
-        if not server.listed:
-            server = server._replace(unlisted=older(server.unlisted, tenths))
-            if server.run == Run.UP:
-                limit = exploration_state.LISTING if number == D else exploration_state.GONE_AGE
-                since = older(state.started, tenths) if number == D else server.unlisted
-                in_time = rules.listed_in_time if number == D else rules.entry_back
-                if in_time and since >= limit:
-                    server = server._replace(listed=True, unlisted=0)
-        servers.append(server)
-    first = state.servers[A]
-    answers = first.run == Run.UP and state.reach == Reach.OK
-    connects = first.run == Run.UP and state.reach != Reach.CUT
-    unconnected = 0 if connects else older(state.unconnected, tenths)
-    commits = state.commits
-    if rules.drops_unreachable and unconnected >= exploration_state.UNREACHED:
-        commits = tuple(
-            each._replace(state=Acked.ENDED)
-            if each.state == Acked.WAITING and each.server == A and each.sender != 0
-            else each
-            for each in commits
-        )
-    holder = state.holder
-    if holder is not None:
-        holder = holder._replace(
-            seen=tuple(each._replace(gone=older(each.gone, tenths)) for each in holder.seen),
-            knows=older(holder.knows, tenths),
-            record_age=older(holder.record_age, tenths),
-            ended=older(holder.ended, tenths),
-        )
-    return state._replace(
-        servers=tuple(servers),
-        instances=tuple(each._replace(age=older(each.age, tenths)) for each in state.instances),
-        commits=commits,
-        silent=0 if answers else older(state.silent, tenths),
-        unconnected=unconnected,
-        started=older(state.started, tenths),
-        holder=holder,
-        waits=state.waits + 1,
-    )
--- a/tests/common/promotion_exploration.py
+++ b/tests/common/promotion_exploration.py
@@ -179,7 +179,7 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--without", nargs="*", choices=list(exploration_rules.LINES), default=[])
     for field in dataclasses.fields(exploration_rules.Bounds):
-        if field.name == "without":
+        if field.name in ("without", "times"):
             continue
         parser.add_argument(f"--{field.name}", type=int, default=field.default)
     names = [field.name for field in dataclasses.fields(exploration_rules.Rules)]
@@ -187,7 +187,7 @@
     parser.add_argument("--off", nargs="*", choices=names, default=[])
     parser.add_argument("--first", action="store_true", help="end at the first loss")
     args = vars(parser.parse_args())
-    switches = {name: True for name in args.pop("on")} | {name: False for name in args.pop("off")}
+    switches = dict.fromkeys(args.pop("on"), True) | dict.fromkeys(args.pop("off"), False)
     first_only = args.pop("first")
     args["without"] = frozenset(args["without"])
     # All states are kept, and none refers to itself.
--- a/tests/proxy/test_promotion_exploration.py
+++ b/tests/proxy/test_promotion_exploration.py
@@ -7,7 +7,11 @@
 from tests.common import exploration_rules, promotion_exploration
 
 MENDED = exploration_rules.Rules(
-    await_unlisted=True, list_after_end=True, query_after_end=True, silence_of_process=True
+    await_unlisted=True,
+    list_after_end=True,
+    query_after_end=True,
+    silence_of_process=True,
+    count_leaving=True,
 )
 """The rule with all that the exploration has shown to be missing."""
 FEW = frozenset(exploration_rules.LINES) - {
@@ -23,11 +27,10 @@
 """Steps that are left out of all explorations here unless they are named."""
 
 
-def explore(rules, *allowed, steps=9, faults=1, waits=0, commits=1):
+def explore(rules, *allowed, without=frozenset(), **bounds):
     """Explore up to the first loss with a few kinds of steps and the ``allowed`` ones."""
-    bounds = exploration_rules.Bounds(
-        commits=commits, steps=steps, faults=faults, waits=waits, without=FEW - set(allowed)
-    )
+    defaults = {"commits": 1, "requests": 1, "steps": 9, "faults": 1, "waits": 0}
+    bounds = exploration_rules.Bounds(**(defaults | bounds), without=FEW - set(allowed) | without)
     return promotion_exploration.explore(rules, bounds, first_only=True)
 
 
@@ -35,21 +38,27 @@
     ("wait_for_hold", ["return", "restart replica"], {"faults": 2}),
     ("end_primary", ["send", "execute commit", "restart replica"], {}),
     ("need_all_paused", ["replica is silent"], {"faults": 2}),
-    ("compare_end", ["leave", "decide, stopped"], {}),
+    ("compare_end require_recorded_end", ["leave", "decide, stopped"], {}),
     ("await_unlisted", ["leave", "start server", "lose"], {"faults": 2}),
     ("list_after_end", ["leave", "start server", "lose"], {"faults": 2}),
     ("query_after_end", ["hand over", "restart replica"], {"faults": 2}),
     (
         "silence_of_process",
-        ["leave", "start server", "stalled", "reachable", "send", "execute commit", "wait"],
-        {"faults": 3, "waits": 2, "steps": 12},
+        ["leave", "start server", "stalled", "wait"],
+        {"faults": 3, "waits": 1, "times": (72,), "steps": 10, "without": {"confirm", "query"}},
+    ),
+    (
+        "count_leaving",
+        ["leave", "start server", "wait"],
+        {"faults": 2, "waits": 1, "times": (72,), "without": {"confirm", "query"}},
     ),
 ]
 
 
 @pytest.mark.parametrize(("part", "allowed", "bounds"), LOSING, ids=[each[0] for each in LOSING])
 def test_the_rule_loses_a_commit_without_each_part(part, allowed, bounds):
-    result = explore(dataclasses.replace(MENDED, **{part: False}), *allowed, **bounds)
+    without = dataclasses.replace(MENDED, **dict.fromkeys(part.split(), False))
+    result = explore(without, *allowed, **bounds)
     assert result.losses
 
 
