--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -26,6 +26,9 @@
     count_leaving: bool = False
     """An instance that starts takes the servers that leave for replaced ones of the service."""
 
+    removed_primary_missing: bool = False
+    """A primary whose entry is gone is not counted, since its leaving may not have been read."""
+
     # Assumptions about the platform
     listed_in_time: bool = True
     """A server is listed within ``listing_s`` after its start."""
