--- a/tests/common/exploration_faults.py
+++ b/tests/common/exploration_faults.py
@@ -124,7 +124,7 @@
 def _older_seen(
     state: State, number: int, seen: exploration_state.Seen, tenths: int
 ) -> exploration_state.Seen:
-    """Let time pass for what the holder knows; a server that counts and answers goes on counting."""
+    """Let time pass for what the holder knows; one that answers goes on counting."""
     if seen.gone == NOBODY or exploration_state.status_of(state, number) is not None:
         return seen
     return seen._replace(gone=older(seen.gone, tenths))
