--- /dev/null
+++ b/tests/proxy/test_promotion_exploration.py
@@ -0,0 +1,86 @@
+"""Exhaustive exploration of short changes of primary with the decisions of the code under test."""
+
+import dataclasses
+
+import pytest
+
+from tests.common import exploration_rules, promotion_exploration
+
+MENDED = exploration_rules.Rules(
+    await_unlisted=True,
+    list_after_end=True,
+    query_after_end=True,
+    silence_of_process=True,
+    count_leaving=True,
+    removed_primary_missing=True,
+)
+"""The rule with all that the exploration has shown to be missing."""
+FEW = frozenset(exploration_rules.LINES) - {
+    "commit",
+    "receive",
+    "crash",
+    "begin",
+    "confirm",
+    "query",
+    "decide",
+    "execute request",
+}
+"""Steps that are left out of all explorations here unless they are named."""
+
+
+def explore(rules, *allowed, without=frozenset(), **bounds):
+    """Explore up to the first loss with a few kinds of steps and the ``allowed`` ones."""
+    defaults = {"commits": 1, "requests": 1, "steps": 9, "faults": 1, "waits": 0}
+    bounds = exploration_rules.Bounds(**(defaults | bounds), without=FEW - set(allowed) | without)
+    return promotion_exploration.explore(rules, bounds, first_only=True)
+
+
+LOSING = [
+    ("wait_for_hold", ["return", "restart replica"], {"faults": 2}),
+    ("end_primary", ["send", "execute commit", "restart replica"], {}),
+    ("need_all_paused", ["replica is silent"], {"faults": 2}),
+    ("compare_end require_recorded_end", ["leave", "decide, stopped"], {}),
+    ("await_unlisted", ["leave", "start server", "lose"], {"faults": 2}),
+    ("removed_primary_missing", ["leave", "start server", "end"], {}),
+    ("list_after_end", ["leave", "start server", "lose"], {"faults": 2}),
+    ("query_after_end", ["hand over", "restart replica"], {"faults": 2}),
+    ("only_replacements", ["start server"], {}),
+    (
+        "listed_in_time",
+        ["leave", "start server", "wait"],
+        {"faults": 2, "waits": 1, "times": (72,), "steps": 11, "without": {"query"}},
+    ),
+    (
+        "entry_back",
+        ["replica is silent", "entry gone", "wait"],
+        {"faults": 3, "waits": 1, "times": (72,), "without": {"confirm", "query"}},
+    ),
+    ("keeps_log", ["lose", "start anew"], {"faults": 3, "without": {"query"}}),
+    (
+        "silence_of_process",
+        ["leave", "start server", "stalled", "wait"],
+        {"faults": 3, "waits": 1, "times": (72,), "steps": 10, "without": {"confirm", "query"}},
+    ),
+    (
+        "count_leaving",
+        ["leave", "start server", "wait"],
+        {"faults": 2, "waits": 1, "times": (72,), "without": {"confirm", "query"}},
+    ),
+]
+
+WHOLE = [each for each in LOSING if each[0] not in ("listed_in_time", "list_after_end")]
+"""Without those that have the steps and bounds of another one."""
+
+
+@pytest.mark.parametrize(("part", "allowed", "bounds"), LOSING, ids=[each[0] for each in LOSING])
+def test_the_rule_loses_a_commit_without_each_part(part, allowed, bounds):
+    without = dataclasses.replace(MENDED, **dict.fromkeys(part.split(), False))
+    result = explore(without, *allowed, **bounds)
+    assert result.losses
+
+
+@pytest.mark.parametrize(("part", "allowed", "bounds"), WHOLE, ids=[each[0] for each in WHOLE])
+def test_the_whole_rule_loses_no_commit(part, allowed, bounds):
+    result = explore(MENDED, *allowed, **bounds)
+    assert result.complete
+    assert not result.losses, promotion_exploration.describe(result.losses[0])
