A choice rests on a list and on statuses that were read after commits had ended

A listed server had it: a replica was paused and queried, restarted (which ends its pause) and received the last commit, while the same round of queries waited for another server; the primary crashed, and the choice used the status of before. An unlisted server had it: a replica reported that it leaves after the holder had read the list, and its replacement confirmed. Change: once commits have ended, the list is read again from the store, and all servers are queried again.

--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -231,12 +231,16 @@
                 ended_s=0.0 if ended_since_s is None else clock.now_s() - ended_since_s,
             )
             unlisted_may_hold = listing.may_hold_commits(silent_s)
-            if ended_since_s is not None and not unlisted_may_hold and listing.needs_list(silent_s):
+            if ended_since_s is not None and listing.needs_list(ended_since_s, silent_s):
                 listing.note_list_read(clock.now_s())
                 if not await self._refresh(self.coordination.refresh_servers()):
                     return NOT_LISTED
-                statuses = await self.commands.query(self.confirming() - spared)
+                queried_s = float("-inf")
                 continue
+            if ended_since_s is not None and queried_s < ended_since_s:
+                # A pause may have ended after an earlier query, and before commits did.
+                queried_s = clock.now_s()
+                statuses = await self.commands.query(self.confirming() - spared)
             if ended_since_s is not None and silent_s >= self.target.listing_s:
                 report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
--- a/src/mustardswitch/proxy/listing_wait.py
+++ b/src/mustardswitch/proxy/listing_wait.py
@@ -77,16 +77,17 @@
             )
         return may_hold
 
-    def needs_list(self, primary_silent_s: float) -> bool:
-        """Return whether the list was last read before all servers had to be in it.
+    def needs_list(self, ended_at_s: float, primary_silent_s: float) -> bool:
+        """Return whether the list was last read too early for a choice.
 
-        The watch may be seconds behind the store.
+        That is before commits had ended, as a server may have reported until then that it leaves,
+        or before all servers had to be listed. The watch may be seconds behind the store.
         """
-        target = self.target
-        due_s = target.hold.registrations.recovered_at_s + unlisted_servers.RELISTED_S
+        now_s, target = clock.now_s(), self.target
+        due_s = [ended_at_s, target.hold.registrations.recovered_at_s + unlisted_servers.RELISTED_S]
         if not self._is_complete():
-            due_s = max(due_s, clock.now_s() - primary_silent_s + target.listing_s)
-        return self.list_read_at_s < due_s
+            due_s.append(now_s - primary_silent_s + target.listing_s)
+        return any(self.list_read_at_s < each <= now_s for each in due_s)
 
     def note_list_read(self, read_at_s: float) -> None:
         """Record when the store was asked for its list (``clock.now_s``)."""
--- a/tests/proxy/test_silence_longer_than_the_list_knows.py
+++ b/tests/proxy/test_silence_longer_than_the_list_knows.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids
+from mustardswitch.proxy import ports
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
@@ -77,3 +79,79 @@
     world.list_servers()
     await changing
     assert requested == [] and world.group.lost == []
+
+
+async def test_a_replica_that_reports_to_leave_after_the_list_was_read_loses_no_commit():
+    """The holder read the list when it began, and its replacement confirmed a commit meanwhile."""
+    world = proxy_world.World()
+    world.service.listing_s = 1.5
+    is_held = False
+    world.coordination.hold_commits = lambda *args, **changes: ports.HoldReport(complete=is_held)
+    started = world.group.start_server(zone="d")
+    unlisted = [started.name]
+    world.coordination.refresh_servers = _as_task(lambda: _list_but(world, unlisted))
+    world.group.servers[B].not_receiving = world.group.servers[C].not_receiving = True
+    primary = world.group.servers[A]
+    _answer_no_orders(world)
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(SETTLE_S)
+    world.group.servers[C].leaving = True
+    assert world.group.commit(primary, "x")
+    primary.up = False
+    is_held = True
+    await asyncio.sleep(2 * SETTLE_S)
+    assert takeovers.requested_successors(world) == []
+    unlisted.clear()
+    _list_but(world, unlisted)
+    assert await changing
+    assert world.group.lost == []
+
+
+async def test_a_pause_that_ends_before_commits_do_loses_no_commit(monkeypatch):
+    """A server restarted after its answer to a query, and received the last commit, while another
+    one took its time to answer the same query.
+    """
+    world = proxy_world.World()
+    _answer_no_orders(world)
+    status, has_ended = database_group.FakeLink.status, False
+
+    async def answer_late(link, timeout_s):
+        nonlocal has_ended
+        if link.server.name == C and world.group.servers[B].paused_term and not has_ended:
+            has_ended = True
+            await asyncio.sleep(0.1)
+            world.group.servers[B].paused_term = 0
+            world.group.servers[C].not_receiving = True
+            assert world.group.commit(world.group.servers[A], "x")
+            world.group.servers[A].up = False
+            await asyncio.sleep(SETTLE_S)
+        return await status(link, timeout_s)
+
+    monkeypatch.setattr(database_group.FakeLink, "status", answer_late)
+    assert await takeovers.take_over(world, silent=True)
+    assert has_ended and world.group.lost == []
+
+
+def _answer_no_orders(world: proxy_world.World) -> None:
+    """Let orders to the primary stay without an answer, and be refused once it has ended."""
+
+    async def open_order(entry, on_connected):
+        if world.group.servers[A].up:
+            raise backend_errors.BackendUnreachableError("no answer")
+        raise backend_errors.ServerRefusedError("no process listens")
+
+    world.service.order_opener = open_order
+
+
+def _as_task(function):
+    async def run() -> None:
+        function()
+
+    return run
+
+
+def _list_but(world: proxy_world.World, unlisted: list[ids.ServerId]) -> None:
+    """List all servers but some."""
+    listed = {each.server: each for each in world.group.entries() if each.server not in unlisted}
+    world.directory.servers.replace(listed, clock.now_s())
+    world.directory.refresh()
