Servers that left before an instance saw them are missing

A former primary that an instance knows from the record of members only may have left, like one whose entry is removed right after an outage of the store: it counts no more as present. Servers that leave as the list is first read count among those that the service had, until a size is recorded. One test of what an instance expects of a crashed primary waits for no unlisted server now, which it is not about.

--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -27,6 +27,8 @@
         self.recorded = 0
         """The most that any instance has recorded; 0 without a record."""
         self.present = 0
+        self.leaving_at_first = 0
+        """Servers that left as the list was first read, and may not have been replaced."""
         self.more = 0
         """How many more than ``listed_at_most`` were listed all the time since ``more_since_s``."""
         self.more_since_s = float("inf")
@@ -40,16 +42,17 @@
     @property
     def missing(self) -> int:
         """Number of servers that have left, leave or were lost and are not replaced yet."""
-        return max(self.listed_at_most, self.recorded) - self.present
+        known = self.recorded or self.leaving_at_first + self.listed_at_most
+        return max(self.listed_at_most, known) - self.present
 
-    def note(self, present: int, now_s: float) -> None:
+    def note(self, present: int, now_s: float, *, leaving: int = 0) -> None:
         """Record how many servers are listed and do not leave; must be called repeatedly.
 
         A primary whose entry was removed before it left is one of them: while it serves, no other
         is started for it.
         """
         if not self.listed_at_most:
-            self.listed_at_most = present
+            self.listed_at_most, self.leaving_at_first = present, leaving
         self.present = present
         more = max(0, present - self.listed_at_most)
         if not self.more or not more:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -54,6 +54,9 @@
 longer than the time after which a silent server's entry expires."""
 UNLISTED_MEMORY_S = 60.0
 """Time for which a replica whose entry expired counts again as soon as it answers."""
+LEAVE_UNSEEN_S = 4.0
+"""Time after an outage of the store in which entries are removed whose servers may have reported
+in it that they leave."""
 EXPIRY_SILENCE_S = 2.5
 """Least time from the last write of an entry to its expiry, after three missed heartbeats. An entry
 that is removed sooner was removed because its server had left."""
@@ -145,6 +148,8 @@
         """The last server whose entry was removed while it led; None if a primary is listed."""
         self.listing_s = listing_s
         """Time from the start of a server until it is listed."""
+        self.seen_listed: set[ids.ServerId] = set()
+        """Servers of which this instance has seen an entry."""
         self.led_until_s = float("-inf")
         """Until when this instance last knew a leader that it does not know any more."""
         self.server_count = unlisted_servers.ServerCount()
@@ -214,6 +219,7 @@
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
         role_before = backend.entry.role if backend else None
+        self.seen_listed.add(entry.server)
         if backend is None:
             distance = self.location.distance(entry.zone)
             backend = server.Server(
@@ -299,10 +305,21 @@
 
     def count_servers(self) -> None:
         """Count the listed servers, and a former primary; must be called after each change."""
+        counted = dict(self.servers)
         former = self.former_primary
-        counted = ({former.server: former} if former is not None else {}) | self.servers
-        staying = [backend for backend in counted.values() if not backend.entry.leaving]
-        self.server_count.note(len(staying), clock.now_s())
+        if former is not None and self._ended_unannounced(former.server):
+            counted.setdefault(former.server, former)
+        leaving = sum(backend.entry.leaving for backend in counted.values())
+        self.server_count.note(len(counted) - leaving, clock.now_s(), leaving=leaving)
+
+    def _ended_unannounced(self, name: ids.ServerId) -> bool:
+        """Return whether a removed server would have been seen to leave before.
+
+        Not if this instance has never seen it listed, nor after an outage of the store.
+        """
+        removed_at_s = self.removed_at_s.get(name, float("-inf"))
+        recovered_at_s = self.hold.registrations.recovered_at_s
+        return name in self.seen_listed and removed_at_s > recovered_at_s + LEAVE_UNSEEN_S
 
     def note_running(self, name: ids.ServerId) -> None:
         """Record that a server whose entry expired has answered."""
--- a/tests/proxy/test_count_of_servers.py
+++ b/tests/proxy/test_count_of_servers.py
@@ -1,6 +1,8 @@
 """Services whose number of servers is counted wrongly, when servers are replaced."""
 
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import change_log, clock, ids, unlisted_servers
+from mustardswitch.proxy import fleet_records, member_records
+from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
@@ -56,3 +58,29 @@
     assert world.service.server_count.missing == 0
     world.service.note_leading(B, query_sent_at_s=clock.now_s(), position=None)
     assert world.service.server_count.missing == 1
+
+
+def test_a_server_that_leaves_as_the_list_is_first_read_is_missing():
+    count = unlisted_servers.ServerCount()
+    count.note(2, 0.0, leaving=1)
+    assert count.missing == 1
+    count.note(3, 10.0)
+    assert count.missing == 0
+
+
+def test_a_former_primary_that_was_never_seen_listed_may_have_left():
+    """It is known from the record of members only, and its replacement is not listed yet."""
+    world = proxy_world.World()
+    recorded = member_records.encode(world.group.entries())
+    takeovers.expire_entry(world, A)
+    world.directory.services.clear()
+    key = f"{fleet_records.MEMBERS}{database_group.SERVICE}"
+    fleet_records.apply(world.directory, change_log.Item(key=key, value=recorded, revision=5))
+    world.directory.members.known.clear()
+    size = change_log.Item(
+        key=f"{fleet_records.SIZES}{database_group.SERVICE}", value=b"3", revision=6
+    )
+    fleet_records.apply(world.directory, size)
+    world.directory.refresh()
+    assert world.service.former_primary.server == A
+    assert world.service.server_count.missing == 1
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -85,6 +85,8 @@
     world.group.servers[A].up = False
     _start_instance_anew(world, recorded, servers=3)
     assert world.service.former_primary.server == A
+    # Only an answer of the primary would be waited for.
+    world.service.listing_s = 0.0
     async with asyncio.timeout(SLACK_S):
         assert await takeovers.take_over(world, None)
 
