--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -11,8 +11,6 @@
 RELISTED_S = 2.5
 """Time after an outage of the store in which the servers that run are listed; the platform promises
 about two seconds."""
-
-
 SETTLED_S = 4.0
 """Time for which servers must be listed together to count as so many; the entry of one that has
 ended stays for three heartbeats, beside that of its replacement."""
@@ -46,10 +44,10 @@
         return max(self.listed_at_most, known) - self.present
 
     def note(self, present: int, now_s: float, *, leaving: int = 0) -> None:
-        """Record how many servers are listed and do not leave; must be called repeatedly.
+        """Record how many servers are listed and stay, and how many leave.
 
-        A primary whose entry was removed before it left is one of them: while it serves, no other
-        is started for it.
+        Must be called repeatedly; ``now_s`` is the time (``clock.now_s``). A primary whose entry
+        was removed before it left is one that stays: while it serves, no other is started for it.
         """
         if not self.listed_at_most:
             self.listed_at_most, self.leaving_at_first = present, leaving
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -273,6 +273,7 @@
             for name, at_s in self.removed_at_s.items()
             if at_s > now_s - UNLISTED_MEMORY_S
         } | {backend.server: now_s}
+        self.seen_listed &= self.servers.keys() | self.removed_at_s.keys()
         self.leadership.forget(backend.server)
         self.acknowledged.forget(backend.server)
         if self.placing is not None:
@@ -307,15 +308,15 @@
         """Count the listed servers, and a former primary; must be called after each change."""
         counted = dict(self.servers)
         former = self.former_primary
-        if former is not None and self._ended_unannounced(former.server):
+        if former is not None and self._stayed_until_removed(former.server):
             counted.setdefault(former.server, former)
         leaving = sum(backend.entry.leaving for backend in counted.values())
         self.server_count.note(len(counted) - leaving, clock.now_s(), leaving=leaving)
 
-    def _ended_unannounced(self, name: ids.ServerId) -> bool:
-        """Return whether a removed server would have been seen to leave before.
+    def _stayed_until_removed(self, name: ids.ServerId) -> bool:
+        """Return whether a removed server would have been seen to leave if it had reported that.
 
-        Not if this instance has never seen it listed, nor after an outage of the store.
+        Not if this instance has never seen it listed, nor right after an outage of the store.
         """
         removed_at_s = self.removed_at_s.get(name, float("-inf"))
         recovered_at_s = self.hold.registrations.recovered_at_s
--- a/tests/common/takeovers.py
+++ b/tests/common/takeovers.py
@@ -4,10 +4,12 @@
 
 from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import claimed_changes
+from mustardswitch_standins import database_group
 from tests.common import proxy_world
 
 A = ids.ServerId("server-a")
 """The first primary."""
+B, C = ids.ServerId("server-b"), ids.ServerId("server-c")
 
 
 async def take_over(
@@ -32,6 +34,26 @@
     world.directory.refresh()
 
 
+def lose_replica(world: proxy_world.World) -> None:
+    """End a replica for good, long ago."""
+    del world.group.servers[C]
+    world.list_servers()
+    world.service.unlisted.clear()
+
+
+def commit_on_unlisted_server(world: proxy_world.World) -> database_group.FakeServer:
+    """Let a server that has started confirm a commit that the listed replicas lack.
+
+    The primary ends then.
+    """
+    started = world.group.start_server(zone="d")
+    for name in {B, C} & world.group.servers.keys():
+        world.group.servers[name].not_receiving = True
+    assert world.group.commit(world.group.primary, "x")
+    world.group.servers[A].up = False
+    return started
+
+
 def cut_off(world: proxy_world.World, server: ids.ServerId = A) -> None:
     """Let a server reach nobody for long: it gives no answer, and its entry expires."""
     contacts = world.service.servers[server].contacts
--- a/tests/proxy/test_unlisted_servers.py
+++ b/tests/proxy/test_unlisted_servers.py
@@ -15,13 +15,6 @@
 """Time in which a promotion is requested that waits for nothing."""
 
 
-def _lose_replica(world: proxy_world.World) -> None:
-    """End a replica for good, long ago."""
-    del world.group.servers[C]
-    world.list_servers()
-    world.service.unlisted.clear()
-
-
 def _announce_end_of_primary(world: proxy_world.World) -> None:
     world.group.servers[A].leaving = True
     world.list_servers()
@@ -29,7 +22,7 @@
 
 def _lose_replica_before_the_start(world: proxy_world.World) -> None:
     """Let an instance know the list for long that has started after a replica was lost."""
-    _lose_replica(world)
+    takeovers.lose_replica(world)
     world.directory.services.clear()
     item = change_log.Item(key=SIZE, value=member_records.encode_size(3), revision=5)
     fleet_records.apply(world.directory, item)
@@ -41,24 +34,22 @@
     world.directory.servers.first_read_at_s = clock.now_s()
 
 
-def _commit_on_unlisted_server(world: proxy_world.World) -> database_group.FakeServer:
-    """Let a server that has started confirm a commit that the listed replicas lack."""
-    started = world.group.start_server(zone="d")
-    for name in {B, C} & world.group.servers.keys():
-        world.group.servers[name].not_receiving = True
-    assert world.group.commit(world.group.primary, "x")
-    world.group.servers[A].up = False
-    return started
-
-
-@pytest.mark.parametrize("prepare", [_lose_replica, _announce_end_of_primary, _start_instance_anew])
+@pytest.mark.parametrize(
+    "prepare",
+    [
+        takeovers.lose_replica,
+        _lose_replica_before_the_start,
+        _announce_end_of_primary,
+        _start_instance_anew,
+    ],
+)
 async def test_a_primary_that_ends_before_its_only_confirming_server_is_listed_loses_no_commit(
     prepare,
 ):
     world = proxy_world.World()
     world.service.listing_s = 1.5
     prepare(world)
-    started = _commit_on_unlisted_server(world)
+    started = takeovers.commit_on_unlisted_server(world)
     changing = asyncio.create_task(takeovers.take_over(world, silent=True))
     await asyncio.sleep(SETTLE_S)
     assert takeovers.requested_successors(world) == []
@@ -97,7 +88,7 @@
 async def test_a_server_that_is_not_listed_in_time_is_not_waited_for_any_longer():
     world = proxy_world.World()
     world.service.listing_s = 0.5
-    _lose_replica(world)
+    takeovers.lose_replica(world)
     world.group.servers[A].up = False
     assert await takeovers.take_over(world, silent=True)
 
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -12,13 +12,6 @@
 """Time of a change that waits for nothing, and of its queries."""
 
 
-def _lose_replica(world: proxy_world.World) -> None:
-    """End a replica for good, long ago."""
-    del world.group.servers[C]
-    world.list_servers()
-    world.service.unlisted.clear()
-
-
 def _start_instance_anew(
     world: proxy_world.World, entries: list[ports.ServerEntry], *, servers: int
 ) -> None:
@@ -56,7 +49,7 @@
     """It has never heard the primary, and reports how long it has run."""
     world = proxy_world.World()
     world.service.listing_s = 1.0
-    _lose_replica(world)
+    takeovers.lose_replica(world)
     world.group.servers[A].up = False
     started_s = clock.now_s()
 
@@ -115,7 +108,7 @@
 async def test_a_recorded_server_that_lags_is_paused_once_another_has_all_acknowledged_commits():
     """It was left to receive what nobody sent it, so that no other could be chosen."""
     world = proxy_world.World()
-    _lose_replica(world)
+    takeovers.lose_replica(world)
     lagging = world.group.servers[B]
     started = world.group.start_server(zone="d")
     above = lagging.position
