The sizes of all services are recorded in one call

Cause, by reading: each service's size was written by an instance of its own at its own time, and every write ends the watches of the instances that follow the store, each of which is a call. Change: one instance writes the sizes of up to 16 services in one call. The instances that were removed are looked for only among those that left the list, which is done ten times a second.

--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -192,6 +192,10 @@
         """Return the record of a service; ``NO_RECORD`` without one."""
         return self.records.get(name, NO_RECORD)
 
+    def size(self, name: ids.ServiceName) -> SizeRecord:
+        """Return the recorded size of a service; ``NO_SIZE`` without one."""
+        return self.sizes.get(name, NO_SIZE)
+
     def apply(self, name: ids.ServiceName, item: change_log.Item) -> None:
         """Apply the change of a service's record; raises FleetRecordError.
 
@@ -228,7 +232,7 @@
 
         Must be called after each change of the listed servers.
         """
-        target.server_count.note_recorded(self.sizes.get(target.name, NO_SIZE).servers)
+        target.server_count.note_recorded(self.size(target.name).servers)
         known = self.known.setdefault(target.name, members.KnownMembers())
         for backend in target.servers.values():
             known.add(member_of(backend.entry))
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -1,14 +1,20 @@
 """Writes the records of the services' members, and of their numbers, to the store."""
 
 import asyncio
+import collections.abc
 import functools
+import itertools
 
 from mustardswitch import events
 from mustardswitch.internal import clock, gateways, ids, members
 from mustardswitch.proxy import directory, errors, fleet_records, member_records, ports, service
 
 CHECK_S = 0.1
-"""Interval between checks, each of which writes at most one record."""
+"""Interval between checks, each of which writes at most one record, and some sizes."""
+MAX_SIZES = 16
+"""Sizes in one call; each is a condition and a key to write, and the store takes 32 of both."""
+ALL_SERVICES = ids.ServiceName("")
+"""Stands for all services, whose sizes one instance writes together."""
 
 
 class MemberWriter:
@@ -48,40 +54,43 @@
                 return
 
     async def check_sizes(self) -> None:
-        """Write the size of one service that has more servers than recorded."""
-        now_s, listed = clock.now_s(), self.directory.servers
-        # Until then, servers that run may be missing from the list.
-        if listed.outage or listed.is_recent(now_s, self.directory.listing_s):
+        """Write the sizes of services that have more servers than recorded, in one call."""
+        now_s, servers = clock.now_s(), self.directory.servers
+        if servers.outage or servers.is_recent(now_s, self.directory.listing_s):
             return
+        book, due = self.directory.members, {}
         for name, target in self.directory.services.items():
-            recorded = self.directory.members.sizes.get(name, member_records.NO_SIZE)
-            if target.server_count.listed_at_most <= recorded.servers:
-                self.size_schedule.note_equal(name)
-            elif self.size_schedule.is_due(
-                name,
-                revision=recorded.revision,
-                rank=functools.partial(self._rank, name),
-                now_s=now_s,
-            ):
-                await self._write_size(target, recorded)
-                return
+            if target.server_count.listed_at_most > book.size(name).servers:
+                due[name] = target.server_count.listed_at_most
+        if not due:
+            self.size_schedule.note_equal(ALL_SERVICES)
+        elif self.size_schedule.is_due(
+            ALL_SERVICES,
+            revision=max(book.size(name).revision for name in due),
+            rank=functools.partial(self._rank, ALL_SERVICES),
+            now_s=now_s,
+        ):
+            await self._write_sizes(dict(itertools.islice(due.items(), MAX_SIZES)))
 
-    async def _write_size(
-        self, target: service.Service, recorded: member_records.SizeRecord
-    ) -> None:
-        name, servers = target.name, target.server_count.listed_at_most
-        key = f"{fleet_records.SIZES}{name}"
-        put = ports.Put(key=key, value=member_records.encode_size(servers))
+    async def _write_sizes(self, sizes: collections.abc.Mapping[ids.ServiceName, int]) -> None:
+        book = self.directory.members
+        keys = {name: f"{fleet_records.SIZES}{name}" for name in sizes}
+        puts = [
+            ports.Put(key=keys[name], value=member_records.encode_size(servers))
+            for name, servers in sizes.items()
+        ]
+        expected = {key: book.size(name).revision for name, key in keys.items()}
         try:
-            revision = await self.client.change(expected={key: recorded.revision}, puts=[put])
+            revision = await self.client.change(expected=expected, puts=puts)
         except errors.StoreError as error:
-            events.log(events.Event.STORE_CALL_FAILED, call="size", reason=str(error))
+            events.log(events.Event.STORE_CALL_FAILED, call="sizes", reason=str(error))
             revision = None
         if revision is None:
-            self.size_schedule.note_failed(name, now_s=clock.now_s())
-        else:
+            self.size_schedule.note_failed(ALL_SERVICES, now_s=clock.now_s())
+            return
+        for name, servers in sizes.items():
             written = member_records.SizeRecord(servers=servers, revision=revision)
-            self.directory.members.sizes[name] = written
+            book.sizes[name] = written
 
     def _differs(self, target: service.Service, now_s: float) -> bool:
         counted = member_records.counted_entries(target)
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -106,13 +106,14 @@
         """
         now_s = clock.now_s()
         oldest_s = now_s - commit_permission.HOLD_LIMIT_S
-        for name in self.listed_before:
-            # An instance that is removed now may have been listed until now: this one may have been
-            # frozen since the last call.
+        listed = frozenset(self.directory.other_instances())
+        for name in self.listed_before - listed:
+            # It may have been listed until now: this instance may have been frozen since the last
+            # call.
             self.seen[name] = (self.seen[name][0], now_s)
         self.seen = {name: known for name, known in self.seen.items() if known[1] >= oldest_s}
-        self.listed_before = frozenset(self.directory.other_instances())
-        for name in self.listed_before:
+        self.listed_before = listed
+        for name in listed:
             self.seen[name] = (self.directory.instances.entries[name], now_s)
 
     # Receiving
--- a/tests/platform/test_member_writer.py
+++ b/tests/platform/test_member_writer.py
@@ -279,3 +279,15 @@
     assert world.recorded_size() is None
     world.end_start()
     await store_world.wait_until(lambda: world.recorded_size() == b"1")
+
+
+async def test_the_sizes_of_all_services_are_written_in_one_call(world):
+    """Each call of its own ended the watches of all instances."""
+    services = [ids.ServiceName(f"service-{number}") for number in range(5)]
+    for number, name in enumerate(services):
+        world.put_server(ids.ServerId(f"i-{number}"), service=name)
+    await world.start_writing()
+    world.end_start()
+    keys = [f"{fleet_records.SIZES}{name}" for name in services]
+    await store_world.wait_until(lambda: all(key in world.store.keys for key in keys))
+    assert len({world.store.keys[key].revision for key in keys}) == 1
