A former primary without an entry is asked for its end like the others

Cause: since a former primary that was not listed was left out of the servers that are queried, so that its end was read only after 0.6 s, and then by one query a round; it was the only one with that end. The attempt gave up. Change: it is queried as before. It is not expected to answer once its process is gone, which is what was about.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -93,6 +93,11 @@
         """Whether it executes nothing that it received before."""
         return self is not FormerPrimary.MAY_RUN
 
+    @property
+    def is_process_gone(self) -> bool:
+        """Whether no answer of it is to be expected."""
+        return self in (FormerPrimary.NOT_LISTENING, FormerPrimary.GONE)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Evidence:
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -191,8 +191,6 @@
 
         The likely successor receives until then, and all others are paused.
         """
-        if primary is None and order is not None:
-            primary = order.backend.server
         # One that the list, read anew, names as a replica may confirm commits of its successor.
         spared = {primary} - set(statuses) if self._is_listed_primary(primary) else set()
         stop = None
@@ -256,8 +254,11 @@
             paused = await self.pause_others(statuses, spared=spared | receives)
             if stopped_since_s is not None and not in_time:
                 statuses = statuses | await self.commands.query({primary} & spared)
+            ended = (
+                {order.backend.server} if order is not None and former.is_process_gone else set()
+            )
             choice = self.choose(
-                expected=self.confirming() - spared,
+                expected=self.confirming() - spared - ended,
                 paused=paused,
                 receiving={
                     name: status
