--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -80,11 +80,7 @@
             for name, servers in sizes.items()
         ]
         expected = {key: book.size(name).revision for name, key in keys.items()}
-        try:
-            revision = await self.client.change(expected=expected, puts=puts)
-        except errors.StoreError as error:
-            events.log(events.Event.STORE_CALL_FAILED, call="sizes", reason=str(error))
-            revision = None
+        revision = await self._change("sizes", expected, puts)
         if revision is None:
             self.size_schedule.note_failed(ALL_SERVICES, now_s=clock.now_s())
             return
@@ -116,14 +112,21 @@
         key = f"{fleet_records.MEMBERS}{name}"
         entries = member_records.counted_entries(target)
         put = ports.Put(key=key, value=member_records.encode(entries))
-        try:
-            revision = await self.client.change(
-                expected={key: book.record(name).revision}, puts=[put]
-            )
-        except errors.StoreError as error:
-            events.log(events.Event.STORE_CALL_FAILED, call="members", reason=str(error))
-            revision = None
+        revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
         else:
             book.note_written(name, entries, revision)
+
+    async def _change(
+        self,
+        call: str,
+        expected: collections.abc.Mapping[str, int],
+        puts: collections.abc.Sequence[ports.Put],
+    ) -> int | None:
+        """Write to the store; None if it failed, which is logged, or another has written."""
+        try:
+            return await self.client.change(expected=expected, puts=puts)
+        except errors.StoreError as error:
+            events.log(events.Event.STORE_CALL_FAILED, call=call, reason=str(error))
+            return None
