--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -214,9 +214,7 @@
     if killed_at_end:
         at_s = replaced_s + min(end_after_s)
         followed.append(_step(at_s, "kill", share=killed_at_end, down_s=down_s))
-    followed = sorted(followed, key=lambda step: step.at_s)
-    steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
-    return Day(steps=steps, length_s=length_s)
+    return _keep_intervals(followed, length_s=length_s)
 
 
 def two_ends_of_primaries(
@@ -243,9 +241,7 @@
             _on_servers(deaf_from_s, "deaf", [name], count=2, for_s=6.5, listed=True),
             _on_servers(ends_s, "end_primary", [name]),
         ]
-    followed = sorted(followed, key=lambda step: step.at_s)
-    steps = [followed[0], *(dataclasses.replace(each, follows=True) for each in followed[1:])]
-    return Day(steps=steps, length_s=replaced_s + 19.0)
+    return _keep_intervals(followed, length_s=replaced_s + 19.0)
 
 
 ENDS: dict[str, dict] = {
@@ -257,6 +253,13 @@
 """Faults of a primary that is replaced, and their fields."""
 
 
+def _keep_intervals(steps: list[Step], *, length_s: float) -> Day:
+    """Return a day whose steps all change their times with the first one."""
+    first, *others = sorted(steps, key=lambda step: step.at_s)
+    followed = [dataclasses.replace(each, follows=True) for each in others]
+    return Day(steps=[first, *followed], length_s=length_s)
+
+
 def _on_servers(at_s: float, fault: str, services: list[str], **fields: object) -> Step:
     return _step(at_s, "on_servers", fault=fault, services=services, **fields)
 
