What an attempt knows of the list and of the former primary is kept once

The time at which the list was read stood in the attempt and in the wait for unlisted servers; the servers were counted twice for each change of the list; the state of the former primary was picked out of another method's arguments by an override. Behaviour is the same: 110 tests of changes of primary and of their log lines passed.

--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -82,6 +82,7 @@
         unlisted_may_hold: bool = False,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
+        self.commands.former_state = former
         evidence = promotion.Evidence(
             expected=expected,
             paused=paused,
@@ -109,8 +110,7 @@
         It may still lead for instances that reach it, or have stopped and be one of the servers
         that answer. Whether it can be stopped or not, the instances are asked to hold commits back.
         """
-        self.list_read_at_s = clock.now_s()
-        if not await self._refresh(self.coordination.refresh_servers()):
+        if not await self._read_list():
             return NOT_LISTED
         likely = self.requested
         if likely is None or (self._record_is_free and likely in self._leaving()):
@@ -137,6 +137,11 @@
         """Whether the record is an earlier holder's, and its request was never sent."""
         return self.record is None and self.final_ends.allowed
 
+    async def _read_list(self) -> bool:
+        """Read the list of servers from the store; return whether it has answered."""
+        self.list_read_at_s = clock.now_s()
+        return await self._refresh(self.coordination.refresh_servers())
+
     async def _refresh(self, listing: collections.abc.Awaitable[None]) -> bool:
         """Return whether the store has answered with a listing."""
         try:
@@ -199,11 +204,7 @@
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
         reported_at_s = clock.now_s()
-        listing = listing_wait.ListingWait(
-            target=self.target,
-            recorded_at_s=self.record.at_s,
-            list_read_at_s=self.list_read_at_s,
-        )
+        listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -229,9 +230,10 @@
                 ended_s=0.0 if ended_since_s is None else clock.now_s() - ended_since_s,
             )
             unlisted_may_hold = listing.may_hold_commits(silent_s)
-            if ended_since_s is not None and listing.needs_list(ended_since_s, silent_s):
-                listing.note_list_read(clock.now_s())
-                if not await self._refresh(self.coordination.refresh_servers()):
+            if ended_since_s is not None and listing.needs_list(
+                self.list_read_at_s, ended_at_s=ended_since_s, primary_silent_s=silent_s
+            ):
+                if not await self._read_list():
                     return NOT_LISTED
                 queried_s = float("-inf")
                 continue
--- a/src/mustardswitch/proxy/listing_wait.py
+++ b/src/mustardswitch/proxy/listing_wait.py
@@ -11,14 +11,10 @@
 class ListingWait:
     """What one attempt knows of the servers that are not listed, from its record on."""
 
-    def __init__(
-        self, *, target: service.Service, recorded_at_s: float, list_read_at_s: float
-    ) -> None:
+    def __init__(self, *, target: service.Service, recorded_at_s: float) -> None:
         self.target = target
         self.recorded_at_s = recorded_at_s
         """When the promotion was recorded (``clock.now_s``)."""
-        self.list_read_at_s = list_read_at_s
-        """When the store was last asked for the list of servers."""
         self.has_waited = False
 
     def __repr__(self) -> str:
@@ -77,21 +73,20 @@
             )
         return may_hold
 
-    def needs_list(self, ended_at_s: float, primary_silent_s: float) -> bool:
-        """Return whether the list was last read too early for a choice.
+    def needs_list(
+        self, list_read_at_s: float, *, ended_at_s: float, primary_silent_s: float
+    ) -> bool:
+        """Return whether a list that was read at ``list_read_at_s`` is too old for a choice.
 
-        That is before commits had ended, as a server may have reported until then that it leaves,
-        or before all servers had to be listed. The watch may be seconds behind the store.
+        It is if it was read before commits had ended, as a server may have reported until then that
+        it leaves, or before all servers had to be listed. The watch may be seconds behind the
+        store.
         """
         now_s, target = clock.now_s(), self.target
         due_s = [ended_at_s, target.hold.registrations.recovered_at_s + unlisted_servers.RELISTED_S]
         if not self._is_complete():
             due_s.append(now_s - primary_silent_s + target.listing_s)
-        return any(self.list_read_at_s < each <= now_s for each in due_s)
-
-    def note_list_read(self, read_at_s: float) -> None:
-        """Record when the store was asked for its list (``clock.now_s``)."""
-        self.list_read_at_s = read_at_s
+        return any(list_read_at_s < each <= now_s for each in due_s)
 
     def _is_complete(self) -> bool:
         target = self.target
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -214,7 +214,6 @@
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
         self._note_change()
-        self.count_servers()
 
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import typing
 
 from mustardswitch import events, tasks
 from mustardswitch.internal import clock, ids, promotion, server_contact
@@ -103,11 +102,6 @@
         )
         return done
 
-    def choose(self, **evidence: typing.Any) -> promotion.Choice:
-        """Choose a server, and keep the state of the former primary for the log."""
-        self.commands.former_state = evidence.get("former")
-        return super().choose(**evidence)
-
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
         self.may_be_paused = self.confirming()
