--- a/tests/proxy/test_promotion_exploration.py
+++ b/tests/proxy/test_promotion_exploration.py
@@ -84,3 +84,18 @@
     result = explore(MENDED, *allowed, **bounds)
     assert result.complete
     assert not result.losses, promotion_exploration.describe(result.losses[0])
+
+
+def test_a_primary_that_replicates_and_answers_nothing_loses_no_commit():
+    """The wait counts from the primary's last answer, and a server may start after it."""
+    in_force = dataclasses.replace(MENDED, silence_of_process=False)
+    allowed = ["leave", "start server", "stalled", "wait"]
+    bounds = {"faults": 3, "waits": 1, "times": (72,), "steps": 10, "without": {"confirm", "query"}}
+    assert not explore(in_force, *allowed, **bounds).losses
+
+
+def test_a_primary_that_crashes_after_its_only_confirming_replica_was_lost_loses_no_commit():
+    """Only the primary's return would tell of the commit, and no page says when it returns."""
+    allowed = ["leave", "end", "lose", "wait", "entry gone"]
+    bounds = {"faults": 3, "waits": 1, "times": (72,), "without": {"confirm", "query"}}
+    assert not explore(MENDED, *allowed, **bounds).losses
--- a/tests/proxy/test_silence_longer_than_the_list_knows.py
+++ b/tests/proxy/test_silence_longer_than_the_list_knows.py
@@ -42,12 +42,8 @@
     contacts = world.service.servers[A].contacts
     contacts.at_s, contacts.since_s = {}, clock.now_s() - 100.0
     takeovers.commit_on_unlisted_server(world)
-    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
-    await asyncio.sleep(SETTLE_S)
-    requested = takeovers.requested_successors(world)
-    world.list_servers()
-    await changing
-    assert requested == [] and world.group.lost == []
+    assert await _requested_before_the_listing(world) == []
+    assert world.group.lost == []
 
 
 async def test_a_server_that_started_in_an_outage_is_waited_for_beside_a_whole_service():
@@ -56,12 +52,8 @@
     world.directory.servers.note_outage()
     takeovers.commit_on_unlisted_server(world)
     world.directory.servers.note_recovery(clock.now_s())
-    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
-    await asyncio.sleep(SETTLE_S)
-    requested = takeovers.requested_successors(world)
-    world.list_servers()
-    await changing
-    assert requested == [] and world.group.lost == []
+    assert await _requested_before_the_listing(world) == []
+    assert world.group.lost == []
 
 
 async def test_a_replica_that_reports_to_leave_after_the_list_was_read_loses_no_commit():
@@ -115,6 +107,16 @@
     assert has_ended and world.group.lost == []
 
 
+async def _requested_before_the_listing(world: proxy_world.World) -> list[ids.ServerId]:
+    """Change the primary; return what was requested before all servers were listed."""
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(SETTLE_S)
+    requested = takeovers.requested_successors(world)
+    world.list_servers()
+    await changing
+    return requested
+
+
 def _answer_no_orders(world: proxy_world.World) -> None:
     """Let orders to the primary stay without an answer, and be refused once it has ended."""
 
