Stand-ins: a promotion of the present primary takes effect like any other

The stand-in returned at once and did nothing, even if the primary had stepped down by the time of the effect.

--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -144,20 +144,21 @@
     def request_promotion(self, name: ids.ServerId, delay_s: float) -> bool:
         """Accept the promotion of a running server, which takes effect after a delay.
 
-        For the present primary it changes nothing, even if it has stepped down by then.
+        For a server that leads then it changes nothing. One that has stepped down since leads
+        again, in the next term, and all pauses end.
         """
         server = self.servers.get(name)
         if server is None or not server.up:
             return False
-        if server.role is promotion.Role.PRIMARY:
-            return True
-        if self.promotes_as_of_request:
+        receives = not self.promotes_as_of_request or server.role is promotion.Role.PRIMARY
+        if not receives:
             server.awaited_promotions += 1
-        asyncio.get_running_loop().call_later(delay_s, self._take_effect, server)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._take_effect, server, not receives)
         return True
 
-    def _take_effect(self, server: FakeServer) -> None:
-        server.awaited_promotions = max(0, server.awaited_promotions - 1)
+    def _take_effect(self, server: FakeServer, was_awaited: bool) -> None:
+        server.awaited_promotions -= was_awaited
         if server.name in self.servers:
             self.promote(server.name)
 
