Known red: a stopped primary that the holder's own request makes lead again

The in-memory promotion call now delays the effect for the present primary, too, as the other stand-in does.

--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -53,12 +53,10 @@
         if fencing_token < self.highest_token:
             return ports.PromotionOutcome.REJECTED
         self.highest_token = fencing_token
-        if self.group.servers[server] is self.group.primary and self.group.servers[server].up:
-            return ports.PromotionOutcome.ACCEPTED
         if self.effect_delay_s:
-            asyncio.get_running_loop().call_later(self.effect_delay_s, self.group.promote, server)
-            return ports.PromotionOutcome.ACCEPTED
-        done = self.group.promote(server)
+            done = self.group.request_promotion(server, self.effect_delay_s)
+        else:
+            done = self.group.promote(server)
         return ports.PromotionOutcome.ACCEPTED if done else ports.PromotionOutcome.REJECTED
 
 
--- /dev/null
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -0,0 +1,179 @@
+"""A promotion of the present primary makes it lead again if it is stopped before the effect."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from mustardswitch.internal import clock
+from mustardswitch.proxy import ports, takeover
+from mustardswitch_standins import database_group
+from tests.common import proxy_world, takeovers
+
+A, B, C = takeovers.A, takeovers.B, takeovers.C
+EFFECT_S = 0.3
+
+
+@pytest.fixture
+def world(monkeypatch):
+    """A leaving primary, and promotions that take some time to be effective."""
+    monkeypatch.setattr(takeover, "PROMOTION_DELAY_S", EFFECT_S + 0.1)
+    built = proxy_world.World()
+    built.share_marks()
+    built.group.promotes_as_of_request = True
+    built.group.commit(built.group.primary, "old")
+    built.promoter.effect_delay_s = EFFECT_S
+    leave(built, A)
+    return built
+
+
+def leave(world, name):
+    """Let a server report that it leaves."""
+    world.group.servers[name].leaving = True
+    world.list_servers()
+
+
+def record_earlier_request(world, server):
+    """Leave what a holder leaves that has died after it requested a promotion."""
+    world.coordination.promotions[database_group.SERVICE] = server
+    world.coordination.unfinished[database_group.SERVICE] = (
+        ports.UnfinishedChange.PROMOTION_REQUESTED
+    )
+
+
+def watch_leads(world, on_lead=lambda server: None):
+    """Return a list of the servers that begin to lead, which grows; ``on_lead`` is called first."""
+    leads = []
+    promote = world.group.promote
+
+    def note_and_promote(name):
+        term = world.group.term
+        done = promote(name)
+        if world.group.term != term:
+            leads.append(name)
+            on_lead(world.group.servers[name])
+        return done
+
+    world.group.promote = note_and_promote
+    return leads
+
+
+async def test_a_commit_that_waited_in_a_stopped_primary_is_not_lost_as_it_leads_again(world):
+    """The holder had promoted the primary, which changed nothing, and then stopped it."""
+
+    def run_what_waited(server):
+        if server.name == A:
+            world.group.commit(server, "waited")
+
+    watch_leads(world, run_what_waited)
+    assert await takeovers.take_over(world)
+    assert world.group.lost == []
+
+
+async def test_a_planned_change_makes_only_its_successor_lead(world):
+    leads = watch_leads(world)
+    assert await takeovers.take_over(world)
+    await asyncio.sleep(2 * EFFECT_S)
+    assert leads == [world.group.primary.name] and leads != [A]
+
+
+async def test_other_replicas_stay_paused_until_the_successor_leads(world):
+    changing = asyncio.create_task(takeovers.take_over(world))
+    while not takeovers.requested_successors(world):
+        await asyncio.sleep(0.005)
+    (successor,) = takeovers.requested_successors(world)
+    (other,) = {B, C} - {successor}
+    while world.group.primary is None or world.group.primary.name != successor:
+        assert world.group.servers[other].paused_term
+        await asyncio.sleep(0.005)
+    assert await changing
+
+
+async def test_requests_of_an_earlier_holder_are_settled_before_the_primary_is_stopped(world):
+    record_earlier_request(world, B)
+    leads = watch_leads(world)
+    assert await takeovers.take_over(world)
+    await asyncio.sleep(2 * EFFECT_S)
+    assert [server for server, _ in world.promoter.promotion_requests] == [A, B]
+    assert leads == [B] and world.group.lost == []
+
+
+async def test_an_attempt_whose_call_to_settle_earlier_requests_is_unanswered_stops_nothing(world):
+    record_earlier_request(world, B)
+    world.promoter.lose_answers = 1
+    assert not await takeovers.take_over(world)
+    assert world.group.primary.name == A
+    assert world.coordination.promotions[database_group.SERVICE] == B
+
+
+async def test_a_former_primary_that_leads_does_not_end_the_record_of_an_earlier_request(world):
+    """Commits went on at it, and the earlier request promoted a server without them."""
+    record_earlier_request(world, B)
+    world.group.step_down(world.group.servers[A], 2)
+    world.list_servers()
+    changing = asyncio.create_task(takeovers.take_over(world))
+    await asyncio.sleep(0.02)
+    world.group.promote(A)
+    await changing
+    assert world.group.primary.name != A or (
+        world.coordination.promotions.get(database_group.SERVICE) == B
+    )
+
+
+async def change_to(world, expected):
+    """Run a change of primary until a server leads."""
+    assert await takeovers.take_over(world, world.group.primary.name)
+    assert world.group.primary.name == expected
+
+
+async def test_an_unanswered_request_does_not_make_its_server_lead_again_after_a_later_change(
+    world,
+):
+    """The promotion is repeated, and the first request is executed during the next change."""
+    world.promoter.lose_answers, world.promoter.executes = 1, False
+    assert await takeovers.take_over(world)
+    first = world.group.primary.name
+    assert world.coordination.promotions[database_group.SERVICE] == first
+    takeovers_left = [first, *({B, C} - {first})]
+    # The next holder voids it while the server leads.
+    assert not await takeovers.take_over(world, first)
+    assert database_group.SERVICE not in world.coordination.promotions
+    leads = watch_leads(world)
+    leave(world, first)
+    changing = asyncio.create_task(takeovers.take_over(world, first))
+    while world.group.primary is not None:
+        await asyncio.sleep(0.005)
+    world.promoter.execute_delayed()
+    assert await changing
+    await asyncio.sleep(2 * EFFECT_S)
+    assert leads == [takeovers_left[1]]
+
+
+async def test_a_leader_whose_own_request_is_settled_keeps_taking_commits(world):
+    record_earlier_request(world, A)
+    settling = asyncio.create_task(takeovers.take_over(world))
+    await asyncio.sleep(0.1)
+    while not settling.done():
+        assert not any(each.paused_term for each in world.group.servers.values())
+        assert world.service.may_commit(world.service.servers[A])
+        await asyncio.sleep(0.01)
+    assert database_group.SERVICE not in world.coordination.promotions
+
+
+async def test_the_end_of_a_primary_is_read_after_all_instances_have_confirmed_the_hold(
+    monkeypatch, world
+):
+    """A commit that was under way may be appended until its instance has confirmed."""
+    started_s = clock.now_s()
+
+    def hold_commits(*args, **kwargs):
+        complete = clock.now_s() > started_s + 0.2
+        if complete and "late" not in [entry.data for entry in world.group.servers[A].log]:
+            late = database_group.LogEntry(term=1, data="late")
+            world.group.servers[A].log.append(late)
+            world.group.acknowledged.append("late")
+        return dataclasses.replace(world.coordination.hold_report, complete=complete)
+
+    monkeypatch.setattr(world.coordination, "hold_commits", hold_commits)
+    await takeovers.take_over(world)
+    assert world.group.lost == []
