A server that is about to be stopped is not promoted any more

Cause: before it stopped the primary, the holder requested its promotion, to void requests of earlier claims. The effect comes some hundred ms after the call: by then the primary was a replica, led again in the next term and ended all pauses, until the successor led. What it executed then was confirmed by any replica, and the successor's promotion had been proved with the end that was read before.

Without a record of an earlier holder there is nothing to void: the platform sees the higher token with the request for the successor. With one, the primary is promoted while it leads, the effect is awaited, and all servers are queried anew before anything is paused or stopped.

--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -72,6 +72,10 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self.decide_without_primary(primary, statuses)
+        if self._earlier_request_may_come and self.requested != leader:
+            if not await self.void_earlier_requests(leader):
+                return NOT_VOIDED
+            return await self._decide_once(primary, silent)
         # Its replicas may receive more of its log.
         if not await self.withdraw_final_ends():
             return end_of_commits.NOT_RECORDED
@@ -87,6 +91,12 @@
             )
         return await self._decide_handover(leader, statuses)
 
+    @property
+    def _earlier_request_may_come(self) -> bool:
+        """Whether a request of an earlier holder may be executed, or take effect, from now on."""
+        recorded = self.requested is not None and self.record is None
+        return recorded and not self.final_ends.allowed and not self.voided
+
     async def _query_known(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> server_commands.Statuses:
@@ -184,8 +194,6 @@
         statuses: server_commands.Statuses = {}
         if not await self.ensure_recorded(successor):
             return end_of_commits.NOT_RECORDED
-        if not await self.void_earlier_requests(primary):
-            return NOT_VOIDED
         self.ordered_to_stop = True
         while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
             if not self.holds_claim():
@@ -215,7 +223,10 @@
         return await self.decide_without_primary(primary, {})
 
     async def void_earlier_requests(self, primary: ids.ServerId) -> bool:
-        """Make the platform reject the requests of earlier claims; return whether it does now."""
+        """Make the platform reject the requests of earlier claims; return whether it does now.
+
+        Servers are to be queried anew after that.
+        """
         raise NotImplementedError
 
     def _refusing_to_leave(self) -> set[ids.ServerId]:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -161,18 +161,24 @@
     # Promoting
 
     async def void_earlier_requests(self, primary: ids.ServerId) -> bool:
-        """Promote the present primary, which changes nothing, under this claim's token.
+        """Promote the present primary under this claim's token, and wait until that is effective.
 
-        Only an answer tells that requests with lower tokens are rejected from now on. Without one
-        the request may be executed later, when it would promote a primary that was replaced; the
-        next claim's token voids it, too.
+        A server that leads at that time leads on. One that was stopped before would lead again, in
+        the next term, and end all pauses. Only an answer tells that requests with lower tokens are
+        rejected from now on; without one, the next claim's token voids this request, too.
         """
         while self.holds_claim():
             outcome = await self.promoter.promote(
                 service=self.target.name, server=primary, fencing_token=self.claim.fencing_token
             )
+            if outcome is ports.PromotionOutcome.ACCEPTED:
+                await asyncio.sleep(PROMOTION_DELAY_S)
+                self.voided = self.holds_claim()
+                if self.voided:
+                    self.requested_before = None
+                return self.voided
             if outcome is not ports.PromotionOutcome.LIMITED:
-                return outcome is ports.PromotionOutcome.ACCEPTED
+                return False
             await asyncio.sleep(claimed_attempt.POLL_S)
         return False
 
