The end of a primary is read after all instances have confirmed the hold

A commit that was under way as the primary stepped down could be appended after its end had been read, and be answered before its instance confirmed that it holds commits: the confirmations were looked at after the query. Now they are looked at first.

Evidence: the test lost a commit before, always, and passes now.

--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -198,6 +198,8 @@
         while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
             if not self.holds_claim():
                 break
+            # Before the end is read: a commit that was under way may be appended until then.
+            report = self.hold_commits()
             answers = await self.commands.step_down({primary}, self.term)
             orders_ignored += any(status.leads for status in answers.values())
             in_time = clock.now_s() - started_s < end_of_commits.SUCCESSOR_LAG_S
@@ -212,7 +214,7 @@
                     expected=self.confirming(),
                     paused={},
                     receiving={name: statuses[name] for name in proved & set(statuses)},
-                    report=self.hold_commits(),
+                    report=report,
                 )
                 if choice.verdict is not promotion.Verdict.WAIT:
                     return choice
