A leader that is found does not end the record of an earlier request

If an earlier holder's request was recorded and a server led, also the former primary, the attempt ended as done and removed the record. Commits went on then, and the earlier request could still promote a server without them. The record stays now, and the next holder settles it.

Evidence: the test failed before, always, and passes now.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -85,7 +85,8 @@
                 done = True
         finally:
             if done:
-                self.requested = self.recorded_end = None
+                self.requested = self._left_to_settle(choice)
+                self.recorded_end = None
                 # A promotion ends all pauses.
                 self.may_be_paused = set()
             elif not self.request_sent and not self.final_ends.known:
@@ -102,6 +103,16 @@
         )
         return done
 
+    def _left_to_settle(self, choice: promotion.Choice) -> ids.ServerId | None:
+        """Return the server whose promotion stays recorded although another leads; None without.
+
+        Its request may still be executed, and would make that server lead after it was replaced.
+        The next holder voids it while nothing else changes.
+        """
+        if choice.verdict is promotion.Verdict.ALREADY_LED:
+            return self.requested_before
+        return None
+
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
         self.may_be_paused = self.confirming()
