A promotion whose request stayed unanswered is recorded until it is void

A request without an answer is repeated, and may be executed seconds later, under the same token. If it came while its server was being replaced, the server led again and ended all pauses. The record stays after such a change: commits go on, and the next holder voids the request under a higher token before anything else changes.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -43,6 +43,8 @@
         """The server whose promotion an earlier holder recorded; None without one."""
         self.request_sent = False
         """Whether this holder has requested a promotion."""
+        self.request_unanswered = False
+        """Whether a request of this holder got no answer, so that it may be executed later."""
 
     async def run(self, primary: ids.ServerId | None, *, silent: bool = False) -> bool:
         """Replace a primary; returns whether another server leads.
@@ -111,7 +113,7 @@
         """
         if choice.verdict is promotion.Verdict.ALREADY_LED:
             return self.requested_before
-        return None
+        return choice.server if self.request_unanswered else None
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
@@ -217,6 +219,7 @@
         outcome = await self.promoter.promote(
             service=self.target.name, server=server, fencing_token=self.claim.fencing_token
         )
+        self.request_unanswered |= outcome is ports.PromotionOutcome.UNKNOWN
         events.log(
             events.Event.PROMOTION_ORDERED,
             service=self.target.name,
@@ -244,8 +247,12 @@
                 return
             if outcome is ports.PromotionOutcome.ACCEPTED:
                 await asyncio.sleep(PROMOTION_DELAY_S)
-                if self.holds_claim() and await self._leads(primary):
+                if not self.holds_claim() or not await self._leads(primary):
+                    return
+                if not self.request_unanswered:
                     self.requested = None
+                elif self.requested != primary:
+                    await self._record(primary)
                 return
             await asyncio.sleep(claimed_attempt.POLL_S)
 
