Replicas are not paused while the request for the leader itself is settled

Writes of a healthy service stood still for 1.5 s if the recorded promotion was that of its leader. No other server can be promoted then, so nothing has to be paused.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -79,6 +79,8 @@
             if choice.verdict is promotion.Verdict.PROMOTE:
                 async with self._kept_paused(choice.server, primary=primary):
                     done = await self._promote(choice.server)
+            elif choice.verdict is promotion.Verdict.KEEP and choice.server == self.requested:
+                await self._keep(choice.server)
             elif choice.verdict is promotion.Verdict.KEEP:
                 async with self._kept_paused(choice.server):
                     await self._keep(choice.server)
@@ -231,15 +233,17 @@
         return outcome
 
     async def _keep(self, primary: ids.ServerId) -> None:
-        """Void an earlier request to promote another server, under a higher token.
+        """Void an earlier request to promote a server, under a higher token.
 
         A promotion of the present primary changes nothing. A request that was accepted before may
-        take effect a little later, until which the record stays. No commits are made meanwhile: the
-        server of the earlier request would lack them.
+        take effect a little later, until which the record stays. No commits are made meanwhile
+        unless the earlier request is for the primary itself: another server would lack them.
         """
         if not await self.ensure_recorded(self.requested):
             return
-        while self.holds_claim() and not self.hold_commits().complete:
+        while primary != self.requested and self.holds_claim():
+            if self.hold_commits().complete:
+                break
             await asyncio.sleep(claimed_attempt.POLL_S)
         while self.holds_claim():
             outcome = await self._request(primary)
