A failover awaits what an earlier holder's request for the primary may still do

If an earlier holder had promoted the present primary, to void a request, and died, the next one that did not reach the primary had it stopped by other instances, read its end, and requested a successor. The earlier promotion took effect then: the primary led again, and executed what waited in it. Now its promotion is requested under the new claim first, and the effect awaited, beside the wait for the hold; a primary that the platform says does not run is not waited for.

--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -15,6 +15,7 @@
     errors,
     listing_wait,
     ports,
+    server,
     server_commands,
     stop_orders,
 )
@@ -33,6 +34,9 @@
 NOT_LISTED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the store did not list the servers and instances"
 )
+NOT_VOIDED = promotion.Choice(
+    verdict=promotion.Verdict.WAIT, reason="requests of earlier claims may be executed"
+)
 STARTED_ANEW = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the primary has started anew; its end is not known"
 )
@@ -112,6 +116,7 @@
         """
         if not await self._read_list():
             return NOT_LISTED
+        settles = self.earlier_request_may_come
         likely = self.requested
         if likely is None or (self._record_is_free and likely in self._leaving()):
             staying = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
@@ -124,6 +129,12 @@
             return NOT_RECORDED
         if not await self._refresh(self.coordination.refresh_instances()):
             return NOT_LISTED
+        former = self._former(primary)
+        if settles and former is not None and former.server not in statuses:
+            self.hold_commits()
+            outcome = await self.void_earlier_requests(former.server)
+            if outcome not in (ports.PromotionOutcome.ACCEPTED, ports.PromotionOutcome.REJECTED):
+                return NOT_VOIDED
         order = self._order_to_stop(primary, statuses)
         sending = asyncio.create_task(order.run()) if order is not None else None
         try:
@@ -132,6 +143,27 @@
             if sending is not None:
                 await tasks.cancel_and_wait([sending])
 
+    def _former(self, primary: ids.ServerId | None) -> server.Server | None:
+        """Return the primary; the last one that led if its entry is gone, None without one."""
+        unlisted = self.target.former_primary
+        if primary is None and unlisted is not None:
+            primary = unlisted.server
+        return self.target.known_servers().get(primary)
+
+    async def void_earlier_requests(self, primary: ids.ServerId) -> ports.PromotionOutcome:
+        """Make the platform reject the requests of earlier claims, and wait for earlier effects.
+
+        Returns ACCEPTED if it does now, and REJECTED if the primary does not run, or another
+        claim's token is higher. Servers are to be queried anew after that.
+        """
+        raise NotImplementedError
+
+    @property
+    def earlier_request_may_come(self) -> bool:
+        """Whether a request of an earlier holder may be executed, or take effect, from now on."""
+        recorded = self.requested is not None and self.record is None
+        return recorded and not self.final_ends.allowed and not self.voided
+
     @property
     def _record_is_free(self) -> bool:
         """Whether the record is an earlier holder's, and its request was never sent."""
@@ -154,15 +186,9 @@
     def _order_to_stop(
         self, primary: ids.ServerId | None, statuses: server_commands.Statuses
     ) -> stop_orders.StopOrder | None:
-        """Return the order to a primary that has not answered; None without one.
-
-        A primary whose entry is gone is the last one that led.
-        """
-        unlisted = self.target.former_primary
-        if primary is None and unlisted is not None:
-            primary = unlisted.server
-        backend = self.target.known_servers().get(primary)
-        if primary in statuses or backend is None:
+        """Return the order to a primary that has not answered; None without one."""
+        backend = self._former(primary)
+        if backend is None or backend.server in statuses:
             return None
         self.ordered_to_stop = True
         return stop_orders.StopOrder(target=self.target, backend=backend, term=self.term)
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -13,7 +13,7 @@
 
 from mustardswitch import tasks
 from mustardswitch.internal import clock, ids, positions, promotion
-from mustardswitch.proxy import claimed_attempt, end_of_commits, server_commands
+from mustardswitch.proxy import claimed_attempt, end_of_commits, ports, server_commands
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the other servers to be paused, and for the primary to be stopped; a leaving primary
@@ -24,9 +24,6 @@
 """Time that a replica whose entry expired long ago gets to answer after the others; a new
 connection and a query between regions."""
 
-NOT_VOIDED = promotion.Choice(
-    verdict=promotion.Verdict.WAIT, reason="requests of earlier claims may be executed"
-)
 IGNORED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the primary runs and does not take the order to stop"
 )
@@ -72,9 +69,10 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self.decide_without_primary(primary, statuses)
-        if self._earlier_request_may_come and self.requested != leader:
-            if not await self.void_earlier_requests(leader):
-                return NOT_VOIDED
+        if self.earlier_request_may_come and self.requested != leader:
+            outcome = await self.void_earlier_requests(leader)
+            if outcome is not ports.PromotionOutcome.ACCEPTED:
+                return end_of_commits.NOT_VOIDED
             return await self._decide_once(primary, silent)
         # Its replicas may receive more of its log.
         if not await self.withdraw_final_ends():
@@ -91,12 +89,6 @@
             )
         return await self._decide_handover(leader, statuses)
 
-    @property
-    def _earlier_request_may_come(self) -> bool:
-        """Whether a request of an earlier holder may be executed, or take effect, from now on."""
-        recorded = self.requested is not None and self.record is None
-        return recorded and not self.final_ends.allowed and not self.voided
-
     async def _query_known(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> server_commands.Statuses:
@@ -224,13 +216,6 @@
             return IGNORED
         return await self.decide_without_primary(primary, {})
 
-    async def void_earlier_requests(self, primary: ids.ServerId) -> bool:
-        """Make the platform reject the requests of earlier claims; return whether it does now.
-
-        Servers are to be queried anew after that.
-        """
-        raise NotImplementedError
-
     def _refusing_to_leave(self) -> set[ids.ServerId]:
         """Return the leaving servers that run, but refuse to answer, for example as overloaded."""
         return self.commands.refusing & self._leaving()
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -175,27 +175,27 @@
 
     # Promoting
 
-    async def void_earlier_requests(self, primary: ids.ServerId) -> bool:
+    async def void_earlier_requests(self, primary: ids.ServerId) -> ports.PromotionOutcome:
         """Promote the present primary under this claim's token, and wait until that is effective.
 
         A server that leads at that time leads on. One that was stopped before would lead again, in
-        the next term, and end all pauses. Only an answer tells that requests with lower tokens are
-        rejected from now on; without one, the next claim's token voids this request, too.
+        the next term, and end all pauses. Only if that is accepted, requests with lower tokens are
+        rejected from now on; without an answer, the next claim's token voids this request, too.
         """
-        while self.holds_claim():
+        outcome = ports.PromotionOutcome.LIMITED
+        while outcome is ports.PromotionOutcome.LIMITED and self.holds_claim():
             outcome = await self.promoter.promote(
                 service=self.target.name, server=primary, fencing_token=self.claim.fencing_token
             )
-            if outcome is ports.PromotionOutcome.ACCEPTED:
-                await asyncio.sleep(PROMOTION_DELAY_S)
-                self.voided = self.holds_claim()
-                if self.voided:
-                    self.requested_before = None
-                return self.voided
-            if outcome is not ports.PromotionOutcome.LIMITED:
-                return False
-            await asyncio.sleep(claimed_attempt.POLL_S)
-        return False
+            if outcome is ports.PromotionOutcome.LIMITED:
+                await asyncio.sleep(claimed_attempt.POLL_S)
+        if outcome is ports.PromotionOutcome.ACCEPTED:
+            await asyncio.sleep(PROMOTION_DELAY_S)
+            if not self.holds_claim():
+                return ports.PromotionOutcome.UNKNOWN
+            self.voided = True
+            self.requested_before = None
+        return outcome
 
     async def _promote(self, successor: ids.ServerId) -> bool:
         """Request a promotion that is recorded; returns whether the successor leads.
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -98,6 +98,21 @@
     assert leads == [B] and world.group.lost == []
 
 
+async def test_an_earlier_promotion_of_a_primary_that_answers_only_orders_is_awaited(world):
+    """The holder does not reach the primary, which another order stops; it led again then."""
+
+    def run_what_waited(server):
+        if server.name == A:
+            world.group.commit(server, "waited")
+
+    record_earlier_request(world, B)
+    watch_leads(world, run_what_waited)
+    assert world.group.request_promotion(A, EFFECT_S)
+    assert await takeovers.take_over(world, silent=True)
+    await asyncio.sleep(2 * EFFECT_S)
+    assert world.group.lost == []
+
+
 async def test_an_attempt_whose_call_to_settle_earlier_requests_is_unanswered_stops_nothing(world):
     record_earlier_request(world, B)
     world.promoter.lose_answers = 1
