Nobody takes commits while the promotion of a kept primary may take effect

To void the request of an earlier holder, the present primary is promoted under a higher token. If that request had been accepted just before, its server led first, instances sent it commits, as the record named it, and then the promotion of the former primary took effect and rolled them back.

A server whose promotion is recorded, and that answers, is promoted without any void again: its earlier requests can only make it lead, and it lacks nothing. Where the primary is kept, the record names no server until both effects are over, so that no instance sends commits. A next holder that finds such a record, or one of the former primary itself, awaits what may come before it has the primary stopped.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -175,6 +175,26 @@
     return above is not None and status.received <= above
 
 
+KEPT_PREFIX = "kept "
+"""Beginning of what a record holds instead of a server; no server's name has a blank."""
+
+
+def keeping(primary: ids.ServerId) -> ids.ServerId:
+    """Return what is recorded while the promotion of the present primary may take effect.
+
+    It names no server, so that no commits are sent to any: the primary may be replaced by an
+    earlier request, and may lead again after that.
+    """
+    return ids.ServerId(f"{KEPT_PREFIX}{primary}")
+
+
+def kept_primary(recorded: ids.ServerId | None) -> ids.ServerId | None:
+    """Return the present primary whose promotion may take effect; None without one."""
+    if recorded is None or not recorded.startswith(KEPT_PREFIX):
+        return None
+    return ids.ServerId(recorded.removeprefix(KEPT_PREFIX))
+
+
 def may_take_commits(leader: ids.ServerId, *, requested: ids.ServerId | None) -> bool:
     """Return whether commits may be sent to the primary that leads now.
 
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -63,8 +63,6 @@
         """End of a silent primary that has answered another order as a replica; None without."""
         self.ordered_to_stop = False
         """Whether a primary was ordered to stop under ``term``."""
-        self.voided = False
-        """Whether no request of an earlier claim can take effect any more."""
         self.ignores_acknowledged = False
         """Whether commits that no known server has are given up."""
         self.list_read_at_s = float("-inf")
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -116,8 +116,10 @@
         """
         if not await self._read_list():
             return NOT_LISTED
-        settles = self.earlier_request_may_come
-        likely = self.requested
+        if not await self._await_earlier_effect(primary, statuses):
+            return NOT_VOIDED
+        kept = promotion.kept_primary(self.requested)
+        likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
             staying = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
             likely = staying or likely or next(iter(sorted(statuses)), None)
@@ -129,12 +131,6 @@
             return NOT_RECORDED
         if not await self._refresh(self.coordination.refresh_instances()):
             return NOT_LISTED
-        former = self._former(primary)
-        if settles and former is not None and former.server not in statuses:
-            self.hold_commits()
-            outcome = await self.void_earlier_requests(former.server)
-            if outcome not in (ports.PromotionOutcome.ACCEPTED, ports.PromotionOutcome.REJECTED):
-                return NOT_VOIDED
         order = self._order_to_stop(primary, statuses)
         sending = asyncio.create_task(order.run()) if order is not None else None
         try:
@@ -158,11 +154,26 @@
         """
         raise NotImplementedError
 
-    @property
-    def earlier_request_may_come(self) -> bool:
-        """Whether a request of an earlier holder may be executed, or take effect, from now on."""
-        recorded = self.requested is not None and self.record is None
-        return recorded and not self.final_ends.allowed and not self.voided
+    async def _await_earlier_effect(
+        self, primary: ids.ServerId | None, statuses: server_commands.Statuses
+    ) -> bool:
+        """Wait until no earlier request makes the former primary lead again; False if one may.
+
+        That is the one whose promotion an earlier holder has recorded or requested. Commits are
+        held meanwhile, also to a server that another request makes lead.
+        """
+        if self.record is not None or self.final_ends.allowed:
+            return True
+        kept, former = promotion.kept_primary(self.requested), self._former(primary)
+        if former is not None and former.server == self.requested:
+            kept = None if former.server in statuses else former.server
+        if kept is None:
+            return True
+        if not await self._record(self.requested):
+            return False
+        self.hold_commits()
+        outcome = await self.void_earlier_requests(kept)
+        return outcome in (ports.PromotionOutcome.ACCEPTED, ports.PromotionOutcome.REJECTED)
 
     @property
     def _record_is_free(self) -> bool:
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -13,7 +13,7 @@
 
 from mustardswitch import tasks
 from mustardswitch.internal import clock, ids, positions, promotion
-from mustardswitch.proxy import claimed_attempt, end_of_commits, ports, server_commands
+from mustardswitch.proxy import claimed_attempt, end_of_commits, server_commands
 
 HANDOVER_TIMEOUT_S = 2.5
 """Time for the other servers to be paused, and for the primary to be stopped; a leaving primary
@@ -69,11 +69,6 @@
         leader = promotion.leading_server(statuses, known=primary, requested=self.requested)
         if leader is None:
             return await self.decide_without_primary(primary, statuses)
-        if self.earlier_request_may_come and self.requested != leader:
-            outcome = await self.void_earlier_requests(leader)
-            if outcome is not ports.PromotionOutcome.ACCEPTED:
-                return end_of_commits.NOT_VOIDED
-            return await self._decide_once(primary, silent)
         # Its replicas may receive more of its log.
         if not await self.withdraw_final_ends():
             return end_of_commits.NOT_RECORDED
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -191,11 +191,7 @@
                 await asyncio.sleep(claimed_attempt.POLL_S)
         if outcome is ports.PromotionOutcome.ACCEPTED:
             await asyncio.sleep(PROMOTION_DELAY_S)
-            if not self.holds_claim():
-                return ports.PromotionOutcome.UNKNOWN
-            self.voided = True
-            self.requested_before = None
-        return outcome
+        return outcome if self.holds_claim() else ports.PromotionOutcome.UNKNOWN
 
     async def _promote(self, successor: ids.ServerId) -> bool:
         """Request a promotion that is recorded; returns whether the successor leads.
@@ -233,18 +229,23 @@
         return outcome
 
     async def _keep(self, primary: ids.ServerId) -> None:
-        """Void an earlier request to promote a server, under a higher token.
+        """Void earlier requests, under a higher token, while the primary leads on.
 
-        A promotion of the present primary changes nothing. A request that was accepted before may
-        take effect a little later, until which the record stays. No commits are made meanwhile
-        unless the earlier request is for the primary itself: another server would lack them.
+        A promotion of the present primary changes nothing, unless an earlier request, which was
+        accepted before, takes effect a little later: then the primary leads again. Until both are
+        over nobody may take commits. If the earlier request is for the primary itself, no other
+        server can lead.
         """
-        if not await self.ensure_recorded(self.requested):
+        recorded = primary if primary == self.requested else promotion.keeping(primary)
+        if not await self.ensure_recorded(recorded):
             return
-        while primary != self.requested and self.holds_claim():
+        while recorded != primary and self.holds_claim():
             if self.hold_commits().complete:
                 break
             await asyncio.sleep(claimed_attempt.POLL_S)
+        # Another server may have led until commits were held.
+        if not await self._leads(primary):
+            return
         while self.holds_claim():
             outcome = await self._request(primary)
             if outcome is ports.PromotionOutcome.REJECTED:
