A primary is ordered to stop once commits are held, for each record anew

In a failover, the end that a primary had told any instance counted although commits were not held yet, and was not read again. If the primary crashed after that answer and came back as the primary, instances went on with commits beyond that end until they had confirmed the hold.

The order is sent once all instances have confirmed; the result of an order belongs to the revision of the record that it came with.

--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -132,12 +132,14 @@
         if not await self._refresh(self.coordination.refresh_instances()):
             return NOT_LISTED
         order = self._order_to_stop(primary, statuses)
-        sending = asyncio.create_task(order.run()) if order is not None else None
+        if order is not None and self.stopped_end is not None:
+            # It is read again after commits are held; the primary may have led again until then.
+            order.led_newest, self.stopped_end = True, None
+        sending: list[asyncio.Task[None]] = []
         try:
-            return await self._end_commits(primary, statuses, order)
+            return await self._end_commits(primary, statuses, order, sending)
         finally:
-            if sending is not None:
-                await tasks.cancel_and_wait([sending])
+            await tasks.cancel_and_wait(sending)
 
     def _former(self, primary: ids.ServerId | None) -> server.Server | None:
         """Return the primary; the last one that led if its entry is gone, None without one."""
@@ -228,16 +230,17 @@
         primary: ids.ServerId | None,
         statuses: server_commands.Statuses,
         order: stop_orders.StopOrder | None,
+        sending: list[asyncio.Task[None]],
     ) -> promotion.Choice:
         """Wait until a choice is proved: the primary has stopped, or its process has ended.
 
-        The likely successor receives until then, and all others are paused.
+        The likely successor receives until then, and all others are paused. The order is sent once
+        commits are held: a primary that crashes after an earlier answer may lead again, and take
+        commits beyond its end. ``sending`` receives the task.
         """
         # One that the list, read anew, names as a replica may confirm commits of its successor.
         spared = {primary} - set(statuses) if self._is_listed_primary(primary) else set()
         stop = None
-        if order is not None:
-            stop = ports.StopRequest(server=order.backend.server, term=self.term)
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
         reported_at_s = clock.now_s()
@@ -246,6 +249,9 @@
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
                 held_since_s = clock.now_s()
+                if order is not None:
+                    stop = ports.StopRequest(server=order.backend.server, term=self.term)
+                    sending.append(asyncio.create_task(order.run()))
             if order is not None and self.stopped_end is None:
                 if not self.note_stopped_by_any(order, report):
                     return STARTED_ANEW
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -139,10 +139,11 @@
             known = self.primary_reports.get(told.order)
             if known is not None:
                 known[update.instance] = told.report, clock.now_s()
+        recorded = {each.service: each.revision for each in update.promotions}
         reports = [
             report
             for order in update.stop_orders
-            if (report := self._report_primary(order)) is not None
+            if (report := self._report_primary(order, recorded.get(order.service, 0))) is not None
         ]
         if reports or (confirmed and not update.stale):
             update_back = datagrams.PeerUpdate(
@@ -154,8 +155,11 @@
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
             self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
 
-    def _report_primary(self, order: datagrams.StopOrder) -> datagrams.PrimaryReport | None:
-        return self.stop_orders.receive(order, self.directory.services.get(order.service))
+    def _report_primary(
+        self, order: datagrams.StopOrder, revision: int
+    ) -> datagrams.PrimaryReport | None:
+        target = self.directory.services.get(order.service)
+        return self.stop_orders.receive(order, target, revision=revision)
 
     def _hold(self, promoted: datagrams.RecordedPromotion) -> datagrams.HeldCommits | None:
         """Hold commits back for a promotion; None if some are still under way."""
--- a/src/mustardswitch/proxy/stop_orders.py
+++ b/src/mustardswitch/proxy/stop_orders.py
@@ -160,38 +160,49 @@
             )
 
 
+Asked = tuple[int, datagrams.StopOrder]
+"""The revision of the record for which a holder asks for an order, and the order. What the primary
+has answered for an earlier record may not hold any more."""
+
+
 class StopOrders:
     """The orders that this instance sends for others that hold claims."""
 
     def __init__(self) -> None:
-        self.running: dict[datagrams.StopOrder, tuple[StopOrder, asyncio.Task[None]]] = {}
-        self.asked_at_s: dict[datagrams.StopOrder, float] = {}
+        self.running: dict[Asked, tuple[StopOrder, asyncio.Task[None]]] = {}
+        self.asked_at_s: dict[Asked, float] = {}
 
     def __repr__(self) -> str:
         return f"StopOrders(running={list(self.running)!r})"
 
     def receive(
-        self, order: datagrams.StopOrder, target: service.Service | None
+        self,
+        order: datagrams.StopOrder,
+        target: service.Service | None,
+        *,
+        revision: int,
     ) -> datagrams.PrimaryReport | None:
         """Send an order, unless that is being done, and return what is known of the primary.
 
-        An instance without connections to the service sends its statements through others, and
-        sends no order. Returns None if nothing is known of the primary.
+        ``revision`` is that of the record for which it is asked. An instance without connections
+        to the service sends its statements through others, and sends no order. Returns None if
+        nothing is known of the primary.
         """
         backend = target.known_servers().get(order.server) if target is not None else None
         if backend is None:
             return None
         if not target.holds_connections:
             return datagrams.PrimaryReport(order=order, report=report_contacts(backend))
-        self.asked_at_s[order] = clock.now_s()
-        if order not in self.running:
+        asked = revision, order
+        self.asked_at_s[asked] = clock.now_s()
+        if asked not in self.running:
             sending = StopOrder(target=target, backend=backend, term=order.term)
-            self.running[order] = sending, target.start(sending.run())
-        return datagrams.PrimaryReport(order=order, report=self.running[order][0].report())
+            self.running[asked] = sending, target.start(sending.run())
+        return datagrams.PrimaryReport(order=order, report=self.running[asked][0].report())
 
     def expire(self) -> None:
         """End the orders that are not repeated any more; must be called at short intervals."""
         oldest_s = clock.now_s() - ORDER_TTL_S
-        for order in [each for each, at_s in self.asked_at_s.items() if at_s < oldest_s]:
-            del self.asked_at_s[order]
-            self.running.pop(order)[1].cancel()
+        for asked in [each for each, at_s in self.asked_at_s.items() if at_s < oldest_s]:
+            del self.asked_at_s[asked]
+            self.running.pop(asked)[1].cancel()
--- a/tests/proxy/test_stop_orders.py
+++ b/tests/proxy/test_stop_orders.py
@@ -24,6 +24,7 @@
 )
 
 Order, Role = former_primary.Order, promotion.Role
+REVISION = 7
 
 
 @pytest.fixture(autouse=True)
@@ -248,14 +249,14 @@
 async def test_an_order_of_another_instance_ends_when_it_is_not_repeated(monkeypatch):
     world, orders = peer_world.World(monkeypatch), stop_orders.StopOrders()
     world.group.servers[A].silent = True
-    orders.receive(ORDER, world.service)
-    _, task = orders.running[ORDER]
+    orders.receive(ORDER, world.service, revision=REVISION)
+    _, task = orders.running[REVISION, ORDER]
     for _ in range(3):
         world.now_s += stop_orders.ORDER_TTL_S - 0.01
         orders.expire()
-        orders.receive(ORDER, world.service)
+        orders.receive(ORDER, world.service, revision=REVISION)
         await asyncio.sleep(0)
-    assert orders.running[ORDER][1] is task and not task.done()
+    assert orders.running[REVISION, ORDER][1] is task and not task.done()
     world.now_s += stop_orders.ORDER_TTL_S + 0.01
     orders.expire()
     await asyncio.gather(task, return_exceptions=True)
@@ -264,22 +265,37 @@
 
 async def test_a_repeated_order_tells_its_result(world):
     orders = stop_orders.StopOrders()
-    assert orders.receive(ORDER, world.service).report.order is Order.PENDING
+    assert orders.receive(ORDER, world.service, revision=REVISION).report.order is Order.PENDING
     await world.settle()
-    told = orders.receive(ORDER, world.service)
+    told = orders.receive(ORDER, world.service, revision=REVISION)
     assert told.order == ORDER and told.report.order is Order.STOPPED
 
 
+async def test_an_order_for_a_later_record_is_sent_anew(world):
+    """A primary that was stopped for the earlier one may have led again, and has a later end."""
+    orders = stop_orders.StopOrders()
+    orders.receive(ORDER, world.service, revision=REVISION)
+    await world.settle()
+    world.group.servers[A].role = Role.PRIMARY
+    world.group.commit(world.group.servers[A], "later")
+    told = orders.receive(ORDER, world.service, revision=REVISION + 1)
+    assert told.report.order is Order.PENDING
+    await world.settle()
+    told = orders.receive(ORDER, world.service, revision=REVISION + 1)
+    assert told.report.end == world.group.servers[A].position
+    assert world.group.servers[A].role is Role.REPLICA
+
+
 async def test_signs_of_a_primary_that_is_listed_again_are_reported(monkeypatch):
     world, orders = peer_world.World(monkeypatch), stop_orders.StopOrders()
     world.group.servers[A].silent = True
-    orders.receive(ORDER, world.service)
+    orders.receive(ORDER, world.service, revision=REVISION)
     world.directory.servers.remove(A, world.now_s)
     world.directory.refresh()
     world.list_servers()
     world.now_s += 1.0
     world.service.servers[A].contacts.note(server_contact.Sign.ANSWERED)
-    told = orders.receive(ORDER, world.service)
+    told = orders.receive(ORDER, world.service, revision=REVISION)
     for _, task in orders.running.values():
         task.cancel()
     assert told.report.answered_s == 0.0
@@ -291,7 +307,7 @@
     world.now_s += 1.0
     world.service.servers[A].contacts.note(server_contact.Sign.ANSWERED)
     world.now_s += 2.0
-    told = orders.receive(ORDER, world.service)
+    told = orders.receive(ORDER, world.service, revision=REVISION)
     report = former_primary.Report(answered_s=2.0, connected_s=2.0)
     assert told == datagrams.PrimaryReport(order=ORDER, report=report)
     assert not orders.running and not orders.asked_at_s
@@ -302,5 +318,7 @@
     orders, order = stop_orders.StopOrders(), ORDER
     if knows_service:
         order = dataclasses.replace(ORDER, server=ids.ServerId("x"))
-    assert orders.receive(order, world.service if knows_service else None) is None
+    assert (
+        orders.receive(order, world.service if knows_service else None, revision=REVISION) is None
+    )
     assert not orders.running and not orders.asked_at_s
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -225,3 +225,26 @@
     monkeypatch.setattr(world.coordination, "hold_commits", hold_commits)
     await takeovers.take_over(world)
     assert world.group.lost == []
+
+
+async def test_a_primary_that_crashes_after_its_stop_and_returns_before_the_hold_is_stopped_again(
+    monkeypatch, world
+):
+    """Its end was not read again, and commits went on beyond it until the hold was confirmed."""
+    complete = False
+
+    def hold_commits(*args, **kwargs):
+        return dataclasses.replace(world.coordination.hold_report, complete=complete)
+
+    monkeypatch.setattr(world.coordination, "hold_commits", hold_commits)
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(0.2)
+    former = world.group.servers[A]
+    former.starts += 1
+    former.role = promotion.Role.PRIMARY
+    # A server that nobody knows yet has confirmed it.
+    former.log.append(database_group.LogEntry(term=1, data="later"))
+    world.group.acknowledged.append("later")
+    complete = True
+    await changing
+    assert world.group.lost == []
