A promotion stays recorded while an earlier request for its server may be effective

The next holder went on as if nothing could come any more, although an earlier holder had requested the same promotion, or a stopped primary that was promoted itself had led again before, as after a crash. The record is kept until a later claim has awaited the effect.

--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -89,7 +89,7 @@
                 done = True
         finally:
             if done:
-                self.requested = self._left_to_settle(choice)
+                self.requested = self._left_to_settle(choice, primary)
                 self.recorded_end = None
                 # A promotion ends all pauses.
                 self.may_be_paused = set()
@@ -107,15 +107,19 @@
         )
         return done
 
-    def _left_to_settle(self, choice: promotion.Choice) -> ids.ServerId | None:
+    def _left_to_settle(
+        self, choice: promotion.Choice, primary: ids.ServerId | None
+    ) -> ids.ServerId | None:
         """Return the server whose promotion stays recorded although another leads; None without.
 
-        Its request may still be executed, and would make that server lead after it was replaced.
-        The next holder voids it while nothing else changes.
+        A request for it may still be executed, or take effect, and would make it lead after it was
+        replaced: one without an answer, one of an earlier holder, or that of a primary which was
+        stopped and has led again before. The next holder voids it while nothing else changes.
         """
         if choice.verdict is promotion.Verdict.ALREADY_LED:
             return self.requested_before
-        return choice.server if self.request_unanswered else None
+        may_come = self.request_unanswered or self.requested_before is not None
+        return choice.server if may_come or choice.server == primary else None
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
