Stand-ins: a statement that runs as a primary steps down completes there

So a statement that began at the primary may complete, get the next number, and be acknowledged once a replica has received it, although the answer to STEPDOWN showed a shorter log.

The group has a switch for it, which is on in full runs (Size.completes_running). What waits for a slot gets READONLY unless Size.completes_queued is set. What still runs as another server leads does not complete.

--- a/src/mustardswitch_standins/full_run/figures.py
+++ b/src/mustardswitch_standins/full_run/figures.py
@@ -89,6 +89,10 @@
     rate: float
     sessions: int
     """Limit on the open sessions of each zone."""
+    completes_running: bool = True
+    """Whether a statement in a slot of a primary that steps down completes there."""
+    completes_queued: bool = False
+    """Whether one that waits for a slot of it does as well; needs ``completes_running``."""
     runs_closed: bool = False
     """Whether servers run a received statement although its connection was closed meanwhile."""
 
--- a/src/mustardswitch_standins/full_run/measured_group.py
+++ b/src/mustardswitch_standins/full_run/measured_group.py
@@ -41,6 +41,7 @@
         super().__init__(zones=figures.SERVER_ZONES, link_delay_s=self._draw_delay_s)
         self.service = service
         self.size = size
+        self.completes_running = size.completes_running
         self.source = source
         self.lag_factors: dict[ids.ServerId, float] = {}
         """Factor of the replication delay of each lagging server."""
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -110,6 +110,46 @@
     assert group.leader is group.primary
 
 
+@pytest.mark.parametrize(
+    "completes_running, completes_queued, written",
+    [(True, True, ["w1", "w2"]), (True, False, ["w1"]), (False, False, [])],
+)
+async def test_a_stopped_primary_completes_what_occupies_a_slot_and_what_waits_if_set(
+    completes_running, completes_queued, written
+):
+    """One write runs and another waits as the primary steps down; a third comes later."""
+    size = dataclasses.replace(
+        figures.SIZES["small"],
+        slots=1,
+        completes_running=completes_running,
+        completes_queued=completes_queued,
+    )
+    group = measured_group.MeasuredGroup(service="service-0", size=size, source=random.Random(SEED))
+    databases = busy_databases.BusyDatabases(group=group, size=size, source=random.Random(SEED))
+    databases._draw_work_s = lambda text: 0.05
+    primary = group.leader
+    databases.slots[primary.name] = busy_databases.Slots(size=size)
+
+    async def write(request):
+        link = database_group.FakeLink(group=group, server=primary)
+        incoming = busy_databases.Incoming(reader=asyncio.StreamReader())
+        return await databases._answer_in_slot(
+            primary, link, {}, request, "WRITE item data", incoming
+        )
+
+    writing = [asyncio.create_task(write(request)) for request in ("w1", "w2")]
+    await asyncio.sleep(0.02)
+    group.step_down(primary, 2)
+    answers = [*await asyncio.gather(*writing), await write("w3")]
+    assert [each.data for each in primary.log] == group.acknowledged == written
+    refused = [b"ERROR READONLY" in answer for answer in answers]
+    assert refused == [request not in written for request in ("w1", "w2", "w3")]
+
+
+def test_a_stopped_primary_of_a_full_run_completes_what_occupies_a_slot():
+    assert all(size.completes_running for size in figures.SIZES.values())
+
+
 async def test_a_small_release_day_runs_and_loses_no_commit(tmp_path):
     size = figures.SIZES["small"]
     size = dataclasses.replace(size, instances=3, services=1, rate=60.0)
--- a/tests/platform/test_replication.py
+++ b/tests/platform/test_replication.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardswitch.internal import ids, promotion
+from mustardswitch.proxy import ports, requests
 from mustardswitch_standins import (
     database_group,
     http_store,
@@ -95,6 +96,74 @@
     assert group.primary is None and _data(group.servers[C]) == ["x"]
 
 
+STATEMENT_S = 0.1
+WRITE = requests.Plain(access=requests.Access.WRITE, arguments="item data")
+
+
+async def _open_link(group: database_group.Group) -> database_group.FakeLink:
+    entry = next(entry for entry in group.entries() if entry.server == A)
+    return await group.open_link(entry)
+
+
+async def _run_as_the_primary_steps_down(
+    group: database_group.Group, command: ports.Command, link: database_group.FakeLink
+) -> asyncio.Task[requests.Answer]:
+    """Let a command run at server A for ``STATEMENT_S``, at half of which A steps down."""
+    group.servers[A].answer_delay_s = STATEMENT_S
+    link.send(command, ids.RequestId("x"))
+    running = asyncio.create_task(link.receive(1.0))
+    await asyncio.sleep(STATEMENT_S / 2)
+    group.step_down(group.servers[A], 2)
+    return running
+
+
+@pytest.mark.parametrize("completes", [True, False])
+@pytest.mark.parametrize("base", [True, False], ids=["at once", "replicated"])
+async def test_a_write_that_runs_as_a_primary_steps_down_gets_the_next_number_if_it_completes(
+    group, completes, base
+):
+    group = database_group.Group() if base else group
+    group.completes_running = completes
+    assert await _write(group, "w")
+    link = await _open_link(group)
+    answer = await (await _run_as_the_primary_steps_down(group, WRITE, link))
+    assert group.servers[A].role is promotion.Role.REPLICA
+    assert answer.succeeded is completes
+    assert answer.refusal is (None if completes else requests.Refusal.READ_ONLY)
+    written = ["w", "x"] if completes else ["w"]
+    assert _data(group.servers[A]) == _data(group.servers[B]) == group.acknowledged == written
+
+
+@pytest.mark.parametrize("completes", [True, False])
+async def test_a_commit_that_runs_as_a_primary_steps_down_may_complete(group, completes):
+    group.completes_running = completes
+    link = await _open_link(group)
+    for command in (ports.BeginAt(read_only=False), WRITE):
+        link.send(command, ids.RequestId("x"))
+        assert (await link.receive(1.0)).succeeded
+    answer = await (await _run_as_the_primary_steps_down(group, requests.Commit(), link))
+    assert answer.succeeded is completes
+    assert group.acknowledged == (["x"] if completes else [])
+
+
+async def test_a_write_that_begins_at_a_stopped_primary_does_not_run(group):
+    group.completes_running = True
+    group.step_down(group.servers[A], 2)
+    link = await _open_link(group)
+    link.send(WRITE, ids.RequestId("x"))
+    assert (await link.receive(1.0)).refusal is requests.Refusal.READ_ONLY
+    assert _data(group.servers[A]) == []
+
+
+async def test_a_write_that_still_runs_as_another_server_leads_does_not_complete(group):
+    group.completes_running = True
+    link = await _open_link(group)
+    running = await _run_as_the_primary_steps_down(group, WRITE, link)
+    group.promote(B)
+    assert (await running).refusal is requests.Refusal.READ_ONLY
+    assert _data(group.servers[A]) == []
+
+
 async def test_no_server_confirms_a_commit_after_another_leads(group):
     group.servers[B].paused_term = 7
     writing = asyncio.create_task(group.confirm(group.primary, ["x"], 0.3))
