Full runs: the time of a promotion's effect is drawn for each call

It is drawn between 0.2 and 1.0 s now, from a source of its own, so that the effect of the later call may come first.

--- a/src/mustardswitch_standins/full_run/figures.py
+++ b/src/mustardswitch_standins/full_run/figures.py
@@ -20,8 +20,8 @@
 """Time from the start of a replacement until the server that it replaces reports that it leaves."""
 DARK_S = 3.0
 """Time after which a server drops a connection whose remote end cannot be reached."""
-PROMOTION_EFFECT_S = 1.0
-"""Time from the call of a promotion until its server leads."""
+PROMOTION_EFFECTS_S = (0.2, 1.0)
+"""Range of the time from the call of a promotion until its server leads."""
 STOP_GRACE_S = 6.0
 """Time from SIGTERM to SIGKILL."""
 
--- a/src/mustardswitch_standins/full_run/measured_group.py
+++ b/src/mustardswitch_standins/full_run/measured_group.py
@@ -43,6 +43,8 @@
         self.size = size
         self.completes_running = size.completes_running
         self.source = source
+        self.effect_source = random.Random(source.random())
+        """Draws the times of the promotions' effects; two may take effect in either order."""
         self.lag_factors: dict[ids.ServerId, float] = {}
         """Factor of the replication delay of each lagging server."""
         self.undelivered_lost: set[tuple[ids.ServerId, int]] = set()
@@ -93,7 +95,9 @@
     def call_promotion(self, name: ids.ServerId, listed: list[str]) -> bool:
         """Accept the promotion of a running server; ``listed`` are the servers listed now."""
         self.calls[name] = time.time(), listed
-        return self.request_promotion(name, figures.PROMOTION_EFFECT_S)
+        return self.request_promotion(
+            name, self.effect_source.uniform(*figures.PROMOTION_EFFECTS_S)
+        )
 
     def promote(self, name: ids.ServerId) -> bool:
         """Promote a server and record what that discards."""
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def group(monkeypatch):
-    monkeypatch.setattr(figures, "PROMOTION_EFFECT_S", 0.0)
+    monkeypatch.setattr(figures, "PROMOTION_EFFECTS_S", (0.0, 0.0))
     return measured_group.MeasuredGroup(
         service="service-0", size=figures.SIZES["small"], source=random.Random(SEED)
     )
@@ -81,6 +81,35 @@
     }
 
 
+async def test_the_time_of_the_effect_of_each_promotion_is_drawn(monkeypatch):
+    groups = [
+        measured_group.MeasuredGroup(
+            service="service-0", size=figures.SIZES["small"], source=random.Random(SEED)
+        )
+        for _ in range(2)
+    ]
+    drawn: list[list[float]] = [[], []]
+    for group, delays_s in zip(groups, drawn, strict=True):
+        monkeypatch.setattr(
+            group, "request_promotion", lambda name, delay_s, to=delays_s: to.append(delay_s)
+        )
+        for _ in range(50):
+            group.call_promotion(group.leader.name, [])
+    first, second = drawn
+    assert first == second
+    assert 0.2 <= min(first) < 0.3 and 0.9 < max(first) <= 1.0
+
+
+async def test_the_later_of_two_calls_may_take_effect_first(group, monkeypatch):
+    times_s = iter([0.2, 0.05])
+    monkeypatch.setattr(group.effect_source, "uniform", lambda *limits: next(times_s))
+    replicas = [each.name for each in group.servers.values() if each is not group.leader]
+    for name in replicas:
+        assert group.call_promotion(name, [])
+    await asyncio.sleep(0.4)
+    assert [each.server for each in group.promotions] == replicas[::-1]
+
+
 def test_the_judge_reports_the_longest_time_without_an_acknowledged_write():
     reports = {
         "service-0": {"promotions": [], "acknowledged_at_s": [101.0, 102.0, 114.0]},
