--- a/src/mustardswitch_standins/full_run/caller_program.py
+++ b/src/mustardswitch_standins/full_run/caller_program.py
@@ -17,18 +17,41 @@
 ITEMS = 2000
 STAYS_OPEN = 0.97
 """Share of the sessions that stay open after an operation."""
+PREPARED = 0.4
+"""Share of the statements that are prepared ones."""
+DEALLOCATED = 0.1
+"""Share of the prepared statements whose name is given up afterwards."""
+SETS = 0.1
+"""Share of the statements before which a session value is set."""
+ENDS_BY_ROLLBACK = 0.1
+LEAVES = 0.05
+"""Shares of the transactions that roll back, and whose caller leaves before they have ended."""
+MAX_STATEMENTS = 12
+MEAN_FURTHER_STATEMENTS = 3.0
+"""Limit on the statements of a transaction, and mean number of those after the first one."""
+LONG_PAUSES = 0.1
+"""Share of the pauses within transactions that are long."""
+PAUSE_S = 0.03
+LONG_PAUSE_S = 0.3
+"""Limits on the pauses within transactions."""
 
 
 class BrokenSessionError(Exception):
     """A session ended in the middle of an operation."""
 
 
+class LeftError(Exception):
+    """A caller left in the middle of a transaction."""
+
+
 class Session:
     """A session with an instance; it sends one request at a time."""
 
     def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
+        self.prepared: set[str] = set()
+        """Names of the prepared statements."""
 
     async def line(self, timeout_s: float) -> str:
         """Read a line; raises ``BrokenSessionError`` if there is none within the limit."""
@@ -43,7 +66,7 @@
 
     async def query(self, request: str, text: str, timeout_s: float) -> str:
         """Send a statement; return "" after success, and else the code of the error."""
-        self.writer.write(f"QUERY {request} {text}\r\n".encode())
+        self.send(request, text)
         code = ""
         while True:
             line = await self.line(timeout_s)
@@ -52,6 +75,10 @@
             elif line.startswith("READY"):
                 return code
 
+    def send(self, request: str, text: str) -> None:
+        """Send a statement."""
+        self.writer.write(f"QUERY {request} {text}\r\n".encode())
+
     def close(self) -> None:
         """Close the connection."""
         self.writer.close()
@@ -112,7 +139,7 @@
         self.counts[outcome] += 1
 
     async def _attempt(self, kind: figures.RouteKind, host: str, transaction: bool) -> str:
-        """Run an operation once; return ``done``, ``refused`` or ``failed``."""
+        """Run an operation once; return ``done``, ``refused``, ``left`` or ``failed``."""
         session = None
         code = "BUSY"
         try:
@@ -122,11 +149,15 @@
                 code = await run(session, kind)
         except BrokenSessionError:
             code = "broken"
+        except LeftError:
+            code = "left"
         if session is not None:
             if code or self.source.random() > STAYS_OPEN:
                 session.close()
             else:
                 self.idle[host].append(session)
+        if code == "left":
+            return code
         if code in PROMISES:
             return "refused"
         return "failed" if code else "done"
@@ -157,39 +188,99 @@
         self.requests += 1
         return f"{self.zone}{self.requests:x}"
 
-    def _statement(self, kind: figures.RouteKind, *, writes: bool) -> str:
+    async def _prepare(
+        self, session: Session, kind: figures.RouteKind, *, writes: bool
+    ) -> tuple[str, str]:
+        """Choose a statement, and send what it needs before it.
+
+        Returns its text and "", or the code of the error of what was sent before it.
+        """
+        limit_s = kind.timeout_s + 1.0
+        if self.source.random() < SETS:
+            value = f"SET v{self.source.randrange(3)} {self.source.randrange(1000)}"
+            code = await session.query(self._next_request(), value, limit_s)
+            if code:
+                return "", code
         item = f"{kind.name}-{self.source.randrange(ITEMS)}"
-        return f"WRITE {item} xkqpwnzd" if writes else f"READ {item}"
+        arguments = f"{item} xkqpwnzd" if writes else item
+        access = "WRITE" if writes else "READ"
+        if self.source.random() >= PREPARED:
+            return f"{access} {arguments}", ""
+        name = f"{access[0].lower()}{self.source.randrange(3)}"
+        if name not in session.prepared:
+            text = f"PREPARE {name} {access} q{self.source.randrange(20)}"
+            code = await session.query(self._next_request(), text, limit_s)
+            if code:
+                return "", code
+            session.prepared.add(name)
+        return f"EXECUTE {name} {arguments}", ""
+
+    async def _deallocate(self, session: Session, kind: figures.RouteKind, text: str) -> str:
+        """Give up the name of a prepared statement at times; return the code of the error."""
+        verb, name, *_ = text.split(" ")
+        if verb != "EXECUTE" or self.source.random() >= DEALLOCATED:
+            return ""
+        session.prepared.remove(name)
+        return await session.query(self._next_request(), f"DEALLOC {name}", kind.timeout_s + 1.0)
 
     async def _run_statement(self, session: Session, kind: figures.RouteKind) -> str:
         writes = self.source.random() < kind.writes
-        request, text = self._next_request(), self._statement(kind, writes=writes)
+        text, code = await self._prepare(session, kind, writes=writes)
+        if code:
+            return code
+        request = self._next_request()
         code = await session.query(request, text, kind.timeout_s + 1.0)
-        if writes and not code:
+        if code:
+            return code
+        if writes:
             self.written.append(request)
-        return code
+        return await self._deallocate(session, kind, text)
 
     async def _run_transaction(self, session: Session, kind: figures.RouteKind) -> str:
         writes = self.source.random() < kind.writes
         limit_s = kind.timeout_s + 1.0
+        count = 1 + int(self.source.expovariate(1.0 / MEAN_FURTHER_STATEMENTS))
+        count = min(MAX_STATEMENTS, count)
+        leaves_at = self.source.randint(1, count) if self.source.random() < LEAVES else None
+        written = []
         begin = "BEGIN" if kind.writes else "BEGIN READ"
-        first = ""
         code = await session.query(self._next_request(), begin, limit_s)
-        for number in range(self.source.randint(1, 4)):
+        for number in range(count):
+            if code:
+                return code
+            await self._pause()
+            writes_now = writes and (number == 0 or self.source.random() < kind.writes)
+            text, code = await self._prepare(session, kind, writes=writes_now)
             if code:
                 return code
-            await asyncio.sleep(self.source.uniform(0.0, 0.03))
             request = self._next_request()
-            if number == 0:
-                first = request
-            text = self._statement(kind, writes=writes and number == 0)
+            if number == leaves_at:
+                self._leave(session, request, text)
             code = await session.query(request, text, limit_s)
-        end = "ROLLBACK" if self.source.random() < 0.1 else "COMMIT"
-        code = code or await session.query(self._next_request(), end, limit_s)
-        if writes and end == "COMMIT" and not code:
-            self.written.append(first)
+            if writes_now:
+                written.append(request)
+            code = code or await self._deallocate(session, kind, text)
+        if code:
+            return code
+        end = "ROLLBACK" if self.source.random() < ENDS_BY_ROLLBACK else "COMMIT"
+        request = self._next_request()
+        if leaves_at == count:
+            self._leave(session, request, end)
+        code = await session.query(request, end, limit_s)
+        if end == "COMMIT" and not code:
+            self.written += written
         return code
 
+    async def _pause(self) -> None:
+        limit_s = LONG_PAUSE_S if self.source.random() < LONG_PAUSES else PAUSE_S
+        await asyncio.sleep(self.source.uniform(0.0, limit_s))
+
+    def _leave(self, session: Session, request: str, text: str) -> None:
+        """Leave, at times with a statement that is sent and not waited for."""
+        if self.source.random() < 0.5:
+            session.send(request, text)
+        raise LeftError
+
 
 def _parse_instances(text: str) -> list[tuple[str, int]]:
     pairs = (pair.split("=") for pair in text.split(","))
