Stand-ins: a prepared name that is not known, or was reset, gets NOSTMT

A database of the stand-ins ended the connection at an unknown name, and kept names over RESET: both hide a statement that would run another shape.

--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -205,6 +205,12 @@
         if verb == "PREPARE":
             name, access, _ = rest.split(" ", 2)
             prepared_access[name] = requests.Access(access.lower())
+        elif verb == "RESET":
+            prepared_access.clear()
+        words = text.split(" ")[2:] if verb == "AFTER" else text.split(" ")
+        if words[0] == "EXECUTE" and words[1] not in prepared_access:
+            state = "I" if link.open_term is None else "E"
+            return f"ERROR NOSTMT -\r\nREADY {state} {encode_position(server)}\r\n".encode()
         link.send(
             _command(text, prepared_access), None if request == "-" else ids.RequestId(request)
         )
