Stand-ins: a database runs what it has received although its connection was reset

A server that has crashed since runs nothing of it.

Evidence: the test with a reset fails before the change, and passes with it.

--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -101,31 +101,6 @@
         return bool(self.pids) and peer is not None and peer[1] in self.ports
 
 
-class Incoming:
-    """The statements of a connection, received while earlier ones run."""
-
-    def __init__(self, *, reader: asyncio.StreamReader) -> None:
-        self.reader = reader
-        self.lines: asyncio.Queue[str | None] = asyncio.Queue()
-        """Received statements; None ends them."""
-        self.closed = False
-        """Whether the remote end has closed the connection; what has not run does not run."""
-
-    async def receive(self) -> None:
-        """Receive statements until the connection ends."""
-        try:
-            while True:
-                line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
-                if line == "TERMINATE":
-                    return
-                self.lines.put_nowait(line)
-        except (OSError, EOFError):
-            return
-        finally:
-            self.closed = True
-            self.lines.put_nowait(None)
-
-
 class BusyDatabases(line_protocol_databases.LineProtocolDatabases):
     """The servers of one service; each has slots, a queue and a limit on its connections."""
 
@@ -207,7 +182,7 @@
         link = database_group.FakeLink(group=self.group, server=server)
         cut = self.cuts[server.name]
         prepared = {}
-        incoming = Incoming(reader=reader)
+        incoming = line_protocol_databases.Incoming(reader=reader)
         receiving = asyncio.create_task(incoming.receive())
         try:
             while (line := await incoming.lines.get()) is not None:
@@ -242,7 +217,7 @@
         prepared: dict,
         request: str,
         text: str,
-        incoming: Incoming,
+        incoming: line_protocol_databases.Incoming,
     ) -> bytes:
         verb = text.partition(" ")[0]
         if verb in SLOT_VERBS:
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -30,8 +30,36 @@
 """Codes of transaction states in ``READY`` lines."""
 
 
+class Incoming:
+    """The statements of a connection, received while earlier ones run."""
+
+    def __init__(self, *, reader: asyncio.StreamReader) -> None:
+        self.reader = reader
+        self.lines: asyncio.Queue[str | None] = asyncio.Queue()
+        """Received statements; None ends them."""
+        self.closed = False
+        """Whether the remote end has closed the connection."""
+
+    async def receive(self) -> None:
+        """Receive statements until the connection ends."""
+        try:
+            while True:
+                line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
+                if line == "TERMINATE":
+                    return
+                self.lines.put_nowait(line)
+        except (OSError, EOFError):
+            return
+        finally:
+            self.closed = True
+            self.lines.put_nowait(None)
+
+
 class LineProtocolDatabases:
-    """Listens for each server of a group and lists the servers in the store."""
+    """Listens for each server of a group and lists the servers in the store.
+
+    A server runs what it has received although the connection was closed meanwhile.
+    """
 
     def __init__(self, *, group: database_group.Group) -> None:
         self.group = group
@@ -162,13 +190,15 @@
         writer.write(f"READY I {encode_position(server)}\r\n".encode())
         link = database_group.FakeLink(group=self.group, server=server)
         prepared_access: dict[str, requests.Access] = {}
-        while True:
-            line = (await reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
-            if line == "TERMINATE":
-                return
-            await self.pass_stall(server)
-            _, request, text = line.split(" ", 2)
-            writer.write(await self._answer(server, link, prepared_access, request, text))
+        incoming = Incoming(reader=reader)
+        receiving = asyncio.create_task(incoming.receive())
+        try:
+            while (line := await incoming.lines.get()) is not None:
+                await self.pass_stall(server)
+                _, request, text = line.split(" ", 2)
+                writer.write(await self._answer(server, link, prepared_access, request, text))
+        finally:
+            receiving.cancel()
 
     async def pass_stall(self, server: database_group.FakeServer) -> None:
         """Wait while a server is stalled."""
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mustardswitch_standins import database_group
+from mustardswitch_standins import database_group, line_protocol_databases
 from mustardswitch_standins.full_run import (
     busy_databases,
     days,
@@ -133,7 +133,7 @@
     databases.slots[group.leader.name] = slots
     link = database_group.FakeLink(group=group, server=group.leader)
     for text in ("READ x", "WRITE x y", "STATUS", "PAUSE 5", "STEPDOWN 5"):
-        incoming = busy_databases.Incoming(reader=asyncio.StreamReader())
+        incoming = line_protocol_databases.Incoming(reader=asyncio.StreamReader())
         answer = await databases._answer_in_slot(group.leader, link, {}, "-", text, incoming)
         assert answer.startswith(b"ERROR BUSY")
     assert group.leader is group.primary
@@ -161,7 +161,7 @@
 
     async def write(request):
         link = database_group.FakeLink(group=group, server=primary)
-        incoming = busy_databases.Incoming(reader=asyncio.StreamReader())
+        incoming = line_protocol_databases.Incoming(reader=asyncio.StreamReader())
         return await databases._answer_in_slot(
             primary, link, {}, request, "WRITE item data", incoming
         )
--- a/tests/platform/test_line_protocol_databases.py
+++ b/tests/platform/test_line_protocol_databases.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -28,6 +30,12 @@
             answer.append(line.decode().removesuffix("\r\n"))
         return answer
 
+    def reset(self) -> None:
+        """Reset the connection, so that the server can no longer read from it."""
+        linger = struct.pack("ii", 1, 0)
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.transport.abort()
+
 
 @pytest.fixture
 async def databases():
@@ -69,3 +77,30 @@
         answer = await session.query("EXECUTE s1 1a4 data")
         assert answer[0].startswith("ERROR NOSTMT") and answer[1].startswith("READY E")
     assert databases.group.executed == []
+
+
+@pytest.mark.parametrize("resets", [True, False])
+async def test_a_server_runs_what_it_received_although_the_connection_was_closed(databases, resets):
+    group = databases.group
+    group.leader.answer_delay_s = 0.1
+    async with open_session(databases) as session:
+        for request in ("w1", "w2"):
+            session.send("WRITE item data", request)
+        await asyncio.sleep(0.05)
+        if resets:
+            session.reset()
+    await asyncio.sleep(0.4)
+    assert group.acknowledged == ["w1", "w2"]
+
+
+async def test_a_server_that_crashed_runs_nothing_that_it_received_before(databases):
+    group = databases.group
+    group.leader.answer_delay_s = 0.1
+    async with open_session(databases) as session:
+        session.send("WRITE item data", "w1")
+        session.send("WRITE item data", "w2")
+        await asyncio.sleep(0.05)
+        databases.crash(group.leader.name)
+        group.restart(group.leader, leads_again=True)
+        await asyncio.sleep(0.4)
+    assert group.acknowledged == [] and group.leader is group.primary
