Soak: replacements are also listed within a heartbeat, and a stopped primary completes what runs

Half of them are listed within a heartbeat now, the others still up to 4 s after their start.

Evidence: both tests fail before the change, and pass with it.

--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -45,6 +45,7 @@
         self.fault_names = fault_names
         self.random = random.Random(seed)
         self.group = replication.ReplicatedGroup()
+        self.group.completes_running = True
         self.deployment = platform_deployment.Deployment(
             directory, group=self.group, links_to_store=True
         )
--- a/src/mustardswitch_standins/soak_faults.py
+++ b/src/mustardswitch_standins/soak_faults.py
@@ -18,8 +18,8 @@
 """Range of the time from an accepted promotion request until its server leads."""
 STATEMENT_S = 0.005
 """Time that a statement takes at a server."""
-CATCH_UP_S = 4.0
-"""Limit on the time from the start of a server until it is listed."""
+LISTING_LIMITS_S = (1.2, 4.0)
+"""Limits on the time from the start of a server until it is listed: a heartbeat, or later."""
 LEAVES_AFTER_S = 1.0
 """Limit on the time from the start of a server until the one that it replaces leaves."""
 DRAIN_S = 7.0
@@ -321,18 +321,18 @@
     async def _start_replacement(self, former: database_group.FakeServer) -> None:
         if len(self.group.servers) >= MAX_SERVERS:
             return
-        listed_after_s = self.random.uniform(0.0, CATCH_UP_S)
+        listed_after_s = self.random.uniform(0.0, self.random.choice(LISTING_LIMITS_S))
         server = self.group.start_replacement(former, listed_after_s=listed_after_s)
         server.answer_delay_s = STATEMENT_S
         await self.deployment.start_server(server)
 
     async def replace_primary(self) -> None:
-        """Replace the primary by a server that starts before and is listed later."""
+        """Replace the primary by a server that starts before, and may be listed later."""
         if self.group.primary is not None:
             await self._replace(self.group.primary)
 
     async def replace_replica(self) -> None:
-        """Replace a replica by a server that starts before and is listed later."""
+        """Replace a replica by a server that starts before, and may be listed later."""
         servers = [server for server in self.group.servers.values() if server.was_listed]
         await self._replace(self.random.choice([s for s in servers if s is not self.group.leader]))
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardswitch import tasks
-from mustardswitch_standins import platform_deployment, soak, soak_judge
+from mustardswitch_standins import platform_deployment, soak, soak_faults, soak_judge
 
 
 def _write(
@@ -73,6 +73,33 @@
     assert len(numbers) > 8 and len(numbers) == len(set(numbers))
 
 
+async def test_replacements_are_listed_within_a_heartbeat_or_later(tmp_path, monkeypatch):
+    run = soak.Soak(seed=1, seconds=1.0, directory=tmp_path)
+    times_s: list[float] = []
+    start = run.group.start_replacement
+
+    def start_and_end(former, *, listed_after_s):
+        times_s.append(listed_after_s)
+        server = start(former, listed_after_s=listed_after_s)
+        del run.group.servers[server.name]
+        return server
+
+    async def start_server(server):
+        """Start no listener."""
+
+    monkeypatch.setattr(run.group, "start_replacement", start_and_end)
+    monkeypatch.setattr(run.deployment, "start_server", start_server)
+    for _ in range(100):
+        await run.faults._start_replacement(run.group.leader)
+    early = sum(time_s <= soak_faults.HEARTBEAT_S for time_s in times_s)
+    assert 50 < early < 90
+    assert 3.0 < max(times_s) <= 4.0
+
+
+def test_a_stopped_primary_completes_what_runs(tmp_path):
+    assert soak.Soak(seed=1, seconds=1.0, directory=tmp_path).group.completes_running
+
+
 @pytest.mark.parametrize(
     "seed, fault_names",
     [
