--- a/src/mustardswitch_standins/replication.py
+++ b/src/mustardswitch_standins/replication.py
@@ -49,7 +49,7 @@
 
 
 class ReplicatedGroup(database_group.Group):
-    """A group with asynchronous replication, in which a promotion leads with what it had received.
+    """A group with asynchronous replication, in which a promoted server leads with what it had.
 
     A commit is acknowledged once the first replica has received it; the others receive it later.
     Entries that were sent are delivered even if the primary steps down or crashes meanwhile, unless
--- a/tests/platform/test_replication.py
+++ b/tests/platform/test_replication.py
@@ -62,6 +62,27 @@
     assert await _write(group, "z")
 
 
+async def test_a_server_confirms_until_its_promotion_and_leads_with_what_it_had_before(group):
+    group.servers[C].paused_term = 2
+    assert group.request_promotion(B, delay_s=0.2)
+    assert await _write(group, "x")
+    assert _data(group.servers[B]) == ["x"]
+    await asyncio.sleep(0.3)
+    assert group.primary.name == B and _data(group.servers[B]) == []
+    assert group.lost == ["x"] and group.holders_of_lost == {"x": [f"{A} (never listed)"]}
+
+
+async def test_a_server_that_has_led_since_its_promotion_was_requested_keeps_its_commits(group):
+    assert group.request_promotion(B, delay_s=0.3)
+    assert group.request_promotion(B, delay_s=0.05)
+    await asyncio.sleep(0.1)
+    assert await _write(group, "x")
+    group.step_down(group.servers[B], 3)
+    await asyncio.sleep(0.3)
+    assert group.primary.name == B and group.term == 3
+    assert _data(group.servers[B]) == ["x"] and group.lost == []
+
+
 async def test_a_promotion_of_the_present_primary_changes_nothing_while_it_leads(group):
     assert group.request_promotion(A, delay_s=0.05)
     await asyncio.sleep(0.1)
