--- a/tests/platform/test_replication.py
+++ b/tests/platform/test_replication.py
@@ -10,6 +10,7 @@
     database_group,
     http_store,
     line_protocol_databases,
+    promotion_calls,
     replication,
 )
 
@@ -98,6 +99,19 @@
     assert not group.servers[B].paused_term
 
 
+@pytest.mark.parametrize("steps_down", [True, False])
+async def test_the_promotion_call_in_memory_lets_a_primary_that_steps_down_lead_again(steps_down):
+    group = database_group.Group()
+    promoter = promotion_calls.FakePromoter(group=group)
+    promoter.effect_delay_s = 0.05
+    outcome = await promoter.promote(service=database_group.SERVICE, server=A, fencing_token=1)
+    assert outcome is ports.PromotionOutcome.ACCEPTED
+    if steps_down:
+        group.step_down(group.servers[A], 2)
+    await asyncio.sleep(0.1)
+    assert group.primary is group.servers[A] and group.term == (2 if steps_down else 1)
+
+
 async def test_a_commit_that_only_a_primary_had_is_acknowledged_when_it_leads_again(group):
     for name in (B, C):
         group.servers[name].paused_term = 2
