--- a/src/mustardswitch_standins/full_run/__main__.py
+++ b/src/mustardswitch_standins/full_run/__main__.py
@@ -78,7 +78,8 @@
     )
     parser.add_argument(
         "--runs-closed",
-        action="store_true",
+        action=argparse.BooleanOptionalAction,
+        default=True,
         help="let servers run statements whose connections were closed meanwhile",
     )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for logs of failed runs")
--- a/src/mustardswitch_standins/full_run/figures.py
+++ b/src/mustardswitch_standins/full_run/figures.py
@@ -93,7 +93,7 @@
     """Whether a statement in a slot of a primary that steps down completes there."""
     completes_queued: bool = False
     """Whether one that waits for a slot of it does as well; needs ``completes_running``."""
-    runs_closed: bool = False
+    runs_closed: bool = True
     """Whether servers run a received statement although its connection was closed meanwhile."""
 
 
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -175,8 +175,8 @@
     assert refused == [request not in written for request in ("w1", "w2", "w3")]
 
 
-def test_a_stopped_primary_of_a_full_run_completes_what_occupies_a_slot():
-    assert all(size.completes_running for size in figures.SIZES.values())
+def test_servers_of_a_full_run_complete_what_occupies_a_slot_and_what_was_closed():
+    assert all(size.completes_running and size.runs_closed for size in figures.SIZES.values())
 
 
 async def test_a_small_release_day_runs_and_loses_no_commit(tmp_path):
