--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -150,6 +150,18 @@
     )
 
 
+def unanswered_release(size: figures.Size) -> Day:
+    """Release primaries while promotion calls get no answer and are executed late."""
+    return Day(
+        steps=[
+            _step(5.0, "release", services=size.services),
+            _step(5.5, "delay_promotions", for_s=2.5, delay_s=2.0),
+            _step(7.5, "freeze", share=0.35, for_s=3.5),
+        ],
+        length_s=24.0,
+    )
+
+
 def replaced_replica_then_end_of_primary(
     size: figures.Size,
     *,
@@ -273,6 +285,7 @@
     "slow-release": slow_release,
     "late-release": late_release,
     "stalled-release": stalled_release,
+    "unanswered-release": unanswered_release,
     "replaced-replica-then-crash": replaced_replica_then_end_of_primary,
     "replaced-replica-then-lost-primary": functools.partial(
         replaced_replica_then_end_of_primary, end="end_primary"
--- a/src/mustardswitch_standins/full_run/run.py
+++ b/src/mustardswitch_standins/full_run/run.py
@@ -238,6 +238,10 @@
         """Slow the store down."""
         await self.store.call("slow", for_s=for_s, delay_s=delay_s)
 
+    async def step_delay_promotions(self, for_s: float, delay_s: float) -> None:
+        """Let promotion calls be executed late and without an answer."""
+        await self.store.call("delay_promotions", for_s=for_s, delay_s=delay_s)
+
     async def step_release(self, services: int, drain_s: float | None = None) -> None:
         """Release the primaries of some services, within a second."""
         for client in self.random.sample(list(self.databases.values()), services):
--- a/src/mustardswitch_standins/full_run/store_program.py
+++ b/src/mustardswitch_standins/full_run/store_program.py
@@ -20,14 +20,29 @@
     def __init__(self, *, databases: dict[str, control.Client]) -> None:
         super().__init__(promote=lambda service, server, token: False)
         self.databases = databases
+        self.late_calls: set[asyncio.Task[tuple[int, dict]]] = set()
+        """Promotion calls that are executed later, without an answer."""
 
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes, headers: dict[str, str]
     ) -> tuple[int, dict]:
         if path != "/promote":
             return await super()._answer(path, query, body, headers)
-        fields = json.loads(body)
-        service, token = fields["service"], int(headers["fencing-token"])
+        fields, token = json.loads(body), int(headers["fencing-token"])
+        if self.promotion_delay_s is None:
+            return await self._forward(fields, token)
+        late = asyncio.create_task(self._forward_late(fields, token, self.promotion_delay_s))
+        self.late_calls.add(late)
+        late.add_done_callback(self.late_calls.discard)
+        raise OSError("the answer is lost")
+
+    async def _forward_late(self, fields: dict, token: int, delay_s: float) -> tuple[int, dict]:
+        await asyncio.sleep(delay_s)
+        return await self._forward(fields, token)
+
+    async def _forward(self, fields: dict, token: int) -> tuple[int, dict]:
+        """Let the service's process execute a call, unless its token is outdated by now."""
+        service = fields["service"]
         if token < self.tokens.get(service, 0) or service not in self.databases:
             return 409, {}
         self.tokens[service] = token
@@ -140,6 +155,12 @@
         await self.fault_turn_away(list(self.instances), for_s, silent)
         self.down = self.lapses = False
 
+    async def fault_delay_promotions(self, for_s: float, delay_s: float) -> None:
+        """Execute promotion calls with a delay and without an answer for a while."""
+        self.store.promotion_delay_s = delay_s
+        await asyncio.sleep(for_s)
+        self.store.promotion_delay_s = None
+
     async def fault_slow(self, for_s: float, delay_s: float) -> None:
         """Delay all calls of the instances for a while."""
         rules = [self.links.rule(name, STORE) for name in self.instances]
--- a/tests/platform/test_full_run_days.py
+++ b/tests/platform/test_full_run_days.py
@@ -1,6 +1,7 @@
 """The steps of days of full runs, and the faults of their servers."""
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -113,6 +114,36 @@
     assert list(store.keys) == ["instances/b"]
 
 
+class RecordingClient:
+    """Stands for the process of a service's servers, and accepts all promotions."""
+
+    def __init__(self) -> None:
+        self.promoted: list[str] = []
+
+    async def call(self, operation, **fields):
+        self.promoted.append(fields["id"])
+        return {"accepted": True}
+
+
+async def test_the_token_of_a_promotion_call_without_an_answer_is_checked_as_it_is_executed():
+    client = RecordingClient()
+    store = store_program.ForwardingStore(databases={"service-0": client})
+
+    async def promote(server, token):
+        body = json.dumps({"service": "service-0", "id": server}).encode()
+        return await store._answer("/promote", {}, body, {"fencing-token": str(token)})
+
+    store.promotion_delay_s = 0.05
+    for server, token in (("first", 1), ("second", 2)):
+        with pytest.raises(OSError):
+            await promote(server, token)
+    store.promotion_delay_s = None
+    assert client.promoted == []
+    assert (await promote("third", 2))[0] == 200
+    await asyncio.sleep(0.1)
+    assert client.promoted == ["third", "second"]
+
+
 @pytest.mark.parametrize("name", days.DAYS)
 def test_every_day_keeps_the_order_of_the_steps_that_follow_each_other(name):
     day = days.DAYS[name](figures.SIZES["grown"])
