--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -43,7 +43,9 @@
         self.not_receiving = False
         """Whether replicated entries don't reach this replica."""
         self.awaited_promotions = 0
-        """Number of accepted promotions that have not taken effect and keep it from receiving."""
+        """Number of accepted promotions that have not taken effect."""
+        self.led_in_term = 0
+        """Last term in which it led."""
         self.leaving = False
         self.born_ms = 1
         """Unix time of its start, in milliseconds."""
@@ -91,12 +93,18 @@
         self.holders_of_lost: dict[str, list[str]] = {}
         """Other servers with a lost commit in their logs as it was discarded."""
         self.promotes_as_of_request = False
-        """Whether a server receives nothing from an accepted promotion until it takes effect."""
+        """Whether a server leads with what it had received when its promotion was accepted.
+
+        It still receives and confirms commits until the effect.
+        """
+        self.completes_running = False
+        """Whether a statement that began at a primary completes there after it has stepped down."""
         self.executed: list[str] = []
         """Request ids of the executed statements, in their order."""
         self.statements: list[FakeStatement] = []
         first = next(iter(self.servers.values()))
         first.role = promotion.Role.PRIMARY
+        first.led_in_term = self.term
 
     @property
     def primary(self) -> FakeServer | None:
@@ -111,8 +119,12 @@
         """
         if server.role is not promotion.Role.PRIMARY:
             return False
+        return self._append(server, data)
+
+    def _append(self, server: FakeServer, data: str) -> bool:
         server.log.append(LogEntry(term=self.term, data=data))
-        receivers = [replica for replica in self.servers.values() if self._receives(replica)]
+        replicas = [replica for replica in self.servers.values() if replica is not server]
+        receivers = [replica for replica in replicas if self._receives(replica)]
         for replica in receivers:
             replica.log = list(server.log)
         if receivers:
@@ -120,9 +132,12 @@
         return bool(receivers)
 
     async def confirm(self, server: FakeServer, writes: list[str], timeout_s: float) -> bool:
-        """Commit at the primary; return whether a replica has received all within the limit."""
+        """Commit what a server has executed as the primary, from which it may have stepped down.
+
+        Returns whether a replica has received all within the limit.
+        """
         del timeout_s
-        confirmed = [self.commit(server, data) for data in writes]
+        confirmed = [self._append(server, data) for data in writes]
         return all(confirmed)
 
     def _receives(self, replica: FakeServer) -> bool:
@@ -131,7 +146,6 @@
             and replica.up
             and not replica.not_receiving
             and not replica.paused_term
-            and not replica.awaited_promotions
         )
 
     def start_server(self, *, zone: str) -> FakeServer:
@@ -150,17 +164,29 @@
         server = self.servers.get(name)
         if server is None or not server.up:
             return False
-        receives = not self.promotes_as_of_request or server.role is promotion.Role.PRIMARY
-        if not receives:
+        leads = server.role is promotion.Role.PRIMARY
+        if not leads:
             server.awaited_promotions += 1
+        end = len(server.log)
+        if not self.promotes_as_of_request or server.led_in_term == self.term:
+            end = None
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._take_effect, server, not receives)
+        loop.call_later(delay_s, self._take_effect, server, not leads, self.term, end)
         return True
 
-    def _take_effect(self, server: FakeServer, was_awaited: bool) -> None:
+    def _take_effect(
+        self, server: FakeServer, was_awaited: bool, term: int, end: int | None
+    ) -> None:
+        """Promote a server whose log ended at ``end`` when this was accepted in a term.
+
+        With None, or if it has led since, it leads with what it has now.
+        """
         server.awaited_promotions -= was_awaited
-        if server.name in self.servers:
-            self.promote(server.name)
+        if server.name not in self.servers:
+            return
+        if end is not None and server.up and server.led_in_term <= term:
+            del server.log[end:]
+        self.promote(server.name)
 
     def promote(self, name: ids.ServerId) -> bool:
         """Make a server the primary of the next term with its present log.
@@ -178,6 +204,7 @@
             if len(server.log) > len(new_primary.log):
                 server.log = list(new_primary.log)
         new_primary.role = promotion.Role.PRIMARY
+        new_primary.led_in_term = self.term
         return True
 
     def _note_lost(self, new_primary: FakeServer) -> None:
@@ -280,6 +307,8 @@
         self.read_only = False
         self.unconfirmed: list[str] = []
         """Writes of the commit that is being executed."""
+        self.began_in_term: int | None = None
+        """Term of the primary at which the running statement began; 0 at a replica, None: none."""
         self.writes: list[str] = []
         """Request ids of the open transaction's writes."""
         self.state = requests.TransactionState.IDLE
@@ -310,12 +339,19 @@
         elif isinstance(command, ports.PrepareShape):
             self.shapes[command.shape] = "p"
 
+    def begin(self) -> None:
+        """Let the oldest queued command, or the next one that is sent, begin to run now."""
+        leads = self.server.role is promotion.Role.PRIMARY
+        self.began_in_term = self.group.term if leads else 0
+
     async def receive(self, timeout_s: float) -> requests.Answer:
         """Execute the oldest queued command and return its answer.
 
-        Raises ``ConnectionBrokenError`` when the server is silent or down, the connection is
-        broken, or no replica confirmed a commit.
+        It begins now, unless it has begun already. Raises ``ConnectionBrokenError`` when the server
+        is silent or down, the connection is broken, or no replica confirmed a commit.
         """
+        if self.began_in_term is None:
+            self.begin()
         await asyncio.sleep(min(timeout_s, self.server.answer_delay_s))
         if self.server.silent:
             await asyncio.sleep(timeout_s)
@@ -324,6 +360,7 @@
         if not self.pending:
             self.unanswered_since_s = None
         answer = self._execute(command, request)
+        self.began_in_term = None
         if self.unconfirmed:
             answer = await self._commit(timeout_s)
         self.state = answer.state
@@ -346,7 +383,7 @@
         )
 
     def _execute(self, command: ports.Command, request: ids.RequestId | None) -> requests.Answer:
-        is_primary = self.server.role is promotion.Role.PRIMARY
+        is_primary = self.server.role is promotion.Role.PRIMARY or self._completes()
         if self.server.busy and isinstance(
             command, ports.ReadAt | requests.Plain | ports.RunPrepared
         ):
@@ -371,6 +408,9 @@
                 return self._answer(requests.Refusal.READ_ONLY)
         return self._run(command, request, is_primary)
 
+    def _completes(self) -> bool:
+        return self.group.completes_running and self.began_in_term == self.group.term
+
     def _run(
         self, command: ports.Command, request: ids.RequestId | None, is_primary: bool
     ) -> requests.Answer:
--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -34,8 +34,13 @@
         self.refused = 0
         """Statements and connections that were refused as the queue was full."""
 
-    async def occupy(self, seconds: float) -> bool:
-        """Occupy a slot for some time; return False at once if the queue is full."""
+    async def occupy(
+        self, seconds: float, begin: collections.abc.Callable[[], None] | None = None
+    ) -> bool:
+        """Occupy a slot for some time; return False at once if the queue is full.
+
+        Calls ``begin`` as it gets the slot.
+        """
         if self.free.locked() and self.waiting >= self.size.queue:
             self.refused += 1
             return False
@@ -45,6 +50,8 @@
         finally:
             self.waiting -= 1
         try:
+            if begin is not None:
+                begin()
             await asyncio.sleep(seconds)
         finally:
             self.free.release()
@@ -94,31 +101,6 @@
         return bool(self.pids) and peer is not None and peer[1] in self.ports
 
 
-class Incoming:
-    """The statements of a connection, received while earlier ones run."""
-
-    def __init__(self, *, reader: asyncio.StreamReader) -> None:
-        self.reader = reader
-        self.lines: asyncio.Queue[str | None] = asyncio.Queue()
-        """Received statements; None ends them."""
-        self.closed = False
-        """Whether the remote end has closed the connection; what has not run does not run."""
-
-    async def receive(self) -> None:
-        """Receive statements until the connection ends."""
-        try:
-            while True:
-                line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
-                if line == "TERMINATE":
-                    return
-                self.lines.put_nowait(line)
-        except (OSError, EOFError):
-            return
-        finally:
-            self.closed = True
-            self.lines.put_nowait(None)
-
-
 class BusyDatabases(line_protocol_databases.LineProtocolDatabases):
     """The servers of one service; each has slots, a queue and a limit on its connections."""
 
@@ -200,7 +182,7 @@
         link = database_group.FakeLink(group=self.group, server=server)
         cut = self.cuts[server.name]
         prepared = {}
-        incoming = Incoming(reader=reader)
+        incoming = line_protocol_databases.Incoming(reader=reader)
         receiving = asyncio.create_task(incoming.receive())
         try:
             while (line := await incoming.lines.get()) is not None:
@@ -235,12 +217,16 @@
         prepared: dict,
         request: str,
         text: str,
-        incoming: Incoming,
+        incoming: line_protocol_databases.Incoming,
     ) -> bytes:
         verb = text.partition(" ")[0]
         if verb in SLOT_VERBS:
             work_s = figures.STATUS_S if verb in ORDER_VERBS else self._draw_work_s(text)
-            if not await self.slots[server.name].occupy(work_s):
+            begin = None if verb in ORDER_VERBS else link.begin
+            if begin is not None and self.size.completes_queued:
+                begin()
+                begin = None
+            if not await self.slots[server.name].occupy(work_s, begin):
                 return self._refuse(server, link, verb)
         if incoming.closed and not self.size.runs_closed:
             raise EOFError("the connection was closed before the statement ran")
@@ -256,6 +242,7 @@
     ) -> bytes:
         """Answer BUSY; an open transaction fails and keeps nothing."""
         link.writes = []
+        link.began_in_term = None
         if verb == "COMMIT":
             link.open_term = None
         state = "I" if link.open_term is None else "E"
--- a/src/mustardswitch_standins/replication.py
+++ b/src/mustardswitch_standins/replication.py
@@ -49,7 +49,7 @@
 
 
 class ReplicatedGroup(database_group.Group):
-    """A group with asynchronous replication, in which a promotion leads with what it had received.
+    """A group with asynchronous replication, in which a promoted server leads with what it had.
 
     A commit is acknowledged once the first replica has received it; the others receive it later.
     Entries that were sent are delivered even if the primary steps down or crashes meanwhile, unless
@@ -84,7 +84,7 @@
     async def confirm(
         self, server: database_group.FakeServer, writes: list[str], timeout_s: float
     ) -> bool:
-        """Commit at the primary; return whether a replica has received all within the limit."""
+        """Commit what a server has executed as the primary; see the base class."""
         entries = [database_group.LogEntry(term=self.term, data=data) for data in writes]
         server.log += entries
         commit = Commit(
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mustardswitch_standins import database_group
+from mustardswitch_standins import database_group, line_protocol_databases
 from mustardswitch_standins.full_run import (
     busy_databases,
     days,
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def group(monkeypatch):
-    monkeypatch.setattr(figures, "PROMOTION_EFFECT_S", 0.0)
+    monkeypatch.setattr(figures, "PROMOTION_EFFECTS_S", (0.0, 0.0))
     return measured_group.MeasuredGroup(
         service="service-0", size=figures.SIZES["small"], source=random.Random(SEED)
     )
@@ -81,6 +81,35 @@
     }
 
 
+async def test_the_time_of_the_effect_of_each_promotion_is_drawn(monkeypatch):
+    groups = [
+        measured_group.MeasuredGroup(
+            service="service-0", size=figures.SIZES["small"], source=random.Random(SEED)
+        )
+        for _ in range(2)
+    ]
+    drawn: list[list[float]] = [[], []]
+    for group, delays_s in zip(groups, drawn, strict=True):
+        monkeypatch.setattr(
+            group, "request_promotion", lambda name, delay_s, to=delays_s: to.append(delay_s)
+        )
+        for _ in range(50):
+            group.call_promotion(group.leader.name, [])
+    first, second = drawn
+    assert first == second
+    assert 0.2 <= min(first) < 0.3 and 0.9 < max(first) <= 1.0
+
+
+async def test_the_later_of_two_calls_may_take_effect_first(group, monkeypatch):
+    times_s = iter([0.2, 0.05])
+    monkeypatch.setattr(group.effect_source, "uniform", lambda *limits: next(times_s))
+    replicas = [each.name for each in group.servers.values() if each is not group.leader]
+    for name in replicas:
+        assert group.call_promotion(name, [])
+    await asyncio.sleep(0.4)
+    assert [each.server for each in group.promotions] == replicas[::-1]
+
+
 def test_the_judge_reports_the_longest_time_without_an_acknowledged_write():
     reports = {
         "service-0": {"promotions": [], "acknowledged_at_s": [101.0, 102.0, 114.0]},
@@ -104,12 +133,52 @@
     databases.slots[group.leader.name] = slots
     link = database_group.FakeLink(group=group, server=group.leader)
     for text in ("READ x", "WRITE x y", "STATUS", "PAUSE 5", "STEPDOWN 5"):
-        incoming = busy_databases.Incoming(reader=asyncio.StreamReader())
+        incoming = line_protocol_databases.Incoming(reader=asyncio.StreamReader())
         answer = await databases._answer_in_slot(group.leader, link, {}, "-", text, incoming)
         assert answer.startswith(b"ERROR BUSY")
     assert group.leader is group.primary
 
 
+@pytest.mark.parametrize(
+    "completes_running, completes_queued, written",
+    [(True, True, ["w1", "w2"]), (True, False, ["w1"]), (False, False, [])],
+)
+async def test_a_stopped_primary_completes_what_occupies_a_slot_and_what_waits_if_set(
+    completes_running, completes_queued, written
+):
+    """One write runs and another waits as the primary steps down; a third comes later."""
+    size = dataclasses.replace(
+        figures.SIZES["small"],
+        slots=1,
+        completes_running=completes_running,
+        completes_queued=completes_queued,
+    )
+    group = measured_group.MeasuredGroup(service="service-0", size=size, source=random.Random(SEED))
+    databases = busy_databases.BusyDatabases(group=group, size=size, source=random.Random(SEED))
+    databases._draw_work_s = lambda text: 0.05
+    primary = group.leader
+    databases.slots[primary.name] = busy_databases.Slots(size=size)
+
+    async def write(request):
+        link = database_group.FakeLink(group=group, server=primary)
+        incoming = line_protocol_databases.Incoming(reader=asyncio.StreamReader())
+        return await databases._answer_in_slot(
+            primary, link, {}, request, "WRITE item data", incoming
+        )
+
+    writing = [asyncio.create_task(write(request)) for request in ("w1", "w2")]
+    await asyncio.sleep(0.02)
+    group.step_down(primary, 2)
+    answers = [*await asyncio.gather(*writing), await write("w3")]
+    assert [each.data for each in primary.log] == group.acknowledged == written
+    refused = [b"ERROR READONLY" in answer for answer in answers]
+    assert refused == [request not in written for request in ("w1", "w2", "w3")]
+
+
+def test_servers_of_a_full_run_complete_what_occupies_a_slot_and_what_was_closed():
+    assert all(size.completes_running and size.runs_closed for size in figures.SIZES.values())
+
+
 async def test_a_small_release_day_runs_and_loses_no_commit(tmp_path):
     size = figures.SIZES["small"]
     size = dataclasses.replace(size, instances=3, services=1, rate=60.0)
