510 and 525 have their former messages again, and tell cases apart within 200 characters

In earlier records "leader changed" and "commits no longer held back" came through. Change: the former messages. To stay within 200 characters with them, `from` of 510 holds what `before` and `by` told, 525 says `self` instead of `holder`, and its build stands at the end, behind the cut (the start line and 510 from None name it).

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -124,12 +124,12 @@
     SERVER_RECALLED = EventKind(417, logbook.INFO, "server taken from the record of members")
     """A backend server that this instance has never seen listed counts among those that may hold
     commits, like one whose entry has expired."""
-    LEADER_CHANGED = EventKind(510, logbook.INFO, "leads")
-    """The latest evidence names another leader for a service. ``by`` tells the term of its lead,
-    what proved the promotion, and the instance that held the claim, as far as this instance knows
-    them (``?``). Proofs: ``stopped`` if the former primary was; otherwise all known servers were
-    paused, and the former primary was a replica (``p:replica``), its process had ended
-    (``p:ended``), it could not be reached (``p:gone``), or was not known (``p:unknown``)."""
+    LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
+    """The latest evidence names another leader for a service. ``from`` tells the leader before, the
+    term of the new lead, what proved the promotion, and the instance that held the claim, as far as
+    this instance knows them (``?``). Proofs: ``stopped`` if the former primary was; otherwise all
+    known servers were paused, and the former primary was a replica (``p:replica``), its process had
+    ended (``p:ended``), it could not be reached (``p:gone``), or was not known (``p:unknown``)."""
     PRIMARY_SUSPECTED = EventKind(511, logbook.WARNING, "primary suspected")
     """This instance receives no answer from the primary and votes to replace it."""
     PRIMARY_TRUSTED = EventKind(512, logbook.INFO, "primary trusted")
@@ -159,11 +159,11 @@
     COMMITS_HELD = EventKind(524, logbook.INFO, "commits held back")
     """This instance learned that a server's promotion is recorded, and sends no commits to another
     one; the fields tell the record's revision and how old the list of servers is."""
-    COMMITS_RESUMED = EventKind(525, logbook.INFO, "hold ended")
+    COMMITS_RESUMED = EventKind(525, logbook.INFO, "commits no longer held back")
     """Commits are no longer held back: the promoted server leads, or the record is removed; the
     fields tell for how long they were, whether this instance has ``confirmed`` that to the holder
-    of the claim (``yes``, ``no``, or ``holder`` if it is the one), its build, how many writes
-    waited or were aborted, and whether the store was lost."""
+    of the claim (``yes``, ``no``, or ``self`` if it is the one), how many writes waited or were
+    aborted, whether the store was lost, and its build."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -20,7 +20,7 @@
     NO = "no"
     """It has not, or only for an earlier record."""
     YES = "yes"
-    HOLDER = "holder"
+    HOLDER = "self"
     """It is the instance that changes the primary."""
 
 
@@ -107,11 +107,11 @@
             server=self.requested,
             held_s=round(held_s, 2),
             confirmed=self.confirmation.value,
-            build=build.build_id(),
             leader=leader,
             requested=requested,
             waited=self.waited,
             aborted=self.aborted,
             store_lost=self.began_without_store or lost,
+            build=build.build_id(),
         )
         self.since_s = None
--- a/src/mustardswitch/proxy/leader_changes.py
+++ b/src/mustardswitch/proxy/leader_changes.py
@@ -74,7 +74,6 @@
             events.Event.LEADER_CHANGED,
             service=self.service,
             server=leader,
-            before=before,
-            by=f"{UNTOLD if term is None else term} {told.proof} {told.holder}",
+            **{"from": f"{before} {UNTOLD if term is None else term} {told.proof} {told.holder}"},
             build=build.build_id(),
         )
--- a/tests/proxy/test_cut_log_lines.py
+++ b/tests/proxy/test_cut_log_lines.py
@@ -86,14 +86,15 @@
 
 
 @pytest.mark.parametrize("confirmation", commit_holds.Confirmation)
-def test_the_end_of_a_hold_tells_its_length_the_confirmation_and_the_build(
+def test_the_end_of_a_hold_tells_its_length_and_the_confirmation(
     handler, monkeypatch, confirmation
 ):
     fields = _ended_hold(handler, monkeypatch, confirmation)
+    assert fields["message"] == "commits no longer held back"
     assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
     assert fields["confirmed"] == confirmation.value
-    assert fields["build"] == build.build_id()
     assert float(fields["held_s"]) == pytest.approx(12.345, abs=0.02)
+    assert handler.records[-1].extra["fields"]["build"] == build.build_id()
 
 
 def _confirmed(handler: logbook.TestHandler, world: peer_world.World) -> str:
@@ -133,7 +134,7 @@
 def test_the_holder_says_that_it_is_the_one(handler, monkeypatch):
     world = peer_world.World(monkeypatch)
     world.report()
-    assert _confirmed(handler, world) == "holder"
+    assert _confirmed(handler, world) == "self"
 
 
 # Another leader
@@ -150,19 +151,21 @@
 )
 def test_a_new_leader_tells_its_term_what_proved_it_and_who_promoted_it(handler, word, code):
     changes = leader_changes.LeaderChanges(service=SERVICE)
-    changes.log(FORMER, term=ids.Term(11))
+    changes.log(FORMER, term=ids.Term(122))
     changes.note_told(PROMOTED, holder=HOLDER)
     changes.note_told(PROMOTED, holder=HOLDER, summary=f"{word}; former {FORMER} answered 0.3")
-    changes.log(PROMOTED, term=ids.Term(12))
+    changes.log(PROMOTED, term=ids.Term(123))
     line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
     fields = _fields(line)
-    assert (fields["service"], fields["server"], fields["before"]) == (SERVICE, PROMOTED, FORMER)
-    assert fields["by"] == f"12 {code} {HOLDER}"
+    assert fields["message"] == "leader changed"
+    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
+    assert fields["from"] == f"{FORMER} 123 {code} {HOLDER}"
 
 
 def test_the_first_leader_of_an_instance_tells_the_build(handler):
-    leader_changes.LeaderChanges(service=SERVICE).log(PROMOTED, term=ids.Term(12))
+    leader_changes.LeaderChanges(service=SERVICE).log(PROMOTED, term=ids.Term(123))
     (line,) = _lines(handler, events.Event.LEADER_CHANGED)
+    assert _fields(line)["from"] == "None 123 ? ?"
     assert _fields(line)["build"] == build.build_id()
 
 
@@ -171,9 +174,15 @@
     changes.note_told(PROMOTED, holder=HOLDER, summary="primary_stopped; former x")
     for leader in (PROMOTED, None, PROMOTED, FORMER, PROMOTED):
         changes.log(leader, term=None)
-    told = [_fields(line)["by"] for line in _lines(handler, events.Event.LEADER_CHANGED)]
+    told = [_fields(line)["from"] for line in _lines(handler, events.Event.LEADER_CHANGED)]
     known, unknown = f"? stopped {HOLDER}", "? ? ?"
-    assert told == [known, unknown, known, unknown, unknown]
+    assert told == [
+        f"None {known}",
+        f"{PROMOTED} {unknown}",
+        f"None {known}",
+        f"{PROMOTED} {unknown}",
+        f"{FORMER} {unknown}",
+    ]
 
 
 def test_an_announcement_tells_who_promotes_before_the_proof_is_known(handler, monkeypatch):
@@ -181,7 +190,7 @@
     world.announce(peer_world.promotion_of())
     world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
     line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
-    assert _fields(line)["by"].split() == ["?", "?", peer_world.TWO]
+    assert _fields(line)["from"].split()[1:] == ["?", "?", peer_world.TWO]
 
 
 def test_the_holder_tells_the_proof_once_before_the_promotion_takes_effect(handler, monkeypatch):
@@ -197,7 +206,7 @@
     receiver.updates.receive(told)
     receiver.service.note_leading(B, query_sent_at_s=receiver.now_s + 1, position=None)
     line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
-    assert _fields(line)["by"].split() == ["?", "p:gone", peer_world.TWO]
+    assert _fields(line)["from"].split()[1:] == ["?", "p:gone", peer_world.TWO]
 
 
 class Linked(proxy_world.World):
@@ -251,7 +260,7 @@
     beside.service.note_leading(promoted, query_sent_at_s=clock.now_s() + 1, position=position)
     (leads,) = _lines(handler, events.Event.LEADER_CHANGED)
     (resumed,) = _lines(handler, events.Event.COMMITS_RESUMED)
-    assert _fields(leads)["by"].split()[1:] == [proof, "one"]
+    assert _fields(leads)["from"].split()[2:] == [proof, "one"]
     assert _fields(resumed)["confirmed"] == "yes"
     assert beside.service.acknowledged.promoted.end == position
 
