A server that runs is listed within its heartbeat, not after catch_up_s

PROTOCOL.md: "A database writes there approximately every heartbeat_ms". So a server that runs is taken to be listed within one and a quarter intervals (1.5 s), and the list is read anew after that, as before. catch_up_s is no longer read; files that name it still work, and a file without a heartbeat has 1.5 s. No wait is longer than 5.0 s, whatever the heartbeat.

Tests whose figures rested on catch_up_s have the new ones.

--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -1,13 +1,19 @@
 """Decides whether a server that is not listed yet may hold commits that no known server has.
 
 The platform starts a server for each one that leaves or is lost. The new server confirms commits as
-soon as it runs, and is listed some time later. If the primary ends meanwhile, nothing else tells of
-these commits. So without the primary's end, a promotion waits until the service has as many servers
-as it had, or until a server that has confirmed a commit of the former primary must be listed.
+soon as it runs, and is listed once it has written its first entry, which servers do about once in
+each heartbeat interval. If the primary ends meanwhile, nothing else tells of these commits. So
+without the primary's end, a promotion waits until the service has as many servers as it had, or
+until a server that has confirmed a commit of the former primary must be listed.
 """
 
-DEFAULT_LISTING_S = 7.2
-"""Time from the start of a server until it is listed, unless the settings give another one."""
+HEARTBEATS = 1.25
+"""Heartbeat intervals after its start in which a server that runs has written its entry; it writes
+approximately once in each."""
+DEFAULT_LISTING_S = 1.5
+"""Time from the start of a server until it is listed, without a heartbeat in the settings."""
+MAX_LISTING_S = 5.0
+"""Longest time that is waited for a server, so that the service has a primary soon again."""
 RELISTED_S = 2.5
 """Time after an outage of the store in which the servers that run are listed; the platform promises
 about two seconds."""
@@ -65,13 +71,23 @@
         self.recorded = servers
 
 
+def time_to_list_s(heartbeat_s: float) -> float:
+    """Return the time from the start of a server until it is listed, in seconds."""
+    return min(HEARTBEATS * heartbeat_s, MAX_LISTING_S)
+
+
+def complete_s(listing_s: float) -> float:
+    """Return the time from the first reading of the list after which all that run are listed."""
+    return max(listing_s, RELISTED_S)
+
+
 def is_complete(count: ServerCount, *, knows_since_s: float, listing_s: float) -> bool:
     """Return whether no server of a service is missing from the list.
 
-    A ``count`` without a record says little until the list has been read for ``listing_s``:
-    servers may have been removed from it before.
+    A ``count`` without a record says little until the list has been read for as long as servers
+    need that have started, or were removed from the list in an outage before.
     """
-    is_known = count.recorded > 0 or knows_since_s >= listing_s
+    is_known = count.recorded > 0 or knows_since_s >= complete_s(listing_s)
     return is_known and count.missing <= 0
 
 
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -116,13 +116,13 @@
 
 
 def _read_listing_s(reader: "_Reader") -> float:
-    """Return the time in which servers are listed: they register once they have caught up."""
+    """Return the time in which servers are listed: they write an entry about once a heartbeat."""
     if not reader.fields.get("servers"):
         return unlisted_servers.DEFAULT_LISTING_S
     given = _Reader(fields=reader.value("servers", dict), source=f"{reader.source}: servers")
-    if given.fields.get("catch_up_s") is None or given.fields.get("heartbeat_ms") is None:
+    if given.fields.get("heartbeat_ms") is None:
         return unlisted_servers.DEFAULT_LISTING_S
-    return given.seconds("catch_up_s") + given.seconds("heartbeat_ms") / 1000
+    return unlisted_servers.time_to_list_s(given.seconds("heartbeat_ms") / 1000)
 
 
 def _read_limits(reader: "_Reader") -> Limits:
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -23,6 +23,9 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
+GIVE_UP_S = 6.0
+"""Time without an answer of the former primary after which acknowledged commits are given up that
+no known server has; as long as a replica counts whose entry expired."""
 WAIT_REPORT_INTERVAL_S = 1.0
 """Interval of reports about what a change waits for."""
 
@@ -241,7 +244,7 @@
                 # A pause may have ended after an earlier query, and before commits did.
                 queried_s = clock.now_s()
                 statuses = await self.commands.query(self.confirming() - spared)
-            if ended_since_s is not None and silent_s >= self.target.listing_s:
+            if ended_since_s is not None and silent_s >= GIVE_UP_S:
                 report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
             # Another one that lacks nothing is chosen once all are paused.
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -6,7 +6,7 @@
 import itertools
 
 from mustardswitch import events
-from mustardswitch.internal import clock, gateways, ids, members
+from mustardswitch.internal import clock, gateways, ids, members, unlisted_servers
 from mustardswitch.proxy import directory, errors, fleet_records, member_records, ports, service
 
 CHECK_S = 0.1
@@ -56,7 +56,8 @@
     async def check_sizes(self) -> None:
         """Write the sizes of services that have more servers than recorded, in one call."""
         now_s, servers = clock.now_s(), self.directory.servers
-        if servers.outage or servers.is_recent(now_s, self.directory.listing_s):
+        complete_s = unlisted_servers.complete_s(self.directory.listing_s)
+        if servers.outage or servers.is_recent(now_s, complete_s):
             return
         book, due = self.directory.members, {}
         for name, target in self.directory.services.items():
