Stand-ins: a server can hold what callers sent while it executes orders

With 'stalled' it executed nothing, so that no statement of before was left once it had answered the order.

--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -1,6 +1,7 @@
 """An in-memory database group behind the platform's line protocol."""
 
 import asyncio
+import collections
 import dataclasses
 import functools
 import json
@@ -49,6 +50,10 @@
         """Monotonic time at which each entry is removed unless its server registers again."""
         self.stalled: set[ids.ServerId] = set()
         """Servers that accept connections, and execute nothing until they go on."""
+        self.holding: set[ids.ServerId] = set()
+        """Servers that execute queries and orders, and callers' statements only once they go on."""
+        self.held: collections.Counter[ids.ServerId] = collections.Counter()
+        """Statements that have waited at each server while it was ``holding``."""
         self.row_padding_bytes: dict[str, int] = {}
         """Bytes that are appended to each row of the answers to reads of an item."""
 
@@ -168,6 +173,7 @@
                 return
             await self.pass_stall(server)
             _, request, text = line.split(" ", 2)
+            await self.pass_hold(server, text)
             writer.write(await self._answer(server, link, prepared_access, request, text))
 
     async def pass_stall(self, server: database_group.FakeServer) -> None:
@@ -175,6 +181,15 @@
         while server.name in self.stalled:
             await asyncio.sleep(STALL_CHECK_S)
 
+    async def pass_hold(self, server: database_group.FakeServer, text: str) -> None:
+        """Wait while a server holds callers' statements."""
+        is_order = text == "STATUS" or text.partition(" ")[0] in ORDERS
+        if is_order or server.name not in self.holding:
+            return
+        self.held[server.name] += 1
+        while server.name in self.holding:
+            await asyncio.sleep(STALL_CHECK_S)
+
     async def _answer(
         self,
         server: database_group.FakeServer,
