Full runs: what a primary commits that leads again is noted with its sender

Now events.log has the request, the position, the source port of its connection, how long it waited for a slot and for its execution, and whether its connection was closed; and each promotion of a leader of the term before.

Evidence: test_what_a_primary_commits_that_leads_again_is_noted_with_its_sender.

--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import time
 
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids
@@ -44,6 +45,9 @@
             await self.free.acquire()
         finally:
             self.waiting -= 1
+        arrived = measured_group.arrival.get()
+        if arrived is not None:
+            arrived.slot_s = time.monotonic()
         try:
             await asyncio.sleep(seconds)
         finally:
@@ -99,8 +103,8 @@
 
     def __init__(self, *, reader: asyncio.StreamReader) -> None:
         self.reader = reader
-        self.lines: asyncio.Queue[str | None] = asyncio.Queue()
-        """Received statements; None ends them."""
+        self.lines: asyncio.Queue[tuple[str, float] | None] = asyncio.Queue()
+        """Received statements and their monotonic times in seconds; None ends them."""
         self.closed = False
         """Whether the remote end has closed the connection; what has not run does not run."""
 
@@ -111,7 +115,7 @@
                 line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
                 if line == "TERMINATE":
                     return
-                self.lines.put_nowait(line)
+                self.lines.put_nowait((line, time.monotonic()))
         except (OSError, EOFError):
             return
         finally:
@@ -203,12 +207,21 @@
         incoming = Incoming(reader=reader)
         receiving = asyncio.create_task(incoming.receive())
         try:
-            while (line := await incoming.lines.get()) is not None:
+            while (received := await incoming.lines.get()) is not None:
+                line, received_s = received
                 await self._pass_cut(server, writer, arrives=cut.one_way)
                 await self.pass_stall(server)
                 request_delay_s = self.request_delays_s.get(server.name, 0.0)
                 await asyncio.sleep(self.source.uniform(0.0, 2.0) * request_delay_s)
                 _, request, text = line.split(" ", 2)
+                await self.pass_hold(server, text)
+                measured_group.arrival.set(
+                    measured_group.Arrival(
+                        request=request,
+                        source_port=writer.get_extra_info("peername")[1],
+                        received_s=received_s,
+                    )
+                )
                 answer = await self._answer_in_slot(server, link, prepared, request, text, incoming)
                 await asyncio.sleep(self.answer_delays_s.get(server.name, 0.0))
                 await self._pass_cut(server, writer, arrives=False)
@@ -244,6 +257,7 @@
                 return self._refuse(server, link, verb)
         if incoming.closed and not self.size.runs_closed:
             raise EOFError("the connection was closed before the statement ran")
+        measured_group.arrival.get().closed = incoming.closed
         return await self._answer(server, link, prepared, request, text)
 
     def _draw_work_s(self, text: str) -> float:
--- a/src/mustardswitch_standins/full_run/measured_group.py
+++ b/src/mustardswitch_standins/full_run/measured_group.py
@@ -1,5 +1,6 @@
 """A replicated group with random delays, which records promotions and acknowledged commits."""
 
+import contextvars
 import dataclasses
 import random
 import time
@@ -14,6 +15,33 @@
 """One-way delays of the network."""
 
 
+@dataclasses.dataclass(kw_only=True)
+class Arrival:
+    """A statement that a server has received; times are monotonic, in seconds."""
+
+    request: str
+    source_port: int
+    """Port of the remote end of its connection."""
+    received_s: float
+    slot_s: float | None = None
+    """When it has got a slot; None for one that needs none."""
+    closed: bool = False
+    """Whether its connection was closed by the remote end before it ran."""
+
+    def describe(self) -> str:
+        """Return the fields as they are noted with an event."""
+        now_s = time.monotonic()
+        slot = "-" if self.slot_s is None else f"{self.slot_s - self.received_s:.3f}"
+        return (
+            f"sent by {self.request} from port {self.source_port}, slot after {slot} s,"
+            f" executed after {now_s - self.received_s:.3f} s, closed: {self.closed}"
+        )
+
+
+arrival: contextvars.ContextVar[Arrival | None] = contextvars.ContextVar("arrival", default=None)
+"""The statement that the current task executes."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Promotion:
     """A promotion and the commits that it discarded; times in Unix seconds."""
@@ -51,6 +79,8 @@
         """Time of the last call to promote each server, and the servers that were listed then."""
         self.acknowledged_at_s: list[float] = []
         """Unix times of the acknowledgements."""
+        self.leads_again = False
+        """Whether the present term began with the promotion of the leader of the term before."""
         for server in list(self.servers.values()):
             self._rename(server)
 
@@ -75,6 +105,19 @@
         if (commit.primary.name, commit.starts) not in self.undelivered_lost:
             super()._deliver(commit, replica, starts)
 
+    async def confirm(
+        self, server: database_group.FakeServer, writes: list[str], timeout_s: float
+    ) -> bool:
+        """Commit at the primary, and note what one executes that leads again."""
+        if self.leads_again:
+            sent = arrival.get()
+            self.note(
+                f"{server.name} leads again and commits {' '.join(writes)}"
+                f" at {self.term}.{len(server.log) + len(writes)}"
+                f"{f', {sent.describe()}' if sent is not None else ''}"
+            )
+        return await super().confirm(server, writes, timeout_s)
+
     def _acknowledge(self, commit, replica, starts: int) -> None:
         before = len(self.acknowledged)
         super()._acknowledge(commit, replica, starts)
@@ -105,6 +148,9 @@
         done = super().promote(name)
         if self.term == term:
             return done
+        self.leads_again = self.leader is former
+        if self.leads_again:
+            self.note(f"{name} led term {term} and leads again")
         called_s, listed = self.calls.get(name, (time.time(), []))
         held = {entry.data for entry in self.leader.log}
         lost = self.lost[lost_before:]
--- a/tests/platform/test_full_run_days.py
+++ b/tests/platform/test_full_run_days.py
@@ -155,3 +155,28 @@
         listener.close()
     assert instance.ports.health != taken
     assert "ended at its start" in capsys.readouterr().err
+
+
+async def test_what_a_primary_commits_that_leads_again_is_noted_with_its_sender(program):
+    group, primary = program.group, program.group.leader
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", program.databases.ports[primary.name]
+    )
+    writer.write(f"STARTUP service-0 tester {primary.name}\r\n".encode())
+    assert (await reader.readline()).startswith(b"READY")
+    port = writer.get_extra_info("sockname")[1]
+    program.databases.holding.add(primary.name)
+    writer.write(b"QUERY early WRITE item x\r\n")
+    await wait_until(lambda: program.databases.held[primary.name] == 1)
+    group.step_down(primary, 2)
+    group.promote(primary.name)
+    program.databases.holding.clear()
+    await reader.readuntil(b"READY")
+    writer.close()
+    assert f"{primary.name} led term 1 and leads again" in group.events[-2]
+    noted = group.events[-1]
+    assert (
+        f"{primary.name} leads again and commits early at 2.1, sent by early from port {port},"
+        in (noted)
+    )
+    assert noted.endswith("closed: False")
