A stopped primary that leads again loses what waited in it: known red, with a test

SuccessorChoice._stop_primary promotes the present primary, to void requests of earlier claims, and stops it right after. The platform executes that promotion later: the stopped primary leads the next term, and all pauses end. What had waited in it is executed and confirmed by a replica that was paused, before the successor leads, whose log was proved with the end that was read at the stop.

--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -53,8 +53,6 @@
         if fencing_token < self.highest_token:
             return ports.PromotionOutcome.REJECTED
         self.highest_token = fencing_token
-        if self.group.servers[server] is self.group.primary and self.group.servers[server].up:
-            return ports.PromotionOutcome.ACCEPTED
         if self.effect_delay_s:
             asyncio.get_running_loop().call_later(self.effect_delay_s, self.group.promote, server)
             return ports.PromotionOutcome.ACCEPTED
--- /dev/null
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -0,0 +1,42 @@
+"""The request that voids those of earlier claims names a primary that is stopped right after it."""
+
+import asyncio
+
+from mustardswitch.proxy import ports
+from tests.common import proxy_world, takeovers
+
+EFFECT_S = 0.3
+HOLD_S = 0.2
+"""Time until the commits that wait in the primary are given up, and the hold is confirmed."""
+
+
+async def _run_what_waits(world: proxy_world.World) -> None:
+    """Commit at the former primary as soon as any server leads again after its stop."""
+    former = world.group.servers[takeovers.A]
+    while world.group.primary is former:
+        await asyncio.sleep(0.001)
+    while world.group.primary is None:
+        await asyncio.sleep(0.001)
+    world.group.commit(former, "waited")
+
+
+async def test_a_stopped_primary_does_not_lead_again_and_run_what_waited_in_it():
+    world = proxy_world.World()
+    world.group.commit(world.group.primary, "old")
+    world.group.servers[takeovers.A].leaving = True
+    world.list_servers()
+    world.promoter.effect_delay_s = EFFECT_S
+    world.coordination.hold_report = ports.HoldReport(complete=False)
+    changing = asyncio.create_task(takeovers.take_over(world))
+    waiting = asyncio.create_task(_run_what_waits(world))
+    while world.group.primary is not None:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(HOLD_S)
+    world.coordination.hold_report = ports.HoldReport(complete=True)
+    while not takeovers.requested_successors(world):
+        await asyncio.sleep(0.001)
+    # It leads with what it had received as its promotion was requested.
+    world.group.servers[takeovers.requested_successors(world)[0]].not_receiving = True
+    assert await changing
+    await waiting
+    assert world.group.lost == []
