--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import time
 
 from mustardswitch.backends import errors
 from mustardswitch.internal import ids
@@ -49,6 +50,9 @@
             await self.free.acquire()
         finally:
             self.waiting -= 1
+        arrived = measured_group.arrival.get()
+        if arrived is not None:
+            arrived.slot_s = time.monotonic()
         try:
             if begin is not None:
                 begin()
@@ -185,12 +189,21 @@
         incoming = line_protocol_databases.Incoming(reader=reader)
         receiving = asyncio.create_task(incoming.receive())
         try:
-            while (line := await incoming.lines.get()) is not None:
+            while (received := await incoming.lines.get()) is not None:
+                line, received_s = received
                 await self._pass_cut(server, writer, arrives=cut.one_way)
                 await self.pass_stall(server)
                 request_delay_s = self.request_delays_s.get(server.name, 0.0)
                 await asyncio.sleep(self.source.uniform(0.0, 2.0) * request_delay_s)
                 _, request, text = line.split(" ", 2)
+                await self.pass_hold(server, text)
+                measured_group.arrival.set(
+                    measured_group.Arrival(
+                        request=request,
+                        source_port=writer.get_extra_info("peername")[1],
+                        received_s=received_s,
+                    )
+                )
                 answer = await self._answer_in_slot(server, link, prepared, request, text, incoming)
                 await asyncio.sleep(self.answer_delays_s.get(server.name, 0.0))
                 await self._pass_cut(server, writer, arrives=False)
@@ -230,6 +243,7 @@
                 return self._refuse(server, link, verb)
         if incoming.closed and not self.size.runs_closed:
             raise EOFError("the connection was closed before the statement ran")
+        measured_group.arrival.get().closed = incoming.closed
         return await self._answer(server, link, prepared, request, text)
 
     def _draw_work_s(self, text: str) -> float:
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -1,6 +1,7 @@
 """An in-memory database group behind the platform's line protocol."""
 
 import asyncio
+import collections
 import dataclasses
 import functools
 import json
@@ -35,8 +36,8 @@
 
     def __init__(self, *, reader: asyncio.StreamReader) -> None:
         self.reader = reader
-        self.lines: asyncio.Queue[str | None] = asyncio.Queue()
-        """Received statements; None ends them."""
+        self.lines: asyncio.Queue[tuple[str, float] | None] = asyncio.Queue()
+        """Received statements and their monotonic times in seconds; None ends them."""
         self.closed = False
         """Whether the remote end has closed the connection."""
 
@@ -47,7 +48,7 @@
                 line = (await self.reader.readuntil(b"\r\n")).decode().removesuffix("\r\n")
                 if line == "TERMINATE":
                     return
-                self.lines.put_nowait(line)
+                self.lines.put_nowait((line, time.monotonic()))
         except (OSError, EOFError):
             return
         finally:
@@ -77,6 +78,10 @@
         """Monotonic time at which each entry is removed unless its server registers again."""
         self.stalled: set[ids.ServerId] = set()
         """Servers that accept connections, and execute nothing until they go on."""
+        self.holding: set[ids.ServerId] = set()
+        """Servers that execute queries and orders, and callers' statements only once they go on."""
+        self.held: collections.Counter[ids.ServerId] = collections.Counter()
+        """Statements that have waited at each server while it was ``holding``."""
         self.row_padding_bytes: dict[str, int] = {}
         """Bytes that are appended to each row of the answers to reads of an item."""
 
@@ -193,9 +198,10 @@
         incoming = Incoming(reader=reader)
         receiving = asyncio.create_task(incoming.receive())
         try:
-            while (line := await incoming.lines.get()) is not None:
+            while (received := await incoming.lines.get()) is not None:
                 await self.pass_stall(server)
-                _, request, text = line.split(" ", 2)
+                _, request, text = received[0].split(" ", 2)
+                await self.pass_hold(server, text)
                 writer.write(await self._answer(server, link, prepared_access, request, text))
         finally:
             receiving.cancel()
@@ -205,6 +211,15 @@
         while server.name in self.stalled:
             await asyncio.sleep(STALL_CHECK_S)
 
+    async def pass_hold(self, server: database_group.FakeServer, text: str) -> None:
+        """Wait while a server holds callers' statements."""
+        is_order = text == "STATUS" or text.partition(" ")[0] in ORDERS
+        if is_order or server.name not in self.holding:
+            return
+        self.held[server.name] += 1
+        while server.name in self.holding:
+            await asyncio.sleep(STALL_CHECK_S)
+
     async def _answer(
         self,
         server: database_group.FakeServer,
