The exploration lets promotions take effect later than they are accepted

An accepted request is pending until its effect; tokens are compared when a call is executed. A promotion of the server that leads at the effect changes nothing, any other ends all pauses. A commit in the log of a stopped primary may be confirmed once that one leads again by its own log. The void before a stop, a primary that is kept, repeated requests and the mends are rules that can be switched. With effect_at_once, the default, the steps are those of before.

--- a/tests/common/exploration_faults.py
+++ b/tests/common/exploration_faults.py
@@ -63,7 +63,13 @@
             state = state._replace(late=(*state.late, ("RESUME", late, 0)))
         else:
             state = change_server(state, NUMBERS[name], paused=False)
-    return state._replace(holder=None, record=requested)
+    recorded = requested != NOBODY
+    return state._replace(
+        holder=None,
+        record=requested,
+        held=state.held and recorded,
+        marked=state.marked and recorded,
+    )
 
 
 def faults(state: State, rules: exploration_rules.Rules) -> Steps:
@@ -92,7 +98,14 @@
     for number, instance in enumerate(state.instances):
         if not instance.up:
             after = change_instance(
-                state, number, up=True, age=0, requested=state.record, acks=(), shown=(0, 0)
+                state,
+                number,
+                up=True,
+                age=0,
+                requested=state.record,
+                held=state.held,
+                acks=(),
+                shown=(0, 0),
             )
             yield "start instance", str(number), after
             continue
--- a/tests/common/exploration_former.py
+++ b/tests/common/exploration_former.py
@@ -3,7 +3,7 @@
 import functools
 
 from mustardswitch.internal import former_primary, promotion
-from tests.common import exploration_state
+from tests.common import exploration_rules, exploration_state
 from tests.common.exploration_state import (
     NOBODY,
     Acked,
@@ -23,10 +23,20 @@
     return state._replace(commits=commits)
 
 
-def stop(state: State, number: int) -> State:
-    """Let a primary execute a STEPDOWN; the commits in its log are not acknowledged any more."""
+def stop(state: State, rules: exploration_rules.Rules, number: int) -> State:
+    """Let a primary execute a STEPDOWN; what is in its log may be confirmed once it leads again."""
     state = exploration_state.change_server(state, number, leads=False)
-    return end_commits(state, number, waiting=False)
+    if rules.stop_ends_running:
+        return state
+    commits = tuple(
+        (
+            each._replace(running=True)
+            if each.server == number and each.state == exploration_state.Acked.WAITING
+            else each
+        )
+        for each in state.commits
+    )
+    return state._replace(commits=commits)
 
 
 def can_answer(state: State) -> bool:
@@ -48,7 +58,7 @@
     return state.instances[0].up and (0 in told or state.holder.instance == 0)
 
 
-def note_stopped(state: State) -> State | None:
+def note_stopped(state: State, rules: exploration_rules.Rules, *, held: bool) -> State | None:
     """Let the former primary answer the order to stop; None if that proves nothing."""
     holder = state.holder
     number = holder.primary
@@ -56,17 +66,35 @@
     if server.leads and state.term >= holder.term:
         return None
     led_newest = holder.handover or (server.leads and state.term >= holder.term - 1)
+    if rules.end_after_hold and state.term >= holder.term:
+        # Another server was promoted since, and its commits are not in this log.
+        led_newest = False
     if server.leads:
-        state = stop(state, number)
+        state = stop(state, rules, number)
     end = exploration_state.position(state, server.log)
     if not led_newest:
         return state._replace(holder=holder._replace(replica_end=end))
     if end < holder.primary_end:
         return None
-    holder = holder._replace(primary_end=end, stopped_end=end)
+    holder = holder._replace(primary_end=end, stopped_end=end, end_held=held)
     return state._replace(holder=holder, recorded_end=(number, end))
 
 
+def read_end_again(state: State) -> State:
+    """Read the end of a stopped primary after the hold; one read before it proves nothing."""
+    holder = state.holder
+    if holder.stopped_end is None or holder.end_held:
+        return state
+    server = state.servers[holder.primary]
+    end = exploration_state.position(state, server.log)
+    promoted = server.leads or state.term >= holder.term
+    if not can_answer(state) or promoted or end < holder.primary_end:
+        # One that leads again is stopped anew; the recorded end stays required.
+        return state._replace(holder=holder._replace(stopped_end=None))
+    holder = holder._replace(primary_end=end, stopped_end=end, end_held=True)
+    return state._replace(holder=holder, recorded_end=(holder.primary, end))
+
+
 def former(state: State, *, held: bool) -> promotion.FormerPrimary:
     """Return what is known of the former primary."""
     holder = state.holder
--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -89,15 +89,10 @@
     return {primary} if seen.leads or not seen.listed else set()
 
 
-def begin(
-    state: State,
-    rules: exploration_rules.Rules,
-    instance: int,
-    primary: int,
-    *,
-    handover: bool,
-) -> State | None:
-    """Claim the service, read the list and record the likely successor."""
+def claim(
+    state: State, rules: exploration_rules.Rules, instance: int, primary: int
+) -> tuple[State, Statuses] | None:
+    """Claim the service, read the list, and query all servers but the primary."""
     fresh = instance == FRESH
     if fresh:
         # Servers of the durable record count from the start of the instance.
@@ -120,15 +115,18 @@
         statuses=(None,) * len(NAMES),
         usual=_first_count(rules, seen, primary) if fresh else 3,
         knows=0 if fresh else MAX_AGE,
+        holds_all=rules.hold_for_all and state.record != NOBODY,
+        marked=rules.keep_first and state.marked,
     )
     state = state._replace(tokens=state.tokens + 1, holder=holder)
     asked = ask(state, confirming(holder) - {primary})
     if any(status is not None and status.leads for status in asked):
         return None
-    return _begin_handover(state, asked) if handover else _record_likely(state, asked)
+    return state, asked
 
 
-def _record_likely(state: State, asked: Statuses) -> State | None:
+def record_likely(state: State, asked: Statuses) -> State | None:
+    """Record the likely successor of a primary that gives no answer."""
     holder = state.holder
     replicas = {n: each for n, each in enumerate(asked) if each is not None}
     likely = NAMES[holder.requested] if holder.requested != NOBODY else None
@@ -144,9 +142,14 @@
 def record(state: State, server: int, asked: Statuses) -> State:
     """Record the server that is to be promoted; confirmations count for one record only."""
     holder = state.holder._replace(
-        requested=server, statuses=asked, confirmed=(), ended=NOBODY, replica_end=None
+        requested=server,
+        statuses=asked,
+        confirmed=(),
+        ended=NOBODY,
+        replica_end=None,
+        end_held=False,
     )
-    state = state._replace(record=server, holder=holder)
+    state = state._replace(record=server, held=holder.holds_all, holder=holder)
     return hold_back(state, holder.instance)
 
 
@@ -157,50 +160,15 @@
     commits = tuple(
         (
             each._replace(open=False)
-            if each.sender == instance and each.server != state.record
+            if each.sender == instance and (state.held or each.server != state.record)
             else each
         )
         for each in state.commits
     )
     state = state._replace(commits=commits)
-    return exploration_state.change_instance(state, instance, requested=state.record, age=0)
-
-
-def _begin_handover(state: State, asked: Statuses) -> State | None:
-    """Pause all but the successor of a primary that answers."""
-    holder, primary = state.holder, state.holder.primary
-    leader = exploration_state.status_of(state, primary)
-    if leader is None or not leader.leads:
-        return None
-    replicas = {
-        n: each
-        for n, each in enumerate(asked)
-        if each is not None and (holder.seen[n].listed or n == holder.requested)
-    }
-    requested = NAMES[holder.requested] if holder.requested != NOBODY else None
-    found = promotion.choose_successor(
-        replicas=real_statuses(replicas), leaving=names(leaving(holder)), requested=requested
+    return exploration_state.change_instance(
+        state, instance, requested=state.record, held=state.held, age=0
     )
-    if found is None or replicas[NUMBERS[found]].end < leader.end:
-        return None
-    successor = NUMBERS[found]
-    state = exploration_state.change_server(state, successor, paused=False)
-    state, paused = pause(state, dict(replicas), confirming(holder) - {primary, successor})
-    choice = promotion.evaluate_handover(
-        expected=names(confirming(holder) - {primary}),
-        paused=real_statuses(paused),
-        successor=found,
-        successor_status=exploration_state.real_status(
-            exploration_state.status_of(state, successor)
-        ),
-        primary_leaves=primary in leaving(holder),
-    )
-    if choice.verdict is not promotion.Verdict.PROMOTE:
-        return None
-    holder = holder._replace(primary_end=leader.end, handover=True)
-    # Requests of earlier claims are rejected from now on.
-    state = state._replace(holder=holder, seen_token=max(state.seen_token, holder.token))
-    return record(state, successor, (None,) * len(NAMES))
 
 
 def pause(
@@ -226,16 +194,24 @@
     return state, paused
 
 
+def is_held(state: State, rules: exploration_rules.Rules) -> bool:
+    """Return whether no instance sends commits any more."""
+    holder = state.holder
+    unconfirmed = {0, 1} - {holder.instance} - dict(holder.confirmed).keys()
+    starting = holder.knows < exploration_state.HOLD_LIMIT
+    held = holder.record_age >= exploration_state.HOLD_LIMIT or not (unconfirmed or starting)
+    return held or not rules.wait_for_hold
+
+
 def decide(state: State, rules: exploration_rules.Rules) -> State | None:
     """Evaluate the evidence once, and request or record a promotion; None if nothing changes."""
-    before, holder = state, state.holder
+    before = state
     if rules.list_after_end:
         state = read(state, rules)
-        holder = state.holder
-    unconfirmed = {0, 1} - {holder.instance} - dict(holder.confirmed).keys()
-    starting = holder.knows < exploration_state.HOLD_LIMIT
-    held = holder.record_age >= exploration_state.HOLD_LIMIT or not (unconfirmed or starting)
-    held = held or not rules.wait_for_hold
+    held = is_held(state, rules)
+    if rules.end_after_hold and held:
+        state = exploration_former.read_end_again(state)
+    holder = state.holder
     found = exploration_former.former(state, held=held)
     if not rules.end_primary:
         found = promotion.FormerPrimary.UNKNOWN
--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -29,6 +29,21 @@
     removed_primary_missing: bool = False
     """A primary whose entry is gone is not counted, since its leaving may not have been read."""
 
+    voids_before_stop: bool = True
+    """A primary is promoted before each stop, to void requests that no record tells of."""
+    await_void: bool = False
+    """The effect of that promotion is awaited before the stop, and all is read anew."""
+    end_after_hold: bool = False
+    """The end of a stopped primary counts once it was read after the hold was complete."""
+    record_unanswered: bool = False
+    """The record stays after a request without an answer, until a later token has voided it."""
+    keep_first: bool = False
+    """A record tells whether a promotion of the present primary may be under way. A holder that
+    finds one that does promotes it before any order to stop it, and awaits the effect, if the
+    primary leads, or runs and led last by the terms of all others."""
+    hold_for_all: bool = False
+    """A holder that finds a record holds commits to all servers until its end."""
+
     # Assumptions about the platform
     listed_in_time: bool = True
     """A server is listed within ``listing_s`` after its start."""
@@ -42,6 +57,16 @@
     """No server starts anew under its id."""
     transfers_late: bool = True
     """The log of a leaving server is transferred to one that is listed at once."""
+    effect_at_once: bool = True
+    """A request takes effect when it is executed."""
+    effects_in_order: bool = False
+    """Promotions take effect in the order in which they were accepted."""
+    effect_in_time: bool = True
+    """A promotion has taken effect when the holder has waited for it."""
+    stop_ends_running: bool = True
+    """A commit that runs as its primary is stopped is rejected."""
+    stopped_confirms_nothing: bool = True
+    """A stopped primary acknowledges no commit."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +92,9 @@
     "receive": "Replicas receive the commit over the network and apply it later. When "
     "sync_replicas is 1, the commit is acknowledged once one replica has received it.",
     "receive, answered": "the commit is acknowledged once one replica has received it.",
+    "confirm late": "the commit is acknowledged once one replica has received it (the primary "
+    "leads again, with its own log)",
+    "confirm late, answered": "the commit is acknowledged once one replica has received it.",
     "crash": "A primary that crashed comes back with its log; one that crashes sends nothing",
     "return": "A primary that crashed comes back with its log, as a replica if another database "
     "was promoted.",
@@ -100,6 +128,15 @@
     "decide": "PAUSE with a term above the newest term stops a replica from receiving",
     "decide, stopped": "STEPDOWN with a term makes a primary of a lower term a replica.",
     "decide, stop is late": "A response may be lost (the order is executed, late)",
+    "hand over, no answer": "A call to the platform that received no response may still be "
+    "executed seconds later, after newer calls.",
+    "await effect": "Some hundred ms after that call, the named database leads the next term",
+    "begin to keep": "POST /promote ... Lease-Holder, Fencing-Token",
+    "keep": "For the present primary, the call returns 200, and nothing changes.",
+    "request again": "A call to the platform that received no response may still be executed "
+    "seconds later ... Its fence is checked at that time (409 if ... lower than a token seen)",
+    "effect": "Some hundred ms after that call, the named database leads the next term with what "
+    "it had received; PAUSE ... until RESUME, a promote, or the replica's restart",
     "execute request": "A call to the platform that received no response may still be executed "
     "seconds later; the named database leads the next term with what it had received",
     "execute late": "RESUME and STEPDOWN: a response may be lost, and the order executed late",
--- a/tests/common/exploration_state.py
+++ b/tests/common/exploration_state.py
@@ -62,6 +62,8 @@
     open: bool = True
     """Whether the instance still waits for the answer."""
     term: int = 0
+    running: bool = False
+    """Whether it ran when its primary was stopped."""
 
 
 class Server(typing.NamedTuple):
@@ -88,6 +90,8 @@
     """Age of its records."""
     requested: int = NOBODY
     """The promotion that it knows to be recorded."""
+    held: bool = False
+    """Whether it knows a record that lets no commits pass, also to the promoted server."""
     leader: int = A
     shown: Position = (0, 0)
     acks: tuple[tuple[int, Position, Position], ...] = ()
@@ -137,6 +141,18 @@
     handover: bool = False
     sent: bool = False
     """Whether it has sent a request."""
+    repeated: bool = False
+    """Whether it has repeated a request that got no answer."""
+    awaits: bool = False
+    """Whether it waits for the effect of a promotion of the present primary."""
+    holds_all: bool = False
+    """Whether its record lets no commits pass."""
+    marked: bool = False
+    """Whether it has found a record by which a promotion of the primary may be under way."""
+    keeps: bool = False
+    """Whether it keeps the primary."""
+    end_held: bool = False
+    """Whether the end of the stopped primary was read after the hold was complete."""
 
 
 class State(typing.NamedTuple):
@@ -155,12 +171,18 @@
     started: int = 0
     """Time since the unlisted server has started."""
     record: int = NOBODY
+    held: bool = False
+    """Whether the record lets no commits pass."""
+    marked: bool = False
+    """Whether the record tells that a promotion of the present primary may be under way."""
     recorded_end: tuple[int, Position] | None = None
     holder: Holder | None = None
     tokens: int = 0
     seen_token: int = 0
     requests: tuple[tuple[int, int, int], ...] = ()
     """Server, token and number of the server's starts of each request that was not executed."""
+    pending: tuple[int, ...] = ()
+    """Servers whose promotion was accepted and has not taken effect."""
     late: tuple[tuple[str, int, int], ...] = ()
     """Orders that are executed late: kind, server and term."""
     faults: int = 0
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -4,7 +4,9 @@
 from tests.common import (
     exploration_faults,
     exploration_former,
+    exploration_handover,
     exploration_holder,
+    exploration_platform,
     exploration_rules,
     exploration_state,
 )
@@ -32,12 +34,12 @@
 
 def steps(state: State, rules: exploration_rules.Rules, bounds: exploration_rules.Bounds) -> Steps:
     """Yield all steps that are possible in a state."""
-    yield from _commit_steps(state, bounds)
+    yield from _commit_steps(state, rules, bounds)
     yield from _server_steps(state, rules)
     yield from _entry_steps(state, rules)
     yield from _instance_steps(state)
     yield from _holder_steps(state, rules, bounds)
-    yield from _request_steps(state)
+    yield from exploration_platform.steps(state, rules)
     if state.faults < bounds.faults:
         for kind, about, after in exploration_faults.faults(state, rules):
             yield kind, about, after._replace(faults=state.faults + 1)
@@ -49,7 +51,9 @@
 # Commits
 
 
-def _commit_steps(state: State, bounds: exploration_rules.Bounds) -> Steps:
+def _commit_steps(
+    state: State, rules: exploration_rules.Rules, bounds: exploration_rules.Bounds
+) -> Steps:
     leader = next((n for n, each in enumerate(state.servers) if each.leads), None)
     if leader is not None and len(state.commits) < bounds.commits:
         for number in range(len(state.instances)):
@@ -62,8 +66,12 @@
             else:
                 ended = put(state.commits, number, commit._replace(state=Acked.ENDED))
                 yield "execute commit", f"c{number}, rejected", state._replace(commits=ended)
+                if commit.running:
+                    about = f"c{number}, which ran at the stop"
+                    yield "execute commit", about, _execute(state, number)
     for number in range(len(state.servers)):
-        yield from _receive(state, number)
+        yield from _receive(state, rules, number)
+    yield from _confirm(state)
 
 
 def _send(state: State, number: int, leader: int) -> Steps:
@@ -72,7 +80,7 @@
     allowed = promotion.may_take_commits(NAMES[leader], requested=requested)
     reached = leader != A or state.reach != Reach.CUT or number == 0
     runs = state.servers[leader].run == Run.UP
-    if not (instance.up and allowed and reached and runs):
+    if instance.held or not (instance.up and allowed and reached and runs):
         return
     if not exploration_state.permits(instance.age):
         return
@@ -91,7 +99,7 @@
     return change_server(state, commit.server, log=(*state.servers[commit.server].log, number))
 
 
-def _receive(state: State, number: int) -> Steps:
+def _receive(state: State, rules: exploration_rules.Rules, number: int) -> Steps:
     replica = state.servers[number]
     if state.upstream in (NOBODY, number) or replica.run != Run.UP or replica.paused:
         return
@@ -103,11 +111,29 @@
     commit = state.commits[made]
     state = change_server(state, number, log=(*replica.log, made))
     about = f"{LETTERS[number]} c{made}"
-    if commit.state != Acked.IN_LOG or not source.leads:
+    acknowledges = source.leads or (commit.running and not rules.stopped_confirms_nothing)
+    if commit.state != Acked.IN_LOG or not acknowledges:
         yield "receive", about, state
         return
+    yield from _answer(state, "receive", made, about)
+
+
+def _confirm(state: State) -> Steps:
+    """Confirm a commit that a replica has received while its primary did not lead."""
+    for number, commit in enumerate(state.commits):
+        received = any(
+            number in each.log and rank != commit.server and each.run == Run.UP
+            for rank, each in enumerate(state.servers)
+        )
+        if commit.state == Acked.IN_LOG and state.servers[commit.server].leads and received:
+            yield from _answer(state, "confirm late", number, f"c{number}")
+
+
+def _answer(state: State, kind: str, made: int, about: str) -> Steps:
+    commit = state.commits[made]
+    source = state.servers[commit.server]
     confirmed = put(state.commits, made, commit._replace(state=Acked.CONFIRMED))
-    yield "receive", about, state._replace(commits=confirmed)
+    yield kind, about, state._replace(commits=confirmed)
     sender = state.instances[commit.sender]
     reached = (
         state.upstream != A
@@ -119,7 +145,7 @@
         answered = put(state.commits, made, commit._replace(state=Acked.ANSWERED, open=False))
         acks = (*sender.acks, (state.upstream, commit.above, shown))
         state = change_instance(state, commit.sender, acks=acks, shown=shown)
-        yield "receive, answered", about, state._replace(commits=answered)
+        yield f"{kind}, answered", about, state._replace(commits=answered)
 
 
 # Servers
@@ -131,7 +157,7 @@
         leads = state.upstream == A
         log = first.log
         if not leads and state.upstream != NOBODY:
-            log = _shared(log, state.servers[state.upstream].log)
+            log = exploration_platform.shared(log, state.servers[state.upstream].log)
         back = change_server(state, A, run=Run.UP, leads=leads, log=log)
         if state.reach == Reach.OK:
             back = back._replace(silent=0, unconnected=0)
@@ -158,13 +184,6 @@
                 yield "end, log transferred", f"{LETTERS[number]} to D", after._replace(started=0)
 
 
-def _shared(log: tuple[int, ...], other: tuple[int, ...]) -> tuple[int, ...]:
-    length = 0
-    while length < min(len(log), len(other)) and log[length] == other[length]:
-        length += 1
-    return log[:length]
-
-
 def _entry_steps(state: State, rules: exploration_rules.Rules) -> Steps:
     for number, server in enumerate(state.servers):
         if server.listed and server.run in (Run.DOWN, Run.GONE):
@@ -182,7 +201,8 @@
     for number, instance in enumerate(state.instances):
         if not instance.up:
             continue
-        if instance.age or instance.requested != state.record:
+        known = instance.requested, instance.held
+        if instance.age or known != (state.record, state.held):
             after = exploration_holder.hold_back(state, number)
             yield "read record", f"instance {number}", after
         asked = holder is not None and not holder.sent and holder.instance != number
@@ -205,12 +225,11 @@
         if state.tokens < bounds.requests:
             yield from _begin_steps(state, rules)
         return
-    if state.upstream == holder.requested and holder.sent:
-        yield "finish", "", state._replace(holder=None, record=NOBODY, recorded_end=None)
     after = exploration_holder.read(state, rules)
     if after != state:
         yield "read list", "holder", after
-    if holder.sent:
+    if holder.sent or holder.keeps or holder.awaits:
+        yield from exploration_handover.steps(state, rules)
         yield "holder ends", "", exploration_faults.resume(state, late=NOBODY)
         return
     after = exploration_holder.query(state)
@@ -221,7 +240,8 @@
         yield "decide", _chosen(state, after), after
     pending = holder.stopped_end is None and holder.replica_end is None
     if pending and exploration_former.can_answer(state):
-        stopped = exploration_former.note_stopped(state)
+        held = exploration_holder.is_held(state, rules)
+        stopped = exploration_former.note_stopped(state, rules, held=held)
         after = exploration_holder.decide(stopped, rules) if stopped is not None else None
         if after is not None or stopped is not None:
             yield "decide, stopped", _chosen(state, after or stopped), after or stopped
@@ -244,60 +264,22 @@
         primaries = {leader} if number == FRESH else {A} | ({leader} - {NOBODY})
         for primary in sorted(primaries):
             name = "fresh instance" if number == FRESH else f"instance {number}"
-            for kind, handover in (("begin", False), ("hand over", True)):
-                if handover and primary == NOBODY:
-                    continue
-                after = exploration_holder.begin(state, rules, number, primary, handover=handover)
+            claimed = exploration_holder.claim(state, rules, number, primary)
+            if claimed is None:
+                continue
+            about = f"{name}: {LETTERS[primary] if primary != NOBODY else 'no primary'}"
+            begun, asked = claimed
+            runs = primary != NOBODY and state.servers[primary].run == Run.UP
+            if begun.holder.marked and runs:
+                after = exploration_handover.begin_to_keep(begun, asked)
+                yield "begin to keep", about, after
+                continue
+            found = [("begin", exploration_holder.record_likely(*claimed))]
+            if primary != NOBODY:
+                for kind, answered in (("hand over", True), ("hand over, no answer", False)):
+                    after = exploration_handover.begin(begun, rules, asked, answered=answered)
+                    found.append((kind, after))
+            for kind, after in found:
                 if after is not None:
-                    about = f"{name}: {LETTERS[primary] if primary != NOBODY else 'no primary'}"
-                    yield kind, f"{about}, records {LETTERS[after.record]}", after
-
-
-def _request_steps(state: State) -> Steps:
-    for rank, (number, token, _) in enumerate(state.requests):
-        rest = state.requests[:rank] + state.requests[rank + 1 :]
-        if token < state.seen_token or state.servers[number].run != Run.UP:
-            continue
-        after = state._replace(requests=rest, seen_token=token)
-        if not state.servers[number].leads:
-            after = _promote(after, number)
-        yield "execute request", LETTERS[number], after
-    for rank, (kind, number, term) in enumerate(state.late):
-        after = state._replace(late=state.late[:rank] + state.late[rank + 1 :])
-        server = state.servers[number]
-        if server.run == Run.UP and kind == "RESUME":
-            after = change_server(after, number, paused=False)
-        elif server.run == Run.UP and server.leads and state.term < term:
-            after = exploration_former.stop(after, number)
-        yield "execute late", f"{kind} {LETTERS[number]}", after
-
-
-def _promote(state: State, number: int) -> State:
-    promoted = state.servers[number]
-    losses = []
-    for rank, commit in enumerate(state.commits):
-        confirmed = commit.state in (Acked.CONFIRMED, Acked.ANSWERED)
-        if confirmed and rank not in promoted.log:
-            losses.append((rank, _holders(state, rank)))
-    servers = []
-    for rank, server in enumerate(state.servers):
-        log = server.log if server.run == Run.DOWN else _shared(server.log, promoted.log)
-        servers.append(server._replace(log=log, leads=rank == number, paused=False))
-        state = exploration_former.end_commits(state, rank, waiting=False)
-    return state._replace(
-        servers=tuple(servers), upstream=number, term=state.term + 1, losses=tuple(losses)
-    )
-
-
-def _holders(state: State, commit: int) -> str:
-    found = []
-    for number, server in enumerate(state.servers):
-        if commit not in server.log:
-            continue
-        if server.run == Run.DOWN:
-            found.append(f"{LETTERS[number]} (returns)")
-        elif server.leads or number == A:
-            found.append(f"{LETTERS[number]} (runs)")
-        else:
-            found.append(f"{LETTERS[number]} ({'listed' if server.listed else 'not listed'})")
-    return ", ".join(found) or "nobody"
+                    recorded = LETTERS[after.record] if after.record != NOBODY else "nothing"
+                    yield kind, f"{about}, records {recorded}", after
--- a/tests/common/promotion_exploration.py
+++ b/tests/common/promotion_exploration.py
@@ -34,6 +34,8 @@
         "start anew",
         "hand over",
         "execute late",
+        "hand over, no answer",
+        "request again",
         "holder ends",
         "holder ends, late",
         "holder dies",
@@ -84,9 +86,10 @@
     bounds: exploration_rules.Bounds,
     *,
     first_only: bool = False,
+    start: State | None = None,
 ) -> Result:
     """Explore all states within the bounds; with ``first_only`` up to the first loss."""
-    start = exploration_state.first_state()
+    start = exploration_state.first_state() if start is None else start
     parents: dict[State, tuple[State, str, str] | None] = {start: None}
     result = Result()
     frontier = [start]
@@ -96,7 +99,10 @@
             for kind, about, after in exploration_steps.steps(state, rules, bounds):
                 if kind in bounds.without or after in parents:
                     continue
-                if result.depth + 1 + least_steps(after) > bounds.steps:
+                if (
+                    result.depth + 1 + least_steps(after, effect_at_once=rules.effect_at_once)
+                    > bounds.steps
+                ):
                     continue
                 parents[after] = state, kind, about
                 if not after.losses:
@@ -116,7 +122,7 @@
     return result
 
 
-def least_steps(state: State) -> int:
+def least_steps(state: State, *, effect_at_once: bool = True) -> int:
     """Return the least number of steps after which a commit may be lost."""
     if state.losses:
         return 0
@@ -126,9 +132,14 @@
         acknowledged = 0
     elif Acked.IN_LOG in states:
         acknowledged = 1
-    if state.requests:
+    # The server that leads by its own log loses nothing of it before another one was promoted.
+    effects = 0 if effect_at_once else 1
+    if any(number != state.upstream for number in state.pending):
         return acknowledged + 1
+    if any(number != state.upstream for number, _, _ in state.requests):
+        return acknowledged + 1 + effects
     holder = state.holder
+    acknowledged += effects
     if holder is None or holder.sent:
         # A claim, the end of the hold, a decision and the execution of its request.
         return acknowledged + 4
