The rule machine lets promotions of the present primary take effect, in any order

A request for the server that leads was dropped when it was accepted, in our favour. It takes effect like any other now, and what was in the log of a stopped primary may be confirmed once it leads again. So the rule of the code loses; the machine plays the rule that the exploration found to lose none, whose five parts replace void_first: no promotion before a stop, a record that stays after a request without an answer, the primary kept first under such a record, a hold for all servers, and an end that was read after the hold. Each has a sequence that loses without it. earlier_request_for_the_stopped_primary put a request into a state that no holder leaves behind any more; repeated_request_for_the_stopped_primary and promotion_of_the_primary_is_late come there by the holders' own steps.

--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -7,14 +7,19 @@
 import collections.abc
 
 from mustardswitch.internal import ids, positions, promotion
-from tests.common import promotion_claim, promotion_instances, promotion_servers
+from tests.common import (
+    promotion_claim,
+    promotion_instances,
+    promotion_request,
+    promotion_servers,
+)
 
 OrderKind = promotion_servers.OrderKind
 Statuses = promotion_claim.Statuses
 Step = promotion_claim.Step
 
 
-class Attempt(promotion_claim.ClaimHolder):
+class Attempt(promotion_request.RequestingHolder):
     """An attempt to change the primary under a claim."""
 
     def advance(self, late: ids.ServerId | None) -> None:
@@ -25,7 +30,8 @@
             Step.STOP: lambda: self._stop(late),
             Step.COMPARE: lambda: self._compare(late),
             Step.WAIT_FOR_EFFECT: lambda: self._keep_paused(late),
-            Step.KEEP: lambda: self._keep(),
+            Step.KEEP: lambda: self._keep(late),
+            Step.AWAIT_KEPT: lambda: self._await_kept(),
         }
         if self.step in steps:
             steps[self.step]()
@@ -49,11 +55,15 @@
         leader = promotion.leading_server(
             self.statuses, known=self.primary, requested=self.requested
         )
+        if self.marked and (kept := self._kept_first(leader)) is not None:
+            return kept
         if leader is None:
             return self._decide_without_primary(late)
         self.stopped_end = None
         if leader != self.primary and self.requested in (None, leader):
-            return promotion.Choice(verdict=promotion.Verdict.ALREADY_LED, server=leader)
+            found = self.requested_before is not None and self.parts.record_unanswered
+            verdict = promotion.Verdict.KEEP if found else promotion.Verdict.ALREADY_LED
+            return promotion.Choice(verdict=verdict, server=leader)
         return self._decide_handover(leader, late)
 
     def _decide_without_primary(self, late: ids.ServerId | None) -> promotion.Choice:
@@ -67,6 +77,8 @@
             if self.step is Step.END:
                 return promotion.Choice(verdict=promotion.Verdict.WAIT)
         held = self._commits_held()
+        if held and self.stop_status is not None and self.parts.end_after_hold:
+            self._read_end_again(primary)
         former = self._former_primary(primary, held)
         ended = held and former.has_ended
         receives = {self.requested} if in_time and (self.stop_status or not ended) else set()
@@ -173,6 +185,18 @@
         self.primary_end = status.received
         self._record_end(primary, status.received)
 
+    def _read_end_again(self, primary: ids.ServerId) -> None:
+        """Read the end after the hold; a primary that leads, or was replaced, is stopped anew."""
+        if self.end_held:
+            return
+        status = self.world.status(primary) if self._carriers(primary) else None
+        if status is None or status.leads or status.term >= self.term:
+            self.stop_status = self.stopped_end = None
+        elif status.received >= self.primary_end:
+            self.stop_status, self.stopped_end = status, status.received
+            self.primary_end, self.end_held = status.received, True
+            self._record_end(primary, status.received)
+
     def _choose(
         self,
         *,
@@ -307,24 +331,12 @@
         self._order(order, late)
         self.step = Step.COMPARE
 
-    def _void_earlier_requests(self, late: ids.ServerId | None) -> bool:
-        """Promote the present primary; return whether that was answered."""
-        if self.voided or not self.parts.void_first:
-            return True
-        request = promotion_servers.Request(
-            server=self.led_by, token=self.token, term=self.world.term
-        )
-        if late == self.led_by:
-            self.late_requests.append(request)
-            return False
-        self.voided = self.world.accept(request, fenced=self.parts.fence_requests)
-        return self.voided
-
     def _compare(self, late: ids.ServerId | None) -> None:
         """Compare the successor with the stopped primary.
 
         Any server may be chosen if the successor is late: ``late`` is the primary then.
         """
+        held = self._commits_held()
         others = self._confirming() if late == self.led_by else set()
         statuses = self._ask({self.led_by, self.requested} | others)
         status = statuses.get(self.led_by)
@@ -333,8 +345,10 @@
             return
         if status is not None:
             self.primary_end = status.received
-            self.stopped_end = None if status.leads else status.received
-            if not status.leads:
+            replaced = self.parts.end_after_hold and status.term >= self.term
+            stopped = not status.leads and not replaced
+            self.stopped_end = status.received if stopped else None
+            if stopped:
                 self._record_end(self.led_by, status.received)
         self.step = Step.STOP
         if self.stopped_end is None:
@@ -346,7 +360,8 @@
             expected=self._confirming(),
             paused={},
             receiving=statuses,
-            held=self._commits_held() or not self.parts.hold_after_stop,
+            held=(held if self.parts.end_after_hold else self._commits_held())
+            or not self.parts.hold_after_stop,
         )
         if choice.verdict is not promotion.Verdict.WAIT:
             self._settle(choice)
@@ -356,55 +371,3 @@
         if self.step in (Step.STOP, Step.COMPARE):
             self.pausing_all, self.listed_anew = True, False
             self.statuses, self.step = {}, Step.DECIDE
-
-    # Promoting
-
-    def send_request(self, *, late: bool) -> promotion_servers.Request | None:
-        """Send the request; returns it if it is to be executed late."""
-        if self.step is not Step.REQUEST or not self.valid:
-            return None
-        self.request_sent = True
-        if late:
-            return self.request
-        accepted = self.world.accept(self.request, fenced=self.parts.fence_requests)
-        self.step = Step.WAIT_FOR_EFFECT if accepted else Step.END
-        return None
-
-    def _keep_paused(self, late: ids.ServerId | None) -> None:
-        if not self.parts.keep_paused:
-            return
-        self._announce()
-        primary = self.primary
-        stopped = {primary} - {self.requested} if self.stopped_end is not None else set()
-        statuses = self._ask(self._confirming() - {self.requested, primary} | stopped)
-        self._pause_others(statuses, spared={self.requested, primary}, late=late)
-        if any(statuses[name].leads for name in stopped & set(statuses)):
-            self._order(
-                promotion_servers.Order(kind=OrderKind.STEP_DOWN, server=primary, term=self.term),
-                late,
-            )
-
-    def _keep(self) -> None:
-        """Promote the present primary again, and wait until accepted requests took effect."""
-        if not self._write_record(self.requested):
-            return
-        self._announce()
-        if not self._commits_held():
-            return
-        self.step = Step.END
-        if not self.valid:
-            return
-        self.request_sent = True
-        request = promotion_servers.Request(
-            server=self.led_by, token=self.token, term=self.world.term
-        )
-        if self.parts.void_request:
-            if not self.world.accept(request, fenced=self.parts.fence_requests):
-                return
-            while self.world.accepted:
-                self.world.take_effect()
-        if self.valid and self._leads(self.led_by):
-            self.requested = None
-
-    def _leads(self, name: ids.ServerId | None) -> bool:
-        return any(status.leads for status in self._ask({name}).values())
--- a/tests/common/promotion_claim.py
+++ b/tests/common/promotion_claim.py
@@ -20,6 +20,7 @@
     REQUEST = "request"
     WAIT_FOR_EFFECT = "wait_for_effect"
     KEEP = "keep"
+    AWAIT_KEPT = "await_kept"
     END = "end"
 
 
@@ -75,6 +76,14 @@
         """The instances that hold commits for the server that this holder has recorded."""
         self.voided = False
         """Whether the requests of earlier claims are rejected."""
+        self.holds_all = parts.hold_for_all and world.record is not None
+        """Whether its record lets no commits pass."""
+        self.marked = parts.keep_first and world.marked
+        """Whether a promotion of the present primary may be under way from an earlier claim."""
+        self.unanswered = False
+        """Whether a request of this holder got no answer."""
+        self.end_held = False
+        """Whether the end of the primary was read after the hold was complete."""
         self.recorded_end = world.stopped
         """The stopped primary of this holder or an earlier one, as recorded."""
         self.spared: frozenset[ids.ServerId] = frozenset()
@@ -133,16 +142,18 @@
 
     def _write_record(self, server: ids.ServerId) -> bool:
         """Record a server under the claim; instances are told afterwards."""
-        if self.hold is not None and self.hold.promoted == server:
+        passed = promotion_instances.NO_SERVER if self.holds_all else server
+        if self.hold is not None and self.hold.promoted == passed and self.requested == server:
             return True
         holds = self.valid and self.instance.reaches_store and self.world.claim == self.token
         if not holds:
             self.valid, self.step = False, Step.END
             return False
         if self.parts.record:
-            self.world.record = self.instance.requested = server
-        self.requested = server
-        self.hold = promotion_instances.Hold(promoted=server, since=self.world.periods)
+            self.world.record, self.world.held = server, self.holds_all
+            self.instance.requested = passed
+        self.requested, self.end_held = server, False
+        self.hold = promotion_instances.Hold(promoted=passed, since=self.world.periods)
         return True
 
     def _announce(self) -> None:
@@ -171,8 +182,11 @@
 
     def end(self, late: ids.ServerId | None) -> None:
         """Resume servers and release the claim; the record stays while a promotion may come."""
-        if self.done or (self.step is Step.WAIT_FOR_EFFECT and self._leads(self.requested)):
-            self.requested = self.recorded_end = None
+        leads = self.step is Step.WAIT_FOR_EFFECT and self._leads(self.requested)
+        if self.done or (leads and not (self.holds_all and self.world.accepted)):
+            self.recorded_end = None
+            stays = self.parts.record_unanswered and self.unanswered
+            self.requested = self.requested if stays else None
         elif not self.request_sent:
             self.requested = self.requested_before
         if self.valid:
@@ -183,5 +197,8 @@
         if self.instance.reaches_store and self.world.claim == self.token:
             kept = self.requested if self.parts.record_outlives_claim else None
             self.world.record = kept if self.parts.record else None
+            self.world.held &= kept is not None
+            unanswered = self.parts.record_unanswered and self.unanswered
+            self.world.marked = kept is not None and (self.world.marked or unanswered)
             self.world.stopped = self.recorded_end
             self.world.claim = None
--- a/tests/common/promotion_instances.py
+++ b/tests/common/promotion_instances.py
@@ -6,6 +6,9 @@
 from mustardswitch.internal import ids, positions, promotion
 from tests.common import promotion_servers
 
+NO_SERVER = ids.ServerId("none")
+"""Stands for the server to which a record lets commits pass, if it lets none pass."""
+
 
 @dataclasses.dataclass(eq=False, kw_only=True, slots=True)
 class Instance:
--- a/tests/common/promotion_parts.py
+++ b/tests/common/promotion_parts.py
@@ -31,8 +31,17 @@
     """The end of a silent primary counts only if it led the newest term before the order."""
     pause_replaced: bool = True
     """A silent server that the list names as a replica must be paused like the others."""
-    void_first: bool = True
-    """Requests of earlier claims are voided before the primary is stopped."""
+    never_void_before_stop: bool = True
+    """No server is promoted that is to be stopped next."""
+    record_unanswered: bool = True
+    """A record stays, with a mark, after a request without an answer."""
+    keep_first: bool = True
+    """Under a marked record the present primary is promoted before any order to stop it, and the
+    effect is awaited."""
+    hold_for_all: bool = True
+    """A holder that finds a record holds commits to all servers until promotions took effect."""
+    end_after_hold: bool = True
+    """The end of a stopped primary counts once it was read after the hold was complete."""
     record_end: bool = True
     """The end of a stopped primary is recorded for the next holder."""
     durable_list: bool = True
--- a/tests/common/promotion_sequences.py
+++ b/tests/common/promotion_sequences.py
@@ -9,16 +9,17 @@
 def _complete(machine: rule_machine.Promotions) -> None:
     machine.advance_to(promotion_attempt.Step.REQUEST)
     machine.request(0)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
-def _prepare_without_primary(machine: rule_machine.Promotions) -> None:
+def prepare_without_primary(machine: rule_machine.Promotions) -> None:
     """Prepare a promotion while the holder is cut off from the primary."""
     machine.cut_or_heal(0, A)
     machine.prepare(0, silent=True)
 
 
-def _let_take_effect(machine: rule_machine.Promotions) -> None:
+def let_take_effect(machine: rule_machine.Promotions) -> None:
+    """Execute all requests, and let them take effect."""
     while machine.late_requests:
         machine.execute_late_request()
     while machine.world.accepted:
@@ -43,13 +44,13 @@
 def only_holder_gives_no_answer(machine: rule_machine.Promotions) -> None:
     machine.commit_to(1, B)
     machine.cut_or_heal(0, B)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     _complete(machine)
 
 
 def one_replica_lags(machine: rule_machine.Promotions) -> None:
     machine.commit_to(1, B)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     _complete(machine)
 
 
@@ -57,12 +58,12 @@
     machine.commit_to(1, B)
     machine.expire_entry(B)
     machine.read_store(0)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     _complete(machine)
 
 
 def holder_dies_in_its_request(machine: rule_machine.Promotions) -> None:
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0, late=True)
     machine.die(0)
     machine.expire_claim()
@@ -70,19 +71,19 @@
     machine.begin(1)
     machine.end(1)
     machine.commit_to(1, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def holder_dies_beside_an_instance_without_the_store(machine: rule_machine.Promotions) -> None:
     machine.lose_or_reach_store(2)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0, late=True)
     machine.die(0)
     machine.expire_claim()
     machine.begin(1, silent=True)
     machine.end(1)
     machine.commit_to(2, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def pause_ends_before_the_second_record(machine: rule_machine.Promotions) -> None:
@@ -100,43 +101,46 @@
 
 
 def pause_ends_after_the_record_is_read(machine: rule_machine.Promotions) -> None:
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.read_store(1)
     machine.request(0)
     machine.restart(B)
     machine.commit_to(1, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def pause_ends_before_the_effect(machine: rule_machine.Promotions) -> None:
     machine.lose_or_reach_store(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0)
     machine.restart(B)
     machine.advance(0)
     machine.commit_to(1, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def primary_is_kept(machine: rule_machine.Promotions) -> None:
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0, late=True)
     machine.die(0)
     machine.expire_claim()
     machine.cut_or_heal(1, C)
     machine.begin(1)
+    machine.advance_to(promotion_attempt.Step.AWAIT_KEPT, instance=1)
+    while machine.world.accepted:
+        machine.take_effect()
     machine.advance_to(promotion_attempt.Step.END, instance=1)
     machine.end(1)
     machine.read_store(1)
     machine.commit_to(1, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def commit_follows_the_record(machine: rule_machine.Promotions) -> None:
     """The instance was not told of the record and has not read it."""
     machine.start_server()
     machine.cut_or_heal_datagrams(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.commit_to(1, D)
     _complete(machine)
 
@@ -155,7 +159,7 @@
     machine.start_server()
     machine.lose_or_reach_store(1)
     machine.cut_or_heal_datagrams(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.let_period_pass()
     machine.advance_to(promotion_attempt.Step.REQUEST)
     machine.commit_to(1, D)
@@ -169,16 +173,6 @@
     _complete(machine)
 
 
-def earlier_request_for_the_stopped_primary(machine: rule_machine.Promotions) -> None:
-    """An earlier holder had requested to keep the primary, and its request is late."""
-    machine.start_server()
-    machine.late_requests.append(promotion_servers.Request(server=A, token=0))
-    machine.prepare(0)
-    _let_take_effect(machine)
-    machine.commit_to(1, D)
-    _complete(machine)
-
-
 def holder_dies_after_the_stop(machine: rule_machine.Promotions) -> None:
     """A server that is not listed has confirmed the last commit, and the primary is lost then."""
     machine.start_server()
@@ -191,13 +185,13 @@
     machine.crash_or_return(A)
     machine.prepare(1)
     machine.request(1)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def unlisted_server_confirms_without_the_store(machine: rule_machine.Promotions) -> None:
     machine.start_server()
     machine.lose_or_reach_store(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.commit_to(1, D)
     _complete(machine)
 
@@ -222,35 +216,35 @@
 def resume_confirms_a_waiting_commit(machine: rule_machine.Promotions) -> None:
     """The commit was sent before the promotion was recorded, and waits at the primary."""
     machine.commit(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0)
     machine.late_orders.append(
         promotion_servers.Order(kind=promotion_servers.OrderKind.RESUME, server=B)
     )
     machine.execute_late_order()
     machine.deliver(B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def resume_confirms_a_commit_without_the_store(machine: rule_machine.Promotions) -> None:
     machine.lose_or_reach_store(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0)
     machine.late_orders.append(
         promotion_servers.Order(kind=promotion_servers.OrderKind.RESUME, server=B)
     )
     machine.execute_late_order()
     machine.commit_to(1, B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def restart_confirms_a_waiting_commit(machine: rule_machine.Promotions) -> None:
     machine.commit(1)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     machine.request(0)
     machine.restart(B)
     machine.deliver(B)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def server_starts_anew_before_a_late_request(machine: rule_machine.Promotions) -> None:
@@ -261,7 +255,7 @@
     machine.request(0, late=True)
     machine.lose_or_start_anew(C)
     machine.lose_or_start_anew(C)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def stopped_primary_leads_again_before_a_late_request(machine: rule_machine.Promotions) -> None:
@@ -271,7 +265,7 @@
     machine.request(0, late=True)
     machine.restart(A)
     machine.commit_to(1, D)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def stopped_primary_leads_again_for_an_instance_cut_off(
@@ -286,7 +280,7 @@
     """Its instance confirms the hold; the primary executes it once the promotion is requested."""
     machine.start_server()
     machine.commit(1, late=True)
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     _execute_waiting_before_the_effect(machine)
 
 
@@ -294,7 +288,7 @@
     machine.start_server()
     machine.commit(1, late=True)
     machine.restart_all_instances()
-    _prepare_without_primary(machine)
+    prepare_without_primary(machine)
     _execute_waiting_before_the_effect(machine)
 
 
@@ -303,7 +297,7 @@
     while machine.world.waiting:
         machine.execute_waiting_commit()
     machine.deliver(D)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def first_commit_is_confirmed_by_an_unlisted_server(machine: rule_machine.Promotions) -> None:
@@ -332,14 +326,14 @@
     machine.deliver(B)
     machine.deliver(C)
     machine.request(0)
-    _let_take_effect(machine)
+    let_take_effect(machine)
     machine.commit_to(0, A)
     machine.lose_or_start_anew(C)
     machine.lose_or_start_anew(C)
     machine.expire_claim()
     machine.prepare(1, silent=True)
     machine.request(1)
-    _let_take_effect(machine)
+    let_take_effect(machine)
 
 
 def stale_primary_answers_the_order_to_stop(machine: rule_machine.Promotions) -> None:
@@ -354,7 +348,7 @@
     machine.begin(0)
     machine.advance_to(promotion_attempt.Step.REQUEST)
     machine.request(0)
-    _let_take_effect(machine)
+    let_take_effect(machine)
     machine.end(0)
     successor = machine.world.leader().name
     holder = next(name for name in (D, C) if name != successor)
@@ -364,4 +358,4 @@
     machine.begin(1, silent=True, stop_answered=True)
     machine.advance_to(promotion_attempt.Step.REQUEST, instance=1)
     machine.request(1)
-    _let_take_effect(machine)
+    let_take_effect(machine)
--- a/tests/common/promotion_servers.py
+++ b/tests/common/promotion_servers.py
@@ -46,6 +46,8 @@
     term: int
     store_lost: bool
     """Whether the instance that made it had lost the store."""
+    server: ids.ServerId
+    """The server that it was sent to."""
     waiting: bool = True
     """Whether the primary still waits for a confirmation."""
     confirmed: bool = False
--- a/tests/common/promotion_world.py
+++ b/tests/common/promotion_world.py
@@ -47,6 +47,10 @@
         for server in self.servers.values():
             self.write_entry(server)
         self.record: ids.ServerId | None = None
+        self.held = False
+        """Whether the record lets no commits pass, also to its server."""
+        self.marked = False
+        """Whether the record tells that a promotion of the present primary may be under way."""
         self.stopped: tuple[ids.ServerId, positions.Position] | None = None
         """The recorded end of a primary that was stopped."""
         self.acknowledgements = 0
@@ -83,7 +87,10 @@
         if not instance.may_commit(leader.name, held=held_by_record, permission=need_permission):
             return
         made = promotion_servers.Commit(
-            number=len(self.commits), term=self.term, store_lost=not instance.reaches_store
+            number=len(self.commits),
+            term=self.term,
+            store_lost=not instance.reaches_store,
+            server=leader.name,
         )
         self.commits.append(made)
         instance.send(made, leader.name)
@@ -115,14 +122,17 @@
             delivered = source.log[len(replica.log)]
             replica.log.append(delivered)
             if delivered.waiting and source.leads:
-                delivered.waiting, delivered.confirmed = False, True
-                delivered.acknowledged_as = self.acknowledgements
-                self.acknowledgements += 1
-                for instance in self.instances:
-                    self.answer(instance, delivered)
+                self._confirm(delivered)
             if not everything:
                 return
 
+    def _confirm(self, commit: promotion_servers.Commit) -> None:
+        commit.waiting, commit.confirmed = False, True
+        commit.acknowledged_as = self.acknowledgements
+        self.acknowledgements += 1
+        for instance in self.instances:
+            self.answer(instance, commit)
+
     def answer(
         self, instance: promotion_instances.Instance, commit: promotion_servers.Commit
     ) -> None:
@@ -200,7 +210,8 @@
     def read_store(self, instance: promotion_instances.Instance) -> None:
         """Read the list and the record, unless the instance has lost the store."""
         if instance.reaches_store:
-            instance.requested, instance.announced = self.record, None
+            instance.requested = promotion_instances.NO_SERVER if self.held else self.record
+            instance.announced = None
             instance.permitted = True
             self.read_list(instance)
 
@@ -261,8 +272,8 @@
             and server.leads
             and order.term > self.term
         ):
+            # What is in its log may be confirmed if it leads again.
             server.role = promotion.Role.REPLICA
-            self._forget_waiting(server)
         elif (
             order.kind is promotion_servers.OrderKind.PAUSE
             and not server.leads
@@ -278,12 +289,12 @@
         if outdated or not self.servers[request.server].runs:
             return False
         self.highest_token = max(request.token, self.highest_token)
-        self.accepted += [] if self.servers[request.server].leads else [request]
+        self.accepted.append(request)
         return True
 
-    def take_effect(self) -> None:
-        """Let the server of the oldest accepted request lead the next term."""
-        request = self.accepted.pop(0)
+    def take_effect(self, *, newest: bool = False) -> None:
+        """Let an accepted request take effect: its server leads the next term, unless it leads."""
+        request = self.accepted.pop(-1 if newest else 0)
         promoted = self.servers[request.server]
         if not promoted.runs or promoted.leads:
             return
@@ -295,10 +306,15 @@
             if server.runs:
                 self._roll_back(server, promoted.log)
         promoted.role = promotion.Role.PRIMARY
+        unexecuted = {commit for commit, _, _ in self.waiting}
         for commit in self.commits:
-            commit.waiting = False
+            leads_again = commit.server == promoted.name and commit in promoted.log
+            commit.waiting &= leads_again or commit in unexecuted
             commit.acknowledged &= commit in promoted.log
             commit.confirmed &= commit in promoted.log
+            others = [each for each in self.servers.values() if each.runs and each is not promoted]
+            if commit.waiting and leads_again and any(commit in each.log for each in others):
+                self._confirm(commit)
 
     def _note_losses(
         self, request: promotion_servers.Request, promoted: promotion_servers.Server
--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -342,9 +342,9 @@
         self.world.execute(self.late_orders.pop(0))
 
     @stateful.precondition(lambda self: self.world.accepted)
-    @stateful.rule()
-    def take_effect(self) -> None:
-        self.world.take_effect()
+    @stateful.rule(newest=st.booleans())
+    def take_effect(self, newest: bool = False) -> None:
+        self.world.take_effect(newest=newest)
 
     @stateful.invariant()
     def nothing_acknowledged_is_lost(self) -> None:
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.common import promotion_sequences, promotion_servers
+from tests.common import promotion_sequences, promotion_sequences_effects, promotion_servers
 from tests.proxy import test_promotion_rule_machine as rule_machine
 
 UNCOMPARED = {"compare_acknowledged": False}
@@ -47,7 +47,19 @@
         promotion_sequences.successor_of_a_stale_primary_is_lost,
         UNCOMPARED | MAY_RUN,
     ),
-    ("void_first", promotion_sequences.earlier_request_for_the_stopped_primary, UNHELD),
+    ("never_void_before_stop", promotion_sequences_effects.void_takes_effect_after_the_stop, {}),
+    ("record_unanswered", promotion_sequences_effects.repeated_request_for_the_stopped_primary, {}),
+    ("keep_first", promotion_sequences_effects.promotion_of_the_primary_is_late, ALONE),
+    (
+        "hold_for_all",
+        promotion_sequences_effects.recorded_server_leads_before_the_kept_primary,
+        MAY_RUN,
+    ),
+    (
+        "end_after_hold",
+        promotion_sequences_effects.stopped_primary_leads_again_before_the_hold,
+        {},
+    ),
     ("record_end", promotion_sequences.holder_dies_after_the_stop, UNCOMPARED | SPARED),
     ("durable_list", promotion_sequences.all_instances_start_anew, {}),
     ("read_list", promotion_sequences.list_of_the_holder_is_behind, UNCOMPARED),
