Commits pass only when no earlier request can take effect after the promotion

A record for another server than the earlier one names no server that may take commits, and the holder waits until all accepted promotions have taken effect. An order to stop proves the end of a primary only if no other server was promoted in the term of the order. A stopped primary that is promoted itself counts as leading from that term on: it may have crashed and lead its former one.

--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -76,6 +76,8 @@
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
+        self.earlier_request: ids.ServerId | None = None
+        """What an earlier holder has recorded whose request may be executed, or take effect."""
 
     def __repr__(self) -> str:
         return f"{type(self).__name__}(target={self.target!r}, claim={self.claim!r})"
@@ -90,13 +92,25 @@
         """Return whether no other instance can hold the claim yet."""
         return clock.now_s() + CLAIM_MARGIN_S < self.claim.expires_at_s
 
+    def recorded_name(self, server: ids.ServerId) -> ids.ServerId:
+        """Return what is recorded for a server that is to be promoted.
+
+        While the request of an earlier holder may make another one lead, also after it, the record
+        lets no commits pass.
+        """
+        is_kept = promotion.kept_primary(server) is not None
+        if is_kept or self.earlier_request in (None, server):
+            return server
+        return promotion.keeping(server)
+
     async def _record(self, successor: ids.ServerId) -> bool:
         """Record the server in the store; False when that is not possible under the claim."""
+        recorded = self.recorded_name(successor)
         while self.holds_claim():
             # Set before the call, which may be executed although its answer is lost.
             self.requested = successor
             try:
-                revision = await self.coordination.record_promotion(self.claim, successor)
+                revision = await self.coordination.record_promotion(self.claim, recorded)
             except errors.StoreError as error:
                 events.log(events.Event.CLAIM_FAILED, service=self.target.name, reason=str(error))
                 await asyncio.sleep(POLL_S)
@@ -104,10 +118,10 @@
             if revision is None:
                 self.note_claim_lost()
                 return False
-            self.target.note_recorded_promotion(successor, revision=revision)
+            self.target.note_recorded_promotion(recorded, revision=revision)
             # Under one claim commits are held without a break, whichever server is named.
             at_s = clock.now_s() if self.record is None else self.record.at_s
-            self.record = Record(server=successor, revision=revision, at_s=at_s)
+            self.record = Record(server=recorded, revision=revision, at_s=at_s)
             self.final_ends.may_be_recorded = False
             await self.final_ends.write(self.claim, revision)
             return True
@@ -115,7 +129,7 @@
 
     async def ensure_recorded(self, successor: ids.ServerId) -> bool:
         """Record the server unless this holder has done so; False when that is not possible."""
-        if self.record is not None and self.record.server == successor:
+        if self.record is not None and self.record.server == self.recorded_name(successor):
             return True
         return await self._record(successor)
 
--- a/src/mustardswitch/proxy/claimed_changes.py
+++ b/src/mustardswitch/proxy/claimed_changes.py
@@ -101,6 +101,8 @@
         else:
             attempt.requested = attempt.requested_before
             attempt.final_ends.take_over(recorded, requested=attempt.requested is not None)
+            if not attempt.final_ends.allowed:
+                attempt.earlier_request = attempt.requested_before
             return attempt
     # Not released, which would remove a record that was not read.
     return None
@@ -111,8 +113,10 @@
 
     ``unnamed`` means that a promotion of an unknown server may have been requested.
     """
-    unfinished = None
-    if unnamed or attempt.requested is not None:
+    unfinished = promoted = None
+    if attempt.requested is not None:
+        promoted = attempt.recorded_name(attempt.requested)
+    if unnamed or promoted is not None:
         unfinished = ports.UnfinishedChange.PROMOTION_REQUESTED
     elif attempt.may_be_paused:
         unfinished = ports.UnfinishedChange.PAUSED
@@ -120,7 +124,7 @@
         await attempt.coordination.release(
             attempt.claim,
             unfinished=unfinished,
-            promoted=attempt.requested,
+            promoted=promoted,
             stopped=attempt.recorded_end,
         )
     except errors.StoreError as error:
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -167,14 +167,12 @@
         That is the one whose promotion an earlier holder has recorded or requested. Commits are
         held meanwhile, also to a server that another request makes lead.
         """
-        if self.record is not None or self.final_ends.allowed:
-            return True
-        kept, former = promotion.kept_primary(self.requested), self._former(primary)
-        if former is not None and former.server == self.requested:
+        kept, former = promotion.kept_primary(self.earlier_request), self._former(primary)
+        if former is not None and former.server == self.earlier_request:
             kept = None if former.server in statuses else former.server
-        if kept is None:
+        if self.record is not None or kept is None:
             return True
-        if not await self._record(self.requested):
+        if not await self._record(self.earlier_request):
             return False
         self.hold_commits()
         outcome = await self.void_earlier_requests(kept)
--- a/src/mustardswitch/proxy/stop_orders.py
+++ b/src/mustardswitch/proxy/stop_orders.py
@@ -144,7 +144,9 @@
         if after.leads:
             await asyncio.sleep(RETRY_S)
             return
-        order = former_primary.Order.STOPPED if self.led_newest else former_primary.Order.REPLICA
+        # In the term of the order, another server was promoted since.
+        stopped = self.led_newest and after.term < self.term
+        order = former_primary.Order.STOPPED if stopped else former_primary.Order.REPLICA
         self._settle(order, after.received)
 
     def _settle(self, order: former_primary.Order, end: object) -> None:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -26,6 +26,10 @@
 instance may try."""
 
 
+NO_TERM = ids.Term(0)
+"""Lower than any term that a server leads."""
+
+
 class Takeover(successor_choice.SuccessorChoice):
     """One attempt to change the primary of a service under a claim."""
 
@@ -78,7 +82,7 @@
                 )
             if choice.verdict is promotion.Verdict.PROMOTE:
                 async with self._kept_paused(choice.server, primary=primary):
-                    done = await self._promote(choice.server)
+                    done = await self._promote(choice.server, primary=primary)
             elif choice.verdict is promotion.Verdict.KEEP and choice.server == self.requested:
                 await self._keep(choice.server)
             elif choice.verdict is promotion.Verdict.KEEP:
@@ -89,7 +93,7 @@
                 done = True
         finally:
             if done:
-                self.requested = self._left_to_settle(choice, primary)
+                self.requested = self._left_to_settle(choice)
                 self.recorded_end = None
                 # A promotion ends all pauses.
                 self.may_be_paused = set()
@@ -107,19 +111,17 @@
         )
         return done
 
-    def _left_to_settle(
-        self, choice: promotion.Choice, primary: ids.ServerId | None
-    ) -> ids.ServerId | None:
+    def _left_to_settle(self, choice: promotion.Choice) -> ids.ServerId | None:
         """Return the server whose promotion stays recorded although another leads; None without.
 
         A request for it may still be executed, or take effect, and would make it lead after it was
-        replaced: one without an answer, one of an earlier holder, or that of a primary which was
-        stopped and has led again before. The next holder voids it while nothing else changes.
+        replaced: one without an answer, or one of an earlier holder. The next holder voids it while
+        nothing else changes.
         """
         if choice.verdict is promotion.Verdict.ALREADY_LED:
             return self.requested_before
-        may_come = self.request_unanswered or self.requested_before is not None
-        return choice.server if may_come or choice.server == primary else None
+        may_come = self.request_unanswered or choice.server == self.earlier_request
+        return choice.server if may_come else None
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
@@ -197,11 +199,13 @@
             await asyncio.sleep(PROMOTION_DELAY_S)
         return outcome if self.holds_claim() else ports.PromotionOutcome.UNKNOWN
 
-    async def _promote(self, successor: ids.ServerId) -> bool:
+    async def _promote(self, successor: ids.ServerId, *, primary: ids.ServerId | None) -> bool:
         """Request a promotion that is recorded; returns whether the successor leads.
 
-        Without an answer the request is repeated for the same server only.
+        Without an answer the request is repeated for the same server only. A stopped ``primary``
+        that crashes may lead its former term again before its own promotion takes effect.
         """
+        from_term = self.term if successor == primary else NO_TERM
         if not await self.withdraw_final_ends():
             return False
         while self.holds_claim():
@@ -209,9 +213,9 @@
             if outcome is ports.PromotionOutcome.REJECTED:
                 return False
             if outcome is ports.PromotionOutcome.ACCEPTED:
-                return await self._wait_until_leading(successor)
+                return await self._wait_until_leading(successor, from_term=from_term)
             await asyncio.sleep(claimed_attempt.POLL_S)
-            if await self._leads(successor):
+            if not self._awaits_effects and await self._leads(successor, from_term=from_term):
                 return True
         return False
 
@@ -258,6 +262,7 @@
                 await asyncio.sleep(PROMOTION_DELAY_S)
                 if not self.holds_claim() or not await self._leads(primary):
                     return
+                self.earlier_request = None
                 if not self.request_unanswered:
                     self.requested = None
                 elif self.requested != primary:
@@ -265,17 +270,26 @@
                 return
             await asyncio.sleep(claimed_attempt.POLL_S)
 
-    async def _wait_until_leading(self, successor: ids.ServerId) -> bool:
+    @property
+    def _awaits_effects(self) -> bool:
+        """Whether promotions that were accepted before may take effect after the present one."""
+        return promotion.kept_primary(self.record.server) is not None
+
+    async def _wait_until_leading(
+        self, successor: ids.ServerId, *, from_term: ids.Term = NO_TERM
+    ) -> bool:
         """Wait until a server leads whose promotion was accepted; returns whether it does.
 
-        One that has ended, and was not back by the time at which promotions take effect, will not.
-        The record stays: a delayed effect is possible, so others stay paused for the next attempt.
+        While the record lets no commits pass, all promotions that were accepted before have taken
+        effect, too. A server that has ended, and was not back by that time, will not lead. The
+        record stays: a delayed effect is possible, so others stay paused for the next attempt.
         """
         started_s = clock.now_s()
         while clock.now_s() - started_s < PROMOTION_TIMEOUT_S:
-            if await self._leads(successor):
-                return True
+            leads = await self._leads(successor, from_term=from_term)
             waited_s = clock.now_s() - started_s
+            if leads and (waited_s > PROMOTION_DELAY_S or not self._awaits_effects):
+                return True
             if waited_s > PROMOTION_DELAY_S and self._has_ended(successor, within_s=waited_s):
                 return False
             await asyncio.sleep(claimed_attempt.POLL_S)
@@ -321,10 +335,11 @@
         finally:
             await tasks.cancel_and_wait([keeping])
 
-    async def _leads(self, successor: ids.ServerId) -> bool:
+    async def _leads(self, successor: ids.ServerId, *, from_term: ids.Term = NO_TERM) -> bool:
+        """Return whether a server leads a term, which is not below ``from_term``."""
         query_sent_at_s = clock.now_s()
         status = (await self.commands.query({successor})).get(successor)
-        if status is None or not status.leads:
+        if status is None or not status.leads or status.term < from_term:
             return False
         self.target.note_leading(
             successor, query_sent_at_s=query_sent_at_s, position=status.received
--- a/tests/proxy/test_promotion_effects.py
+++ b/tests/proxy/test_promotion_effects.py
@@ -18,7 +18,7 @@
     hold_for_all=True,
 )
 """The rule with all that the exploration has shown to be missing."""
-IN_FORCE = dataclasses.replace(test_promotion_exploration.MENDED, effect_at_once=False)
+IN_FORCE = MENDED
 """The rule of the code under test."""
 STEPS = {
     "send",
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -142,6 +142,22 @@
     assert world.group.lost == []
 
 
+async def test_no_commits_are_made_until_another_server_than_the_recorded_one_surely_leads(world):
+    """The earlier request may take effect after that of the server that was chosen instead."""
+    record_earlier_request(world, B)
+    world.service.note_recorded_promotion(B)
+    world.group.servers[A].up = False
+    del world.group.servers[B]
+    takeovers.expire_entry(world, B)
+    world.service.unlisted.clear()
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    while world.group.primary is None or world.group.primary.name != C:
+        await asyncio.sleep(0.005)
+    assert not world.service.may_commit(world.service.servers[C])
+    assert await changing
+    assert world.coordination.promotions == {}
+
+
 async def test_no_commits_are_made_until_a_kept_primary_has_settled_earlier_requests(world):
     record_earlier_request(world, B)
     world.group.servers[B].silent = True
