524 tells the last leader and who told of the record

What was missing: 524 survives in the users' records, and did not tell what began a hold; `leader` was None where the primary had stopped already. Change: `leader` is the server that led last, `by` the instance that announced the record, or `store` if it was read; both within 200 characters with real names.

--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -10,6 +10,10 @@
 from mustardswitch import build, events, metrics
 from mustardswitch.internal import clock, ids, registration_list
 
+RECORDS = "store"
+"""Stands for the records of the store where the source of a hold is named."""
+UNKNOWN = "?"
+
 SourceList = registration_list.RegistrationList[typing.Any, typing.Any]
 """The list of servers, which tells whether and when the store was reached."""
 
@@ -45,6 +49,10 @@
         self.aborted = 0
         """Transactions that were aborted at their COMMIT, during the hold."""
         self.began_without_store = False
+        self.source: tuple[ids.ServerId, str] | None = None
+        """The latest server whose promotion was told to be recorded, and by whom."""
+        self.last_leader: ids.ServerId | None = None
+        """The last server that was known to lead."""
         self.confirmation = Confirmation.NO
         self.asked_revision = 0
         """The highest revision of a record for which the hold was to be confirmed."""
@@ -64,11 +72,16 @@
         ``requested`` is the server whose promotion is recorded, ``revision`` that of the record;
         None for a record that this instance has just written.
         """
+        self.last_leader = leader or self.last_leader
         held = requested is not None and requested != leader
         if self.since_s is not None and (not held or requested != self.requested):
             self._end(requested, leader)
         if held and self.since_s is None:
-            self._begin(requested, leader, revision)
+            self._begin(requested, revision)
+
+    def note_source(self, server: ids.ServerId, source: str) -> None:
+        """Record who tells that a promotion of a server is recorded: an instance, or RECORDS."""
+        self.source = server, source
 
     def note_asked(self, revision: int, confirmation: Confirmation) -> None:
         """Record the answer to the holder of the claim, which has a record of a revision."""
@@ -78,9 +91,8 @@
             self.confirmation = confirmation
         self.asked_revision = revision
 
-    def _begin(
-        self, requested: ids.ServerId, leader: ids.ServerId | None, revision: int | None
-    ) -> None:
+    def _begin(self, requested: ids.ServerId, revision: int | None) -> None:
+        server, source = self.source or (None, UNKNOWN)
         self.since_s, self.requested = clock.now_s(), requested
         self.waited = self.aborted = self.asked_revision = 0
         self.confirmation = Confirmation.NO
@@ -90,7 +102,8 @@
             events.Event.COMMITS_HELD,
             service=self.service,
             server=requested,
-            leader=leader,
+            leader=self.last_leader,
+            by=source if server == requested else UNKNOWN,
             revision=revision,
             list_age_s=round(self.registrations.age_s(self.since_s), 3),
             store_lost=self.began_without_store,
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -171,14 +171,19 @@
         if target is not None:
             target.note_recorded_promotion(promoted, revision=revision)
 
-    def note_announced_promotion(self, promoted: datagrams.RecordedPromotion) -> None:
-        """Record that another instance has recorded a promotion, also of an unknown service."""
+    def note_announced_promotion(
+        self, promoted: datagrams.RecordedPromotion, *, by: ids.InstanceId | None = None
+    ) -> None:
+        """Record that another instance has recorded a promotion, also of an unknown service.
+
+        ``by`` is the instance that told it, for the log.
+        """
         known = self.announced.get(promoted.service)
         if known is None or promoted.revision >= known.revision:
             self.announced[promoted.service] = promoted
         target = self.services.get(promoted.service)
         if target is not None:
-            target.note_announced_promotion(promoted)
+            target.note_announced_promotion(promoted, by=by)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply a configuration unless the same or a newer version is in force."""
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -131,7 +131,9 @@
             if confirmations is not None:
                 confirmations[update.instance] = held.above
         confirmed = [
-            held for promoted in update.promotions if (held := self._hold(promoted)) is not None
+            held
+            for promoted in update.promotions
+            if (held := self._hold(promoted, update.instance)) is not None
         ]
         if not update.stale:
             self._note_asked(update, confirmed)
@@ -157,9 +159,11 @@
     def _report_primary(self, order: datagrams.StopOrder) -> datagrams.PrimaryReport | None:
         return self.stop_orders.receive(order, self.directory.services.get(order.service))
 
-    def _hold(self, promoted: datagrams.RecordedPromotion) -> datagrams.HeldCommits | None:
-        """Hold commits back for a promotion; None if some are still under way."""
-        self.directory.note_announced_promotion(promoted)
+    def _hold(
+        self, promoted: datagrams.RecordedPromotion, by: ids.InstanceId
+    ) -> datagrams.HeldCommits | None:
+        """Hold commits back for a promotion told ``by`` another; None if some are under way."""
+        self.directory.note_announced_promotion(promoted, by=by)
         target = self.directory.services.get(promoted.service)
         if target is None:
             return datagrams.HeldCommits(
@@ -295,7 +299,7 @@
         read it send no commits either.
         """
         # This instance is one of those that hold commits, and abandons its own in time.
-        self.directory.note_announced_promotion(promoted)
+        self.directory.note_announced_promotion(promoted, by=self.directory.instance)
         target = self.directory.services[promoted.service]
         target.hold.note_asked(promoted.revision, commit_holds.Confirmation.HOLDER)
         target.leader_changes.note_told(promoted.server, holder=self.directory.instance)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -466,13 +466,19 @@
         """Record that a server's promotion may take effect, or with None that none can."""
         if requested != self.requested:
             self.requested, self.requested_revision = requested, revision
+            if requested is not None:
+                self.hold.note_source(requested, commit_holds.RECORDS)
             self.commits.note_requested(requested, revision=revision)
             self._note_change()
 
-    def note_announced_promotion(self, promoted: datagrams.RecordedPromotion) -> None:
-        """Record that another instance has recorded a promotion."""
+    def note_announced_promotion(
+        self, promoted: datagrams.RecordedPromotion, *, by: ids.InstanceId | None = None
+    ) -> None:
+        """Record that another instance has recorded a promotion; ``by`` is the one that told it."""
         before = self.commits.awaited
         self.commits.note_announced(promoted)
+        if by is not None:
+            self.hold.note_source(promoted.server, by)
         if self.commits.awaited != before:
             self._note_change()
 
--- /dev/null
+++ b/tests/proxy/test_cut_lines_of_holds.py
@@ -0,0 +1,127 @@
+"""What the lines of a hold of commits tell within the characters that collected logs keep."""
+
+import logbook
+import pytest
+
+from mustardswitch import build, events, metrics
+from mustardswitch.internal import clock
+from mustardswitch.proxy import commit_holds
+from mustardswitch_standins import database_group
+from tests.common import cut_lines, peer_world
+
+SERVICE, FORMER, PROMOTED = cut_lines.SERVICE, cut_lines.FORMER, cut_lines.PROMOTED
+HOLDER = cut_lines.HOLDER
+B = peer_world.B
+
+
+@pytest.fixture
+def handler():
+    with logbook.TestHandler() as handler:
+        yield handler
+
+
+# The begin of a hold
+
+
+def _began(handler: logbook.TestHandler) -> dict[str, str]:
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_HELD)
+    fields = cut_lines.fields(line)
+    assert fields["message"] == "commits held back"
+    return fields
+
+
+@pytest.mark.parametrize("source", [HOLDER, commit_holds.RECORDS])
+@pytest.mark.parametrize("leaders", [[FORMER], [FORMER, None]])
+def test_the_begin_of_a_hold_tells_the_last_leader_and_who_told_of_the_record(
+    handler, leaders, source
+):
+    hold = commit_holds.CommitHold(service=SERVICE, registry=metrics.Registry())
+    for leader in leaders:
+        hold.update(requested=None, leader=leader)
+    hold.note_source(PROMOTED, source)
+    hold.update(requested=PROMOTED, leader=leaders[-1], revision=631)
+    fields = _began(handler)
+    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
+    assert (fields["leader"], fields["by"]) == (FORMER, source)
+
+
+def test_a_hold_that_another_instance_has_announced_names_it(handler, monkeypatch):
+    peer_world.World(monkeypatch).announce(peer_world.promotion_of())
+    assert _began(handler)["by"] == peer_world.TWO
+
+
+def test_a_hold_that_was_read_from_the_store_says_so(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.directory.note_recorded_promotion(database_group.SERVICE, B, revision=20)
+    assert _began(handler)["by"] == commit_holds.RECORDS
+
+
+def test_a_hold_that_the_holder_begins_names_it(handler, monkeypatch):
+    peer_world.World(monkeypatch).report()
+    assert _began(handler)["by"] == peer_world.ONE
+
+
+# The end of a hold
+
+
+def _ended_hold(handler: logbook.TestHandler, monkeypatch, confirmation) -> dict[str, str]:
+    now_s = clock.now_s()
+    hold = commit_holds.CommitHold(service=SERVICE, registry=metrics.Registry())
+    hold.update(requested=PROMOTED, leader=FORMER, revision=631)
+    hold.note_asked(631, confirmation)
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 12.345)
+    hold.update(requested=PROMOTED, leader=PROMOTED)
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_RESUMED)
+    return cut_lines.fields(line)
+
+
+@pytest.mark.parametrize("confirmation", commit_holds.Confirmation)
+def test_the_end_of_a_hold_tells_its_length_and_the_confirmation(
+    handler, monkeypatch, confirmation
+):
+    fields = _ended_hold(handler, monkeypatch, confirmation)
+    assert fields["message"] == "commits no longer held back"
+    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
+    assert fields["confirmed"] == confirmation.value
+    assert float(fields["held_s"]) == pytest.approx(12.345, abs=0.02)
+    assert handler.records[-1].extra["fields"]["build"] == build.build_id()
+
+
+def _confirmed(handler: logbook.TestHandler, world: peer_world.World) -> str:
+    world.directory.note_recorded_promotion(database_group.SERVICE, None, revision=99)
+    world.directory.servers.note_confirmed(world.now_s, revision=99)
+    world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_RESUMED)
+    return cut_lines.fields(line)["confirmed"]
+
+
+def test_an_instance_that_confirms_a_hold_says_so_when_it_ends(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of())
+    assert _confirmed(handler, world) == "yes"
+
+
+def test_a_hold_that_was_only_read_from_the_store_was_not_confirmed(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.directory.note_recorded_promotion(database_group.SERVICE, B, revision=20)
+    assert _confirmed(handler, world) == "no"
+
+
+def test_a_hold_that_an_instance_without_the_store_has_told_was_not_confirmed(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of(), stale=True)
+    assert _confirmed(handler, world) == "no"
+
+
+def test_a_confirmation_for_an_earlier_record_does_not_count(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.announce(peer_world.promotion_of())
+    monkeypatch.setattr(world.service.commits, "is_clear_for", lambda promoted: False)
+    world.announce(peer_world.promotion_of(revision=peer_world.REVISION + 1))
+    assert _confirmed(handler, world) == "no"
+
+
+def test_the_holder_says_that_it_is_the_one(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    world.report()
+    assert _confirmed(handler, world) == "self"
--- a/tests/proxy/test_cut_log_lines.py
+++ b/tests/proxy/test_cut_log_lines.py
@@ -1,7 +1,6 @@
 """The first 200 characters of a line, which is what collected logs keep, tell what it is for."""
 
 import dataclasses
-import json
 import re
 import time
 
@@ -14,7 +13,6 @@
 from mustardswitch.proxy import (
     acknowledged,
     claimed_changes,
-    commit_holds,
     directory,
     failover_watch,
     leader_changes,
@@ -23,12 +21,10 @@
     requests,
 )
 from mustardswitch_standins import database_group
-from tests.common import peer_world, proxy_world
+from tests.common import cut_lines, peer_world, proxy_world
 
-CUT = 200
-SERVICE = ids.ServiceName("woyy70f")
-FORMER, PROMOTED = ids.ServerId("i-30a0e682"), ids.ServerId("i-940e7b62")
-HOLDER = ids.InstanceId("edge-kamchatka-c-123")
+SERVICE, FORMER, PROMOTED = cut_lines.SERVICE, cut_lines.FORMER, cut_lines.PROMOTED
+HOLDER = cut_lines.HOLDER
 LAST = ids.RequestId("q281473054070096-123")
 A, B, C = peer_world.A, peer_world.B, peer_world.C
 
@@ -39,26 +35,6 @@
         yield handler
 
 
-def _lines(handler: logbook.TestHandler, event: events.Event) -> list[str]:
-    """Return the lines of an event as collected logs keep them."""
-    return [
-        events.format_record(record, None)[:CUT]
-        for record in handler.records
-        if record.extra["event"] is event
-    ]
-
-
-def _fields(line: str) -> dict[str, str]:
-    """Return the fields that are complete in a cut line."""
-    for end in range(len(line), 0, -1):
-        if line[end - 1] == '"':
-            try:
-                return json.loads(f"{line[:end]}}}")
-            except ValueError:
-                continue
-    raise AssertionError(f"no complete field in {line!r}")
-
-
 def _position(offset: int, *, term: int = 12) -> positions.Position:
     return positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
 
@@ -71,72 +47,6 @@
     return record.extra["fields"]["summary"]
 
 
-# The end of a hold
-
-
-def _ended_hold(handler: logbook.TestHandler, monkeypatch, confirmation) -> dict[str, str]:
-    now_s = clock.now_s()
-    hold = commit_holds.CommitHold(service=SERVICE, registry=metrics.Registry())
-    hold.update(requested=PROMOTED, leader=FORMER, revision=631)
-    hold.note_asked(631, confirmation)
-    monkeypatch.setattr(clock, "now_s", lambda: now_s + 12.345)
-    hold.update(requested=PROMOTED, leader=PROMOTED)
-    (line,) = _lines(handler, events.Event.COMMITS_RESUMED)
-    return _fields(line)
-
-
-@pytest.mark.parametrize("confirmation", commit_holds.Confirmation)
-def test_the_end_of_a_hold_tells_its_length_and_the_confirmation(
-    handler, monkeypatch, confirmation
-):
-    fields = _ended_hold(handler, monkeypatch, confirmation)
-    assert fields["message"] == "commits no longer held back"
-    assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
-    assert fields["confirmed"] == confirmation.value
-    assert float(fields["held_s"]) == pytest.approx(12.345, abs=0.02)
-    assert handler.records[-1].extra["fields"]["build"] == build.build_id()
-
-
-def _confirmed(handler: logbook.TestHandler, world: peer_world.World) -> str:
-    world.directory.note_recorded_promotion(database_group.SERVICE, None, revision=99)
-    world.directory.servers.note_confirmed(world.now_s, revision=99)
-    world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
-    (line,) = _lines(handler, events.Event.COMMITS_RESUMED)
-    return _fields(line)["confirmed"]
-
-
-def test_an_instance_that_confirms_a_hold_says_so_when_it_ends(handler, monkeypatch):
-    world = peer_world.World(monkeypatch)
-    world.announce(peer_world.promotion_of())
-    assert _confirmed(handler, world) == "yes"
-
-
-def test_a_hold_that_was_only_read_from_the_store_was_not_confirmed(handler, monkeypatch):
-    world = peer_world.World(monkeypatch)
-    world.directory.note_recorded_promotion(database_group.SERVICE, B, revision=20)
-    assert _confirmed(handler, world) == "no"
-
-
-def test_a_hold_that_an_instance_without_the_store_has_told_was_not_confirmed(handler, monkeypatch):
-    world = peer_world.World(monkeypatch)
-    world.announce(peer_world.promotion_of(), stale=True)
-    assert _confirmed(handler, world) == "no"
-
-
-def test_a_confirmation_for_an_earlier_record_does_not_count(handler, monkeypatch):
-    world = peer_world.World(monkeypatch)
-    world.announce(peer_world.promotion_of())
-    monkeypatch.setattr(world.service.commits, "is_clear_for", lambda promoted: False)
-    world.announce(peer_world.promotion_of(revision=peer_world.REVISION + 1))
-    assert _confirmed(handler, world) == "no"
-
-
-def test_the_holder_says_that_it_is_the_one(handler, monkeypatch):
-    world = peer_world.World(monkeypatch)
-    world.report()
-    assert _confirmed(handler, world) == "self"
-
-
 # Another leader
 
 
@@ -155,8 +65,8 @@
     changes.note_told(PROMOTED, holder=HOLDER)
     changes.note_told(PROMOTED, holder=HOLDER, summary=f"{word}; former {FORMER} answered 0.3")
     changes.log(PROMOTED, term=ids.Term(123))
-    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
-    fields = _fields(line)
+    line = cut_lines.lines(handler, events.Event.LEADER_CHANGED)[-1]
+    fields = cut_lines.fields(line)
     assert fields["message"] == "leader changed"
     assert (fields["service"], fields["server"]) == (SERVICE, PROMOTED)
     assert fields["from"] == f"{FORMER} 123 {code} {HOLDER}"
@@ -164,9 +74,9 @@
 
 def test_the_first_leader_of_an_instance_tells_the_build(handler):
     leader_changes.LeaderChanges(service=SERVICE).log(PROMOTED, term=ids.Term(123))
-    (line,) = _lines(handler, events.Event.LEADER_CHANGED)
-    assert _fields(line)["from"] == "None 123 ? ?"
-    assert _fields(line)["build"] == build.build_id()
+    (line,) = cut_lines.lines(handler, events.Event.LEADER_CHANGED)
+    assert cut_lines.fields(line)["from"] == "None 123 ? ?"
+    assert cut_lines.fields(line)["build"] == build.build_id()
 
 
 def test_what_was_told_of_one_promotion_is_not_told_of_the_next_one(handler):
@@ -174,7 +84,10 @@
     changes.note_told(PROMOTED, holder=HOLDER, summary="primary_stopped; former x")
     for leader in (PROMOTED, None, PROMOTED, FORMER, PROMOTED):
         changes.log(leader, term=None)
-    told = [_fields(line)["from"] for line in _lines(handler, events.Event.LEADER_CHANGED)]
+    told = [
+        cut_lines.fields(line)["from"]
+        for line in cut_lines.lines(handler, events.Event.LEADER_CHANGED)
+    ]
     known, unknown = f"? stopped {HOLDER}", "? ? ?"
     assert told == [
         f"None {known}",
@@ -189,8 +102,8 @@
     world = peer_world.World(monkeypatch)
     world.announce(peer_world.promotion_of())
     world.service.note_leading(B, query_sent_at_s=world.now_s + 1, position=None)
-    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
-    assert _fields(line)["from"].split()[1:] == ["?", "?", peer_world.TWO]
+    line = cut_lines.lines(handler, events.Event.LEADER_CHANGED)[-1]
+    assert cut_lines.fields(line)["from"].split()[1:] == ["?", "?", peer_world.TWO]
 
 
 def test_the_holder_tells_the_proof_once_before_the_promotion_takes_effect(handler, monkeypatch):
@@ -205,8 +118,8 @@
     told = datagrams.decode(datagrams.encode(dataclasses.replace(told, instance=peer_world.TWO)))
     receiver.updates.receive(told)
     receiver.service.note_leading(B, query_sent_at_s=receiver.now_s + 1, position=None)
-    line = _lines(handler, events.Event.LEADER_CHANGED)[-1]
-    assert _fields(line)["from"].split()[1:] == ["?", "p:gone", peer_world.TWO]
+    line = cut_lines.lines(handler, events.Event.LEADER_CHANGED)[-1]
+    assert cut_lines.fields(line)["from"].split()[1:] == ["?", "p:gone", peer_world.TWO]
 
 
 class Linked(proxy_world.World):
@@ -258,10 +171,10 @@
     handler.records.clear()
     position = holder.group.servers[promoted].position
     beside.service.note_leading(promoted, query_sent_at_s=clock.now_s() + 1, position=position)
-    (leads,) = _lines(handler, events.Event.LEADER_CHANGED)
-    (resumed,) = _lines(handler, events.Event.COMMITS_RESUMED)
-    assert _fields(leads)["from"].split()[2:] == [proof, "one"]
-    assert _fields(resumed)["confirmed"] == "yes"
+    (leads,) = cut_lines.lines(handler, events.Event.LEADER_CHANGED)
+    (resumed,) = cut_lines.lines(handler, events.Event.COMMITS_RESUMED)
+    assert cut_lines.fields(leads)["from"].split()[2:] == [proof, "one"]
+    assert cut_lines.fields(resumed)["confirmed"] == "yes"
     assert beside.service.acknowledged.promoted.end == position
 
 
@@ -279,8 +192,8 @@
 
 
 def _lost(handler: logbook.TestHandler) -> dict[str, str]:
-    (line,) = _lines(handler, events.Event.COMMITS_MISSING)
-    return _fields(line)
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_MISSING)
+    return cut_lines.fields(line)
 
 
 def test_lost_commits_tell_their_position_and_the_end_of_the_log(handler):
@@ -321,7 +234,7 @@
     commits = _commits(above=30, shown=31)
     commits.note_shown(FORMER, _position(31), term=ids.Term(13))
     commits.review(FORMER, clock.now_s())
-    assert not any(_lines(handler, each) for each in acknowledged.EVENTS.values())
+    assert not any(cut_lines.lines(handler, each) for each in acknowledged.EVENTS.values())
 
 
 def test_a_log_that_reaches_only_what_may_be_unacknowledged_is_no_error(handler):
@@ -329,8 +242,8 @@
     commits.note_promoted(PROMOTED, _position(31), now_s=now_s)
     commits.note_shown(PROMOTED, _position(50, term=13), term=ids.Term(13))
     commits.review(PROMOTED, now_s + 1.0)
-    assert _lines(handler, events.Event.COMMITS_MISSING) == []
-    assert len(_lines(handler, events.Event.COMMITS_POSSIBLY_MISSING)) == 1
+    assert cut_lines.lines(handler, events.Event.COMMITS_MISSING) == []
+    assert len(cut_lines.lines(handler, events.Event.COMMITS_POSSIBLY_MISSING)) == 1
 
 
 def test_the_end_of_an_earlier_promotion_is_not_taken_for_that_of_the_next_one(handler):
@@ -339,7 +252,7 @@
     commits.review(FORMER, now_s + acknowledged.PROMOTED_END_S)
     commits.note_shown(PROMOTED, _position(50, term=13), term=ids.Term(13))
     commits.review(PROMOTED, now_s + acknowledged.PROMOTED_END_S + 1.0)
-    assert _lines(handler, events.Event.COMMITS_MISSING) == []
+    assert cut_lines.lines(handler, events.Event.COMMITS_MISSING) == []
 
 
 def test_the_end_of_a_promotion_counts_until_another_server_leads(handler):
@@ -368,7 +281,7 @@
         promoter=world.promoter,
         primary=A,
     )
-    (line,) = _lines(handler, events.Event.PROMOTION_PROVED)
+    (line,) = cut_lines.lines(handler, events.Event.PROMOTION_PROVED)
     assert f'"summary": "all_paused/not_listening; former {A} not_listening ' in line
     pattern = r"; held [0-9.]+s age ([0-9.]+)s above (\S+) shown ([^;]+);"
     told = re.search(pattern, _summary(handler))
@@ -392,6 +305,6 @@
     )
     world.service.name = SERVICE
     world.service.apply([entry])
-    fields = _fields(_lines(handler, events.Event.SERVER_LISTED)[-1])
+    fields = cut_lines.fields(cut_lines.lines(handler, events.Event.SERVER_LISTED)[-1])
     assert (fields["service"], fields["server"], fields["revision"]) == (SERVICE, PROMOTED, "631")
     assert float(fields["age_s"]) == pytest.approx(86_400, abs=5)
