A former primary that leads again while a promotion is recorded is told (542), and 525 says so

Change: event 542 "leader changed back" with both terms and the time since the hold began, at most three lines a hold; the counter former_primary_leads_again; `again` behind `confirmed` in 525. By reports of the list, by STATUS and by answers to commits. A later term that no answer has named is `?`: an old report may look like a new lead. The bookkeeping is in renewed_leads; no decision depends on it. Evidence: the tests of 542 and of `again` in test_cut_lines_of_holds need the event, which did not exist.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -165,7 +165,13 @@
     """Commits are no longer held back: the promoted server leads, or the record is removed; the
     fields tell for how long they were, whether this instance has ``confirmed`` that to the holder
     of the claim (``yes``, ``no``, or ``self`` if it is the one), how many writes waited or were
-    aborted, whether the store was lost, and its build."""
+    aborted, whether the store was lost, and its build. ``again`` follows ``confirmed`` if a former
+    primary led again meanwhile (542)."""
+    FORMER_LEADS_AGAIN = EventKind(542, logbook.WARNING, "leader changed back")
+    """The former primary of a service was seen to lead again, or in a later term, while another
+    server's promotion is recorded. ``terms`` are that in which it led before and the later one
+    (``?`` if not known, or not known to be later), ``after_s`` is the time since this instance has
+    held commits back. At most three lines a hold."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -9,6 +9,7 @@
 
 from mustardswitch import build, events, metrics
 from mustardswitch.internal import clock, ids, registration_list
+from mustardswitch.proxy import renewed_leads
 
 RECORDS = "store"
 """Stands for the records of the store where the source of a hold is named."""
@@ -53,7 +54,10 @@
         """The latest server whose promotion was told to be recorded, and by whom."""
         self.last_leader: ids.ServerId | None = None
         """The last server that was known to lead."""
+        self.last_term: ids.Term | None = None
+        """The term of its lead; None if it is not known."""
         self.confirmation = Confirmation.NO
+        self.renewed = renewed_leads.RenewedLeads(service=service, registry=registry)
         self.asked_revision = 0
         """The highest revision of a record for which the hold was to be confirmed."""
 
@@ -65,19 +69,38 @@
         *,
         requested: ids.ServerId | None,
         leader: ids.ServerId | None,
+        term: ids.Term | None = None,
         revision: int | None = None,
     ) -> None:
         """Begin or end the hold.
 
         ``requested`` is the server whose promotion is recorded, ``revision`` that of the record;
-        None for a record that this instance has just written.
+        None for a record that this instance has just written. ``term`` is that of the leader if
+        known.
         """
-        self.last_leader = leader or self.last_leader
+        if self.since_s is None:
+            self.note_leader(leader, term)
         held = requested is not None and requested != leader
         if self.since_s is not None and (not held or requested != self.requested):
             self._end(requested, leader)
         if held and self.since_s is None:
             self._begin(requested, revision)
+            self.renewed.begin(
+                promoted=requested,
+                former=self.last_leader,
+                term=self.last_term,
+                leads=leader is not None,
+            )
+        self.note_leader(leader, term)
+
+    def note_leader(self, leader: ids.ServerId | None, term: ids.Term | None) -> None:
+        """Record the server that leads, for the log; ``term`` is that of its lead if known."""
+        if leader is not None:
+            if leader != self.last_leader or term is not None:
+                self.last_term = term
+            self.last_leader = leader
+        if self.since_s is not None:
+            self.renewed.note_leader(leader, term, held_s=clock.now_s() - self.since_s)
 
     def note_source(self, server: ids.ServerId, source: str) -> None:
         """Record who tells that a promotion of a server is recorded: an instance, or RECORDS."""
@@ -111,6 +134,8 @@
 
     def _end(self, requested: ids.ServerId | None, leader: ids.ServerId | None) -> None:
         held_s = clock.now_s() - self.since_s
+        again = " again" if self.renewed.reported else ""
+        self.renewed.end()
         lost = self.registrations.outage or self.registrations.recovered_at_s > self.since_s
         self.registry.count("commits_held_seconds", self.service, round(held_s, 3))
         self.registry.remove_gauge("commits_held", self.service)
@@ -119,7 +144,7 @@
             service=self.service,
             server=self.requested,
             held_s=round(held_s, 2),
-            confirmed=self.confirmation.value,
+            confirmed=f"{self.confirmation.value}{again}",
             leader=leader,
             requested=requested,
             waited=self.waited,
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -431,6 +431,7 @@
         self.hold.update(
             requested=self.requested or self.commits.awaited,
             leader=found,
+            term=self.acknowledged.latest_term(found),
             revision=self.requested_revision,
         )
         for backend in self.servers.values():
@@ -454,6 +455,8 @@
             )
         if leader != self.leader_changes.logged:
             self._note_change()
+        else:
+            self.hold.note_leader(leader, self.acknowledged.latest_term(leader))
 
     def note_not_leading(self, refused_by: ids.ServerId, *, query_sent_at_s: float) -> None:
         """Record that a server answered that it does not lead."""
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -87,6 +87,7 @@
         self.answers[name] = Answered(status=status, at_s=clock.now_s())
         self.target.acknowledged.note_status(name, status)
         if status.leads:
+            self.target.hold.note_leader(name, status.term)
             if self.requested is None and self.primary is None:
                 self.primary = name
             if self.requested == name and self.first_end is None:
--- a/tests/proxy/test_cut_lines_of_holds.py
+++ b/tests/proxy/test_cut_lines_of_holds.py
@@ -4,8 +4,8 @@
 import pytest
 
 from mustardswitch import build, events, metrics
-from mustardswitch.internal import clock
-from mustardswitch.proxy import commit_holds
+from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.proxy import commit_holds, renewed_leads
 from mustardswitch_standins import database_group
 from tests.common import cut_lines, peer_world
 
@@ -125,3 +125,91 @@
     world = peer_world.World(monkeypatch)
     world.report()
     assert _confirmed(handler, world) == "self"
+
+
+# A former primary that leads again
+
+
+def _hold() -> commit_holds.CommitHold:
+    hold = commit_holds.CommitHold(service=SERVICE, registry=metrics.Registry())
+    hold.update(requested=None, leader=FORMER, term=ids.Term(122))
+    hold.update(requested=PROMOTED, leader=FORMER, term=ids.Term(122), revision=631)
+    return hold
+
+
+def _terms(handler: logbook.TestHandler) -> list[str]:
+    lines = cut_lines.lines(handler, events.Event.FORMER_LEADS_AGAIN)
+    return [cut_lines.fields(line)["terms"] for line in lines]
+
+
+def test_a_former_primary_that_leads_again_tells_both_terms_and_the_time_since_the_hold_began(
+    handler, monkeypatch
+):
+    now_s = clock.now_s()
+    hold = _hold()
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 12.345)
+    hold.update(requested=PROMOTED, leader=None)
+    hold.update(requested=PROMOTED, leader=FORMER, term=ids.Term(123))
+    (line,) = cut_lines.lines(handler, events.Event.FORMER_LEADS_AGAIN)
+    fields = cut_lines.fields(line)
+    assert fields["level"] == "warning"
+    assert fields["message"] == "leader changed back"
+    assert (fields["service"], fields["server"]) == (SERVICE, FORMER)
+    assert fields["terms"] == "122 123"
+    assert float(fields["after_s"]) == pytest.approx(12.345, abs=0.02)
+    assert hold.registry.total("former_primary_leads_again", SERVICE) == 1
+
+
+@pytest.mark.parametrize("confirmation", commit_holds.Confirmation)
+def test_the_end_of_a_hold_tells_that_a_former_primary_led_meanwhile(
+    handler, monkeypatch, confirmation
+):
+    now_s = clock.now_s()
+    hold = _hold()
+    hold.note_asked(631, confirmation)
+    hold.update(requested=PROMOTED, leader=FORMER, term=ids.Term(123))
+    monkeypatch.setattr(clock, "now_s", lambda: now_s + 123.456)
+    hold.update(requested=PROMOTED, leader=PROMOTED, term=ids.Term(124))
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_RESUMED)
+    fields = cut_lines.fields(line)
+    assert fields["confirmed"] == f"{confirmation.value} again"
+    assert float(fields["held_s"]) == pytest.approx(123.456, abs=0.02)
+
+
+def test_a_former_primary_that_leads_on_in_its_term_does_not_lead_again(handler):
+    hold = _hold()
+    hold.update(requested=PROMOTED, leader=FORMER, term=ids.Term(122))
+    hold.update(requested=PROMOTED, leader=FORMER)
+    hold.update(requested=PROMOTED, leader=PROMOTED, term=ids.Term(123))
+    assert _terms(handler) == []
+    (line,) = cut_lines.lines(handler, events.Event.COMMITS_RESUMED)
+    assert cut_lines.fields(line)["confirmed"] == "no"
+
+
+def test_a_later_term_is_told_once_it_is_known(handler):
+    hold = _hold()
+    hold.update(requested=PROMOTED, leader=None)
+    for term in (None, None, ids.Term(123), ids.Term(123), None):
+        hold.update(requested=PROMOTED, leader=FORMER, term=term)
+    assert _terms(handler) == ["122 ?", "122 123"]
+    assert hold.registry.total("former_primary_leads_again", SERVICE) == 1
+
+
+def test_the_lines_about_a_former_primary_are_bounded(handler):
+    hold = _hold()
+    for term in range(123, 140):
+        hold.update(requested=PROMOTED, leader=FORMER, term=ids.Term(term))
+    assert len(_terms(handler)) == renewed_leads.MAX_LINES
+
+
+def test_an_instance_sees_the_former_primary_lead_again_by_its_status(handler, monkeypatch):
+    world = peer_world.World(monkeypatch)
+    former = world.group.primary
+    for term in (1, 2):
+        status = promotion.ServerStatus(
+            role=promotion.Role.PRIMARY, term=ids.Term(term), received=former.position
+        )
+        world.now_s += 1.0
+        world.service._note_status(world.service.servers[former.name], status, world.now_s)
+        world.announce(peer_world.promotion_of())
+    assert _terms(handler) == ["1 2"]
