Commits that a former primary takes while they are held back are told (543, 544) and counted

Change: 543 (error) with how many were sent although the record was known, were answered in a later term, were answered otherwise, and were acknowledged to callers, the time since the hold began, and the first request. At the first one, at the end of the hold if more came, and once after it. 544 (info) with the same fields if all were under way as the record was learned, which any change may have. The bookkeeping is in former_commits; may_acknowledge is called as before, and no decision depends on it.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -172,6 +172,17 @@
     server's promotion is recorded. ``terms`` are that in which it led before and the later one
     (``?`` if not known, or not known to be later), ``after_s`` is the time since this instance has
     held commits back. At most three lines a hold."""
+    COMMITS_TAKEN = EventKind(543, logbook.ERROR, "commits held back, ran")
+    """A former primary took commits through this instance although another server's promotion is
+    recorded, or in a later term than they were sent in. ``taken`` tells how many were sent
+    although this instance knew of the record, how many were answered in a later term, how many
+    others were answered, how many were acknowledged to their callers, the seconds from the hold's
+    begin to the last one, and the first request.
+    Logged at the first one, at the end of the hold if there were more, and once after that."""
+    COMMITS_ANSWERED = EventKind(544, logbook.INFO, "commits held back, answered")
+    """The former primary has answered commits that were under way as this instance learned of a
+    recorded promotion; ``taken`` as of 543. They must lie at or below the end of its log with which
+    the promotion is proved (530, 531)."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -181,6 +181,17 @@
         latest = max((found.term for found in self.ends.values()), default=None)
         return known.term if known is not None and known.term == latest else None
 
+    def led_term(self, server: ids.ServerId) -> ids.Term | None:
+        """Return the latest term in which a server is known to have led.
+
+        None if it has acknowledged no commit; another leader may have written the entries that it
+        has shown.
+        """
+        last, found = self.latest.get(server), self.ends.get(server)
+        if last is None:
+            return None
+        return max(last.shown.term, found.term) if found is not None else last.shown.term
+
     def note_status(self, server: ids.ServerId, status: promotion.ServerStatus) -> None:
         """Record a server's answer to a status query."""
         if status.leads:
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -9,7 +9,7 @@
 
 from mustardswitch import build, events, metrics
 from mustardswitch.internal import clock, ids, registration_list
-from mustardswitch.proxy import renewed_leads
+from mustardswitch.proxy import former_commits, renewed_leads
 
 RECORDS = "store"
 """Stands for the records of the store where the source of a hold is named."""
@@ -58,6 +58,7 @@
         """The term of its lead; None if it is not known."""
         self.confirmation = Confirmation.NO
         self.renewed = renewed_leads.RenewedLeads(service=service, registry=registry)
+        self.former_commits = former_commits.FormerCommits(service=service, registry=registry)
         self.asked_revision = 0
         """The highest revision of a record for which the hold was to be confirmed."""
 
@@ -121,6 +122,7 @@
         self.confirmation = Confirmation.NO
         self.began_without_store = self.registrations.outage
         self.registry.set_gauge("commits_held", 1, self.service)
+        self.former_commits.begin(requested)
         events.log(
             events.Event.COMMITS_HELD,
             service=self.service,
@@ -136,6 +138,7 @@
         held_s = clock.now_s() - self.since_s
         again = " again" if self.renewed.reported else ""
         self.renewed.end()
+        self.former_commits.finish(leader)
         lost = self.registrations.outage or self.registrations.recovered_at_s > self.since_s
         self.registry.count("commits_held_seconds", self.service, round(held_s, 3))
         self.registry.remove_gauge("commits_held", self.service)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -29,6 +29,7 @@
     commit_holds,
     errors,
     feature_set,
+    former_commits,
     leader_changes,
     placing,
     ports,
@@ -499,6 +500,32 @@
         if proved.end is not None:
             self.acknowledged.note_promoted(proved.server, proved.end, now_s=clock.now_s())
 
+    def note_commit_sent(
+        self, server: ids.ServerId, request: ids.RequestId
+    ) -> former_commits.SentCommit:
+        """Keep for the log that a commit is sent to a server."""
+        return self.hold.former_commits.note_sent(
+            server,
+            request,
+            term=self.acknowledged.led_term(server),
+            recorded=self.requested or self.commits.awaited,
+        )
+
+    def note_commit_answered(
+        self,
+        sent: former_commits.SentCommit,
+        position: positions.Position | None,
+        *,
+        acknowledged: bool,
+    ) -> None:
+        """Keep for the log that a commit has succeeded, and whether its caller is told so."""
+        self.hold.former_commits.note_answered(
+            sent,
+            position,
+            recorded=self.requested or self.commits.awaited,
+            acknowledged=acknowledged,
+        )
+
     def recorded_promotions(self) -> list[datagrams.RecordedPromotion]:
         """Return the promotions that are known to be recorded and may take effect."""
         found = []
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -113,6 +113,8 @@
         try:
             context.sent = True
             with self.service.commits.tracking(link, backend.server, counts=commits) as commit:
+                if commits:
+                    sent = self.service.note_commit_sent(backend.server, context.request)
                 link.send(command, context.request)
                 answer = await link.receive(max(0.001, context.remaining_s))
         except backend_errors.BackendError as error:
@@ -124,7 +126,10 @@
             raise
         finally:
             backend.in_flight -= 1
-        if answer.succeeded and commits and not self.service.commits.may_acknowledge(commit):
+        if answer.succeeded and commits:
+            acknowledged = self.service.commits.may_acknowledge(commit)
+            self.service.note_commit_answered(sent, answer.position, acknowledged=acknowledged)
+        if answer.succeeded and commits and not acknowledged:
             self.abandon_connection()
             return requests.refuse(
                 requests.Refusal.ABORTED,
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -55,6 +55,7 @@
     try:
         context.sent = True
         with context.service.commits.tracking(link, backend.server) as commit:
+            sent = context.service.note_commit_sent(backend.server, context.request)
             link.send(statement, context.request)
             answer = await link.receive(max(0.001, context.remaining_s))
     except backend_errors.NothingSentError as error:
@@ -69,7 +70,10 @@
         raise
     finally:
         backend.in_flight -= 1
-    if answer.succeeded and not context.service.commits.may_acknowledge(commit):
+    if answer.succeeded:
+        acknowledged = context.service.commits.may_acknowledge(commit)
+        context.service.note_commit_answered(sent, answer.position, acknowledged=acknowledged)
+    if answer.succeeded and not acknowledged:
         backend.abandon(link)
         return requests.refuse(
             requests.Refusal.OUTCOME_UNKNOWN, "the primary may have been replaced unnoticed"
