An attempt tells its requests, a stopped primary that grows, and pauses that have ended (545 to 548)

Change: 545 with the end before and now; 546 with the replica, the term of its pause and the term found; 547 with all promotions that an attempt has requested, and when, from the record on; 548 for each promotion of the present primary. At most five lines of 545 and 546 an attempt. What the promoted server's own term explains is no growth and no lost pause, so such cases are told once that term is known, or as the attempt ends. Counters stopped_primary_grew, pauses_lost and promotion_calls. The bookkeeping is in attempt_log; no decision depends on it. OPERATIONS: from a lost commit to its cause, by these lines. Evidence: test_attempt_log, of which the cases with servers step a primary down, promote it again and query it.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -183,6 +183,22 @@
     """The former primary has answered commits that were under way as this instance learned of a
     recorded promotion; ``taken`` as of 543. They must lie at or below the end of its log with which
     the promotion is proved (530, 531)."""
+    STOPPED_GREW = EventKind(545, logbook.WARNING, "commits held back, grew")
+    """The log of a stopped primary was found longer than before, and the promoted server did not
+    lead yet. ``end`` is its end before, now, the seconds since it was first read, and ``leads`` if
+    the primary leads again. At most five lines an attempt."""
+    PAUSE_LOST = EventKind(546, logbook.WARNING, "commits held back, unpaused")
+    """A replica was found without its pause, which the holder of the claim has not ended, before
+    the term in which the promoted server leads. ``pause`` is its term, the term found, the seconds
+    since the awaited promotion was first requested, and its server (``?`` without one). Logged once
+    the promoted server leads, or as the attempt ends; at most five lines an attempt."""
+    PROMOTIONS_REQUESTED = EventKind(547, logbook.WARNING, "takeover started, ended")
+    """An attempt to change a primary has requested promotions: how many, and for each server the
+    seconds from the record to the first request, ``void`` for one of the present primary, and how
+    often it was requested (``x2``); then when the promoted server was seen to lead (``led``)."""
+    PRESENT_PROMOTED = EventKind(548, logbook.WARNING, "takeover started, primary promoted")
+    """The platform was asked to make the present primary the leader, which is to void requests of
+    earlier claims; ``outcome`` is its answer."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -68,6 +68,7 @@
                 end=end,
             )
         self.stopped_end = end
+        self.commands.log.note_stopped(primary, end)
         return True
 
     def choose(
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -100,6 +100,8 @@
             done=done,
             **self.commands.end_fields(),
         )
+        recorded_at_s = self.record.at_s if self.record is not None else None
+        self.commands.log.finish(recorded_at_s=recorded_at_s)
         return done
 
     async def resume_all(self) -> None:
@@ -168,9 +170,12 @@
         next claim's token voids it, too.
         """
         while self.holds_claim():
+            self.commands.log.note_request(primary, void=True)
+            token = self.claim.fencing_token
             outcome = await self.promoter.promote(
-                service=self.target.name, server=primary, fencing_token=self.claim.fencing_token
+                service=self.target.name, server=primary, fencing_token=token
             )
+            self.commands.log.note_void(primary, token=token, outcome=outcome.value)
             if outcome is not ports.PromotionOutcome.LIMITED:
                 return outcome is ports.PromotionOutcome.ACCEPTED
             await asyncio.sleep(claimed_attempt.POLL_S)
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -1,10 +1,11 @@
 """Keeps what the servers answered in a change of primary, for the log lines of the change."""
 
+import collections.abc
 import dataclasses
 
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import server_commands, service
+from mustardswitch.proxy import attempt_log, server_commands, service
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,6 +69,7 @@
 
     def __init__(self, *, target: service.Service) -> None:
         super().__init__(target=target)
+        self.log = attempt_log.AttemptLog(service=target.name, registry=target.registry)
         self.answers: dict[ids.ServerId, Answered] = {}
         self.primary: ids.ServerId | None = None
         """The primary that is replaced: the known one, or the first that answered as such."""
@@ -86,14 +88,24 @@
             return None
         self.answers[name] = Answered(status=status, at_s=clock.now_s())
         self.target.acknowledged.note_status(name, status)
+        self.log.note_status(name, status)
         if status.leads:
             self.target.hold.note_leader(name, status.term)
             if self.requested is None and self.primary is None:
                 self.primary = name
             if self.requested == name and self.first_end is None:
                 self.first_end = status
+                self.log.note_led(status.term)
         return status
 
+    async def resume(
+        self, servers: collections.abc.Set[ids.ServerId]
+    ) -> collections.abc.Set[ids.ServerId]:
+        """Resume servers, and return those that answered."""
+        for name in servers:
+            self.log.note_resumed(name)
+        return await super().resume(servers)
+
     def note_start(self, primary: ids.ServerId | None) -> dict[str, object]:
         """Return the fields that tell which servers count, and how old their list is."""
         self.primary = primary
@@ -139,6 +151,7 @@
         if self.requested is None:
             self.target.registry.count("promotions_requested", self._kind(server))
         self.requested = server
+        self.log.note_request(server)
         return {
             "end": self._end_of(server),
             "primary": self.primary,
