--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -158,9 +158,9 @@
     """The claims that a restored store may have lost have expired."""
     COMMITS_HELD = EventKind(524, logbook.INFO, "commits held back")
     """This instance learned that a server's promotion is recorded, and sends no commits to another
-    one. ``leader`` led last; ``by`` is who told of the record: ``store``, or an instance (at the
-    holder of the claim its own name, unless it has read its record first). Then the record's
-    revision and how old the list of servers is."""
+    one. ``leader`` led last; ``by`` is who told of the record: ``store``, an instance that
+    announced it, or ``self`` at the holder of the claim. Then the record's revision and how old the
+    list of servers is."""
     COMMITS_RESUMED = EventKind(525, logbook.INFO, "commits no longer held back")
     """Commits are no longer held back: the promoted server leads, or the record is removed; the
     fields tell for how long they were, whether this instance has ``confirmed`` that to the holder
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -7,6 +7,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
+    commit_holds,
     errors,
     final_ends,
     ports,
@@ -104,7 +105,7 @@
             if revision is None:
                 self.note_claim_lost()
                 return False
-            self.target.note_recorded_promotion(successor, revision=revision)
+            self.target.note_recorded_promotion(successor, revision=revision, by=commit_holds.OWN)
             # Under one claim commits are held without a break, whichever server is named.
             at_s = clock.now_s() if self.record is None else self.record.at_s
             self.record = Record(server=successor, revision=revision, at_s=at_s)
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -13,6 +13,8 @@
 
 RECORDS = "store"
 """Stands for the records of the store where the source of a hold is named."""
+OWN = "self"
+"""Stands for this instance, which has written the record."""
 UNKNOWN = "?"
 
 SourceList = registration_list.RegistrationList[typing.Any, typing.Any]
@@ -104,7 +106,7 @@
             self.renewed.note_leader(leader, term, held_s=clock.now_s() - self.since_s)
 
     def note_source(self, server: ids.ServerId, source: str) -> None:
-        """Record who tells that a promotion of a server is recorded: an instance, or RECORDS."""
+        """Record who tells that a promotion is recorded: an instance, RECORDS or OWN."""
         self.source = server, source
 
     def note_asked(self, revision: int, confirmation: Confirmation) -> None:
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -172,7 +172,7 @@
             target.note_recorded_promotion(promoted, revision=revision)
 
     def note_announced_promotion(
-        self, promoted: datagrams.RecordedPromotion, *, by: ids.InstanceId | None = None
+        self, promoted: datagrams.RecordedPromotion, *, by: str | None = None
     ) -> None:
         """Record that another instance has recorded a promotion, also of an unknown service.
 
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -299,7 +299,7 @@
         read it send no commits either.
         """
         # This instance is one of those that hold commits, and abandons its own in time.
-        self.directory.note_announced_promotion(promoted, by=self.directory.instance)
+        self.directory.note_announced_promotion(promoted, by=commit_holds.OWN)
         target = self.directory.services[promoted.service]
         target.hold.note_asked(promoted.revision, commit_holds.Confirmation.HOLDER)
         target.leader_changes.note_told(promoted.server, holder=self.directory.instance)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -465,20 +465,27 @@
         self._note_change()
 
     def note_recorded_promotion(
-        self, requested: ids.ServerId | None, *, revision: int | None = None
+        self,
+        requested: ids.ServerId | None,
+        *,
+        revision: int | None = None,
+        by: str = commit_holds.RECORDS,
     ) -> None:
-        """Record that a server's promotion may take effect, or with None that none can."""
+        """Record that a server's promotion may take effect, or with None that none can.
+
+        ``by`` is who told of the record, for the log.
+        """
         if requested != self.requested:
             self.requested, self.requested_revision = requested, revision
             if requested is not None:
-                self.hold.note_source(requested, commit_holds.RECORDS)
+                self.hold.note_source(requested, by)
             self.commits.note_requested(requested, revision=revision)
             self._note_change()
 
     def note_announced_promotion(
-        self, promoted: datagrams.RecordedPromotion, *, by: ids.InstanceId | None = None
+        self, promoted: datagrams.RecordedPromotion, *, by: str | None = None
     ) -> None:
-        """Record that another instance has recorded a promotion; ``by`` is the one that told it."""
+        """Record that an instance has recorded a promotion; ``by`` is the one that told it."""
         before = self.commits.awaited
         self.commits.note_announced(promoted)
         if by is not None:
