--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -158,12 +158,47 @@
     """The claims that a restored store may have lost have expired."""
     COMMITS_HELD = EventKind(524, logbook.INFO, "commits held back")
     """This instance learned that a server's promotion is recorded, and sends no commits to another
-    one; the fields tell the record's revision and how old the list of servers is."""
+    one. ``leader`` led last; ``by`` is who told of the record: ``store``, an instance that
+    announced it, or ``self`` at the holder of the claim. Then the record's revision and how old the
+    list of servers is."""
     COMMITS_RESUMED = EventKind(525, logbook.INFO, "commits no longer held back")
     """Commits are no longer held back: the promoted server leads, or the record is removed; the
     fields tell for how long they were, whether this instance has ``confirmed`` that to the holder
     of the claim (``yes``, ``no``, or ``self`` if it is the one), how many writes waited or were
-    aborted, whether the store was lost, and its build."""
+    aborted, whether the store was lost, and its build. ``again`` follows ``confirmed`` if a former
+    primary led again meanwhile (542)."""
+    FORMER_LEADS_AGAIN = EventKind(542, logbook.WARNING, "leader changed back")
+    """The former primary of a service was seen to lead again, or in a later term, while another
+    server's promotion is recorded. ``terms`` are that in which it led before and the later one
+    (``?`` if not known, or not known to be later), ``after_s`` is the time since this instance has
+    held commits back. At most three lines a hold."""
+    COMMITS_TAKEN = EventKind(543, logbook.ERROR, "commits held back, ran")
+    """A former primary took commits through this instance although another server's promotion is
+    recorded, or in a later term than they were sent in. ``taken`` tells how many were sent
+    although this instance knew of the record, how many were answered in a later term, how many
+    others were answered, how many were acknowledged to their callers, the seconds from the hold's
+    begin to the last one, and the first request.
+    Logged at the first one, at the end of the hold if there were more, and once after that."""
+    COMMITS_ANSWERED = EventKind(544, logbook.INFO, "commits held back, answered")
+    """The former primary has answered commits that were under way as this instance learned of a
+    recorded promotion; ``taken`` as of 543. They must lie at or below the end of its log with which
+    the promotion is proved (530, 531)."""
+    STOPPED_GREW = EventKind(545, logbook.WARNING, "commits held back, grew")
+    """The log of a stopped primary was found longer than before, and the promoted server did not
+    lead yet. ``end`` is its end before, now, the seconds since it was first read, and ``leads`` if
+    the primary leads again. At most five lines an attempt."""
+    PAUSE_LOST = EventKind(546, logbook.WARNING, "commits held back, unpaused")
+    """A replica was found without its pause, which the holder of the claim has not ended, before
+    the term in which the promoted server leads. ``pause`` is its term, the term found, the seconds
+    since the awaited promotion was first requested, and its server (``?`` without one). Logged once
+    the promoted server leads, or as the attempt ends; at most five lines an attempt."""
+    PROMOTIONS_REQUESTED = EventKind(547, logbook.WARNING, "takeover started, ended")
+    """An attempt to change a primary has requested promotions: how many, and for each server the
+    seconds from the record to the first request, ``void`` for one of the present primary, and how
+    often it was requested (``x2``); then when the promoted server was seen to lead (``led``)."""
+    PRESENT_PROMOTED = EventKind(548, logbook.WARNING, "takeover started, primary promoted")
+    """The platform was asked to make the present primary the leader, which is to void requests of
+    earlier claims; ``outcome`` is its answer."""
     COMMITS_BEFORE_CHANGE = EventKind(526, logbook.INFO, "commits acknowledged before a change")
     """Another server leads. The last commits of the former primary that were acknowledged through
     this instance are at or below the position ``shown``; that of ``request`` is above ``above``."""
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -7,6 +7,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
+    commit_holds,
     errors,
     final_ends,
     ports,
@@ -118,7 +119,7 @@
             if revision is None:
                 self.note_claim_lost()
                 return False
-            self.target.note_recorded_promotion(recorded, revision=revision)
+            self.target.note_recorded_promotion(recorded, revision=revision, by=commit_holds.OWN)
             # Under one claim commits are held without a break, whichever server is named.
             at_s = clock.now_s() if self.record is None else self.record.at_s
             self.record = Record(server=recorded, revision=revision, at_s=at_s)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -29,6 +29,7 @@
     commit_holds,
     errors,
     feature_set,
+    former_commits,
     leader_changes,
     placing,
     ports,
@@ -431,6 +432,7 @@
         self.hold.update(
             requested=self.requested or self.commits.awaited,
             leader=found,
+            term=self.acknowledged.latest_term(found),
             revision=self.requested_revision,
         )
         for backend in self.servers.values():
@@ -454,6 +456,8 @@
             )
         if leader != self.leader_changes.logged:
             self._note_change()
+        else:
+            self.hold.note_leader(leader, self.acknowledged.latest_term(leader))
 
     def note_not_leading(self, refused_by: ids.ServerId, *, query_sent_at_s: float) -> None:
         """Record that a server answered that it does not lead."""
@@ -461,18 +465,31 @@
         self._note_change()
 
     def note_recorded_promotion(
-        self, requested: ids.ServerId | None, *, revision: int | None = None
+        self,
+        requested: ids.ServerId | None,
+        *,
+        revision: int | None = None,
+        by: str = commit_holds.RECORDS,
     ) -> None:
-        """Record that a server's promotion may take effect, or with None that none can."""
+        """Record that a server's promotion may take effect, or with None that none can.
+
+        ``by`` is who told of the record, for the log.
+        """
         if requested != self.requested:
             self.requested, self.requested_revision = requested, revision
+            if requested is not None:
+                self.hold.note_source(requested, by)
             self.commits.note_requested(requested, revision=revision)
             self._note_change()
 
-    def note_announced_promotion(self, promoted: datagrams.RecordedPromotion) -> None:
-        """Record that another instance has recorded a promotion."""
+    def note_announced_promotion(
+        self, promoted: datagrams.RecordedPromotion, *, by: str | None = None
+    ) -> None:
+        """Record that an instance has recorded a promotion; ``by`` is the one that told it."""
         before = self.commits.awaited
         self.commits.note_announced(promoted)
+        if by is not None:
+            self.hold.note_source(promoted.server, by)
         if self.commits.awaited != before:
             self._note_change()
 
@@ -490,6 +507,32 @@
         if proved.end is not None:
             self.acknowledged.note_promoted(proved.server, proved.end, now_s=clock.now_s())
 
+    def note_commit_sent(
+        self, server: ids.ServerId, request: ids.RequestId
+    ) -> former_commits.SentCommit:
+        """Keep for the log that a commit is sent to a server."""
+        return self.hold.former_commits.note_sent(
+            server,
+            request,
+            term=self.acknowledged.led_term(server),
+            recorded=self.requested or self.commits.awaited,
+        )
+
+    def note_commit_answered(
+        self,
+        sent: former_commits.SentCommit,
+        position: positions.Position | None,
+        *,
+        acknowledged: bool,
+    ) -> None:
+        """Keep for the log that a commit has succeeded, and whether its caller is told so."""
+        self.hold.former_commits.note_answered(
+            sent,
+            position,
+            recorded=self.requested or self.commits.awaited,
+            acknowledged=acknowledged,
+        )
+
     def recorded_promotions(self) -> list[datagrams.RecordedPromotion]:
         """Return the promotions that are known to be recorded and may take effect."""
         found = []
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -109,6 +109,8 @@
             done=done,
             **self.commands.end_fields(),
         )
+        recorded_at_s = self.record.at_s if self.record is not None else None
+        self.commands.log.finish(recorded_at_s=recorded_at_s)
         return done
 
     def _left_to_settle(self, choice: promotion.Choice) -> ids.ServerId | None:
@@ -188,11 +190,13 @@
         the next term, and end all pauses. Only if that is accepted, requests with lower tokens are
         rejected from now on; without an answer, the next claim's token voids this request, too.
         """
-        outcome = ports.PromotionOutcome.LIMITED
+        token, outcome = self.claim.fencing_token, ports.PromotionOutcome.LIMITED
         while outcome is ports.PromotionOutcome.LIMITED and self.holds_claim():
+            self.commands.log.note_request(primary, void=True)
             outcome = await self.promoter.promote(
-                service=self.target.name, server=primary, fencing_token=self.claim.fencing_token
+                service=self.target.name, server=primary, fencing_token=token
             )
+            self.commands.log.note_void(primary, token=token, outcome=outcome.value)
             if outcome is ports.PromotionOutcome.LIMITED:
                 await asyncio.sleep(claimed_attempt.POLL_S)
         if outcome is ports.PromotionOutcome.ACCEPTED:
