The wait for unlisted servers counts from the former primary's end

With the listing at the heartbeat a stall of 1.5 s was enough.

The wait now counts from when the primary executes nothing any more: it answers as a replica, no process listens, or it is gone. A primary that answered nothing for 5.7 s or more before its end is waited for up to 1.5 s longer than before; all other waits are shorter.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -193,7 +193,8 @@
     SERVERS_AWAITED = EventKind(540, logbook.WARNING, "servers awaited that are not listed yet")
     """The former primary has not told the end of its log, and the service has fewer servers than it
     had, or this instance has not read the list for long. A server that has started may hold
-    commits; it is listed within ``listing_s``."""
+    commits; it is listed within ``listing_s``. The former primary has executed nothing for
+    ``executes_nothing_s``."""
     CHANGE_WAITS = EventKind(541, logbook.WARNING, "change waits")
     """A change of primary has waited for another second for the stated ``reason``; ``former`` is
     what is known of the former primary, which has answered nobody for ``silent_s``."""
--- a/src/mustardswitch/internal/former_primary.py
+++ b/src/mustardswitch/internal/former_primary.py
@@ -82,13 +82,25 @@
         return promotion.FormerPrimary.REPLICA
     if held_s is None:
         return promotion.FormerPrimary.MAY_RUN
-    answered_s = min((report.answered_s for report in reports), default=NEVER_S)
     connected_s = min((report.connected_s for report in reports), default=NEVER_S)
     refused_s = min((report.refused_s for report in reports), default=NEVER_S)
     if confirmed_report and refused_s < min(held_s, connected_s):
         return promotion.FormerPrimary.NOT_LISTENING
-    unreached = all_report and min(connected_s, refused_s) >= UNREACHED_S
-    silent = unlisted_s >= GONE_S and answered_s >= UNREACHED_S
-    if unreached or silent:
+    if gone_s(reports, all_report=all_report, unlisted_s=unlisted_s) >= 0.0:
         return promotion.FormerPrimary.GONE
     return promotion.FormerPrimary.MAY_RUN
+
+
+def gone_s(
+    reports: collections.abc.Collection[Report], *, all_report: bool, unlisted_s: float
+) -> float:
+    """Return the seconds for which a primary has been gone; below 0 while it may run.
+
+    The arguments are those of ``state_of``.
+    """
+    answered_s = min((report.answered_s for report in reports), default=NEVER_S)
+    unreached_s = -NEVER_S
+    if all_report:
+        heard_s = (min(report.connected_s, report.refused_s) for report in reports)
+        unreached_s = min(heard_s, default=NEVER_S) - UNREACHED_S
+    return max(unreached_s, min(unlisted_s - GONE_S, answered_s - UNREACHED_S))
--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -95,15 +95,16 @@
     *,
     is_complete: bool,
     store_back_s: float,
-    primary_silent_s: float,
+    executes_nothing_s: float,
     listing_s: float,
 ) -> bool:
     """Return whether a server that is not listed may have confirmed commits of a former primary.
 
-    A server is listed within ``listing_s`` seconds after its start, and ``primary_silent_s`` are
-    those since the former primary has answered anybody. ``store_back_s`` are those since an outage
-    of the store, in which servers can neither be listed nor report that they leave.
+    A server is listed within ``listing_s`` seconds after its start, and ``executes_nothing_s`` are
+    those since the former primary has ended; until then a server may start and confirm what waits
+    in it, whether it answers or not. ``store_back_s`` are those since an outage of the store, in
+    which servers can neither be listed nor report that they leave.
     """
     if store_back_s < RELISTED_S:
         return True
-    return not is_complete and primary_silent_s < listing_s
+    return not is_complete and executes_nothing_s < listing_s
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -184,7 +184,7 @@
         return former_primary.state_of(
             [order.report(), *report.primary_reports.values()],
             held_s=None if held_since_s is None else clock.now_s() - held_since_s,
-            all_report=report.instances <= reporting and not report.unconfirmed,
+            all_report=report.all_report,
             confirmed_report=report.instances - report.unconfirmed <= reporting,
             unlisted_s=self.target.unlisted_s(order.backend.server),
         )
@@ -226,15 +226,16 @@
             in_time = stopped_since_s is not None and (
                 clock.now_s() - stopped_since_s < SUCCESSOR_LAG_S
             )
-            silent_s = listing.primary_silent_s(
-                order,
-                report,
-                former=former,
-                ended_s=0.0 if ended_since_s is None else clock.now_s() - ended_since_s,
+            ended_s = 0.0 if ended_since_s is None else clock.now_s() - ended_since_s
+            silent_s = listing.primary_silent_s(order, report, former=former, ended_s=ended_s)
+            executes_nothing_s = listing.executes_nothing_s(
+                order, report, former=former, ended_s=ended_s
             )
-            unlisted_may_hold = listing.may_hold_commits(silent_s)
+            unlisted_may_hold = listing.may_hold_commits(executes_nothing_s)
             if ended_since_s is not None and listing.needs_list(
-                self.list_read_at_s, ended_at_s=ended_since_s, primary_silent_s=silent_s
+                self.list_read_at_s,
+                ended_at_s=ended_since_s,
+                executes_nothing_s=executes_nothing_s,
             ):
                 if not await self._read_list():
                     return NOT_LISTED
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -235,6 +235,11 @@
     )
     """What those that were asked to stop the primary have heard of it, as of now."""
 
+    @property
+    def all_report(self) -> bool:
+        """Whether all instances have confirmed it and report what they have heard."""
+        return self.instances <= self.primary_reports.keys() and not self.unconfirmed
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopRequest:
--- a/tests/proxy/test_silence_longer_than_the_list_knows.py
+++ b/tests/proxy/test_silence_longer_than_the_list_knows.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import clock, ids, server_contact
 from mustardswitch.proxy import ports
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
@@ -82,6 +82,35 @@
     assert world.group.lost == []
 
 
+async def test_a_primary_that_answers_nothing_and_replicates_on_loses_no_commit():
+    """It accepted connections, and executed a commit after a server had started that is not listed
+    yet; its last answer was long ago.
+    """
+    world = proxy_world.World()
+    world.service.listing_s = 1.0
+    takeovers.lose_replica(world)
+    contacts = world.service.servers[A].contacts
+    contacts.since_s = clock.now_s() - 100.0
+    contacts.at_s = {server_contact.Sign.CONNECTED: clock.now_s()}
+    has_ended = asyncio.Event()
+
+    async def open_order(entry, on_connected):
+        on_connected()
+        await has_ended.wait()
+        raise backend_errors.ServerRefusedError("no process listens")
+
+    world.service.order_opener = open_order
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(SETTLE_S)
+    started = takeovers.commit_on_unlisted_server(world)
+    has_ended.set()
+    await asyncio.sleep(2 * SETTLE_S)
+    assert takeovers.requested_successors(world) == []
+    world.list_servers()
+    assert await changing
+    assert world.group.primary is started and world.group.lost == []
+
+
 async def test_a_pause_that_ends_before_commits_do_loses_no_commit(monkeypatch):
     """A server restarted after its answer to a query, and received the last commit, while another
     one took its time to answer the same query.
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from mustardswitch.internal import change_log, clock, former_primary, ids
 from mustardswitch.proxy import fleet_records, member_records, ports, service, takeover
 from mustardswitch_standins import database_group
@@ -45,6 +47,23 @@
     assert clock.now_s() - started_s < SLACK_S and world.group.lost == []
 
 
+def _crash(world: proxy_world.World) -> None:
+    world.group.servers[A].up = False
+
+
+@pytest.mark.parametrize("end_primary", [_crash, takeovers.cut_off])
+async def test_a_missing_server_prolongs_a_change_by_no_more_than_it_needs_to_be_listed(
+    end_primary,
+):
+    world = proxy_world.World()
+    takeovers.lose_replica(world)
+    end_primary(world)
+    started_s = clock.now_s()
+    assert await takeovers.take_over(world, silent=True)
+    waited_s = clock.now_s() - started_s
+    assert world.service.listing_s <= waited_s < world.service.listing_s + SLACK_S
+
+
 async def test_an_instance_that_starts_after_a_crash_does_not_prolong_the_wait():
     """It has never heard the primary, and reports how long it has run."""
     world = proxy_world.World()
