--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -120,8 +120,10 @@
                 self.note_claim_lost()
                 return False
             self.target.note_recorded_promotion(recorded, revision=revision, by=commit_holds.OWN)
-            # Under one claim commits are held without a break, whichever server is named.
-            at_s = clock.now_s() if self.record is None else self.record.at_s
+            # Under one claim commits are held without a break, whichever server is named, unless
+            # an earlier request for the named one lets commits pass.
+            held = self.record is not None and self.record.server != self.earlier_request
+            at_s = self.record.at_s if held else clock.now_s()
             self.record = Record(server=recorded, revision=revision, at_s=at_s)
             self.final_ends.may_be_recorded = False
             await self.final_ends.write(self.claim, revision)
