--- a/tests/common/exploration_starts.py
+++ b/tests/common/exploration_starts.py
@@ -16,16 +16,18 @@
 
     Its ``requests`` may be executed late; ``pending`` ones were accepted. A commit that was sent
     before the record may be ``waiting`` in the primary, which may have been ``stopped``. If one of
-    the requests is for the primary, the record tells so, and lets no commits pass.
+    the requests is for the primary, the record is marked; if one is for another server than the
+    recorded one, its holder had found a record, and lets no commits pass.
     """
     state = exploration_state.change_server(exploration_state.first_state(), A, leads=not stopped)
     marked = A in requests + pending
+    held = set(requests + pending) > {server} or marked
     commit = Commit(sender=1, server=A, above=(0, 0), open=False)
     return state._replace(
         commits=(commit,) if waiting else (),
-        instances=tuple(each._replace(requested=server, held=marked) for each in state.instances),
+        instances=tuple(each._replace(requested=server, held=held) for each in state.instances),
         record=server,
-        held=marked,
+        held=held,
         marked=marked,
         requests=tuple((each, 0, 0) for each in requests),
         pending=pending,
--- a/tests/proxy/test_change_of_primary_machine.py
+++ b/tests/proxy/test_change_of_primary_machine.py
@@ -2,52 +2,15 @@
 
 The decisions of ``internal.promotion`` run against the in-memory group. Holders of the claim die or
 are replaced at any step; servers start, crash, restart, lose their entries or cannot be reached.
-Requests to promote, PAUSE and RESUME may be executed at any later time. Each mechanism can be
-switched off; a recorded sequence then loses a commit.
+Requests to promote, PAUSE and RESUME may be executed at any later time.
 """
 
-import dataclasses
-
-import pytest
 from hypothesis import HealthCheck, settings, stateful
 from hypothesis import strategies as st
 
-from mustardswitch.internal import ids, positions, promotion
+from mustardswitch.internal import ids, promotion
 from mustardswitch_standins import database_group
-
-A, B, C, D = (ids.ServerId(f"server-{zone}") for zone in "abcd")
-servers = st.sampled_from([A, B, C, D])
-MAY_BE_LATE = st.one_of(st.none(), servers)
-
-
-@dataclasses.dataclass(kw_only=True)
-class Attempt:
-    """One claim holder's change of primary."""
-
-    token: int
-    primary: ids.ServerId | None
-    leaves: bool
-    requested_before: ids.ServerId | None
-    requested: ids.ServerId | None
-    term: int = 0
-    stopped_end: positions.Position | None = None
-    recorded: bool = False
-    """Whether this holder has recorded a server, so that no instance sends commits to others."""
-    confirmed: bool = False
-    request_sent: bool = False
-    verdict: promotion.Verdict = promotion.Verdict.WAIT
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LateOrder:
-    """An order to a server that is executed at some later time; a RESUME has no term.
-
-    One that ``stops`` is a STEPDOWN, one with a term otherwise a PAUSE.
-    """
-
-    server: ids.ServerId
-    term: int | None = None
-    stops: bool = False
+from tests.common.change_of_primary_attempt import MAY_BE_LATE, Attempt, D, LateOrder, servers
 
 
 class Changes(stateful.RuleBasedStateMachine):
@@ -60,7 +23,9 @@
     count_expired = True
     check_pauses = True
     resume_requested_only = True
-    void_first = True
+    never_void_before_stop = True
+    record_unanswered = True
+    hold_for_all = True
 
     def __init__(self) -> None:
         super().__init__()
@@ -68,6 +33,8 @@
         self.listed = set(self.group.servers)
         self.expired: set[ids.ServerId] = set()
         self.record: ids.ServerId | None = None
+        self.held = False
+        """Whether the record lets no commits pass, also to its server."""
         self.attempt: Attempt | None = None
         self.tokens = 0
         self.highest_token = 0
@@ -85,9 +52,8 @@
         primary = self.group.primary
         if primary is None:
             return
-        held = self.hold_commits and not promotion.may_take_commits(
-            primary.name, requested=self.record
-        )
+        allowed = promotion.may_take_commits(primary.name, requested=self.record)
+        held = self.held or (self.hold_commits and not allowed)
         if primary.up and not primary.silent and not held:
             self.written += 1
             self.group.commit(primary, f"w{self.written}")
@@ -160,6 +126,14 @@
             requested=self.record,
         )
 
+    @stateful.rule(leaves=st.booleans())
+    def prepare(self, leaves: bool) -> None:
+        """Begin, and decide until a promotion may be requested, or a few times."""
+        self.begin(leaves)
+        for _ in range(3):
+            if not self.attempt.confirmed:
+                self.decide(late=None)
+
     def _statuses(self) -> dict[ids.ServerId, promotion.ServerStatus]:
         return {
             name: self.group.status(self.group.servers[name])
@@ -219,9 +193,17 @@
             paused=self._pause_others(statuses, spared, late),
             stopped_end=attempt.stopped_end,
             commits_held=attempt.recorded,
+            former_primary=self._former_primary(),
         )
         return promotion.choose(evidence, leaving=set(), requested=attempt.requested)
 
+    def _former_primary(self) -> promotion.FormerPrimary:
+        found, server = promotion.FormerPrimary, self.group.servers.get(self.attempt.primary)
+        if server is None or not server.up:
+            return found.NOT_LISTENING
+        replica = not server.silent and server.role is promotion.Role.REPLICA
+        return found.REPLICA if replica else found.MAY_RUN
+
     def _decide_handover(
         self,
         statuses: dict[ids.ServerId, promotion.ServerStatus],
@@ -258,10 +240,7 @@
     def _stop(
         self, primary: ids.ServerId, successor: ids.ServerId, late: ids.ServerId | None
     ) -> promotion.Choice:
-        """Stop the primary; a late order to stop leaves the pauses to prove the choice.
-
-        Earlier requests are voided first: one for the stopped primary would let it lead again.
-        """
+        """Stop the primary; a late order to stop leaves the pauses to prove the choice."""
         attempt = self.attempt
         order = LateOrder(server=primary, term=attempt.term, stops=True)
         if late == primary:
@@ -269,7 +248,7 @@
             statuses = self._statuses()
             del statuses[primary]
             return self._decide_without_primary(statuses, late)
-        if self.void_first:
+        if not self.never_void_before_stop:
             self._receive_request(primary, attempt.token)
             if self.highest_token > attempt.token:
                 return promotion.Choice(verdict=promotion.Verdict.WAIT)
@@ -283,6 +262,7 @@
             paused={},
             receiving=statuses,
             stopped_end=attempt.stopped_end,
+            commits_held=attempt.recorded,
         )
         return promotion.choose(evidence, leaving=set(), requested=successor)
 
@@ -302,6 +282,7 @@
         self.attempt.requested, self.attempt.recorded = server, True
         if self.record_requests:
             self.record = server
+            self.held = self.hold_for_all and self.attempt.requested_before is not None
 
     @stateful.precondition(lambda self: self.attempt and self.attempt.confirmed)
     @stateful.rule(late=st.booleans())
@@ -309,6 +290,7 @@
         attempt = self.attempt
         attempt.request_sent = True
         if late:
+            attempt.unanswered = True
             self.late_requests.append((attempt.requested, attempt.token))
         else:
             self._receive_request(attempt.requested, attempt.token)
@@ -325,26 +307,36 @@
     )
     @stateful.rule()
     def keep_primary(self) -> None:
-        """Promote the present primary again, and wait until accepted requests have taken effect."""
+        """Promote the present primary again."""
         primary = self.group.primary
         if primary is None or not primary.up or primary.silent:
             return
+        self.held = self.hold_for_all
         self._receive_request(primary.name, self.attempt.token)
-        while self.effects:
-            self.take_effect()
-        if self.group.primary is primary:
-            self.attempt.requested = self.attempt.requested_before = self.record = None
+        self.attempt.kept = primary.name
         self.attempt.verdict = promotion.Verdict.WAIT
 
+    @stateful.precondition(lambda self: self.attempt and self.attempt.kept and not self.effects)
+    @stateful.rule()
+    def await_kept(self) -> None:
+        """End once accepted requests have taken effect."""
+        kept, self.attempt.kept = self.attempt.kept, None
+        if self._is_primary(kept):
+            self.attempt.requested = self.attempt.requested_before = self.record = None
+            self.held = False
+
     @stateful.precondition(lambda self: self.attempt)
     @stateful.rule(late=MAY_BE_LATE)
     def end(self, late: ids.ServerId | None) -> None:
         attempt, self.attempt = self.attempt, None
         leads = attempt.requested is not None and self._is_primary(attempt.requested)
-        if leads:
-            self.record = None
+        ended = attempt.requested_before is None or (attempt.request_sent and not self.effects)
+        stays = self.record_unanswered and attempt.unanswered
+        if leads and not stays and (ended or not self.hold_for_all):
+            self.record, self.held = None, False
         elif not attempt.request_sent:
             self.record = attempt.requested_before
+            self.held &= self.record is not None
         for name in promotion.servers_to_resume(
             self._statuses(), requested=self.record if self.resume_requested_only else None
         ):
@@ -364,7 +356,7 @@
     def _receive_request(self, server: ids.ServerId, token: int) -> None:
         if token >= self.highest_token:
             self.highest_token = token
-            if self.group.servers[server].up and not self._is_primary(server):
+            if self.group.servers[server].up:
                 self.effects.append(server)
 
     @stateful.precondition(lambda self: self.late_requests)
@@ -406,118 +398,3 @@
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
-
-
-def _hand_over(machine: Changes, *, late: bool = False) -> None:
-    """Decide, record, decide again and request the promotion of the recorded server."""
-    machine.begin(leaves=False)
-    machine.decide(late=None)
-    machine.decide(late=None)
-    machine.request(late=late)
-
-
-def _server_starts_before_the_effect(machine: Changes) -> None:
-    _hand_over(machine)
-    machine.start_server()
-    machine.toggle_receiving(C)
-    machine.write()
-    machine.take_effect()
-
-
-def _holder_dies_in_its_request(machine: Changes) -> None:
-    machine.cut_or_heal(A)
-    _hand_over(machine, late=True)
-    requested = machine.attempt.requested
-    machine.die()
-    machine.cut_or_heal(A)
-    machine.begin(leaves=False)
-    machine.end(late=None)
-    machine.toggle_receiving(requested)
-    machine.write()
-    machine.execute_late_request()
-    machine.take_effect()
-
-
-def _server_starts_before_the_decision(machine: Changes) -> None:
-    machine.toggle_receiving(B)
-    machine.toggle_receiving(C)
-    machine.start_server()
-    machine.write()
-    machine.begin(leaves=False)
-    machine.decide(late=None)
-    machine.decide(late=None)
-    if machine.attempt.confirmed:
-        machine.request(late=False)
-        machine.take_effect()
-
-
-def _entry_of_the_only_holder_expires(machine: Changes) -> None:
-    machine.toggle_receiving(C)
-    machine.write()
-    machine.expire_entry(B)
-    machine.crash_or_restart(A)
-    _hand_over(machine)
-    machine.take_effect()
-
-
-def _commit_follows_the_comparison(machine: Changes) -> None:
-    machine.start_server()
-    machine.begin(leaves=False)
-    machine.decide(late=None)
-    machine.decide(late=None)
-    machine.toggle_receiving(C)
-    machine.write()
-    machine.request(late=False)
-    machine.take_effect()
-
-
-def _late_resume_ends_a_pause(machine: Changes) -> None:
-    machine.late_orders.append(LateOrder(server=B))
-    _hand_over(machine)
-    machine.execute_late_order()
-    machine.keep_paused(late=None)
-    machine.toggle_receiving(C)
-    machine.write()
-    machine.take_effect()
-
-
-def _earlier_request_for_the_stopped_primary(machine: Changes) -> None:
-    """An earlier holder had requested to keep the primary, and its request is late."""
-    machine.tokens = 1
-    machine.late_requests.append((A, 1))
-    machine.start_server()
-    machine.begin(leaves=False)
-    machine.decide(late=None)
-    machine.decide(late=None)
-    machine.execute_late_request()
-    while machine.effects:
-        machine.take_effect()
-    machine.toggle_receiving(C)
-    machine.write()
-    machine.request(late=False)
-    machine.take_effect()
-
-
-NOT_STOPPED = {"stop_primary": False}
-UNREAD = {"hold_commits": False}
-"""Commits of instances that have not read the record, or have lost the store."""
-SEQUENCES = [
-    ("hold_commits", _server_starts_before_the_effect, NOT_STOPPED),
-    ("record_requests", _holder_dies_in_its_request, {}),
-    ("compare_ends", _server_starts_before_the_decision, NOT_STOPPED),
-    ("stop_primary", _commit_follows_the_comparison, UNREAD),
-    ("count_expired", _entry_of_the_only_holder_expires, {}),
-    ("check_pauses", _late_resume_ends_a_pause, {**UNREAD, **NOT_STOPPED}),
-    ("resume_requested_only", _holder_dies_in_its_request, UNREAD),
-    ("void_first", _earlier_request_for_the_stopped_primary, UNREAD),
-]
-
-
-@pytest.mark.parametrize("mechanism, sequence, changes", SEQUENCES)
-def test_a_sequence_loses_a_commit_only_without_its_mechanism(mechanism, sequence, changes):
-    whole = type("Whole", (Changes,), dict(changes))()
-    sequence(whole)
-    assert whole.group.lost == []
-    without = type("Without", (Changes,), {**changes, mechanism: False})()
-    sequence(without)
-    assert without.group.lost != []
