--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -41,6 +41,8 @@
     """A record tells whether a promotion of the present primary may be under way. A holder that
     finds one that does promotes it before any order to stop it, and awaits the effect, if the
     primary leads, or runs and led last by the terms of all others."""
+    keep_recorded: bool = False
+    """A recorded server that leads is kept before its record is removed by another holder."""
     hold_for_all: bool = False
     """A holder that finds a record holds commits to all servers until its end."""
 
@@ -131,6 +133,7 @@
     "hand over, no answer": "A call to the platform that received no response may still be "
     "executed seconds later, after newer calls.",
     "await effect": "Some hundred ms after that call, the named database leads the next term",
+    "already led": "own protocol: the recorded server leads, and the record is removed",
     "begin to keep": "POST /promote ... Lease-Holder, Fencing-Token",
     "keep": "For the present primary, the call returns 200, and nothing changes.",
     "request again": "A call to the platform that received no response may still be executed "
--- a/tests/common/exploration_starts.py
+++ b/tests/common/exploration_starts.py
@@ -20,7 +20,7 @@
     recorded one, its holder had found a record, and lets no commits pass.
     """
     state = exploration_state.change_server(exploration_state.first_state(), A, leads=not stopped)
-    marked = A in requests + pending
+    marked = server != A and A in requests + pending
     held = set(requests + pending) > {server} or marked
     commit = Commit(sender=1, server=A, above=(0, 0), open=False)
     return state._replace(
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -258,6 +258,9 @@
 
 def _begin_steps(state: State, rules: exploration_rules.Rules) -> Steps:
     leader = next((n for n, each in enumerate(state.servers) if each.listed and each.leads), NOBODY)
+    if not rules.keep_recorded and NOBODY != leader == state.record:
+        led = state._replace(record=NOBODY, held=False, marked=False, recorded_end=None)
+        yield "already led", LETTERS[leader], led._replace(tokens=state.tokens + 1)
     for number in (0, 1, FRESH):
         if number != FRESH and not state.instances[number].up:
             continue
--- a/tests/proxy/test_promotion_effects.py
+++ b/tests/proxy/test_promotion_effects.py
@@ -15,6 +15,7 @@
     end_after_hold=True,
     record_unanswered=True,
     keep_first=True,
+    keep_recorded=True,
     hold_for_all=True,
 )
 """The rule with all that the exploration has shown to be missing."""
@@ -34,7 +35,7 @@
     "effect",
 }
 """Steps of all explorations here."""
-KEEPING = {"begin to keep", "keep", "finish"}
+KEEPING = {"already led", "begin to keep", "keep", "finish"}
 
 
 def explore(rules, allowed=(), *, start=None, without=(), **bounds):
@@ -117,6 +118,14 @@
         {"record_unanswered": False},
         {"start": exploration_starts.repeated(), "requests": 2, "steps": 12},
     ),
+    (
+        "keep_recorded",
+        {"keep_recorded": False},
+        {
+            "start": exploration_starts.recorded(A, requests=(A,), waiting=True),
+            "requests": 2,
+        },
+    ),
     (
         "end_after_hold",
         {"end_after_hold": False},
