--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -73,7 +73,7 @@
     assert len(numbers) > 8 and len(numbers) == len(set(numbers))
 
 
-async def test_replacements_are_listed_within_a_heartbeat_or_later(tmp_path, monkeypatch):
+async def test_replacements_are_listed_within_a_heartbeat(tmp_path, monkeypatch):
     run = soak.Soak(seed=1, seconds=1.0, directory=tmp_path)
     times_s: list[float] = []
     start = run.group.start_replacement
@@ -91,9 +91,8 @@
     monkeypatch.setattr(run.deployment, "start_server", start_server)
     for _ in range(100):
         await run.faults._start_replacement(run.group.leader)
-    early = sum(time_s <= soak_faults.HEARTBEAT_S for time_s in times_s)
-    assert 50 < early < 90
-    assert 3.0 < max(times_s) <= 4.0
+    assert 0.0 <= min(times_s) < 0.1 * soak_faults.HEARTBEAT_S
+    assert 0.9 * soak_faults.HEARTBEAT_S < max(times_s) <= soak_faults.HEARTBEAT_S
 
 
 def test_a_stopped_primary_completes_what_runs(tmp_path):
