A record tells a candidate from a kept primary, and an end counts in the turn that read it

A candidate that was recorded beside an earlier request looked like a primary that is kept: the next holder promoted it without any proof. It has a record of its own now. A primary is recorded as kept only after it was seen to lead while all commits were held; until then the recorded server may lead unnoticed. After an earlier effect was awaited, the servers are queried anew. An end that was read in an earlier turn, before the hold was complete, proves nothing in a turn in which the primary gives no answer.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -176,14 +176,15 @@
 
 
 KEPT_PREFIX = "kept "
-"""Beginning of what a record holds instead of a server; no server's name has a blank."""
+HELD_PREFIX = "held "
+"""Beginnings of what a record holds instead of a server; no server's name has a blank."""
 
 
 def keeping(primary: ids.ServerId) -> ids.ServerId:
     """Return what is recorded while the promotion of the present primary may take effect.
 
     It names no server, so that no commits are sent to any: the primary may be replaced by an
-    earlier request, and may lead again after that.
+    earlier request, and may lead again after that. It led while all commits were held.
     """
     return ids.ServerId(f"{KEPT_PREFIX}{primary}")
 
@@ -195,6 +196,34 @@
     return ids.ServerId(recorded.removeprefix(KEPT_PREFIX))
 
 
+def holding(candidate: ids.ServerId) -> ids.ServerId:
+    """Return what is recorded for a server while an earlier request may make another one lead.
+
+    No commits are sent to any server. Its promotion is not proved yet, or not effective.
+    """
+    return ids.ServerId(f"{HELD_PREFIX}{candidate}")
+
+
+def holding_all(recorded: ids.ServerId) -> ids.ServerId:
+    """Return a record that lets no commits pass, in the place of any record."""
+    return recorded if lets_no_commits_pass(recorded) else holding(recorded)
+
+
+def recorded_server(recorded: ids.ServerId | None) -> ids.ServerId | None:
+    """Return the server whose promotion is recorded, with or without a hold of all commits.
+
+    The record of a kept primary is returned as it is; it is the name of no server.
+    """
+    if recorded is None or not recorded.startswith(HELD_PREFIX):
+        return recorded
+    return ids.ServerId(recorded.removeprefix(HELD_PREFIX))
+
+
+def lets_no_commits_pass(recorded: ids.ServerId) -> bool:
+    """Return whether a record names no server that may take commits."""
+    return recorded.startswith((KEPT_PREFIX, HELD_PREFIX))
+
+
 def may_take_commits(leader: ids.ServerId, *, requested: ids.ServerId | None) -> bool:
     """Return whether commits may be sent to the primary that leads now.
 
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -78,7 +78,7 @@
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
         self.earlier_request: ids.ServerId | None = None
-        """What an earlier holder has recorded whose request may be executed, or take effect."""
+        """The record of an earlier holder whose request may be executed, or take effect."""
 
     def __repr__(self) -> str:
         return f"{type(self).__name__}(target={self.target!r}, claim={self.claim!r})"
@@ -99,10 +99,9 @@
         While the request of an earlier holder may make another one lead, also after it, the record
         lets no commits pass.
         """
-        is_kept = promotion.kept_primary(server) is not None
-        if is_kept or self.earlier_request in (None, server):
+        if self.earlier_request in (None, server) or promotion.lets_no_commits_pass(server):
             return server
-        return promotion.keeping(server)
+        return promotion.holding(server)
 
     async def _record(self, successor: ids.ServerId) -> bool:
         """Record the server in the store; False when that is not possible under the claim."""
@@ -122,7 +121,10 @@
             self.target.note_recorded_promotion(recorded, revision=revision, by=commit_holds.OWN)
             # Under one claim commits are held without a break, whichever server is named, unless
             # an earlier request for the named one lets commits pass.
-            held = self.record is not None and self.record.server != self.earlier_request
+            held = self.record is not None and (
+                self.record.server != self.earlier_request
+                or promotion.lets_no_commits_pass(self.record.server)
+            )
             at_s = self.record.at_s if held else clock.now_s()
             self.record = Record(server=recorded, revision=revision, at_s=at_s)
             self.final_ends.may_be_recorded = False
--- a/src/mustardswitch/proxy/claimed_changes.py
+++ b/src/mustardswitch/proxy/claimed_changes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mustardswitch import events
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, promotion
 from mustardswitch.proxy import claimed_attempt, errors, ports, service, takeover
 
 
@@ -99,7 +99,7 @@
             events.log(events.Event.CLAIM_FAILED, service=target.name, reason=str(error))
             await asyncio.sleep(claimed_attempt.POLL_S)
         else:
-            attempt.requested = attempt.requested_before
+            attempt.requested = promotion.recorded_server(attempt.requested_before)
             attempt.final_ends.take_over(recorded, requested=attempt.requested is not None)
             if not attempt.final_ends.allowed:
                 attempt.earlier_request = attempt.requested_before
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -40,6 +40,9 @@
 NOT_VOIDED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="requests of earlier claims may be executed"
 )
+LEADS_AGAIN = promotion.Choice(
+    verdict=promotion.Verdict.WAIT, reason="a server leads again by an earlier request"
+)
 STARTED_ANEW = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the primary has started anew; its end is not known"
 )
@@ -120,8 +123,15 @@
         """
         if not await self._read_list():
             return NOT_LISTED
-        if not await self._await_earlier_effect(primary, statuses):
-            return NOT_VOIDED
+        awaited = self._kept_earlier(primary, statuses)
+        if awaited is not None and self.record is None:
+            if not await self._await_earlier_effect(awaited):
+                return NOT_VOIDED
+            silent = {awaited} - statuses.keys()
+            statuses = await self.commands.query(self.confirming() - silent)
+            self._raise_term(statuses)
+            if any(status.leads for status in statuses.values()):
+                return LEADS_AGAIN
         kept = promotion.kept_primary(self.requested)
         likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
@@ -136,9 +146,10 @@
         if not await self._refresh(self.coordination.refresh_instances()):
             return NOT_LISTED
         order = self._order_to_stop(primary, statuses)
-        if order is not None and self.stopped_end is not None:
-            # It is read again after commits are held; the primary may have led again until then.
-            order.led_newest, self.stopped_end = True, None
+        # It is read again after commits are held; the primary may have led again until then.
+        was_stopped, self.stopped_end = self.stopped_end is not None, None
+        if order is not None and was_stopped:
+            order.led_newest = True
         sending: list[asyncio.Task[None]] = []
         try:
             return await self._end_commits(primary, statuses, order, sending)
@@ -160,23 +171,28 @@
         """
         raise NotImplementedError
 
-    async def _await_earlier_effect(
+    def _kept_earlier(
         self, primary: ids.ServerId | None, statuses: server_commands.Statuses
-    ) -> bool:
+    ) -> ids.ServerId | None:
+        """Return the former primary if an earlier request may make it lead again; None if not.
+
+        That is one that an earlier holder has kept, or a silent one that is recorded itself.
+        """
+        former = self._former(primary)
+        silent = former is not None and former.server not in statuses
+        if silent and former.server == self.earlier_request:
+            return former.server
+        return promotion.kept_primary(self.earlier_request)
+
+    async def _await_earlier_effect(self, former: ids.ServerId) -> bool:
         """Wait until no earlier request makes the former primary lead again; False if one may.
 
-        That is the one whose promotion an earlier holder has recorded or requested. Commits are
-        held meanwhile, also to a server that another request makes lead.
+        Commits are held meanwhile, also to a server that another request makes lead.
         """
-        kept, former = promotion.kept_primary(self.earlier_request), self._former(primary)
-        if former is not None and former.server == self.earlier_request:
-            kept = None if former.server in statuses else former.server
-        if self.record is not None or kept is None:
-            return True
         if not await self._record(self.earlier_request):
             return False
         self.hold_commits()
-        outcome = await self.void_earlier_requests(kept)
+        outcome = await self.void_earlier_requests(former)
         return outcome in (ports.PromotionOutcome.ACCEPTED, ports.PromotionOutcome.REJECTED)
 
     @property
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -44,7 +44,7 @@
         super().__init__(target=target, claim=claim, coordination=coordination)
         self.promoter = promoter
         self.requested_before: ids.ServerId | None = None
-        """The server whose promotion an earlier holder recorded; None without one."""
+        """The record of an earlier holder; None without one."""
         self.request_sent = False
         """Whether this holder has requested a promotion."""
         self.request_unanswered = False
@@ -248,15 +248,15 @@
         over nobody may take commits. If the earlier request is for the primary itself, no other
         server can lead.
         """
-        recorded = primary if primary == self.requested else promotion.keeping(primary)
-        if not await self.ensure_recorded(recorded):
-            return
-        while recorded != primary and self.holds_claim():
-            if self.hold_commits().complete:
-                break
-            await asyncio.sleep(claimed_attempt.POLL_S)
-        # Another server may have led until commits were held.
-        if not await self._leads(primary):
+        kept = primary
+        if primary != self.requested:
+            # No commits pass from this record on; the server that it names may lead until then.
+            kept = promotion.keeping(primary)
+            if not await self.ensure_recorded(promotion.holding_all(self.requested)):
+                return
+            while self.holds_claim() and not self.hold_commits().complete:
+                await asyncio.sleep(claimed_attempt.POLL_S)
+        if not await self._leads(primary) or not await self.ensure_recorded(kept):
             return
         while self.holds_claim():
             outcome = await self._request(primary)
@@ -277,7 +277,7 @@
     @property
     def _awaits_effects(self) -> bool:
         """Whether promotions that were accepted before may take effect after the present one."""
-        return promotion.kept_primary(self.record.server) is not None
+        return promotion.lets_no_commits_pass(self.record.server)
 
     async def _wait_until_leading(
         self, successor: ids.ServerId, *, from_term: ids.Term = NO_TERM
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mustardswitch.internal import clock, promotion
-from mustardswitch.proxy import ports, takeover
+from mustardswitch.proxy import errors, ports, successor_choice, takeover
 from mustardswitch_standins import database_group
 from tests.common import proxy_world, takeovers
 
@@ -264,3 +264,75 @@
     complete = True
     await changing
     assert world.group.lost == []
+
+
+async def test_an_end_that_was_read_before_the_hold_proves_nothing_if_the_primary_is_silent_then(
+    monkeypatch, world
+):
+    started_s = clock.now_s()
+
+    def hold_commits(*args, **kwargs):
+        former = world.group.servers[A]
+        complete = clock.now_s() > started_s + 0.3
+        if complete and former.role is promotion.Role.REPLICA and not former.silent:
+            former.log.append(database_group.LogEntry(term=1, data="late"))
+            world.group.acknowledged.append("late")
+            former.silent = True
+        return dataclasses.replace(world.coordination.hold_report, complete=complete)
+
+    monkeypatch.setattr(world.coordination, "hold_commits", hold_commits)
+    changing = asyncio.create_task(takeovers.take_over(world))
+    while not world.group.servers[A].silent:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(successor_choice.HANDOVER_TIMEOUT_S)
+    assert takeovers.requested_successors(world) == []
+    changing.cancel()
+    await asyncio.gather(changing, return_exceptions=True)
+
+
+async def test_a_candidate_that_was_recorded_beside_an_earlier_request_is_proved_like_any_other(
+    monkeypatch, world
+):
+    """The next holder took it for a primary that is kept, and promoted it at once."""
+    record_earlier_request(world, promotion.keeping(A))
+    world.group.servers[B].not_receiving = True
+    world.group.commit(world.group.servers[A], "only at C")
+    world.group.servers[A].silent = world.group.servers[C].silent = True
+    release = world.coordination.release
+
+    async def die(claim, **changes):
+        world.coordination.claimed.discard(claim.service)
+        raise errors.StoreError("the holder was killed")
+
+    monkeypatch.setattr(world.coordination, "release", die)
+    world.coordination.hold_report = ports.HoldReport(complete=False)
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    while world.coordination.promotions[database_group.SERVICE] != promotion.holding(B):
+        await asyncio.sleep(0.005)
+    changing.cancel()
+    await asyncio.gather(changing, return_exceptions=True)
+    monkeypatch.setattr(world.coordination, "release", release)
+    world.group.servers[C].silent = False
+    await takeovers.take_over(world, silent=True)
+    assert takeovers.requested_successors(world)[:1] in ([], [C])
+    assert world.group.lost == []
+
+
+async def test_a_primary_is_not_kept_before_it_is_seen_to_lead_while_commits_are_held(
+    monkeypatch, world
+):
+    """The recorded server led unnoticed, and the next holder promoted the former primary."""
+    record_earlier_request(world, B)
+    world.group.servers[B].silent = True
+    world.coordination.hold_report = ports.HoldReport(complete=False)
+    keeping = asyncio.create_task(takeovers.take_over(world))
+    while world.coordination.promotions[database_group.SERVICE] == B:
+        await asyncio.sleep(0.005)
+    recorded = world.coordination.promotions[database_group.SERVICE]
+    assert promotion.kept_primary(recorded) is None and promotion.lets_no_commits_pass(recorded)
+    assert world.promoter.promotion_requests == []
+    world.coordination.hold_report = ports.HoldReport(complete=True)
+    while not world.promoter.promotion_requests:
+        await asyncio.sleep(0.005)
+    assert world.coordination.promotions[database_group.SERVICE] == promotion.keeping(A)
+    await keeping
