--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -420,9 +420,9 @@
     changing, successor = await takeovers.hand_over_slowly(world)
     leads = takeover.Takeover._leads
 
-    async def note_leading_late(attempt, server):
+    async def note_leading_late(attempt, server, **conditions):
         await asyncio.sleep(0.2)
-        return await leads(attempt, server)
+        return await leads(attempt, server, **conditions)
 
     monkeypatch.setattr(takeover.Takeover, "_leads", note_leading_late)
     assert await changing
