--- a/tests/proxy/test_promotion_effects.py
+++ b/tests/proxy/test_promotion_effects.py
@@ -163,6 +163,16 @@
     assert not result.losses, promotion_exploration.describe(result.losses[0])
 
 
+@pytest.mark.parametrize("awaits", [True, False], ids=["awaited", "not_awaited"])
+def test_a_promotion_of_the_primary_beside_a_record_loses_commits_of_its_server(awaits):
+    """To wait for its effect before the stop is no substitute for the hold."""
+    rules = dataclasses.replace(
+        MENDED, keep_first=False, hold_for_all=False, await_void=awaits, effects_in_order=True
+    )
+    start = exploration_starts.recorded(C, pending=(C,))
+    assert explore(rules, {"await effect"}, start=start, without=["begin"]).losses
+
+
 def test_a_commit_that_runs_as_its_primary_is_stopped_is_not_lost():
     rules = dataclasses.replace(MENDED, stop_ends_running=False)
     result = explore(rules, {"restart replica", "confirm late"}, faults=1, steps=10)
