--- a/tests/common/commit_runs.py
+++ b/tests/common/commit_runs.py
@@ -113,6 +113,30 @@
         self.group.note(f"{server.name} goes on")
         stalled.discard(server.name)
 
+    def hold_until_it_leads_again(self, server: database_group.FakeServer) -> None:
+        """Let a primary execute callers' statements only once it, or another, leads after its stop.
+
+        Queries and orders are executed at once. What it has received before runs then, also the
+        statements of connections that were closed.
+        """
+        self.background.append(asyncio.create_task(self._hold(server)))
+
+    async def _hold(self, server: database_group.FakeServer) -> None:
+        holding = self.deployment.databases.holding
+        holding.add(server.name)
+        while self.group.primary is server:
+            await asyncio.sleep(0.005)
+        while self.group.primary is None:
+            await asyncio.sleep(0.005)
+        self.group.note(f"{server.name} goes on")
+        holding.discard(server.name)
+
+    async def release(self, former: database_group.FakeServer) -> None:
+        """Start a server that is listed at once, and let the one that it replaces leave."""
+        started = self.group.start_replacement(former)
+        await self.deployment.start_server(started)
+        former.leaving = True
+
     async def start_unlisted(self, former: database_group.FakeServer) -> None:
         """Start a server that confirms commits, and is listed much later."""
         started = self.group.start_replacement(former, listed_after_s=LISTED_AFTER_S)
