--- a/src/mustardswitch_standins/full_run/caller_program.py
+++ b/src/mustardswitch_standins/full_run/caller_program.py
@@ -17,6 +17,8 @@
 ITEMS = 2000
 STAYS_OPEN = 0.97
 """Share of the sessions that stay open after an operation."""
+PREPARED = 0.3
+"""Share of the statements outside of transactions that are prepared in their session."""
 
 
 class BrokenSessionError(Exception):
@@ -29,6 +31,8 @@
     def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
+        self.prepared: set[str] = set()
+        """Names of its prepared statements."""
 
     async def line(self, timeout_s: float) -> str:
         """Read a line; raises ``BrokenSessionError`` if there is none within the limit."""
@@ -163,8 +167,19 @@
 
     async def _run_statement(self, session: Session, kind: figures.RouteKind) -> str:
         writes = self.source.random() < kind.writes
-        request, text = self._next_request(), self._statement(kind, writes=writes)
-        code = await session.query(request, text, kind.timeout_s + 1.0)
+        limit_s = kind.timeout_s + 1.0
+        text = self._statement(kind, writes=writes)
+        if self.source.random() < PREPARED:
+            access, _, arguments = text.partition(" ")
+            name = f"s-{access.lower()}"
+            if name not in session.prepared:
+                prepare = f"PREPARE {name} {access} {kind.name}"
+                if code := await session.query(self._next_request(), prepare, limit_s):
+                    return code
+                session.prepared.add(name)
+            text = f"EXECUTE {name} {arguments}"
+        request = self._next_request()
+        code = await session.query(request, text, limit_s)
         if writes and not code:
             self.written.append(request)
         return code
