--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -16,10 +16,13 @@
 SLOT_VERBS = {"READ", "WRITE", "EXECUTE", "COMMIT", "AFTER", "STATUS", "PAUSE", "STEPDOWN"}
 """First words of the statements that occupy a slot."""
 ORDER_VERBS = {"STATUS", "PAUSE", "STEPDOWN"}
+COMMIT_VERBS = {"WRITE", "EXECUTE", "COMMIT"}
 WORK_S = {kind.name: kind.work_s for kind in figures.ROUTE_KINDS}
 MEAN_WORK_S = 0.008
 """Mean time of a statement that does not name an item of a known kind."""
 CUT_CHECK_S = 0.01
+LATE_SPREAD = 1.2
+"""Spread of the lognormal delays of statements that are executed late."""
 REFRESH_S = 0.05
 """Interval between look-ups of the connections that are cut."""
 
@@ -138,6 +141,8 @@
         """Delay of all answers of a slow server."""
         self.request_delays_s: dict[ids.ServerId, float] = {}
         """Mean delay after which a slow server executes what it has received."""
+        self.statement_delays_s: dict[ids.ServerId, float] = {}
+        """Mean delay, with a long tail, of the execution of what may commit."""
 
     async def listen(self, server: database_group.FakeServer) -> int:
         """Start the listener of a server and return its port, which it keeps."""
@@ -215,6 +220,10 @@
                 await asyncio.sleep(self.source.uniform(0.0, 2.0) * request_delay_s)
                 _, request, text = line.split(" ", 2)
                 await self.pass_hold(server, text)
+                statement_delay_s = self.statement_delays_s.get(server.name)
+                if statement_delay_s and text.partition(" ")[0] in COMMIT_VERBS:
+                    drawn_s = figures.lognormal_s(self.source, statement_delay_s, LATE_SPREAD)
+                    await asyncio.sleep(drawn_s)
                 measured_group.arrival.set(
                     measured_group.Arrival(
                         request=request,
--- a/src/mustardswitch_standins/full_run/database_program.py
+++ b/src/mustardswitch_standins/full_run/database_program.py
@@ -49,7 +49,9 @@
         operation = request["operation"]
         if operation == "promote":
             name = ids.ServerId(request["id"])
-            return {"accepted": self.group.call_promotion(name, request["listed"])}
+            leads = self.group.primary is not None and self.group.primary.name == name
+            accepted = self.group.call_promotion(name, request["listed"], request["holder"])
+            return {"accepted": accepted, "leads": leads}
         if operation == "report":
             return {
                 "promotions": [dataclasses.asdict(each) for each in self.group.promotions],
@@ -224,12 +226,19 @@
         refreshing.cancel()
         self.unregistered.discard(server.name)
 
-    async def fault_slow(self, delay_s: float, for_s: float, executes_late: bool) -> None:
-        """Delay all answers of the primary, or the execution of all requests."""
+    async def fault_slow(
+        self, delay_s: float, for_s: float, executes_late: bool, orders: bool = True
+    ) -> None:
+        """Delay all answers of the primary, or the execution of all requests.
+
+        Without ``orders``, only what may commit is executed late, and its delays have a long tail.
+        """
         server = self.group.leader
         self.group.note(f"{server.name} is {delay_s} s late, executes late: {executes_late}")
         databases = self.databases
         delays_s = databases.request_delays_s if executes_late else databases.answer_delays_s
+        if not orders:
+            delays_s = databases.statement_delays_s
         delays_s[server.name] = delay_s
         await asyncio.sleep(for_s)
         delays_s.pop(server.name, None)
--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -83,6 +83,60 @@
     )
 
 
+def release_at_worst(
+    size: figures.Size,
+    *,
+    base: str = "release",
+    rolled: bool = False,
+    late_s: float = 1.0,
+    late_orders: bool = False,
+    holder_s: collections.abc.Sequence[float] = (),
+    lag: float = 0.0,
+    lost_answers: int = 0,
+    added: int = 1,
+    configured: bool = True,
+) -> Day:
+    """Release the primaries of another day while writes wait in them.
+
+    From the report that it leaves on, a primary executes what may commit ``late_s`` late on
+    average, and with ``late_orders`` all else as well. Each holder of a claim is suspended for a
+    time in ``holder_s`` once its promotion of the present primary was accepted. Instances restart
+    in turn if the base day is ``rolled``.
+    """
+    day = {"release": release, "trouble-2": trouble_2}[base](size)
+    at_s = next(each.at_s for each in day.steps if each.name == "release")
+    steps = [_step(at_s, "release", services=size.services)]
+    if holder_s:
+        steps.append(_step(at_s, "slow_holder", for_s=holder_s, after_s=(0.0, 0.2), until_s=8.0))
+    if configured:
+        steps += [
+            _step(at_s - 0.9, "configure", version=7, timeout_factor=1.2, added=True),
+            _step(at_s + 0.6, "configure", version=12, timeout_factor=0.9, added=False),
+        ]
+    if late_s:
+        steps.append(
+            _step(
+                at_s + 0.8,
+                "slow_primary",
+                delay_s=late_s,
+                for_s=8.0,
+                executes_late=True,
+                orders=late_orders,
+            )
+        )
+    if lag:
+        steps.append(_step(at_s - 0.5, "lag", count=1, factor=lag, for_s=6.0))
+    if lost_answers:
+        steps.append(_step(at_s + 0.5, "lose_answers", count=lost_answers))
+    if added:
+        steps.append(_step(at_s + 1.9, "add", count=added))
+    others = [each for each in day.steps if each.name != "release"]
+    if not rolled:
+        others = [each for each in others if each.name != "roll"]
+    around = _keep_intervals(steps, length_s=day.length_s)
+    return Day(steps=[*others, *around.steps], length_s=day.length_s)
+
+
 def trouble_3(size: figures.Size) -> Day:
     """Split the primaries off; let the entries lapse in an outage as all instances are killed."""
     split_s = 7.33 if size.services < 4 else 2.94
@@ -269,6 +323,7 @@
     "trouble-1": trouble_1,
     "trouble-2": trouble_2,
     "trouble-3": trouble_3,
+    "release-at-worst": release_at_worst,
     "scale-2": scale_2,
     "slow-release": slow_release,
     "late-release": late_release,
--- a/src/mustardswitch_standins/full_run/figures.py
+++ b/src/mustardswitch_standins/full_run/figures.py
@@ -143,24 +143,32 @@
     return min(drawn_s, 6.0 * mean_s)
 
 
-def configuration(size: Size) -> dict:
-    """Return the operator's configuration: one route of each kind for each service."""
+def configuration(
+    size: Size, *, version: int = 3, timeout_factor: float = 1.0, added: bool = False
+) -> dict:
+    """Return the operator's configuration: one route of each kind for each service.
+
+    The time-outs are multiplied by a factor; with ``added``, there is a route that nobody uses.
+    """
     names = service_names(size)
+    routes = [
+        {
+            "name": f"{kind.name}-{service}",
+            "host": f"{kind.name}-{service}",
+            "type": kind.type,
+            "timeout_ms": int(kind.timeout_s * timeout_factor * 1000),
+            "priority": 1,
+            "service": service,
+            "max_staleness_ms": kind.max_staleness_ms,
+        }
+        for service in names
+        for kind in ROUTE_KINDS
+    ]
+    if added:
+        routes.append({**routes[0], "name": f"added-{version}", "host": f"added-{version}"})
     return {
-        "version": 3,
-        "routes": [
-            {
-                "name": f"{kind.name}-{service}",
-                "host": f"{kind.name}-{service}",
-                "type": kind.type,
-                "timeout_ms": int(kind.timeout_s * 1000),
-                "priority": 1,
-                "service": service,
-                "max_staleness_ms": kind.max_staleness_ms,
-            }
-            for service in names
-            for kind in ROUTE_KINDS
-        ],
+        "version": version,
+        "routes": routes,
         "services": [
             {"name": service, "max_conns": size.max_connections, "sync_replicas": 1}
             for service in names
--- a/src/mustardswitch_standins/full_run/measured_group.py
+++ b/src/mustardswitch_standins/full_run/measured_group.py
@@ -132,9 +132,10 @@
         self._rename(server)
         return server
 
-    def call_promotion(self, name: ids.ServerId, listed: list[str]) -> bool:
+    def call_promotion(self, name: ids.ServerId, listed: list[str], holder: str = "") -> bool:
         """Accept the promotion of a running server; ``listed`` are the servers listed now."""
         self.calls[name] = time.time(), listed
+        self.note(f"{holder or 'somebody'} calls the promotion of {name}")
         return self.request_promotion(name, figures.PROMOTION_EFFECT_S)
 
     def promote(self, name: ids.ServerId) -> bool:
--- a/src/mustardswitch_standins/full_run/processes.py
+++ b/src/mustardswitch_standins/full_run/processes.py
@@ -44,6 +44,8 @@
     starts: int = 0
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     """Held while the process is started, so that two steps at once start only one."""
+    suspended: bool = False
+    """Whether a step has stopped the process for a while without ending it."""
 
     def __post_init__(self) -> None:
         """Choose the first ports."""
--- a/src/mustardswitch_standins/full_run/run.py
+++ b/src/mustardswitch_standins/full_run/run.py
@@ -1,6 +1,7 @@
 """A run: starts the processes of a deployment, performs a day's steps and collects the reports."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import signal
@@ -49,7 +50,10 @@
         self.services = figures.service_names(size)
         ports = iter(fleet.free_ports(3 + len(self.services) + 2 * size.instances))
         self.store_port, self.promotion_port = next(ports), next(ports)
-        self.store = control.Client(port=next(ports))
+        store_control = next(ports)
+        self.store = control.Client(port=store_control)
+        self.holders = control.Client(port=store_control)
+        """Another connection to the store's program, for requests that wait."""
         self.databases = {service: control.Client(port=next(ports)) for service in self.services}
         self.instances = [
             processes.InstanceProcess(
@@ -176,7 +180,7 @@
         await asyncio.gather(*self.steps, return_exceptions=True)
         await asyncio.gather(*(each.end(signal.SIGKILL) for each in self.instances))
         await self.programs.kill()
-        for client in (self.store, *self.databases.values()):
+        for client in (self.store, self.holders, *self.databases.values()):
             client.close()
 
     # Steps
@@ -284,10 +288,14 @@
         for client in self.databases.values():
             await client.call("crash", for_s=for_s, dark=dark)
 
-    async def step_slow_primary(self, delay_s: float, for_s: float, executes_late: bool) -> None:
+    async def step_slow_primary(
+        self, delay_s: float, for_s: float, executes_late: bool, orders: bool = True
+    ) -> None:
         """Delay the answers of the primary of each service, or the execution of its requests."""
         for client in self.databases.values():
-            await client.call("slow", delay_s=delay_s, for_s=for_s, executes_late=executes_late)
+            await client.call(
+                "slow", delay_s=delay_s, for_s=for_s, executes_late=executes_late, orders=orders
+            )
 
     async def step_stall_primary(self, for_s: float) -> None:
         """Let the primary of each service execute nothing for a while."""
@@ -304,6 +312,55 @@
                     process.send_signal(signal_number)
             await asyncio.sleep(wait_s)
 
+    async def step_slow_holder(
+        self, for_s: tuple[float, float], after_s: tuple[float, float], until_s: float
+    ) -> None:
+        """Stop the process of each instance that has promoted a present primary, for a while.
+
+        It is stopped some time after the promotion was accepted; both times are drawn from ranges.
+        """
+        ends_s = time.monotonic() + until_s
+        suspensions = []
+        while time.monotonic() < ends_s:
+            name = (await self.holders.call("holder"))["name"]
+            for instance in self.started:
+                if instance.name == name and instance.pid is not None and not instance.suspended:
+                    suspensions.append(
+                        asyncio.create_task(
+                            self._suspend(
+                                instance,
+                                self.random.uniform(*for_s),
+                                self.random.uniform(*after_s),
+                            )
+                        )
+                    )
+        await asyncio.gather(*suspensions)
+
+    async def _suspend(
+        self, instance: processes.InstanceProcess, for_s: float, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        process, instance.suspended = instance.process, True
+        self._note(f"{instance.name} is suspended for {for_s:.2f} s")
+        try:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+        finally:
+            instance.suspended = False
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+
+    async def step_configure(self, version: int, timeout_factor: float, added: bool) -> None:
+        """Let the operator write a newer configuration."""
+        await self.store.call(
+            "configure", version=version, timeout_factor=timeout_factor, added=added
+        )
+
+    async def step_lose_answers(self, count: int) -> None:
+        """Lose the answers to the next accepted promotions."""
+        await self.store.call("lose_answers", count=count)
+
     async def step_reset(self, share: float) -> None:
         """Reset connections to the servers."""
         for client in self.databases.values():
--- a/src/mustardswitch_standins/full_run/store_program.py
+++ b/src/mustardswitch_standins/full_run/store_program.py
@@ -12,6 +12,8 @@
 STORE = "store"
 """Name of the store's end of the link from each instance."""
 EXPIRY_CHECK_S = 0.1
+HOLDER_WAIT_S = 4.0
+"""Longest wait for a promotion of a present primary in one request."""
 
 
 class ForwardingStore(http_store.HttpStore):
@@ -20,6 +22,10 @@
     def __init__(self, *, databases: dict[str, control.Client]) -> None:
         super().__init__(promote=lambda service, server, token: False)
         self.databases = databases
+        self.holders: asyncio.Queue[str] = asyncio.Queue()
+        """Instances whose promotions of present primaries were accepted."""
+        self.lose_answers = 0
+        """Number of further accepted promotions whose answers are lost."""
 
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes, headers: dict[str, str]
@@ -32,8 +38,18 @@
             return 409, {}
         self.tokens[service] = token
         listed = [key.partition("/")[2] for key in self.keys if key.startswith("servers/")]
-        answer = await self.databases[service].call("promote", id=fields["id"], listed=listed)
-        return (200, {}) if answer["accepted"] else (409, {})
+        holder = headers["lease-holder"]
+        answer = await self.databases[service].call(
+            "promote", id=fields["id"], listed=listed, holder=holder
+        )
+        if not answer["accepted"]:
+            return 409, {}
+        if answer["leads"]:
+            self.holders.put_nowait(holder)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise OSError("the answer is lost")
+        return 200, {}
 
     async def listen(self, port: int) -> None:
         """Accept calls on a further port."""
@@ -87,11 +103,21 @@
         if operation == "remove":
             self._remove(f"servers/{request['id']}")
             return {}
+        if operation == "holder":
+            return {"name": await self._next_holder()}
         fault = asyncio.create_task(getattr(self, f"fault_{operation}")(**request))
         self.faults.add(fault)
         fault.add_done_callback(self.faults.discard)
         return {}
 
+    async def _next_holder(self) -> str | None:
+        """Wait for the next accepted promotion of a present primary; None if there is none soon."""
+        try:
+            async with asyncio.timeout(HOLDER_WAIT_S):
+                return await self.store.holders.get()
+        except TimeoutError:
+            return None
+
     def _remove(self, key: str) -> None:
         self.expires_at_s.pop(key, None)
         self.store.delete(key)
@@ -140,6 +166,17 @@
         await self.fault_turn_away(list(self.instances), for_s, silent)
         self.down = self.lapses = False
 
+    async def fault_configure(self, version: int, timeout_factor: float, added: bool) -> None:
+        """Write a newer configuration with other time-outs, and with a route more if ``added``."""
+        configuration = figures.configuration(
+            self.size, version=version, timeout_factor=timeout_factor, added=added
+        )
+        self.store.put("op/config", json.dumps(configuration).encode())
+
+    async def fault_lose_answers(self, count: int) -> None:
+        """Lose the answers to the next accepted promotions."""
+        self.store.lose_answers = count
+
     async def fault_slow(self, for_s: float, delay_s: float) -> None:
         """Delay all calls of the instances for a while."""
         rules = [self.links.rule(name, STORE) for name in self.instances]
--- a/src/mustardswitch_standins/full_run/throttle.py
+++ b/src/mustardswitch_standins/full_run/throttle.py
@@ -30,7 +30,7 @@
     try:
         while True:
             await asyncio.sleep(CHECK_S)
-            pids = [each.pid for each in instances if each.pid is not None]
+            pids = [each.pid for each in instances if each.pid is not None and not each.suspended]
             renews = loop.time() >= period_ends_s
             if renews:
                 period_ends_s = loop.time() + PERIOD_S
