--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -20,17 +20,27 @@
     world.group.commit(former, "waited")
 
 
-async def test_a_stopped_primary_does_not_lead_again_and_run_what_waited_in_it():
+def _leaving_world() -> proxy_world.World:
+    """Return a world whose primary leaves, and in which nobody confirms the hold yet."""
     world = proxy_world.World()
     world.group.commit(world.group.primary, "old")
     world.group.servers[takeovers.A].leaving = True
     world.list_servers()
     world.promoter.effect_delay_s = EFFECT_S
     world.coordination.hold_report = ports.HoldReport(complete=False)
-    changing = asyncio.create_task(takeovers.take_over(world))
-    waiting = asyncio.create_task(_run_what_waits(world))
+    return world
+
+
+async def _wait_until_stopped(world: proxy_world.World) -> None:
     while world.group.primary is not None:
         await asyncio.sleep(0.001)
+
+
+async def test_a_stopped_primary_does_not_lead_again_and_run_what_waited_in_it():
+    world = _leaving_world()
+    changing = asyncio.create_task(takeovers.take_over(world))
+    waiting = asyncio.create_task(_run_what_waits(world))
+    await _wait_until_stopped(world)
     await asyncio.sleep(HOLD_S)
     world.coordination.hold_report = ports.HoldReport(complete=True)
     while not takeovers.requested_successors(world):
@@ -40,3 +50,14 @@
     assert await changing
     await waiting
     assert world.group.lost == []
+
+
+async def test_a_hold_that_takes_longer_than_a_promotion_does_not_end_a_handover():
+    """The order to stop was repeated under the term that the primary led again, in vain."""
+    world = _leaving_world()
+    changing = asyncio.create_task(takeovers.take_over(world))
+    await _wait_until_stopped(world)
+    await asyncio.sleep(2 * EFFECT_S)
+    world.coordination.hold_report = ports.HoldReport(complete=True)
+    assert await changing
+    assert takeovers.another_leads(world)
