--- a/src/mustardswitch_standins/full_run/store_program.py
+++ b/src/mustardswitch_standins/full_run/store_program.py
@@ -34,32 +34,33 @@
     ) -> tuple[int, dict]:
         if path != "/promote":
             return await super()._answer(path, query, body, headers)
-        fields, token = json.loads(body), int(headers["fencing-token"])
+        call = json.loads(body), int(headers["fencing-token"]), headers.get("lease-holder", "")
         if self.promotion_delay_s is None:
-            return await self._forward(fields, token)
-        late = asyncio.create_task(self._forward_late(fields, token, self.promotion_delay_s))
+            return await self._forward(*call)
+        late = asyncio.create_task(self._forward_late(*call, delay_s=self.promotion_delay_s))
         self.late_calls.add(late)
         late.add_done_callback(self.late_calls.discard)
         raise OSError("the answer is lost")
 
-    async def _forward_late(self, fields: dict, token: int, delay_s: float) -> tuple[int, dict]:
+    async def _forward_late(
+        self, fields: dict, token: int, holder: str, *, delay_s: float
+    ) -> tuple[int, dict]:
         await asyncio.sleep(delay_s)
-        return await self._forward(fields, token)
+        return await self._forward(fields, token, holder)
 
-    async def _forward(self, fields: dict, token: int) -> tuple[int, dict]:
+    async def _forward(self, fields: dict, token: int, holder: str) -> tuple[int, dict]:
         """Let the service's process execute a call, unless its token is outdated by now."""
         service = fields["service"]
         if token < self.tokens.get(service, 0) or service not in self.databases:
             return 409, {}
         self.tokens[service] = token
         listed = [key.partition("/")[2] for key in self.keys if key.startswith("servers/")]
-        holder = headers["lease-holder"]
         answer = await self.databases[service].call(
             "promote", id=fields["id"], listed=listed, holder=holder
         )
         if not answer["accepted"]:
             return 409, {}
-        if answer["leads"]:
+        if answer.get("leads"):
             self.holders.put_nowait(holder)
         if self.lose_answers:
             self.lose_answers -= 1
