--- a/tests/common/commit_runs.py
+++ b/tests/common/commit_runs.py
@@ -18,6 +18,8 @@
 """Delay of a slow server's answers, longer than any query waits."""
 LISTED_AFTER_S = 1.2
 """Time from the start of a server until it is listed, with its first heartbeat."""
+LISTED_LATE_S = 6.0
+"""A longer time than the pages allow, so that the server is not listed during the change."""
 RELISTED_AFTER_S = 4.0
 """Time from an outage of the store until the entry of a slow server is back."""
 STALL_S = 6.0
@@ -113,9 +115,11 @@
         self.group.note(f"{server.name} goes on")
         stalled.discard(server.name)
 
-    async def start_unlisted(self, former: database_group.FakeServer) -> None:
+    async def start_unlisted(
+        self, former: database_group.FakeServer, *, listed_after_s: float
+    ) -> None:
         """Start a server that confirms commits, and is listed some time later."""
-        started = self.group.start_replacement(former, listed_after_s=LISTED_AFTER_S)
+        started = self.group.start_replacement(former, listed_after_s=listed_after_s)
         await self.deployment.start_server(started)
 
     async def lapse_entries_while_all_restart(self, *, first: ids.ServerId) -> None:
