--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -350,7 +350,7 @@
 
 
 async def test_a_platform_that_answers_too_late_does_not_keep_a_service_without_a_primary():
-    """Each attempt promoted the crashed primary first, to void the request that had made it lead."""
+    """Each attempt first promoted the crashed primary, to void what had made it lead."""
     world = proxy_world.World()
     world.share_marks()
     world.group.commit(world.group.primary, "old")
