--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -276,6 +276,21 @@
             self.world.take_effect()
         self.end(instance)
 
+    @stateful.rule(instance=instances, sender=instances, late=st.booleans())
+    def request_beside_a_waiting_commit(
+        self, instance: int, sender: int, late: bool = False
+    ) -> None:
+        self.commit(sender, late=True)
+        self.prepare(instance)
+        self.request(instance, late)
+
+    @stateful.precondition(lambda self: self.world.waiting)
+    @stateful.rule(name=servers)
+    def execute_waiting_commit_at(self, name: ids.ServerId) -> None:
+        """Execute the oldest commit that waits, with one replica that confirms it."""
+        self.execute_waiting_commit()
+        self.deliver(name)
+
     def advance_to(self, step: promotion_attempt.Step, *, instance: int = 0) -> None:
         """Advance an attempt until it is at a step, or for as many steps as any needs."""
         for _ in range(20):
@@ -346,6 +361,14 @@
     def take_effect(self, newest: bool = False) -> None:
         self.world.take_effect(newest=newest)
 
+    @stateful.precondition(lambda self: self.world.accepted)
+    @stateful.rule(name=servers)
+    def take_effect_and_execute(self, name: ids.ServerId) -> None:
+        """Let a promotion take effect, and servers execute what waits, which one confirms."""
+        self.take_effect()
+        while self.world.waiting:
+            self.execute_waiting_commit_at(name)
+
     @stateful.invariant()
     def nothing_acknowledged_is_lost(self) -> None:
         assert self.unexplained() == []
