An end that was read before a second lead proves a promotion: known red, with a test

No statement needs to wait in the primary: an instance that was suspended, as the record was written, still sends commits within its permission. A stopped primary refuses them, but this one leads again. They are answered, then the instance confirms the hold, and the holder, which was suspended as well, promotes a successor with the status of the former primary of before.

--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mustardswitch.proxy import ports
+from mustardswitch.proxy import ports, server_commands
 from tests.common import proxy_world, takeovers
 
 EFFECT_S = 0.3
@@ -61,3 +61,31 @@
     world.coordination.hold_report = ports.HoldReport(complete=True)
     assert await changing
     assert takeovers.another_leads(world)
+
+
+async def test_a_holder_that_is_suspended_does_not_rely_on_an_end_of_before_a_second_lead(
+    monkeypatch,
+):
+    """An instance that was suspended as well sends a commit before it confirms the hold."""
+    world = _leaving_world()
+    goes_on = asyncio.Event()
+    goes_on.set()
+    query = server_commands.ServerCommands.query
+
+    async def query_and_wait(commands, servers):
+        statuses = await query(commands, servers)
+        await goes_on.wait()
+        return statuses
+
+    monkeypatch.setattr(server_commands.ServerCommands, "query", query_and_wait)
+    changing = asyncio.create_task(takeovers.take_over(world))
+    await _wait_until_stopped(world)
+    goes_on.clear()
+    await asyncio.sleep(2 * EFFECT_S)
+    (successor,) = world.coordination.promotions.values()
+    world.group.servers[successor].not_receiving = True
+    world.group.commit(world.group.servers[takeovers.A], "answered")
+    world.coordination.hold_report = ports.HoldReport(complete=True)
+    goes_on.set()
+    await changing
+    assert world.group.lost == []
