--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -183,13 +183,22 @@
     ) -> ids.ServerId | None:
         """Return the former primary if an earlier request may make it lead again; None if not.
 
-        That is one that an earlier holder has kept, or a silent one that is recorded itself.
+        That is a silent one that is recorded itself, or one that an earlier holder has kept. The
+        record of that may be of a restored store, and the server replaced since: then another one
+        led last, or has a longer log.
         """
         former = self._former(primary)
         silent = former is not None and former.server not in statuses
         if silent and former.server == promotion.recorded_server(self.earlier_request):
             return former.server
-        return promotion.kept_primary(self.earlier_request)
+        kept = promotion.kept_primary(self.earlier_request)
+        if kept is None or (former is not None and former.server != kept):
+            return None
+        own = statuses.get(kept)
+        replaced = own is not None and any(
+            each.received > own.received for each in statuses.values()
+        )
+        return None if replaced else kept
 
     async def _await_earlier_effect(self, former: ids.ServerId) -> bool:
         """Wait until no earlier request makes the former primary lead again; False if one may.
--- a/tests/proxy/test_final_ends.py
+++ b/tests/proxy/test_final_ends.py
@@ -48,7 +48,7 @@
     assert not await takeovers.take_over(world, silent=True)
     coordination.release, coordination.renew = release, renew
     coordination.claim_s = database_group.CLAIM_S
-    assert not takeovers.requested_successors(world)
+    assert not world.promoter.promotion_requests
 
 
 async def test_the_next_holder_does_not_wait_for_a_server_whose_end_is_recorded(world):
--- a/tests/proxy/test_silence_longer_than_the_list_knows.py
+++ b/tests/proxy/test_silence_longer_than_the_list_knows.py
@@ -169,3 +169,15 @@
     listed = {each.server: each for each in world.group.entries() if each.server not in unlisted}
     world.directory.servers.replace(listed, clock.now_s())
     world.directory.refresh()
+
+
+async def test_a_server_that_is_listed_long_after_its_start_loses_no_commit():
+    """It alone has the last commit, and the wait for it is one and a quarter heartbeats."""
+    world = proxy_world.World()
+    takeovers.lose_replica(world)
+    started = takeovers.commit_on_unlisted_server(world)
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    await asyncio.sleep(world.service.listing_s + SETTLE_S)
+    world.list_servers()
+    await changing
+    assert world.group.lost == [] and world.group.primary is started
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -362,3 +362,18 @@
     world.list_servers()
     await fail_over(world, world.group.primary.name)
     assert world.group.primary is not None and world.group.lost == []
+
+
+@pytest.mark.parametrize("answers", [True, False])
+async def test_a_kept_primary_of_a_restored_record_is_not_promoted_after_it_was_replaced(answers):
+    world = proxy_world.World()
+    world.group.promote(C)
+    world.list_servers()
+    world.group.servers[A].not_receiving = True
+    world.group.commit(world.group.primary, "later")
+    world.group.servers[C].up = False
+    world.group.servers[A].silent = not answers
+    record_earlier_request(world, promotion.keeping(A))
+    await takeovers.take_over(world, C, silent=True)
+    assert A not in [server for server, _ in world.promoter.promotion_requests]
+    assert world.group.lost == []
