Tests of mechanisms that no test had caught when switched off

By the review: the term of an order, that of a primary that is promoted itself, the hold that begins anew, the wait for all effects, and the record of an earlier holder's server.

--- a/tests/proxy/test_stop_orders.py
+++ b/tests/proxy/test_stop_orders.py
@@ -286,6 +286,23 @@
     assert world.group.servers[A].role is Role.REPLICA
 
 
+async def test_an_end_proves_nothing_once_another_server_was_promoted_in_the_term_of_the_order(
+    world, monkeypatch
+):
+    """Its log may lack what that server has committed."""
+    step_down = database_group.FakeLink.step_down
+
+    async def step_down_and_promote(link, term, timeout_s):
+        answer = await step_down(link, term, timeout_s)
+        world.group.promote(ids.ServerId("server-b"))
+        return answer
+
+    monkeypatch.setattr(database_group.FakeLink, "step_down", step_down_and_promote)
+    order = order_of(world)
+    await asyncio.wait_for(order.run(), 2.0)
+    assert order.report().order is Order.REPLICA
+
+
 async def test_signs_of_a_primary_that_is_listed_again_are_reported(monkeypatch):
     world, orders = peer_world.World(monkeypatch), stop_orders.StopOrders()
     world.group.servers[A].silent = True
--- a/tests/proxy/test_stopped_primary_leads_again.py
+++ b/tests/proxy/test_stopped_primary_leads_again.py
@@ -110,6 +110,8 @@
     assert await takeovers.take_over(world)
     await asyncio.sleep(2 * EFFECT_S)
     assert leads == [B] and world.group.lost == []
+    # The earlier request may be effective after that of this holder.
+    assert world.coordination.promotions == {database_group.SERVICE: B}
 
 
 async def test_a_kept_primary_does_not_roll_back_commits_of_the_recorded_server(world):
@@ -154,7 +156,8 @@
     changing = asyncio.create_task(takeovers.take_over(world, silent=True))
     while world.group.primary is None or world.group.primary.name != C:
         await asyncio.sleep(0.005)
-    assert not world.service.may_commit(world.service.servers[C])
+    await asyncio.sleep(0.05)
+    assert not changing.done() and not world.service.may_commit(world.service.servers[C])
     assert await changing
     assert world.coordination.promotions == {}
 
@@ -377,3 +380,51 @@
     await takeovers.take_over(world, C, silent=True)
     assert A not in [server for server, _ in world.promoter.promotion_requests]
     assert world.group.lost == []
+
+
+async def test_a_stopped_primary_that_crashes_does_not_count_as_promoted_by_its_former_term(
+    monkeypatch, world
+):
+    """It is promoted itself, as its successor lacks its end, and leads again as it is back."""
+    former = world.group.servers[A]
+    step_down = database_group.FakeLink.step_down
+
+    async def append_and_step_down(link, term, timeout_s):
+        if former.position.offset == 1:
+            former.log.append(database_group.LogEntry(term=1, data="last"))
+        return await step_down(link, term, timeout_s)
+
+    monkeypatch.setattr(database_group.FakeLink, "step_down", append_and_step_down)
+    changing = asyncio.create_task(takeovers.take_over(world))
+    while (A, 1) not in world.promoter.promotion_requests:
+        await asyncio.sleep(0.005)
+    former.role, former.paused_term = promotion.Role.PRIMARY, 0
+    await asyncio.sleep(EFFECT_S / 2)
+    assert not changing.done()
+    former.role = promotion.Role.REPLICA
+    await changing
+    assert world.group.term == 2 and world.group.primary is former
+
+
+async def test_the_time_of_a_hold_begins_anew_after_a_record_that_let_commits_pass(
+    monkeypatch, world
+):
+    record_earlier_request(world, B)
+    world.group.servers[A].up = False
+    times_s = {}
+
+    def hold_commits(claim, server, *, recorded_at_s, **changes):
+        times_s.setdefault(server, recorded_at_s)
+        return world.coordination.hold_report
+
+    monkeypatch.setattr(world.coordination, "hold_commits", hold_commits)
+    world.group.servers[B].silent = True
+    changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+    while B not in times_s:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.1)
+    del world.group.servers[B]
+    takeovers.expire_entry(world, B)
+    world.service.unlisted.clear()
+    await changing
+    assert times_s[promotion.holding(C)] >= times_s[B] + 0.1
