--- a/src/mustardswitch_standins/full_run/days.py
+++ b/src/mustardswitch_standins/full_run/days.py
@@ -93,6 +93,10 @@
     holder_s: collections.abc.Sequence[float] = (),
     lag: float = 0.0,
     lost_answers: int = 0,
+    frozen: float = 0.0,
+    frozen_s: float = 1.9,
+    slow_s: float = 0.0,
+    slow_after_s: float = 1.9,
     added: int = 1,
     configured: bool = True,
 ) -> Day:
@@ -100,8 +104,10 @@
 
     From the report that it leaves on, a primary executes what may commit ``late_s`` late on
     average, and with ``late_orders`` all else as well. Each holder of a claim is suspended for a
-    time in ``holder_s`` once its promotion of the present primary was accepted. Instances restart
-    in turn if the base day is ``rolled``.
+    time in ``holder_s`` once its promotion of the present primary was accepted. A ``frozen`` share
+    of the instances is suspended for ``frozen_s`` from the first report on, so that these do not
+    learn of the change. From ``slow_after_s`` on, primaries answer ``slow_s`` late. Instances
+    restart in turn if the base day is ``rolled``.
     """
     day = {"release": release, "trouble-2": trouble_2}[base](size)
     at_s = next(each.at_s for each in day.steps if each.name == "release")
@@ -128,6 +134,18 @@
         steps.append(_step(at_s - 0.5, "lag", count=1, factor=lag, for_s=6.0))
     if lost_answers:
         steps.append(_step(at_s + 0.5, "lose_answers", count=lost_answers))
+    if slow_s:
+        steps.append(
+            _step(
+                at_s + slow_after_s,
+                "slow_primary",
+                delay_s=slow_s,
+                for_s=3.0,
+                executes_late=False,
+            )
+        )
+    if frozen:
+        steps.append(_step(at_s + 1.0, "freeze", share=frozen, for_s=frozen_s))
     if added:
         steps.append(_step(at_s + 1.9, "add", count=added))
     others = [each for each in day.steps if each.name != "release"]
