--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -9,20 +9,13 @@
 import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import (
-    clock,
-    former_primary,
-    ids,
-    positions,
-    promotion,
-    server_contact,
-)
+from mustardswitch.internal import clock, former_primary, ids, positions, promotion
 from mustardswitch.proxy import (
     claimed_attempt,
+    earlier_requests,
     errors,
     listing_wait,
     ports,
-    server,
     server_commands,
     stop_orders,
 )
@@ -44,18 +37,12 @@
 NOT_LISTED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the store did not list the servers and instances"
 )
-NOT_VOIDED = promotion.Choice(
-    verdict=promotion.Verdict.WAIT, reason="requests of earlier claims may be executed"
-)
-LEADS_AGAIN = promotion.Choice(
-    verdict=promotion.Verdict.WAIT, reason="a server leads again by an earlier request"
-)
 STARTED_ANEW = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the primary has started anew; its end is not known"
 )
 
 
-class EndOfCommits(claimed_attempt.Attempt):
+class EndOfCommits(earlier_requests.EarlierRequests):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
     def note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> bool:
@@ -130,15 +117,15 @@
         """
         if not await self._read_list():
             return NOT_LISTED
-        awaited = self._kept_earlier(primary, statuses)
+        awaited = self.kept_earlier(primary, statuses)
         if awaited is not None and self.record is None:
-            if not await self._await_earlier_effect(awaited):
-                return NOT_VOIDED
+            if not await self.await_earlier_effect(awaited):
+                return earlier_requests.NOT_VOIDED
             silent = {awaited} - statuses.keys()
             statuses = await self.commands.query(self.confirming() - silent)
             self._raise_term(statuses)
             if any(status.leads for status in statuses.values()):
-                return LEADS_AGAIN
+                return earlier_requests.LEADS_AGAIN
         kept = promotion.kept_primary(self.requested)
         likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
@@ -163,60 +150,6 @@
         finally:
             await tasks.cancel_and_wait(sending)
 
-    def _former(self, primary: ids.ServerId | None) -> server.Server | None:
-        """Return the primary; the last one that led if its entry is gone, None without one."""
-        unlisted = self.target.former_primary
-        if primary is None and unlisted is not None:
-            primary = unlisted.server
-        return self.target.known_servers().get(primary)
-
-    async def void_earlier_requests(self, primary: ids.ServerId) -> ports.PromotionOutcome:
-        """Make the platform reject the requests of earlier claims, and wait for earlier effects.
-
-        Returns ACCEPTED if it does now, and REJECTED if the primary does not run, or another
-        claim's token is higher. Servers are to be queried anew after that.
-        """
-        raise NotImplementedError
-
-    def _kept_earlier(
-        self, primary: ids.ServerId | None, statuses: server_commands.Statuses
-    ) -> ids.ServerId | None:
-        """Return the former primary if an earlier request may make it lead again; None if not.
-
-        That is a silent one that is recorded itself, or one that an earlier holder has kept. The
-        record of that may be of a restored store, and the server replaced since: then another one
-        led last, or has a longer log.
-        """
-        former = self._former(primary)
-        silent = former is not None and former.server not in statuses
-        if silent and former.server == promotion.recorded_server(self.earlier_request):
-            return former.server
-        kept = promotion.kept_primary(self.earlier_request)
-        if kept is None or (former is not None and former.server != kept):
-            return None
-        own = statuses.get(kept)
-        replaced = own is not None and any(
-            each.received > own.received for each in statuses.values()
-        )
-        return None if replaced else kept
-
-    async def _await_earlier_effect(self, former: ids.ServerId) -> bool:
-        """Wait until no earlier request makes the former primary lead again; False if one may.
-
-        Commits are held meanwhile, also to a server that another request makes lead. Nothing waits
-        in a process that has ended, and takes no commits if it starts again.
-        """
-        if not await self._record(promotion.holding_all(self.earlier_request)):
-            return False
-        self.hold_commits()
-        await self.commands.query({former})
-        backend = self.target.known_servers().get(former)
-        contact = backend.contacts.latest() if backend is not None else None
-        if contact is None or contact.sign is server_contact.Sign.NOT_LISTENING:
-            return True
-        outcome = await self.void_earlier_requests(former)
-        return outcome in (ports.PromotionOutcome.ACCEPTED, ports.PromotionOutcome.REJECTED)
-
     @property
     def _record_is_free(self) -> bool:
         """Whether the record is an earlier holder's, and its request was never sent."""
@@ -240,7 +173,7 @@
         self, primary: ids.ServerId | None, statuses: server_commands.Statuses
     ) -> stop_orders.StopOrder | None:
         """Return the order to a primary that has not answered; None without one."""
-        backend = self._former(primary)
+        backend = self.former_server(primary)
         if backend is None or backend.server in statuses:
             return None
         self.ordered_to_stop = True
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -297,12 +297,12 @@
                     # The request was executed, and has voided all others.
                     self.earlier_request = None
                 return True
-            if waited_s > PROMOTION_DELAY_S and self._has_ended(successor, within_s=waited_s):
+            if waited_s > PROMOTION_DELAY_S and self._has_left(successor, within_s=waited_s):
                 return False
             await asyncio.sleep(claimed_attempt.POLL_S)
         return False
 
-    def _has_ended(self, server: ids.ServerId, *, within_s: float) -> bool:
+    def _has_left(self, server: ids.ServerId, *, within_s: float) -> bool:
         """Return whether a server has left, or was last found without a process ``within_s``."""
         backend = self.target.known_servers().get(server)
         if backend is None:
