A primary leads until all instances hold commits

The holder stopped the primary first and waited for the hold then. The end of its log proves a choice only after the hold, so nothing is gained by an earlier stop.

--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -172,15 +172,19 @@
     ) -> promotion.Choice:
         """Stop a primary, and choose a server that has reached the end of its log.
 
+        It leads until all instances hold commits: until then its end could not prove a choice, and
+        if this attempt ends it still serves.
         If the successor does not reach the end in time, any server that has may be chosen, also the
         primary itself: what the successor lacks may have been confirmed by a server that is not
         known. A primary that runs and does not stop is kept.
         """
+        if not await self.ensure_recorded(successor):
+            return end_of_commits.NOT_RECORDED
+        while self.holds_claim() and not self.hold_commits().complete:
+            await asyncio.sleep(claimed_attempt.POLL_S)
         started_s = clock.now_s()
         orders_ignored = 0
         statuses: server_commands.Statuses = {}
-        if not await self.ensure_recorded(successor):
-            return end_of_commits.NOT_RECORDED
         self.ordered_to_stop = True
         while clock.now_s() - started_s < HANDOVER_TIMEOUT_S and orders_ignored < STOP_ORDERS:
             if not self.holds_claim():
