--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -252,7 +252,9 @@
                 return self._refuse(server, link, verb)
         if incoming.closed and not self.size.runs_closed:
             raise EOFError("the connection was closed before the statement ran")
-        measured_group.arrival.get().closed = incoming.closed
+        arrived = measured_group.arrival.get()
+        if arrived is not None:
+            arrived.closed = incoming.closed
         return await self._answer(server, link, prepared, request, text)
 
     def _draw_work_s(self, text: str) -> float:
