An end counts only while the stopped primary runs nothing

What callers saw: a write whose instance had given up on the connection completed on the former primary after its end of log had been read, so the successor led without it.

Cause: the end of a stopped primary's log was taken from the first row that showed it, although statements of connections that other instances had closed were still running there.

Change: a row of STATUS tells how many statements run beside the query. The stand-ins report the same field.

The expectation of test_parses_the_status_of_a_server gains the field and a second row.

Evidence: test_a_write_that_completes_after_the_stop_is_not_lost fails without the change.

--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -42,6 +42,8 @@
     """The end of its log, which may not have been applied yet."""
     paused: bool = False
     """Whether it receives nothing."""
+    running: int = 0
+    """Statements that it executes beside the query."""
 
     @property
     def leads(self) -> bool:
--- a/src/mustardswitch/platform/lines.py
+++ b/src/mustardswitch/platform/lines.py
@@ -374,10 +374,13 @@
     if len(fields) < 3 or fields[0] not in _ROLES or not fields[1].isdigit():
         raise errors.InvalidLineError(f"status {row[:64]!r} has no role, term and position")
     paused = int(fields[3]) if len(fields) > 3 and fields[3].isdigit() else 0
+    # The query itself is one of those that run.
+    busy = int(fields[5]) if len(fields) > 5 and fields[5].isdigit() else 0
     received = parse_position(fields[2]) or positions.ORIGIN
     return promotion.ServerStatus(
         role=_ROLES[fields[0]],
         term=ids.Term(max(int(fields[1]), paused, received.term)),
         received=received,
         paused=paused > 0,
+        running=max(0, busy - 1),
     )
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -198,8 +198,11 @@
             statuses = await self.commands.query({primary, successor} | others)
             if primary in statuses and not self.note_stopped(primary, statuses[primary]):
                 return end_of_commits.STARTED_ANEW
-            # An end of an earlier turn may have been read before commits were held.
-            if primary in statuses and self.stopped_end is not None:
+            # An end of an earlier turn may have been read before commits were held, and one that
+            # came while statements ran may grow by what their instances have given up.
+            former = statuses.get(primary)
+            is_final = former is not None and not former.running
+            if is_final and self.stopped_end is not None:
                 await self._record_end(primary, self.stopped_end)
                 proved = {successor} if in_time else set(statuses)
                 choice = self.choose(
--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import collections
+import collections.abc
+import contextlib
 import dataclasses
 
 from mustardswitch.backends import errors as backend_errors
@@ -61,9 +63,20 @@
         self.answer_delay_s = 0.0
         self.order_delay_s = 0.0
         """Delay after which orders are executed, without an answer; 0: at once."""
+        self.running = 0
+        """Number of statements that it executes."""
         self.received_commands: list[str] = []
         self.links: list[FakeLink] = []
 
+    @contextlib.contextmanager
+    def running_statement(self) -> collections.abc.Iterator[None]:
+        """Count a statement as running while the context is open."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
     @property
     def position(self) -> positions.Position:
         """The end of the log."""
@@ -236,6 +249,7 @@
             term=ids.Term(max(self.term, server.paused_term)),
             received=server.position,
             paused=server.paused_term > 0,
+            running=server.running,
         )
 
     def entries(self) -> list[ports.ServerEntry]:
@@ -352,14 +366,15 @@
         """
         if self.began_in_term is None:
             self.begin()
-        await asyncio.sleep(min(timeout_s, self.server.answer_delay_s))
-        if self.server.silent:
-            await asyncio.sleep(timeout_s)
-        self._check()
-        command, request = self.pending.popleft()
-        if not self.pending:
-            self.unanswered_since_s = None
-        answer = self._execute(command, request)
+        with self.server.running_statement():
+            await asyncio.sleep(min(timeout_s, self.server.answer_delay_s))
+            if self.server.silent:
+                await asyncio.sleep(timeout_s)
+            self._check()
+            command, request = self.pending.popleft()
+            if not self.pending:
+                self.unanswered_since_s = None
+            answer = self._execute(command, request)
         self.began_in_term = None
         if self.unconfirmed:
             answer = await self._commit(timeout_s)
--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import os
 import pathlib
 import random
@@ -242,20 +243,26 @@
         incoming: line_protocol_databases.Incoming,
     ) -> bytes:
         verb = text.partition(" ")[0]
-        if verb in SLOT_VERBS:
-            work_s = figures.STATUS_S if verb in ORDER_VERBS else self._draw_work_s(text)
-            begin = None if verb in ORDER_VERBS else link.begin
-            if begin is not None and self.size.completes_queued:
-                begin()
-                begin = None
-            if not await self.slots[server.name].occupy(work_s, begin):
-                return self._refuse(server, link, verb)
-        if incoming.closed and not self.size.runs_closed:
-            raise EOFError("the connection was closed before the statement ran")
-        arrived = measured_group.arrival.get()
-        if arrived is not None:
-            arrived.closed = incoming.closed
-        return await self._answer(server, link, prepared, request, text)
+        with contextlib.ExitStack() as running:
+
+            def begin() -> None:
+                running.enter_context(server.running_statement())
+                link.begin()
+
+            if verb in SLOT_VERBS:
+                orders = verb in ORDER_VERBS
+                work_s = figures.STATUS_S if orders else self._draw_work_s(text)
+                if not orders and self.size.completes_queued:
+                    begin()
+                    orders = True
+                if not await self.slots[server.name].occupy(work_s, None if orders else begin):
+                    return self._refuse(server, link, verb)
+            if incoming.closed and not self.size.runs_closed:
+                raise EOFError("the connection was closed before the statement ran")
+            arrived = measured_group.arrival.get()
+            if arrived is not None:
+                arrived.closed = incoming.closed
+            return await self._answer(server, link, prepared, request, text)
 
     def _draw_work_s(self, text: str) -> float:
         kind = next((kind for kind in WORK_S if f" {kind}-" in text), None)
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -245,7 +245,8 @@
                 await link.resume(ANSWER_TIMEOUT_S)
             status = await link.status(ANSWER_TIMEOUT_S)
             paused = server.paused_term
-            row = f"{status.role.value} {status.term} {encode_position(server)} {paused} 1 0 1"
+            busy = 1 + status.running
+            row = f"{status.role.value} {status.term} {encode_position(server)} {paused} 1 {busy} 1"
             return f"DATAROW {row}\r\nCOMPLETE -\r\nREADY I {encode_position(server)}\r\n".encode()
         if verb == "PREPARE":
             name, access, _ = rest.split(" ", 2)
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -123,9 +123,10 @@
 def test_parses_the_status_of_a_server():
     status = lines.parse_status("replica 3 3.1209 0 12 2 17")
     assert status == promotion.ServerStatus(
-        role=promotion.Role.REPLICA, term=ids.Term(3), received=_position(3, 1209)
+        role=promotion.Role.REPLICA, term=ids.Term(3), received=_position(3, 1209), running=1
     )
     assert lines.parse_status("replica 3 3.1209 5 12 2 17").term == 5
+    assert lines.parse_status("replica 3 3.1209 5 12 1 17").running == 0
 
 
 def test_an_answer_to_a_caller_replaces_line_breaks_in_its_detail():
--- a/tests/proxy/test_waiting_commits_of_a_stopped_primary.py
+++ b/tests/proxy/test_waiting_commits_of_a_stopped_primary.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from mustardswitch.internal import ids
 from mustardswitch.proxy import ports, server_commands
 from tests.common import proxy_world, takeovers
 
@@ -89,3 +92,23 @@
     goes_on.set()
     await changing
     assert world.group.lost == []
+
+
+@pytest.mark.parametrize("as_of_request", [True, False])
+async def test_a_write_that_completes_after_the_stop_is_not_lost(as_of_request):
+    """Its instance has given it up, and the successor leads with what it had at the request."""
+    world = _leaving_world()
+    world.coordination.hold_report = ports.HoldReport(complete=True)
+    world.group.completes_running = True
+    world.group.promotes_as_of_request = as_of_request
+    former = world.group.servers[takeovers.A]
+    (entry,) = [each for each in world.group.entries() if each.server == takeovers.A]
+    link = await world.group.open_link(entry)
+    link.send(proxy_world.WRITE, ids.RequestId("given up"))
+    former.answer_delay_s = HOLD_S
+    running = asyncio.create_task(link.receive(5.0))
+    await asyncio.sleep(0)
+    former.answer_delay_s = 0.0
+    assert await takeovers.take_over(world)
+    await running
+    assert "given up" in world.group.acknowledged and world.group.lost == []
