Share what the log lines and commits of a change repeated

Both places that send commits asked whether to acknowledge and then noted the answer for the log; Service.may_acknowledge does both. Attempt.await_hold replaces two copies of a loop, AttemptLog notes an end in one place, and events.UNKNOWN replaces four constants for "?". A flag of the full run's databases that stood for two things is split. Behaviour is unchanged.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -10,6 +10,8 @@
 import logbook
 
 LOGGER = logbook.Logger("mustardswitch")
+UNKNOWN = "?"
+"""Stands for what this instance does not know, in a field that holds several values."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/mustardswitch/proxy/attempt_log.py
+++ b/src/mustardswitch/proxy/attempt_log.py
@@ -12,7 +12,6 @@
 """Lines of one kind that an attempt writes at most."""
 VOID = "void"
 """Marks a promotion of the present primary, which is to void earlier requests."""
-UNKNOWN = "?"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,8 +100,8 @@
         """Record the end of a stopped primary's log, each time that it is read."""
         if self.stopped != server:
             self.stopped, self.end, self.stopped_at_s = server, end, clock.now_s()
-        elif end > self.end:
-            self._grow(Growth(before=self.end, end=end, leads=False, at_s=clock.now_s()))
+        else:
+            self._note_end(end, leads=False)
 
     # Answers
 
@@ -114,15 +113,8 @@
             self.lost_pauses.append(
                 LostPause(server=server, ordered=ordered, found=status.term, at_s=clock.now_s())
             )
-        if server == self.stopped and status.received > self.end:
-            self._grow(
-                Growth(
-                    before=self.end,
-                    end=status.received,
-                    leads=status.leads,
-                    at_s=clock.now_s(),
-                )
-            )
+        if server == self.stopped:
+            self._note_end(status.received, leads=status.leads)
 
     def note_led(self, term: ids.Term) -> None:
         """Record the term in which the promoted server is first seen to lead.
@@ -157,11 +149,13 @@
 
     # Reporting
 
-    def _grow(self, growth: Growth) -> None:
-        """Log a growth, unless it may come from the promoted server."""
-        is_own = growth.leads or growth.end.term == growth.before.term
-        self.end = growth.end
-        if is_own or not self.requests:
+    def _note_end(self, end: positions.Position, *, leads: bool) -> None:
+        """Log a growth of the stopped primary's log, unless the promoted server may cause it."""
+        if end <= self.end:
+            return
+        growth = Growth(before=self.end, end=end, leads=leads, at_s=clock.now_s())
+        self.end = end
+        if leads or end.term == growth.before.term or not self.requests:
             self._log_growth(growth)
         else:
             self.growths.append(growth)
@@ -193,17 +187,17 @@
         self.registry.count("pauses_lost", self.service)
         if self._may_log(events.Event.PAUSE_LOST):
             awaited = next((each for each in reversed(self.requests) if not each.void), None)
-            since_s = f"{lost.at_s - awaited.at_s:.1f}" if awaited is not None else UNKNOWN
+            since_s = f"{lost.at_s - awaited.at_s:.1f}" if awaited is not None else events.UNKNOWN
             events.log(
                 events.Event.PAUSE_LOST,
                 service=self.service,
                 server=lost.server,
                 pause=(
                     f"{lost.ordered} {lost.found} {since_s}"
-                    f" {awaited.server if awaited is not None else UNKNOWN}"
+                    f" {awaited.server if awaited is not None else events.UNKNOWN}"
                 ),
             )
 
 
 def _since(at_s: float, recorded_at_s: float | None) -> str:
-    return UNKNOWN if recorded_at_s is None else f"{at_s - recorded_at_s:.2f}"
+    return events.UNKNOWN if recorded_at_s is None else f"{at_s - recorded_at_s:.2f}"
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -159,6 +159,11 @@
         )
         return self.report
 
+    async def await_hold(self) -> None:
+        """Wait until all instances hold commits back, or the claim has ended."""
+        while self.holds_claim() and not self.hold_commits().complete:
+            await asyncio.sleep(POLL_S)
+
     def describe_hold(self) -> str:
         """Describe for how long commits were held, who has not confirmed it, and what this knows.
 
--- a/src/mustardswitch/proxy/commit_holds.py
+++ b/src/mustardswitch/proxy/commit_holds.py
@@ -15,7 +15,6 @@
 """Stands for the records of the store where the source of a hold is named."""
 OWN = "self"
 """Stands for this instance, which has written the record."""
-UNKNOWN = "?"
 
 SourceList = registration_list.RegistrationList[typing.Any, typing.Any]
 """The list of servers, which tells whether and when the store was reached."""
@@ -118,7 +117,7 @@
         self.asked_revision = revision
 
     def _begin(self, requested: ids.ServerId, revision: int | None) -> None:
-        server, source = self.source or (None, UNKNOWN)
+        server, source = self.source or (None, events.UNKNOWN)
         self.since_s, self.requested = clock.now_s(), requested
         self.waited = self.aborted = self.asked_revision = 0
         self.confirmation = Confirmation.NO
@@ -130,7 +129,7 @@
             service=self.service,
             server=requested,
             leader=self.last_leader,
-            by=source if server == requested else UNKNOWN,
+            by=source if server == requested else events.UNKNOWN,
             revision=revision,
             list_age_s=round(self.registrations.age_s(self.since_s), 3),
             store_lost=self.began_without_store,
--- a/src/mustardswitch/proxy/leader_changes.py
+++ b/src/mustardswitch/proxy/leader_changes.py
@@ -5,8 +5,6 @@
 from mustardswitch import build, events
 from mustardswitch.internal import ids
 
-UNTOLD = "?"
-"""Stands for what this instance does not know."""
 PROOF_CODES = {
     "primary_stopped": "stopped",
     "all_paused/replica": "p:replica",
@@ -20,7 +18,7 @@
 def proof_code(summary: str) -> str:
     """Return a short code for what proved a promotion, from its summary."""
     word = summary.partition(";")[0]
-    return PROOF_CODES.get(word, word) or UNTOLD
+    return PROOF_CODES.get(word, word) or events.UNKNOWN
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -28,9 +26,9 @@
     """What this instance knows of a promotion that may take effect, or has."""
 
     server: ids.ServerId
-    holder: str = UNTOLD
+    holder: str = events.UNKNOWN
     """The instance that holds the claim."""
-    proof: str = UNTOLD
+    proof: str = events.UNKNOWN
     led: bool = False
     """Whether the server was seen to lead since."""
 
@@ -53,7 +51,7 @@
         """Record who promotes a server, and the summary of the proof once there is one."""
         told = self.told
         known = told is not None and told.server == server
-        if not known or (holder is not None and told.holder not in (UNTOLD, holder)):
+        if not known or (holder is not None and told.holder not in (events.UNKNOWN, holder)):
             told = self.told = ToldPromotion(server=server)
         told.holder = holder or told.holder
         if summary:
@@ -70,10 +68,11 @@
                 told = self.told = None
         if told is None or told.server != leader:
             told = ToldPromotion(server=leader)
+        known_term = events.UNKNOWN if term is None else term
         events.log(
             events.Event.LEADER_CHANGED,
             service=self.service,
             server=leader,
-            **{"from": f"{before} {UNTOLD if term is None else term} {told.proof} {told.holder}"},
+            **{"from": f"{before} {known_term} {told.proof} {told.holder}"},
             build=build.build_id(),
         )
--- a/src/mustardswitch/proxy/renewed_leads.py
+++ b/src/mustardswitch/proxy/renewed_leads.py
@@ -5,7 +5,6 @@
 
 MAX_LINES = 3
 """Lines that one hold of commits writes at most."""
-UNKNOWN = "?"
 
 
 class RenewedLeads:
@@ -74,12 +73,12 @@
         if not self.reported:
             self.registry.count("former_primary_leads_again", self.service)
         self.reported.add(term)
-        before = UNKNOWN if self.former_term is None else self.former_term
+        before = events.UNKNOWN if self.former_term is None else self.former_term
         events.log(
             events.Event.FORMER_LEADS_AGAIN,
             service=self.service,
             server=self.former,
-            terms=f"{before} {UNKNOWN if term is None else term}",
+            terms=f"{before} {events.UNKNOWN if term is None else term}",
             after_s=round(held_s, 2),
             promoted=self.promoted,
         )
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -518,20 +518,24 @@
             recorded=self.requested or self.commits.awaited,
         )
 
-    def note_commit_answered(
+    def may_acknowledge(
         self,
+        commit: commit_gate.CommitUnderWay,
         sent: former_commits.SentCommit,
         position: positions.Position | None,
-        *,
-        acknowledged: bool,
-    ) -> None:
-        """Keep for the log that a commit has succeeded, and whether its caller is told so."""
+    ) -> bool:
+        """Return whether the caller of a commit that has succeeded may be told so.
+
+        Keeps for the log that it has; ``position`` is that of its answer.
+        """
+        acknowledged = self.commits.may_acknowledge(commit)
         self.hold.former_commits.note_answered(
             sent,
             position,
             recorded=self.requested or self.commits.awaited,
             acknowledged=acknowledged,
         )
+        return acknowledged
 
     def recorded_promotions(self) -> list[datagrams.RecordedPromotion]:
         """Return the promotions that are known to be recorded and may take effect."""
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -180,8 +180,7 @@
         """
         if not await self.ensure_recorded(successor):
             return end_of_commits.NOT_RECORDED
-        while self.holds_claim() and not self.hold_commits().complete:
-            await asyncio.sleep(claimed_attempt.POLL_S)
+        await self.await_hold()
         started_s = clock.now_s()
         orders_ignored = 0
         statuses: server_commands.Statuses = {}
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -254,8 +254,7 @@
             kept = promotion.keeping(primary)
             if not await self.ensure_recorded(promotion.holding_all(self.requested)):
                 return
-            while self.holds_claim() and not self.hold_commits().complete:
-                await asyncio.sleep(claimed_attempt.POLL_S)
+            await self.await_hold()
         if not await self._leads(primary) or not await self.ensure_recorded(kept):
             return
         while self.holds_claim():
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -126,10 +126,11 @@
             raise
         finally:
             backend.in_flight -= 1
-        if answer.succeeded and commits:
-            acknowledged = self.service.commits.may_acknowledge(commit)
-            self.service.note_commit_answered(sent, answer.position, acknowledged=acknowledged)
-        if answer.succeeded and commits and not acknowledged:
+        if (
+            answer.succeeded
+            and commits
+            and not self.service.may_acknowledge(commit, sent, answer.position)
+        ):
             self.abandon_connection()
             return requests.refuse(
                 requests.Refusal.ABORTED,
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -70,10 +70,7 @@
         raise
     finally:
         backend.in_flight -= 1
-    if answer.succeeded:
-        acknowledged = context.service.commits.may_acknowledge(commit)
-        context.service.note_commit_answered(sent, answer.position, acknowledged=acknowledged)
-    if answer.succeeded and not acknowledged:
+    if answer.succeeded and not context.service.may_acknowledge(commit, sent, answer.position):
         backend.abandon(link)
         return requests.refuse(
             requests.Refusal.OUTCOME_UNKNOWN, "the primary may have been replaced unnoticed"
--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -250,12 +250,13 @@
                 link.begin()
 
             if verb in SLOT_VERBS:
-                orders = verb in ORDER_VERBS
-                work_s = figures.STATUS_S if orders else self._draw_work_s(text)
-                if not orders and self.size.completes_queued:
+                is_order = verb in ORDER_VERBS
+                work_s = figures.STATUS_S if is_order else self._draw_work_s(text)
+                begins_at_once = not is_order and self.size.completes_queued
+                if begins_at_once:
                     begin()
-                    orders = True
-                if not await self.slots[server.name].occupy(work_s, None if orders else begin):
+                at_slot = None if is_order or begins_at_once else begin
+                if not await self.slots[server.name].occupy(work_s, at_slot):
                     return self._refuse(server, link, verb)
             if incoming.closed and not self.size.runs_closed:
                 raise EOFError("the connection was closed before the statement ran")
