--- a/tests/common/member_world.py
+++ b/tests/common/member_world.py
@@ -14,13 +14,17 @@
     """One instance whose first listing has some servers only; the record names all of them."""
 
     def __init__(
-        self, *, listed: collections.abc.Iterable[ids.ServerId], value: bytes | None = None
+        self,
+        *,
+        listed: collections.abc.Iterable[ids.ServerId],
+        value: bytes | None = None,
+        group: database_group.Group | None = None,
     ) -> None:
         self.listed = set(listed)
         self.value = value
         """The record, if it does not name all servers."""
         self.recorded = False
-        super().__init__()
+        super().__init__(group=group)
 
     def list_servers(self) -> None:
         """List the servers in ``listed``; the first time, read the record of all, too."""
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -62,9 +62,10 @@
         *,
         zone: str = "a",
         features: feature_set.Features = feature_set.NO_FEATURES,
+        group: database_group.Group | None = None,
         **changes: object,
     ) -> None:
-        self.group = database_group.Group()
+        self.group = database_group.Group() if group is None else group
         self.promoter = promotion_calls.FakePromoter(group=self.group)
         self.coordination = promotion_calls.FakeCoordination()
         self.directory = directory.Directory(
