--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -66,8 +66,6 @@
         """End of a silent primary that has answered another order as a replica; None without."""
         self.ordered_to_stop = False
         """Whether a primary was ordered to stop under ``term``."""
-        self.ignores_acknowledged = False
-        """Whether commits that no known server has are given up."""
         self.list_read_at_s = float("-inf")
         """When the store was last asked for the list of servers (``clock.now_s``)."""
         self.may_be_paused: set[ids.ServerId] = set()
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 
 from mustardswitch import events, tasks
 from mustardswitch.internal import clock, former_primary, ids, positions, promotion
@@ -24,9 +23,6 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
-GIVE_UP_S = 6.0
-"""Time without an answer of the former primary after which acknowledged commits are given up that
-no known server has; as long as a replica counts whose entry expired."""
 WAIT_REPORT_INTERVAL_S = 1.0
 """Interval of reports about what a change waits for."""
 
@@ -263,8 +259,6 @@
                 read_again = queried_s >= held_since_s and not former_status.leads
                 if read_again and not self.note_end(primary, former_status.received):
                     return STARTED_ANEW
-            if ended_since_s is not None and silent_s >= GIVE_UP_S:
-                report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
             # Another one that lacks nothing is chosen once all are paused.
             behind = status is not None and all(
@@ -346,15 +340,3 @@
         if report.above is None:
             return False
         return all(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
-
-    def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
-        """Return a report without the acknowledged positions, which no known server reaches.
-
-        The servers that had them are gone: without this, the service would stay without a primary.
-        """
-        if report.above is not None and not self.ignores_acknowledged:
-            self.ignores_acknowledged = True
-            events.log(
-                events.Event.ACKNOWLEDGED_IGNORED, service=self.target.name, above=report.above
-            )
-        return dataclasses.replace(report, above=None)
--- a/tests/proxy/test_gaps_in_promotions.py
+++ b/tests/proxy/test_gaps_in_promotions.py
@@ -80,10 +80,9 @@
     assert permission.allows(now_s, registered=True, others=[TWO])
 
 
-async def test_commits_that_only_lost_servers_hold_do_not_end_a_service(monkeypatch):
-    """No server that is known, or will be, has the last acknowledged commit."""
+async def test_commits_that_no_known_server_has_are_waited_for_however_long(monkeypatch):
+    """They were given up after six seconds; the server that has them may be reached again."""
     monkeypatch.setattr(end_of_commits, "PAUSE_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(end_of_commits, "GIVE_UP_S", 0.2)
     world = proxy_world.World()
     above = positions.Position(term=ids.Term(1), offset=ids.Offset(1000))
     world.service.acknowledged.note_acknowledged(
@@ -96,8 +95,14 @@
         complete=True, above=world.service.acknowledged.highest_above(but=B)
     )
     world.group.servers[A].up = False
-    changed = [await takeovers.take_over(world, silent=True) for _ in range(3)]
-    assert any(changed)
+    now_s = clock.now_s
+    monkeypatch.setattr(clock, "now_s", lambda: now_s() + 3600.0)
+    for _ in range(3):
+        changing = asyncio.create_task(takeovers.take_over(world, silent=True))
+        await asyncio.wait({changing}, timeout=2.0)
+        changing.cancel()
+        await asyncio.gather(changing, return_exceptions=True)
+    assert world.promoter.promotion_requests == []
 
 
 async def test_a_replica_that_lacks_acknowledged_commits_goes_on_receiving_them():
