--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -40,7 +40,7 @@
     peer_updates,
     record_source,
     requests,
-    service,
+    server_list,
     session,
 )
 from mustardswitch.proxy import errors as proxy_errors
@@ -68,7 +68,7 @@
         self.relays = relay_client.RelayClient()
         self.directory = directory.Directory(
             instance=config.instance,
-            location=service.Location(zone=config.zone, regions=config.regions),
+            location=server_list.Location(zone=config.zone, regions=config.regions),
             opener=backends.open_link,
             order_opener=backends.open_for_order,
             registry=self.registry,
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -17,7 +17,7 @@
     gateway_placing,
     ports,
     requests,
-    service,
+    server_list,
     stalls,
     statement_context,
     tenant_state,
@@ -94,7 +94,11 @@
         return copied
 
     def order(
-        self, plan: forwarding.GatewayPlan, *, location: service.Location, single_read: bool = False
+        self,
+        plan: forwarding.GatewayPlan,
+        *,
+        location: server_list.Location,
+        single_read: bool = False,
     ) -> list[ids.InstanceId]:
         """Return the gateways in the order in which they are tried."""
         if self.placing is not None:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -4,62 +4,42 @@
 import collections.abc
 import contextlib
 import copy
-import dataclasses
-import time
 
-from mustardswitch import connection_pool, events, metrics
+from mustardswitch import connection_pool, metrics
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import (
     clock,
     commit_permission,
     ids,
-    leadership,
-    members,
     position_history,
     positions,
     promotion,
     suspicion,
     unlisted_servers,
 )
-from mustardswitch.internal.admission import in_turn
-from mustardswitch.internal.placement import read_placement
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import (
-    acknowledged,
     commit_gate,
     commit_holds,
     errors,
     feature_set,
     former_commits,
     leader_changes,
-    placing,
     ports,
     requests,
     server,
+    server_list,
     server_pace,
     stalls,
     tenant_pool,
-    unlisted,
 )
 
 HISTORY_RETENTION_S = 10.0
-"""Largest staleness that reads can accept; several times the staleness limits of the users'
-routes."""
+"""Largest staleness that reads can accept."""
 PROBE_TIMEOUT_S = 0.35
 """Twice the time of a new connection and a query, which take three round trips between regions."""
-IDLE_CONNECTION_S = 5.0
-"""Time after which an unused connection is closed: weighs the cost of opening another one against a
-connection that other instances cannot use while it lingers after a crash."""
 STATUS_TIMEOUT_S = 0.4
 """Time for a status query over a pooled connection; ten round trips between regions."""
-REMOVAL_MEMORY_S = 60.0
-"""Time for which the removal of an entry is remembered."""
-LEAVE_UNSEEN_S = 4.0
-"""Time after an outage of the store in which entries are removed whose servers may have reported
-in it that they leave."""
-EXPIRY_SILENCE_S = 2.5
-"""Least time from the last write of an entry to its expiry, after three missed heartbeats. An entry
-that is removed sooner was removed because its server had left."""
 PERMISSION_POLL_S = 0.05
 """Interval at which a commit that waits for current records looks for them."""
 FINISH_TIMEOUT_S = 1.0
@@ -67,38 +47,14 @@
 answer by then the connection is closed."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Location:
-    """The availability zone of this instance, and the region of each zone."""
-
-    zone: ids.ZoneName
-    regions: collections.abc.Mapping[ids.ZoneName, ids.RegionName]
-
-    def distance(self, zone: ids.ZoneName) -> read_placement.Distance:
-        """Return the distance from this instance to a zone.
-
-        A zone without a known region counts as one of another region.
-        """
-        if zone == self.zone:
-            return read_placement.Distance.ZONE
-        if zone in self.regions and self.regions[zone] == self.regions.get(self.zone):
-            return read_placement.Distance.REGION
-        return read_placement.Distance.OTHER_REGION
-
-
-def _age_s(entry: ports.ServerEntry) -> float | None:
-    """Return the seconds since a server started, by the time of day; None if unknown."""
-    return round(time.time() - entry.started_ms / 1000, 1) if entry.started_ms else None
-
-
-class Service:
+class Service(server_list.ServerList):
     """This instance's state of one service, and its connections to the service's servers."""
 
     def __init__(
         self,
         *,
         name: ids.ServiceName,
-        location: Location,
+        location: server_list.Location,
         opener: ports.LinkOpener,
         order_opener: ports.OrderOpener | None = None,
         registry: metrics.Registry,
@@ -110,42 +66,21 @@
         permitted: collections.abc.Callable[[], bool] = lambda: True,
         listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
     ) -> None:
-        self.paces = paces
-        """Limits of servers that have just started; None when the feature is off."""
-        self.name = name
-        self.location = location
-        self.opener = opener
+        super().__init__(
+            name=name,
+            location=location,
+            opener=opener,
+            registry=registry,
+            features=features,
+            paces=paces,
+            stall_meter=stall_meter,
+            registrations=registrations,
+            listing_s=listing_s,
+        )
         self.order_opener = order_opener or self._open_for_order
         """Opens connections for orders to stop, with more time for a server that is slow."""
-        self.registry = registry
-        self.features = features
-        self.placing = (
-            placing.ServerPlacing(registry=registry, meter=stall_meter) if stall_meter else None
-        )
-        """Judges the servers; None without the feature ``placement``."""
-        self.connections = 1
-        self.serves_tenants = False
-        """Whether each connection serves one tenant, which the server is told."""
-        self.holds_connections = True
-        """Whether this instance is a gateway of the service, or all instances hold connections."""
-        self.servers: dict[ids.ServerId, server.Server] = {}
-        self.unlisted = unlisted.UnlistedServers()
-        """Servers without an entry that may hold acknowledged commits."""
-        self.covered: set[members.Member] = set()
-        """Servers whose processes have ended, and of which another server had all commits."""
-        self.former_primary: server.Server | None = None
-        """The last server whose entry was removed while it led; None if a primary is listed."""
-        self.former_has_left = False
-        """Whether that server has left, as it had announced."""
-        self.listing_s = listing_s
-        """Time from the start of a server until it is listed."""
-        self.seen_listed: set[ids.ServerId] = set()
-        """Servers of which this instance has seen an entry."""
         self.led_until_s = float("-inf")
         """Until when this instance last knew a leader that it does not know any more."""
-        self.server_count = unlisted_servers.ServerCount()
-        self.removed_at_s: dict[ids.ServerId, float] = {}
-        """When servers were removed from the list lately (``clock.now_s``)."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is recorded and may take effect; None without one."""
         self.requested_revision: int | None = None
@@ -154,16 +89,11 @@
         """Why the promotion that this instance requested last was proved; empty without one."""
         self.proved: datagrams.ProvedPromotion | None = None
         """That promotion; None without one."""
-        self.hold = commit_holds.CommitHold(
-            service=name, registry=registry, registrations=registrations
-        )
         self.commits = commit_gate.CommitGate(
             records=self.hold.registrations,
             permission=permission or commit_permission.CommitPermission(),
             permitted=permitted,
         )
-        self.acknowledged = acknowledged.AcknowledgedCommits(service=name, registry=registry)
-        self.leadership = leadership.Leadership()
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
@@ -188,201 +118,6 @@
         on_connected()
         return link
 
-    # Membership
-
-    def apply(self, entries: collections.abc.Iterable[ports.ServerEntry]) -> None:
-        """Update the servers to the platform's list of this service."""
-        listed = {entry.server: entry for entry in entries}
-        for name in set(self.unlisted) & set(listed):
-            del self.unlisted[name]
-        for backend in list(self.servers.values()):
-            entry = listed.get(backend.server)
-            if entry is None:
-                self._note_unlisted(backend)
-                self._remove(backend, "not listed")
-            elif entry.started_ms != backend.entry.started_ms:
-                self._remove(backend, "started anew")
-        for entry in sorted(listed.values(), key=lambda each: each.revision):
-            self._apply_entry(entry)
-        self._note_change()
-
-    def _apply_entry(self, entry: ports.ServerEntry) -> None:
-        backend = self.servers.get(entry.server)
-        role_before = backend.entry.role if backend else None
-        self.seen_listed.add(entry.server)
-        if backend is None:
-            distance = self.location.distance(entry.zone)
-            backend = server.Server(
-                entry=entry,
-                distance=distance,
-                opener=self.opener,
-                connections=self.connections,
-                serves_tenants=self.serves_tenants,
-                on_exchange=self._note_exchange,
-                pace=self.paces.attach(entry, distance) if self.paces is not None else None,
-                features=self.features,
-                on_refusal=self._note_refusal,
-            )
-            backend.pool.reopens_unused = self.holds_connections
-            if self.placing is not None:
-                self.placing.watch(backend)
-            self.servers[entry.server] = backend
-            if self.hold.registrations.is_recent(clock.now_s(), EXPIRY_SILENCE_S):
-                # It may have been written long before this instance started.
-                backend.entry_written_at_s -= EXPIRY_SILENCE_S
-            events.log(
-                events.Event.SERVER_LISTED,
-                service=self.name,
-                server=entry.server,
-                role=entry.role.value,
-                age_s=_age_s(entry),
-                revision=entry.revision,
-                leaving=entry.leaving,
-            )
-        elif backend.entry.revision != entry.revision:
-            backend.entry_written_at_s = clock.now_s()
-        if role_before is not None and backend.entry.leaving != entry.leaving:
-            events.log(
-                events.Event.SERVER_LEAVING,
-                service=self.name,
-                server=entry.server,
-                leaving=entry.leaving,
-                revision=entry.revision,
-            )
-        backend.entry = entry
-        if backend.pace is not None:
-            backend.pace.update(entry)
-        if entry.role is not role_before:
-            note = self.leadership.note_not_leading
-            if entry.role is promotion.Role.PRIMARY:
-                note = self.leadership.note_leading
-            note(entry.server, at_s=clock.now_s())
-
-    def _remove(self, backend: server.Server, why: str) -> None:
-        del self.servers[backend.server]
-        now_s = clock.now_s()
-        self.removed_at_s = {
-            name: at_s
-            for name, at_s in self.removed_at_s.items()
-            if at_s > now_s - REMOVAL_MEMORY_S
-        } | {backend.server: now_s}
-        self.seen_listed &= self.servers.keys() | self.removed_at_s.keys()
-        self.leadership.forget(backend.server)
-        self.acknowledged.forget(backend.server)
-        if self.placing is not None:
-            self.placing.note_removed(backend)
-        backend.close()
-        events.log(
-            events.Event.SERVER_GONE,
-            service=self.name,
-            server=backend.server,
-            reason=why,
-            leaving=backend.entry.leaving,
-            silent_s=round(clock.now_s() - backend.entry_written_at_s, 3),
-        )
-
-    def _note_unlisted(self, backend: server.Server) -> None:
-        """Remember a server that may be running although its entry is gone.
-
-        A leaving server confirms commits until it ends; its entry is removed then, or expires
-        before that if it loses the store. A former primary that lost the store with its lead is a
-        replica, whatever its last entry says.
-        """
-        silent_s = clock.now_s() - backend.entry_written_at_s
-        has_left = backend.entry.leaving and silent_s < EXPIRY_SILENCE_S
-        leader = self.leadership.leader(self.servers)
-        leads = backend.entry.role is promotion.Role.PRIMARY and leader in (None, backend.server)
-        if not has_left and (not leads or self.leadership.has_stopped(backend.server)):
-            self.unlisted.add_replica(backend)
-        elif leads:
-            self.former_primary, self.former_has_left = backend, has_left
-
-    def count_servers(self) -> None:
-        """Count the listed servers, and a former primary; must be called after each change."""
-        counted = dict(self.servers)
-        former = self.former_primary
-        if former is not None and self._stayed_until_removed(former.server):
-            counted.setdefault(former.server, former)
-        leaving = sum(backend.entry.leaving for backend in counted.values())
-        self.server_count.note(len(counted) - leaving, clock.now_s(), leaving=leaving)
-
-    def _stayed_until_removed(self, name: ids.ServerId) -> bool:
-        """Return whether a removed server would have been seen to leave if it had reported that.
-
-        Not if this instance has never seen it listed, nor right after an outage of the store.
-        """
-        removed_at_s = self.removed_at_s.get(name, float("-inf"))
-        recovered_at_s = self.hold.registrations.recovered_at_s
-        return name in self.seen_listed and removed_at_s > recovered_at_s + LEAVE_UNSEEN_S
-
-    def servers_with_commits(self) -> dict[ids.ServerId, server.Server]:
-        """Return the servers that a planned change of primary waits for.
-
-        These are the listed ones, and those whose entries were removed a short time ago.
-        """
-        return self.unlisted.recent() | self.servers
-
-    def possible_holders(self) -> dict[ids.ServerId, server.Server]:
-        """Return all servers that may hold acknowledged commits, however long they are silent."""
-        return self.unlisted.backends() | self.servers
-
-    def known_servers(self) -> dict[ids.ServerId, server.Server]:
-        """Return the listed servers, those without an entry, and the last primary."""
-        former = self.former_primary
-        led = {former.server: former} if former is not None else {}
-        return led | self.possible_holders()
-
-    def is_covered(self, name: ids.ServerId) -> bool:
-        """Return whether another server had all that a server held until its process ended."""
-        backend = self.known_servers().get(name)
-        return backend is not None and unlisted.member_of(backend.entry) in self.covered
-
-    def unlisted_s(self, name: ids.ServerId) -> float:
-        """Return the seconds since a server's entry was removed; 0 while it is listed."""
-        if name in self.servers:
-            return 0.0
-        return clock.now_s() - self.removed_at_s.get(name, float("-inf"))
-
-    def resize(self, connections: int, *, holds_connections: bool = True) -> None:
-        """Hold up to ``connections`` connections to each server from now on."""
-        self.connections = connections
-        self.holds_connections = holds_connections
-        for backend in self.servers.values():
-            backend.pool.resize(connections)
-            backend.pool.reopens_unused = holds_connections
-
-    def set_serves_tenants(self, serves_tenants: bool) -> None:
-        """Open all connections for tenants from now on, or for none.
-
-        The servers are added anew by the next ``apply``; what runs on them ends as it would.
-        """
-        if serves_tenants == self.serves_tenants:
-            return
-        self.serves_tenants = serves_tenants
-        for backend in list(self.servers.values()):
-            self._remove(backend, "tenants were configured or removed")
-
-    def _note_exchange(self) -> None:
-        self.registry.count("connections_exchanged", self.name)
-
-    def _note_refusal(
-        self, reason: in_turn.Reason, request: connection_pool.ConnectionRequest
-    ) -> None:
-        """Count work that a server's pool refused, by reason and by tenant."""
-        self.registry.count("admission_refused", reason.value)
-        if self.serves_tenants:
-            self.registry.count("admission_refused_tenant", request.caller)
-
-    def trim(self) -> None:
-        """Close unused connections; other instances may need them, or this one after a restart."""
-        for backend in self.servers.values():
-            backend.pool.trim(idle_s=IDLE_CONNECTION_S)
-
-    def close(self) -> None:
-        """Close the idle connections to all servers and accept no more statements."""
-        for backend in self.servers.values():
-            backend.close()
-
     # Leadership
 
     @property
@@ -411,13 +146,6 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _note_replaced(self, former: server.Server) -> None:
-        """Record that a primary without an entry leads no more; it may go on as a replica."""
-        self.former_primary = None
-        if former.server not in self.servers and not self.former_has_left:
-            self.unlisted.add_replica(former)
-        self.count_servers()
-
     def note_leading(
         self, leader: ids.ServerId, *, query_sent_at_s: float, position: positions.Position | None
     ) -> None:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -99,7 +99,8 @@
                 self.may_be_paused = set()
             elif not self.request_sent and not self.final_ends.known:
                 self.requested = self.requested_before
-            await asyncio.shield(self._end(self.answering(primary, silent)))
+            asked = self.answering(primary, silent) & self.confirming()
+            await asyncio.shield(self._end(asked | self.may_be_paused))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -326,8 +327,9 @@
                 await asyncio.sleep(claimed_attempt.POLL_S)
                 if self.record is not None:
                     self.hold_commits()
+                answering = self.confirming() | self.commands.answers.keys()
                 statuses = await self.commands.query(
-                    self.possible_holders() - {promoted, primary} | stopped
+                    (self.possible_holders() & answering) - {promoted, primary} | stopped
                 )
                 await self.pause_others(statuses, spared={promoted, primary})
                 for name in stopped & set(statuses):
--- a/src/mustardswitch/proxy/tenant_roles.py
+++ b/src/mustardswitch/proxy/tenant_roles.py
@@ -8,7 +8,7 @@
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.internal.tenants import handover, homes, limits
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import routes, service
+from mustardswitch.proxy import routes, server_list
 
 KEPT_S = 5 * handover.WAIT_S
 """How long earlier lists are kept: longer than the waiting for a share and the filling of its
@@ -19,7 +19,7 @@
     """What the roles depend on."""
 
     instance: ids.InstanceId
-    location: service.Location
+    location: server_list.Location
     forwarder: object | None
     """Forwards to gateways; None where there is a single instance."""
     configuration: routes.Configuration | None
--- a/tests/common/limits_world.py
+++ b/tests/common/limits_world.py
@@ -10,7 +10,7 @@
 from mustardswitch.internal import clock, gateways, ids, registration_list
 from mustardswitch.internal.tenants import handover, homes, limits
 from mustardswitch.peers import datagrams, errors
-from mustardswitch.proxy import coordination, directory, routes, service, tenant_limits
+from mustardswitch.proxy import coordination, directory, routes, server_list, tenant_limits
 
 ZONES = {"a": "north", "b": "north", "c": "south"}
 REGIONS = {ids.ZoneName(zone): ids.RegionName(region) for zone, region in ZONES.items()}
@@ -37,7 +37,7 @@
 
     def __init__(self, *, instance: str, zone: str) -> None:
         self.instance = ids.InstanceId(instance)
-        self.location = service.Location(zone=ids.ZoneName(zone), regions=REGIONS)
+        self.location = server_list.Location(zone=ids.ZoneName(zone), regions=REGIONS)
         self.configuration: routes.Configuration | None = None
         self.forwarder = object()
         self.plans = {}
--- a/tests/common/proxy_world.py
+++ b/tests/common/proxy_world.py
@@ -11,6 +11,7 @@
     feature_set,
     requests,
     routes,
+    server_list,
     service,
     session,
 )
@@ -70,7 +71,7 @@
         self.coordination = promotion_calls.FakeCoordination()
         self.directory = directory.Directory(
             instance=ids.InstanceId("one"),
-            location=service.Location(zone=ids.ZoneName(zone), regions=REGIONS),
+            location=server_list.Location(zone=ids.ZoneName(zone), regions=REGIONS),
             opener=self.group.open_link,
             registry=metrics.Registry(),
             features=features,
--- a/tests/common/store_world.py
+++ b/tests/common/store_world.py
@@ -8,7 +8,7 @@
 from mustardswitch.internal import clock, ids, revisions
 from mustardswitch.peers import datagrams
 from mustardswitch.platform import follower, records, store
-from mustardswitch.proxy import coordination, directory, fleet_records, service
+from mustardswitch.proxy import coordination, directory, fleet_records, server_list
 from mustardswitch_standins import fleet, http_store
 from tests.common import platform_records
 
@@ -22,7 +22,7 @@
     """Build the empty directory of an instance."""
     return directory.Directory(
         instance=ids.InstanceId(instance),
-        location=service.Location(zone=ids.ZoneName("puget-a"), regions={}),
+        location=server_list.Location(zone=ids.ZoneName("puget-a"), regions={}),
         opener=fail_to_open,
         registry=metrics.Registry(),
     )
--- a/tests/proxy/test_coverage.py
+++ b/tests/proxy/test_coverage.py
@@ -7,7 +7,7 @@
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids
-from mustardswitch.proxy import coverage, service, unlisted
+from mustardswitch.proxy import coverage, server_list, unlisted
 from tests.common import proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -26,7 +26,7 @@
     """Remove the entry of a replica that confirms a commit right before."""
     world.group.commit(world.group.primary, "latest")
     world.group.servers[C].up = up
-    takeovers.lose_entry(world, C, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, C, silent_s=server_list.EXPIRY_SILENCE_S)
 
 
 async def _check(world: proxy_world.World, times: int = 4) -> None:
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -13,7 +13,7 @@
     member_records,
     ports,
     requests,
-    service,
+    server_list,
     unlisted,
 )
 from mustardswitch_standins import database_group
@@ -338,7 +338,7 @@
 async def test_a_primary_whose_entry_expired_before_the_holder_started_loses_no_commit():
     """The instances that had seen it listed wrote the record without it."""
     earlier = proxy_world.World()
-    takeovers.lose_entry(earlier, A, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(earlier, A, silent_s=server_list.EXPIRY_SILENCE_S)
     recorded = member_records.encode(member_records.counted_entries(earlier.service))
     world = member_world.MemberWorld(listed=[B, C], value=recorded)
     world.service.unlisted.pop(A, None)
@@ -349,7 +349,7 @@
 async def test_a_former_primary_stays_recorded_as_a_replica_when_another_server_leads():
     """It may go on without an entry, and confirm the commits of its successor."""
     world = proxy_world.World()
-    takeovers.lose_entry(world, A, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, A, silent_s=server_list.EXPIRY_SILENCE_S)
     recorded = {entry.server for entry in member_records.counted_entries(world.service)}
     assert recorded == {A, B, C}
     world.group.promote(B)
--- a/tests/proxy/test_replica_without_an_entry.py
+++ b/tests/proxy/test_replica_without_an_entry.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mustardswitch.internal import clock, ids, positions
-from mustardswitch.proxy import end_of_commits, member_records, ports, service
+from mustardswitch.proxy import end_of_commits, member_records, ports, server_list
 from mustardswitch_standins import database_group
 from tests.common import member_world, proxy_world, takeovers
 
@@ -15,7 +15,7 @@
 async def _hand_over_without_an_entry() -> tuple[proxy_world.World, bytes]:
     """Replace a primary that lost its entry; returns what its instance records afterwards."""
     world = proxy_world.World()
-    takeovers.lose_entry(world, A, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, A, silent_s=server_list.EXPIRY_SILENCE_S)
     world.service.note_not_leading(A, query_sent_at_s=clock.now_s())
     world.group.promote(B)
     takeovers.expire_entry(world, A)
--- a/tests/proxy/test_takeover.py
+++ b/tests/proxy/test_takeover.py
@@ -15,7 +15,7 @@
     failover_watch,
     ports,
     requests,
-    service,
+    server_list,
     successor_choice,
     takeover,
     unlisted,
@@ -135,7 +135,7 @@
     world = proxy_world.World()
     world.group.servers[B].leaving = True
     world.list_servers()
-    takeovers.lose_entry(world, B, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, B, silent_s=server_list.EXPIRY_SILENCE_S)
     world.service.servers[A].entry = dataclasses.replace(
         world.service.servers[A].entry, leaving=True
     )
--- a/tests/proxy/test_tenants.py
+++ b/tests/proxy/test_tenants.py
@@ -21,7 +21,7 @@
     forwarded,
     requests,
     routes,
-    service,
+    server_list,
     session,
     tenant_pool,
 )
@@ -295,7 +295,7 @@
         world = proxy_world.World()
         known = directory.Directory(
             instance=ids.InstanceId("entry"),
-            location=service.Location(zone=zone, regions=tenant_builders.REGIONS),
+            location=server_list.Location(zone=zone, regions=tenant_builders.REGIONS),
             opener=world.group.open_link,
             registry=metrics.Registry(),
             forwarder=forwarded.Forwarder(client=relay_client.RelayClient()),
