--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -43,8 +43,7 @@
 PERMISSION_POLL_S = 0.05
 """Interval at which a commit that waits for current records looks for them."""
 FINISH_TIMEOUT_S = 1.0
-"""Time for the answer to the last command on a connection before it returns to the pool; without an
-answer by then the connection is closed."""
+"""Time for the answer to the last command on a connection before it is closed."""
 
 
 class Service(server_list.ServerList):
