--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions
+from mustardswitch.internal import clock, ids, positions, promotion, revisions, server_contact
 from mustardswitch.proxy import (
     commit_holds,
     errors,
@@ -194,12 +194,20 @@
             self.recorded_end = stopped
 
     def _required_end(self) -> positions.Position | None:
-        """Return the end of a primary that was stopped before, while that server counts."""
+        """Return the end of a primary that was stopped before, unless its process has ended."""
         stopped = self.recorded_end
-        counts = stopped is not None and stopped.server in self.confirming()
+        counts = stopped is not None and self._may_run(stopped.server)
         ends = [stopped.end if counts else None, self.replica_end]
         return max((end for end in ends if end is not None), default=None)
 
+    def _may_run(self, name: ids.ServerId) -> bool:
+        """Return whether a server is listed, or known and not found without a process."""
+        backend = self.target.known_servers().get(name)
+        if backend is None or name in self.target.servers:
+            return backend is not None
+        contact = backend.contacts.latest()
+        return contact is None or contact.sign is not server_contact.Sign.NOT_LISTENING
+
     # Servers
 
     def confirming(self) -> set[ids.ServerId]:
