--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -169,12 +169,12 @@
     if not evidence.commits_held:
         # A stopped primary that crashes leads again when it returns.
         return None
+    if lacks_acknowledged(status, evidence.acknowledged_above):
+        return None
     if evidence.stopped_end is not None:
         return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
     if not evidence.former_primary.has_ended:
         return None
-    if lacks_acknowledged(status, evidence.acknowledged_above):
-        return None
     if not evidence.unlisted_may_hold and _has_highest_paused_log(server, evidence):
         return Proof.ALL_PAUSED
     acknowledged = evidence.acknowledged_end
