--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -248,10 +248,12 @@
         return max(shown, default=None)
 
     def forget(self, server: ids.ServerId) -> None:
-        """Drop what a server has shown, since it may return with another log."""
+        """Drop what a server has shown, since it may return with another log.
+
+        What it has acknowledged is kept.
+        """
         self.shown.pop(server, None)
         self.ends.pop(server, None)
-        self.recent.pop(server, None)
 
     def note_promoted(self, server: ids.ServerId, end: positions.Position, *, now_s: float) -> None:
         """Record the end of a log with which a server is about to be promoted."""
@@ -297,6 +299,7 @@
         if others:
             kept = {leader, max(others, key=_by_shown).server}
             self.latest = {name: self.latest[name] for name in self.latest.keys() & kept}
+            self.recent = {name: self.recent[name] for name in self.recent.keys() & kept}
         change = self._change_to(leader, last, now_s)
         found = self._found(leader, last)
         if found is None and now_s < change.since_s + REPORT_INTERVAL_S:
