--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -131,8 +131,10 @@
     )
     """Ends of logs that an earlier holder has read after commits had ended, so that they are not
     longer now. These servers need not answer again."""
-    covered: collections.abc.Set[ids.ServerId] = frozenset()
-    """Servers whose processes have ended, and of which another server had all commits by then."""
+    covered: collections.abc.Mapping[ids.ServerId, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Servers whose processes have ended, and positions that they held nothing above."""
     unnamed: collections.abc.Set[ids.ServerId] = frozenset()
     """Servers in whose place another one answers, whose name is not known; none is promoted."""
     acknowledged_above: positions.Position | None = None
@@ -189,12 +191,14 @@
         return False
     ends = [each.received for each in evidence.paused.values()]
     ends += [end for name, end in evidence.final_ends.items() if name in evidence.expected]
-    return evidence.paused[server].received == max(ends)
+    covered = [end for name, end in evidence.covered.items() if name in evidence.expected]
+    received = evidence.paused[server].received
+    return received == max(ends) and all(received >= end for end in covered)
 
 
 def missing_servers(evidence: Evidence) -> set[ids.ServerId]:
     """Return the servers that may have confirmed commits, and whose logs are not known."""
-    known = evidence.paused.keys() | evidence.final_ends.keys() | evidence.covered
+    known = evidence.paused.keys() | evidence.final_ends.keys() | evidence.covered.keys()
     return set(evidence.expected - known)
 
 
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -218,18 +218,17 @@
         """Return all servers that may hold acknowledged commits, as far as they are known now."""
         return set(self.target.possible_holders())
 
-    def covered(self, *, since_s: float) -> set[ids.ServerId]:
+    def covered(self, *, since_s: float) -> dict[ids.ServerId, positions.Position]:
         """Return the servers that were found without a process since then, and are covered.
 
         One whose place another process has taken is no such server.
         """
-        return {
-            name
+        found = {
+            name: self.target.covered_end(name)
             for name, backend in self.target.possible_holders().items()
-            if self.target.is_covered(name)
-            and name not in self.commands.unnamed
-            and backend.contacts.ended_since(since_s)
+            if name not in self.commands.unnamed and backend.contacts.ended_since(since_s)
         }
+        return {name: end for name, end in found.items() if end is not None}
 
     async def pause_others(
         self,
--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -11,7 +11,7 @@
 
 from mustardswitch import events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, gateways, ids, server_contact
+from mustardswitch.internal import clock, gateways, ids, positions, server_contact
 from mustardswitch.proxy import (
     contact_signs,
     directory,
@@ -28,6 +28,8 @@
 RETRY_S = 0.5
 """Pause after the first attempt; it doubles up to the limit."""
 RETRY_LIMIT_S = 8.0
+REPEATS = 2
+"""Pauses after which a covered server is asked again; one that runs again is not covered."""
 ATTEMPT_S = 0.5
 """Time for opening a connection."""
 RECEIVE_S = 1.0
@@ -58,7 +60,7 @@
         wanted = set()
         for name, target in self.directory.services.items():
             self._drop(target)
-            missing = self._uncovered(target)
+            missing = self._ended_or_unlisted(target)
             wanted |= {(name, each.server) for each in missing}
             running = self.asking.get(name)
             due = [each for each in missing if self._is_due(name, each.server)]
@@ -66,20 +68,17 @@
                 self.asking[name] = target.start(self._ask(target, due))
         self.due_at_s = {key: due for key, due in self.due_at_s.items() if key in wanted}
 
-    def _uncovered(self, target: service.Service) -> list[server.Server]:
-        """Return the servers without an entry or a process that are not covered yet."""
+    def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
+        """Return the servers without an entry, and those without a process that are not covered."""
         not_listening = server_contact.Sign.NOT_LISTENING
         ended = [
             backend
             for backend in target.servers.values()
-            if (contact := backend.contacts.latest()) is not None and contact.sign is not_listening
-        ]
-        unlisted_servers = target.unlisted.backends().values()
-        return [
-            backend
-            for backend in (*unlisted_servers, *ended)
-            if unlisted.member_of(backend.entry) not in target.covered
+            if (contact := backend.contacts.latest()) is not None
+            and contact.sign is not_listening
+            and unlisted.member_of(backend.entry) not in target.covered
         ]
+        return [*target.unlisted.backends().values(), *ended]
 
     def _is_due(self, service_name: ids.ServiceName, name: ids.ServerId) -> bool:
         now_s, key = clock.now_s(), (service_name, name)
@@ -95,11 +94,21 @@
 
     async def _review(self, target: service.Service, backend: server.Server) -> None:
         """Record that a server is covered if it has ended and another one has all commits."""
-        key = target.name, backend.server
+        key, member = (target.name, backend.server), unlisted.member_of(backend.entry)
         _, pause_s = self.due_at_s.get(key, (0.0, RETRY_S))
-        if await self._has_ended(target, backend) and await self._has_all(target, backend):
-            target.covered.add(unlisted.member_of(backend.entry))
-            events.log(events.Event.SERVER_COVERED, service=target.name, server=backend.server)
+        ended = await self._has_ended(target, backend)
+        if ended and member not in target.covered:
+            end = await self._received_end(target, backend)
+            if end is not None:
+                target.covered.add(member, end)
+                events.log(
+                    events.Event.SERVER_COVERED,
+                    service=target.name,
+                    server=backend.server,
+                    end=end,
+                )
+        if member in target.covered:
+            pause_s = REPEATS * RETRY_S
         self.due_at_s[key] = clock.now_s() + pause_s, min(2 * pause_s, RETRY_LIMIT_S)
 
     async def _has_ended(self, target: service.Service, backend: server.Server) -> bool:
@@ -114,34 +123,35 @@
         link.close()
         if named:
             backend.contacts.note(server_contact.Sign.ANSWERED)
-        target.unlisted.note_running(backend.server)
+        target.note_running(backend)
         return False
 
-    async def _has_all(self, target: service.Service, backend: server.Server) -> bool:
-        """Return whether a replica has received the present end of the primary's log."""
+    async def _received_end(
+        self, target: service.Service, backend: server.Server
+    ) -> positions.Position | None:
+        """Return the present end of the primary's log once a replica has it; None if none has."""
         leader = target.leader
         if leader is None or leader is backend:
-            return False
+            return None
         primary = await target.query_status(leader)
         if primary is None or not primary.leads:
-            return False
+            return None
         ends_s = clock.now_s() + RECEIVE_S
         while clock.now_s() < ends_s:
             replicas = [each for each in target.servers.values() if each not in (leader, backend)]
             statuses = await asyncio.gather(*map(target.query_status, replicas))
             if target.leader is not leader:
-                return False
+                return None
             known = [each for each in statuses if each is not None and not each.leads]
             if any(each.received >= primary.received for each in known):
-                return True
+                return primary.received
             await asyncio.sleep(POLL_S)
-        return False
+        return None
 
     def _drop(self, target: service.Service) -> None:
         """Forget covered servers once no server of the service is missing without them."""
-        target.covered &= {
-            unlisted.member_of(backend.entry) for backend in target.known_servers().values()
-        }
+        known = target.known_servers().values()
+        target.covered.keep({unlisted.member_of(backend.entry) for backend in known})
         if target.leader is None or target.requested is not None or target.server_count.missing > 0:
             return
         for name, known in list(target.unlisted.items()):
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -81,7 +81,7 @@
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
         former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
         unlisted_may_hold: bool = False,
-        covered: collections.abc.Set[ids.ServerId] = frozenset(),
+        covered: collections.abc.Mapping[ids.ServerId, positions.Position] | None = None,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         self.commands.former_state = former
@@ -97,7 +97,7 @@
             acknowledged_above=report.above,
             acknowledged_end=report.acknowledged_end,
             unlisted_may_hold=unlisted_may_hold,
-            covered=covered,
+            covered=covered or {},
             unnamed=self.commands.unnamed,
         )
         return promotion.choose(
@@ -294,7 +294,7 @@
                 avoided={primary},
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
-                covered=set() if ended_since_s is None else self.covered(since_s=ended_since_s),
+                covered={} if ended_since_s is None else self.covered(since_s=ended_since_s),
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 return choice
--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -12,7 +12,8 @@
 import json
 
 from mustardswitch import events
-from mustardswitch.internal import change_log, clock, ids, members, promotion
+from mustardswitch.internal import change_log, clock, ids, members, positions, promotion
+from mustardswitch.internal import errors as internal_errors
 from mustardswitch.proxy import errors, ports, server, service, unlisted
 
 MAX_MEMBERS = 64
@@ -36,8 +37,10 @@
     """Empty for a record that cannot be decoded."""
     revision: int = 0
     """0 without a record."""
-    covered: frozenset[members.Member] = frozenset()
-    """Members whose processes have ended, and of which another server had all commits."""
+    covered: collections.abc.Mapping[members.Member, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Members whose processes have ended, and positions that they held nothing above."""
     is_durable: bool = True
     """Whether it keeps servers until they are covered; builds before dropped them after seconds."""
 
@@ -75,17 +78,19 @@
 
 def covered_members(
     target: service.Service, entries: collections.abc.Iterable[ports.ServerEntry]
-) -> frozenset[members.Member]:
-    """Return those of the members that are covered."""
-    return frozenset(map(unlisted.member_of, entries)) & target.covered
+) -> dict[members.Member, positions.Position]:
+    """Return those of the members that are covered, and the positions."""
+    counted = set(map(unlisted.member_of, entries))
+    return {member: end for member, end in target.covered.ends.items() if member in counted}
 
 
 def encode(
     entries: collections.abc.Iterable[ports.ServerEntry],
     *,
-    covered: collections.abc.Set[members.Member] = frozenset(),
+    covered: collections.abc.Mapping[members.Member, positions.Position] | None = None,
 ) -> bytes:
     """Encode the members of a service."""
+    ends = covered or {}
     record = [
         {
             "server": entry.server,
@@ -96,7 +101,7 @@
             "started_ms": entry.started_ms,
             "role": entry.role.value,
             "leaving": entry.leaving,
-            "covered": unlisted.member_of(entry) in covered,
+            "covered": str(ends.get(unlisted.member_of(entry), "")),
         }
         for entry in _limited(entries)
     ]
@@ -116,15 +121,22 @@
     return MemberRecord(
         entries=tuple(entries),
         revision=revision,
-        covered=frozenset(
-            unlisted.member_of(entry)
-            for entry, covered in zip(entries, marks, strict=True)
-            if covered is True
-        ),
+        covered={
+            unlisted.member_of(entry): _decode_end(mark)
+            for entry, mark in zip(entries, marks, strict=True)
+            if mark
+        },
         is_durable=None not in marks,
     )
 
 
+def _decode_end(text: object) -> positions.Position:
+    try:
+        return positions.parse_position(text if isinstance(text, str) else "")
+    except internal_errors.InvalidPositionError as error:
+        raise errors.FleetRecordError(f"field covered: {error}") from error
+
+
 def _decode_list(name: ids.ServiceName, value: bytes) -> list[object]:
     if len(value) > MAX_RECORD_BYTES:
         raise errors.FleetRecordError(f"members of {name}: longer than {MAX_RECORD_BYTES} bytes")
@@ -271,7 +283,7 @@
         known, record = self._known(target.name), self.record(target.name)
         for backend in target.servers.values():
             known.add(unlisted.member_of(backend.entry))
-        target.covered |= record.covered
+        target.covered.note_record(record.covered, record.revision)
         if record.entries and record.is_durable:
             target.unlisted.note_record(record.members, record.revision)
         for entry in record.entries:
--- a/src/mustardswitch/proxy/server_commands.py
+++ b/src/mustardswitch/proxy/server_commands.py
@@ -112,7 +112,7 @@
             link = await self._link(backend)
             status = await query(link)
             backend.contacts.note(server_contact.Sign.ANSWERED)
-            self.target.unlisted.note_running(name)
+            self.target.note_running(backend)
             self.refusing.discard(name)
             return status
         except (backend_errors.BackendError, TimeoutError) as error:
--- a/src/mustardswitch/proxy/server_list.py
+++ b/src/mustardswitch/proxy/server_list.py
@@ -9,7 +9,7 @@
     clock,
     ids,
     leadership,
-    members,
+    positions,
     promotion,
     unlisted_servers,
 )
@@ -101,7 +101,7 @@
         self.servers: dict[ids.ServerId, server.Server] = {}
         self.unlisted = unlisted.UnlistedServers()
         """Servers without an entry that may hold acknowledged commits."""
-        self.covered: set[members.Member] = set()
+        self.covered = unlisted.CoveredServers()
         """Servers whose processes have ended, and of which another server had all commits."""
         self.former_primary: server.Server | None = None
         """The last server whose entry was removed while it led; None if a primary is listed."""
@@ -278,10 +278,15 @@
         led = {former.server: former} if former is not None else {}
         return led | self.possible_holders()
 
-    def is_covered(self, name: ids.ServerId) -> bool:
-        """Return whether another server had all that a server held until its process ended."""
+    def covered_end(self, name: ids.ServerId) -> positions.Position | None:
+        """Return the position at or below which a server that has ended held all; None if not."""
         backend = self.known_servers().get(name)
-        return backend is not None and unlisted.member_of(backend.entry) in self.covered
+        return None if backend is None else self.covered.ends.get(unlisted.member_of(backend.entry))
+
+    def note_running(self, backend: server.Server) -> None:
+        """Record that a server, or an unlisted one in its place, has answered."""
+        self.unlisted.note_running(backend.server)
+        self.covered.note_running(unlisted.member_of(backend.entry))
 
     def unlisted_s(self, name: ids.ServerId) -> float:
         """Return the seconds since a server's entry was removed; 0 while it is listed."""
--- a/src/mustardswitch/proxy/unlisted.py
+++ b/src/mustardswitch/proxy/unlisted.py
@@ -9,7 +9,7 @@
 import collections.abc
 import dataclasses
 
-from mustardswitch.internal import clock, ids, members, promotion, revisions
+from mustardswitch.internal import clock, ids, members, positions, promotion, revisions
 from mustardswitch.proxy import ports, server
 
 RECENT_S = 6.0
@@ -35,6 +35,62 @@
     return entry.server, entry.started_ms
 
 
+class CoveredServers:
+    """The servers whose processes have ended, and the positions that another one had by then.
+
+    A server of that name holds nothing above its position, so a log that reaches it lacks none of
+    its commits.
+    """
+
+    def __init__(self) -> None:
+        self.ends: dict[members.Member, positions.Position] = {}
+        self.added: set[members.Member] = set()
+        """Those that the record of members does not name yet."""
+        self.run_again: set[members.Member] = set()
+        """Those that the record names although they have been found to run since."""
+        self.revision = 0
+        """The store's revision of the record that was compared last."""
+
+    def __repr__(self) -> str:
+        return f"CoveredServers(ends={self.ends!r})"
+
+    def __contains__(self, member: members.Member) -> bool:
+        return member in self.ends
+
+    def add(self, member: members.Member, end: positions.Position) -> None:
+        """Record that a server has ended, and that another one has the log up to ``end``."""
+        self.ends[member] = end
+        self.added.add(member)
+        self.run_again.discard(member)
+
+    def note_running(self, member: members.Member) -> None:
+        """Record that a server, or another one in its place, runs."""
+        if self.ends.pop(member, None) is not None:
+            self.added.discard(member)
+            self.run_again.add(member)
+
+    def note_record(
+        self,
+        recorded: collections.abc.Mapping[members.Member, positions.Position],
+        revision: int,
+    ) -> None:
+        """Apply what the record of members tells, unless it was applied before."""
+        if revision == self.revision:
+            return
+        self.revision = revision
+        self.added -= recorded.keys()
+        self.run_again &= recorded.keys()
+        own = {member: self.ends[member] for member in self.added}
+        others = {each: end for each, end in recorded.items() if each not in self.run_again}
+        self.ends = others | own
+
+    def keep(self, known: collections.abc.Set[members.Member]) -> None:
+        """Forget the servers that are not known any more."""
+        self.ends = {member: end for member, end in self.ends.items() if member in known}
+        self.added &= known
+        self.run_again &= known
+
+
 class UnlistedServers(dict[ids.ServerId, UnlistedServer]):
     """The servers without an entry that count, by name."""
 
--- a/tests/proxy/test_coverage.py
+++ b/tests/proxy/test_coverage.py
@@ -7,7 +7,7 @@
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids
-from mustardswitch.proxy import coverage, server_list, unlisted
+from mustardswitch.proxy import coverage, server_list
 from tests.common import proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -39,7 +39,7 @@
 
 
 def _is_covered(world: proxy_world.World) -> bool:
-    return unlisted.member_of(_entry(world, C)) in world.service.covered
+    return world.service.covered_end(C) is not None
 
 
 def _entry(world: proxy_world.World, name: ids.ServerId):
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -17,7 +17,7 @@
     unlisted,
 )
 from mustardswitch_standins import database_group
-from tests.common import member_world, platform_records, proxy_world, takeovers
+from tests.common import builders, member_world, platform_records, proxy_world, takeovers
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
 ORDERS = ids.ServiceName("orders")
@@ -195,11 +195,37 @@
 async def test_what_a_record_tells_of_covered_members_is_kept():
     world = member_world.MemberWorld(listed=[C])
     entries = world.group.entries()
-    covered = frozenset({unlisted.member_of(each) for each in entries if each.server == B})
+    end = builders.position(1, 7)
+    covered = {unlisted.member_of(each): end for each in entries if each.server == B}
     world.record(member_records.encode(entries, covered=covered), revision=6)
     world.directory.refresh()
-    assert world.service.is_covered(B)
-    assert not world.service.is_covered(A)
+    assert world.service.covered_end(B) == end
+    assert world.service.covered_end(A) is None
+
+
+async def test_a_member_that_runs_again_is_covered_no_more_until_it_is_found_ended_again():
+    world = member_world.MemberWorld(listed=[C])
+    entries = world.group.entries()
+    covered = {unlisted.member_of(each): builders.position(1, 7) for each in entries}
+    world.record(member_records.encode(entries, covered=covered), revision=6)
+    world.directory.refresh()
+    world.service.note_running(world.service.unlisted[B].backend)
+    assert world.service.covered_end(B) is None
+    # Another instance writes the record, and does not know of it.
+    world.record(member_records.encode(entries, covered=covered), revision=7)
+    world.directory.refresh()
+    assert world.service.covered_end(B) is None
+    assert unlisted.member_of(world.service.unlisted[B].backend.entry) not in (
+        member_records.covered_members(world.service, entries)
+    )
+
+
+@pytest.mark.parametrize("odd", [True, 5, "x", [], {}])
+def test_a_member_with_an_odd_covered_position_is_rejected(odd):
+    record = json.loads(member_records.encode([ENTRY]))
+    record[0]["covered"] = odd or "-"
+    with pytest.raises(errors.FleetRecordError):
+        member_records.decode_record(ORDERS, json.dumps(record).encode(), revision=1)
 
 
 async def test_a_server_that_was_listed_and_left_is_not_taken_from_the_record():
