--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -140,6 +140,9 @@
     acknowledged_end: positions.Position | None = None
     """A position that no acknowledged commit is above; None while an instance may have acknowledged
     commits that it does not tell of."""
+    recorded: ids.ServerId | None = None
+    """What is recorded, for which commits are held. A server that is recorded may have taken
+    commits since the instances told of theirs."""
     unlisted_may_hold: bool = False
     """Whether a server that runs and is not listed yet may have confirmed a commit."""
 
@@ -178,9 +181,15 @@
     if not evidence.unlisted_may_hold and _has_highest_paused_log(server, evidence):
         return Proof.ALL_PAUSED
     acknowledged = evidence.acknowledged_end
-    if acknowledged is not None and status.received >= acknowledged:
-        return Proof.ALL_ACKNOWLEDGED
-    return None
+    if acknowledged is None or not _is_complete_for(server, evidence):
+        return None
+    return Proof.ALL_ACKNOWLEDGED if status.received >= acknowledged else None
+
+
+def _is_complete_for(server: ids.ServerId, evidence: Evidence) -> bool:
+    """Return whether any commit that the instances do not tell of is in a server's own log."""
+    recorded = evidence.recorded
+    return recorded is not None and (server == recorded or lets_no_commits_pass(recorded))
 
 
 def _has_highest_paused_log(server: ids.ServerId, evidence: Evidence) -> bool:
--- a/src/mustardswitch/internal/registration_list.py
+++ b/src/mustardswitch/internal/registration_list.py
@@ -11,6 +11,9 @@
 Key = typing.TypeVar("Key")
 Entry = typing.TypeVar("Entry")
 
+MAX_REMOVED = 256
+"""Removed entries whose keys are kept."""
+
 OVERWRITTEN_RETENTION_S = 4.0
 """Seconds after which an entry that another writer has overwritten is dropped; as long as an entry
 that is not written again takes to expire. A server that runs writes its own again before that."""
@@ -36,6 +39,15 @@
         (``clock.now_s``)."""
         self.revision = 0
         """The highest revision of the store that was received."""
+        self.removed_at_s: dict[Key, float] = {}
+        """When entries were removed that were not written again (``clock.now_s``), oldest first."""
+        self.others_removed_by_s = float("-inf")
+        """By when those were removed that are not kept."""
+
+    @property
+    def last_removed_s(self) -> float:
+        """When an entry was removed last that was not written again; minus infinite if none was."""
+        return max([self.others_removed_by_s, *self.removed_at_s.values()])
 
     def age_s(self, now_s: float) -> float:
         """Return the seconds since the store last confirmed the list; infinite before that."""
@@ -69,6 +81,7 @@
         """Add or change an entry."""
         self.entries[key] = entry
         self.expired.discard(key)
+        self.removed_at_s.pop(key, None)
         if not self.expired:
             self.kept_since_s = float("inf")
         self.overwritten.pop(key, None)
@@ -87,7 +100,17 @@
             self.kept_since_s = min(self.kept_since_s, now_s)
             self.expired.add(key)
         else:
-            del self.entries[key]
+            self._drop(key, now_s)
+
+    def _drop(self, key: Key, now_s: float) -> None:
+        self.overwritten.pop(key, None)
+        if self.entries.pop(key, None) is None:
+            return
+        self.removed_at_s[key] = now_s
+        if len(self.removed_at_s) > MAX_REMOVED:
+            oldest = next(iter(self.removed_at_s))
+            removed_at_s = self.removed_at_s.pop(oldest)
+            self.others_removed_by_s = max(self.others_removed_by_s, removed_at_s)
 
     def is_listed(self, key: Key) -> bool:
         """Return whether the latest reading had an entry."""
@@ -110,8 +133,7 @@
             if now_s >= since_s + OVERWRITTEN_RETENTION_S
         }
         for key in dropped:
-            self.entries.pop(key, None)
-            self.overwritten.pop(key, None)
+            self._drop(key, now_s)
         self.expired = set()
         self.kept_since_s = float("inf")
         return bool(dropped)
--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -13,13 +13,12 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import former_primary, ids, positions
-from mustardswitch.peers import errors
+from mustardswitch.peers import datagram_fields, errors, told_commits
 
 MAX_BYTES = 1200
 """Fits one packet on any usual network link."""
 MAX_VOTES = 8
 """Votes in one datagram; those for more services go into further datagrams."""
-MAX_NUMBER = 1 << 63
 MAX_PROMOTIONS = 8
 """Recorded promotions, and confirmations, in one datagram."""
 
@@ -55,6 +54,8 @@
     """The revision that was announced."""
     above: positions.Position | None = None
     """A position below a commit that was acknowledged through the sender; None without one."""
+    told: told_commits.ToldCommits | None = None
+    """None if the sender does not tell."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +130,7 @@
     if update.new_primary is not None:
         fields["leading"] = [update.new_primary.service, update.new_primary.server]
     if update.proved is not None:
-        end = _encode_position(update.proved.end)
+        end = datagram_fields.encode_position(update.proved.end)
         fields["proved"] = [update.proved.service, update.proved.server, end]
     if update.new_primary is not None or update.proved is not None:
         fields["summary"] = update.summary
@@ -145,9 +146,12 @@
         ]
     if update.held:
         fields["held"] = [
-            [each.service, each.server, each.revision, _encode_position(each.above)]
+            [each.service, each.server, each.revision, datagram_fields.encode_position(each.above)]
             for each in update.held
         ]
+        if any(each.told is not None for each in update.held):
+            # Beside "held", whose rows earlier builds take in one length only.
+            fields["acknowledged"] = [told_commits.encode(each.told) for each in update.held]
     if update.stop_orders:
         fields["stop"] = [_encode_order(each) for each in update.stop_orders]
     if update.primary_reports:
@@ -155,28 +159,20 @@
             [
                 *_encode_order(each.order),
                 each.report.order.value,
-                _encode_position(each.report.end),
-                _encode_age(each.report.answered_s),
-                _encode_age(each.report.connected_s),
-                _encode_age(each.report.refused_s),
+                datagram_fields.encode_position(each.report.end),
+                datagram_fields.encode_age(each.report.answered_s),
+                datagram_fields.encode_age(each.report.connected_s),
+                datagram_fields.encode_age(each.report.refused_s),
             ]
             for each in update.primary_reports
         ]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
-def _encode_position(position: positions.Position | None) -> list[int] | None:
-    return None if position is None else [position.term, position.offset]
-
-
 def _encode_order(order: StopOrder) -> list[object]:
     return [order.service, order.server, order.term]
 
 
-def _encode_age(age_s: float) -> float | None:
-    return None if age_s == former_primary.NEVER_S else round(age_s, 3)
-
-
 def _decode_primary(value: object) -> PrimaryRef:
     if not isinstance(value, list) or len(value) != 2:
         raise errors.InvalidDatagramError("expected a pair of service and server")
@@ -190,40 +186,24 @@
         raise errors.InvalidDatagramError("expected a service, a server and a position")
     primary = _decode_primary(value[:2])
     return ProvedPromotion(
-        service=primary.service, server=primary.server, end=_decode_position(value[2])
+        service=primary.service,
+        server=primary.server,
+        end=datagram_fields.decode_position(value[2]),
     )
 
 
-def _decode_list(value: object, limit: int) -> list:
-    if not isinstance(value, list) or len(value) > limit:
-        raise errors.InvalidDatagramError(f"expected a list of at most {limit} items")
-    return value
-
-
-def _decode_number(value: object) -> int:
-    if type(value) is not int or not 0 <= value < MAX_NUMBER:
-        raise errors.InvalidDatagramError(f"expected a whole number below {MAX_NUMBER}")
-    return value
-
-
-def _decode_time(value: object) -> float | None:
-    if value is None:
-        return None
-    if type(value) not in (int, float) or not -MAX_NUMBER < value < MAX_NUMBER:
-        raise errors.InvalidDatagramError("expected a time in seconds")
-    return float(value)
-
-
 def _decode_promotion(value: object) -> RecordedPromotion:
     if not isinstance(value, list) or len(value) != 3:
         raise errors.InvalidDatagramError("expected a service, a server and a revision")
     promoted = _decode_primary(value[:2])
     return RecordedPromotion(
-        service=promoted.service, server=promoted.server, revision=_decode_number(value[2])
+        service=promoted.service,
+        server=promoted.server,
+        revision=datagram_fields.decode_number(value[2]),
     )
 
 
-def _decode_held(value: object) -> HeldCommits:
+def _decode_held(value: object, told: object) -> HeldCommits:
     if not isinstance(value, list) or len(value) != 4:
         raise errors.InvalidDatagramError("expected a recorded promotion and a position")
     promoted = _decode_promotion(value[:3])
@@ -231,37 +211,22 @@
         service=promoted.service,
         server=promoted.server,
         revision=promoted.revision,
-        above=_decode_position(value[3]),
+        above=datagram_fields.decode_position(value[3]),
+        told=told_commits.decode(told),
     )
 
 
-def _decode_position(value: object) -> positions.Position | None:
-    if value is None:
-        return None
-    if not isinstance(value, list) or len(value) != 2:
-        raise errors.InvalidDatagramError("expected a term and an offset")
-    term, offset = map(_decode_number, value)
-    return positions.Position(term=ids.Term(term), offset=ids.Offset(offset))
-
-
 def _decode_order(value: object) -> StopOrder:
     if not isinstance(value, list) or len(value) != 3:
         raise errors.InvalidDatagramError("expected a service, a server and a term")
     primary = _decode_primary(value[:2])
     return StopOrder(
-        service=primary.service, server=primary.server, term=ids.Term(_decode_number(value[2]))
+        service=primary.service,
+        server=primary.server,
+        term=ids.Term(datagram_fields.decode_number(value[2])),
     )
 
 
-def _decode_age(value: object) -> float:
-    age_s = _decode_time(value)
-    if age_s is None:
-        return former_primary.NEVER_S
-    if age_s < 0:
-        raise errors.InvalidDatagramError("expected an age in seconds")
-    return age_s
-
-
 def _decode_report(value: object) -> PrimaryReport:
     if not isinstance(value, list) or len(value) != 8:
         raise errors.InvalidDatagramError("expected an order to stop and what was heard")
@@ -269,12 +234,12 @@
         order = former_primary.Order(value[3])
     except ValueError as error:
         raise errors.InvalidDatagramError("expected the result of an order to stop") from error
-    answered_s, connected_s, refused_s = map(_decode_age, value[5:])
+    answered_s, connected_s, refused_s = map(datagram_fields.decode_age, value[5:])
     return PrimaryReport(
         order=_decode_order(value[:3]),
         report=former_primary.Report(
             order=order,
-            end=_decode_position(value[4]),
+            end=datagram_fields.decode_position(value[4]),
             answered_s=answered_s,
             connected_s=connected_s,
             refused_s=refused_s,
@@ -292,11 +257,16 @@
         raise errors.InvalidDatagramError("the datagram is not JSON") from error
     if not isinstance(fields, dict) or not isinstance(fields.get("instance"), str):
         raise errors.InvalidDatagramError("the datagram names no instance")
-    lacking = _decode_list(fields.get("lacking", []), MAX_VOTES)
-    recorded = _decode_list(fields.get("recorded", []), MAX_PROMOTIONS)
-    held = _decode_list(fields.get("held", []), MAX_PROMOTIONS)
-    stop = _decode_list(fields.get("stop", []), MAX_PROMOTIONS)
-    reports = _decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
+    lacking = datagram_fields.decode_list(fields.get("lacking", []), MAX_VOTES)
+    recorded = datagram_fields.decode_list(fields.get("recorded", []), MAX_PROMOTIONS)
+    held = datagram_fields.decode_list(fields.get("held", []), MAX_PROMOTIONS)
+    told = datagram_fields.decode_list(
+        fields.get("acknowledged", [None] * len(held)), MAX_PROMOTIONS
+    )
+    if len(told) != len(held):
+        raise errors.InvalidDatagramError("expected what was acknowledged for each hold")
+    stop = datagram_fields.decode_list(fields.get("stop", []), MAX_PROMOTIONS)
+    reports = datagram_fields.decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
     leading, proved = fields.get("leading"), fields.get("proved")
     summary = fields.get("summary", "")
     if not isinstance(summary, str):
@@ -308,10 +278,10 @@
         summary=summary,
         proved=None if proved is None else _decode_proved(proved),
         stale=fields.get("stale") is True,
-        asked_at_s=_decode_time(fields.get("asked")),
-        answers_s=_decode_time(fields.get("answers")),
+        asked_at_s=datagram_fields.decode_time(fields.get("asked")),
+        answers_s=datagram_fields.decode_time(fields.get("answers")),
         promotions=tuple(_decode_promotion(each) for each in recorded),
-        held=tuple(_decode_held(each) for each in held),
+        held=tuple(map(_decode_held, held, told)),
         stop_orders=tuple(_decode_order(each) for each in stop),
         primary_reports=tuple(_decode_report(each) for each in reports),
     )
--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -144,6 +144,11 @@
         """The last acknowledged commit by server."""
         self.recent: dict[ids.ServerId, collections.deque[positions.Position]] = {}
         """Positions below the latest acknowledged commits, one for each, by server."""
+        self.highest: positions.Position | None = None
+        """The highest position that came with an acknowledged commit, whoever led; None without
+        any."""
+        self.has_unplaced = False
+        """Whether a commit was acknowledged by an answer that shows no position."""
         self.change: ReportedChange | None = None
         self.promoted: PromotedEnd | None = None
         """What was told about the latest promotion; None once it does not apply."""
@@ -210,6 +215,7 @@
         ``above`` is the result of ``shown_by`` before the commit was sent, ``shown`` the position
         in its answer. A commit that shows no higher position has written nothing.
         """
+        self.note_answer(shown)
         if shown is None or shown <= above:
             return
         recent = self.recent.setdefault(leader, collections.deque(maxlen=RECENT_COMMITS))
@@ -223,6 +229,13 @@
             return
         self.latest[leader] = Acknowledged(server=leader, above=above, shown=shown, request=request)
 
+    def note_answer(self, shown: positions.Position | None) -> None:
+        """Record the position in the answer to an acknowledged commit, whoever led."""
+        if shown is None:
+            self.has_unplaced = True
+        elif self.highest is None or shown > self.highest:
+            self.highest = shown
+
     def highest_above(self, *, but: ids.ServerId) -> positions.Position | None:
         """Return the highest position that an acknowledged commit is certainly above.
 
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -96,6 +96,7 @@
             final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
             acknowledged_end=report.acknowledged_end,
+            recorded=None if self.record is None else self.record.server,
             unlisted_may_hold=unlisted_may_hold,
             covered=covered,
             unnamed=self.commands.unnamed,
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -6,7 +6,14 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import commit_holds, directory, ports, service, stop_orders
+from mustardswitch.proxy import (
+    acknowledged_ends,
+    commit_holds,
+    directory,
+    ports,
+    service,
+    stop_orders,
+)
 
 ANNOUNCE_REPEAT_S = 0.1
 """Interval at which a recorded promotion is announced to instances that have not confirmed it; a
@@ -29,6 +36,7 @@
             datagrams.RecordedPromotion, dict[ids.InstanceId, positions.Position | None]
         ] = {}
         """Confirmations of the promotions that this instance has announced."""
+        self.acknowledged_ends = acknowledged_ends.AcknowledgedEnds(directory=directory)
         self.stop_orders = stop_orders.StopOrders()
         self.primary_reports: dict[
             datagrams.StopOrder, dict[ids.InstanceId, tuple[former_primary.Report, float]]
@@ -55,6 +63,7 @@
 
         Must be called every ``commit_permission.CHECK_S``.
         """
+        self.acknowledged_ends.check()
         self.note_instances()
         self.stop_orders.expire()
         self._tell_stale()
@@ -130,6 +139,7 @@
             confirmations = self.held.get(promoted)
             if confirmations is not None:
                 confirmations[update.instance] = held.above
+                self.acknowledged_ends.note_told(update.instance, promoted, held.told)
         confirmed = [
             held
             for promoted in update.promotions
@@ -147,13 +157,19 @@
             for order in update.stop_orders
             if (report := self._report_primary(order, recorded.get(order.service, 0))) is not None
         ]
-        if reports or (confirmed and not update.stale):
+        if update.stale:
+            confirmed = []
+        if reports or confirmed:
             update_back = datagrams.PeerUpdate(
                 instance=self.directory.instance,
-                held=() if update.stale else tuple(confirmed),
+                held=tuple(confirmed[:1]),
                 primary_reports=tuple(reports),
             )
             self._answer(update.instance, update_back)
+        for held in confirmed[1:]:
+            # All of them, with what was acknowledged, may not fit into one datagram.
+            update_back = datagrams.PeerUpdate(instance=self.directory.instance, held=(held,))
+            self._answer(update.instance, update_back)
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
             self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
 
@@ -171,7 +187,10 @@
         target = self.directory.services.get(promoted.service)
         if target is None:
             return datagrams.HeldCommits(
-                service=promoted.service, server=promoted.server, revision=promoted.revision
+                service=promoted.service,
+                server=promoted.server,
+                revision=promoted.revision,
+                told=self.acknowledged_ends.tell(None),
             )
         known = (target.requested, target.commits.awaited)
         if promoted.server not in known or not target.commits.is_clear_for(promoted.server):
@@ -182,6 +201,7 @@
             server=promoted.server,
             revision=promoted.revision,
             above=target.acknowledged.highest_above(but=promoted.server),
+            told=self.acknowledged_ends.tell(target),
         )
 
     def _note_asked(
@@ -310,6 +330,7 @@
         confirmed = self.held.setdefault(promoted, {})
         self.note_instances()
         missing = self.seen.keys() - confirmed.keys()
+        self.acknowledged_ends.note_asked(promoted)
         self._announce(promoted, missing, order)
         self._tell_proof(target)
         if not target.commits.is_clear_for(promoted.server):
@@ -320,10 +341,14 @@
         now_s, limit_s = clock.now_s(), commit_permission.HOLD_LIMIT_S
         # In the first seconds, instances may send commits that were registered before.
         starting = self.directory.instances.is_recent(now_s, limit_s)
+        acknowledged_end = None
+        if not missing and not starting:
+            acknowledged_end = self.acknowledged_ends.find(promoted, instances=self.seen)
         return ports.HoldReport(
             complete=now_s >= recorded_at_s + limit_s or not (missing or starting),
             unconfirmed=frozenset(missing),
             above=max(known, default=None),
+            acknowledged_end=acknowledged_end,
             instances=frozenset(self.seen),
             primary_reports=self._primary_reports(order),
         )
@@ -354,6 +379,7 @@
         """Forget the confirmations for a service; a later change needs new ones."""
         for promoted in [promoted for promoted in self.held if promoted.service == name]:
             del self.held[promoted]
+        self.acknowledged_ends.forget(name)
         for order in [order for order in self.primary_reports if order.service == name]:
             del self.primary_reports[order]
         self.announced_at_s.pop(name, None)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -229,7 +229,8 @@
     above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None without one."""
     acknowledged_end: positions.Position | None = None
-    """A position that no acknowledged commit is above; None if none is known."""
+    """A position that no acknowledged commit is above, apart from those that the recorded server
+    has taken since the record; None if none is known."""
     instances: frozenset[ids.InstanceId] = frozenset()
     """The other instances that may have sent commits."""
     primary_reports: collections.abc.Mapping[ids.InstanceId, former_primary.Report] = (
--- a/tests/common/peer_world.py
+++ b/tests/common/peer_world.py
@@ -3,7 +3,7 @@
 import contextlib
 
 from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
-from mustardswitch.peers import datagrams
+from mustardswitch.peers import datagrams, told_commits
 from mustardswitch.proxy import directory, peer_updates, ports
 from mustardswitch_standins import database_group
 from tests.common import proxy_world
@@ -89,7 +89,11 @@
         self.updates.receive(datagrams.PeerUpdate(instance=instance, primary_reports=(told,)))
 
     def confirm(
-        self, *names: ids.InstanceId, above: positions.Position | None = None, **changes: object
+        self,
+        *names: ids.InstanceId,
+        above: positions.Position | None = None,
+        told: told_commits.ToldCommits | None = None,
+        **changes: object,
     ) -> None:
         """Receive the confirmations of other instances."""
         promoted = promotion_of(**changes)
@@ -99,6 +103,7 @@
                 server=promoted.server,
                 revision=promoted.revision,
                 above=above,
+                told=told,
             )
             self.updates.receive(datagrams.PeerUpdate(instance=name, held=(held,)))
 
--- a/tests/decisions/test_datagrams.py
+++ b/tests/decisions/test_datagrams.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from mustardswitch.internal import former_primary, ids, positions
-from mustardswitch.peers import datagrams, errors
+from mustardswitch.peers import datagram_fields, datagrams, errors, told_commits
 
 ALPHABET = 'ab-/"\\é\n\0\U0001f600'
 NAMES = st.text(alphabet=ALPHABET, min_size=1, max_size=2)
 TEXTS = st.text(alphabet=ALPHABET, max_size=5)
-NUMBERS = st.integers(0, datagrams.MAX_NUMBER - 1)
+NUMBERS = st.integers(0, datagram_fields.MAX_NUMBER - 1)
 PRIMARIES = st.builds(datagrams.PrimaryRef, service=NAMES, server=NAMES)
 PROMOTIONS = st.builds(
     datagrams.RecordedPromotion, service=NAMES, server=NAMES, revision=st.integers(0, 10**6)
@@ -27,6 +27,16 @@
     revision=NUMBERS,
     above=st.none() | POSITIONS,
 )
+SECONDS = st.floats(0, 1e9)
+TOLD = st.builds(
+    told_commits.ToldCommits,
+    shown=st.none() | POSITIONS,
+    running_s=SECONDS,
+    samples=st.lists(
+        st.builds(told_commits.AgedSample, age_s=SECONDS, position=POSITIONS),
+        max_size=told_commits.MAX_SAMPLES,
+    ).map(tuple),
+)
 PROVED = st.builds(
     datagrams.ProvedPromotion, service=NAMES, server=NAMES, end=st.none() | POSITIONS
 )
@@ -61,6 +71,8 @@
     "stop": [["s", "a", 3]],
     "primaries": [["s", "a", 3, "stopped", [1, 2], 0.5, 0, None]],
 }
+ACKNOWLEDGED = [[[1, 3], 12.5, [[0.5, [1, 3]], [0.1, [1, 4]]]], None]
+"""What was acknowledged, for the rows of "held"."""
 
 
 @st.composite
@@ -92,6 +104,62 @@
     assert datagrams.decode(datagrams.encode(update)) == update
 
 
+@given(held=HELD, told=st.none() | TOLD, reports=st.lists(REPORTS, max_size=1))
+def test_what_an_instance_has_acknowledged_arrives_as_it_was_sent(held, told, reports):
+    update = datagrams.PeerUpdate(
+        instance=ids.InstanceId("one"),
+        held=(dataclasses.replace(held, told=told),),
+        primary_reports=tuple(reports),
+    )
+    assert datagrams.decode(datagrams.encode(update)) == update
+
+
+def test_what_is_acknowledged_belongs_to_its_confirmation():
+    held = datagrams.HeldCommits(service=ids.ServiceName("s"), server=ids.ServerId("b"), revision=7)
+    told = told_commits.ToldCommits(shown=None, running_s=2.5)
+    rows = (held, dataclasses.replace(held, revision=8, told=told))
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), held=rows)
+    assert datagrams.decode(datagrams.encode(update)).held == rows
+
+
+def test_an_earlier_build_finds_confirmations_in_the_rows_that_it_knows():
+    """It knows rows of four values only, and ignores fields that it does not know."""
+    told = told_commits.ToldCommits(shown=None, running_s=2.5)
+    held = datagrams.HeldCommits(
+        service=ids.ServiceName("s"), server=ids.ServerId("b"), revision=7, told=told
+    )
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), held=(held,))
+    assert json.loads(datagrams.encode(update))["held"] == [["s", "b", 7, None]]
+
+
+def test_a_confirmation_of_an_earlier_build_does_not_tell_what_is_acknowledged():
+    update = datagrams.decode(b'{"instance":"one","held":[["s","b",7,[1,2]]]}')
+    assert [each.told for each in update.held] == [None]
+
+
+def test_a_confirmation_with_what_is_acknowledged_and_a_report_fit_into_a_datagram():
+    """The names are as long as those of the platform, the numbers as long as in years."""
+    end = positions.Position(term=10**6, offset=10**12)
+    sample = told_commits.AgedSample(age_s=1234.567890123456, position=end)
+    told = told_commits.ToldCommits(
+        shown=end,
+        running_s=12345678.901234567,
+        samples=(sample,) * told_commits.MAX_SAMPLES,
+    )
+    service, server = ids.ServiceName("orders-" + "x" * 20), ids.ServerId("y" * 36)
+    held = datagrams.HeldCommits(
+        service=service, server=server, revision=10**12, above=end, told=told
+    )
+    order = datagrams.StopOrder(service=service, server=server, term=10**6)
+    report = former_primary.Report(order=former_primary.Order.STOPPED, end=end)
+    update = datagrams.PeerUpdate(
+        instance=ids.InstanceId("z" * 36),
+        held=(held,),
+        primary_reports=(datagrams.PrimaryReport(order=order, report=report),),
+    )
+    assert len(datagrams.encode(update)) <= datagrams.MAX_BYTES
+
+
 @given(orders=st.lists(ORDERS, max_size=datagrams.MAX_PROMOTIONS))
 def test_as_many_orders_to_stop_as_are_permitted_arrive(orders):
     update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), stop_orders=tuple(orders))
@@ -137,6 +205,15 @@
         assert datagrams.decode(datagrams.encode(update)) == update
 
 
+@given(value=VALUES, index=st.integers(0, 3))
+def test_anything_told_as_acknowledged_is_decoded_fully_or_raises_one_error(value, index):
+    rows = value if index == 3 else [[*ACKNOWLEDGED[0][:index], value], None]
+    data = json.dumps({**VALID, "acknowledged": rows}).encode()
+    with contextlib.suppress(errors.InvalidDatagramError):
+        update = datagrams.decode(data)
+        assert datagrams.decode(datagrams.encode(update)) == update
+
+
 @given(data=st.binary() | VALUES.map(lambda value: json.dumps(value).encode()))
 def test_a_datagram_that_names_no_instance_raises_one_error(data):
     with pytest.raises(errors.InvalidDatagramError):
@@ -173,7 +250,7 @@
         {"recorded": [["s", "b", 7.0]]},
         {"recorded": [["s", "b", "7"]]},
         {"recorded": [["s", "b", -1]]},
-        {"recorded": [["s", "b", datagrams.MAX_NUMBER]]},
+        {"recorded": [["s", "b", datagram_fields.MAX_NUMBER]]},
         {"recorded": [["s", "b", float("nan")]]},
         {"held": [["s", "b", 7, None]] * (datagrams.MAX_PROMOTIONS + 1)},
         {"held": [["s", "b", 7]]},
@@ -214,6 +291,39 @@
         datagrams.decode(json.dumps({**VALID, **changes}).encode())
 
 
+SHOWN, RUNNING, SAMPLES = ACKNOWLEDGED[0]
+
+
+@pytest.mark.parametrize(
+    "rows",
+    [
+        None,
+        5,
+        [],
+        [None],
+        [None, None, None],
+        [None, 5],
+        [None, [SHOWN, RUNNING]],
+        [None, [[1], RUNNING, SAMPLES]],
+        [None, [SHOWN, None, SAMPLES]],
+        [None, [SHOWN, -0.1, SAMPLES]],
+        [None, [SHOWN, "1", SAMPLES]],
+        [None, [SHOWN, float("nan"), SAMPLES]],
+        [None, [SHOWN, RUNNING, None]],
+        [None, [SHOWN, RUNNING, SAMPLES * 2]],
+        [None, [SHOWN, RUNNING, [[0.5]]]],
+        [None, [SHOWN, RUNNING, [[0.5, None]]]],
+        [None, [SHOWN, RUNNING, [[None, [1, 3]]]]],
+        [None, [SHOWN, RUNNING, [[-1, [1, 3]]]]],
+    ],
+    ids=str,
+)
+def test_an_odd_value_of_what_is_acknowledged_raises_one_error(rows):
+    datagrams.decode(json.dumps({**VALID, "acknowledged": ACKNOWLEDGED}).encode())
+    with pytest.raises(errors.InvalidDatagramError):
+        datagrams.decode(json.dumps({**VALID, "acknowledged": rows}).encode())
+
+
 @pytest.mark.parametrize("value", [None, False, 0, 1, "true", [True], {}], ids=str)
 def test_only_true_means_stale(value):
     assert not datagrams.decode(json.dumps({**VALID, "stale": value}).encode()).stale
--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -12,7 +12,7 @@
     revisions,
     server_contact,
 )
-from mustardswitch.peers import datagrams
+from mustardswitch.peers import datagrams, told_commits
 from mustardswitch.proxy import peer_updates, ports, requests
 from mustardswitch_standins import database_group
 from tests.common import builders, peer_world, proxy_world, stop_orders
@@ -246,6 +246,7 @@
         server=B,
         revision=REVISION,
         above=builders.position(1, 9),
+        told=told_commits.ToldCommits(shown=builders.position(1, 10), running_s=0.0),
     )
     assert world.peers.sent == [datagrams.PeerUpdate(instance=ONE, held=(held,))]
     assert world.peers.hosts == [{TWO}]
