--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -89,6 +89,14 @@
     return {primary} if seen.leads or not seen.listed else set()
 
 
+def _recorded(state: State, rules: exploration_rules.Rules) -> set[int]:
+    """Return the servers in the durable record of members."""
+    members = set(SERVERS) - {exploration_state.D}
+    if not rules.record_drops_unlisted:
+        return members
+    return {n for n in members if state.servers[n].unlisted < exploration_state.RETENTION}
+
+
 def claim(
     state: State, rules: exploration_rules.Rules, instance: int, primary: int
 ) -> tuple[State, Statuses] | None:
@@ -96,7 +104,7 @@
     fresh = instance == FRESH
     if fresh:
         # Servers of the durable record count from the start of the instance.
-        known = tuple(Seen(n != exploration_state.D, False, False) for n in SERVERS)
+        known = tuple(Seen(n in _recorded(state, rules), False, False) for n in SERVERS)
     else:
         known = tuple(
             Seen(n != exploration_state.D, False, n == exploration_state.A) for n in SERVERS
--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -23,6 +23,9 @@
     query_after_end: bool = False
     """Use no status that was read before commits had ended."""
 
+    record_drops_unlisted: bool = True
+    """The record of members names a server whose entry is gone for ``RETENTION`` only."""
+
     count_leaving: bool = False
     """An instance that starts takes the servers that leave for replaced ones of the service."""
 
--- a/tests/proxy/test_promotion_exploration.py
+++ b/tests/proxy/test_promotion_exploration.py
@@ -100,3 +100,12 @@
     allowed = ["leave", "end", "lose", "wait", "entry gone"]
     bounds = {"faults": 3, "waits": 1, "times": (72,), "without": {"confirm", "query"}}
     assert not explore(MENDED, *allowed, **bounds).losses
+
+
+def test_a_replica_that_loses_its_entry_and_outlasts_all_instances_loses_no_commit():
+    """It is cut off from the store only, and goes on confirming commits."""
+    rules = dataclasses.replace(MENDED, entry_back=False)
+    allowed = ["entry gone", "wait"]
+    bounds = {"faults": 2, "waits": 2, "times": (72,), "without": {"confirm", "query"}}
+    result = explore(rules, *allowed, **bounds)
+    assert not result.losses, promotion_exploration.describe(result.losses[0])
--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -211,15 +211,17 @@
         self.world.read_store(self.world.instances[instance])
 
     @stateful.rule(instance=instances)
-    def forget_servers_that_are_gone(self, instance: int) -> None:
-        """Drop expired entries; a server that runs or returns answers within the retention.
+    def let_retention_pass(self, instance: int) -> None:
+        """Drop expired entries; the durable record does so whether the servers run or not.
 
-        This is ``UNLISTED_RETENTION_S`` of ``proxy.service``.
+        This is ``UNLISTED_RETENTION_S`` of ``proxy.service``. An instance that knew a server asks
+        it again, one that starts later does not know it.
         """
         known = self.world.instances[instance]
-        gone = {name for name in known.expired if self._server(name, promotion_servers.State.GONE)}
-        known.expired -= gone
-        self.world.remembered -= gone
+        self.world.remembered -= known.expired
+        known.expired -= {
+            name for name in known.expired if self._server(name, promotion_servers.State.GONE)
+        }
 
     @stateful.rule()
     def restart_all_instances(self) -> None:
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -144,3 +144,10 @@
     machine = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
     sequence(machine)
     assert machine.world.losses == []
+
+
+@pytest.mark.parametrize("leads_from", promotion_servers.LeadsFrom)
+def test_a_replica_without_an_entry_that_outlasts_all_instances_loses_no_commit(leads_from):
+    machine = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
+    promotion_sequences.replica_without_an_entry_confirms_beyond_a_restart(machine)
+    assert machine.world.losses == []
