--- a/tests/proxy/test_acknowledged_ends.py
+++ b/tests/proxy/test_acknowledged_ends.py
@@ -336,3 +336,25 @@
 def test_any_server_is_proved_while_the_record_lets_no_commits_pass():
     held = evidence(recorded=promotion.holding(B))
     assert promotion.proof(C, held) is promotion.Proof.ALL_ACKNOWLEDGED
+
+
+def test_a_restart_of_an_instance_that_has_told_takes_nothing_back(world):
+    """The primary has ended, so no later query can cover its removal from the list."""
+    world.query(5, age_s=3.0)
+    assert end_of(world) == builders.position(1, 5)
+    world.remove_instance(THREE)
+    assert world.report().acknowledged_end == builders.position(1, 5)
+
+
+def test_an_instance_that_starts_after_commits_have_ended_takes_nothing_back(world):
+    """It has read the record as it started, and its name was not listed before."""
+    world.query(5, age_s=3.0)
+    assert end_of(world) == builders.position(1, 5)
+    world.now_s += 0.9
+    world.directory.permission.note_current(world.now_s)
+    world.updates.check()
+    four = ids.InstanceId("four")
+    world.list_instance(four)
+    world.report()
+    world.confirm(four, told=told(running_s=0.5))
+    assert world.report().acknowledged_end == builders.position(1, 5)
