--- a/tests/proxy/test_acknowledged_ends.py
+++ b/tests/proxy/test_acknowledged_ends.py
@@ -338,7 +338,7 @@
     assert promotion.proof(C, held) is promotion.Proof.ALL_ACKNOWLEDGED
 
 
-def test_a_restart_of_an_instance_that_has_told_takes_nothing_back(world):
+def test_an_instance_that_has_told_and_is_removed_takes_nothing_back(world):
     """The primary has ended, so no later query can cover its removal from the list."""
     world.query(5, age_s=3.0)
     assert end_of(world) == builders.position(1, 5)
--- a/tests/proxy/test_members_that_run_again.py
+++ b/tests/proxy/test_members_that_run_again.py
@@ -6,12 +6,13 @@
 
 import pytest
 
-from mustardswitch.internal import clock, ids, positions, server_contact
+from mustardswitch.internal import clock, ids, positions, revisions, server_contact
 from mustardswitch.proxy import (
     coverage,
     directory,
     member_records,
     ports,
+    routes,
     server_list,
     unlisted,
 )
@@ -146,6 +147,21 @@
     assert world.service.covered_end(C) is not None
 
 
+async def test_the_record_of_a_restored_store_covers_no_server_that_has_run_again_since():
+    world = member_world.MemberWorld(listed=[A, B])
+    entries = world.group.entries()
+    covered = {unlisted.member_of(each): positions.ORIGIN for each in entries if each.server == C}
+    world.record(member_records.encode(entries, covered=covered), revision=6)
+    world.directory.refresh()
+    world.service.note_running(world.service.unlisted[C].backend)
+    world.record(member_records.encode(entries), revision=7)
+    world.directory.refresh()
+    restored = revisions.join(era=1, number=6)
+    world.record(member_records.encode(entries, covered=covered), revision=restored)
+    world.directory.refresh()
+    assert world.service.covered_end(C) is None
+
+
 async def test_the_last_primary_counts_when_an_earlier_one_loses_its_entry_with_it():
     """The earlier one was cut off from the store, so its entry still names it as the primary."""
     world = proxy_world.World()
@@ -163,6 +179,19 @@
     assert set(world.service.known_servers()) == {A, B, C}
 
 
+async def test_a_server_whose_entry_goes_as_tenants_are_configured_counts():
+    """Both changes may arrive in one answer of the store."""
+    world = proxy_world.World()
+    world.service.servers[C].entry_written_at_s -= 60.0
+    world.directory.servers.remove(C, clock.now_s())
+    tenant = routes.Tenant(name=ids.TenantName("tenant"), rate_per_s=10.0)
+    configured = dataclasses.replace(
+        proxy_world.configuration(version=2), tenants={tenant.name: tenant}
+    )
+    world.directory.configure(configured)
+    assert C in world.service.possible_holders()
+
+
 async def test_the_recorded_end_is_required_of_a_server_that_was_back_before_it_went_silent():
     """Its crash was seen, and it has come back with its log since, out of reach."""
     world = proxy_world.World()
