--- a/tests/common/exploration_faults.py
+++ b/tests/common/exploration_faults.py
@@ -104,6 +104,7 @@
                 age=0,
                 requested=state.record,
                 held=state.held,
+                knows_all=False,
                 acks=(),
                 shown=(0, 0),
             )
--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -8,6 +8,7 @@
     NAMES,
     NOBODY,
     NUMBERS,
+    Acked,
     Holder,
     Position,
     Run,
@@ -52,7 +53,7 @@
 
 def confirming(holder: Holder) -> set[int]:
     """Return the servers that may have confirmed a commit, as far as the holder knows."""
-    retention = exploration_state.RETENTION
+    retention = MAX_AGE + 1 if holder.keeps_members else exploration_state.RETENTION
     return {n for n in SERVERS if holder.seen[n].listed or 0 <= holder.seen[n].gone < retention}
 
 
@@ -92,7 +93,7 @@
 def _recorded(state: State, rules: exploration_rules.Rules) -> set[int]:
     """Return the servers in the durable record of members."""
     members = set(SERVERS) - {exploration_state.D}
-    if not rules.record_drops_unlisted:
+    if rules.keep_members:
         return members
     return {n for n in members if state.servers[n].unlisted < exploration_state.RETENTION}
 
@@ -125,6 +126,7 @@
         knows=0 if fresh else MAX_AGE,
         holds_all=rules.hold_for_all and state.record != NOBODY,
         marked=rules.keep_first and state.marked,
+        keeps_members=rules.keep_members,
     )
     state = state._replace(tokens=state.tokens + 1, holder=holder)
     asked = ask(state, confirming(holder) - {primary})
@@ -238,7 +240,8 @@
     )
     limit = silent >= exploration_state.LISTING if rules.await_unlisted else holder.ended > 60
     above = None
-    if rules.compare_acknowledged and not (holder.ended != NOBODY and limit):
+    gives_up = holder.ended != NOBODY and limit and not rules.keep_acknowledged
+    if rules.compare_acknowledged and not gives_up:
         above = _above(state)
     own = holder.statuses[holder.requested]
     real_above = exploration_state.optional(above)
@@ -291,8 +294,6 @@
     stopped = holder.stopped_end
     if stopped is not None and not rules.compare_end:
         stopped = (0, 0)
-    if may_hold and stopped is None:
-        return promotion.Choice(verdict=promotion.Verdict.WAIT)
     evidence = promotion.Evidence(
         expected=names(expected if rules.need_all_paused else set(paused)),
         paused=real_statuses(paused),
@@ -304,6 +305,9 @@
         commits_held=held,
         former_primary=found,
         acknowledged_above=exploration_state.optional(above),
+        acknowledged_end=exploration_state.optional(_acknowledged_end(state, rules)),
+        unlisted_may_hold=may_hold,
+        covered=names({n for n in SERVERS if _is_covered(state, n)}),
     )
     avoided = names({holder.primary} - {NOBODY})
     return promotion.choose(
@@ -311,6 +315,26 @@
     )
 
 
+def _is_covered(state: State, number: int) -> bool:
+    server = state.servers[number]
+    return server.covered and server.run in (Run.DOWN, Run.GONE)
+
+
+def _acknowledged_end(state: State, rules: exploration_rules.Rules) -> Position | None:
+    """Return a position that no commit is above that an instance has acknowledged."""
+    if not rules.acknowledged_end:
+        return None
+    told = {number for number, _ in state.holder.confirmed} | {state.holder.instance}
+    told = {n for n in told - {FRESH} if state.instances[n].knows_all}
+    if rules.acknowledged_end_of_all and len(told) < len(state.instances):
+        return None
+    without = (each for each in state.commits if each.state != Acked.ANSWERED)
+    if rules.answers_to_all and any(each.sender in told for each in without):
+        return None
+    shown = [shown for n in told for _, _, shown in state.instances[n].acks]
+    return max(shown, default=(0, 0)) if told else None
+
+
 def _above(state: State) -> Position | None:
     holder = state.holder
     known = [above for _, above in holder.confirmed if above is not None]
--- a/tests/common/exploration_rules.py
+++ b/tests/common/exploration_rules.py
@@ -23,8 +23,18 @@
     query_after_end: bool = False
     """Use no status that was read before commits had ended."""
 
-    record_drops_unlisted: bool = True
-    """The record of members names a server whose entry is gone for ``RETENTION`` only."""
+    keep_members: bool = True
+    """A server whose entry is gone counts until it is covered, not for ``RETENTION`` only."""
+    cover_by_end: bool = True
+    """A server is covered once another one has the primary's end, read after it had ended."""
+    keep_acknowledged: bool = True
+    """Acknowledged positions are compared however long no server in reach has them."""
+    acknowledged_end: bool = True
+    """A log with all positions that instances have acknowledged is enough."""
+    acknowledged_end_of_all: bool = True
+    """That holds once all instances that may have acknowledged commits have told."""
+    answers_to_all: bool = True
+    """An instance tells nothing while it has had no answer to a commit that it has sent."""
 
     count_leaving: bool = False
     """An instance that starts takes the servers that leave for replaced ones of the service."""
@@ -128,6 +138,7 @@
     "begin": "POST /promote ... Lease-Holder, Fencing-Token; a replica may give no answer",
     "hand over": "STEPDOWN with a term makes a primary of a lower term a replica.",
     "confirm": "own protocol: the hold is confirmed",
+    "cover": "own protocol: a server refuses connections, and another one has received all",
     "query": "STATUS returns a row; a response may be lost",
     "read list": "GET /kv-watch returns events; A watch that is waiting may be cut.",
     "decide": "PAUSE with a term above the newest term stops a replica from receiving",
--- a/tests/common/exploration_state.py
+++ b/tests/common/exploration_state.py
@@ -27,7 +27,7 @@
 """Time after which a server drops connections whose remote ends it cannot reach."""
 HOLD_LIMIT = int(round(10 * commit_permission.HOLD_LIMIT_S))
 RETENTION = 60
-"""Time for which a server whose entry is gone counts; see ``service.UNLISTED_RETENTION_S``."""
+"""Time for which a server whose entry is gone counted until issue 50."""
 MAX_AGE = 80
 
 Position = tuple[int, int]
@@ -78,6 +78,8 @@
     starts: int = 0
     unlisted: int = 0
     """Time since its entry was removed."""
+    covered: bool = False
+    """Whether it was found ended while another server had all commits."""
     silent: bool = False
     """Whether a replica gives the instances no answer; it receives from the primary."""
 
@@ -94,6 +96,8 @@
     """Whether it knows a record that lets no commits pass, also to the promoted server."""
     leader: int = A
     shown: Position = (0, 0)
+    knows_all: bool = True
+    """Whether no instance before it may have acknowledged commits."""
     acks: tuple[tuple[int, Position, Position], ...] = ()
     """Server, position below and position shown for each commit that was answered to it."""
 
@@ -151,6 +155,8 @@
     """Whether it has found a record by which a promotion of the primary may be under way."""
     keeps: bool = False
     """Whether it keeps the primary."""
+    keeps_members: bool = True
+    """Whether servers whose entries are gone count without a bound on time."""
     end_held: bool = False
     """Whether the end of the stopped primary was read after the hold was complete."""
 
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -171,6 +171,8 @@
     if spare.run == Run.ABSENT and (replaces or not rules.only_replacements):
         yield "start server", "D", change_server(state, D, run=Run.UP)._replace(started=0)
     for number, server in enumerate(state.servers):
+        if server.run == Run.GONE and not server.covered and _has_all(state, rules, number):
+            yield "cover", LETTERS[number], change_server(state, number, covered=True)
         if server.leaving and server.run in (Run.UP, Run.DOWN):
             yield "end", LETTERS[number], exploration_faults.end_process(state, number, entry=True)
             if spare.run == Run.ABSENT:
@@ -184,6 +186,19 @@
                 yield "end, log transferred", f"{LETTERS[number]} to D", after._replace(started=0)
 
 
+def _has_all(state: State, rules: exploration_rules.Rules, ended: int) -> bool:
+    """Return whether the first primary answers, and a listed replica has the end of its log."""
+    first = state.servers[A]
+    if not first.leads or first.run != Run.UP or state.reach != Reach.OK:
+        return False
+    others = [
+        each
+        for number, each in enumerate(state.servers)
+        if number not in (A, ended) and each.listed and each.run == Run.UP and not each.silent
+    ]
+    return not rules.cover_by_end or any(len(each.log) >= len(first.log) for each in others)
+
+
 def _entry_steps(state: State, rules: exploration_rules.Rules) -> Steps:
     for number, server in enumerate(state.servers):
         if server.listed and server.run in (Run.DOWN, Run.GONE):
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -10,6 +10,7 @@
 from tests.common import (
     promotion_claim,
     promotion_instances,
+    promotion_members,
     promotion_request,
     promotion_servers,
 )
@@ -87,6 +88,11 @@
         if self.stop_status is not None and not in_time:
             statuses[primary] = self.stop_status
         expected = self._confirming() - self.spared
+        ended = {primary or self.instance.led_last} if former.is_process_gone else set()
+        self.uncounted = self.spared | ended
+        expected -= ended
+        if not self.parts.await_silent:
+            expected -= self.instance.expired - statuses.keys()
         if not self.parts.need_all_paused:
             expected = set(paused)
         if not self.parts.choose_highest and paused and expected <= paused.keys():
@@ -221,6 +227,8 @@
             acknowledged_above=(
                 self.hold.above() if self.hold and self.parts.compare_acknowledged else None
             ),
+            acknowledged_end=self._acknowledged_end(),
+            covered=self._covered(expected),
         )
         choice = promotion.choose(
             evidence,
@@ -232,17 +240,33 @@
             self._note_request(choice)
         return choice
 
+    def _acknowledged_end(self) -> positions.Position | None:
+        if self.hold is None or not self.parts.acknowledged_end:
+            return None
+        return self.hold.acknowledged_end(
+            len(self.world.instances),
+            of_all=self.parts.acknowledged_end_of_all,
+            answers_to_all=self.parts.answers_to_all,
+        )
+
+    def _covered(self, expected: collections.abc.Set[ids.ServerId]) -> set[ids.ServerId]:
+        if self.parts.cover_ended:
+            return promotion_members.covered(self.world, self.instance)
+        marked = {name for name, _ in self.instance.covered}
+        return marked & expected
+
     def _note_request(self, choice: promotion.Choice) -> None:
         known = frozenset(self._confirming())
-        spared = self.spared if self.pausing_all else set()
+        uncounted = self.uncounted if self.pausing_all else set()
         primary = self.world.upstream
-        unanswered = choice.proof is promotion.Proof.ALL_PAUSED and primary not in self.statuses
+        stopped = choice.proof is promotion.Proof.PRIMARY_STOPPED
+        unanswered = not stopped and primary not in self.statuses
         self.request = promotion_servers.Request(
             server=choice.server,
             token=self.token,
             starts=self.world.servers[choice.server].starts,
             proof=choice.proof,
-            expected=known - spared,
+            expected=known - uncounted,
             known=known,
             listed=self.listed,
             term=self.world.term,
@@ -251,7 +275,8 @@
             primary=primary,
             acknowledged=self.world.acknowledgements,
             replaced_before=self.replaced_before,
-            given_up=primary if unanswered else None,
+            left=frozenset(self.world.left),
+            ever_listed=frozenset(self.world.entry_starts),
         )
 
     def _decide_handover(
--- a/tests/common/promotion_claim.py
+++ b/tests/common/promotion_claim.py
@@ -88,6 +88,8 @@
         """The stopped primary of this holder or an earlier one, as recorded."""
         self.spared: frozenset[ids.ServerId] = frozenset()
         """The primary, while all others are paused, if it has not answered."""
+        self.uncounted: frozenset[ids.ServerId] = frozenset()
+        """That primary, also once its process has ended; not among those that must answer."""
         self.replaced_before = False
         """Whether that primary was replaced before it was ordered to stop."""
         self.stop_status: promotion.ServerStatus | None = None
--- a/tests/common/promotion_exploration.py
+++ b/tests/common/promotion_exploration.py
@@ -77,6 +77,8 @@
     """Whether all states within the bounds were explored."""
     losses: list[Loss] = dataclasses.field(default_factory=list)
     """One for each class, the shortest first."""
+    promotions: int = 0
+    """Steps with which a promotion took effect that loses no commit."""
     losing: int = 0
     """States in which a commit is lost."""
 
@@ -99,6 +101,7 @@
             for kind, about, after in exploration_steps.steps(state, rules, bounds):
                 if kind in bounds.without or after in parents:
                     continue
+                result.promotions += after.term > state.term and not after.losses
                 if (
                     result.depth + 1 + least_steps(after, effect_at_once=rules.effect_at_once)
                     > bounds.steps
--- a/tests/common/promotion_instances.py
+++ b/tests/common/promotion_instances.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from mustardswitch.internal import ids, positions, promotion
-from tests.common import promotion_servers
+from tests.common import promotion_members, promotion_servers
 
 NO_SERVER = ids.ServerId("none")
 """Stands for the server to which a record lets commits pass, if it lets none pass."""
@@ -29,11 +29,25 @@
     listed: dict[ids.ServerId, bool] = dataclasses.field(default_factory=dict)
     """The servers as it has read the list, and whether they are leaving."""
     expired: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    """Servers without an entry that count."""
+    starts: dict[ids.ServerId, int] = dataclasses.field(default_factory=dict)
+    """The start of each known server by its latest entry."""
+    former: ids.ServerId | None = None
+    """The primary whose entry was removed, until another one leads."""
+    ever_known: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    recorded: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    """The members in the store's record as it was read last."""
+    covered: set[promotion_members.Member] = dataclasses.field(default_factory=set)
+    """Members that have ended, and of which another server had all commits."""
+    knows_all: bool = True
+    """Whether no instance before it may have acknowledged commits."""
     unreachable: set[ids.ServerId] = dataclasses.field(default_factory=set)
     under_way: dict[promotion_servers.Commit, ids.ServerId] = dataclasses.field(
         default_factory=dict
     )
     """Commits that are not answered yet, and their servers."""
+    abandoned: bool = False
+    """Whether it has abandoned a commit, so that it will not hear of its outcome."""
     sent_above: dict[promotion_servers.Commit, positions.Position] = dataclasses.field(
         default_factory=dict
     )
@@ -42,6 +56,8 @@
     """The highest position that a server has shown with an answer while it led."""
     acknowledged: dict[ids.ServerId, positions.Position] = dataclasses.field(default_factory=dict)
     """A position below the last acknowledged commit, by its server."""
+    answered_at: dict[ids.ServerId, positions.Position] = dataclasses.field(default_factory=dict)
+    """The highest position that came with the answer to a commit, by its server."""
 
     def known(self) -> set[ids.ServerId]:
         """Return the servers that may hold acknowledged commits."""
@@ -70,6 +86,7 @@
         above = self.sent_above.pop(commit)
         self.shown[leader] = max(shown, self.shown.get(leader, positions.ORIGIN))
         self.acknowledged[leader] = max(above, self.acknowledged.get(leader, positions.ORIGIN))
+        self.answered_at[leader] = max(shown, self.answered_at.get(leader, positions.ORIGIN))
         return True
 
     def is_clear_for(self, promoted: ids.ServerId | None) -> bool:
@@ -78,6 +95,7 @@
 
     def abandon(self, *, but: ids.ServerId | None = None) -> None:
         """Give up commits to servers other than ``but``; callers learn that they are unknown."""
+        self.abandoned |= not self.is_clear_for(but)
         self.under_way = {
             commit: server for commit, server in self.under_way.items() if server == but
         }
@@ -87,6 +105,10 @@
         known = [above for server, above in self.acknowledged.items() if server != but]
         return max(known, default=None)
 
+    def acknowledged_end(self) -> positions.Position:
+        """Return a position that no commit is above whose answer it has had."""
+        return max(self.answered_at.values(), default=positions.ORIGIN)
+
     def end_permission(self, others: collections.abc.Iterable["Instance"]) -> None:
         """Stop commits, since the records are old, unless all others lack newer records, too."""
         others = [each for each in others if each is not self]
@@ -109,6 +131,12 @@
     """``World.periods`` when the store had confirmed the record."""
     confirmed: dict[int, positions.Position | None] = dataclasses.field(default_factory=dict)
     """Instances that have confirmed, and what they have acknowledged."""
+    ends: dict[int, positions.Position] = dataclasses.field(default_factory=dict)
+    """``Instance.acknowledged_end`` of those that have confirmed."""
+    told_all: set[int] = dataclasses.field(default_factory=set)
+    """Those of them before which no instance may have acknowledged commits."""
+    unanswered: set[int] = dataclasses.field(default_factory=set)
+    """Those that have had no answer to some commits."""
 
     def announce(
         self,
@@ -128,6 +156,9 @@
             instance.announced = self.promoted
             if instance.is_clear_for(self.promoted):
                 self.confirmed[number] = instance.above(but=self.promoted)
+                self.ends[number] = instance.acknowledged_end()
+                self.told_all |= {number} if instance.knows_all else set()
+                self.unanswered |= {number} if instance.abandoned else set()
 
     def is_complete(self, instances: int, periods: int) -> bool:
         """Return whether no instance sends commits, or waits for the answer to one."""
@@ -136,3 +167,17 @@
     def above(self) -> positions.Position | None:
         """Return the highest position that an instance has certainly acknowledged beyond."""
         return max((each for each in self.confirmed.values() if each is not None), default=None)
+
+    def acknowledged_end(
+        self, instances: int, *, of_all: bool, answers_to_all: bool
+    ) -> positions.Position | None:
+        """Return a position that no acknowledged commit is above.
+
+        None while any may not tell; without ``of_all`` that of the instances that have confirmed,
+        without ``answers_to_all`` also beside commits that were not answered.
+        """
+        if of_all and len(self.told_all) < instances:
+            return None
+        if answers_to_all and self.unanswered:
+            return None
+        return max(self.ends.values(), default=None)
--- a/tests/common/promotion_parts.py
+++ b/tests/common/promotion_parts.py
@@ -46,6 +46,20 @@
     """The end of a stopped primary is recorded for the next holder."""
     durable_list: bool = True
     """Instances that start anew know the servers whose entries have expired."""
+    keep_members: bool = True
+    """The durable record names servers without an entry until they are covered."""
+    cover_by_end: bool = True
+    """A server is covered once a replica has the end of the primary, read after it had ended."""
+    cover_ended: bool = True
+    """A server is covered only while its process has ended."""
+    await_silent: bool = True
+    """Servers without an entry that give no answer are waited for."""
+    acknowledged_end: bool = True
+    """A log with all positions that instances have acknowledged is enough."""
+    acknowledged_end_of_all: bool = True
+    """The highest acknowledged position counts once all instances that know some have told it."""
+    answers_to_all: bool = True
+    """An instance tells none while it has had no answer to a commit that it has sent."""
     need_all_paused: bool = True
     """Without a primary's answer all servers that are known must be paused."""
     choose_highest: bool = True
--- a/tests/common/promotion_sequences.py
+++ b/tests/common/promotion_sequences.py
@@ -359,15 +359,3 @@
     machine.advance_to(promotion_attempt.Step.REQUEST, instance=1)
     machine.request(1)
     let_take_effect(machine)
-
-
-def replica_without_an_entry_confirms_beyond_a_restart(machine: rule_machine.Promotions) -> None:
-    """It is cut off from the store only; the instances that knew it have ended."""
-    machine.expire_entry(B)
-    machine.read_store(0)
-    machine.let_retention_pass(0)
-    machine.commit_to(0, B)
-    machine.restart_all_instances()
-    machine.crash_or_return(A)
-    machine.prepare(0)
-    _complete(machine)
--- a/tests/common/promotion_servers.py
+++ b/tests/common/promotion_servers.py
@@ -54,6 +54,10 @@
     """Whether the primary has answered it with success."""
     acknowledged: bool = False
     """Whether an instance has passed that answer on to its caller."""
+    confirmed_by: ids.ServerId | None = None
+    """The first replica that has received it."""
+    confirmed_covered: bool = False
+    """Whether that replica was covered before by the records of any instance."""
     acknowledged_as: int | None = None
     """Number of commits that a replica had confirmed before it; None until one has."""
 
@@ -126,8 +130,10 @@
     """Number of commits that were acknowledged when the choice was made."""
     replaced_before: bool = False
     """Whether the end that proved the choice is of a server that was replaced before."""
-    given_up: ids.ServerId | None = None
-    """The primary, if it ran or may return when the choice was made without its answer."""
+    left: frozenset[ids.ServerId] = frozenset()
+    """Servers that had left as they had announced."""
+    ever_listed: frozenset[ids.ServerId] = frozenset()
+    """Servers that have had an entry at any time before the choice."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/common/promotion_world.py
+++ b/tests/common/promotion_world.py
@@ -9,15 +9,13 @@
 
 A promotion loses a commit if it was acknowledged, is missing from the log with which the promoted
 server leads, and is held by a server that runs or will return with its log. A server that is lost
-for good, or starts again under its id, holds nothing. What only a primary that was given up (it
-gives no answer) holds does not count either: its other holders were lost for good, and one
-confirmation cannot outlast the loss of both servers.
+for good, or starts again under its id, holds nothing; a primary that gives no answer may return.
 """
 
 import collections.abc
 
 from mustardswitch.internal import ids, positions, promotion
-from tests.common import promotion_instances, promotion_servers
+from tests.common import promotion_instances, promotion_members, promotion_servers
 
 
 class World:
@@ -42,8 +40,11 @@
         ] = []
         """Commits that a server has received and not executed, and who sent them."""
         self.listed: dict[ids.ServerId, bool] = {}
-        self.remembered: set[ids.ServerId] = set()
-        """The servers in the store's durable record, which outlasts their entries."""
+        self.entry_starts: dict[ids.ServerId, int] = {}
+        """``Server.starts`` in the latest entry of each server."""
+        self.members = promotion_members.MemberRecord()
+        self.left: set[ids.ServerId] = set()
+        """Servers that have left as they had announced, and have not started since."""
         for server in self.servers.values():
             self.write_entry(server)
         self.record: ids.ServerId | None = None
@@ -122,12 +123,14 @@
             delivered = source.log[len(replica.log)]
             replica.log.append(delivered)
             if delivered.waiting and source.leads:
-                self._confirm(delivered)
+                self._confirm(delivered, name)
             if not everything:
                 return
 
-    def _confirm(self, commit: promotion_servers.Commit) -> None:
-        commit.waiting, commit.confirmed = False, True
+    def _confirm(self, commit: promotion_servers.Commit, by: ids.ServerId) -> None:
+        commit.waiting, commit.confirmed, commit.confirmed_by = False, True, by
+        marks = self.members.covered.union(*(each.covered for each in self.instances))
+        commit.confirmed_covered = (by, self.servers[by].starts) in marks
         commit.acknowledged_as = self.acknowledgements
         self.acknowledgements += 1
         for instance in self.instances:
@@ -185,6 +188,7 @@
 
     def start_anew(self, server: promotion_servers.Server) -> None:
         """Start a process under the id of one that is gone; it holds and knows nothing."""
+        self.left.discard(server.name)
         self.servers[server.name] = promotion_servers.Server(
             name=server.name, starts=server.starts + 1
         )
@@ -205,7 +209,8 @@
         """List a running server."""
         if server.runs:
             self.listed[server.name], server.was_listed = server.leaving, True
-            self.remembered.add(server.name)
+            self.entry_starts[server.name] = server.starts
+            self.members.add((server.name, server.starts))
 
     def read_store(self, instance: promotion_instances.Instance) -> None:
         """Read the list and the record, unless the instance has lost the store."""
@@ -229,8 +234,10 @@
 
     def start_instance(self, instance: promotion_instances.Instance, *, durable_list: bool) -> None:
         """Read all records; servers in the durable one count like expired entries."""
-        if instance.reaches_store and durable_list:
-            instance.expired = set(self.remembered)
+        if not durable_list:
+            instance.ever_known = self.members.names()
+        elif instance.reaches_store:
+            instance.led_last = self.members.primary
         self.read_store(instance)
 
     def read_list(self, instance: promotion_instances.Instance) -> None:
@@ -242,13 +249,22 @@
             has_left = (
                 instance.listed[name] and self.servers[name].state is promotion_servers.State.GONE
             )
-            instance.expired |= set() if has_left or name == instance.leader else {name}
+            if name == instance.leader:
+                instance.former = None if has_left else name
+            elif not has_left:
+                instance.expired.add(name)
         instance.listed = dict(self.listed)
+        instance.starts |= {name: self.entry_starts[name] for name in self.listed}
         instance.expired -= set(self.listed)
         roles = {name: self.servers[name].role for name in self.listed}
         leading = (name for name, role in roles.items() if role is promotion.Role.PRIMARY)
         instance.leader = next(leading, None)
         instance.led_last = instance.leader or instance.led_last
+        if instance.leader is not None:
+            # It goes on as a replica.
+            instance.expired |= {instance.former} - set(instance.listed) - {None}
+            instance.former, self.members.primary = None, instance.leader
+        promotion_members.read(self, instance)
 
     def status(self, name: ids.ServerId) -> promotion.ServerStatus:
         """Return a server's answer to a status query."""
@@ -313,8 +329,9 @@
             commit.acknowledged &= commit in promoted.log
             commit.confirmed &= commit in promoted.log
             others = [each for each in self.servers.values() if each.runs and each is not promoted]
-            if commit.waiting and leads_again and any(commit in each.log for each in others):
-                self._confirm(commit)
+            holders = [each.name for each in others if commit in each.log]
+            if commit.waiting and leads_again and holders:
+                self._confirm(commit, holders[0])
 
     def _note_losses(
         self, request: promotion_servers.Request, promoted: promotion_servers.Server
@@ -322,7 +339,7 @@
         others = [
             server
             for server in self.servers.values()
-            if server.state is not promotion_servers.State.GONE and server.name != request.given_up
+            if server.state is not promotion_servers.State.GONE
         ]
         for commit in self.commits:
             holders = [server for server in others if commit in server.log]
--- a/tests/proxy/test_promotion_exploration.py
+++ b/tests/proxy/test_promotion_exploration.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.common import exploration_rules, promotion_exploration
+from tests.common import exploration_rules, exploration_state, promotion_exploration
 
 MENDED = exploration_rules.Rules(
     await_unlisted=True,
@@ -13,6 +13,7 @@
     silence_of_process=True,
     count_leaving=True,
     removed_primary_missing=True,
+    entry_back=False,
 )
 """The rule with all that the exploration has shown to be missing."""
 FEW = frozenset(exploration_rules.LINES) - {
@@ -28,11 +29,11 @@
 """Steps that are left out of all explorations here unless they are named."""
 
 
-def explore(rules, *allowed, without=frozenset(), **bounds):
+def explore(rules, *allowed, without=frozenset(), start=None, **bounds):
     """Explore up to the first loss with a few kinds of steps and the ``allowed`` ones."""
     defaults = {"commits": 1, "requests": 1, "steps": 9, "faults": 1, "waits": 0}
     bounds = exploration_rules.Bounds(**(defaults | bounds), without=FEW - set(allowed) | without)
-    return promotion_exploration.explore(rules, bounds, first_only=True)
+    return promotion_exploration.explore(rules, bounds, first_only=True, start=start)
 
 
 LOSING = [
@@ -51,10 +52,21 @@
         {"faults": 2, "waits": 1, "times": (15,), "steps": 11, "without": {"query"}},
     ),
     (
-        "entry_back",
+        "keep_members",
         ["replica is silent", "entry gone", "wait"],
         {"faults": 3, "waits": 1, "times": (72,), "without": {"confirm", "query"}},
     ),
+    (
+        "cover_by_end",
+        ["lose", "cover"],
+        {"faults": 2, "steps": 10, "without": {"query"}},
+    ),
+    (
+        "acknowledged_end_of_all",
+        ["receive, answered", "replica is silent", "wait"],
+        {"faults": 3, "waits": 1, "times": (72,), "without": {"query"}},
+    ),
+    ("answers_to_all", ["receive, answered"], {}),
     ("keeps_log", ["lose", "start anew"], {"faults": 3, "without": {"query"}}),
     (
         "silence_of_process",
@@ -102,10 +114,36 @@
     assert not explore(MENDED, *allowed, **bounds).losses
 
 
+def test_a_primary_that_crashes_after_its_only_confirming_replica_was_lost_keeps_the_commit():
+    """The lost replica counts, since it was not covered before the primary ended."""
+    bounds = {"faults": 2, "waits": 1, "times": (72,), "without": {"confirm", "query"}}
+    result = explore(MENDED, "lose", "wait", "entry gone", **bounds)
+    assert result.complete
+    assert not result.losses, promotion_exploration.describe(result.losses[0])
+
+
+USUAL = {
+    "all others answer": {},
+    "a covered server": {"run": exploration_state.Run.GONE, "listed": False, "covered": True},
+    "a silent server": {"silent": True},
+}
+"""What is special of one replica as the primary crashes."""
+
+
+@pytest.mark.parametrize("changes", USUAL.values(), ids=USUAL)
+def test_the_whole_rule_promotes_a_server_after_a_crash_beside(changes):
+    first = exploration_state.first_state()
+    start = exploration_state.change_server(first, exploration_state.B, **changes)
+    bounds = {"waits": 1, "times": (72,), "without": {"query"}, "start": start}
+    result = explore(MENDED, "receive, answered", "wait", **bounds)
+    assert result.promotions
+    assert not result.losses
+
+
 def test_a_replica_that_loses_its_entry_and_outlasts_all_instances_loses_no_commit():
     """It is cut off from the store only, and goes on confirming commits."""
-    rules = dataclasses.replace(MENDED, entry_back=False)
     allowed = ["entry gone", "wait"]
     bounds = {"faults": 2, "waits": 2, "times": (72,), "without": {"confirm", "query"}}
-    result = explore(rules, *allowed, **bounds)
+    result = explore(MENDED, *allowed, **bounds)
+    assert result.complete
     assert not result.losses, promotion_exploration.describe(result.losses[0])
--- a/tests/proxy/test_promotion_rule_machine.py
+++ b/tests/proxy/test_promotion_rule_machine.py
@@ -6,8 +6,6 @@
 ``test_promotion_rule_parts`` has a sequence for each part of the rule, and for each limit.
 """
 
-import enum
-
 from hypothesis import HealthCheck, settings, stateful
 from hypothesis import strategies as st
 
@@ -15,6 +13,8 @@
 from tests.common import (
     promotion_attempt,
     promotion_instances,
+    promotion_limits,
+    promotion_members,
     promotion_parts,
     promotion_servers,
     promotion_world,
@@ -22,51 +22,13 @@
 
 A, B, C, D = (ids.ServerId(f"server-{zone}") for zone in "abcd")
 INSTANCES = 3
+SERVERS = 3
+"""The recorded number of the service's servers."""
 servers = st.sampled_from([A, B, C, D])
 may_be_late = st.one_of(st.none(), st.none(), servers)
 instances = st.integers(0, INSTANCES - 1)
 
 
-class Limit(enum.Enum):
-    """Combinations in which the whole rule loses a commit."""
-
-    UNKNOWN = "unknown"
-    """A server that is not listed yet confirmed a commit before the choice, the primary gives no
-    answer or has died, and the instance had seen no position that shows it: listed in
-    docs/PLATFORM.md."""
-    STARTED_ANEW = "started_anew"
-    """The server starts again under its id before a late or repeated request is executed."""
-    STALE_END = "stale_end"
-    """The holder has not read that the server which it takes for the primary was replaced. That one
-    answers the order to stop, and its end is compared, which does not cover its successor's."""
-    STALE_PRIMARY = "stale_primary"
-    """The holder has not read that the server which it takes for the primary was replaced. That one
-    gives no answer and does not count; its successor was lost."""
-
-
-def limit_of(loss: promotion_servers.Loss) -> Limit | None:
-    """Return the combination that explains a loss; None if it is another one.
-
-    No limit explains a commit that was acknowledged after a choice without the primary's answer.
-    """
-    request = loss.request
-    if loss.started_anew:
-        return Limit.STARTED_ANEW
-    if request.replaced_before:
-        return Limit.STALE_END
-    if loss.holders & (request.known - request.expected) - {request.primary}:
-        return Limit.STALE_PRIMARY
-    if not request.unanswered:
-        return None
-    before = loss.commit.acknowledged_as is not None and (
-        loss.commit.acknowledged_as < request.acknowledged
-    )
-    if not before or loss.holders & request.expected:
-        return None
-    unknown = (loss.holders | {request.primary}) - request.known
-    return None if unknown & request.listed else Limit.UNKNOWN
-
-
 class Promotions(stateful.RuleBasedStateMachine):
     """Runs commits, faults, late executions and the steps of holders in any order."""
 
@@ -84,7 +46,7 @@
 
     def unexplained(self) -> list[promotion_servers.Loss]:
         """Return the losses that no limit explains."""
-        return [loss for loss in self.world.losses if limit_of(loss) is None]
+        return [loss for loss in self.world.losses if promotion_limits.limit_of(loss) is None]
 
     def _server(
         self, name: ids.ServerId, *states: promotion_servers.State
@@ -160,7 +122,8 @@
         if server := self._server(name, promotion_servers.State.RUNNING):
             if server.leaving:
                 self.world.listed.pop(name, None)
-                self.world.remembered.discard(name)
+                self.world.members.drop(name)
+                self.world.left.add(name)
                 self.world.lose(server)
             else:
                 server.leaving = True
@@ -210,25 +173,30 @@
     def read_store(self, instance: int) -> None:
         self.world.read_store(self.world.instances[instance])
 
+    @stateful.rule(instance=instances, name=servers)
+    def cover(self, instance: int, name: ids.ServerId) -> None:
+        known = self.world.instances[instance]
+        promotion_members.cover(self.world, known, name, compare_end=self.parts.cover_by_end)
+
     @stateful.rule(instance=instances)
-    def let_retention_pass(self, instance: int) -> None:
-        """Drop expired entries; the durable record does so whether the servers run or not.
+    def drop_covered(self, instance: int) -> None:
+        known = self.world.instances[instance]
+        promotion_members.drop_covered(self.world, known, servers=SERVERS)
 
-        This is ``UNLISTED_RETENTION_S`` of ``proxy.service``. An instance that knew a server asks
-        it again, one that starts later does not know it.
-        """
+    @stateful.precondition(lambda self: not self.parts.keep_members)
+    @stateful.rule(instance=instances)
+    def let_retention_pass(self, instance: int) -> None:
+        """Drop servers without an entry from the record after some time, running or not."""
         known = self.world.instances[instance]
-        self.world.remembered -= known.expired
-        known.expired -= {
-            name for name in known.expired if self._server(name, promotion_servers.State.GONE)
-        }
+        for name in set() if self.parts.keep_members else known.expired:
+            self.world.members.drop(name)
 
     @stateful.rule()
     def restart_all_instances(self) -> None:
         self.attempts = {}
         fresh = [promotion_instances.Instance() for _ in self.world.instances]
         for before, instance in zip(self.world.instances, fresh, strict=True):
-            instance.reaches_store = before.reaches_store
+            instance.reaches_store, instance.knows_all = before.reaches_store, False
             self.world.start_instance(instance, durable_list=self.parts.durable_list)
         self.world.instances = fresh
 
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -4,10 +4,16 @@
 
 import pytest
 
-from tests.common import promotion_sequences, promotion_sequences_effects, promotion_servers
+from tests.common import (
+    promotion_limits,
+    promotion_sequences,
+    promotion_sequences_effects,
+    promotion_sequences_members,
+    promotion_servers,
+)
 from tests.proxy import test_promotion_rule_machine as rule_machine
 
-UNCOMPARED = {"compare_acknowledged": False}
+UNCOMPARED = {"compare_acknowledged": False, "acknowledged_end": False}
 """Instances whose acknowledged positions are not known, for example after their restart."""
 UNHELD = {"hold_commits": False}
 """Commits of instances that have not read the record."""
@@ -78,6 +84,30 @@
     ("keep_paused", promotion_sequences.pause_ends_before_the_effect, UNHELD | MAY_RUN),
     ("fence_requests", promotion_sequences.primary_is_kept, MAY_RUN),
     ("void_request", promotion_sequences.primary_is_kept, MAY_RUN),
+    (
+        "keep_members",
+        promotion_sequences_members.replica_without_an_entry_confirms_beyond_a_restart,
+        {},
+    ),
+    ("keep_members", promotion_sequences_members.lost_replica_confirmed_alone, {}),
+    ("await_silent", promotion_sequences_members.silent_replica_without_an_entry_confirmed, {}),
+    ("cover_by_end", promotion_sequences_members.ended_replica_confirmed_alone, {}),
+    ("cover_ended", promotion_sequences_members.covered_replica_runs_again, {}),
+    (
+        "acknowledged_end_of_all",
+        promotion_sequences_members.instance_that_acknowledged_tells_nothing,
+        {},
+    ),
+    (
+        "acknowledged_end_of_all",
+        promotion_sequences_members.instances_that_acknowledged_have_ended,
+        {},
+    ),
+    (
+        "answers_to_all",
+        promotion_sequences_members.answer_is_lost_and_the_confirming_replica_is_silent,
+        {},
+    ),
 ]
 
 
@@ -99,12 +129,28 @@
 
 KNOWN_LIMITS = [
     (
-        rule_machine.Limit.UNKNOWN,
+        promotion_limits.Limit.UNKNOWN,
         promotion_sequences.first_commit_is_confirmed_by_an_unlisted_server,
     ),
 ]
 OPEN_LIMITS = [
-    (rule_machine.Limit.STARTED_ANEW, promotion_sequences.server_starts_anew_before_a_late_request),
+    (
+        promotion_limits.Limit.STARTED_ANEW,
+        promotion_sequences.server_starts_anew_before_a_late_request,
+    ),
+    (
+        promotion_limits.Limit.COVERED_BEFORE,
+        promotion_sequences_members.covered_replica_runs_and_ends_again,
+    ),
+    (
+        promotion_limits.Limit.COVERED_BEFORE,
+        promotion_sequences_members.covered_replica_was_replaced_and_runs_again,
+    ),
+    (
+        promotion_limits.Limit.STALE_PRIMARY,
+        promotion_sequences_members.stale_primary_confirms_as_a_replica_and_ends,
+    ),
+    (promotion_limits.Limit.LEFT, promotion_sequences_members.replica_confirms_alone_and_leaves),
 ]
 FORMER_LIMITS = [
     promotion_sequences.primary_dies_beside_an_unlisted_server,
@@ -127,14 +173,14 @@
 def test_a_limit_in_the_design_note_is_the_only_cause_of_its_loss(limit, sequence):
     machine = rule_machine.Promotions()
     sequence(machine)
-    assert {rule_machine.limit_of(loss) for loss in machine.world.losses} == {limit}
+    assert {promotion_limits.limit_of(loss) for loss in machine.world.losses} == {limit}
 
 
 @pytest.mark.parametrize("limit, sequence", OPEN_LIMITS)
 def test_the_whole_rule_keeps_all_commits(limit, sequence):
     machine = rule_machine.Promotions()
     sequence(machine)
-    assert {rule_machine.limit_of(loss) for loss in machine.world.losses} <= {limit}
+    assert {promotion_limits.limit_of(loss) for loss in machine.world.losses} <= {limit}
     assert machine.world.losses == []
 
 
@@ -149,5 +195,23 @@
 @pytest.mark.parametrize("leads_from", promotion_servers.LeadsFrom)
 def test_a_replica_without_an_entry_that_outlasts_all_instances_loses_no_commit(leads_from):
     machine = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
-    promotion_sequences.replica_without_an_entry_confirms_beyond_a_restart(machine)
+    sequence = promotion_sequences_members.replica_without_an_entry_confirms_beyond_a_restart
+    sequence(machine)
+    assert machine.world.losses == []
+
+
+USUAL = [
+    promotion_sequences_members.primary_crashes,
+    promotion_sequences_members.primary_crashes_beside_a_covered_server,
+    promotion_sequences_members.primary_crashes_beside_a_silent_server,
+    promotion_sequences_members.primary_runs_and_leaves,
+]
+
+
+@pytest.mark.parametrize("leads_from", promotion_servers.LeadsFrom)
+@pytest.mark.parametrize("sequence", USUAL)
+def test_the_whole_rule_promotes_a_server_in_a_usual_case(sequence, leads_from):
+    machine = type("Whole", (rule_machine.Promotions,), {"leads_from": leads_from})()
+    sequence(machine)
+    assert machine.world.leader().name != rule_machine.A
     assert machine.world.losses == []
