--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -257,6 +257,9 @@
     is ``stopped``, or ``replica`` if it was one before; its log ends at ``end``."""
     STOP_UNANSWERED = EventKind(539, logbook.INFO, "order to stop not answered")
     """The order could not be sent, or the primary refused it; it is sent again."""
+    PAUSE_RELAYED = EventKind(549, logbook.INFO, "server paused for another instance")
+    """The instance that changes the primary does not reach the server, whose log ends at ``end``.
+    This one has paused it under ``term``, or found it paused."""
     STATEMENT_REFUSED = EventKind(610, logbook.INFO, "statement rejected")
     """A statement has no result; the fields give the reason and the time taken."""
     SERVER_SKIPPED = EventKind(611, logbook.INFO, "server skipped")
--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -13,7 +13,7 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import former_primary, ids, positions
-from mustardswitch.peers import datagram_fields, errors, told_commits
+from mustardswitch.peers import datagram_fields, errors, pauses, told_commits
 
 MAX_BYTES = 1200
 """Fits one packet on any usual network link."""
@@ -111,6 +111,9 @@
     stop_orders: tuple[StopOrder, ...] = ()
     """Primaries that are being replaced; the receivers answer with ``primary_reports``."""
     primary_reports: tuple[PrimaryReport, ...] = ()
+    pause_orders: tuple[pauses.PauseOrder, ...] = ()
+    """Servers that the sender does not reach; the receivers answer with ``pause_reports``."""
+    pause_reports: tuple[pauses.PauseReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -166,6 +169,10 @@
             ]
             for each in update.primary_reports
         ]
+    if update.pause_orders:
+        fields["pause"] = [pauses.encode_order(each) for each in update.pause_orders]
+    if update.pause_reports:
+        fields["paused"] = [pauses.encode_report(each) for each in update.pause_reports]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -267,6 +274,8 @@
         raise errors.InvalidDatagramError("expected what was acknowledged for each hold")
     stop = datagram_fields.decode_list(fields.get("stop", []), MAX_PROMOTIONS)
     reports = datagram_fields.decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
+    pause = datagram_fields.decode_list(fields.get("pause", []), MAX_PROMOTIONS)
+    paused = datagram_fields.decode_list(fields.get("paused", []), MAX_PROMOTIONS)
     leading, proved = fields.get("leading"), fields.get("proved")
     summary = fields.get("summary", "")
     if not isinstance(summary, str):
@@ -284,6 +293,8 @@
         held=tuple(map(_decode_held, held, told)),
         stop_orders=tuple(_decode_order(each) for each in stop),
         primary_reports=tuple(_decode_report(each) for each in reports),
+        pause_orders=tuple(map(pauses.decode_order, pause)),
+        pause_reports=tuple(map(pauses.decode_report, paused)),
     )
 
 
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -70,6 +70,8 @@
         """When the store was last asked for the list of servers (``clock.now_s``)."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
+        self.silent: set[ids.ServerId] = set()
+        """Servers that gave this instance no answer, to be paused through others."""
         self.record: Record | None = None
         """The record of this holder; None before it."""
         self.report: ports.HoldReport | None = None
--- a/src/mustardswitch/proxy/coordination.py
+++ b/src/mustardswitch/proxy/coordination.py
@@ -437,6 +437,18 @@
             order = datagrams.StopOrder(service=claim.service, server=stop.server, term=stop.term)
         return self.updates.hold_commits(promoted, recorded_at_s=recorded_at_s, order=order)
 
+    def relay_pauses(
+        self,
+        claim: ports.Claim,
+        servers: collections.abc.Set[ids.ServerId],
+        *,
+        term: ids.Term,
+    ) -> collections.abc.Mapping[ids.ServerId, ports.RelayedStatus]:
+        """Have other instances pause servers; return what they have read of paused ones."""
+        if self.updates is None:
+            return {}
+        return self.updates.relay_pauses(claim.service, servers, term)
+
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
         """Return the server whose promotion an earlier holder may have requested.
 
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -222,6 +222,7 @@
         queried_s = awaited_s = float("-inf")
         reported_at_s = clock.now_s()
         listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
+        sending.append(asyncio.create_task(self._pause_through_others()))
         while True:
             report = self.hold_commits(stop)
             if held_since_s is None and report.complete:
@@ -268,10 +269,11 @@
                 if read_again and not self.note_end(primary, former_status.received):
                     return STARTED_ANEW
             status = statuses.get(self.requested)
+            relayed = self._paused_through_others(since_s=ended_since_s)
             # Another one that lacks nothing is chosen once all are paused.
             behind = status is not None and all(
                 promotion.lacks_acknowledged(each, report.above)
-                for each in statuses.values()
+                for each in [*statuses.values(), *relayed.values()]
                 if not each.leads
             )
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
@@ -283,8 +285,12 @@
             ended = (
                 {order.backend.server} if order is not None and former.is_process_gone else set()
             )
+            expected = self.possible_holders() - spared - ended
+            self.silent = expected - receives - set(paused) - set(statuses)
+            relayed = self._paused_through_others(since_s=ended_since_s)
+            paused |= relayed
             choice = self.choose(
-                expected=self.possible_holders() - spared - ended,
+                expected=expected,
                 paused=paused,
                 receiving={
                     name: status
@@ -292,7 +298,7 @@
                     if name not in paused and not status.leads
                 },
                 report=report,
-                avoided={primary},
+                avoided={primary} | set(relayed),
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
                 covered=set() if ended_since_s is None else self.covered(since_s=ended_since_s),
@@ -331,6 +337,26 @@
             queried_s = clock.now_s()
             statuses = await self.commands.query(self.possible_holders() - spared)
 
+    async def _pause_through_others(self) -> None:
+        """Have other instances pause the servers that give no answer, until this is cancelled."""
+        while True:
+            if self.silent and self.holds_claim():
+                self.coordination.relay_pauses(self.claim, self.silent, term=self.term)
+            await asyncio.sleep(claimed_attempt.POLL_S)
+
+    def _paused_through_others(self, *, since_s: float | None) -> server_commands.Statuses:
+        """Return the statuses of paused servers that other instances have read since a time.
+
+        None of them counts before commits have ended, for which ``since_s`` is None.
+        """
+        if since_s is None or not self.silent or not self.holds_claim():
+            return {}
+        found = self.coordination.relay_pauses(self.claim, self.silent, term=self.term)
+        found = {name: each for name, each in found.items() if each.read_after_s >= since_s}
+        for name, each in found.items():
+            self.commands.note_relayed(name, each)
+        return {name: each.status for name, each in found.items()}
+
     def note_stopped_by_any(self, order: stop_orders.StopOrder, report: ports.HoldReport) -> bool:
         """Note the end of a primary that any instance has stopped.
 
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -10,7 +10,9 @@
     acknowledged_ends,
     commit_holds,
     directory,
+    permission_log,
     ports,
+    relayed_pauses,
     service,
     stop_orders,
 )
@@ -20,10 +22,6 @@
 round trip between regions fits twice."""
 
 
-MAX_NAMES = 10
-"""Instances that one log line names at most."""
-
-
 class PeerUpdates:
     """Handles the updates that this instance receives, and sends those that are due."""
 
@@ -52,8 +50,9 @@
         self.listed_before: frozenset[ids.InstanceId] = frozenset()
         """Those that were listed when they were looked at last."""
         self.stale_sent_at_s = float("-inf")
-        self.not_permitted_since_s: float | None = None
-        """Since when this instance may send no commits; None if it may."""
+        self.permission_log = permission_log.PermissionLog(directory=directory)
+        self.pause_relays = relayed_pauses.PauseRelays(directory=directory)
+        self.relayed_pauses = relayed_pauses.RelayedPauses(directory=directory, peers=peers)
 
     def __repr__(self) -> str:
         return f"PeerUpdates(directory={self.directory!r})"
@@ -66,8 +65,9 @@
         self.acknowledged_ends.check()
         self.note_instances()
         self.stop_orders.expire()
+        self.pause_relays.expire()
         self._tell_stale()
-        self._report_permission()
+        self.permission_log.check()
         for target in self.directory.services.values():
             abandoned = target.commits.abandon()
             if abandoned:
@@ -84,30 +84,6 @@
                     permitted=target.commits.permitted(),
                 )
 
-    def _report_permission(self) -> None:
-        """Log when commits are not permitted any more, and when they are again."""
-        now_s, known = clock.now_s(), self.directory.permission
-        permitted = self.directory.may_send_commits()
-        if permitted == (self.not_permitted_since_s is None):
-            return
-        self.directory.registry.set_gauge("commits_not_permitted", int(not permitted))
-        if permitted:
-            lasted_s = now_s - self.not_permitted_since_s
-            self.not_permitted_since_s = None
-            self.directory.registry.count("commits_not_permitted_seconds", amount=lasted_s)
-            events.log(events.Event.COMMITS_PERMITTED, lasted_s=round(lasted_s, 3))
-            return
-        self.not_permitted_since_s = now_s
-        unheard = known.unheard(now_s, self.directory.other_instances())
-        events.log(
-            events.Event.COMMITS_NOT_PERMITTED,
-            records_age_s=round(now_s - known.as_of_s, 3),
-            registered=self.directory.instances.is_listed(self.directory.instance),
-            store_lost=self.directory.servers.outage,
-            unheard=" ".join(sorted(unheard)[:MAX_NAMES]),
-            unheard_count=len(unheard),
-        )
-
     def note_instances(self) -> None:
         """Remember the registered instances, which may send commits for a while without an entry.
 
@@ -151,6 +127,8 @@
             known = self.primary_reports.get(told.order)
             if known is not None:
                 known[update.instance] = told.report, clock.now_s()
+        self.pause_relays.receive(update, answer=self._answer)
+        self.relayed_pauses.receive(update)
         recorded = {each.service: each.revision for each in update.promotions}
         reports = [
             report
@@ -353,6 +331,13 @@
             primary_reports=self._primary_reports(order),
         )
 
+    def relay_pauses(
+        self, name: ids.ServiceName, servers: collections.abc.Set[ids.ServerId], term: ids.Term
+    ) -> dict[ids.ServerId, ports.RelayedStatus]:
+        """Have servers paused by other instances; return what these have read of paused ones."""
+        peers = [peer for peer, _ in self.seen.values()]
+        return self.relayed_pauses.ask(name, servers, term, peers=peers)
+
     def _tell_proof(self, target: service.Service) -> None:
         """Tell the others once what proved a promotion, for their logs, before it takes effect."""
         proved = target.proved
@@ -380,6 +365,7 @@
         for promoted in [promoted for promoted in self.held if promoted.service == name]:
             del self.held[promoted]
         self.acknowledged_ends.forget(name)
+        self.relayed_pauses.forget(name)
         for order in [order for order in self.primary_reports if order.service == name]:
             del self.primary_reports[order]
         self.announced_at_s.pop(name, None)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -244,6 +244,15 @@
         return self.instances <= self.primary_reports.keys() and not self.unconfirmed
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RelayedStatus:
+    """The status of a server that another instance has read."""
+
+    status: promotion.ServerStatus
+    read_after_s: float
+    """A time before it was read (``clock.now_s``)."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopRequest:
     """A primary that all instances are to order to stop, and the term of the order."""
@@ -365,6 +374,18 @@
         record of the server's promotion. With ``stop`` the instances also order a primary to stop.
         """
 
+    def relay_pauses(
+        self,
+        claim: Claim,
+        servers: collections.abc.Set[ids.ServerId],
+        *,
+        term: ids.Term,
+    ) -> collections.abc.Mapping[ids.ServerId, RelayedStatus]:
+        """Have other instances pause servers under a term, and return what they have read lately.
+
+        Must be called at short intervals. Only paused servers are returned.
+        """
+
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
         """Return the server whose recorded promotion may still take effect; None without one."""
 
--- a/src/mustardswitch/proxy/takeover_report.py
+++ b/src/mustardswitch/proxy/takeover_report.py
@@ -5,7 +5,7 @@
 
 from mustardswitch.internal import clock, ids, promotion
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import attempt_log, server_commands, service
+from mustardswitch.proxy import attempt_log, ports, server_commands, service
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,6 +98,10 @@
                 self.log.note_led(status.term)
         return status
 
+    def note_relayed(self, name: ids.ServerId, relayed: ports.RelayedStatus) -> None:
+        """Keep what another instance has read of a server."""
+        self.answers[name] = Answered(status=relayed.status, at_s=relayed.read_after_s)
+
     async def resume(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> collections.abc.Set[ids.ServerId]:
--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -132,6 +132,16 @@
         """Return the report that a test has set; by default there is no other instance."""
         return self.hold_report
 
+    def relay_pauses(
+        self,
+        claim: ports.Claim,
+        servers: collections.abc.Set[ids.ServerId],
+        *,
+        term: ids.Term,
+    ) -> collections.abc.Mapping[ids.ServerId, ports.RelayedStatus]:
+        """Return nothing; there is no other instance."""
+        return {}
+
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
         """Return the recorded server."""
         return self.promotions.get(service)
