--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -24,7 +24,9 @@
 CHECK_S = 0.25
 """Interval between checks for servers that are due."""
 RANK_DELAY_S = 2.0
-"""Delay per rank before an instance asks, so that usually one does."""
+"""Delay per rank before an instance asks for the first time, so that usually one does."""
+OTHERS_PAUSE_S = 60.0
+"""Pause between attempts of the instances that are not ranked first."""
 RETRY_S = 0.5
 """Pause after the first attempt; it doubles up to the limit."""
 RETRY_LIMIT_S = 8.0
@@ -42,8 +44,9 @@
 
     def __init__(self, *, directory: directory.Directory) -> None:
         self.directory = directory
-        self.due_at_s: dict[tuple[ids.ServiceName, ids.ServerId], tuple[float, float]] = {}
-        """When each server is asked next (``clock.now_s``), and the pause after that."""
+        self.due_at_s: dict[tuple[ids.ServiceName, ids.ServerId], tuple[float, float | None]] = {}
+        """When each server is asked next (``clock.now_s``), and the pause after that; None unless
+        this instance is ranked first."""
         self.asking: dict[ids.ServiceName, asyncio.Task[None]] = {}
 
     def __repr__(self) -> str:
@@ -60,7 +63,7 @@
         wanted = set()
         for name, target in self.directory.services.items():
             self._drop(target)
-            missing = self._ended_or_unlisted(target)
+            missing = self._ended_or_unlisted(target) if target.holds_connections else []
             wanted |= {(name, each.server) for each in missing}
             running = self.asking.get(name)
             due = [each for each in missing if self._is_due(name, each.server)]
@@ -69,14 +72,15 @@
         self.due_at_s = {key: due for key, due in self.due_at_s.items() if key in wanted}
 
     def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
-        """Return the servers without an entry, and those without a process that are not covered."""
+        """Return the servers without an entry, and those that were found without a process."""
         not_listening = server_contact.Sign.NOT_LISTENING
         ended = [
             backend
             for backend in target.servers.values()
-            if (contact := backend.contacts.latest()) is not None
-            and contact.sign is not_listening
-            and unlisted.member_of(backend.entry) not in target.covered
+            if unlisted.member_of(backend.entry) in target.covered
+            or (
+                (contact := backend.contacts.latest()) is not None and contact.sign is not_listening
+            )
         ]
         return [*target.unlisted.backends().values(), *ended]
 
@@ -86,7 +90,7 @@
             ranked = gateways.ranked(self.directory.candidates(), service_name)
             instance = self.directory.instance
             rank = ranked.index(instance) if instance in ranked else len(ranked)
-            self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S
+            self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S if rank == 0 else None
         return now_s >= self.due_at_s[key][0]
 
     async def _ask(self, target: service.Service, due: list[server.Server]) -> None:
@@ -107,6 +111,9 @@
                     server=backend.server,
                     end=end,
                 )
+        if pause_s is None:
+            self.due_at_s[key] = clock.now_s() + OTHERS_PAUSE_S, None
+            return
         if member in target.covered:
             pause_s = REPEATS * RETRY_S
         self.due_at_s[key] = clock.now_s() + pause_s, min(2 * pause_s, RETRY_LIMIT_S)
@@ -156,4 +163,4 @@
             return
         for name, known in list(target.unlisted.items()):
             if unlisted.member_of(known.backend.entry) in target.covered:
-                del target.unlisted[name]
+                target.forget_covered(name)
