--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -42,7 +42,10 @@
     )
     """Members whose processes have ended, and positions that they held nothing above."""
     is_durable: bool = True
-    """Whether it keeps servers until they are covered; builds before dropped them after seconds."""
+    """Whether it tells which members are covered; records of earlier builds do not."""
+    forgotten: frozenset[members.Member] = frozenset()
+    """Servers that were members, held nothing alone and were replaced. A server that is missing
+    from the record otherwise may be unknown to the instance that wrote it."""
 
     @property
     def members(self) -> frozenset[members.Member]:
@@ -84,13 +87,27 @@
     return {member: end for member, end in target.covered.ends.items() if member in counted}
 
 
+def forgotten_members(
+    target: service.Service,
+    entries: collections.abc.Iterable[ports.ServerEntry],
+    record: MemberRecord,
+) -> frozenset[members.Member]:
+    """Return the servers that are told as forgotten: those of this instance, or of the record."""
+    own = frozenset(target.forgotten)
+    told = own or record.forgotten
+    return told - frozenset(map(unlisted.member_of, entries))
+
+
 def encode(
     entries: collections.abc.Iterable[ports.ServerEntry],
     *,
     covered: collections.abc.Mapping[members.Member, positions.Position] | None = None,
+    forgotten: collections.abc.Iterable[members.Member] = (),
 ) -> bytes:
     """Encode the members of a service."""
     ends = covered or {}
+    # Beside each member, since builds before read a list of members and no other fields.
+    told = sorted(f"{server} {started_ms}" for server, started_ms in forgotten)
     record = [
         {
             "server": entry.server,
@@ -102,6 +119,7 @@
             "role": entry.role.value,
             "leaving": entry.leaving,
             "covered": str(ends.get(unlisted.member_of(entry), "")),
+            **({"forgotten": told} if told else {}),
         }
         for entry in _limited(entries)
     ]
@@ -127,9 +145,21 @@
             if mark
         },
         is_durable=None not in marks,
+        forgotten=frozenset(
+            _decode_forgotten(text) for each in listed[:1] for text in each.get("forgotten", ())
+        ),
     )
 
 
+def _decode_forgotten(text: object) -> members.Member:
+    name, _, started_ms = text.partition(" ") if isinstance(text, str) else ("", "", "")
+    if not name or not started_ms.isdecimal() or len(started_ms) > len(str(MAX_TIME_MS)):
+        raise errors.FleetRecordError(
+            f"field forgotten is {text!r:.64}; not a server and its start"
+        )
+    return ids.ServerId(name), int(started_ms)
+
+
 def _decode_end(text: object) -> positions.Position:
     try:
         return positions.parse_position(text if isinstance(text, str) else "")
@@ -283,9 +313,12 @@
         known, record = self._known(target.name), self.record(target.name)
         for backend in target.servers.values():
             known.add(unlisted.member_of(backend.entry))
-        target.covered.note_record(record.covered, record.revision)
-        if record.entries and record.is_durable:
-            target.unlisted.note_record(record.members, record.revision)
+        if record.is_durable:
+            target.covered.note_record(record.covered, record.revision)
+        for name, backend in target.unlisted.backends().items():
+            member = unlisted.member_of(backend.entry)
+            if member in record.forgotten and member not in target.covered.run_again:
+                del target.unlisted[name]
         for entry in record.entries:
             listed = entry.server in target.servers or entry.server in target.unlisted
             if listed or unlisted.member_of(entry) in known:
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -104,6 +104,10 @@
         record = self.directory.members.record(target.name)
         listed = member_records.primaries(each.entry for each in target.servers.values())
         covered = member_records.covered_members(target, counted)
+        if record.entries and not member_records.forgotten_members(target, counted, record) <= (
+            record.forgotten
+        ):
+            return True
         if record.entries and (not record.is_durable or record.covered != covered):
             return True
         if record.entries and listed and listed != member_records.primaries(record.entries):
@@ -126,13 +130,15 @@
         key = f"{fleet_records.MEMBERS}{name}"
         entries = member_records.counted_entries(target)
         covered = member_records.covered_members(target, entries)
-        put = ports.Put(key=key, value=member_records.encode(entries, covered=covered))
+        forgotten = member_records.forgotten_members(target, entries, book.record(name))
+        value = member_records.encode(entries, covered=covered, forgotten=forgotten)
+        put = ports.Put(key=key, value=value)
         revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
         else:
             written = member_records.MemberRecord(
-                entries=tuple(entries), covered=covered, revision=revision
+                entries=tuple(entries), covered=covered, forgotten=forgotten, revision=revision
             )
             book.note_written(name, written)
 
--- a/src/mustardswitch/proxy/server_list.py
+++ b/src/mustardswitch/proxy/server_list.py
@@ -7,8 +7,10 @@
 from mustardswitch import connection_pool, events, metrics
 from mustardswitch.internal import (
     clock,
+    commit_permission,
     ids,
     leadership,
+    members,
     positions,
     promotion,
     unlisted_servers,
@@ -42,6 +44,10 @@
 """Heartbeat intervals that are shorter than the silence after which an entry expires."""
 
 
+MAX_FORGOTTEN = 16
+"""Forgotten servers that are told to the other instances."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Location:
     """The availability zone of this instance, and the region of each zone."""
@@ -81,6 +87,7 @@
         stall_meter: stalls.StallMeter | None,
         registrations: commit_holds.SourceList | None,
         listing_s: float,
+        permission: commit_permission.CommitPermission,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -119,6 +126,10 @@
         )
         self.acknowledged = acknowledged.AcknowledgedCommits(service=name, registry=registry)
         self.leadership = leadership.Leadership()
+        self.permission = permission
+        """As of when the records are that this instance has applied."""
+        self.forgotten: dict[members.Member, None] = {}
+        """Covered servers that were forgotten here, the latest ones."""
 
     def _note_change(self) -> None:
         """Act on a change of the servers or of the leader."""
@@ -129,10 +140,11 @@
         listed = {entry.server: entry for entry in entries}
         for name in set(self.unlisted) & set(listed):
             del self.unlisted[name]
+        leader = self.leadership.leader(self.servers)
         for backend in list(self.servers.values()):
             entry = listed.get(backend.server)
             if entry is None:
-                self._note_unlisted(backend)
+                self._note_unlisted(backend, leader=leader)
                 self._remove(backend, "not listed")
             elif entry.started_ms != backend.entry.started_ms:
                 self._remove(backend, "started anew")
@@ -174,7 +186,7 @@
                 leaving=entry.leaving,
             )
         elif backend.entry.revision != entry.revision:
-            backend.entry_written_at_s = clock.now_s()
+            backend.entry_written_at_s = self._written_since_s()
         if role_before is not None and backend.entry.leaving != entry.leaving:
             events.log(
                 events.Event.SERVER_LEAVING,
@@ -215,7 +227,7 @@
             silent_s=round(clock.now_s() - backend.entry_written_at_s, 3),
         )
 
-    def _note_unlisted(self, backend: server.Server) -> None:
+    def _note_unlisted(self, backend: server.Server, *, leader: ids.ServerId | None) -> None:
         """Remember a server that may be running although its entry is gone.
 
         A leaving server confirms commits until it ends; its entry is removed then, or expires
@@ -225,13 +237,17 @@
         # An entry that is removed before it can have expired is that of a server that has left.
         silent_s = clock.now_s() - backend.entry_written_at_s
         has_left = backend.entry.leaving and silent_s < self._least_expiry_s()
-        leader = self.leadership.leader(self.servers)
         leads = backend.entry.role is promotion.Role.PRIMARY and leader in (None, backend.server)
         if not has_left and (not leads or self.leadership.has_stopped(backend.server)):
             self.unlisted.add_replica(backend)
         elif leads:
             self.former_primary, self.former_has_left = backend, has_left
 
+    def _written_since_s(self) -> float:
+        """Return a time before which the change of an entry that is read now was not written."""
+        known = (self.hold.registrations.confirmed_at_s, self.permission.as_of_s)
+        return min([clock.now_s(), *(each for each in known if each > float("-inf"))])
+
     def _least_expiry_s(self) -> float:
         heartbeat_s = self.listing_s / unlisted_servers.HEARTBEATS
         return min(EXPIRY_SILENCE_S, EXPIRY_HEARTBEATS * heartbeat_s)
@@ -283,6 +299,13 @@
         backend = self.known_servers().get(name)
         return None if backend is None else self.covered.ends.get(unlisted.member_of(backend.entry))
 
+    def forget_covered(self, name: ids.ServerId) -> None:
+        """Forget a server without an entry that holds nothing alone and was replaced."""
+        known = self.unlisted.pop(name)
+        self.forgotten[unlisted.member_of(known.backend.entry)] = None
+        while len(self.forgotten) > MAX_FORGOTTEN:
+            del self.forgotten[next(iter(self.forgotten))]
+
     def note_running(self, backend: server.Server) -> None:
         """Record that a server, or an unlisted one in its place, has answered."""
         self.unlisted.note_running(backend.server)
@@ -310,7 +333,10 @@
         if serves_tenants == self.serves_tenants:
             return
         self.serves_tenants = serves_tenants
+        leader = self.leadership.leader(self.servers)
         for backend in list(self.servers.values()):
+            # Its entry may be removed by the same change of the records.
+            self._note_unlisted(backend, leader=leader)
             self._remove(backend, "tenants were configured or removed")
 
     def _note_exchange(self) -> None:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -75,6 +75,7 @@
             stall_meter=stall_meter,
             registrations=registrations,
             listing_s=listing_s,
+            permission=permission or commit_permission.CommitPermission(),
         )
         self.order_opener = order_opener or self._open_for_order
         """Opens connections for orders to stop, with more time for a server that is slow."""
@@ -90,7 +91,7 @@
         """That promotion; None without one."""
         self.commits = commit_gate.CommitGate(
             records=self.hold.registrations,
-            permission=permission or commit_permission.CommitPermission(),
+            permission=self.permission,
             permitted=permitted,
         )
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
@@ -364,6 +365,7 @@
         self, backend: server.Server, status: promotion.ServerStatus, query_sent_at_s: float
     ) -> None:
         self.acknowledged.note_status(backend.server, status)
+        self.note_running(backend)
         if status.leads:
             self.note_leading(
                 backend.server, query_sent_at_s=query_sent_at_s, position=status.received
--- a/src/mustardswitch/proxy/unlisted.py
+++ b/src/mustardswitch/proxy/unlisted.py
@@ -26,8 +26,6 @@
     """When its entry was removed, or when it answered last after that (``clock.now_s``)."""
     expired_s: float = dataclasses.field(default_factory=clock.now_s)
     """When its entry was removed, or this instance learned of it from the record of members."""
-    recorded_era: int | None = None
-    """The store's era in which the record of members named it; None if it did not yet."""
 
 
 def member_of(entry: ports.ServerEntry) -> members.Member:
@@ -48,6 +46,8 @@
         """Those that the record of members does not name yet."""
         self.run_again: set[members.Member] = set()
         """Those that the record names although they have been found to run since."""
+        self.have_run: set[members.Member] = set()
+        """Those that have been found to run; a restored record may be of before that."""
         self.revision = 0
         """The store's revision of the record that was compared last."""
 
@@ -62,12 +62,14 @@
         self.ends[member] = end
         self.added.add(member)
         self.run_again.discard(member)
+        self.have_run.discard(member)
 
     def note_running(self, member: members.Member) -> None:
         """Record that a server, or another one in its place, runs."""
         if self.ends.pop(member, None) is not None:
             self.added.discard(member)
             self.run_again.add(member)
+            self.have_run.add(member)
 
     def note_record(
         self,
@@ -77,6 +79,8 @@
         """Apply what the record of members tells, unless it was applied before."""
         if revision == self.revision:
             return
+        if revisions.era_of(revision) != revisions.era_of(self.revision):
+            self.run_again |= self.have_run
         self.revision = revision
         self.added -= recorded.keys()
         self.run_again &= recorded.keys()
@@ -89,6 +93,7 @@
         self.ends = {member: end for member, end in self.ends.items() if member in known}
         self.added &= known
         self.run_again &= known
+        self.have_run &= known
 
 
 class UnlistedServers(dict[ids.ServerId, UnlistedServer]):
@@ -121,16 +126,3 @@
         """Return whether the entry of a server was removed a short time ago."""
         known = self.get(name)
         return known is not None and clock.now_s() < known.expired_s + RECENT_S
-
-    def note_record(self, recorded: collections.abc.Set[members.Member], revision: int) -> None:
-        """Compare with the record of members at a ``revision`` of the store.
-
-        A server that the record has named and does not name any more was found by another instance
-        to hold nothing alone, unless the store was restored from a copy in between.
-        """
-        era = revisions.era_of(revision)
-        for name, known in list(self.items()):
-            if member_of(known.backend.entry) in recorded:
-                self[name] = dataclasses.replace(known, recorded_era=era)
-            elif known.recorded_era == era:
-                del self[name]
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -152,19 +152,33 @@
     assert set(world.service.possible_holders()) == {A, B, C}
 
 
-async def test_a_member_that_a_later_record_does_not_name_counts_no_more():
+@pytest.mark.parametrize("forgotten", [False, True], ids=["missing", "forgotten"])
+async def test_a_member_counts_no_more_once_a_record_tells_that_it_is_forgotten(forgotten):
+    """A record without it may be of an instance that does not know it."""
     world = member_world.MemberWorld(listed=[C])
-    entries = [each for each in world.group.entries() if each.server != B]
-    world.record(member_records.encode(entries), revision=6)
+    entries = {each.server: each for each in world.group.entries()}
+    told = [unlisted.member_of(entries.pop(B))] if forgotten else []
+    entries.pop(B, None)
+    world.record(member_records.encode(entries.values(), forgotten=told), revision=6)
     world.directory.refresh()
-    assert set(world.service.possible_holders()) == {A, C}
+    assert set(world.service.possible_holders()) == ({A, C} if forgotten else {A, B, C})
+
+
+@pytest.mark.parametrize("odd", [[5], ["x"], [" 5"], ["x 9999999999999999"], [None], [["x 5"]]])
+def test_a_record_with_odd_forgotten_members_is_rejected(odd):
+    record = json.loads(member_records.encode([ENTRY]))
+    record[0]["forgotten"] = odd
+    with pytest.raises(errors.FleetRecordError):
+        member_records.decode_record(ORDERS, json.dumps(record).encode(), revision=1)
 
 
 async def test_a_member_that_a_record_names_again_counts_again():
     world = member_world.MemberWorld(listed=[C])
     entries = [each for each in world.group.entries() if each.server != B]
-    world.record(member_records.encode(entries), revision=6)
+    told = [unlisted.member_of(each) for each in world.group.entries() if each.server == B]
+    world.record(member_records.encode(entries, forgotten=told), revision=6)
     world.directory.refresh()
+    assert set(world.service.possible_holders()) == {A, C}
     world.record(member_records.encode(world.group.entries()), revision=7)
     world.directory.refresh()
     assert set(world.service.possible_holders()) == {A, B, C}
