--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions, server_contact
+from mustardswitch.internal import clock, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
     commit_holds,
     errors,
@@ -203,12 +203,11 @@
         return max((end for end in ends if end is not None), default=None)
 
     def _may_run(self, name: ids.ServerId) -> bool:
-        """Return whether a server is listed, or known and not found without a process."""
+        """Return whether a server is listed, or known and not found ended since the record."""
         backend = self.target.known_servers().get(name)
         if backend is None or name in self.target.servers:
             return backend is not None
-        contact = backend.contacts.latest()
-        return contact is None or contact.sign is not server_contact.Sign.NOT_LISTENING
+        return self.record is None or not backend.contacts.ended_since(self.record.at_s)
 
     # Servers
 
