--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -308,7 +308,11 @@
     statuses = {**evidence.receiving, **evidence.paused}
     if any(status.leads for status in statuses.values()):
         return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
-    proofs = {name: proof(name, evidence) for name in statuses.keys() - evidence.unnamed}
+    # Another server than the recorded one is recorded, and proved anew, before it is promoted.
+    proofs = {
+        name: proof(name, dataclasses.replace(evidence, recorded=name))
+        for name in statuses.keys() - evidence.unnamed
+    }
     proved = sorted(name for name, found in proofs.items() if found is not None)
     if not proved:
         return Choice(verdict=Verdict.WAIT, reason=_missing_proof(evidence, statuses))
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -130,7 +130,9 @@
         kept = promotion.kept_primary(self.requested)
         likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
-            staying = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
+            staying = promotion.choose_successor(
+                replicas=statuses, leaving=self._leaving() | self.target.unlisted.keys()
+            )
             likely = staying or likely or next(iter(sorted(statuses)), None)
         if likely is None:
             return promotion.Choice(
@@ -298,7 +300,8 @@
                     if name not in paused and not status.leads
                 },
                 report=report,
-                avoided={primary} | set(relayed),
+                # One without an entry serves no callers until it is replaced.
+                avoided={primary} | set(relayed) | self.target.unlisted.keys(),
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
                 covered={} if ended_since_s is None else self.covered(since_s=ended_since_s),
