--- a/src/mustardswitch/proxy/acknowledged_ends.py
+++ b/src/mustardswitch/proxy/acknowledged_ends.py
@@ -35,6 +35,9 @@
         self.checked_at_s = float("-inf")
         self.watched_since_s = clock.now_s()
         """Since when no instance can have been listed and removed unseen."""
+        self.found: dict[datagrams.RecordedPromotion, positions.Position] = {}
+        """Positions that were found. Instances that start or leave later change nothing, since
+        commits have ended by then."""
 
     def __repr__(self) -> str:
         return f"AcknowledgedEnds(directory={self.directory!r})"
@@ -122,7 +125,15 @@
             started_by_s=self.directory.permission.started_s,
             samples=tuple(target.history.samples),
         )
-        return acknowledged_end.find([own, *told.values()], unheard_until_s=self.unheard_until_s())
+        reports = [own, *told.values()]
+        end = self.found.get(promoted)
+        if end is None:
+            end = acknowledged_end.find(reports, unheard_until_s=self.unheard_until_s())
+        if end is None:
+            return None
+        shown = [each.shown for each in reports if each.shown is not None]
+        self.found[promoted] = max([end, *shown])
+        return self.found[promoted]
 
     def unheard_until_s(self) -> float:
         """Return until when an instance may have sent commits that does not report.
@@ -137,3 +148,4 @@
         """Forget what was told for a service; a later change asks again."""
         for promoted in [promoted for promoted in self.told if promoted.service == name]:
             del self.told[promoted]
+            self.found.pop(promoted, None)
