--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -131,8 +131,10 @@
     )
     """Ends of logs that an earlier holder has read after commits had ended, so that they are not
     longer now. These servers need not answer again."""
-    covered: collections.abc.Set[ids.ServerId] = frozenset()
-    """Servers whose processes have ended, and of which another server had all commits by then."""
+    covered: collections.abc.Mapping[ids.ServerId, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Servers whose processes have ended, and positions that they held nothing above."""
     unnamed: collections.abc.Set[ids.ServerId] = frozenset()
     """Servers in whose place another one answers, whose name is not known; none is promoted."""
     acknowledged_above: positions.Position | None = None
@@ -140,6 +142,9 @@
     acknowledged_end: positions.Position | None = None
     """A position that no acknowledged commit is above; None while an instance may have acknowledged
     commits that it does not tell of."""
+    recorded: ids.ServerId | None = None
+    """What is recorded, for which commits are held. A server that is recorded may have taken
+    commits since the instances told of theirs."""
     unlisted_may_hold: bool = False
     """Whether a server that runs and is not listed yet may have confirmed a commit."""
 
@@ -169,18 +174,24 @@
     if not evidence.commits_held:
         # A stopped primary that crashes leads again when it returns.
         return None
+    if lacks_acknowledged(status, evidence.acknowledged_above):
+        return None
     if evidence.stopped_end is not None:
         return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
     if not evidence.former_primary.has_ended:
         return None
-    if lacks_acknowledged(status, evidence.acknowledged_above):
-        return None
     if not evidence.unlisted_may_hold and _has_highest_paused_log(server, evidence):
         return Proof.ALL_PAUSED
     acknowledged = evidence.acknowledged_end
-    if acknowledged is not None and status.received >= acknowledged:
-        return Proof.ALL_ACKNOWLEDGED
-    return None
+    if acknowledged is None or not _is_complete_for(server, evidence):
+        return None
+    return Proof.ALL_ACKNOWLEDGED if status.received >= acknowledged else None
+
+
+def _is_complete_for(server: ids.ServerId, evidence: Evidence) -> bool:
+    """Return whether any commit that the instances do not tell of is in a server's own log."""
+    recorded = evidence.recorded
+    return recorded is not None and (server == recorded or lets_no_commits_pass(recorded))
 
 
 def _has_highest_paused_log(server: ids.ServerId, evidence: Evidence) -> bool:
@@ -189,12 +200,14 @@
         return False
     ends = [each.received for each in evidence.paused.values()]
     ends += [end for name, end in evidence.final_ends.items() if name in evidence.expected]
-    return evidence.paused[server].received == max(ends)
+    covered = [end for name, end in evidence.covered.items() if name in evidence.expected]
+    received = evidence.paused[server].received
+    return received == max(ends) and all(received >= end for end in covered)
 
 
 def missing_servers(evidence: Evidence) -> set[ids.ServerId]:
     """Return the servers that may have confirmed commits, and whose logs are not known."""
-    known = evidence.paused.keys() | evidence.final_ends.keys() | evidence.covered
+    known = evidence.paused.keys() | evidence.final_ends.keys() | evidence.covered.keys()
     return set(evidence.expected - known)
 
 
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions
+from mustardswitch.internal import clock, ids, positions, promotion, revisions, server_contact
 from mustardswitch.proxy import (
     commit_holds,
     errors,
@@ -194,12 +194,20 @@
             self.recorded_end = stopped
 
     def _required_end(self) -> positions.Position | None:
-        """Return the end of a primary that was stopped before, while that server counts."""
+        """Return the end of a primary that was stopped before, unless its process has ended."""
         stopped = self.recorded_end
-        counts = stopped is not None and stopped.server in self.confirming()
+        counts = stopped is not None and self._may_run(stopped.server)
         ends = [stopped.end if counts else None, self.replica_end]
         return max((end for end in ends if end is not None), default=None)
 
+    def _may_run(self, name: ids.ServerId) -> bool:
+        """Return whether a server is listed, or known and not found without a process."""
+        backend = self.target.known_servers().get(name)
+        if backend is None or name in self.target.servers:
+            return backend is not None
+        contact = backend.contacts.latest()
+        return contact is None or contact.sign is not server_contact.Sign.NOT_LISTENING
+
     # Servers
 
     def confirming(self) -> set[ids.ServerId]:
@@ -210,18 +218,17 @@
         """Return all servers that may hold acknowledged commits, as far as they are known now."""
         return set(self.target.possible_holders())
 
-    def covered(self, *, since_s: float) -> set[ids.ServerId]:
+    def covered(self, *, since_s: float) -> dict[ids.ServerId, positions.Position]:
         """Return the servers that were found without a process since then, and are covered.
 
         One whose place another process has taken is no such server.
         """
-        return {
-            name
+        found = {
+            name: self.target.covered_end(name)
             for name, backend in self.target.possible_holders().items()
-            if self.target.is_covered(name)
-            and name not in self.commands.unnamed
-            and backend.contacts.ended_since(since_s)
+            if name not in self.commands.unnamed and backend.contacts.ended_since(since_s)
         }
+        return {name: end for name, end in found.items() if end is not None}
 
     async def pause_others(
         self,
--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -307,7 +307,12 @@
         acknowledged_above=exploration_state.optional(above),
         acknowledged_end=exploration_state.optional(_acknowledged_end(state, rules)),
         unlisted_may_hold=may_hold,
-        covered=names({n for n in SERVERS if _is_covered(state, n)}),
+        covered={
+            NAMES[n]: exploration_state.real_position(each.covered)
+            for n, each in enumerate(state.servers)
+            if each.covered is not None and each.run in (Run.DOWN, Run.GONE)
+        },
+        recorded=_recorded_name(holder),
     )
     avoided = names({holder.primary} - {NOBODY})
     return promotion.choose(
@@ -315,9 +320,9 @@
     )
 
 
-def _is_covered(state: State, number: int) -> bool:
-    server = state.servers[number]
-    return server.covered and server.run in (Run.DOWN, Run.GONE)
+def _recorded_name(holder: Holder) -> ids.ServerId:
+    name = NAMES[holder.requested]
+    return promotion.holding(name) if holder.holds_all else name
 
 
 def _acknowledged_end(state: State, rules: exploration_rules.Rules) -> Position | None:
--- a/tests/common/promotion_claim.py
+++ b/tests/common/promotion_claim.py
@@ -4,7 +4,13 @@
 import enum
 
 from mustardswitch.internal import ids, positions, promotion
-from tests.common import promotion_instances, promotion_parts, promotion_servers, promotion_world
+from tests.common import (
+    promotion_instances,
+    promotion_members,
+    promotion_parts,
+    promotion_servers,
+    promotion_world,
+)
 
 OrderKind = promotion_servers.OrderKind
 Statuses = dict[ids.ServerId, promotion.ServerStatus]
@@ -175,6 +181,27 @@
         if holds and self.parts.record_end:
             self.world.stopped = self.recorded_end = (primary, end)
 
+    def _acknowledged_end(self) -> positions.Position | None:
+        if self.hold is None or not self.parts.acknowledged_end:
+            return None
+        return self.hold.acknowledged_end(
+            len(self.world.instances),
+            of_all=self.parts.acknowledged_end_of_all,
+            answers_to_all=self.parts.answers_to_all,
+        )
+
+    def _covered(
+        self, expected: collections.abc.Set[ids.ServerId]
+    ) -> dict[ids.ServerId, positions.Position]:
+        if self.parts.cover_ended:
+            return promotion_members.covered(self.world, self.instance)
+        return {name: end for (name, _), end in self.instance.covered.items() if name in expected}
+
+    def _recorded(self) -> ids.ServerId | None:
+        if self.requested is None or not self.holds_all:
+            return self.requested
+        return promotion.holding(self.requested)
+
     def _required_end(self) -> positions.Position | None:
         if self.recorded_end is None or self.recorded_end[0] not in self._confirming():
             return None
--- a/tests/common/promotion_world.py
+++ b/tests/common/promotion_world.py
@@ -129,7 +129,7 @@
 
     def _confirm(self, commit: promotion_servers.Commit, by: ids.ServerId) -> None:
         commit.waiting, commit.confirmed, commit.confirmed_by = False, True, by
-        marks = self.members.covered.union(*(each.covered for each in self.instances))
+        marks = set(self.members.covered).union(*(each.covered for each in self.instances))
         commit.confirmed_covered = (by, self.servers[by].starts) in marks
         commit.acknowledged_as = self.acknowledgements
         self.acknowledgements += 1
