--- a/tests/proxy/test_promotion_exploration.py
+++ b/tests/proxy/test_promotion_exploration.py
@@ -124,7 +124,7 @@
 
 USUAL = {
     "all others answer": {},
-    "a covered server": {"run": exploration_state.Run.GONE, "listed": False, "covered": True},
+    "a covered server": {"run": exploration_state.Run.GONE, "listed": False, "covered": (0, 0)},
     "a silent server": {"silent": True},
 }
 """What is special of one replica as the primary crashes."""
--- a/tests/proxy/test_promotion_rule_parts.py
+++ b/tests/proxy/test_promotion_rule_parts.py
@@ -33,7 +33,11 @@
         promotion_sequences.stopped_primary_leads_again_for_an_instance_cut_off,
         {},
     ),
-    ("compare_end", promotion_sequences.commit_precedes_the_stop, {"record_end": False}),
+    (
+        "compare_end",
+        promotion_sequences.commit_precedes_the_stop,
+        {"record_end": False} | UNCOMPARED,
+    ),
     ("stop_primary", promotion_sequences.commit_follows_the_choice, {}),
     ("wait_for_hold", promotion_sequences.commit_follows_the_record, MAY_RUN),
     ("need_permission", promotion_sequences.commit_follows_the_period, MAY_RUN),
@@ -46,7 +50,7 @@
     (
         "stop_leaders_only",
         promotion_sequences.stale_primary_answers_the_order_to_stop,
-        SPARED | MAY_RUN,
+        SPARED | MAY_RUN | UNCOMPARED,
     ),
     (
         "pause_replaced",
--- a/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
+++ b/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
@@ -2,8 +2,14 @@
 
 import pytest
 
-from mustardswitch.internal import clock, promotion
-from mustardswitch.proxy import coverage, member_records, service
+from mustardswitch.internal import (
+    acknowledged_end,
+    clock,
+    position_history,
+    positions,
+    promotion,
+)
+from mustardswitch.proxy import coverage, member_records, ports, server_list
 from tests.common import member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -18,11 +24,11 @@
     """Let a replica lose its entry and end; another one has all commits."""
     world.directory.instances.first_read_at_s = clock.now_s()
     world.group.servers[C].up = False
-    takeovers.lose_entry(world, C, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, C, silent_s=server_list.EXPIRY_SILENCE_S)
     checking = coverage.Coverage(directory=world.directory)
     checking.check()
     await world.settle()
-    assert [server for server, _ in world.service.covered] == [C]
+    assert [server for server, _ in world.service.covered.ends] == [C]
     return checking
 
 
@@ -101,3 +107,27 @@
     world.coordination.refresh_servers = list_servers
     await takeovers.take_over(world, A, silent=True)
     assert world.group.lost == []
+
+
+async def test_a_commit_whose_answer_reached_no_instance_is_not_lost():
+    """It was acknowledged as a replica received it; that replica gives no answer now."""
+    world = proxy_world.World()
+    world.group.servers[C].not_receiving = True
+    before = world.group.primary.position
+    assert world.group.commit(world.group.primary, "not answered")
+    world.coordination.hold_report = ports.HoldReport(
+        complete=True, acknowledged_end=_answered_end(before)
+    )
+    world.group.servers[B].silent, world.group.servers[A].up = True, False
+    await takeovers.take_over(world, silent=True)
+    assert world.group.lost == []
+
+
+def _answered_end(shown: positions.Position) -> positions.Position | None:
+    """Return what two instances tell, one of which has had no answer to its last commit."""
+    sample = position_history.PositionSample(query_sent_at_s=2.0, position=shown)
+    told = [
+        acknowledged_end.Told(shown=shown, started_by_s=0.0, samples=(sample,)),
+        acknowledged_end.Told(shown=None, started_by_s=0.0),
+    ]
+    return acknowledged_end.find(told, unheard_until_s=1.0)
