--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -11,7 +11,7 @@
 from mustardswitch.internal import change_log, clock, revisions
 from mustardswitch.platform import errors
 from mustardswitch.proxy import errors as proxy_errors
-from mustardswitch.proxy import ports
+from mustardswitch.proxy import record_store
 
 CALL_TIMEOUT_S = 1.0
 """Covers the store's usual answer time of 4 ms, slow answers and the round trip between regions."""
@@ -167,7 +167,7 @@
         self,
         *,
         expected: collections.abc.Mapping[str, int],
-        puts: collections.abc.Sequence[ports.Put] = (),
+        puts: collections.abc.Sequence[record_store.Put] = (),
         deletes: collections.abc.Sequence[str] = (),
     ) -> revisions.Revision | None:
         """Write and delete keys atomically if the expected keys have their revisions (0: absent).
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -12,7 +12,7 @@
     errors,
     fleet_records,
     member_records,
-    ports,
+    record_store,
     service,
     unlisted,
 )
@@ -28,7 +28,7 @@
 class MemberWriter:
     """Compares the members of all services with their records, and writes those that differ."""
 
-    def __init__(self, *, client: ports.RecordStore, directory: directory.Directory) -> None:
+    def __init__(self, *, client: record_store.RecordStore, directory: directory.Directory) -> None:
         self.client = client
         self.directory = directory
         self.schedule = members.WriteSchedule()
@@ -87,7 +87,7 @@
         book = self.directory.members
         keys = {name: f"{fleet_records.SIZES}{name}" for name in sizes}
         puts = [
-            ports.Put(key=keys[name], value=member_records.encode_size(servers))
+            record_store.Put(key=keys[name], value=member_records.encode_size(servers))
             for name, servers in sizes.items()
         ]
         expected = {key: book.size(name).revision for name, key in keys.items()}
@@ -126,7 +126,7 @@
         key = f"{fleet_records.MEMBERS}{name}"
         entries = member_records.counted_entries(target)
         covered = member_records.covered_members(target, entries)
-        put = ports.Put(key=key, value=member_records.encode(entries, covered=covered))
+        put = record_store.Put(key=key, value=member_records.encode(entries, covered=covered))
         revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
@@ -140,7 +140,7 @@
         self,
         call: str,
         expected: collections.abc.Mapping[str, int],
-        puts: collections.abc.Sequence[ports.Put],
+        puts: collections.abc.Sequence[record_store.Put],
     ) -> int | None:
         """Write to the store; None if it failed, which is logged, or another has written."""
         try:
