--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -126,7 +126,7 @@
     SERVER_RECALLED = EventKind(417, logbook.INFO, "server taken from the record of members")
     """A backend server that this instance has never seen listed counts among those that may hold
     commits, like one whose entry has expired."""
-    SERVER_COVERED = EventKind(418, logbook.INFO, "server covered")
+    SERVER_COVERED = EventKind(418, logbook.INFO, "server listed no more, covered")
     """The process of a backend server has ended, and another one has received the end that the log
     of the primary had after that; so the server holds no commit alone, and is not waited for."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
@@ -147,7 +147,7 @@
     """This instance holds the claim and queries the servers of a service."""
     TAKEOVER_UNANSWERED = EventKind(516, logbook.WARNING, "server gave no answer to a takeover")
     """A server could not be queried, paused or resumed."""
-    PROMOTION_ORDERED = EventKind(517, logbook.WARNING, "promotion requested")
+    PROMOTION_ORDERED = EventKind(517, logbook.WARNING, "takeover started, requested")
     """The platform was asked to make a server the leader."""
     PROMOTION_UNANSWERED = EventKind(518, logbook.WARNING, "promotion unanswered")
     """The platform did not answer; the same promotion request is repeated."""
@@ -221,23 +221,28 @@
     acknowledged."""
     PRIMARY_STOPPED = EventKind(530, logbook.WARNING, "primary stopped")
     """A primary that is to be replaced takes no commits any more; its log ends at ``end``."""
-    PROMOTION_PROVED = EventKind(531, logbook.WARNING, "promotion proved")
+    PROMOTION_PROVED = EventKind(531, logbook.WARNING, "takeover started, proved")
     """The promotion of a server is requested for the first time; one line tells what proves it, how
     the former primary was heard last, for how long commits were held, the ends and ages of the
     servers that count, and the known ones that are left out."""
-    PROMOTION_TOLD = EventKind(533, logbook.WARNING, "promotion proved by another instance")
+    PROMOTION_TOLD = EventKind(533, logbook.WARNING, "takeover started, proved elsewhere")
     """The line of the instance that has changed a primary, as it told the others."""
-    ACKNOWLEDGED_IGNORED = EventKind(536, logbook.ERROR, "acknowledged commits given up")
-    """No server that is or became known in time reaches the position ``above``, below which an
-    instance has acknowledged a commit; a server without it may be promoted."""
-    SERVERS_AWAITED = EventKind(540, logbook.WARNING, "servers awaited that are not listed yet")
+    ACKNOWLEDGED_IGNORED = EventKind(536, logbook.ERROR, "commits lost, given up")
+    """A change of primary that waited goes on by the decision of an operator
+    (``mustardctl give-up-commits``): commits that only the ``missing`` servers have are lost, and
+    acknowledged commits ``above`` a position if that is told. ``by`` is the operator who decided
+    that, ``at`` the time."""
+    SERVERS_AWAITED = EventKind(540, logbook.WARNING, "commits held back, unlisted awaited")
     """The former primary has not told the end of its log, and the service has fewer servers than it
     had, or this instance has not read the list for long. A server that has started may hold
     commits; it is listed within ``listing_s``. The former primary has executed nothing for
     ``executes_nothing_s``."""
-    CHANGE_WAITS = EventKind(541, logbook.WARNING, "change waits")
-    """A change of primary has waited for another second for the stated ``reason``; ``former`` is
-    what is known of the former primary, which has answered nobody for ``silent_s``."""
+    CHANGE_WAITS = EventKind(541, logbook.WARNING, "commits held back, waits")
+    """A change of primary has waited for another second for the stated ``reason``. If acknowledged
+    commits may be out of reach, the ``missing`` servers come first, with ``(end)`` after one whose
+    process has ended, then the position ``above`` which a commit was acknowledged that no log in
+    reach has, and in ``decide`` the command by which an operator gives them up. ``former`` is what
+    is known of the former primary, which has answered nobody for ``silent_s``."""
     COMMITS_NOT_PERMITTED = EventKind(534, logbook.WARNING, "commits not permitted")
     """This instance would not know of a recorded promotion: its records are too old, or do not list
     it. ``unheard`` are instances that have not said that they lack newer records, too."""
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -7,6 +7,7 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
+    change_waits,
     commit_holds,
     errors,
     final_ends,
@@ -77,6 +78,8 @@
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
+        self.wait = change_waits.ChangeWait(target=target, coordination=coordination)
+        """What keeps this holder from a proof, and what an operator gives up for it."""
         self.earlier_request: ids.ServerId | None = None
         """The record of an earlier holder whose request may be executed, or take effect."""
 
--- a/src/mustardswitch/proxy/claimed_changes.py
+++ b/src/mustardswitch/proxy/claimed_changes.py
@@ -126,6 +126,7 @@
             unfinished=unfinished,
             promoted=promoted,
             stopped=attempt.recorded_end,
+            complete=attempt.is_complete,
         )
     except errors.StoreError as error:
         events.log(events.Event.CLAIM_FAILED, service=attempt.claim.service, reason=str(error))
--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -100,6 +100,7 @@
         if await self._has_ended(target, backend) and await self._has_all(target, backend):
             target.covered.add(unlisted.member_of(backend.entry))
             events.log(events.Event.SERVER_COVERED, service=target.name, server=backend.server)
+            target.registry.count("servers_covered", target.name)
         self.due_at_s[key] = clock.now_s() + pause_s, min(2 * pause_s, RETRY_LIMIT_S)
 
     async def _has_ended(self, target: service.Service, backend: server.Server) -> bool:
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -23,8 +23,6 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
-WAIT_REPORT_INTERVAL_S = 1.0
-"""Interval of reports about what a change waits for."""
 
 NOT_HELD = ports.HoldReport(complete=False)
 NOT_RECORDED = promotion.Choice(
@@ -41,6 +39,9 @@
 class EndOfCommits(earlier_requests.EarlierRequests):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
+    evidence: promotion.Evidence
+    """What the latest choice rests on."""
+
     def note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> bool:
         """Note the status of a primary that was ordered to stop; see ``note_end``."""
         if status.leads:
@@ -85,7 +86,7 @@
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         self.commands.former_state = former
-        evidence = promotion.Evidence(
+        self.evidence = promotion.Evidence(
             expected=expected,
             paused=paused,
             receiving=receiving,
@@ -101,7 +102,7 @@
             unnamed=self.commands.unnamed,
         )
         return promotion.choose(
-            evidence,
+            self.evidence,
             leaving=self._leaving() | avoided,
             requested=self.requested,
             may_be_sent=not self.final_ends.allowed,
@@ -219,10 +220,9 @@
         stop = None
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
-        reported_at_s = clock.now_s()
         listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
         while True:
-            report = self.hold_commits(stop)
+            report = self.wait.without_given_up(self.hold_commits(stop))
             if held_since_s is None and report.complete:
                 held_since_s = clock.now_s()
                 if order is not None:
@@ -282,6 +282,7 @@
             ended = (
                 {order.backend.server} if order is not None and former.is_process_gone else set()
             )
+            covered = set() if ended_since_s is None else self.covered(since_s=ended_since_s)
             choice = self.choose(
                 expected=self.possible_holders() - spared - ended,
                 paused=paused,
@@ -294,19 +295,22 @@
                 avoided={primary},
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
-                covered=set() if ended_since_s is None else self.covered(since_s=ended_since_s),
+                covered=covered | self.wait.given_up(self.report),
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
+                self.wait.note_choice(choice, self.evidence, self.report)
                 return choice
-            if clock.now_s() >= reported_at_s + WAIT_REPORT_INTERVAL_S:
-                reported_at_s = clock.now_s()
-                events.log(
-                    events.Event.CHANGE_WAITS,
-                    service=self.target.name,
-                    former=former.value,
-                    silent_s=round(silent_s, 1),
-                    reason=choice.reason,
-                )
+            backend = self.former_server(primary)
+            reviewing = self.wait.review(
+                self.claim,
+                choice,
+                self.evidence,
+                self.report,
+                former=None if backend is None else backend.server,
+                silent_s=silent_s,
+            )
+            if await reviewing:
+                awaited_s = clock.now_s()
             if ended_since_s is not None and report.complete and former.has_ended:
                 await self.final_ends.add(
                     self.claim,
@@ -325,6 +329,7 @@
                 if unlisted_may_hold or self._awaits_acknowledged(paused, report):
                     awaited_s = clock.now_s()
                 if clock.now_s() - max(ended_since_s, awaited_s) > PAUSE_TIMEOUT_S:
+                    await self.wait.record(self.claim)
                     return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
             queried_s = clock.now_s()
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -5,7 +5,7 @@
 from mustardswitch.internal import change_log, clock, ids, positions
 from mustardswitch.internal import errors as internal_errors
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, errors, ports
+from mustardswitch.proxy import change_waits, directory, errors, ports
 
 PREFIX = "mustardswitch/"
 INSTANCES = f"{PREFIX}instances/"
@@ -18,6 +18,8 @@
 ERAS = f"{PREFIX}eras/"
 MEMBERS = f"{PREFIX}members/"
 SIZES = f"{PREFIX}sizes/"
+WAITS = f"{PREFIX}waits/"
+GIVEN_UP = f"{PREFIX}given-up/"
 MAX_PORT = 65535
 
 
@@ -152,6 +154,8 @@
         known.members.apply(ids.ServiceName(key.removeprefix(MEMBERS)), item)
     elif key.startswith(SIZES):
         known.members.apply_size(ids.ServiceName(key.removeprefix(SIZES)), item)
+    elif key.startswith(WAITS) and item.value is None:
+        change_waits.remove_gauges(known.registry, ids.ServiceName(key.removeprefix(WAITS)))
 
 
 def _apply_vote(known: directory.Directory, item: change_log.Item) -> None:
@@ -176,5 +180,7 @@
     if item.value is None:
         known.claims.pop(service, None)
     else:
-        holder = item.value.decode(errors="replace").partition(" ")[0]
-        known.claims[service] = ids.InstanceId(holder)
+        holder = ids.InstanceId(item.value.decode(errors="replace").partition(" ")[0])
+        known.claims[service] = holder
+        if holder != known.instance:
+            change_waits.remove_gauges(known.registry, service)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -12,7 +12,7 @@
     promotion,
     revisions,
 )
-from mustardswitch.proxy import requests, routes
+from mustardswitch.proxy import requests, routes, wait_records
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -344,6 +344,15 @@
         No promotion was requested since then.
         """
 
+    async def record_wait(self, claim: Claim, wait: wait_records.Wait) -> None:
+        """Record what a change of primary waits for; it is to be repeated every few seconds."""
+
+    async def recorded_wait(self, service: ids.ServiceName) -> wait_records.Wait | None:
+        """Return what a change of primary waited for a moment ago; None without one."""
+
+    async def given_up(self, service: ids.ServiceName) -> wait_records.Decision | None:
+        """Return what an operator gives up for a change of primary; None without a decision."""
+
     async def release(
         self,
         claim: Claim,
@@ -351,9 +360,12 @@
         unfinished: UnfinishedChange | None = None,
         promoted: ids.ServerId | None = None,
         stopped: StoppedPrimary | None = None,
+        complete: bool = False,
     ) -> None:
         """Release a claim; an unfinished change stays recorded for the other instances.
 
+        Once it is ``complete``, the records of a wait and of an operator's decision are removed.
+
         ``promoted`` is the server whose promotion may still take effect, and ``stopped`` a primary
         that was stopped and not replaced; their records stay. The final ends stay with the former.
         """
--- a/src/mustardswitch/proxy/service_claims.py
+++ b/src/mustardswitch/proxy/service_claims.py
@@ -15,12 +15,23 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, ids, own_records, revisions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import directory, errors, fleet_records, peer_updates, ports, record_store
+from mustardswitch.proxy import (
+    directory,
+    errors,
+    fleet_records,
+    peer_updates,
+    ports,
+    record_store,
+    wait_records,
+)
 
 CLAIM_TTL_S = 3.0
 """Its holder renews a claim. After a restore of the store no service is claimed for as long, and a
 leaving primary must then be replaced within seconds."""
 
+WAIT_TTL_S = 20.0
+"""The next holder of a claim records the wait of the same change sooner than that."""
+
 Record = typing.TypeVar("Record")
 
 
@@ -238,6 +249,30 @@
         decode = functools.partial(fleet_records.decode_final_ends, era=self.client.era)
         return await self._read_record(key, decode) or frozenset()
 
+    async def record_wait(self, claim: ports.Claim, wait: wait_records.Wait) -> None:
+        """Record what a change of primary waits for, under the claim; raises StoreError.
+
+        The record outlasts the claim, and ends unless a holder writes it anew.
+        """
+        put = record_store.Put(
+            key=f"{fleet_records.WAITS}{claim.service}",
+            value=wait_records.encode_wait(wait),
+            lease=await self.client.grant_lease(WAIT_TTL_S),
+        )
+        await self.client.change(expected=self._condition(claim), puts=[put])
+
+    async def recorded_wait(self, service: ids.ServiceName) -> wait_records.Wait | None:
+        """Return the record of a wait; None for one of another era. Raises StoreError."""
+        key = f"{fleet_records.WAITS}{service}"
+        found = await self._read_record(key, wait_records.decode_wait)
+        return found if found is not None and found.era == self.client.era else None
+
+    async def given_up(self, service: ids.ServiceName) -> wait_records.Decision | None:
+        """Return an operator's decision; None for one of another era. Raises StoreError."""
+        key = f"{fleet_records.GIVEN_UP}{service}"
+        found = await self._read_record(key, wait_records.decode_decision)
+        return found if found is not None and found.era == self.client.era else None
+
     async def _read_record(
         self, key: str, decode: collections.abc.Callable[[bytes], Record]
     ) -> Record | None:
@@ -268,8 +303,9 @@
         unfinished: ports.UnfinishedChange | None = None,
         promoted: ids.ServerId | None = None,
         stopped: ports.StoppedPrimary | None = None,
+        complete: bool = False,
     ) -> None:
-        """Release a claim; ``unfinished`` is None when the change of primary was completed.
+        """Release a claim; ``unfinished`` is None when the change of primary left nothing to do.
 
         Otherwise it is the state that the marker reports to the other instances, and ``promoted``
         the server whose promotion may still take effect. The records are removed or changed only
@@ -293,6 +329,8 @@
             deletes.append(f"{fleet_records.FINAL_ENDS}{service}")
         if stopped is None:
             deletes.append(f"{fleet_records.ENDS}{service}")
+        if complete:
+            deletes += [f"{fleet_records.WAITS}{service}", f"{fleet_records.GIVEN_UP}{service}"]
         released = await self.client.change(
             expected=self._condition(claim), puts=marks, deletes=deletes
         )
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -13,7 +13,14 @@
 
 from mustardswitch import events, tasks
 from mustardswitch.internal import clock, ids, promotion, server_contact
-from mustardswitch.proxy import claimed_attempt, errors, ports, service, successor_choice
+from mustardswitch.proxy import (
+    change_waits,
+    claimed_attempt,
+    errors,
+    ports,
+    service,
+    successor_choice,
+)
 
 PROMOTION_TIMEOUT_S = 4.0
 """Time for a promoted server to lead; longer than the platform usually takes."""
@@ -47,6 +54,8 @@
         """The record of an earlier holder; None without one."""
         self.request_sent = False
         """Whether this holder has requested a promotion."""
+        self.is_complete = False
+        """Whether another server leads by this attempt, or was found to lead."""
         self.request_unanswered = False
         """Whether a request of this holder got no answer, so that it may be executed later."""
 
@@ -80,6 +89,8 @@
                     service=self.target.name,
                     fencing_token=self.claim.fencing_token,
                 )
+            if choice.proof is not None:
+                self.target.registry.count("promotions_proved", choice.proof.value)
             if choice.verdict is promotion.Verdict.PROMOTE:
                 async with self._kept_paused(choice.server, primary=primary):
                     done = await self._promote(choice.server, primary=primary)
@@ -93,6 +104,8 @@
                 done = True
         finally:
             if done:
+                change_waits.remove_gauges(self.target.registry, self.target.name)
+                self.is_complete = True
                 self.requested = self._left_to_settle(choice)
                 self.recorded_end = None
                 # A promotion ends all pauses.
--- a/src/mustardswitch_standins/promotion_calls.py
+++ b/src/mustardswitch_standins/promotion_calls.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mustardswitch.internal import clock, ids, revisions
-from mustardswitch.proxy import ports
+from mustardswitch.proxy import ports, wait_records
 from mustardswitch_standins import database_group
 
 
@@ -78,6 +78,10 @@
         """Marks of unfinished changes; may be shared with a directory."""
         self.promotions: dict[ids.ServiceName, ids.ServerId] = {}
         """Servers whose promotion was recorded; may be shared with a directory."""
+        self.waits: dict[ids.ServiceName, wait_records.Wait] = {}
+        """What changes of primary wait for."""
+        self.decisions: dict[ids.ServiceName, wait_records.Decision] = {}
+        """What an operator gives up for them."""
 
     async def claim(self, service: ids.ServiceName) -> ports.Claim | None:
         """Claim a service and mark its change as unfinished; None when it is claimed already."""
@@ -159,6 +163,19 @@
         """Return the recorded final ends."""
         return self.final_ends.get(service, frozenset())
 
+    async def record_wait(self, claim: ports.Claim, wait: wait_records.Wait) -> None:
+        """Record a wait unless the claim has expired."""
+        if clock.now_s() < claim.expires_at_s:
+            self.waits[claim.service] = wait
+
+    async def recorded_wait(self, service: ids.ServiceName) -> wait_records.Wait | None:
+        """Return the recorded wait."""
+        return self.waits.get(service)
+
+    async def given_up(self, service: ids.ServiceName) -> wait_records.Decision | None:
+        """Return the operator's decision."""
+        return self.decisions.get(service)
+
     async def release(
         self,
         claim: ports.Claim,
@@ -166,6 +183,7 @@
         unfinished: ports.UnfinishedChange | None = None,
         promoted: ids.ServerId | None = None,
         stopped: ports.StoppedPrimary | None = None,
+        complete: bool = False,
     ) -> None:
         """Release a claim and set or clear its marks; an expired claim changes no mark."""
         self.claimed.discard(claim.service)
@@ -178,6 +196,9 @@
             self.final_ends.pop(claim.service, None)
         if stopped is None:
             self.ends.pop(claim.service, None)
+        if complete:
+            self.waits.pop(claim.service, None)
+            self.decisions.pop(claim.service, None)
         if unfinished is not None:
             self.unfinished[claim.service] = unfinished
         if promoted is not None:
