--- a/src/mustardswitch/programs/mustardctl.py
+++ b/src/mustardswitch/programs/mustardctl.py
@@ -1,10 +1,7 @@
 """``mustardctl``: the command line of operators."""
 
-import asyncio
-import collections.abc
 import dataclasses
 import difflib
-import enum
 import getpass
 import json
 import os
@@ -19,20 +16,14 @@
 import rich.console
 import rich.table
 import typer
-from google.protobuf import json_format
 
-from mustardswitch import settings, tls
 from mustardswitch.document import errors as document_errors
 from mustardswitch.document import sections
-from mustardswitch.etcd import errors as store_errors
 from mustardswitch.etcd import store
 from mustardswitch.internal import ids
 from mustardswitch.operators import edits, instances
-from mustardswitch.operators import errors as operator_errors
-from mustardswitch.peers import peers_pb2
-from mustardswitch.programs import command_line, explain, version_option
+from mustardswitch.programs import command_line, explain, give_up_commits, status, version_option
 
-EXIT_CONFLICT = 3
 EXIT_NOT_EVERYWHERE = 5
 DEFAULT_WAIT_S = 10.0
 
@@ -46,32 +37,10 @@
 document_app = typer.Typer(no_args_is_help=True, help="Show, check and change the document.")
 app.add_typer(document_app, name="document")
 app.command()(explain.explain)
+app.command()(give_up_commits.give_up_commits)
+app.command()(status.status)
 
 
-class Output(enum.Enum):
-    """How results are printed."""
-
-    TEXT = "text"
-    """For people."""
-    JSON = "json"
-    """For scripts."""
-
-
-StoreOption = Annotated[
-    str,
-    typer.Option(
-        "--store", envvar="MUSTARDCTL_STORE", help="IP address and port of the platform's store."
-    ),
-]
-OutputOption = Annotated[Output, typer.Option("--output", help="Form of the result.")]
-TlsOption = Annotated[
-    list[pathlib.Path] | None,
-    typer.Option(
-        "--tls",
-        envvar="MUSTARDCTL_TLS",
-        help="Given three times: certificate, key and authority for connections to instances.",
-    ),
-]
 SectionArgument = Annotated[str, typer.Argument(help="Name of the section.")]
 FileArgument = Annotated[
     pathlib.Path, typer.Argument(exists=True, dir_okay=False, help="YAML file with the text.")
@@ -94,41 +63,6 @@
     return store.Store(host=host, port=port)
 
 
-def _tls_context(files: list[pathlib.Path] | None) -> ssl.SSLContext | None:
-    if not files:
-        return None
-    if len(files) != 3:
-        typer.echo("--tls is given three times: certificate, key and authority", err=True)
-        raise typer.Exit(command_line.EXIT_REJECTED)
-    certificate, key, authority = files
-    try:
-        return tls.operator_context(
-            settings.TlsFiles(certificate=certificate, key=key, authority=authority)
-        )
-    except tls.TlsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(command_line.EXIT_REJECTED) from error
-
-
-def _run(work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]) -> typing.Any:
-    """Run a command; print its errors and exit with the code of their kind."""
-    try:
-        return asyncio.run(work)
-    except document_errors.InvalidDocumentError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(command_line.EXIT_REJECTED) from error
-    except document_errors.EditConflictError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_CONFLICT) from error
-    except (
-        document_errors.EditUnresolvedError,
-        store_errors.PlatformError,
-        operator_errors.OperatorError,
-    ) as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(command_line.EXIT_UNAVAILABLE) from error
-
-
 async def _read_sections(address: str) -> edits.Sections:
     client = _open_store(address)
     try:
@@ -148,18 +82,18 @@
 
 @document_app.command()
 def show(
-    address: StoreOption,
+    address: command_line.StoreOption,
     section: Annotated[
         str | None, typer.Argument(help="Section; all sections when omitted.")
     ] = None,
-    output: OutputOption = Output.TEXT,
+    output: command_line.OutputOption = command_line.Output.TEXT,
 ) -> None:
     """Show the document or one section."""
-    found = _run(_read_sections(address))
+    found = command_line.run(_read_sections(address))
     chosen = (
         [_require_section(found, section)] if section else [found[name] for name in sorted(found)]
     )
-    if output is Output.JSON:
+    if output is command_line.Output.JSON:
         typer.echo(json.dumps([_as_json(stored) for stored in chosen], indent=2))
         return
     for stored in chosen:
@@ -178,9 +112,9 @@
 
 
 @document_app.command()
-def check(address: StoreOption, section: SectionArgument, path: FileArgument) -> None:
+def check(address: command_line.StoreOption, section: SectionArgument, path: FileArgument) -> None:
     """Check a file as the new text of a section, together with all other sections."""
-    found = _run(_read_sections(address))
+    found = command_line.run(_read_sections(address))
     name = ids.SectionName(section)
     try:
         edits.check_section(found, name, path.read_text(encoding="utf-8"))
@@ -191,9 +125,9 @@
 
 
 @document_app.command()
-def diff(address: StoreOption, section: SectionArgument, path: FileArgument) -> None:
+def diff(address: command_line.StoreOption, section: SectionArgument, path: FileArgument) -> None:
     """Show what a file would change in a section."""
-    found = _run(_read_sections(address))
+    found = command_line.run(_read_sections(address))
     stored = found.get(ids.SectionName(section))
     before = stored.text.splitlines(keepends=True) if stored else []
     after = path.read_text(encoding="utf-8").splitlines(keepends=True)
@@ -205,11 +139,13 @@
 
 @document_app.command()
 def history(
-    address: StoreOption, section: SectionArgument, output: OutputOption = Output.TEXT
+    address: command_line.StoreOption,
+    section: SectionArgument,
+    output: command_line.OutputOption = command_line.Output.TEXT,
 ) -> None:
     """Show the latest changes of a section."""
-    stored = _require_section(_run(_read_sections(address)), section)
-    if output is Output.JSON:
+    stored = _require_section(command_line.run(_read_sections(address)), section)
+    if output is command_line.Output.JSON:
         typer.echo(json.dumps([change.model_dump() for change in stored.recent], indent=2))
         return
     for change in stored.recent:
@@ -219,7 +155,7 @@
 
 @document_app.command()
 def apply(
-    address: StoreOption,
+    address: command_line.StoreOption,
     section: SectionArgument,
     path: FileArgument,
     base: Annotated[
@@ -232,8 +168,8 @@
     summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
     editor: EditorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
-    files: TlsOption = None,
-    output: OutputOption = Output.TEXT,
+    files: command_line.TlsOption = None,
+    output: command_line.OutputOption = command_line.Output.TEXT,
 ) -> None:
     """Apply a file as the new text of a section and wait until it is in force."""
     text = path.read_text(encoding="utf-8")
@@ -246,20 +182,27 @@
         summary=summary,
         editor=editor or getpass.getuser(),
     )
-    _run(_apply(address, request, _WaitOptions(seconds=wait_s, tls=_tls_context(files)), output))
+    command_line.run(
+        _apply(
+            address,
+            request,
+            _WaitOptions(seconds=wait_s, tls=command_line.tls_context(files)),
+            output,
+        )
+    )
 
 
 @document_app.command()
 def edit(
-    address: StoreOption,
+    address: command_line.StoreOption,
     section: SectionArgument,
     summary: Annotated[str, typer.Option(help="A line for the history.")] = "",
     editor: EditorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
-    files: TlsOption = None,
+    files: command_line.TlsOption = None,
 ) -> None:
     """Open a section in $EDITOR and apply the result."""
-    stored = _require_section(_run(_read_sections(address)), section)
+    stored = _require_section(command_line.run(_read_sections(address)), section)
     text = typer.edit(stored.text, extension=".yaml", editor=os.environ.get("EDITOR"))
     if text is None or text == stored.text:
         typer.echo("nothing was changed")
@@ -272,8 +215,13 @@
         summary=summary,
         editor=editor or getpass.getuser(),
     )
-    _run(
-        _apply(address, request, _WaitOptions(seconds=wait_s, tls=_tls_context(files)), Output.TEXT)
+    command_line.run(
+        _apply(
+            address,
+            request,
+            _WaitOptions(seconds=wait_s, tls=command_line.tls_context(files)),
+            command_line.Output.TEXT,
+        )
     )
 
 
@@ -297,7 +245,9 @@
     tls: ssl.SSLContext | None
 
 
-async def _apply(address: str, request: _EditRequest, wait: _WaitOptions, output: Output) -> None:
+async def _apply(
+    address: str, request: _EditRequest, wait: _WaitOptions, output: command_line.Output
+) -> None:
     client = _open_store(address)
     try:
         document = edits.DocumentStore(client=client)
@@ -316,7 +266,7 @@
                 summary=request.summary,
             )
         )
-        if output is Output.TEXT:
+        if output is command_line.Output.TEXT:
             merged = ", merged with another edit" if applied.merged else ""
             typer.echo(f"section {request.section} is at revision {applied.revision}{merged}")
         progress = await _wait_in_force(client, request.section, applied.revision, wait, output)
@@ -330,7 +280,7 @@
     name: ids.SectionName,
     revision: int,
     wait: _WaitOptions,
-    output: Output,
+    output: command_line.Output,
 ) -> instances.RolloutProgress:
     listed = await instances.list_instances(client)
     progress = instances.RolloutProgress(
@@ -340,17 +290,21 @@
     async for progress in instances.follow_revision(
         listed, name, revision, timeout_s=wait.seconds, tls=wait.tls
     ):
-        if output is Output.TEXT and sys.stdout.isatty() and len(progress.in_force) != shown:
+        if (
+            output is command_line.Output.TEXT
+            and sys.stdout.isatty()
+            and len(progress.in_force) != shown
+        ):
             shown = len(progress.in_force)
             typer.echo(f"in force on {shown} of {len(listed)} instances")
     return progress
 
 
 def _report(
-    applied: edits.AppliedEdit, progress: instances.RolloutProgress, output: Output
+    applied: edits.AppliedEdit, progress: instances.RolloutProgress, output: command_line.Output
 ) -> None:
     everywhere = not progress.waiting and not progress.unreachable
-    if output is Output.JSON:
+    if output is command_line.Output.JSON:
         body = {
             "revision": applied.revision,
             "merged": applied.merged,
@@ -371,86 +325,6 @@
         raise typer.Exit(EXIT_NOT_EVERYWHERE)
 
 
-@app.command()
-def status(
-    instance: Annotated[
-        str,
-        typer.Option(
-            "--instance",
-            envvar="MUSTARDCTL_INSTANCE",
-            help="IP address and peers' port of any one instance.",
-        ),
-    ],
-    files: TlsOption = None,
-    output: OutputOption = Output.TEXT,
-) -> None:
-    """Show groups, terms, primaries, replica lag, connections and unreachable instances."""
-    host, port = command_line.parse_address(instance)
-    reply = _run(_gather_status(host, port, _tls_context(files)))
-    if output is Output.JSON:
-        body = [json_format.MessageToDict(item, preserving_proto_field_name=True) for item in reply]
-        typer.echo(json.dumps(body, indent=2))
-        return
-    _print_status(reply)
-
-
-async def _gather_status(
-    host: str, port: int, context: ssl.SSLContext | None
-) -> list[peers_pb2.StatusReply]:
-    """Query one instance, then all others that it lists as not dead.
-
-    Raises InstanceUnreachableError for the first one; others that do not answer are omitted.
-    """
-    first = await instances.read_status(host, port, tls=context)
-    others = [
-        (member.host, member.port)
-        for member in first.members
-        if member.instance != first.instance and member.state != "dead"
-    ]
-    answers = await asyncio.gather(
-        *(instances.read_status(*other, tls=context) for other in others), return_exceptions=True
-    )
-    return [first, *(item for item in answers if isinstance(item, peers_pb2.StatusReply))]
-
-
-def _print_status(replies: list[peers_pb2.StatusReply]) -> None:
-    console = rich.console.Console()
-    first = replies[0]
-    answered = {reply.instance for reply in replies}
-    members = rich.table.Table("instance", "zone", "state", "answers", "store")
-    by_name = {reply.instance: reply for reply in replies}
-    for member in sorted(first.members, key=lambda item: (item.zone, item.instance)):
-        reply = by_name.get(member.instance)
-        state = "leaving" if member.leaving else member.state
-        reachable = "" if reply is None else ("yes" if reply.store_reachable else "no")
-        members.add_row(
-            member.instance,
-            member.zone,
-            state,
-            "yes" if member.instance in answered else "no",
-            reachable,
-        )
-    console.print(members)
-    groups = rich.table.Table(
-        "database", "term", "primary", "slot", "role", "position", "applied", "home", "connections"
-    )
-    for reply in sorted(replies, key=lambda item: item.instance):
-        for group in sorted(reply.groups, key=lambda item: item.database):
-            for slot in group.slots:
-                groups.add_row(
-                    group.database,
-                    str(group.term),
-                    group.primary,
-                    slot.slot,
-                    slot.role,
-                    f"{slot.log_end.term}:{slot.log_end.offset}",
-                    f"{slot.applied.term}:{slot.applied.offset}",
-                    reply.instance,
-                    str(group.connections),
-                )
-    console.print(groups)
-
-
 def main() -> None:
     """Run the command line."""
     app()
