--- a/src/mustardswitch/proxy/acknowledged.py
+++ b/src/mustardswitch/proxy/acknowledged.py
@@ -144,6 +144,11 @@
         """The last acknowledged commit by server."""
         self.recent: dict[ids.ServerId, collections.deque[positions.Position]] = {}
         """Positions below the latest acknowledged commits, one for each, by server."""
+        self.highest: positions.Position | None = None
+        """The highest position that came with an acknowledged commit, whoever led; None without
+        any."""
+        self.has_unplaced = False
+        """Whether a commit was acknowledged by an answer that shows no position."""
         self.change: ReportedChange | None = None
         self.promoted: PromotedEnd | None = None
         """What was told about the latest promotion; None once it does not apply."""
@@ -210,6 +215,7 @@
         ``above`` is the result of ``shown_by`` before the commit was sent, ``shown`` the position
         in its answer. A commit that shows no higher position has written nothing.
         """
+        self.note_answer(shown)
         if shown is None or shown <= above:
             return
         recent = self.recent.setdefault(leader, collections.deque(maxlen=RECENT_COMMITS))
@@ -223,6 +229,13 @@
             return
         self.latest[leader] = Acknowledged(server=leader, above=above, shown=shown, request=request)
 
+    def note_answer(self, shown: positions.Position | None) -> None:
+        """Record the position in the answer to an acknowledged commit, whoever led."""
+        if shown is None:
+            self.has_unplaced = True
+        elif self.highest is None or shown > self.highest:
+            self.highest = shown
+
     def highest_above(self, *, but: ids.ServerId) -> positions.Position | None:
         """Return the highest position that an acknowledged commit is certainly above.
 
@@ -248,10 +261,12 @@
         return max(shown, default=None)
 
     def forget(self, server: ids.ServerId) -> None:
-        """Drop what a server has shown, since it may return with another log."""
+        """Drop what a server has shown, since it may return with another log.
+
+        What it has acknowledged is kept.
+        """
         self.shown.pop(server, None)
         self.ends.pop(server, None)
-        self.recent.pop(server, None)
 
     def note_promoted(self, server: ids.ServerId, end: positions.Position, *, now_s: float) -> None:
         """Record the end of a log with which a server is about to be promoted."""
@@ -297,6 +312,7 @@
         if others:
             kept = {leader, max(others, key=_by_shown).server}
             self.latest = {name: self.latest[name] for name in self.latest.keys() & kept}
+            self.recent = {name: self.recent[name] for name in self.recent.keys() & kept}
         change = self._change_to(leader, last, now_s)
         found = self._found(leader, last)
         if found is None and now_s < change.since_s + REPORT_INTERVAL_S:
--- a/src/mustardswitch/proxy/change_waits.py
+++ b/src/mustardswitch/proxy/change_waits.py
@@ -9,7 +9,14 @@
 import time
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import clock, ids, promotion, revisions, server_contact
+from mustardswitch.internal import (
+    clock,
+    ids,
+    positions,
+    promotion,
+    revisions,
+    server_contact,
+)
 from mustardswitch.proxy import errors, ports, service, wait_records
 
 REPORT_INTERVAL_S = 1.0
@@ -126,10 +133,7 @@
         former: ids.ServerId | None,
     ) -> bool:
         """Note what is waited for; returns whether this joins the wait of an earlier attempt."""
-        missing = promotion.missing_servers(
-            dataclasses.replace(evidence, covered=evidence.covered - self.given_up(report))
-        )
-        missing -= evidence.receiving.keys()
+        missing = _missing_servers(evidence, given_up=self.given_up(report))
         statuses = [*evidence.paused.values(), *evidence.receiving.values()]
         unreached = report.above is not None and all(
             promotion.lacks_acknowledged(each, report.above) for each in statuses
@@ -218,6 +222,18 @@
         )
 
 
+def _missing_servers(
+    evidence: promotion.Evidence, *, given_up: frozenset[ids.ServerId]
+) -> set[ids.ServerId]:
+    """Return the servers that may have commits which no server that answers is known to have."""
+    covered = {name: end for name, end in evidence.covered.items() if name not in given_up}
+    statuses = {**evidence.receiving, **evidence.paused}
+    highest = max((each.received for each in statuses.values()), default=positions.ORIGIN)
+    missing = promotion.missing_servers(dataclasses.replace(evidence, covered=covered))
+    missing |= {name for name in covered.keys() & evidence.expected if covered[name] > highest}
+    return missing - statuses.keys()
+
+
 def remove_gauges(registry: metrics.Registry, name: ids.ServiceName) -> None:
     """Remove the gauges of a wait that has ended, or that another instance tells of now."""
     for gauge in (WAITED_GAUGE, MISSING_GAUGE):
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -82,7 +82,7 @@
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
         former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
         unlisted_may_hold: bool = False,
-        covered: collections.abc.Set[ids.ServerId] = frozenset(),
+        covered: collections.abc.Mapping[ids.ServerId, positions.Position] | None = None,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         self.commands.former_state = former
@@ -97,8 +97,9 @@
             final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
             acknowledged_end=report.acknowledged_end,
+            recorded=None if self.record is None else self.record.server,
             unlisted_may_hold=unlisted_may_hold,
-            covered=covered,
+            covered=covered or {},
             unnamed=self.commands.unnamed,
         )
         return promotion.choose(
@@ -282,7 +283,7 @@
             ended = (
                 {order.backend.server} if order is not None and former.is_process_gone else set()
             )
-            covered = set() if ended_since_s is None else self.covered(since_s=ended_since_s)
+            covered = {} if ended_since_s is None else self.covered(since_s=ended_since_s)
             choice = self.choose(
                 expected=self.possible_holders() - spared - ended,
                 paused=paused,
@@ -295,7 +296,7 @@
                 avoided={primary},
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
-                covered=covered | self.wait.given_up(self.report),
+                covered=covered | dict.fromkeys(self.wait.given_up(self.report), positions.ORIGIN),
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
                 self.wait.note_choice(choice, self.evidence, self.report)
--- a/tests/proxy/test_changes_that_wait.py
+++ b/tests/proxy/test_changes_that_wait.py
@@ -150,6 +150,27 @@
     assert fields["above"] == "12:123456"
 
 
+@pytest.mark.parametrize("end, missing", [(10, set()), (11, {C})])
+async def test_a_covered_server_is_missing_while_no_log_in_reach_has_what_it_may_have(end, missing):
+    world = proxy_world.World()
+    waits = change_waits.ChangeWait(target=world.service, coordination=world.coordination)
+    status = promotion.ServerStatus(
+        role=promotion.Role.REPLICA, term=ids.Term(1), received=at(10), paused=True
+    )
+    evidence = promotion.Evidence(
+        expected={B, C}, paused={B: status}, covered={C: at(end)}, commits_held=True
+    )
+    await waits.review(
+        ports.Claim(service=SERVICE, fencing_token=1, expires_at_s=clock.now_s() + 3),
+        promotion.Choice(verdict=promotion.Verdict.WAIT),
+        evidence,
+        ports.HoldReport(complete=True),
+        former=A,
+        silent_s=1.0,
+    )
+    assert (set() if waits.wait is None else waits.wait.missing) == missing
+
+
 async def test_another_reason_to_wait_stands_in_a_cut_line(handler):
     world = proxy_world.World()
     world.coordination.hold_report = ports.HoldReport(complete=False)
