--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -111,6 +111,7 @@
                     server=backend.server,
                     end=end,
                 )
+                target.registry.count("servers_covered", target.name)
         if pause_s is None:
             self.due_at_s[key] = clock.now_s() + OTHERS_PAUSE_S, None
             return
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -12,7 +12,7 @@
     errors,
     fleet_records,
     member_records,
-    ports,
+    record_store,
     service,
     unlisted,
 )
@@ -28,7 +28,7 @@
 class MemberWriter:
     """Compares the members of all services with their records, and writes those that differ."""
 
-    def __init__(self, *, client: ports.RecordStore, directory: directory.Directory) -> None:
+    def __init__(self, *, client: record_store.RecordStore, directory: directory.Directory) -> None:
         self.client = client
         self.directory = directory
         self.schedule = members.WriteSchedule()
@@ -87,7 +87,7 @@
         book = self.directory.members
         keys = {name: f"{fleet_records.SIZES}{name}" for name in sizes}
         puts = [
-            ports.Put(key=keys[name], value=member_records.encode_size(servers))
+            record_store.Put(key=keys[name], value=member_records.encode_size(servers))
             for name, servers in sizes.items()
         ]
         expected = {key: book.size(name).revision for name, key in keys.items()}
@@ -132,7 +132,7 @@
         covered = member_records.covered_members(target, entries)
         forgotten = member_records.forgotten_members(target, entries, book.record(name))
         value = member_records.encode(entries, covered=covered, forgotten=forgotten)
-        put = ports.Put(key=key, value=value)
+        put = record_store.Put(key=key, value=value)
         revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
@@ -146,7 +146,7 @@
         self,
         call: str,
         expected: collections.abc.Mapping[str, int],
-        puts: collections.abc.Sequence[ports.Put],
+        puts: collections.abc.Sequence[record_store.Put],
     ) -> int | None:
         """Write to the store; None if it failed, which is logged, or another has written."""
         try:
