--- a/src/mustardswitch/internal/acknowledged_end.py
+++ b/src/mustardswitch/internal/acknowledged_end.py
@@ -1,15 +1,69 @@
 """Decides above which position of a log no commit was acknowledged.
 
-Instances that report tell the highest position with a commit of their own. Others may have existed:
-they ended, were removed or replaced, before or while the holder of a claim ran. What they have
-acknowledged, the primary had executed before they ended. So it is at or below what the primary
-showed in answer to any query that was sent after their end.
+A commit is acknowledged once a replica has received it, whether an instance hears of it or not.
+Instances that report tell the highest position with a commit of their own, and since when all that
+they have sent was answered. Others may have existed: they ended, were removed or replaced, before
+or while the holder of a claim ran.
+
+What was sent without an answer may wait in the primary. It drops a connection whose remote end is
+closed, or cannot be reached for 3 s. So it executes nothing of it later than that after it was seen
+to run, and a query that is sent then shows all that it has executed.
 """
 
 import collections.abc
 import dataclasses
 
-from mustardswitch.internal import position_history, positions
+from mustardswitch.internal import former_primary, positions
+
+SPACING_S = 1.0
+"""Least time between the samples of a log that are kept beside the latest one."""
+MAX_KEPT = 12
+"""Samples that are kept; a change of primary waits about as long for a silent one."""
+DROPPED_S = former_primary.UNREACHED_S
+"""Time in which a primary that runs drops a connection that has ended at its other side."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Sample:
+    """A position that the primary has shown in answer to a query."""
+
+    sent_after_s: float
+    """A time before the query was sent (``clock.now_s``)."""
+    answered_by_s: float
+    """A time after it was answered."""
+    position: positions.Position
+
+
+class RecentSamples:
+    """Samples of the log of a service's primary, from the last seconds in which it answered."""
+
+    def __init__(self) -> None:
+        self.kept: list[Sample] = []
+        self.latest: Sample | None = None
+
+    def __repr__(self) -> str:
+        return f"RecentSamples(kept={self.kept!r}, latest={self.latest!r})"
+
+    def note(self, sample: Sample) -> None:
+        """Add a sample, unless a later query was answered before."""
+        if self.latest is not None and sample.sent_after_s <= self.latest.sent_after_s:
+            return
+        self.latest = sample
+        if not self.kept or sample.sent_after_s >= self.kept[-1].sent_after_s + SPACING_S:
+            self.kept = [*self.kept, sample][-MAX_KEPT:]
+
+    def all(self) -> list[Sample]:
+        """Return the samples by time."""
+        if self.latest is None or self.latest is self.kept[-1]:
+            return self.kept
+        return [*self.kept, self.latest]
+
+    def spread(self, count: int) -> list[Sample]:
+        """Return ``count`` samples at most, spread over the time, with the first and the last."""
+        known = self.all()
+        if len(known) <= count:
+            return known
+        return [known[(len(known) - 1) * rank // (count - 1)] for rank in range(count)]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -17,12 +71,11 @@
     """What one instance tells of a service, after it has ended its commits for a promotion."""
 
     shown: positions.Position | None
-    """The highest position that came with a commit that it has acknowledged; None without any."""
-    started_by_s: float
-    """A time at or after the start of its process (``clock.now_s``); an earlier process of its
-    name may have acknowledged commits before."""
-    samples: tuple[position_history.PositionSample, ...] = ()
-    """What the primary has shown; the queries were sent at the given times or later."""
+    """The highest position that came with a commit that it has sent; None without any."""
+    answered_since_s: float
+    """A time at or after which its process has run and had an answer to each commit that it has
+    sent (``clock.now_s``); an earlier process of its name may have sent others."""
+    samples: tuple[Sample, ...] = ()
 
     def merge(self, other: "Told") -> "Told":
         """Return what two reports for the same promotion tell together.
@@ -31,16 +84,19 @@
         the next one reads the record as it starts.
         """
         shown = [each.shown for each in (self, other) if each.shown is not None]
-        latest = {each.position: each for each in sorted(self.samples + other.samples, key=_age)}
         return Told(
             shown=max(shown, default=None),
-            started_by_s=min(self.started_by_s, other.started_by_s),
-            samples=tuple(latest.values()),
+            answered_since_s=min(self.answered_since_s, other.answered_since_s),
+            samples=_without_repetition(self.samples + other.samples),
         )
 
 
-def _age(sample: position_history.PositionSample) -> float:
-    return sample.query_sent_at_s
+def _without_repetition(samples: tuple[Sample, ...]) -> tuple[Sample, ...]:
+    """Return one sample for each position, which was read in the narrowest time."""
+    narrowest: dict[positions.Position, Sample] = {}
+    for each in sorted(samples, key=lambda each: each.sent_after_s - each.answered_by_s):
+        narrowest[each.position] = each
+    return tuple(narrowest.values())
 
 
 def find(
@@ -51,13 +107,14 @@
     ``told`` holds a report of every instance that may have sent commits since ``unheard_until_s``
     (``clock.now_s``).
     """
-    ended_s = max([unheard_until_s, *(each.started_by_s for each in told)])
-    covering = [
-        sample.position
-        for each in told
-        for sample in each.samples
-        if sample.query_sent_at_s >= ended_s
-    ]
+    ended_s = max([unheard_until_s, *(each.answered_since_s for each in told)])
+    samples = [sample for each in told for sample in each.samples]
+    seen_s = min(
+        (each.answered_by_s for each in samples if each.sent_after_s >= ended_s), default=None
+    )
+    if seen_s is None:
+        return None
+    covering = [each.position for each in samples if each.sent_after_s >= seen_s + DROPPED_S]
     if not covering:
         return None
     return max([min(covering), *(each.shown for each in told if each.shown is not None)])
--- a/src/mustardswitch/peers/told_commits.py
+++ b/src/mustardswitch/peers/told_commits.py
@@ -5,15 +5,16 @@
 from mustardswitch.internal import former_primary, positions
 from mustardswitch.peers import datagram_fields, errors
 
-MAX_SAMPLES = 2
+MAX_SAMPLES = 4
 """Samples of a log in what one instance tells."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AgedSample:
-    """A position that the primary has shown, in answer to a query of an age in seconds."""
+    """A position that the primary has shown in answer to a query; ages in seconds."""
 
-    age_s: float
+    sent_s: float
+    answered_s: float
     position: positions.Position
 
 
@@ -22,9 +23,9 @@
     """What the sender has acknowledged, and what it has seen of the log, as it sends this."""
 
     shown: positions.Position | None
-    """The highest position with a commit that it has acknowledged; None without one."""
-    running_s: float
-    """Seconds since the start of its process."""
+    """The highest position that came with a commit that it has sent; None without one."""
+    answered_s: float
+    """Seconds for which its process has run, and has had an answer to each commit."""
     samples: tuple[AgedSample, ...] = ()
 
 
@@ -34,12 +35,9 @@
         return None
     return [
         datagram_fields.encode_position(told.shown),
-        told.running_s,
+        told.answered_s,
         [
-            [
-                each.age_s,
-                datagram_fields.encode_position(each.position),
-            ]
+            [each.sent_s, each.answered_s, datagram_fields.encode_position(each.position)]
             for each in told.samples
         ],
     ]
@@ -54,18 +52,22 @@
     samples = datagram_fields.decode_list(value[2], MAX_SAMPLES)
     return ToldCommits(
         shown=datagram_fields.decode_position(value[0]),
-        running_s=_decode_known_age(value[1]),
+        answered_s=_decode_known_age(value[1]),
         samples=tuple(_decode_sample(each) for each in samples),
     )
 
 
 def _decode_sample(value: object) -> AgedSample:
-    if not isinstance(value, list) or len(value) != 2:
-        raise errors.InvalidDatagramError("expected an age and a position")
-    position = datagram_fields.decode_position(value[1])
+    if not isinstance(value, list) or len(value) != 3:
+        raise errors.InvalidDatagramError("expected two ages and a position")
+    position = datagram_fields.decode_position(value[2])
     if position is None:
         raise errors.InvalidDatagramError("a sample needs a position")
-    return AgedSample(age_s=_decode_known_age(value[0]), position=position)
+    return AgedSample(
+        sent_s=_decode_known_age(value[0]),
+        answered_s=_decode_known_age(value[1]),
+        position=position,
+    )
 
 
 def _decode_known_age(value: object) -> float:
--- a/src/mustardswitch/proxy/acknowledged_ends.py
+++ b/src/mustardswitch/proxy/acknowledged_ends.py
@@ -11,7 +11,6 @@
     clock,
     commit_permission,
     ids,
-    position_history,
     positions,
 )
 from mustardswitch.peers import datagrams, told_commits
@@ -32,6 +31,8 @@
         ] = {}
         self.asked_at_s: dict[ids.ServiceName, tuple[datagrams.RecordedPromotion, float]] = {}
         """When the instances were asked first, for the latest promotion of each service."""
+        self.found: dict[datagrams.RecordedPromotion, positions.Position] = {}
+        """Ends that were found; no commits were sent since, but to the recorded server."""
         self.checked_at_s = float("-inf")
         self.watched_since_s = clock.now_s()
         """Since when no instance can have been listed and removed unseen."""
@@ -53,21 +54,28 @@
         None if it has acknowledged a commit whose position it does not know.
         """
         now_s = clock.now_s()
-        running_s = now_s - self.directory.permission.started_s
         if target is None:
-            return told_commits.ToldCommits(shown=None, running_s=running_s)
+            answered_s = now_s - self.directory.permission.started_s
+            return told_commits.ToldCommits(shown=None, answered_s=answered_s)
         if target.acknowledged.has_unplaced:
             return None
-        known = target.history.samples
         return told_commits.ToldCommits(
             shown=target.acknowledged.highest,
-            running_s=running_s,
+            answered_s=now_s - self._answered_since_s(target),
             samples=tuple(
-                told_commits.AgedSample(age_s=now_s - each.query_sent_at_s, position=each.position)
-                for each in {id(each): each for each in (*known[:1], *known[-1:])}.values()
+                told_commits.AgedSample(
+                    sent_s=now_s - each.sent_after_s,
+                    answered_s=now_s - each.answered_by_s,
+                    position=each.position,
+                )
+                for each in target.samples.spread(told_commits.MAX_SAMPLES)
             ),
         )
 
+    def _answered_since_s(self, target: service.Service) -> float:
+        """Return since when this process has run, and had an answer to each commit."""
+        return max(self.directory.permission.started_s, target.commits.unanswered_at_s)
+
     def note_asked(self, promoted: datagrams.RecordedPromotion) -> None:
         """Record that the instances are asked for a promotion now, or were before."""
         known = self.asked_at_s.get(promoted.service)
@@ -90,10 +98,12 @@
             return
         received = acknowledged_end.Told(
             shown=told.shown,
-            started_by_s=clock.now_s() - told.running_s,
+            answered_since_s=clock.now_s() - told.answered_s,
             samples=tuple(
-                position_history.PositionSample(
-                    query_sent_at_s=asked[1] - each.age_s, position=each.position
+                acknowledged_end.Sample(
+                    sent_after_s=asked[1] - each.sent_s,
+                    answered_by_s=clock.now_s() - each.answered_s,
+                    position=each.position,
                 )
                 for each in told.samples
             ),
@@ -119,10 +129,17 @@
             return None
         own = acknowledged_end.Told(
             shown=target.acknowledged.highest,
-            started_by_s=self.directory.permission.started_s,
-            samples=tuple(target.history.samples),
+            answered_since_s=self._answered_since_s(target),
+            samples=tuple(target.samples.all()),
         )
-        return acknowledged_end.find([own, *told.values()], unheard_until_s=self.unheard_until_s())
+        reports = [own, *told.values()]
+        end = self.found.get(promoted)
+        if end is None:
+            end = acknowledged_end.find(reports, unheard_until_s=self.unheard_until_s())
+        if end is not None:
+            end = max([end, *(each.shown for each in reports if each.shown is not None)])
+            self.found[promoted] = end
+        return end
 
     def unheard_until_s(self) -> float:
         """Return until when an instance may have sent commits that does not report.
@@ -137,3 +154,4 @@
         """Forget what was told for a service; a later change asks again."""
         for promoted in [promoted for promoted in self.told if promoted.service == name]:
             del self.told[promoted]
+            self.found.pop(promoted, None)
--- a/src/mustardswitch/proxy/commit_gate.py
+++ b/src/mustardswitch/proxy/commit_gate.py
@@ -64,6 +64,8 @@
         """Commits that are not answered yet, by their connections."""
         self.given_up: dict[ids.ServerId, collections.deque[float]] = {}
         """When the latest commits were sent whose connections were closed before an answer."""
+        self.unanswered_at_s = float("-inf")
+        """When a connection was closed last on which a commit had no answer."""
         self.requested: ids.ServerId | None = None
         """The server whose promotion is in the records; None without one."""
         self.requested_revision = 0
@@ -154,6 +156,11 @@
             if counts and not answered:
                 known = self.given_up.setdefault(server, collections.deque(maxlen=MAX_GIVEN_UP))
                 known.append(commit.sent_at_s)
+                self.note_unanswered()
+
+    def note_unanswered(self) -> None:
+        """Record that the outcome of a commit is not known, and its connection is closed."""
+        self.unanswered_at_s = clock.now_s()
 
     def unanswered(self, server: ids.ServerId) -> UnansweredCommits:
         """Return the commits that were sent to a server lately and never answered."""
--- a/src/mustardswitch/proxy/relayed_pauses.py
+++ b/src/mustardswitch/proxy/relayed_pauses.py
@@ -18,6 +18,8 @@
 """Interval at which orders are repeated; a round trip between regions fits twice."""
 ACT_INTERVAL_S = 0.3
 """Least interval at which a receiver asks a server; all receivers ask the same one."""
+MAX_ACT_INTERVAL_S = 2.4
+"""Longest such interval, for a server that gives no answer."""
 PAUSE_WITHIN_S = 0.3
 """Time after an order in which a server is paused; the claim may have ended if none follows."""
 ORDER_TTL_S = 1.0
@@ -39,6 +41,7 @@
         self.latest: pauses.PauseOrder | None = None
         self.asked_at_s = clock.now_s()
         self.acted_at_s = float("-inf")
+        self.interval_s = ACT_INTERVAL_S
         self.task: asyncio.Task[None] | None = None
         self.reported = False
 
@@ -46,7 +49,7 @@
     def is_due(self) -> bool:
         """Whether the server may be asked again."""
         running = self.task is not None and not self.task.done()
-        return not running and clock.now_s() >= self.acted_at_s + ACT_INTERVAL_S
+        return not running and clock.now_s() >= self.acted_at_s + self.interval_s
 
 
 Key = tuple[ids.InstanceId, ids.ServiceName, ids.ServerId, ids.Term]
@@ -97,7 +100,9 @@
         name, commands = order.server, relay.commands
         statuses = await commands.query({name})
         if name not in statuses or name in commands.unnamed:
+            relay.interval_s = min(MAX_ACT_INTERVAL_S, 2 * relay.interval_s)
             return
+        relay.interval_s = ACT_INTERVAL_S
         due = promotion.servers_to_pause(expected={name}, statuses=statuses, term=order.term)
         in_force = clock.now_s() < relay.asked_at_s + PAUSE_WITHIN_S and _is_changing(target)
         if due and not statuses[name].leads and in_force:
@@ -127,8 +132,8 @@
 
 
 def _is_changing(target: service.Service) -> bool:
-    """Return whether a promotion of the service is known to be recorded."""
-    return target.requested is not None or target.commits.awaited is not None
+    """Return whether commits are held back for a promotion that is known to be recorded."""
+    return target.hold.since_s is not None
 
 
 class RelayedPauses:
--- a/src/mustardswitch/proxy/requests.py
+++ b/src/mustardswitch/proxy/requests.py
@@ -149,6 +149,10 @@
     """The caller may not do this."""
 
 
+MAY_HAVE_RUN = frozenset({Refusal.FAILED, Refusal.TIMED_OUT, Refusal.OUTCOME_UNKNOWN})
+"""Refusals of statements that may have had an effect."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
     """The answer of a server to the proxy, or of the proxy to a caller."""
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -8,6 +8,7 @@
 from mustardswitch import connection_pool, metrics
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import (
+    acknowledged_end,
     clock,
     commit_permission,
     ids,
@@ -94,6 +95,7 @@
             permitted=permitted,
         )
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
+        self.samples = acknowledged_end.RecentSamples()
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
         self.refreshing: asyncio.Task[None] | None = None
@@ -158,6 +160,13 @@
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
+            self.samples.note(
+                acknowledged_end.Sample(
+                    sent_after_s=query_sent_at_s,
+                    answered_by_s=clock.now_s(),
+                    position=position,
+                )
+            )
         if leader != self.leader_changes.logged:
             self._note_change()
         else:
@@ -232,6 +241,7 @@
 
         Keeps for the log that it has; ``position`` is that of its answer.
         """
+        self.acknowledged.note_answer(position)
         acknowledged = self.commits.may_acknowledge(commit)
         self.hold.former_commits.note_answered(
             sent,
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -126,6 +126,8 @@
             raise
         finally:
             backend.in_flight -= 1
+        if commits and answer.refusal in requests.MAY_HAVE_RUN:
+            self.service.commits.note_unanswered()
         if (
             answer.succeeded
             and commits
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -70,6 +70,8 @@
         raise
     finally:
         backend.in_flight -= 1
+    if answer.refusal in requests.MAY_HAVE_RUN:
+        context.service.commits.note_unanswered()
     if answer.succeeded and not context.service.may_acknowledge(commit, sent, answer.position):
         backend.abandon(link)
         return requests.refuse(
--- a/tests/decisions/test_datagram_parts.py
+++ b/tests/decisions/test_datagram_parts.py
@@ -16,9 +16,14 @@
 TOLD = st.builds(
     told_commits.ToldCommits,
     shown=st.none() | datagram_values.POSITIONS,
-    running_s=SECONDS,
+    answered_s=SECONDS,
     samples=st.lists(
-        st.builds(told_commits.AgedSample, age_s=SECONDS, position=datagram_values.POSITIONS),
+        st.builds(
+            told_commits.AgedSample,
+            sent_s=SECONDS,
+            answered_s=SECONDS,
+            position=datagram_values.POSITIONS,
+        ),
         max_size=told_commits.MAX_SAMPLES,
     ).map(tuple),
 )
@@ -43,7 +48,7 @@
 )
 PAUSE = ["s", "c", 3, 12.5]
 PAUSE_REPORT = [*PAUSE, "replica", 3, [1, 2], True, 0]
-ACKNOWLEDGED = [[[1, 3], 12.5, [[0.5, [1, 3]], [0.1, [1, 4]]]], None]
+ACKNOWLEDGED = [[[1, 3], 12.5, [[0.5, 0.4, [1, 3]], [0.1, 0, [1, 4]]]], None]
 """What was acknowledged, for the rows of "held"."""
 
 
@@ -116,7 +121,7 @@
 
 def test_what_is_acknowledged_belongs_to_its_confirmation():
     held = datagrams.HeldCommits(service=ids.ServiceName("s"), server=ids.ServerId("b"), revision=7)
-    told = told_commits.ToldCommits(shown=None, running_s=2.5)
+    told = told_commits.ToldCommits(shown=None, answered_s=2.5)
     rows = (held, dataclasses.replace(held, revision=8, told=told))
     update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), held=rows)
     assert datagrams.decode(datagrams.encode(update)).held == rows
@@ -124,7 +129,7 @@
 
 def test_an_earlier_build_finds_confirmations_in_the_rows_that_it_knows():
     """It knows rows of four values only, and ignores fields that it does not know."""
-    told = told_commits.ToldCommits(shown=None, running_s=2.5)
+    told = told_commits.ToldCommits(shown=None, answered_s=2.5)
     held = datagrams.HeldCommits(
         service=ids.ServiceName("s"), server=ids.ServerId("b"), revision=7, told=told
     )
@@ -140,10 +145,12 @@
 def test_a_confirmation_with_what_is_acknowledged_and_a_report_fit_into_a_datagram():
     """The names are as long as those of the platform, the numbers as long as in years."""
     end = positions.Position(term=10**6, offset=10**12)
-    sample = told_commits.AgedSample(age_s=1234.567890123456, position=end)
+    sample = told_commits.AgedSample(
+        sent_s=1234.567890123456, answered_s=1234.567890123456, position=end
+    )
     told = told_commits.ToldCommits(
         shown=end,
-        running_s=12345678.901234567,
+        answered_s=12345678.901234567,
         samples=(sample,) * told_commits.MAX_SAMPLES,
     )
     service, server = ids.ServiceName("orders-" + "x" * 20), ids.ServerId("y" * 36)
@@ -188,11 +195,11 @@
         [None, [SHOWN, "1", SAMPLES]],
         [None, [SHOWN, float("nan"), SAMPLES]],
         [None, [SHOWN, RUNNING, None]],
-        [None, [SHOWN, RUNNING, SAMPLES * 2]],
-        [None, [SHOWN, RUNNING, [[0.5]]]],
-        [None, [SHOWN, RUNNING, [[0.5, None]]]],
-        [None, [SHOWN, RUNNING, [[None, [1, 3]]]]],
-        [None, [SHOWN, RUNNING, [[-1, [1, 3]]]]],
+        [None, [SHOWN, RUNNING, SAMPLES * 3]],
+        [None, [SHOWN, RUNNING, [[0.5, 0.4]]]],
+        [None, [SHOWN, RUNNING, [[0.5, 0.4, None]]]],
+        [None, [SHOWN, RUNNING, [[None, 0.4, [1, 3]]]]],
+        [None, [SHOWN, RUNNING, [[0.5, -1, [1, 3]]]]],
     ],
     ids=str,
 )
--- a/tests/proxy/test_peer_updates.py
+++ b/tests/proxy/test_peer_updates.py
@@ -246,7 +246,7 @@
         server=B,
         revision=REVISION,
         above=builders.position(1, 9),
-        told=told_commits.ToldCommits(shown=builders.position(1, 10), running_s=0.0),
+        told=told_commits.ToldCommits(shown=builders.position(1, 10), answered_s=0.0),
     )
     assert world.peers.sent == [datagrams.PeerUpdate(instance=ONE, held=(held,))]
     assert world.peers.hosts == [{TWO}]
--- a/tests/proxy/test_relayed_pauses.py
+++ b/tests/proxy/test_relayed_pauses.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import dataclasses
+import itertools
 
 import pytest
 
 from mustardswitch.internal import ids, promotion
 from mustardswitch.peers import datagrams, pauses
-from mustardswitch.proxy import claimed_changes, ports, relayed_pauses, takeover
+from mustardswitch.proxy import claimed_changes, ports, relayed_pauses, server_commands, takeover
 from mustardswitch_standins import database_group
 from tests.common import builders, peer_world, relay_world, takeovers
 
@@ -296,3 +297,24 @@
     receiver.now_s += relayed_pauses.ORDER_TTL_S + 0.1
     receiver.updates.check()
     assert links and all(link.broken for link in links)
+
+
+async def test_a_server_that_gives_no_answer_is_asked_less_often(receiver, monkeypatch):
+    asked = []
+
+    async def note(commands, servers):
+        asked.append(receiver.now_s)
+        return {}
+
+    monkeypatch.setattr(server_commands.ServerCommands, "query", note)
+    for _ in range(100):
+        receiver.now_s += 0.1
+        await order(receiver, asked_at_s=receiver.now_s)
+    pauses_s = [later - earlier for earlier, later in itertools.pairwise(asked)]
+    assert pauses_s == sorted(pauses_s) and max(pauses_s) < 2.6 and len(asked) < 8
+
+
+async def test_nothing_is_paused_while_the_recorded_server_leads(world):
+    """The record outlasts a change whose request may still come, and commits go on."""
+    world.directory.note_recorded_promotion(SERVICE, A, revision=10)
+    assert await order(world) == [] and receiver_commands(world) == []
