--- a/src/mustardswitch/internal/acknowledged_end.py
+++ b/src/mustardswitch/internal/acknowledged_end.py
@@ -13,7 +13,7 @@
 import collections.abc
 import dataclasses
 
-from mustardswitch.internal import former_primary, positions
+from mustardswitch.internal import clock, former_primary, positions
 
 SPACING_S = 1.0
 """Least time between the samples of a log that are kept beside the latest one."""
@@ -44,6 +44,10 @@
     def __repr__(self) -> str:
         return f"RecentSamples(kept={self.kept!r}, latest={self.latest!r})"
 
+    def note_answer(self, position: positions.Position, *, sent_at_s: float) -> None:
+        """Add a position that came just now, in answer to a query sent at a time."""
+        self.note(Sample(sent_after_s=sent_at_s, answered_by_s=clock.now_s(), position=position))
+
     def note(self, sample: Sample) -> None:
         """Add a sample, unless a later query was answered before."""
         if self.latest is not None and sample.sent_after_s <= self.latest.sent_after_s:
--- a/src/mustardswitch/proxy/acknowledged_ends.py
+++ b/src/mustardswitch/proxy/acknowledged_ends.py
@@ -31,11 +31,12 @@
         ] = {}
         self.asked_at_s: dict[ids.ServiceName, tuple[datagrams.RecordedPromotion, float]] = {}
         """When the instances were asked first, for the latest promotion of each service."""
-        self.found: dict[datagrams.RecordedPromotion, positions.Position] = {}
-        """Ends that were found; no commits were sent since, but to the recorded server."""
         self.checked_at_s = float("-inf")
         self.watched_since_s = clock.now_s()
         """Since when no instance can have been listed and removed unseen."""
+        self.found: dict[datagrams.RecordedPromotion, positions.Position] = {}
+        """Positions that were found. Instances that start or leave later change nothing, since
+        commits have ended by then."""
 
     def __repr__(self) -> str:
         return f"AcknowledgedEnds(directory={self.directory!r})"
@@ -136,10 +137,11 @@
         end = self.found.get(promoted)
         if end is None:
             end = acknowledged_end.find(reports, unheard_until_s=self.unheard_until_s())
-        if end is not None:
-            end = max([end, *(each.shown for each in reports if each.shown is not None)])
-            self.found[promoted] = end
-        return end
+        if end is None:
+            return None
+        shown = [each.shown for each in reports if each.shown is not None]
+        self.found[promoted] = max([end, *shown])
+        return self.found[promoted]
 
     def unheard_until_s(self) -> float:
         """Return until when an instance may have sent commits that does not report.
--- a/tests/common/exploration_state.py
+++ b/tests/common/exploration_state.py
@@ -78,8 +78,8 @@
     starts: int = 0
     unlisted: int = 0
     """Time since its entry was removed."""
-    covered: bool = False
-    """Whether it was found ended while another server had all commits."""
+    covered: Position | None = None
+    """The position that another server had when this one was found ended; None before that."""
     silent: bool = False
     """Whether a replica gives the instances no answer; it receives from the primary."""
 
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -10,7 +10,6 @@
 from tests.common import (
     promotion_claim,
     promotion_instances,
-    promotion_members,
     promotion_request,
     promotion_servers,
 )
@@ -229,6 +228,7 @@
             ),
             acknowledged_end=self._acknowledged_end(),
             covered=self._covered(expected),
+            recorded=self._recorded(),
         )
         choice = promotion.choose(
             evidence,
@@ -240,21 +240,6 @@
             self._note_request(choice)
         return choice
 
-    def _acknowledged_end(self) -> positions.Position | None:
-        if self.hold is None or not self.parts.acknowledged_end:
-            return None
-        return self.hold.acknowledged_end(
-            len(self.world.instances),
-            of_all=self.parts.acknowledged_end_of_all,
-            answers_to_all=self.parts.answers_to_all,
-        )
-
-    def _covered(self, expected: collections.abc.Set[ids.ServerId]) -> set[ids.ServerId]:
-        if self.parts.cover_ended:
-            return promotion_members.covered(self.world, self.instance)
-        marked = {name for name, _ in self.instance.covered}
-        return marked & expected
-
     def _note_request(self, choice: promotion.Choice) -> None:
         known = frozenset(self._confirming())
         uncounted = self.uncounted if self.pausing_all else set()
--- a/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
+++ b/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
@@ -1,9 +1,12 @@
 """Servers that confirmed commits alone, and have ended, or are not known, by the next change."""
 
+import contextlib
+
 import pytest
 
-from mustardswitch.internal import clock, promotion
-from mustardswitch.proxy import coverage, member_records, service
+from mustardswitch.internal import acknowledged_end, clock, positions, promotion
+from mustardswitch.peers import datagrams
+from mustardswitch.proxy import acknowledged_ends, coverage, member_records, ports, server_list
 from tests.common import member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -18,11 +21,11 @@
     """Let a replica lose its entry and end; another one has all commits."""
     world.directory.instances.first_read_at_s = clock.now_s()
     world.group.servers[C].up = False
-    takeovers.lose_entry(world, C, silent_s=service.EXPIRY_SILENCE_S)
+    takeovers.lose_entry(world, C, silent_s=server_list.EXPIRY_SILENCE_S)
     checking = coverage.Coverage(directory=world.directory)
     checking.check()
     await world.settle()
-    assert [server for server, _ in world.service.covered] == [C]
+    assert [server for server, _ in world.service.covered.ends] == [C]
     return checking
 
 
@@ -101,3 +104,37 @@
     world.coordination.refresh_servers = list_servers
     await takeovers.take_over(world, A, silent=True)
     assert world.group.lost == []
+
+
+async def test_a_commit_whose_answer_reached_no_instance_is_not_lost():
+    """It was acknowledged as a replica received it; that replica gives no answer now."""
+    world = proxy_world.World()
+    world.group.servers[C].not_receiving = True
+    before = world.group.primary.position
+    assert _end_of_one_instance(world, before) == before
+    assert world.group.commit(world.group.primary, "not answered")
+    with contextlib.suppress(ConnectionError), world.service.commits.tracking(object(), A):
+        raise ConnectionError
+    world.coordination.hold_report = ports.HoldReport(
+        complete=True, acknowledged_end=_end_of_one_instance(world, before)
+    )
+    world.group.servers[B].silent, world.group.servers[A].up = True, False
+    await takeovers.take_over(world, silent=True)
+    assert world.group.lost == []
+
+
+def _end_of_one_instance(
+    world: proxy_world.World, shown: positions.Position
+) -> positions.Position | None:
+    """Return the end that an instance finds that has run alone, and queried the primary."""
+    now_s = clock.now_s()
+    for at_s in (now_s - 2 * acknowledged_end.DROPPED_S, now_s - 0.5):
+        sample = acknowledged_end.Sample(sent_after_s=at_s, answered_by_s=at_s, position=shown)
+        world.service.samples.note(sample)
+    world.directory.instances.first_read_at_s = now_s - 60.0
+    world.directory.permission.started_s = now_s - 60.0
+    world.directory.permission.note_current(now_s)
+    ends = acknowledged_ends.AcknowledgedEnds(directory=world.directory)
+    ends.watched_since_s, ends.checked_at_s = now_s - 60.0, now_s
+    promoted = datagrams.RecordedPromotion(service=world.service.name, server=C, revision=1)
+    return ends.find(promoted, instances=())
