--- a/src/mustardswitch/proxy/acknowledged_ends.py
+++ b/src/mustardswitch/proxy/acknowledged_ends.py
@@ -11,7 +11,6 @@
     clock,
     commit_permission,
     ids,
-    position_history,
     positions,
 )
 from mustardswitch.peers import datagrams, told_commits
@@ -56,21 +55,28 @@
         None if it has acknowledged a commit whose position it does not know.
         """
         now_s = clock.now_s()
-        running_s = now_s - self.directory.permission.started_s
         if target is None:
-            return told_commits.ToldCommits(shown=None, running_s=running_s)
+            answered_s = now_s - self.directory.permission.started_s
+            return told_commits.ToldCommits(shown=None, answered_s=answered_s)
         if target.acknowledged.has_unplaced:
             return None
-        known = target.history.samples
         return told_commits.ToldCommits(
             shown=target.acknowledged.highest,
-            running_s=running_s,
+            answered_s=now_s - self._answered_since_s(target),
             samples=tuple(
-                told_commits.AgedSample(age_s=now_s - each.query_sent_at_s, position=each.position)
-                for each in {id(each): each for each in (*known[:1], *known[-1:])}.values()
+                told_commits.AgedSample(
+                    sent_s=now_s - each.sent_after_s,
+                    answered_s=now_s - each.answered_by_s,
+                    position=each.position,
+                )
+                for each in target.samples.spread(told_commits.MAX_SAMPLES)
             ),
         )
 
+    def _answered_since_s(self, target: service.Service) -> float:
+        """Return since when this process has run, and had an answer to each commit."""
+        return max(self.directory.permission.started_s, target.commits.unanswered_at_s)
+
     def note_asked(self, promoted: datagrams.RecordedPromotion) -> None:
         """Record that the instances are asked for a promotion now, or were before."""
         known = self.asked_at_s.get(promoted.service)
@@ -93,10 +99,12 @@
             return
         received = acknowledged_end.Told(
             shown=told.shown,
-            started_by_s=clock.now_s() - told.running_s,
+            answered_since_s=clock.now_s() - told.answered_s,
             samples=tuple(
-                position_history.PositionSample(
-                    query_sent_at_s=asked[1] - each.age_s, position=each.position
+                acknowledged_end.Sample(
+                    sent_after_s=asked[1] - each.sent_s,
+                    answered_by_s=clock.now_s() - each.answered_s,
+                    position=each.position,
                 )
                 for each in told.samples
             ),
@@ -122,8 +130,8 @@
             return None
         own = acknowledged_end.Told(
             shown=target.acknowledged.highest,
-            started_by_s=self.directory.permission.started_s,
-            samples=tuple(target.history.samples),
+            answered_since_s=self._answered_since_s(target),
+            samples=tuple(target.samples.all()),
         )
         reports = [own, *told.values()]
         end = self.found.get(promoted)
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -8,6 +8,7 @@
 from mustardswitch import connection_pool, metrics
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import (
+    acknowledged_end,
     clock,
     commit_permission,
     ids,
@@ -95,6 +96,7 @@
             permitted=permitted,
         )
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
+        self.samples = acknowledged_end.RecentSamples()
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
         self.refreshing: asyncio.Task[None] | None = None
@@ -159,6 +161,7 @@
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
+            self.samples.note_answer(position, sent_at_s=query_sent_at_s)
         if leader != self.leader_changes.logged:
             self._note_change()
         else:
@@ -233,6 +236,7 @@
 
         Keeps for the log that it has; ``position`` is that of its answer.
         """
+        self.acknowledged.note_answer(position)
         acknowledged = self.commits.may_acknowledge(commit)
         self.hold.former_commits.note_answered(
             sent,
@@ -307,11 +311,8 @@
         if leader is None:
             return None
         now_s = clock.now_s()
-        others = [
-            now_s - backend.answered_at_s
-            for backend in self.servers.values()
-            if backend is not leader
-        ]
+        rest = (each for each in self.servers.values() if each is not leader)
+        others = [now_s - each.answered_at_s for each in rest]
         return suspicion.PrimaryContact(
             unanswered_s=leader.unanswered_s(now_s),
             failed_probes=leader.failed_probes,
@@ -330,10 +331,8 @@
         return self.refreshing
 
     async def _query_positions(self) -> None:
-        leader = self.leader
-        if leader is None:
-            return
-        await self.query_status(leader)
+        if (leader := self.leader) is not None:
+            await self.query_status(leader)
 
     async def query_status(self, backend: server.Server) -> promotion.ServerStatus | None:
         """Query a server's status over a pooled connection; None without an answer."""
--- a/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
+++ b/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
@@ -1,15 +1,12 @@
 """Servers that confirmed commits alone, and have ended, or are not known, by the next change."""
 
+import contextlib
+
 import pytest
 
-from mustardswitch.internal import (
-    acknowledged_end,
-    clock,
-    position_history,
-    positions,
-    promotion,
-)
-from mustardswitch.proxy import coverage, member_records, ports, server_list
+from mustardswitch.internal import acknowledged_end, clock, positions, promotion
+from mustardswitch.peers import datagrams
+from mustardswitch.proxy import acknowledged_ends, coverage, member_records, ports, server_list
 from tests.common import member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -114,20 +111,30 @@
     world = proxy_world.World()
     world.group.servers[C].not_receiving = True
     before = world.group.primary.position
+    assert _end_of_one_instance(world, before) == before
     assert world.group.commit(world.group.primary, "not answered")
+    with contextlib.suppress(ConnectionError), world.service.commits.tracking(object(), A):
+        raise ConnectionError
     world.coordination.hold_report = ports.HoldReport(
-        complete=True, acknowledged_end=_answered_end(before)
+        complete=True, acknowledged_end=_end_of_one_instance(world, before)
     )
     world.group.servers[B].silent, world.group.servers[A].up = True, False
     await takeovers.take_over(world, silent=True)
     assert world.group.lost == []
 
 
-def _answered_end(shown: positions.Position) -> positions.Position | None:
-    """Return what two instances tell, one of which has had no answer to its last commit."""
-    sample = position_history.PositionSample(query_sent_at_s=2.0, position=shown)
-    told = [
-        acknowledged_end.Told(shown=shown, started_by_s=0.0, samples=(sample,)),
-        acknowledged_end.Told(shown=None, started_by_s=0.0),
-    ]
-    return acknowledged_end.find(told, unheard_until_s=1.0)
+def _end_of_one_instance(
+    world: proxy_world.World, shown: positions.Position
+) -> positions.Position | None:
+    """Return the end that an instance finds that has run alone, and queried the primary."""
+    now_s = clock.now_s()
+    for at_s in (now_s - 2 * acknowledged_end.DROPPED_S, now_s - 0.5):
+        sample = acknowledged_end.Sample(sent_after_s=at_s, answered_by_s=at_s, position=shown)
+        world.service.samples.note(sample)
+    world.directory.instances.first_read_at_s = now_s - 60.0
+    world.directory.permission.started_s = now_s - 60.0
+    world.directory.permission.note_current(now_s)
+    ends = acknowledged_ends.AcknowledgedEnds(directory=world.directory)
+    ends.watched_since_s, ends.checked_at_s = now_s - 60.0, now_s
+    promoted = datagrams.RecordedPromotion(service=world.service.name, server=C, revision=1)
+    return ends.find(promoted, instances=())
