--- a/src/mustardswitch/internal/unlisted_servers.py
+++ b/src/mustardswitch/internal/unlisted_servers.py
@@ -12,8 +12,6 @@
 approximately once in each."""
 DEFAULT_LISTING_S = 1.5
 """Time from the start of a server until it is listed, without a heartbeat in the settings."""
-MAX_LISTING_S = 5.0
-"""Longest time that is waited for a server, so that the service has a primary soon again."""
 RELISTED_S = 2.5
 """Time after an outage of the store in which the servers that run are listed; the platform promises
 about two seconds."""
@@ -73,7 +71,7 @@
 
 def time_to_list_s(heartbeat_s: float) -> float:
     """Return the time from the start of a server until it is listed, in seconds."""
-    return min(HEARTBEATS * heartbeat_s, MAX_LISTING_S)
+    return HEARTBEATS * heartbeat_s
 
 
 def complete_s(listing_s: float) -> float:
