--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -12,7 +12,7 @@
     errors,
     fleet_records,
     member_records,
-    ports,
+    record_store,
     service,
     unlisted,
 )
@@ -28,7 +28,7 @@
 class MemberWriter:
     """Compares the members of all services with their records, and writes those that differ."""
 
-    def __init__(self, *, client: ports.RecordStore, directory: directory.Directory) -> None:
+    def __init__(self, *, client: record_store.RecordStore, directory: directory.Directory) -> None:
         self.client = client
         self.directory = directory
         self.schedule = members.WriteSchedule()
@@ -87,7 +87,7 @@
         book = self.directory.members
         keys = {name: f"{fleet_records.SIZES}{name}" for name in sizes}
         puts = [
-            ports.Put(key=keys[name], value=member_records.encode_size(servers))
+            record_store.Put(key=keys[name], value=member_records.encode_size(servers))
             for name, servers in sizes.items()
         ]
         expected = {key: book.size(name).revision for name, key in keys.items()}
@@ -104,6 +104,10 @@
         record = self.directory.members.record(target.name)
         listed = member_records.primaries(each.entry for each in target.servers.values())
         covered = member_records.covered_members(target, counted)
+        if record.entries and not member_records.forgotten_members(target, counted, record) <= (
+            record.forgotten
+        ):
+            return True
         if record.entries and (not record.is_durable or record.covered != covered):
             return True
         if record.entries and listed and listed != member_records.primaries(record.entries):
@@ -126,13 +130,15 @@
         key = f"{fleet_records.MEMBERS}{name}"
         entries = member_records.counted_entries(target)
         covered = member_records.covered_members(target, entries)
-        put = ports.Put(key=key, value=member_records.encode(entries, covered=covered))
+        forgotten = member_records.forgotten_members(target, entries, book.record(name))
+        value = member_records.encode(entries, covered=covered, forgotten=forgotten)
+        put = record_store.Put(key=key, value=value)
         revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
         else:
             written = member_records.MemberRecord(
-                entries=tuple(entries), covered=covered, revision=revision
+                entries=tuple(entries), covered=covered, forgotten=forgotten, revision=revision
             )
             book.note_written(name, written)
 
@@ -140,7 +146,7 @@
         self,
         call: str,
         expected: collections.abc.Mapping[str, int],
-        puts: collections.abc.Sequence[ports.Put],
+        puts: collections.abc.Sequence[record_store.Put],
     ) -> int | None:
         """Write to the store; None if it failed, which is logged, or another has written."""
         try:
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -8,6 +8,7 @@
 from mustardswitch import connection_pool, metrics
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import (
+    acknowledged_end,
     clock,
     commit_permission,
     ids,
@@ -75,6 +76,7 @@
             stall_meter=stall_meter,
             registrations=registrations,
             listing_s=listing_s,
+            permission=permission or commit_permission.CommitPermission(),
         )
         self.order_opener = order_opener or self._open_for_order
         """Opens connections for orders to stop, with more time for a server that is slow."""
@@ -90,10 +92,11 @@
         """That promotion; None without one."""
         self.commits = commit_gate.CommitGate(
             records=self.hold.registrations,
-            permission=permission or commit_permission.CommitPermission(),
+            permission=self.permission,
             permitted=permitted,
         )
         self.history = position_history.PositionHistory(retention_s=HISTORY_RETENTION_S)
+        self.samples = acknowledged_end.RecentSamples()
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
         self.refreshing: asyncio.Task[None] | None = None
@@ -158,6 +161,7 @@
             self.history.record(
                 position_history.PositionSample(query_sent_at_s=query_sent_at_s, position=position)
             )
+            self.samples.note_answer(position, sent_at_s=query_sent_at_s)
         if leader != self.leader_changes.logged:
             self._note_change()
         else:
@@ -232,6 +236,7 @@
 
         Keeps for the log that it has; ``position`` is that of its answer.
         """
+        self.acknowledged.note_answer(position)
         acknowledged = self.commits.may_acknowledge(commit)
         self.hold.former_commits.note_answered(
             sent,
@@ -306,11 +311,8 @@
         if leader is None:
             return None
         now_s = clock.now_s()
-        others = [
-            now_s - backend.answered_at_s
-            for backend in self.servers.values()
-            if backend is not leader
-        ]
+        rest = (each for each in self.servers.values() if each is not leader)
+        others = [now_s - each.answered_at_s for each in rest]
         return suspicion.PrimaryContact(
             unanswered_s=leader.unanswered_s(now_s),
             failed_probes=leader.failed_probes,
@@ -329,10 +331,8 @@
         return self.refreshing
 
     async def _query_positions(self) -> None:
-        leader = self.leader
-        if leader is None:
-            return
-        await self.query_status(leader)
+        if (leader := self.leader) is not None:
+            await self.query_status(leader)
 
     async def query_status(self, backend: server.Server) -> promotion.ServerStatus | None:
         """Query a server's status over a pooled connection; None without an answer."""
@@ -364,6 +364,7 @@
         self, backend: server.Server, status: promotion.ServerStatus, query_sent_at_s: float
     ) -> None:
         self.acknowledged.note_status(backend.server, status)
+        self.note_running(backend)
         if status.leads:
             self.note_leading(
                 backend.server, query_sent_at_s=query_sent_at_s, position=status.received
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -87,6 +87,11 @@
         if self.stop_status is not None and not in_time:
             statuses[primary] = self.stop_status
         expected = self._confirming() - self.spared
+        ended = {primary or self.instance.led_last} if former.is_process_gone else set()
+        self.uncounted = self.spared | ended
+        expected -= ended
+        if not self.parts.await_silent:
+            expected -= self.instance.expired - statuses.keys()
         if not self.parts.need_all_paused:
             expected = set(paused)
         if not self.parts.choose_highest and paused and expected <= paused.keys():
@@ -221,6 +226,9 @@
             acknowledged_above=(
                 self.hold.above() if self.hold and self.parts.compare_acknowledged else None
             ),
+            acknowledged_end=self._acknowledged_end(),
+            covered=self._covered(expected),
+            recorded=self._recorded(),
         )
         choice = promotion.choose(
             evidence,
@@ -234,15 +242,16 @@
 
     def _note_request(self, choice: promotion.Choice) -> None:
         known = frozenset(self._confirming())
-        spared = self.spared if self.pausing_all else set()
+        uncounted = self.uncounted if self.pausing_all else set()
         primary = self.world.upstream
-        unanswered = choice.proof is promotion.Proof.ALL_PAUSED and primary not in self.statuses
+        stopped = choice.proof is promotion.Proof.PRIMARY_STOPPED
+        unanswered = not stopped and primary not in self.statuses
         self.request = promotion_servers.Request(
             server=choice.server,
             token=self.token,
             starts=self.world.servers[choice.server].starts,
             proof=choice.proof,
-            expected=known - spared,
+            expected=known - uncounted,
             known=known,
             listed=self.listed,
             term=self.world.term,
@@ -251,7 +260,8 @@
             primary=primary,
             acknowledged=self.world.acknowledgements,
             replaced_before=self.replaced_before,
-            given_up=primary if unanswered else None,
+            left=frozenset(self.world.left),
+            ever_listed=frozenset(self.world.entry_starts),
         )
 
     def _decide_handover(
