--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -62,6 +62,8 @@
         """Drop servers that hold nothing alone, and start to ask for others that are due."""
         wanted = set()
         for name, target in self.directory.services.items():
+            if not target.unlisted and not target.covered.ends and not self._any_ended(target):
+                continue
             self._drop(target)
             missing = self._ended_or_unlisted(target) if target.holds_connections else []
             wanted |= {(name, each.server) for each in missing}
@@ -71,6 +73,10 @@
                 self.asking[name] = target.start(self._ask(target, due))
         self.due_at_s = {key: due for key, due in self.due_at_s.items() if key in wanted}
 
+    def _any_ended(self, target: service.Service) -> bool:
+        not_listening = server_contact.Sign.NOT_LISTENING
+        return any(not_listening in backend.contacts.at_s for backend in target.servers.values())
+
     def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
         """Return the servers without an entry, and those that were found without a process."""
         not_listening = server_contact.Sign.NOT_LISTENING
@@ -87,11 +93,17 @@
     def _is_due(self, service_name: ids.ServiceName, name: ids.ServerId) -> bool:
         now_s, key = clock.now_s(), (service_name, name)
         if key not in self.due_at_s:
-            ranked = gateways.ranked(self.directory.candidates(), service_name)
-            instance = self.directory.instance
-            rank = ranked.index(instance) if instance in ranked else len(ranked)
+            rank = self._rank(service_name)
             self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S if rank == 0 else None
-        return now_s >= self.due_at_s[key][0]
+        due_at_s, pause_s = self.due_at_s[key]
+        if now_s < due_at_s and pause_s is None and not self._rank(service_name):
+            self.due_at_s[key] = due_at_s, pause_s = now_s, RETRY_S
+        return now_s >= due_at_s
+
+    def _rank(self, service_name: ids.ServiceName) -> int:
+        ranked = gateways.ranked(self.directory.candidates(), service_name)
+        instance = self.directory.instance
+        return ranked.index(instance) if instance in ranked else len(ranked)
 
     async def _ask(self, target: service.Service, due: list[server.Server]) -> None:
         await asyncio.gather(*(self._review(target, backend) for backend in due))
@@ -103,7 +115,8 @@
         ended = await self._has_ended(target, backend)
         if ended and member not in target.covered:
             end = await self._received_end(target, backend)
-            if end is not None:
+            # It may have started again while the replica received.
+            if end is not None and await self._has_ended(target, backend):
                 target.covered.add(member, end)
                 events.log(
                     events.Event.SERVER_COVERED,
@@ -162,6 +175,9 @@
         target.covered.keep({unlisted.member_of(backend.entry) for backend in known})
         if target.leader is None or target.requested is not None or target.server_count.missing > 0:
             return
+        recorded = self.directory.members.record(target.name).covered
         for name, known in list(target.unlisted.items()):
-            if unlisted.member_of(known.backend.entry) in target.covered:
+            member = unlisted.member_of(known.backend.entry)
+            # The others are to know that it is covered before it is forgotten.
+            if member in target.covered and member in recorded:
                 target.forget_covered(name)
--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -259,6 +259,8 @@
         self.records: dict[ids.ServiceName, MemberRecord] = {}
         self.sizes: dict[ids.ServiceName, SizeRecord] = {}
         self.known: dict[ids.ServiceName, members.KnownMembers] = {}
+        self.seeded: dict[ids.ServiceName, int] = {}
+        """Revisions of the records that were compared with the services last."""
 
     def __repr__(self) -> str:
         return f"MemberBook(records={len(self.records)})"
@@ -311,13 +313,15 @@
         """
         target.server_count.note_recorded(self.size(target.name).servers)
         known, record = self._known(target.name), self.record(target.name)
+        is_new = self.seeded.get(target.name) != record.revision
+        self.seeded[target.name] = record.revision
         for backend in target.servers.values():
             known.add(unlisted.member_of(backend.entry))
         if record.is_durable:
             target.covered.note_record(record.covered, record.revision)
-        for name, backend in target.unlisted.backends().items():
+        for name, backend in target.unlisted.backends().items() if is_new else ():
             member = unlisted.member_of(backend.entry)
-            if member in record.forgotten and member not in target.covered.run_again:
+            if member in record.forgotten and not target.covered.was_heard(member):
                 del target.unlisted[name]
         for entry in record.entries:
             listed = entry.server in target.servers or entry.server in target.unlisted
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -50,8 +50,10 @@
         if self.directory.servers.outage:
             return
         for name, target in self.directory.services.items():
-            # A record that names a server without an entry may have been read just now.
-            self.directory.members.seed(target)
+            book = self.directory.members
+            if book.seeded.get(name) != book.record(name).revision:
+                # It may name a server without an entry.
+                book.seed(target)
             if not self._differs(target, now_s):
                 self.schedule.note_equal(name)
             elif self.schedule.is_due(
--- a/src/mustardswitch/proxy/unlisted.py
+++ b/src/mustardswitch/proxy/unlisted.py
@@ -33,6 +33,11 @@
     return entry.server, entry.started_ms
 
 
+HEARD_S = 10.0
+"""Time after an answer in which this instance does not take another one's word that a server has
+ended; longer than the others take to find it ended again."""
+
+
 class CoveredServers:
     """The servers whose processes have ended, and the positions that another one had by then.
 
@@ -46,8 +51,9 @@
         """Those that the record of members does not name yet."""
         self.run_again: set[members.Member] = set()
         """Those that the record names although they have been found to run since."""
-        self.have_run: set[members.Member] = set()
-        """Those that have been found to run; a restored record may be of before that."""
+        self.have_run: dict[members.Member, float] = {}
+        """Those that have been found to run, and when last (``clock.now_s``); a record may be of
+        before that."""
         self.revision = 0
         """The store's revision of the record that was compared last."""
 
@@ -62,14 +68,18 @@
         self.ends[member] = end
         self.added.add(member)
         self.run_again.discard(member)
-        self.have_run.discard(member)
+        self.have_run.pop(member, None)
 
     def note_running(self, member: members.Member) -> None:
         """Record that a server, or another one in its place, runs."""
+        self.have_run[member] = clock.now_s()
         if self.ends.pop(member, None) is not None:
             self.added.discard(member)
             self.run_again.add(member)
-            self.have_run.add(member)
+
+    def was_heard(self, member: members.Member) -> bool:
+        """Return whether a server was found to run a short time ago."""
+        return clock.now_s() < self.have_run.get(member, float("-inf")) + HEARD_S
 
     def note_record(
         self,
@@ -80,7 +90,8 @@
         if revision == self.revision:
             return
         if revisions.era_of(revision) != revisions.era_of(self.revision):
-            self.run_again |= self.have_run
+            self.run_again |= self.have_run.keys()
+        self.run_again |= set(filter(self.was_heard, recorded.keys() - self.ends.keys()))
         self.revision = revision
         self.added -= recorded.keys()
         self.run_again &= recorded.keys()
@@ -93,7 +104,7 @@
         self.ends = {member: end for member, end in self.ends.items() if member in known}
         self.added &= known
         self.run_again &= known
-        self.have_run &= known
+        self.have_run = {each: at_s for each, at_s in self.have_run.items() if each in known}
 
 
 class UnlistedServers(dict[ids.ServerId, UnlistedServer]):
--- a/tests/common/member_world.py
+++ b/tests/common/member_world.py
@@ -42,3 +42,14 @@
         """Let the directory read a record of the members."""
         item = change_log.Item(key=KEY, value=value, revision=revision)
         fleet_records.apply(self.directory, item)
+
+
+def note_recorded(world: proxy_world.World, *, revision: int = 5) -> None:
+    """Let the store hold the record of members that an instance would write now."""
+    counted = member_records.counted_entries(world.service)
+    written = member_records.MemberRecord(
+        entries=tuple(counted),
+        covered=member_records.covered_members(world.service, counted),
+        revision=revision,
+    )
+    world.directory.members.note_written(world.service.name, written)
--- a/tests/proxy/test_members_forgotten_too_early.py
+++ b/tests/proxy/test_members_forgotten_too_early.py
@@ -8,7 +8,7 @@
 from mustardswitch.internal import clock, ids, positions, promotion, unlisted_servers
 from mustardswitch.proxy import acknowledged, coverage, ports, server_list
 from mustardswitch_standins import database_group
-from tests.common import proxy_world, takeovers
+from tests.common import member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
 
@@ -77,7 +77,9 @@
     replacement = world.group.start_server(zone="d")
     world.group.catch_up(replacement)
     takeovers.expire_entry(world, C)
+    member_world.note_recorded(world)
     await _check(world)
+    assert C not in world.service.possible_holders()
     _run_again(world, C)
     world.group.servers[A].up = False
     await _change_primary(world)
--- a/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
+++ b/tests/proxy/test_servers_that_end_and_hold_commits_alone.py
@@ -65,6 +65,7 @@
     checking = await _cover_without_entry(world)
     world.group.start_server(zone="d")
     takeovers.expire_entry(world, C)
+    member_world.note_recorded(world)
     checking.check()
     assert C not in world.service.possible_holders()
     _confirm_alone(world)
