--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions
+from mustardswitch.internal import clock, handover, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
     change_waits,
     commit_holds,
@@ -251,7 +251,7 @@
         expected = self.possible_holders() - spared
         if not await_silent:
             expected &= self.confirming() | statuses.keys()
-        receiving = promotion.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
+        receiving = handover.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
         self.may_be_paused |= expected
         if receiving and self.holds_claim():
             statuses = statuses | await self.commands.pause(receiving, self.term)
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -8,7 +8,7 @@
 import collections.abc
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.internal import clock, former_primary, handover, ids, positions, promotion
 from mustardswitch.proxy import (
     claimed_attempt,
     earlier_requests,
@@ -131,7 +131,7 @@
         kept = promotion.kept_primary(self.requested)
         likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
-            staying = promotion.choose_successor(
+            staying = handover.choose_successor(
                 replicas=statuses, leaving=self._leaving() | self.target.unlisted.keys()
             )
             likely = staying or likely or next(iter(sorted(statuses)), None)
--- a/src/mustardswitch/proxy/relayed_pauses.py
+++ b/src/mustardswitch/proxy/relayed_pauses.py
@@ -10,7 +10,7 @@
 import collections.abc
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import clock, handover, ids
 from mustardswitch.peers import datagrams, pauses
 from mustardswitch.proxy import directory, ports, server_commands, service
 
@@ -103,7 +103,7 @@
             relay.interval_s = min(MAX_ACT_INTERVAL_S, 2 * relay.interval_s)
             return
         relay.interval_s = ACT_INTERVAL_S
-        due = promotion.servers_to_pause(expected={name}, statuses=statuses, term=order.term)
+        due = handover.servers_to_pause(expected={name}, statuses=statuses, term=order.term)
         in_force = clock.now_s() < relay.asked_at_s + PAUSE_WITHIN_S and _is_changing(target)
         if due and not statuses[name].leads and in_force:
             statuses |= await commands.pause(due, order.term)
--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -12,7 +12,7 @@
 import collections.abc
 
 from mustardswitch import tasks
-from mustardswitch.internal import clock, ids, positions, promotion
+from mustardswitch.internal import clock, handover, ids, positions, promotion
 from mustardswitch.proxy import claimed_attempt, end_of_commits, server_commands
 
 HANDOVER_TIMEOUT_S = 2.5
@@ -116,7 +116,7 @@
             for name, status in statuses.items()
             if name != primary and (name in self.target.servers or name == self.requested)
         }
-        successor = promotion.choose_successor(
+        successor = handover.choose_successor(
             replicas=replicas, leaving=self._leaving(), requested=self.requested
         )
         if successor is None and self.requested is not None:
@@ -154,7 +154,7 @@
                 verdict=promotion.Verdict.WAIT, reason="the successor does not answer"
             )
             if successor in latest:
-                choice = promotion.evaluate_handover(
+                choice = handover.evaluate_handover(
                     expected=self.confirming() - {primary},
                     paused=paused,
                     successor=successor,
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -12,7 +12,7 @@
 import contextlib
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, ids, promotion, server_contact
+from mustardswitch.internal import clock, handover, ids, promotion, server_contact
 from mustardswitch.proxy import (
     change_waits,
     claimed_attempt,
@@ -184,7 +184,7 @@
         if self.holds_claim():
             statuses = await self.commands.query(servers)
             resumed = await self.commands.resume(
-                promotion.servers_to_resume(statuses, requested=self.requested)
+                handover.servers_to_resume(statuses, requested=self.requested)
             )
             receiving = {name for name, status in statuses.items() if not status.paused}
             self.may_be_paused -= receiving | resumed
--- a/tests/common/exploration_faults.py
+++ b/tests/common/exploration_faults.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from mustardswitch.internal import promotion
+from mustardswitch.internal import handover
 from tests.common import (
     exploration_former,
     exploration_holder,
@@ -54,7 +54,7 @@
     requested = holder.requested if holder.sent else holder.requested_before
     asked = exploration_holder.ask(state, exploration_holder.confirming(holder))
     statuses = {n: each for n, each in enumerate(asked) if each is not None}
-    resumed = promotion.servers_to_resume(
+    resumed = handover.servers_to_resume(
         exploration_holder.real_statuses(statuses),
         requested=NAMES[requested] if requested != NOBODY else None,
     )
--- a/tests/common/exploration_handover.py
+++ b/tests/common/exploration_handover.py
@@ -1,6 +1,6 @@
 """Hand-over of a primary that answers in the exploration, and a primary that is kept."""
 
-from mustardswitch.internal import promotion
+from mustardswitch.internal import handover, promotion
 from tests.common import (
     exploration_faults,
     exploration_holder,
@@ -126,7 +126,7 @@
     holder = state.holder
     replicas = _replicas(state, asked)
     requested = NAMES[holder.requested] if holder.requested != NOBODY else None
-    found = promotion.choose_successor(
+    found = handover.choose_successor(
         replicas=exploration_holder.real_statuses(replicas),
         leaving=names(exploration_holder.leaving(holder)),
         requested=requested,
@@ -162,7 +162,7 @@
     state = exploration_state.change_server(state, successor, paused=False)
     confirming = exploration_holder.confirming(holder)
     state, paused = exploration_holder.pause(state, replicas, confirming - {primary, successor})
-    choice = promotion.evaluate_handover(
+    choice = handover.evaluate_handover(
         expected=names(confirming - {primary}),
         paused=exploration_holder.real_statuses(paused),
         successor=NAMES[successor],
--- a/tests/common/exploration_holder.py
+++ b/tests/common/exploration_holder.py
@@ -1,6 +1,6 @@
 """The holder of a claim in the exploration: what it gathers, and the real decisions on that."""
 
-from mustardswitch.internal import ids, promotion
+from mustardswitch.internal import handover, ids, promotion
 from tests.common import exploration_former, exploration_rules, exploration_state
 from tests.common.exploration_state import (
     FRESH,
@@ -140,7 +140,7 @@
     holder = state.holder
     replicas = {n: each for n, each in enumerate(asked) if each is not None}
     likely = NAMES[holder.requested] if holder.requested != NOBODY else None
-    likely = likely or promotion.choose_successor(
+    likely = likely or handover.choose_successor(
         replicas=real_statuses(replicas), leaving=names(leaving(holder))
     )
     likely = likely or next(iter(sorted(names(set(replicas)))), None)
@@ -185,7 +185,7 @@
     state: State, statuses: dict[int, Status], expected: set[int]
 ) -> tuple[State, dict[int, Status]]:
     """Pause servers that may be receiving; returns the statuses of those that are paused."""
-    receiving = promotion.servers_to_pause(
+    receiving = handover.servers_to_pause(
         expected=names(expected),
         statuses=real_statuses(statuses),
         term=ids.Term(state.holder.term),
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -6,7 +6,7 @@
 
 import collections.abc
 
-from mustardswitch.internal import ids, positions, promotion
+from mustardswitch.internal import handover, ids, positions, promotion
 from tests.common import (
     promotion_claim,
     promotion_instances,
@@ -150,7 +150,7 @@
         self.listed = frozenset(self.world.listed)
         if self.parts.read_list:
             self.world.read_list(self.instance)
-        likely = self.requested or promotion.choose_successor(
+        likely = self.requested or handover.choose_successor(
             replicas=self.statuses, leaving=self._leaving()
         )
         likely = likely or next(iter(sorted(self.statuses)), None)
@@ -272,7 +272,7 @@
             for name, status in self.statuses.items()
             if name != primary and (name in self.instance.listed or name == self.requested)
         }
-        successor = promotion.choose_successor(
+        successor = handover.choose_successor(
             replicas=replicas, leaving=self._leaving(), requested=self.requested
         )
         if successor is None:
@@ -286,7 +286,7 @@
         if successor not in latest or latest[successor].received < self.statuses[primary].received:
             return promotion.Choice(verdict=promotion.Verdict.WAIT)
         paused = self._pause_others(self.statuses, spared={primary, successor}, late=late)
-        choice = promotion.evaluate_handover(
+        choice = handover.evaluate_handover(
             expected=self._confirming() - {primary},
             paused=paused,
             successor=successor,
--- a/tests/common/promotion_claim.py
+++ b/tests/common/promotion_claim.py
@@ -3,7 +3,7 @@
 import collections.abc
 import enum
 
-from mustardswitch.internal import ids, positions, promotion
+from mustardswitch.internal import handover, ids, positions, promotion
 from tests.common import (
     promotion_instances,
     promotion_members,
@@ -133,7 +133,7 @@
         late: ids.ServerId | None,
     ) -> Statuses:
         expected = self._confirming() - spared
-        ordered = promotion.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
+        ordered = handover.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
         if self.valid:
             for name in sorted(ordered):
                 self._order(
@@ -221,7 +221,7 @@
         if self.valid:
             requested = self.requested if self.parts.resume_requested_only else None
             statuses = self._ask(self._answering())
-            for name in sorted(promotion.servers_to_resume(statuses, requested=requested)):
+            for name in sorted(handover.servers_to_resume(statuses, requested=requested)):
                 self._order(promotion_servers.Order(kind=OrderKind.RESUME, server=name), late)
         if self.instance.reaches_store and self.world.claim == self.token:
             kept = self.requested if self.parts.record_outlives_claim else None
--- a/tests/proxy/test_change_of_primary_machine.py
+++ b/tests/proxy/test_change_of_primary_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, settings, stateful
 from hypothesis import strategies as st
 
-from mustardswitch.internal import ids, promotion
+from mustardswitch.internal import handover, ids, promotion
 from mustardswitch_standins import database_group
 from tests.common.change_of_primary_attempt import MAY_BE_LATE, Attempt, D, LateOrder, servers
 
@@ -148,7 +148,7 @@
         late: ids.ServerId | None,
     ) -> dict[ids.ServerId, promotion.ServerStatus]:
         expected = self._known() - spared
-        for name in promotion.servers_to_pause(
+        for name in handover.servers_to_pause(
             expected=expected, statuses=statuses, term=ids.Term(self.attempt.term)
         ):
             if name == late:
@@ -182,7 +182,7 @@
     ) -> promotion.Choice:
         attempt = self.attempt
         spared = {attempt.primary} - set(statuses)
-        likely = attempt.requested or promotion.choose_successor(replicas=statuses, leaving=set())
+        likely = attempt.requested or handover.choose_successor(replicas=statuses, leaving=set())
         if likely is None:
             return promotion.Choice(verdict=promotion.Verdict.WAIT)
         if not attempt.recorded:
@@ -211,7 +211,7 @@
         late: ids.ServerId | None,
     ) -> promotion.Choice:
         attempt = self.attempt
-        successor = promotion.choose_successor(
+        successor = handover.choose_successor(
             replicas={n: s for n, s in statuses.items() if n != primary},
             leaving=set(),
             requested=attempt.requested,
@@ -225,7 +225,7 @@
         replica = self.group.servers[successor]
         if self.compare_ends and replica.position < statuses[primary].received:
             return promotion.Choice(verdict=promotion.Verdict.WAIT)
-        choice = promotion.evaluate_handover(
+        choice = handover.evaluate_handover(
             expected=self._known() - {primary},
             paused=self._pause_others(statuses, {primary, successor}, late),
             successor=successor,
@@ -337,7 +337,7 @@
         elif not attempt.request_sent:
             self.record = attempt.requested_before
             self.held &= self.record is not None
-        for name in promotion.servers_to_resume(
+        for name in handover.servers_to_resume(
             self._statuses(), requested=self.record if self.resume_requested_only else None
         ):
             order = LateOrder(server=name)
