--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -284,9 +284,10 @@
             paused = await self.pause_others(statuses, spared=spared | receives, await_silent=True)
             if stopped_since_s is not None and not in_time:
                 statuses = statuses | await self.commands.query({primary} & spared)
-            ended = (
-                {order.backend.server} if order is not None and former.is_process_gone else set()
-            )
+            ended = set()
+            if former.is_process_gone and self._is_listed_primary(order.backend.server):
+                # One that is listed as a replica was replaced, and may have confirmed commits.
+                ended = {order.backend.server}
             covered = {} if ended_since_s is None else self.covered(since_s=ended_since_s)
             expected = self.possible_holders() - spared - ended
             self.silent = expected - receives - set(paused) - set(statuses)
