--- a/src/mustardswitch_standins/full_run/__main__.py
+++ b/src/mustardswitch_standins/full_run/__main__.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 
-from mustardswitch_standins.full_run import days, figures, processes, run, verdict
+from mustardswitch_standins.full_run import day_steps, days, figures, processes, run, verdict
 
 RUN_TIMEOUT_S = 120.0
 """Limit on one run, in addition to the length of its day."""
@@ -25,7 +25,7 @@
         rate=options.rate or size.rate,
         runs_closed=options.runs_closed,
     )
-    day = days.vary(
+    day = day_steps.vary(
         days.DAYS[options.day](size, **options.fields), random.Random(f"{seed} {options.day}")
     )
     with tempfile.TemporaryDirectory() as directory:
--- a/src/mustardswitch_standins/full_run/busy_databases.py
+++ b/src/mustardswitch_standins/full_run/busy_databases.py
@@ -129,11 +129,22 @@
 
     async def listen(self, server: database_group.FakeServer) -> int:
         """Start the listener of a server and return its port, which it keeps."""
+        (port,) = fleet.free_ports(1)
+        await self._start_listener(server, port)
+        return port
+
+    async def start_in_place(
+        self, server: database_group.FakeServer, former: database_group.FakeServer
+    ) -> None:
+        """Start the listener of a server at the address of one that has ended."""
+        port = self.ports[former.name]
+        await self._start_listener(server, port)
+        self.ports[server.name] = port
+
+    async def _start_listener(self, server: database_group.FakeServer, port: int) -> None:
         self.slots[server.name] = Slots(size=self.size)
         self.cuts[server.name] = Cut()
-        (port,) = fleet.free_ports(1)
         await self._listen_at(server, port)
-        return port
 
     async def _listen_at(self, server: database_group.FakeServer, port: int) -> None:
         self.server_listeners[server.name] = await asyncio.start_server(
--- a/src/mustardswitch_standins/full_run/database_program.py
+++ b/src/mustardswitch_standins/full_run/database_program.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, promotion
 from mustardswitch_standins import database_group
 from mustardswitch_standins.full_run import busy_databases, control, figures, measured_group
 
@@ -26,12 +26,18 @@
             group=self.group, size=size, source=self.source
         )
         self.store = control.Client(port=store_port)
-        self.written: dict[ids.ServerId, tuple[dict, float]] = {}
-        """Last accepted registration of each server and its monotonic time."""
+        self.written: dict[ids.ServerId, dict] = {}
+        """Last accepted registration of each server."""
         self.retry_s: dict[ids.ServerId, float] = {}
         """Monotonic time before which a server does not register again after a failure."""
         self.unregistered: set[ids.ServerId] = set()
         """Servers that cannot reach the store."""
+        self.cut_from_store: database_group.FakeServer | None = None
+        """The server that was last cut off from the store."""
+        self.heartbeat_late_s = 0.0
+        """Limit on the delay of heartbeats."""
+        self.due_s: dict[ids.ServerId, float] = {}
+        """Monotonic time of each server's next heartbeat."""
         self.lost: database_group.FakeServer | None = None
         """The replica that ended for good without notice."""
         self.faults: set[asyncio.Task[None]] = set()
@@ -97,9 +103,8 @@
             "db_role": server.role.value,
             "born": server.born_ms,
         }
-        written, written_at_s = self.written.get(server.name, ({}, 0.0))
         now_s = time.monotonic()
-        if entry == written and now_s < written_at_s + figures.HEARTBEAT_S:
+        if entry == self.written.get(server.name) and now_s < self.due_s[server.name]:
             return
         server.registrations += 1
         try:
@@ -111,7 +116,9 @@
             accepted = False
         if accepted:
             server.was_listed = True
-            self.written[server.name] = entry, now_s
+            self.written[server.name] = entry
+            late_s = self.source.uniform(0.0, self.heartbeat_late_s)
+            self.due_s[server.name] = now_s + figures.HEARTBEAT_S + late_s
         else:
             self.retry_s[server.name] = now_s + self.source.uniform(0.1, figures.RELISTED_S)
 
@@ -226,6 +233,61 @@
         refreshing.cancel()
         self.unregistered.discard(server.name)
 
+    async def fault_cut_from_store(
+        self, role: str, for_s: float, reborn_after_s: float | None = None
+    ) -> None:
+        """Cut a server with a role off from the store, but not from other servers.
+
+        Its entry expires while it receives and confirms. If it is reborn, it crashes after that
+        time, and a server with another id and an empty log starts at its address behind the cut.
+        """
+        is_primary = role == promotion.Role.PRIMARY.value
+        server = self.group.leader if is_primary else self._pick_replicas(1, listed=True)[0]
+        self.group.note(f"{server.name}, a {server.role.value}, is cut off from the store")
+        ends_s = time.monotonic() + for_s
+        self.unregistered.add(server.name)
+        self.cut_from_store = server
+        if reborn_after_s is not None:
+            await asyncio.sleep(reborn_after_s)
+            server = await self._start_another_in_place(server)
+        await asyncio.sleep(ends_s - time.monotonic())
+        self.databases.cuts[server.name].pids = []
+        self.cut_from_store = None
+        self.unregistered.discard(server.name)
+        self.group.note(f"{server.name} reaches the store again")
+
+    async def _start_another_in_place(
+        self, former: database_group.FakeServer
+    ) -> database_group.FakeServer:
+        self.group.note(f"{former.name} crashes behind the cut")
+        self.databases.end(former, says_so=False)
+        started = self.group.start_replacement(former)
+        started.log = []
+        self.unregistered.add(started.name)
+        self.cut_from_store = started
+        await self.databases.start_in_place(started, former)
+        return started
+
+    async def fault_cut_instances(self, pids: list[int]) -> None:
+        """Cut the server that is cut off from the store off from some instances as well."""
+        if self.cut_from_store is None:
+            return
+        cut = self.databases.cuts[self.cut_from_store.name]
+        is_new = not cut.pids
+        cut.pids = pids
+        if not is_new:
+            return
+        refreshing = asyncio.create_task(cut.keep_refreshed())
+        while cut.pids:
+            await asyncio.sleep(REGISTRATION_S)
+        refreshing.cancel()
+
+    async def fault_late_heartbeats(self, late_s: float, for_s: float) -> None:
+        """Delay each heartbeat by up to a limit, so that entries may expire."""
+        self.heartbeat_late_s = late_s
+        await asyncio.sleep(for_s)
+        self.heartbeat_late_s = 0.0
+
     async def fault_slow(
         self, delay_s: float, for_s: float, executes_late: bool, orders: bool = True
     ) -> None:
@@ -277,7 +339,8 @@
         replicas = [
             each
             for each in self.group.servers.values()
-            if each is not self.group.leader and (each.was_listed or not listed)
+            if each is not self.group.leader
+            and (each.was_listed and each.name not in self.unregistered or not listed)
         ]
         return self.source.sample(replicas, min(count, len(replicas)))
 
--- a/src/mustardswitch_standins/full_run/run.py
+++ b/src/mustardswitch_standins/full_run/run.py
@@ -1,6 +1,7 @@
 """A run: starts the processes of a deployment, performs a day's steps and collects the reports."""
 
 import asyncio
+import collections.abc
 import contextlib
 import pathlib
 import random
@@ -10,7 +11,7 @@
 from mustardswitch_standins import fleet
 from mustardswitch_standins.full_run import (
     control,
-    days,
+    day_steps,
     figures,
     processes,
     throttle,
@@ -22,6 +23,8 @@
 SETTLE_S = 2.0
 """Time from the start of the callers until the times without a write count."""
 MAX_CALLER_PROCESSES = 3
+CUT_S = 0.1
+"""Interval at which servers are told which processes are cut off, as instances restart."""
 
 
 class Run:
@@ -33,7 +36,7 @@
         directory: pathlib.Path,
         size: figures.Size,
         seed: int,
-        day: days.Day,
+        day: day_steps.Day,
         source: pathlib.Path,
         busy: int,
         processor_share: float | None = None,
@@ -263,6 +266,29 @@
         for client in self.databases.values():
             await client.call("cut", pids=pids, for_s=for_s, one_way=one_way)
 
+    async def step_cut_from_store(
+        self,
+        roles: collections.abc.Sequence[str],
+        for_s: float,
+        share: float = 0.0,
+        reborn_after_s: float | None = None,
+    ) -> None:
+        """Cut a server of each service off from the store, and from a share of the instances."""
+        cut = self._pick(share) if share else []
+        ends_s = time.monotonic() + for_s
+        for number, client in enumerate(self.databases.values()):
+            await client.call(
+                "cut_from_store",
+                role=roles[number % len(roles)],
+                for_s=for_s,
+                reborn_after_s=reborn_after_s,
+            )
+        while cut and time.monotonic() < ends_s:
+            pids = [each.pid for each in cut if each.pid is not None]
+            for client in self.databases.values():
+                await client.call("cut_instances", pids=pids)
+            await asyncio.sleep(CUT_S)
+
     async def step_split(self, for_s: float) -> None:
         """Cut one zone off from the store, and the primaries off from all other zones."""
         zone = self.random.choice(self.size.zones)
--- a/tests/common/commit_runs.py
+++ b/tests/common/commit_runs.py
@@ -84,10 +84,14 @@
 
     async def wait_for_another_primary(self, former: database_group.FakeServer) -> None:
         """Wait until another server than the former primary leads and takes writes."""
+        await self.wait_until_another_leads(former)
+        await self.wait_for_writes()
+
+    async def wait_until_another_leads(self, former: database_group.FakeServer) -> None:
+        """Wait until another server than the former primary leads."""
         async with asyncio.timeout(CHANGE_S):
             while self.group.primary in (None, former):
                 await asyncio.sleep(0.02)
-        await self.wait_for_writes()
 
     def turn_away(self, name: str) -> None:
         """Let an instance reach the store no more."""
@@ -146,6 +150,25 @@
         started = self.group.start_replacement(former, listed_after_s=listed_after_s)
         await self.deployment.start_server(started)
 
+    def lose_entry(self, server: database_group.FakeServer) -> None:
+        """Cut a server off from the store, so that its entry is removed, and from nothing else."""
+        server.listed_from_s = float("inf")
+        self.deployment.store.delete(f"servers/{server.name}")
+        self.group.note(f"{server.name} has no entry any more")
+
+    def go_dark(self, server: database_group.FakeServer) -> None:
+        """Let a server answer nothing and receive nothing; its entry expires later."""
+        self.deployment.links.cut_both(platform_deployment.INSTANCES, server.name)
+        server.up = False
+        self.group.note(f"{server.name} is dark")
+
+    async def restart_all(self) -> None:
+        """Stop each instance as planned and start it again."""
+        for name, instance in self.instances.items():
+            instance.process.send_signal(signal.SIGTERM)
+            await instance.process.wait()
+            self.instances[name] = await self.deployment.start_instance(name)
+
     async def lapse_entries_while_all_restart(self, *, first: ids.ServerId) -> None:
         """Let all entries lapse, kill all instances and start them again.
 
--- a/tests/platform/test_full_run.py
+++ b/tests/platform/test_full_run.py
@@ -10,7 +10,7 @@
 from mustardswitch_standins import database_group, line_protocol_databases
 from mustardswitch_standins.full_run import (
     busy_databases,
-    days,
+    day_steps,
     figures,
     measured_group,
     processes,
@@ -182,8 +182,8 @@
 async def test_a_small_release_day_runs_and_loses_no_commit(tmp_path):
     size = figures.SIZES["small"]
     size = dataclasses.replace(size, instances=3, services=1, rate=60.0)
-    day = days.Day(
-        steps=[days.Step(at_s=2.0, name="release", fields={"services": 1})], length_s=9.0
+    day = day_steps.Day(
+        steps=[day_steps.Step(at_s=2.0, name="release", fields={"services": 1})], length_s=9.0
     )
     started = run.Run(
         directory=tmp_path,
--- a/tests/platform/test_full_run_days.py
+++ b/tests/platform/test_full_run_days.py
@@ -10,6 +10,7 @@
 from mustardswitch_standins import fleet
 from mustardswitch_standins.full_run import (
     database_program,
+    day_steps,
     days,
     figures,
     processes,
@@ -148,7 +149,7 @@
 def test_every_day_keeps_the_order_of_the_steps_that_follow_each_other(name):
     day = days.DAYS[name](figures.SIZES["grown"])
     for seed in range(20):
-        varied = days.vary(day, random.Random(seed))
+        varied = day_steps.vary(day, random.Random(seed))
         shifts = {
             round(changed.at_s - step.at_s, 6)
             for step in day.steps
@@ -211,3 +212,66 @@
         in (noted)
     )
     assert noted.endswith("closed: False")
+
+
+class AcceptingStore:
+    """Accepts the registrations of servers, and records whose they are."""
+
+    def __init__(self) -> None:
+        self.registered: list[str] = []
+
+    async def call(self, operation, **fields):
+        self.registered.append(fields["id"])
+        return {"accepted": True}
+
+
+async def test_a_server_that_is_cut_off_from_the_store_receives_and_has_no_entry(program):
+    program.store = AcceptingStore()
+    group = program.group
+    cutting = asyncio.create_task(program.fault_cut_from_store(role="replica", for_s=0.4))
+    await wait_until(lambda: program.unregistered)
+    (name,) = program.unregistered
+    registration = asyncio.create_task(program._keep_registered())
+    try:
+        assert await group.confirm(group.leader, ["w1"], 5.0)
+        await wait_until(lambda: group.servers[name].log and program.store.registered)
+        picked = program._pick_replicas(3, listed=True)
+        assert name not in {*program.store.registered, *(each.name for each in picked)}
+        await cutting
+        await wait_until(lambda: name in program.store.registered)
+    finally:
+        registration.cancel()
+
+
+async def test_a_server_that_is_reborn_behind_a_cut_answers_at_the_same_address_without_a_log(
+    program,
+):
+    await program.group.confirm(program.group.leader, ["w1"], 5.0)
+    program.group.leader.up = False
+    before = dict(program.group.servers)
+    cutting = asyncio.create_task(
+        program.fault_cut_from_store(role="replica", for_s=0.5, reborn_after_s=0.1)
+    )
+    await wait_until(lambda: program.group.servers.keys() - before.keys())
+    (reborn,) = program.group.servers.keys() - before.keys()
+    (former,) = before.keys() - program.group.servers.keys()
+    assert reborn in program.unregistered and not program.group.servers[reborn].log
+    assert program.databases.ports[reborn] == program.databases.ports[former]
+    await wait_until(lambda: program.databases.server_listeners[reborn].is_serving())
+    assert (await start_session(program, former)).startswith(b"ERROR WRONGNODE")
+    await cutting
+    assert reborn not in program.unregistered
+
+
+async def test_late_heartbeats_come_later_than_the_interval(program):
+    program.store = AcceptingStore()
+    server = program.group.leader
+    late = asyncio.create_task(program.fault_late_heartbeats(late_s=3.0, for_s=30.0))
+    await wait_until(lambda: program.heartbeat_late_s)
+    intervals_s = []
+    for _ in range(50):
+        program.written.clear()
+        await program._register(server)
+        intervals_s.append(program.due_s[server.name] - asyncio.get_running_loop().time())
+    late.cancel()
+    assert max(intervals_s) > figures.ENTRY_EXPIRY_S > figures.HEARTBEAT_S + 1.0
--- a/tests/platform/test_full_run_releases.py
+++ b/tests/platform/test_full_run_releases.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from mustardswitch_standins.full_run import database_program, days, figures, store_program
+from mustardswitch_standins.full_run import (
+    database_program,
+    day_steps,
+    days,
+    figures,
+    store_program,
+)
 
 SEED = 7
 LATE_S = 0.3
@@ -73,7 +79,7 @@
 
 def test_the_steps_around_a_release_keep_their_intervals_to_it():
     day = days.release_at_worst(figures.SIZES["small"], holder_s=(0.2, 2.0), lag=5.0)
-    varied = days.vary(day, random.Random(SEED))
+    varied = day_steps.vary(day, random.Random(SEED))
     shifts = {
         round(changed.at_s - step.at_s, 6)
         for step, changed in zip(day.steps, varied.steps, strict=True)
