--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -13,7 +13,13 @@
 import time
 
 from mustardswitch import tasks
-from mustardswitch_standins import platform_deployment, replication, soak_faults, soak_judge
+from mustardswitch_standins import (
+    platform_deployment,
+    replication,
+    soak_entry_faults,
+    soak_faults,
+    soak_judge,
+)
 
 INSTANCES = 3
 CALLERS = 6
@@ -49,7 +55,7 @@
         self.deployment = platform_deployment.Deployment(
             directory, group=self.group, links_to_store=True
         )
-        self.faults = soak_faults.Faults(
+        self.faults = soak_entry_faults.Faults(
             deployment=self.deployment, group=self.group, random_source=random.Random(seed)
         )
         self.instances = self.faults.instances
@@ -238,7 +244,7 @@
     parser.add_argument(
         "--faults",
         nargs="+",
-        choices=sorted(set(soak_faults.ALL)),
+        choices=sorted({*soak_faults.ALL, *soak_entry_faults.NAMES}),
         default=soak_faults.ALL,
         help="faults that are injected",
     )
