--- a/src/mustardswitch_standins/soak_entry_faults.py
+++ b/src/mustardswitch_standins/soak_entry_faults.py
@@ -8,6 +8,8 @@
 
 WITHOUT_ENTRY_S = (2.0, 9.0)
 """Range of the time for which a server has no entry."""
+ALONE_S = (9.0, 14.0)
+"""Range of the time for which a replica has no entry until it alone confirms."""
 DEAF_S = (1.0, 5.0)
 """Range of the time for which a replica receives nothing."""
 DARK_S = (1.0, 7.0)
@@ -17,7 +19,7 @@
 """Ranges of the time for which the store is slow, and of the one-way delay of its calls."""
 ROLL_GAP_S = (0.1, 0.8)
 """Range of the interval between the restarts of two instances."""
-NAMES = ("lose_entry", "lose_entry", "deaf", "go_dark", "roll", "slow_store", "kill_all")
+NAMES = ("lose_entry", "lose_entry", "deaf", "go_dark", "roll", "slow_store", "confirm_alone")
 """Names of the faults; each is drawn as often as it is named."""
 
 
@@ -38,6 +40,42 @@
         self.deployment.store.delete(f"servers/{server.name}")
         await asyncio.sleep(max(0.0, back_s - time.monotonic()))
 
+    async def confirm_alone(self) -> None:
+        """Let a server without an entry alone confirm; the primary goes dark after that.
+
+        All instances may restart in between. The server is a replica, or the primary, which is
+        replaced as its entry is missing. Nothing happens if another one has no entry already.
+        """
+        server = self._pick_server()
+        now_s = time.monotonic()
+        unlisted = any(now_s < each.listed_from_s for each in self.group.servers.values())
+        if unlisted or server.leaving or not server.up or not server.was_listed:
+            return
+        alone_s = self.random.uniform(*ALONE_S)
+        restart = self.random.choice([self.kill_all, self.roll, None])
+        restart_after_s = self.random.uniform(soak_faults.ENTRY_EXPIRY_S, alone_s)
+        server.listed_from_s = now_s + alone_s + DEAF_S[1] + DARK_S[1]
+        self.group.note(f"{server.name} is cut off from the store for long")
+        await asyncio.sleep(soak_faults.ENTRY_EXPIRY_S)
+        self.deployment.store.delete(f"servers/{server.name}")
+        await asyncio.sleep(restart_after_s - soak_faults.ENTRY_EXPIRY_S)
+        restarting = asyncio.create_task(restart()) if restart is not None else None
+        await asyncio.sleep(alone_s - restart_after_s)
+        others = [
+            each for each in self.group.servers.values() if each not in (server, self.group.leader)
+        ]
+        self.group.note(f"{', '.join(each.name for each in others)} are deaf")
+        for other in others:
+            other.not_receiving = True
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        if server is not self.group.leader:
+            await self.go_dark()
+        for other in others:
+            other.not_receiving = False
+            self.group.catch_up(other)
+        if restarting is not None:
+            await restarting
+
     async def deaf(self) -> None:
         """Let one replica with an entry receive nothing for a while."""
         now_s = time.monotonic()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -112,6 +112,11 @@
     assert soak.run_seed(seed, seconds=4.0, fault_names=fault_names) == []
 
 
+def test_no_commit_is_lost_as_servers_lose_their_entries_and_go_on():
+    names = ("lose_entry", "deaf", "go_dark", "slow_store")
+    assert soak.run_seed(1, seconds=4.0, fault_names=names) == []
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_finds_no_violation_under_seeded_faults(seed):
     assert soak.run_seed(seed, seconds=4.0) == []
