--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -70,6 +70,8 @@
         """When the store was last asked for the list of servers (``clock.now_s``)."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
+        self.silent: set[ids.ServerId] = set()
+        """Servers that gave this instance no answer, to be paused through others."""
         self.record: Record | None = None
         """The record of this holder; None before it."""
         self.report: ports.HoldReport | None = None
@@ -218,18 +220,17 @@
         """Return all servers that may hold acknowledged commits, as far as they are known now."""
         return set(self.target.possible_holders())
 
-    def covered(self, *, since_s: float) -> set[ids.ServerId]:
+    def covered(self, *, since_s: float) -> dict[ids.ServerId, positions.Position]:
         """Return the servers that were found without a process since then, and are covered.
 
         One whose place another process has taken is no such server.
         """
-        return {
-            name
+        found = {
+            name: self.target.covered_end(name)
             for name, backend in self.target.possible_holders().items()
-            if self.target.is_covered(name)
-            and name not in self.commands.unnamed
-            and backend.contacts.ended_since(since_s)
+            if name not in self.commands.unnamed and backend.contacts.ended_since(since_s)
         }
+        return {name: end for name, end in found.items() if end is not None}
 
     async def pause_others(
         self,
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -6,17 +6,22 @@
 from mustardswitch import events
 from mustardswitch.internal import clock, commit_permission, former_primary, ids, positions
 from mustardswitch.peers import datagrams
-from mustardswitch.proxy import commit_holds, directory, ports, service, stop_orders
+from mustardswitch.proxy import (
+    acknowledged_ends,
+    commit_holds,
+    directory,
+    permission_log,
+    ports,
+    relayed_pauses,
+    service,
+    stop_orders,
+)
 
 ANNOUNCE_REPEAT_S = 0.1
 """Interval at which a recorded promotion is announced to instances that have not confirmed it; a
 round trip between regions fits twice."""
 
 
-MAX_NAMES = 10
-"""Instances that one log line names at most."""
-
-
 class PeerUpdates:
     """Handles the updates that this instance receives, and sends those that are due."""
 
@@ -29,6 +34,7 @@
             datagrams.RecordedPromotion, dict[ids.InstanceId, positions.Position | None]
         ] = {}
         """Confirmations of the promotions that this instance has announced."""
+        self.acknowledged_ends = acknowledged_ends.AcknowledgedEnds(directory=directory)
         self.stop_orders = stop_orders.StopOrders()
         self.primary_reports: dict[
             datagrams.StopOrder, dict[ids.InstanceId, tuple[former_primary.Report, float]]
@@ -44,8 +50,9 @@
         self.listed_before: frozenset[ids.InstanceId] = frozenset()
         """Those that were listed when they were looked at last."""
         self.stale_sent_at_s = float("-inf")
-        self.not_permitted_since_s: float | None = None
-        """Since when this instance may send no commits; None if it may."""
+        self.permission_log = permission_log.PermissionLog(directory=directory)
+        self.pause_relays = relayed_pauses.PauseRelays(directory=directory)
+        self.relayed_pauses = relayed_pauses.RelayedPauses(directory=directory, peers=peers)
 
     def __repr__(self) -> str:
         return f"PeerUpdates(directory={self.directory!r})"
@@ -55,10 +62,12 @@
 
         Must be called every ``commit_permission.CHECK_S``.
         """
+        self.acknowledged_ends.check()
         self.note_instances()
         self.stop_orders.expire()
+        self.pause_relays.expire()
         self._tell_stale()
-        self._report_permission()
+        self.permission_log.check()
         for target in self.directory.services.values():
             abandoned = target.commits.abandon()
             if abandoned:
@@ -75,30 +84,6 @@
                     permitted=target.commits.permitted(),
                 )
 
-    def _report_permission(self) -> None:
-        """Log when commits are not permitted any more, and when they are again."""
-        now_s, known = clock.now_s(), self.directory.permission
-        permitted = self.directory.may_send_commits()
-        if permitted == (self.not_permitted_since_s is None):
-            return
-        self.directory.registry.set_gauge("commits_not_permitted", int(not permitted))
-        if permitted:
-            lasted_s = now_s - self.not_permitted_since_s
-            self.not_permitted_since_s = None
-            self.directory.registry.count("commits_not_permitted_seconds", amount=lasted_s)
-            events.log(events.Event.COMMITS_PERMITTED, lasted_s=round(lasted_s, 3))
-            return
-        self.not_permitted_since_s = now_s
-        unheard = known.unheard(now_s, self.directory.other_instances())
-        events.log(
-            events.Event.COMMITS_NOT_PERMITTED,
-            records_age_s=round(now_s - known.as_of_s, 3),
-            registered=self.directory.instances.is_listed(self.directory.instance),
-            store_lost=self.directory.servers.outage,
-            unheard=" ".join(sorted(unheard)[:MAX_NAMES]),
-            unheard_count=len(unheard),
-        )
-
     def note_instances(self) -> None:
         """Remember the registered instances, which may send commits for a while without an entry.
 
@@ -130,6 +115,7 @@
             confirmations = self.held.get(promoted)
             if confirmations is not None:
                 confirmations[update.instance] = held.above
+                self.acknowledged_ends.note_told(update.instance, promoted, held.told)
         confirmed = [
             held
             for promoted in update.promotions
@@ -141,19 +127,27 @@
             known = self.primary_reports.get(told.order)
             if known is not None:
                 known[update.instance] = told.report, clock.now_s()
+        self.pause_relays.receive(update, answer=self._answer)
+        self.relayed_pauses.receive(update)
         recorded = {each.service: each.revision for each in update.promotions}
         reports = [
             report
             for order in update.stop_orders
             if (report := self._report_primary(order, recorded.get(order.service, 0))) is not None
         ]
-        if reports or (confirmed and not update.stale):
+        if update.stale:
+            confirmed = []
+        if reports or confirmed:
             update_back = datagrams.PeerUpdate(
                 instance=self.directory.instance,
-                held=() if update.stale else tuple(confirmed),
+                held=tuple(confirmed[:1]),
                 primary_reports=tuple(reports),
             )
             self._answer(update.instance, update_back)
+        for held in confirmed[1:]:
+            # All of them, with what was acknowledged, may not fit into one datagram.
+            update_back = datagrams.PeerUpdate(instance=self.directory.instance, held=(held,))
+            self._answer(update.instance, update_back)
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
             self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
 
@@ -171,7 +165,10 @@
         target = self.directory.services.get(promoted.service)
         if target is None:
             return datagrams.HeldCommits(
-                service=promoted.service, server=promoted.server, revision=promoted.revision
+                service=promoted.service,
+                server=promoted.server,
+                revision=promoted.revision,
+                told=self.acknowledged_ends.tell(None),
             )
         known = (target.requested, target.commits.awaited)
         if promoted.server not in known or not target.commits.is_clear_for(promoted.server):
@@ -182,6 +179,7 @@
             server=promoted.server,
             revision=promoted.revision,
             above=target.acknowledged.highest_above(but=promoted.server),
+            told=self.acknowledged_ends.tell(target),
         )
 
     def _note_asked(
@@ -310,6 +308,7 @@
         confirmed = self.held.setdefault(promoted, {})
         self.note_instances()
         missing = self.seen.keys() - confirmed.keys()
+        self.acknowledged_ends.note_asked(promoted)
         self._announce(promoted, missing, order)
         self._tell_proof(target)
         if not target.commits.is_clear_for(promoted.server):
@@ -320,14 +319,25 @@
         now_s, limit_s = clock.now_s(), commit_permission.HOLD_LIMIT_S
         # In the first seconds, instances may send commits that were registered before.
         starting = self.directory.instances.is_recent(now_s, limit_s)
+        acknowledged_end = None
+        if not missing and not starting:
+            acknowledged_end = self.acknowledged_ends.find(promoted, instances=self.seen)
         return ports.HoldReport(
             complete=now_s >= recorded_at_s + limit_s or not (missing or starting),
             unconfirmed=frozenset(missing),
             above=max(known, default=None),
+            acknowledged_end=acknowledged_end,
             instances=frozenset(self.seen),
             primary_reports=self._primary_reports(order),
         )
 
+    def relay_pauses(
+        self, name: ids.ServiceName, servers: collections.abc.Set[ids.ServerId], term: ids.Term
+    ) -> dict[ids.ServerId, ports.RelayedStatus]:
+        """Have servers paused by other instances; return what these have read of paused ones."""
+        peers = [peer for peer, _ in self.seen.values()]
+        return self.relayed_pauses.ask(name, servers, term, peers=peers)
+
     def _tell_proof(self, target: service.Service) -> None:
         """Tell the others once what proved a promotion, for their logs, before it takes effect."""
         proved = target.proved
@@ -354,6 +364,8 @@
         """Forget the confirmations for a service; a later change needs new ones."""
         for promoted in [promoted for promoted in self.held if promoted.service == name]:
             del self.held[promoted]
+        self.acknowledged_ends.forget(name)
+        self.relayed_pauses.forget(name)
         for order in [order for order in self.primary_reports if order.service == name]:
             del self.primary_reports[order]
         self.announced_at_s.pop(name, None)
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -229,7 +229,8 @@
     above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None without one."""
     acknowledged_end: positions.Position | None = None
-    """A position that no acknowledged commit is above; None if none is known."""
+    """A position that no acknowledged commit is above, apart from those that the recorded server
+    has taken since the record; None if none is known."""
     instances: frozenset[ids.InstanceId] = frozenset()
     """The other instances that may have sent commits."""
     primary_reports: collections.abc.Mapping[ids.InstanceId, former_primary.Report] = (
@@ -243,6 +244,15 @@
         return self.instances <= self.primary_reports.keys() and not self.unconfirmed
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RelayedStatus:
+    """The status of a server that another instance has read."""
+
+    status: promotion.ServerStatus
+    read_after_s: float
+    """A time before it was read (``clock.now_s``)."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopRequest:
     """A primary that all instances are to order to stop, and the term of the order."""
@@ -364,6 +374,18 @@
         record of the server's promotion. With ``stop`` the instances also order a primary to stop.
         """
 
+    def relay_pauses(
+        self,
+        claim: Claim,
+        servers: collections.abc.Set[ids.ServerId],
+        *,
+        term: ids.Term,
+    ) -> collections.abc.Mapping[ids.ServerId, RelayedStatus]:
+        """Have other instances pause servers under a term, and return what they have read lately.
+
+        Must be called at short intervals. Only paused servers are returned.
+        """
+
     async def recorded_promotion(self, service: ids.ServiceName) -> ids.ServerId | None:
         """Return the server whose recorded promotion may still take effect; None without one."""
 
