--- a/src/mustardswitch_standins/soak_entry_faults.py
+++ b/src/mustardswitch_standins/soak_entry_faults.py
@@ -8,8 +8,12 @@
 
 WITHOUT_ENTRY_S = (2.0, 9.0)
 """Range of the time for which a server has no entry."""
-ALONE_S = (9.0, 14.0)
-"""Range of the time for which a replica has no entry until it alone confirms."""
+ALONE_S = (11.0, 15.0)
+"""Range of the time for which a server has no entry until it alone confirms."""
+DARK_BESIDE_IT_S = 9.0
+"""Time for which the primary is dark after that."""
+DEAF_BESIDE_IT_S = 2.0
+"""Time from its beginning until the other replicas receive again."""
 DEAF_S = (1.0, 5.0)
 """Range of the time for which a replica receives nothing."""
 DARK_S = (1.0, 7.0)
@@ -53,8 +57,8 @@
             return
         alone_s = self.random.uniform(*ALONE_S)
         restart = self.random.choice([self.kill_all, self.roll, None])
-        restart_after_s = self.random.uniform(soak_faults.ENTRY_EXPIRY_S, alone_s)
-        server.listed_from_s = now_s + alone_s + DEAF_S[1] + DARK_S[1]
+        restart_after_s = self.random.uniform(0.7 * alone_s, alone_s - 1.0)
+        server.listed_from_s = now_s + alone_s + DARK_BESIDE_IT_S + 3.0
         self.group.note(f"{server.name} is cut off from the store for long")
         await asyncio.sleep(soak_faults.ENTRY_EXPIRY_S)
         self.deployment.store.delete(f"servers/{server.name}")
@@ -68,13 +72,14 @@
         for other in others:
             other.not_receiving = True
         await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        ends = [restarting] if restarting is not None else []
         if server is not self.group.leader:
-            await self.go_dark()
+            ends.append(asyncio.create_task(self.go_dark(DARK_BESIDE_IT_S)))
+            await asyncio.sleep(DEAF_BESIDE_IT_S)
         for other in others:
             other.not_receiving = False
             self.group.catch_up(other)
-        if restarting is not None:
-            await restarting
+        await asyncio.gather(*ends)
 
     async def deaf(self) -> None:
         """Let one replica with an entry receive nothing for a while."""
@@ -94,7 +99,7 @@
         server.not_receiving = False
         self.group.catch_up(server)
 
-    async def go_dark(self) -> None:
+    async def go_dark(self, for_s: float | None = None) -> None:
         """Let the primary answer nothing for a while; it comes back with its log."""
         server = self.group.leader
         links = self.deployment.links
@@ -103,7 +108,7 @@
         self.group.note(f"{server.name} is dark")
         server.up = False
         links.cut_both(platform_deployment.INSTANCES, server.name)
-        await asyncio.sleep(self.random.uniform(*DARK_S))
+        await asyncio.sleep(self.random.uniform(*DARK_S) if for_s is None else for_s)
         for direction in (
             links.rule(platform_deployment.INSTANCES, server.name),
             links.rule(server.name, platform_deployment.INSTANCES),
