--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -308,7 +308,11 @@
     statuses = {**evidence.receiving, **evidence.paused}
     if any(status.leads for status in statuses.values()):
         return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
-    proofs = {name: proof(name, evidence) for name in statuses.keys() - evidence.unnamed}
+    # Another server than the recorded one is recorded, and proved anew, before it is promoted.
+    proofs = {
+        name: proof(name, dataclasses.replace(evidence, recorded=name))
+        for name in statuses.keys() - evidence.unnamed
+    }
     proved = sorted(name for name, found in proofs.items() if found is not None)
     if not proved:
         return Choice(verdict=Verdict.WAIT, reason=_missing_proof(evidence, statuses))
@@ -353,87 +357,3 @@
     if found is Proof.ALL_ACKNOWLEDGED:
         return f"the former primary is {former}; nothing above {end} was acknowledged"
     return f"the former primary is {former}; the highest paused log ends at {end}"
-
-
-def choose_successor(
-    *,
-    replicas: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    leaving: collections.abc.Set[ids.ServerId],
-    requested: ids.ServerId | None = None,
-) -> ids.ServerId | None:
-    """Choose the replica that stays unpaused while the primary answers.
-
-    Takes the highest log among the replicas that are not ``leaving``; None if all of them are. Once
-    a promotion may have been ``requested``, only that server is taken: the request may take effect
-    at any time, so no other server may confirm commits.
-    """
-    if requested is not None:
-        return requested if requested in replicas else None
-    staying = {server: status for server, status in replicas.items() if server not in leaving}
-    if not staying:
-        return None
-    return max(staying, key=lambda server: (staying[server].received, server))
-
-
-def evaluate_handover(
-    *,
-    expected: collections.abc.Set[ids.ServerId],
-    paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    successor: ids.ServerId,
-    successor_status: ServerStatus,
-    primary_leaves: bool = False,
-) -> Choice:
-    """Evaluate whether the unpaused successor can take over, so that the primary may be stopped.
-
-    The proof follows when the primary has stopped. Until then all others are to be paused, so that
-    the successor alone confirms commits and lacks none that the stopped primary holds. A primary
-    that leaves, and will soon serve nobody, does not wait for a server that gives no answer.
-    """
-    if successor_status.leads:
-        return Choice(verdict=Verdict.ALREADY_LED, reason="the successor leads already")
-    missing = expected - set(paused) - {successor}
-    if missing and not primary_leaves:
-        return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
-    ahead = [
-        server for server, status in paused.items() if status.received > successor_status.received
-    ]
-    if ahead:
-        return Choice(
-            verdict=Verdict.WAIT, reason=f"the successor lags behind {', '.join(sorted(ahead))}"
-        )
-    reason = f"every other replica is paused at or below {successor_status.received}"
-    return Choice(verdict=Verdict.PROMOTE, server=successor, reason=reason)
-
-
-def servers_to_pause(
-    *,
-    expected: collections.abc.Set[ids.ServerId],
-    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    term: ids.Term,
-) -> set[ids.ServerId]:
-    """Return those of the ``expected`` servers that are to be paused under a term.
-
-    Servers that have not answered may be receiving. One that reports the term has taken part in
-    the promotion under it; a PAUSE would stop replicas of the new primary.
-    """
-    return {
-        name
-        for name in expected
-        if name not in statuses or (not statuses[name].paused and statuses[name].term < term)
-    }
-
-
-def servers_to_resume(
-    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    *,
-    requested: ids.ServerId | None,
-) -> set[ids.ServerId]:
-    """Return the servers that are to be resumed at the end of an attempt.
-
-    One that is not paused gets no RESUME: without an answer it may be executed seconds later, and
-    would end the pause of a later change. While a promotion may take effect only its server is
-    resumed, since no other may confirm commits.
-    """
-    return {
-        name for name, status in statuses.items() if status.paused and requested in (None, name)
-    }
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,8 +5,9 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions, server_contact
+from mustardswitch.internal import clock, handover, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
+    change_waits,
     commit_holds,
     errors,
     final_ends,
@@ -79,6 +80,8 @@
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
+        self.wait = change_waits.ChangeWait(target=target, coordination=coordination)
+        """What keeps this holder from a proof, and what an operator gives up for it."""
         self.earlier_request: ids.ServerId | None = None
         """The record of an earlier holder whose request may be executed, or take effect."""
 
@@ -203,12 +206,11 @@
         return max((end for end in ends if end is not None), default=None)
 
     def _may_run(self, name: ids.ServerId) -> bool:
-        """Return whether a server is listed, or known and not found without a process."""
+        """Return whether a server is listed, or known and not found ended since the record."""
         backend = self.target.known_servers().get(name)
         if backend is None or name in self.target.servers:
             return backend is not None
-        contact = backend.contacts.latest()
-        return contact is None or contact.sign is not server_contact.Sign.NOT_LISTENING
+        return self.record is None or not backend.contacts.ended_since(self.record.at_s)
 
     # Servers
 
@@ -249,7 +251,7 @@
         expected = self.possible_holders() - spared
         if not await_silent:
             expected &= self.confirming() | statuses.keys()
-        receiving = promotion.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
+        receiving = handover.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
         self.may_be_paused |= expected
         if receiving and self.holds_claim():
             statuses = statuses | await self.commands.pause(receiving, self.term)
--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -24,7 +24,9 @@
 CHECK_S = 0.25
 """Interval between checks for servers that are due."""
 RANK_DELAY_S = 2.0
-"""Delay per rank before an instance asks, so that usually one does."""
+"""Delay per rank before an instance asks for the first time, so that usually one does."""
+OTHERS_PAUSE_S = 60.0
+"""Pause between attempts of the instances that are not ranked first."""
 RETRY_S = 0.5
 """Pause after the first attempt; it doubles up to the limit."""
 RETRY_LIMIT_S = 8.0
@@ -42,8 +44,9 @@
 
     def __init__(self, *, directory: directory.Directory) -> None:
         self.directory = directory
-        self.due_at_s: dict[tuple[ids.ServiceName, ids.ServerId], tuple[float, float]] = {}
-        """When each server is asked next (``clock.now_s``), and the pause after that."""
+        self.due_at_s: dict[tuple[ids.ServiceName, ids.ServerId], tuple[float, float | None]] = {}
+        """When each server is asked next (``clock.now_s``), and the pause after that; None unless
+        this instance is ranked first."""
         self.asking: dict[ids.ServiceName, asyncio.Task[None]] = {}
 
     def __repr__(self) -> str:
@@ -59,8 +62,10 @@
         """Drop servers that hold nothing alone, and start to ask for others that are due."""
         wanted = set()
         for name, target in self.directory.services.items():
+            if not target.unlisted and not target.covered.ends and not self._any_ended(target):
+                continue
             self._drop(target)
-            missing = self._ended_or_unlisted(target)
+            missing = self._ended_or_unlisted(target) if target.holds_connections else []
             wanted |= {(name, each.server) for each in missing}
             running = self.asking.get(name)
             due = [each for each in missing if self._is_due(name, each.server)]
@@ -68,26 +73,37 @@
                 self.asking[name] = target.start(self._ask(target, due))
         self.due_at_s = {key: due for key, due in self.due_at_s.items() if key in wanted}
 
+    def _any_ended(self, target: service.Service) -> bool:
+        not_listening = server_contact.Sign.NOT_LISTENING
+        return any(not_listening in backend.contacts.at_s for backend in target.servers.values())
+
     def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
-        """Return the servers without an entry, and those without a process that are not covered."""
+        """Return the servers without an entry, and those that were found without a process."""
         not_listening = server_contact.Sign.NOT_LISTENING
         ended = [
             backend
             for backend in target.servers.values()
-            if (contact := backend.contacts.latest()) is not None
-            and contact.sign is not_listening
-            and unlisted.member_of(backend.entry) not in target.covered
+            if unlisted.member_of(backend.entry) in target.covered
+            or (
+                (contact := backend.contacts.latest()) is not None and contact.sign is not_listening
+            )
         ]
         return [*target.unlisted.backends().values(), *ended]
 
     def _is_due(self, service_name: ids.ServiceName, name: ids.ServerId) -> bool:
         now_s, key = clock.now_s(), (service_name, name)
         if key not in self.due_at_s:
-            ranked = gateways.ranked(self.directory.candidates(), service_name)
-            instance = self.directory.instance
-            rank = ranked.index(instance) if instance in ranked else len(ranked)
-            self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S
-        return now_s >= self.due_at_s[key][0]
+            rank = self._rank(service_name)
+            self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S if rank == 0 else None
+        due_at_s, pause_s = self.due_at_s[key]
+        if now_s < due_at_s and pause_s is None and not self._rank(service_name):
+            self.due_at_s[key] = due_at_s, pause_s = now_s, RETRY_S
+        return now_s >= due_at_s
+
+    def _rank(self, service_name: ids.ServiceName) -> int:
+        ranked = gateways.ranked(self.directory.candidates(), service_name)
+        instance = self.directory.instance
+        return ranked.index(instance) if instance in ranked else len(ranked)
 
     async def _ask(self, target: service.Service, due: list[server.Server]) -> None:
         await asyncio.gather(*(self._review(target, backend) for backend in due))
@@ -99,7 +115,8 @@
         ended = await self._has_ended(target, backend)
         if ended and member not in target.covered:
             end = await self._received_end(target, backend)
-            if end is not None:
+            # It may have started again while the replica received.
+            if end is not None and await self._has_ended(target, backend):
                 target.covered.add(member, end)
                 events.log(
                     events.Event.SERVER_COVERED,
@@ -107,6 +124,10 @@
                     server=backend.server,
                     end=end,
                 )
+                target.registry.count("servers_covered", target.name)
+        if pause_s is None:
+            self.due_at_s[key] = clock.now_s() + OTHERS_PAUSE_S, None
+            return
         if member in target.covered:
             pause_s = REPEATS * RETRY_S
         self.due_at_s[key] = clock.now_s() + pause_s, min(2 * pause_s, RETRY_LIMIT_S)
@@ -154,6 +175,9 @@
         target.covered.keep({unlisted.member_of(backend.entry) for backend in known})
         if target.leader is None or target.requested is not None or target.server_count.missing > 0:
             return
+        recorded = self.directory.members.record(target.name).covered
         for name, known in list(target.unlisted.items()):
-            if unlisted.member_of(known.backend.entry) in target.covered:
-                del target.unlisted[name]
+            member = unlisted.member_of(known.backend.entry)
+            # The others are to know that it is covered before it is forgotten.
+            if member in target.covered and member in recorded:
+                target.forget_covered(name)
--- a/src/mustardswitch/proxy/unlisted.py
+++ b/src/mustardswitch/proxy/unlisted.py
@@ -26,8 +26,6 @@
     """When its entry was removed, or when it answered last after that (``clock.now_s``)."""
     expired_s: float = dataclasses.field(default_factory=clock.now_s)
     """When its entry was removed, or this instance learned of it from the record of members."""
-    recorded_era: int | None = None
-    """The store's era in which the record of members named it; None if it did not yet."""
 
 
 def member_of(entry: ports.ServerEntry) -> members.Member:
@@ -35,6 +33,11 @@
     return entry.server, entry.started_ms
 
 
+HEARD_S = 10.0
+"""Time after an answer in which this instance does not take another one's word that a server has
+ended; longer than the others take to find it ended again."""
+
+
 class CoveredServers:
     """The servers whose processes have ended, and the positions that another one had by then.
 
@@ -48,6 +51,9 @@
         """Those that the record of members does not name yet."""
         self.run_again: set[members.Member] = set()
         """Those that the record names although they have been found to run since."""
+        self.have_run: dict[members.Member, float] = {}
+        """Those that have been found to run, and when last (``clock.now_s``); a record may be of
+        before that."""
         self.revision = 0
         """The store's revision of the record that was compared last."""
 
@@ -62,13 +68,19 @@
         self.ends[member] = end
         self.added.add(member)
         self.run_again.discard(member)
+        self.have_run.pop(member, None)
 
     def note_running(self, member: members.Member) -> None:
         """Record that a server, or another one in its place, runs."""
+        self.have_run[member] = clock.now_s()
         if self.ends.pop(member, None) is not None:
             self.added.discard(member)
             self.run_again.add(member)
 
+    def was_heard(self, member: members.Member) -> bool:
+        """Return whether a server was found to run a short time ago."""
+        return clock.now_s() < self.have_run.get(member, float("-inf")) + HEARD_S
+
     def note_record(
         self,
         recorded: collections.abc.Mapping[members.Member, positions.Position],
@@ -77,6 +89,9 @@
         """Apply what the record of members tells, unless it was applied before."""
         if revision == self.revision:
             return
+        if revisions.era_of(revision) != revisions.era_of(self.revision):
+            self.run_again |= self.have_run.keys()
+        self.run_again |= set(filter(self.was_heard, recorded.keys() - self.ends.keys()))
         self.revision = revision
         self.added -= recorded.keys()
         self.run_again &= recorded.keys()
@@ -89,6 +104,7 @@
         self.ends = {member: end for member, end in self.ends.items() if member in known}
         self.added &= known
         self.run_again &= known
+        self.have_run = {each: at_s for each, at_s in self.have_run.items() if each in known}
 
 
 class UnlistedServers(dict[ids.ServerId, UnlistedServer]):
@@ -121,16 +137,3 @@
         """Return whether the entry of a server was removed a short time ago."""
         known = self.get(name)
         return known is not None and clock.now_s() < known.expired_s + RECENT_S
-
-    def note_record(self, recorded: collections.abc.Set[members.Member], revision: int) -> None:
-        """Compare with the record of members at a ``revision`` of the store.
-
-        A server that the record has named and does not name any more was found by another instance
-        to hold nothing alone, unless the store was restored from a copy in between.
-        """
-        era = revisions.era_of(revision)
-        for name, known in list(self.items()):
-            if member_of(known.backend.entry) in recorded:
-                self[name] = dataclasses.replace(known, recorded_era=era)
-            elif known.recorded_era == era:
-                del self[name]
--- a/tests/common/exploration_steps.py
+++ b/tests/common/exploration_steps.py
@@ -171,8 +171,9 @@
     if spare.run == Run.ABSENT and (replaces or not rules.only_replacements):
         yield "start server", "D", change_server(state, D, run=Run.UP)._replace(started=0)
     for number, server in enumerate(state.servers):
-        if server.run == Run.GONE and not server.covered and _has_all(state, rules, number):
-            yield "cover", LETTERS[number], change_server(state, number, covered=True)
+        if server.run == Run.GONE and server.covered is None and _has_all(state, rules, number):
+            end = position(state, state.servers[A].log) if rules.cover_by_end else (0, 0)
+            yield "cover", LETTERS[number], change_server(state, number, covered=end)
         if server.leaving and server.run in (Run.UP, Run.DOWN):
             yield "end", LETTERS[number], exploration_faults.end_process(state, number, entry=True)
             if spare.run == Run.ABSENT:
--- a/tests/common/promotion_attempt.py
+++ b/tests/common/promotion_attempt.py
@@ -6,11 +6,10 @@
 
 import collections.abc
 
-from mustardswitch.internal import ids, positions, promotion
+from mustardswitch.internal import handover, ids, positions, promotion
 from tests.common import (
     promotion_claim,
     promotion_instances,
-    promotion_members,
     promotion_request,
     promotion_servers,
 )
@@ -151,7 +150,7 @@
         self.listed = frozenset(self.world.listed)
         if self.parts.read_list:
             self.world.read_list(self.instance)
-        likely = self.requested or promotion.choose_successor(
+        likely = self.requested or handover.choose_successor(
             replicas=self.statuses, leaving=self._leaving()
         )
         likely = likely or next(iter(sorted(self.statuses)), None)
@@ -229,6 +228,7 @@
             ),
             acknowledged_end=self._acknowledged_end(),
             covered=self._covered(expected),
+            recorded=self._recorded(),
         )
         choice = promotion.choose(
             evidence,
@@ -240,21 +240,6 @@
             self._note_request(choice)
         return choice
 
-    def _acknowledged_end(self) -> positions.Position | None:
-        if self.hold is None or not self.parts.acknowledged_end:
-            return None
-        return self.hold.acknowledged_end(
-            len(self.world.instances),
-            of_all=self.parts.acknowledged_end_of_all,
-            answers_to_all=self.parts.answers_to_all,
-        )
-
-    def _covered(self, expected: collections.abc.Set[ids.ServerId]) -> set[ids.ServerId]:
-        if self.parts.cover_ended:
-            return promotion_members.covered(self.world, self.instance)
-        marked = {name for name, _ in self.instance.covered}
-        return marked & expected
-
     def _note_request(self, choice: promotion.Choice) -> None:
         known = frozenset(self._confirming())
         uncounted = self.uncounted if self.pausing_all else set()
@@ -287,7 +272,7 @@
             for name, status in self.statuses.items()
             if name != primary and (name in self.instance.listed or name == self.requested)
         }
-        successor = promotion.choose_successor(
+        successor = handover.choose_successor(
             replicas=replicas, leaving=self._leaving(), requested=self.requested
         )
         if successor is None:
@@ -301,7 +286,7 @@
         if successor not in latest or latest[successor].received < self.statuses[primary].received:
             return promotion.Choice(verdict=promotion.Verdict.WAIT)
         paused = self._pause_others(self.statuses, spared={primary, successor}, late=late)
-        choice = promotion.evaluate_handover(
+        choice = handover.evaluate_handover(
             expected=self._confirming() - {primary},
             paused=paused,
             successor=successor,
--- a/tests/common/promotion_instances.py
+++ b/tests/common/promotion_instances.py
@@ -37,8 +37,10 @@
     ever_known: set[ids.ServerId] = dataclasses.field(default_factory=set)
     recorded: set[ids.ServerId] = dataclasses.field(default_factory=set)
     """The members in the store's record as it was read last."""
-    covered: set[promotion_members.Member] = dataclasses.field(default_factory=set)
-    """Members that have ended, and of which another server had all commits."""
+    covered: dict[promotion_members.Member, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Members that have ended, and the positions that another server had by then."""
     knows_all: bool = True
     """Whether no instance before it may have acknowledged commits."""
     unreachable: set[ids.ServerId] = dataclasses.field(default_factory=set)
--- a/tests/common/promotion_members.py
+++ b/tests/common/promotion_members.py
@@ -6,7 +6,7 @@
 import dataclasses
 import typing
 
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, positions
 
 if typing.TYPE_CHECKING:
     from tests.common import promotion_instances, promotion_world
@@ -19,8 +19,8 @@
     """What the store holds of a service's members."""
 
     members: set[Member] = dataclasses.field(default_factory=set)
-    covered: set[Member] = dataclasses.field(default_factory=set)
-    """Members whose processes have ended, and of which another server had all commits."""
+    covered: dict[Member, positions.Position] = dataclasses.field(default_factory=dict)
+    """Members whose processes have ended, and the positions that another server had by then."""
     primary: ids.ServerId | None = None
     """The last server that an instance has recorded as the primary."""
 
@@ -47,7 +47,8 @@
     instance.starts |= {name: starts for name, starts in world.members.members if name in new}
     instance.ever_known |= names | set(instance.listed)
     instance.recorded = names
-    instance.covered |= world.members.covered
+    if instance.reaches_store:
+        instance.covered = dict(world.members.covered)
 
 
 def cover(
@@ -59,8 +60,14 @@
 ) -> bool:
     """Find that a server has ended and that a replica has the primary's end; return whether.
 
-    Without ``compare_end`` the replica is not asked.
+    One that runs again is not covered any more. Without ``compare_end`` neither the end nor a
+    replica is read.
     """
+    if name in instance.known() - instance.unreachable and world.servers[name].runs:
+        instance.covered.pop((name, instance.starts[name]), None)
+        if instance.reaches_store:
+            world.members.covered.pop((name, instance.starts[name]), None)
+        return False
     leader = world.servers.get(instance.leader)
     if leader is None or leader.name == name or not _ended(world, instance, name):
         return False
@@ -75,9 +82,11 @@
     if compare_end and not any(end >= leader.position for end in received):
         return False
     member = name, instance.starts[name]
-    instance.covered.add(member)
+    if member in instance.covered:
+        return True
+    instance.covered[member] = leader.position if compare_end else positions.ORIGIN
     if instance.reaches_store:
-        world.members.covered.add(member)
+        world.members.covered[member] = instance.covered[member]
     return True
 
 
@@ -98,12 +107,16 @@
 
 def covered(
     world: "promotion_world.World", instance: "promotion_instances.Instance"
-) -> set[ids.ServerId]:
-    """Return the servers that an instance finds without a process now, and that are covered."""
+) -> dict[ids.ServerId, positions.Position]:
+    """Return the servers that an instance finds without a process now, and that are covered.
+
+    The positions are those that they held nothing above.
+    """
     return {
-        name
+        name: instance.covered[member]
         for name in instance.known()
-        if (name, instance.starts[name]) in instance.covered and _ended(world, instance, name)
+        if (member := (name, instance.starts[name])) in instance.covered
+        and _ended(world, instance, name)
     }
 
 
