--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -62,7 +62,7 @@
         """Drop servers that hold nothing alone, and start to ask for others that are due."""
         wanted = set()
         for name, target in self.directory.services.items():
-            if not target.unlisted and not target.covered.ends and not self._any_ended(target):
+            if not target.unlisted and not target.covered.ends and not self._ended(target):
                 continue
             self._drop(target)
             missing = self._ended_or_unlisted(target) if target.holds_connections else []
@@ -73,22 +73,21 @@
                 self.asking[name] = target.start(self._ask(target, due))
         self.due_at_s = {key: due for key, due in self.due_at_s.items() if key in wanted}
 
-    def _any_ended(self, target: service.Service) -> bool:
-        not_listening = server_contact.Sign.NOT_LISTENING
-        return any(not_listening in backend.contacts.at_s for backend in target.servers.values())
-
-    def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
-        """Return the servers without an entry, and those that were found without a process."""
-        not_listening = server_contact.Sign.NOT_LISTENING
-        ended = [
+    def _ended(self, target: service.Service) -> list[server.Server]:
+        """Return the listed servers that were found without a process last."""
+        return [
             backend
             for backend in target.servers.values()
-            if unlisted.member_of(backend.entry) in target.covered
-            or (
-                (contact := backend.contacts.latest()) is not None and contact.sign is not_listening
-            )
+            if backend.contacts.not_listening_since_s is not None
         ]
-        return [*target.unlisted.backends().values(), *ended]
+
+    def _ended_or_unlisted(self, target: service.Service) -> list[server.Server]:
+        """Return the servers without an entry, and those that were found without a process."""
+        listed = {backend.server: backend for backend in self._ended(target)}
+        for backend in target.servers.values():
+            if unlisted.member_of(backend.entry) in target.covered:
+                listed[backend.server] = backend
+        return [*target.unlisted.backends().values(), *listed.values()]
 
     def _is_due(self, service_name: ids.ServiceName, name: ids.ServerId) -> bool:
         now_s, key = clock.now_s(), (service_name, name)
