--- a/tests/proxy/test_coverage.py
+++ b/tests/proxy/test_coverage.py
@@ -1,25 +1,20 @@
 """When a server without an entry is known to hold no commit alone."""
 
-import asyncio
 import dataclasses
 
 import pytest
 
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids
-from mustardswitch.proxy import coverage, server_list
-from tests.common import member_world, proxy_world, takeovers
+from mustardswitch.proxy import server_list
+from tests.common import coverage_world, member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
 
 
 @pytest.fixture
 def world(monkeypatch):
-    monkeypatch.setattr(coverage, "RETRY_S", 0.05)
-    monkeypatch.setattr(coverage, "RECEIVE_S", 0.1)
-    built = proxy_world.World()
-    built.directory.instances.first_read_at_s = clock.now_s()
-    return built
+    return coverage_world.build(monkeypatch)
 
 
 async def _lose(world: proxy_world.World, *, up: bool) -> None:
@@ -29,15 +24,6 @@
     takeovers.lose_entry(world, C, silent_s=server_list.EXPIRY_SILENCE_S)
 
 
-async def _check(world: proxy_world.World, times: int = 4) -> None:
-    checking = coverage.Coverage(directory=world.directory)
-    for _ in range(times):
-        checking.check()
-        await world.settle()
-        await asyncio.sleep(0.06)
-    checking.check()
-
-
 def _is_covered(world: proxy_world.World) -> bool:
     return world.service.covered_end(C) is not None
 
@@ -48,18 +34,18 @@
 
 async def test_a_server_that_ended_is_covered_by_a_replica_with_the_primarys_end(world):
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     assert _is_covered(world)
 
 
 async def test_a_server_that_ended_is_not_covered_while_all_others_lag(world):
     world.group.servers[B].not_receiving = True
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     assert not _is_covered(world)
     world.group.servers[B].not_receiving = False
     world.group.catch_up(world.group.servers[B])
-    await _check(world)
+    await coverage_world.check(world)
     assert _is_covered(world)
 
 
@@ -67,13 +53,13 @@
     del world.group.servers[B]
     world.list_servers()
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     assert not _is_covered(world)
 
 
 async def test_a_server_that_runs_without_an_entry_is_not_covered(world):
     await _lose(world, up=True)
-    await _check(world)
+    await coverage_world.check(world)
     assert not _is_covered(world)
     assert C in world.service.possible_holders()
 
@@ -83,7 +69,7 @@
     world.group.servers[C].silent = True
     now_s = clock.now_s
     monkeypatch.setattr(clock, "now_s", lambda: now_s() + 3600.0)
-    await _check(world, times=2)
+    await coverage_world.check(world, times=2)
     assert not _is_covered(world)
     assert C in world.service.possible_holders()
 
@@ -102,21 +88,21 @@
     backend = world.service.unlisted[C].backend
     backend.entry = dataclasses.replace(backend.entry, port=2)
     backend.opener = open_renamed
-    await _check(world)
+    await coverage_world.check(world)
     assert not _is_covered(world)
 
 
 async def test_a_covered_server_is_forgotten_once_no_server_is_missing(world):
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     assert C in world.service.possible_holders()
     replacement = world.group.start_server(zone="d")
     takeovers.expire_entry(world, C)
-    await _check(world, times=1)
+    await coverage_world.check(world, times=1)
     # Other instances are to learn first that it is covered.
     assert C in world.service.possible_holders()
     member_world.note_recorded(world)
-    await _check(world, times=1)
+    await coverage_world.check(world, times=1)
     assert set(world.service.possible_holders()) == {A, B, replacement.name}
 
 
@@ -124,13 +110,13 @@
     await _lose(world, up=True)
     world.group.start_server(zone="d")
     takeovers.expire_entry(world, C)
-    await _check(world, times=1)
+    await coverage_world.check(world, times=1)
     assert C in world.service.possible_holders()
 
 
 async def test_a_change_of_primary_waits_for_no_covered_server(world):
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     world.group.servers[A].up = False
     assert await takeovers.take_over(world)
     assert world.group.primary is world.group.servers[B]
@@ -141,7 +127,7 @@
     """It may alone have received the last commits; the primary may come back with them."""
     world.group.servers[B].not_receiving = True
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     world.group.servers[A].up = False
     assert not await takeovers.take_over(world)
     assert world.promoter.promotion_requests == []
@@ -149,7 +135,7 @@
 
 async def test_a_covered_server_that_runs_again_counts_at_a_change_of_primary(world):
     await _lose(world, up=False)
-    await _check(world)
+    await coverage_world.check(world)
     world.group.servers[C].up = True
     world.group.catch_up(world.group.servers[C])
     world.group.servers[B].not_receiving = True
--- a/tests/proxy/test_members_forgotten_too_early.py
+++ b/tests/proxy/test_members_forgotten_too_early.py
@@ -1,14 +1,12 @@
 """Servers and positions that a change of primary passes over although they may hold commits."""
 
-import asyncio
-
 import pytest
 
 from mustardswitch import metrics
-from mustardswitch.internal import clock, ids, positions, promotion, unlisted_servers
-from mustardswitch.proxy import acknowledged, coverage, ports, server_list
+from mustardswitch.internal import ids, positions, promotion, unlisted_servers
+from mustardswitch.proxy import acknowledged, ports, server_list
 from mustardswitch_standins import database_group
-from tests.common import member_world, proxy_world, takeovers
+from tests.common import coverage_world, member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
 
@@ -19,21 +17,7 @@
 
 @pytest.fixture
 def world(monkeypatch):
-    monkeypatch.setattr(coverage, "RETRY_S", 0.05)
-    monkeypatch.setattr(coverage, "RECEIVE_S", 0.1)
-    built = proxy_world.World()
-    built.directory.instances.first_read_at_s = clock.now_s()
-    return built
-
-
-async def _check(world: proxy_world.World) -> None:
-    """Let the instance look for servers that have ended, a few times."""
-    checking = coverage.Coverage(directory=world.directory)
-    for _ in range(4):
-        checking.check()
-        await world.settle()
-        await asyncio.sleep(0.06)
-    checking.check()
+    return coverage_world.build(monkeypatch)
 
 
 async def _end_without_an_entry(world: proxy_world.World, name: ids.ServerId) -> None:
@@ -41,33 +25,16 @@
     assert world.group.commit(world.group.primary, "before its end")
     world.group.servers[name].up = False
     takeovers.lose_entry(world, name, silent_s=server_list.EXPIRY_SILENCE_S)
-    await _check(world)
-
-
-def _run_again(world: proxy_world.World, name: ids.ServerId) -> None:
-    """Start a replica again with its log, cut off from the store, and let it confirm alone."""
-    world.group.servers[name].up = True
-    world.group.catch_up(world.group.servers[name])
-    for server in world.group.servers.values():
-        server.not_receiving = server.name not in (name, world.group.primary.name)
-    assert world.group.commit(world.group.primary, "confirmed by it alone")
-
-
-async def _change_primary(world: proxy_world.World, times: int = 2) -> None:
-    for _ in range(times):
-        changing = asyncio.create_task(takeovers.take_over(world, silent=True))
-        await asyncio.wait({changing}, timeout=4.0)
-        changing.cancel()
-        await asyncio.gather(changing, return_exceptions=True)
+    await coverage_world.check(world)
 
 
 async def test_a_covered_server_that_ran_again_and_ended_is_waited_for(world):
     await _end_without_an_entry(world, C)
-    _run_again(world, C)
-    await _check(world)
+    coverage_world.confirm_alone(world, C)
+    await coverage_world.check(world)
     world.group.servers[C].up = False
     world.group.servers[A].up = False
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
@@ -78,11 +45,11 @@
     world.group.catch_up(replacement)
     takeovers.expire_entry(world, C)
     member_world.note_recorded(world)
-    await _check(world)
+    await coverage_world.check(world)
     assert C not in world.service.possible_holders()
-    _run_again(world, C)
+    coverage_world.confirm_alone(world, C)
     world.group.servers[A].up = False
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
@@ -95,7 +62,7 @@
     world.list_servers()
     takeovers.expire_entry(world, C)
     world.group.servers[A].up = False
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
@@ -113,7 +80,7 @@
     if removed:
         takeovers.cut_off(world)
         world.service.removed_at_s[A] -= 3.0
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
--- a/tests/proxy/test_members_that_run_again.py
+++ b/tests/proxy/test_members_that_run_again.py
@@ -1,6 +1,5 @@
 """Servers that are taken for ended, or for left, and run; and promotions that callers wait for."""
 
-import asyncio
 import dataclasses
 import json
 
@@ -17,45 +16,14 @@
     unlisted,
 )
 from mustardswitch_standins import database_group
-from tests.common import member_world, proxy_world, takeovers
+from tests.common import coverage_world, member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
 
 
 @pytest.fixture
 def world(monkeypatch):
-    monkeypatch.setattr(coverage, "RETRY_S", 0.05)
-    monkeypatch.setattr(coverage, "RECEIVE_S", 0.1)
-    built = proxy_world.World()
-    built.directory.instances.first_read_at_s = clock.now_s()
-    return built
-
-
-async def _check(world: proxy_world.World) -> None:
-    """Let the instance look for servers that have ended, a few times."""
-    checking = coverage.Coverage(directory=world.directory)
-    for _ in range(4):
-        checking.check()
-        await world.settle()
-        await asyncio.sleep(0.06)
-    checking.check()
-
-
-def _confirm_alone(world: proxy_world.World, name: ids.ServerId) -> None:
-    """Let a replica receive, and confirm a commit that no other replica receives."""
-    world.group.servers[name].up = True
-    world.group.catch_up(world.group.servers[name])
-    for server in world.group.servers.values():
-        server.not_receiving = server.name not in (name, world.group.primary.name)
-    assert world.group.commit(world.group.primary, "confirmed by it alone")
-
-
-async def _change_primary(world: proxy_world.World, times: int = 2) -> None:
-    for _ in range(times):
-        changing = asyncio.create_task(takeovers.take_over(world, silent=True))
-        await asyncio.wait({changing}, timeout=4.0)
-        changing.cancel()
-        await asyncio.gather(changing, return_exceptions=True)
+    return coverage_world.build(monkeypatch)
 
 
 async def test_a_listed_server_that_was_covered_and_runs_again_is_waited_for(world):
@@ -63,14 +31,14 @@
     assert world.group.commit(world.group.primary, "before its end")
     world.group.servers[C].up = False
     await world.service.probe(world.service.servers[C])
-    await _check(world)
+    await coverage_world.check(world)
     assert world.service.covered_end(C) is not None
-    _confirm_alone(world, C)
+    coverage_world.confirm_alone(world, C)
     await world.service.probe(world.service.servers[C])
-    await _check(world)
+    await coverage_world.check(world)
     world.group.servers[C].up = False
     world.group.servers[A].up = False
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
@@ -206,7 +174,7 @@
     takeovers.cut_off(world)
     contacts.note(server_contact.Sign.NOT_LISTENING, clock.now_s() - 30.0)
     world.service.removed_at_s[A] -= 3.0
-    await _change_primary(world)
+    await coverage_world.change_primary(world)
     assert world.group.lost == []
 
 
@@ -251,7 +219,7 @@
     takeovers.lose_entry(world, C, silent_s=server_list.EXPIRY_SILENCE_S)
     world.service.resize(1, holds_connections=False)
     world.group.servers[C].up = False
-    await _check(world)
+    await coverage_world.check(world)
     assert [len(world.group.servers[name].links) for name in (A, B)] == [0, 0]
 
 
@@ -273,5 +241,5 @@
         return await record_promotion(claim, server)
 
     coordination.record_promotion = record_and_lose
-    await _change_primary(world, times=4)
+    await coverage_world.change_primary(world, times=4)
     assert group.primary is group.servers[B]
