--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -11,8 +11,9 @@
 
 from mustardswitch import events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, gateways, ids, positions, server_contact
+from mustardswitch.internal import clock, ids, positions, server_contact
 from mustardswitch.proxy import (
+    connected_instances,
     contact_signs,
     directory,
     server,
@@ -92,18 +93,16 @@
     def _is_due(self, service_name: ids.ServiceName, name: ids.ServerId) -> bool:
         now_s, key = clock.now_s(), (service_name, name)
         if key not in self.due_at_s:
-            rank = self._rank(service_name)
+            rank = connected_instances.rank(self.directory, service_name)
+            if rank is None:
+                return False
             self.due_at_s[key] = now_s + RANK_DELAY_S * rank, RETRY_S if rank == 0 else None
         due_at_s, pause_s = self.due_at_s[key]
-        if now_s < due_at_s and pause_s is None and not self._rank(service_name):
+        is_first = connected_instances.rank(self.directory, service_name) == 0
+        if now_s < due_at_s and pause_s is None and is_first:
             self.due_at_s[key] = due_at_s, pause_s = now_s, RETRY_S
         return now_s >= due_at_s
 
-    def _rank(self, service_name: ids.ServiceName) -> int:
-        ranked = gateways.ranked(self.directory.candidates(), service_name)
-        instance = self.directory.instance
-        return ranked.index(instance) if instance in ranked else len(ranked)
-
     async def _ask(self, target: service.Service, due: list[server.Server]) -> None:
         await asyncio.gather(*(self._review(target, backend) for backend in due))
 
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -6,8 +6,9 @@
 import itertools
 
 from mustardswitch import events
-from mustardswitch.internal import clock, gateways, ids, members, unlisted_servers
+from mustardswitch.internal import clock, ids, members, unlisted_servers
 from mustardswitch.proxy import (
+    connected_instances,
     directory,
     errors,
     fleet_records,
@@ -122,9 +123,8 @@
         )
 
     def _rank(self, name: ids.ServiceName) -> int | None:
-        ranked = gateways.ranked(self.directory.candidates(), name)
-        instance = self.directory.instance
-        return ranked.index(instance) if instance in ranked else None
+        # Those that hold connections find out which servers are covered.
+        return connected_instances.rank(self.directory, name)
 
     async def _write(self, target: service.Service) -> None:
         """Replace the record that this instance knows; another one's write is applied first."""
--- a/tests/proxy/test_coverage.py
+++ b/tests/proxy/test_coverage.py
@@ -5,8 +5,9 @@
 import pytest
 
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, ids
-from mustardswitch.proxy import server_list
+from mustardswitch.internal import clock, gateways, ids
+from mustardswitch.internal.placement import forwarding
+from mustardswitch.proxy import connected_instances, directory, server_list
 from tests.common import coverage_world, member_world, proxy_world, takeovers
 
 A, B, C = takeovers.A, takeovers.B, takeovers.C
@@ -144,3 +145,18 @@
     assert await takeovers.take_over(world)
     assert world.group.primary is world.group.servers[C]
     assert world.group.lost == []
+
+
+async def test_instances_that_hold_connections_are_ranked_to_ask_and_to_write(world):
+    """In a large fleet the others ask no server, and could not tell that one is covered."""
+    names = [ids.InstanceId(f"instance-{number}") for number in range(6)]
+    for name in names:
+        world.directory.instances.put(name, directory.Peer(zone=ids.ZoneName("a")))
+    first = gateways.ranked(world.directory.candidates(), world.service.name)[0]
+    holders = [name for name in names if name != first][:3]
+    world.directory.plans[world.service.name] = forwarding.GatewayPlan(
+        gateways_by_zone={ids.ZoneName("a"): tuple(holders)}, connections=2
+    )
+    assert set(connected_instances.ranked(world.directory, world.service.name)) == set(holders)
+    world.directory.instance = first
+    assert connected_instances.rank(world.directory, world.service.name) is None
