--- a/tests/platform/test_full_run_days.py
+++ b/tests/platform/test_full_run_days.py
@@ -256,8 +256,11 @@
     (reborn,) = program.group.servers.keys() - before.keys()
     (former,) = before.keys() - program.group.servers.keys()
     assert reborn in program.unregistered and not program.group.servers[reborn].log
+    await wait_until(
+        lambda: reborn in program.databases.server_listeners
+        and program.databases.server_listeners[reborn].is_serving()
+    )
     assert program.databases.ports[reborn] == program.databases.ports[former]
-    await wait_until(lambda: program.databases.server_listeners[reborn].is_serving())
     assert (await start_session(program, former)).startswith(b"ERROR WRONGNODE")
     await cutting
     assert reborn not in program.unregistered
