--- a/src/mustardswitch/proxy/coverage.py
+++ b/src/mustardswitch/proxy/coverage.py
@@ -35,9 +35,11 @@
 """Pauses after which a covered server is asked again; one that runs again is not covered."""
 ATTEMPT_S = 0.5
 """Time for opening a connection."""
-RECEIVE_S = 1.0
-"""Time for a replica to receive the end of the primary's log; several times the usual lag."""
+RECEIVE_S = 8.0
+"""Time for a replica to receive the end of the primary's log; a replica may lag by seconds."""
 POLL_S = 0.05
+"""Pause after the first look at the replicas; it doubles up to the limit."""
+POLL_LIMIT_S = 0.8
 
 
 class Coverage:
@@ -155,7 +157,7 @@
         primary = await target.query_status(leader)
         if primary is None or not primary.leads:
             return None
-        ends_s = clock.now_s() + RECEIVE_S
+        ends_s, pause_s = clock.now_s() + RECEIVE_S, POLL_S
         while clock.now_s() < ends_s:
             replicas = [each for each in target.servers.values() if each not in (leader, backend)]
             statuses = await asyncio.gather(*map(target.query_status, replicas))
@@ -164,7 +166,8 @@
             known = [each for each in statuses if each is not None and not each.leads]
             if any(each.received >= primary.received for each in known):
                 return primary.received
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, POLL_LIMIT_S)
         return None
 
     def _drop(self, target: service.Service) -> None:
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -265,10 +265,11 @@
                 # A pause may have ended after an earlier query, and before commits did.
                 queried_s = clock.now_s()
                 statuses = await self.commands.query(self.possible_holders() - spared)
-            former_status = statuses.get(primary)
-            if self.was_stopped and former_status is not None and held_since_s is not None:
+            stopped = primary if self.was_stopped else self._stopped_before(primary)
+            former_status = statuses.get(stopped)
+            if former_status is not None and held_since_s is not None:
                 read_again = queried_s >= held_since_s and not former_status.leads
-                if read_again and not self.note_end(primary, former_status.received):
+                if read_again and not self.note_end(stopped, former_status.received):
                     return STARTED_ANEW
             status = statuses.get(self.requested)
             relayed = self._paused_through_others(since_s=ended_since_s)
@@ -283,7 +284,10 @@
                 await self.commands.resume(receives)
             paused = await self.pause_others(statuses, spared=spared | receives, await_silent=True)
             if stopped_since_s is not None and not in_time:
-                statuses = statuses | await self.commands.query({primary} & spared)
+                # If no other server reaches its end, the stopped primary is promoted itself.
+                former_names = {primary} if order is None else {primary, order.backend.server}
+                known = spared | self.target.known_servers().keys()
+                statuses = statuses | await self.commands.query(former_names & known)
             ended = set()
             if former.is_process_gone and self._is_listed_primary(order.backend.server):
                 # One that is listed as a replica was replaced, and may have confirmed commits.
@@ -346,6 +350,16 @@
             queried_s = clock.now_s()
             statuses = await self.commands.query(self.possible_holders() - spared)
 
+    def _stopped_before(self, primary: ids.ServerId | None) -> ids.ServerId | None:
+        """Return the last primary if an earlier holder has stopped it and no other has led since.
+
+        Its log then has all that was ever acknowledged. None if that is not known.
+        """
+        former, stopped = self.former_server(primary), self.recorded_end
+        if former is None or stopped is None or stopped.server != former.server:
+            return None
+        return former.server if self.final_ends.allowed else None
+
     async def _pause_through_others(self) -> None:
         """Have other instances pause the servers that give no answer, until this is cancelled."""
         while True:
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -140,3 +140,36 @@
     async with asyncio.timeout(SLACK_S):
         assert await changing
     assert world.group.primary is started and world.group.lost == []
+
+
+async def test_a_stopped_primary_is_promoted_itself_beside_a_server_that_ended():
+    """It has all that was acknowledged; the server that ended cannot be covered without it."""
+    world = proxy_world.World()
+    group = world.group
+    assert group.commit(group.primary, "received by all")
+    group.servers[C].up = False
+    takeovers.expire_entry(world, C)
+    group.servers[B].not_receiving = True
+    group.commit(group.servers[A], "received by none")
+    end = group.servers[A].position
+    group.step_down(group.servers[A], 2)
+    world.coordination.ends[database_group.SERVICE] = ports.StoppedPrimary(server=A, end=end)
+    assert await takeovers.take_over(world)
+    assert group.primary is group.servers[A]
+
+
+async def test_a_stopped_primary_proves_nothing_once_another_server_may_have_led():
+    """The promotion of another one was requested, and may have taken effect in between."""
+    world = proxy_world.World()
+    group = world.group
+    group.servers[C].up = False
+    takeovers.expire_entry(world, C)
+    end = group.servers[A].position
+    group.step_down(group.servers[A], 2)
+    world.coordination.ends[database_group.SERVICE] = ports.StoppedPrimary(server=A, end=end)
+    world.coordination.promotions[database_group.SERVICE] = B
+    changing = asyncio.create_task(takeovers.take_over(world))
+    await asyncio.wait({changing}, timeout=3.0)
+    changing.cancel()
+    await asyncio.gather(changing, return_exceptions=True)
+    assert world.promoter.promotion_requests == []
