--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -6,7 +6,7 @@
 
 from mustardswitch.internal import clock, ids, promotion, revisions
 from mustardswitch.platform import follower
-from mustardswitch.proxy import coordination, fleet_records, ports
+from mustardswitch.proxy import coordination, fleet_records, ports, service_claims
 from tests.common import store_world
 
 
@@ -116,7 +116,7 @@
 
 async def test_no_service_is_claimed_while_a_claim_that_the_copy_lacks_is_held(monkeypatch, world):
     """Two holders at once could resume each other's paused replicas and lose commits."""
-    monkeypatch.setattr(coordination, "CLAIM_TTL_S", 1.0)
+    monkeypatch.setattr(service_claims, "CLAIM_TTL_S", 1.0)
     first, second, started = world.coordination, world.join("two"), world.join("three")
     copy = world.store.copy()
     former = await _claim_once_allowed(first)
@@ -130,7 +130,7 @@
 
 async def test_a_claim_of_an_earlier_era_does_not_release_a_later_one(monkeypatch, world):
     """Both claims have the same number in the store, and the first holder does not know the era."""
-    monkeypatch.setattr(coordination, "CLAIM_TTL_S", 1.0)
+    monkeypatch.setattr(service_claims, "CLAIM_TTL_S", 1.0)
     first, second = world.join("two"), world.join("three")
     await first.release(await _claim_once_allowed(first))
     copy = world.store.copy()
