--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -265,8 +265,7 @@
                 # A pause may have ended after an earlier query, and before commits did.
                 queried_s = clock.now_s()
                 statuses = await self.commands.query(self.possible_holders() - spared)
-            stopped = primary if self.was_stopped else self._stopped_before(primary)
-            former_status = statuses.get(stopped)
+            former_status = statuses.get(stopped := self._stopped_before(primary))
             if former_status is not None and held_since_s is not None:
                 read_again = queried_s >= held_since_s and not former_status.leads
                 if read_again and not self.note_end(stopped, former_status.received):
@@ -351,14 +350,15 @@
             statuses = await self.commands.query(self.possible_holders() - spared)
 
     def _stopped_before(self, primary: ids.ServerId | None) -> ids.ServerId | None:
-        """Return the last primary if an earlier holder has stopped it and no other has led since.
+        """Return the last primary if it was stopped before and no other has led since.
 
         Its log then has all that was ever acknowledged. None if that is not known.
         """
         former, stopped = self.former_server(primary), self.recorded_end
-        if former is None or stopped is None or stopped.server != former.server:
-            return None
-        return former.server if self.final_ends.allowed else None
+        if former is None or self.was_stopped:
+            return primary if former is None else former.server
+        by_earlier = stopped is not None and stopped.server == former.server
+        return former.server if by_earlier and self.final_ends.allowed else None
 
     async def _pause_through_others(self) -> None:
         """Have other instances pause the servers that give no answer, until this is cancelled."""
--- a/tests/proxy/test_waits_that_add_up.py
+++ b/tests/proxy/test_waits_that_add_up.py
@@ -158,6 +158,27 @@
     assert group.primary is group.servers[A]
 
 
+async def test_a_primary_without_an_entry_is_promoted_again_once_it_was_stopped():
+    """It answers only after a while, and no replica has its end."""
+    world = proxy_world.World()
+    group = world.group
+    assert group.commit(group.primary, "received by all")
+    group.servers[C].up = False
+    group.servers[B].not_receiving = True
+    group.commit(group.servers[A], "received by none")
+    group.servers[A].silent = True
+    world.directory.servers.replace(
+        {each.server: each for each in group.entries() if each.server == B}, clock.now_s()
+    )
+    world.directory.refresh()
+    changing = asyncio.create_task(takeovers.take_over(world, None))
+    await asyncio.sleep(0.8)
+    group.servers[A].silent = False
+    async with asyncio.timeout(6.0):
+        await changing
+    assert group.primary is group.servers[A]
+
+
 async def test_a_stopped_primary_proves_nothing_once_another_server_may_have_led():
     """The promotion of another one was requested, and may have taken effect in between."""
     world = proxy_world.World()
