--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -265,7 +265,8 @@
                 # A pause may have ended after an earlier query, and before commits did.
                 queried_s = clock.now_s()
                 statuses = await self.commands.query(self.possible_holders() - spared)
-            former_status = statuses.get(stopped := self._stopped_before(primary))
+            stopped = self._stopped_before(primary)
+            former_status = statuses.get(stopped)
             if former_status is not None and held_since_s is not None:
                 read_again = queried_s >= held_since_s and not former_status.leads
                 if read_again and not self.note_end(stopped, former_status.received):
@@ -355,10 +356,11 @@
         Its log then has all that was ever acknowledged. None if that is not known.
         """
         former, stopped = self.former_server(primary), self.recorded_end
-        if former is None or self.was_stopped:
-            return primary if former is None else former.server
+        if former is None:
+            return None
         by_earlier = stopped is not None and stopped.server == former.server
-        return former.server if by_earlier and self.final_ends.allowed else None
+        known = self.was_stopped or (by_earlier and self.final_ends.allowed)
+        return former.server if known else None
 
     async def _pause_through_others(self) -> None:
         """Have other instances pause the servers that give no answer, until this is cancelled."""
@@ -368,10 +370,7 @@
             await asyncio.sleep(claimed_attempt.POLL_S)
 
     def _paused_through_others(self, *, since_s: float | None) -> server_commands.Statuses:
-        """Return the statuses of paused servers that other instances have read since a time.
-
-        None of them counts before commits have ended, for which ``since_s`` is None.
-        """
+        """Return the statuses of paused servers that others have read since commits ended."""
         if since_s is None or not self.silent or not self.holds_claim():
             return {}
         found = self.coordination.relay_pauses(self.claim, self.silent, term=self.term)
