--- a/src/mustardswitch/internal/promotion.py
+++ b/src/mustardswitch/internal/promotion.py
@@ -73,6 +73,9 @@
     ALL_PAUSED = "all_paused"
     """No instance sends commits, the primary executes none, every known server that may have
     confirmed one is paused, and none has a longer log."""
+    ALL_ACKNOWLEDGED = "all_acknowledged"
+    """No instance sends commits, the primary executes none, and the log reaches the highest
+    position at which any instance has acknowledged a commit."""
 
 
 class FormerPrimary(enum.Enum):
@@ -106,8 +109,8 @@
     """What the holder of a claim knows of the servers of a service."""
 
     expected: collections.abc.Set[ids.ServerId]
-    """Servers that may have confirmed a commit. A primary counts as soon as it answers as a
-    replica."""
+    """Servers that may have confirmed a commit, listed or not. A primary counts as soon as it
+    answers as a replica."""
     paused: collections.abc.Mapping[ids.ServerId, ServerStatus]
     """Statuses of those that receive nothing."""
     receiving: collections.abc.Mapping[ids.ServerId, ServerStatus] = dataclasses.field(
@@ -128,8 +131,20 @@
     )
     """Ends of logs that an earlier holder has read after commits had ended, so that they are not
     longer now. These servers need not answer again."""
+    covered: collections.abc.Mapping[ids.ServerId, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+    """Servers whose processes have ended, and positions that they held nothing above."""
+    unnamed: collections.abc.Set[ids.ServerId] = frozenset()
+    """Servers in whose place another one answers, whose name is not known; none is promoted."""
     acknowledged_above: positions.Position | None = None
     """A position below a commit that an instance has acknowledged; None if none is known."""
+    acknowledged_end: positions.Position | None = None
+    """A position that no acknowledged commit is above; None while an instance may have acknowledged
+    commits that it does not tell of."""
+    recorded: ids.ServerId | None = None
+    """What is recorded, for which commits are held. A server that is recorded may have taken
+    commits since the instances told of theirs."""
     unlisted_may_hold: bool = False
     """Whether a server that runs and is not listed yet may have confirmed a commit."""
 
@@ -159,17 +174,41 @@
     if not evidence.commits_held:
         # A stopped primary that crashes leads again when it returns.
         return None
+    if lacks_acknowledged(status, evidence.acknowledged_above):
+        return None
     if evidence.stopped_end is not None:
         return Proof.PRIMARY_STOPPED if status.received >= evidence.stopped_end else None
-    if not evidence.former_primary.has_ended or evidence.unlisted_may_hold:
+    if not evidence.former_primary.has_ended:
         return None
-    if lacks_acknowledged(status, evidence.acknowledged_above):
+    if not evidence.unlisted_may_hold and _has_highest_paused_log(server, evidence):
+        return Proof.ALL_PAUSED
+    acknowledged = evidence.acknowledged_end
+    if acknowledged is None or not _is_complete_for(server, evidence):
         return None
+    return Proof.ALL_ACKNOWLEDGED if status.received >= acknowledged else None
+
+
+def _is_complete_for(server: ids.ServerId, evidence: Evidence) -> bool:
+    """Return whether any commit that the instances do not tell of is in a server's own log."""
+    recorded = evidence.recorded
+    return recorded is not None and (server == recorded or lets_no_commits_pass(recorded))
+
+
+def _has_highest_paused_log(server: ids.ServerId, evidence: Evidence) -> bool:
+    """Return whether all servers that may have confirmed commits are paused at its end or below."""
+    if server not in evidence.paused or missing_servers(evidence):
+        return False
     ends = [each.received for each in evidence.paused.values()]
     ends += [end for name, end in evidence.final_ends.items() if name in evidence.expected]
-    known = evidence.paused.keys() | evidence.final_ends.keys()
-    all_paused = evidence.expected <= known and server in evidence.paused
-    return Proof.ALL_PAUSED if all_paused and status.received == max(ends) else None
+    covered = [end for name, end in evidence.covered.items() if name in evidence.expected]
+    received = evidence.paused[server].received
+    return received == max(ends) and all(received >= end for end in covered)
+
+
+def missing_servers(evidence: Evidence) -> set[ids.ServerId]:
+    """Return the servers that may have confirmed commits, and whose logs are not known."""
+    known = evidence.paused.keys() | evidence.final_ends.keys() | evidence.covered.keys()
+    return set(evidence.expected - known)
 
 
 def lacks_acknowledged(status: ServerStatus, above: positions.Position | None) -> bool:
@@ -269,7 +308,11 @@
     statuses = {**evidence.receiving, **evidence.paused}
     if any(status.leads for status in statuses.values()):
         return Choice(verdict=Verdict.ALREADY_LED, reason="a queried server leads already")
-    proofs = {name: proof(name, evidence) for name in statuses}
+    # Another server than the recorded one is recorded, and proved anew, before it is promoted.
+    proofs = {
+        name: proof(name, dataclasses.replace(evidence, recorded=name))
+        for name in statuses.keys() - evidence.unnamed
+    }
     proved = sorted(name for name, found in proofs.items() if found is not None)
     if not proved:
         return Choice(verdict=Verdict.WAIT, reason=_missing_proof(evidence, statuses))
@@ -290,7 +333,7 @@
 ) -> str:
     if not statuses:
         return "no replica is known"
-    missing = evidence.expected - evidence.paused.keys() - evidence.final_ends.keys()
+    missing = missing_servers(evidence)
     reasons = [f"no answer from {', '.join(sorted(missing))}"] if missing else []
     if not evidence.commits_held:
         reasons.append("instances may send commits")
@@ -311,88 +354,6 @@
     if found is Proof.PRIMARY_STOPPED:
         return f"the primary was stopped and ends at {evidence.stopped_end}"
     former = evidence.former_primary.value
+    if found is Proof.ALL_ACKNOWLEDGED:
+        return f"the former primary is {former}; nothing above {end} was acknowledged"
     return f"the former primary is {former}; the highest paused log ends at {end}"
-
-
-def choose_successor(
-    *,
-    replicas: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    leaving: collections.abc.Set[ids.ServerId],
-    requested: ids.ServerId | None = None,
-) -> ids.ServerId | None:
-    """Choose the replica that stays unpaused while the primary answers.
-
-    Takes the highest log among the replicas that are not ``leaving``; None if all of them are. Once
-    a promotion may have been ``requested``, only that server is taken: the request may take effect
-    at any time, so no other server may confirm commits.
-    """
-    if requested is not None:
-        return requested if requested in replicas else None
-    staying = {server: status for server, status in replicas.items() if server not in leaving}
-    if not staying:
-        return None
-    return max(staying, key=lambda server: (staying[server].received, server))
-
-
-def evaluate_handover(
-    *,
-    expected: collections.abc.Set[ids.ServerId],
-    paused: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    successor: ids.ServerId,
-    successor_status: ServerStatus,
-    primary_leaves: bool = False,
-) -> Choice:
-    """Evaluate whether the unpaused successor can take over, so that the primary may be stopped.
-
-    The proof follows when the primary has stopped. Until then all others are to be paused, so that
-    the successor alone confirms commits and lacks none that the stopped primary holds. A primary
-    that leaves, and will soon serve nobody, does not wait for a server that gives no answer.
-    """
-    if successor_status.leads:
-        return Choice(verdict=Verdict.ALREADY_LED, reason="the successor leads already")
-    missing = expected - set(paused) - {successor}
-    if missing and not primary_leaves:
-        return Choice(verdict=Verdict.WAIT, reason=f"no answer from {', '.join(sorted(missing))}")
-    ahead = [
-        server for server, status in paused.items() if status.received > successor_status.received
-    ]
-    if ahead:
-        return Choice(
-            verdict=Verdict.WAIT, reason=f"the successor lags behind {', '.join(sorted(ahead))}"
-        )
-    reason = f"every other replica is paused at or below {successor_status.received}"
-    return Choice(verdict=Verdict.PROMOTE, server=successor, reason=reason)
-
-
-def servers_to_pause(
-    *,
-    expected: collections.abc.Set[ids.ServerId],
-    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    term: ids.Term,
-) -> set[ids.ServerId]:
-    """Return those of the ``expected`` servers that are to be paused under a term.
-
-    Servers that have not answered may be receiving. One that reports the term has taken part in
-    the promotion under it; a PAUSE would stop replicas of the new primary.
-    """
-    return {
-        name
-        for name in expected
-        if name not in statuses or (not statuses[name].paused and statuses[name].term < term)
-    }
-
-
-def servers_to_resume(
-    statuses: collections.abc.Mapping[ids.ServerId, ServerStatus],
-    *,
-    requested: ids.ServerId | None,
-) -> set[ids.ServerId]:
-    """Return the servers that are to be resumed at the end of an attempt.
-
-    One that is not paused gets no RESUME: without an answer it may be executed seconds later, and
-    would end the pause of a later change. While a promotion may take effect only its server is
-    resumed, since no other may confirm commits.
-    """
-    return {
-        name for name, status in statuses.items() if status.paused and requested in (None, name)
-    }
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -30,6 +30,7 @@
 )
 from mustardswitch.proxy import (
     coordination,
+    coverage,
     directory,
     explain_page,
     failover_watch,
@@ -39,7 +40,7 @@
     peer_updates,
     record_source,
     requests,
-    service,
+    server_list,
     session,
 )
 from mustardswitch.proxy import errors as proxy_errors
@@ -67,7 +68,7 @@
         self.relays = relay_client.RelayClient()
         self.directory = directory.Directory(
             instance=config.instance,
-            location=service.Location(zone=config.zone, regions=config.regions),
+            location=server_list.Location(zone=config.zone, regions=config.regions),
             opener=backends.open_link,
             order_opener=backends.open_for_order,
             registry=self.registry,
@@ -107,6 +108,8 @@
         )
         self.follower.on_applied = self.coordination.note_seen
         self.members = member_writer.MemberWriter(client=self.client, directory=self.directory)
+        self.coverage = coverage.Coverage(directory=self.directory)
+        self.coverage = coverage.Coverage(directory=self.directory)
         self.directory.limits.valid_until = self._valid_until_s
         self.directory.limits.exchange = limit_loans.LimitExchange(client=self.relays)
         self.peers = datagrams.PeerDatagrams(
@@ -178,6 +181,7 @@
             ("registration", self.coordination.run),
             ("failover watch", self.watch.run),
             ("members", self.members.run),
+            ("coverage", self.coverage.run),
             ("tenant limits", self.directory.limits.run),
             ("peer limits", self.relay_server.limits.run),
         ):
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -5,8 +5,9 @@
 import dataclasses
 
 from mustardswitch import events
-from mustardswitch.internal import clock, ids, positions, promotion, revisions
+from mustardswitch.internal import clock, handover, ids, positions, promotion, revisions
 from mustardswitch.proxy import (
+    change_waits,
     commit_holds,
     errors,
     final_ends,
@@ -66,12 +67,12 @@
         """End of a silent primary that has answered another order as a replica; None without."""
         self.ordered_to_stop = False
         """Whether a primary was ordered to stop under ``term``."""
-        self.ignores_acknowledged = False
-        """Whether commits that no known server has are given up."""
         self.list_read_at_s = float("-inf")
         """When the store was last asked for the list of servers (``clock.now_s``)."""
         self.may_be_paused: set[ids.ServerId] = set()
         """Servers that may be paused and have not been resumed."""
+        self.silent: set[ids.ServerId] = set()
+        """Servers that gave this instance no answer, to be paused through others."""
         self.record: Record | None = None
         """The record of this holder; None before it."""
         self.report: ports.HoldReport | None = None
@@ -79,6 +80,8 @@
         self.requested: ids.ServerId | None = None
         """The server whose promotion was recorded, by this holder or an earlier one, and may take
         effect; None without one."""
+        self.wait = change_waits.ChangeWait(target=target, coordination=coordination)
+        """What keeps this holder from a proof, and what an operator gives up for it."""
         self.earlier_request: ids.ServerId | None = None
         """The record of an earlier holder whose request may be executed, or take effect."""
 
@@ -196,31 +199,59 @@
             self.recorded_end = stopped
 
     def _required_end(self) -> positions.Position | None:
-        """Return the end of a primary that was stopped before, while that server counts."""
+        """Return the end of a primary that was stopped before, unless its process has ended."""
         stopped = self.recorded_end
-        counts = stopped is not None and stopped.server in self.confirming()
+        counts = stopped is not None and self._may_run(stopped.server)
         ends = [stopped.end if counts else None, self.replica_end]
         return max((end for end in ends if end is not None), default=None)
 
+    def _may_run(self, name: ids.ServerId) -> bool:
+        """Return whether a server is listed, or known and not found ended since the record."""
+        backend = self.target.known_servers().get(name)
+        if backend is None or name in self.target.servers:
+            return backend is not None
+        return self.record is None or not backend.contacts.ended_since(self.record.at_s)
+
     # Servers
 
     def confirming(self) -> set[ids.ServerId]:
-        """Return the servers that may confirm commits, as far as they are known now."""
+        """Return the servers that a hand-over waits for, as far as they are known now."""
         return set(self.target.servers_with_commits())
 
+    def possible_holders(self) -> set[ids.ServerId]:
+        """Return all servers that may hold acknowledged commits, as far as they are known now."""
+        return set(self.target.possible_holders())
+
+    def covered(self, *, since_s: float) -> dict[ids.ServerId, positions.Position]:
+        """Return the servers that were found without a process since then, and are covered.
+
+        One whose place another process has taken is no such server.
+        """
+        found = {
+            name: self.target.covered_end(name)
+            for name, backend in self.target.possible_holders().items()
+            if name not in self.commands.unnamed and backend.contacts.ended_since(since_s)
+        }
+        return {name: end for name, end in found.items() if end is not None}
+
     async def pause_others(
         self,
         statuses: server_commands.Statuses,
         *,
         spared: collections.abc.Set[ids.ServerId | None],
+        await_silent: bool = False,
     ) -> server_commands.Statuses:
         """Pause all servers but the ``spared`` ones; return the statuses of those that are paused.
 
-        ``statuses`` must have been queried just now: a restart, or a RESUME of an earlier change
-        that was delayed, may end a pause at any time. A server that leads is returned as well.
+        Servers that have been without an entry for long and give no answer are asked only with
+        ``await_silent``, since each attempt takes its whole time. ``statuses`` must have been
+        queried just now: a restart, or a RESUME of an earlier change that was delayed, may end a
+        pause at any time. A server that leads is returned as well.
         """
-        expected = self.confirming() - spared
-        receiving = promotion.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
+        expected = self.possible_holders() - spared
+        if not await_silent:
+            expected &= self.confirming() | statuses.keys()
+        receiving = handover.servers_to_pause(expected=expected, statuses=statuses, term=self.term)
         self.may_be_paused |= expected
         if receiving and self.holds_claim():
             statuses = statuses | await self.commands.pause(receiving, self.term)
--- a/src/mustardswitch/proxy/end_of_commits.py
+++ b/src/mustardswitch/proxy/end_of_commits.py
@@ -6,10 +6,9 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, former_primary, ids, positions, promotion
+from mustardswitch.internal import clock, former_primary, handover, ids, positions, promotion
 from mustardswitch.proxy import (
     claimed_attempt,
     earlier_requests,
@@ -24,11 +23,6 @@
 """Time for the successor to reach the primary's end, several times the usual lag of a replica."""
 PAUSE_TIMEOUT_S = 1.2
 """Time for all replicas to answer, after which they are resumed and the attempt is abandoned."""
-GIVE_UP_S = 6.0
-"""Time without an answer of the former primary after which acknowledged commits are given up that
-no known server has; as long as a replica counts whose entry expired."""
-WAIT_REPORT_INTERVAL_S = 1.0
-"""Interval of reports about what a change waits for."""
 
 NOT_HELD = ports.HoldReport(complete=False)
 NOT_RECORDED = promotion.Choice(
@@ -45,6 +39,9 @@
 class EndOfCommits(earlier_requests.EarlierRequests):
     """The end of commits in an attempt to change a primary, and the choice that it proves."""
 
+    evidence: promotion.Evidence
+    """What the latest choice rests on."""
+
     def note_stopped(self, primary: ids.ServerId, status: promotion.ServerStatus) -> bool:
         """Note the status of a primary that was ordered to stop; see ``note_end``."""
         if status.leads:
@@ -85,10 +82,11 @@
         avoided: collections.abc.Set[ids.ServerId | None] = frozenset(),
         former: promotion.FormerPrimary = promotion.FormerPrimary.MAY_RUN,
         unlisted_may_hold: bool = False,
+        covered: collections.abc.Mapping[ids.ServerId, positions.Position] | None = None,
     ) -> promotion.Choice:
         """Choose a server; one that leaves, or is ``avoided``, only if there is no other."""
         self.commands.former_state = former
-        evidence = promotion.Evidence(
+        self.evidence = promotion.Evidence(
             expected=expected,
             paused=paused,
             receiving=receiving,
@@ -98,10 +96,14 @@
             former_primary=former,
             final_ends=self.final_ends.of_others(paused.keys() | receiving.keys()),
             acknowledged_above=report.above,
+            acknowledged_end=report.acknowledged_end,
+            recorded=None if self.record is None else self.record.server,
             unlisted_may_hold=unlisted_may_hold,
+            covered=covered or {},
+            unnamed=self.commands.unnamed,
         )
         return promotion.choose(
-            evidence,
+            self.evidence,
             leaving=self._leaving() | avoided,
             requested=self.requested,
             may_be_sent=not self.final_ends.allowed,
@@ -122,14 +124,16 @@
             if not await self.await_earlier_effect(awaited):
                 return earlier_requests.NOT_VOIDED
             silent = {awaited} - statuses.keys()
-            statuses = await self.commands.query(self.confirming() - silent)
+            statuses = await self.commands.query(self.possible_holders() - silent)
             self._raise_term(statuses)
             if any(status.leads for status in statuses.values()):
                 return earlier_requests.LEADS_AGAIN
         kept = promotion.kept_primary(self.requested)
         likely = self.requested if kept is None else None
         if likely is None or (self._record_is_free and likely in self._leaving()):
-            staying = promotion.choose_successor(replicas=statuses, leaving=self._leaving())
+            staying = handover.choose_successor(
+                replicas=statuses, leaving=self._leaving() | self.target.unlisted.keys()
+            )
             likely = staying or likely or next(iter(sorted(statuses)), None)
         if likely is None:
             return promotion.Choice(
@@ -158,7 +162,10 @@
     async def _read_list(self) -> bool:
         """Read the list of servers from the store; return whether it has answered."""
         self.list_read_at_s = clock.now_s()
-        return await self._refresh(self.coordination.refresh_servers())
+        members = self.coordination.refresh_members(self.target.name)
+        return await self._refresh(members) and await self._refresh(
+            self.coordination.refresh_servers()
+        )
 
     async def _refresh(self, listing: collections.abc.Awaitable[None]) -> bool:
         """Return whether the store has answered with a listing."""
@@ -216,10 +223,10 @@
         stop = None
         held_since_s = ended_since_s = stopped_since_s = None
         queried_s = awaited_s = float("-inf")
-        reported_at_s = clock.now_s()
         listing = listing_wait.ListingWait(target=self.target, recorded_at_s=self.record.at_s)
+        sending.append(asyncio.create_task(self._pause_through_others()))
         while True:
-            report = self.hold_commits(stop)
+            report = self.wait.without_given_up(self.hold_commits(stop))
             if held_since_s is None and report.complete:
                 held_since_s = clock.now_s()
                 if order is not None:
@@ -257,32 +264,41 @@
             if ended_since_s is not None and queried_s < ended_since_s:
                 # A pause may have ended after an earlier query, and before commits did.
                 queried_s = clock.now_s()
-                statuses = await self.commands.query(self.confirming() - spared)
-            former_status = statuses.get(primary)
-            if self.was_stopped and former_status is not None and held_since_s is not None:
+                statuses = await self.commands.query(self.possible_holders() - spared)
+            stopped = self._stopped_before(primary)
+            former_status = statuses.get(stopped)
+            if former_status is not None and held_since_s is not None:
                 read_again = queried_s >= held_since_s and not former_status.leads
-                if read_again and not self.note_end(primary, former_status.received):
+                if read_again and not self.note_end(stopped, former_status.received):
                     return STARTED_ANEW
-            if ended_since_s is not None and silent_s >= GIVE_UP_S:
-                report = self._ignore_acknowledged(report)
             status = statuses.get(self.requested)
+            relayed = self._paused_through_others(since_s=ended_since_s)
             # Another one that lacks nothing is chosen once all are paused.
             behind = status is not None and all(
                 promotion.lacks_acknowledged(each, report.above)
-                for each in statuses.values()
+                for each in [*statuses.values(), *relayed.values()]
                 if not each.leads
             )
             receives = {self.requested} if in_time or ended_since_s is None or behind else set()
             if in_time and status is not None and status.paused and self.holds_claim():
                 await self.commands.resume(receives)
-            paused = await self.pause_others(statuses, spared=spared | receives)
+            paused = await self.pause_others(statuses, spared=spared | receives, await_silent=True)
             if stopped_since_s is not None and not in_time:
-                statuses = statuses | await self.commands.query({primary} & spared)
-            ended = (
-                {order.backend.server} if order is not None and former.is_process_gone else set()
-            )
+                # If no other server reaches its end, the stopped primary is promoted itself.
+                former_names = {primary} if order is None else {primary, order.backend.server}
+                known = spared | self.target.known_servers().keys()
+                statuses = statuses | await self.commands.query(former_names & known)
+            ended = set()
+            if former.is_process_gone and self._is_listed_primary(order.backend.server):
+                # One that is listed as a replica was replaced, and may have confirmed commits.
+                ended = {order.backend.server}
+            covered = {} if ended_since_s is None else self.covered(since_s=ended_since_s)
+            expected = self.possible_holders() - spared - ended
+            self.silent = expected - receives - set(paused) - set(statuses)
+            relayed = self._paused_through_others(since_s=ended_since_s)
+            paused |= relayed
             choice = self.choose(
-                expected=self.confirming() - spared - ended,
+                expected=expected,
                 paused=paused,
                 receiving={
                     name: status
@@ -290,21 +306,26 @@
                     if name not in paused and not status.leads
                 },
                 report=report,
-                avoided={primary},
+                # One without an entry serves no callers until it is replaced.
+                avoided={primary} | set(relayed) | self.target.unlisted.keys(),
                 former=former,
                 unlisted_may_hold=unlisted_may_hold,
+                covered=covered | dict.fromkeys(self.wait.given_up(self.report), positions.ORIGIN),
             )
             if choice.verdict is not promotion.Verdict.WAIT or not self.holds_claim():
+                self.wait.note_choice(choice, self.evidence, self.report)
                 return choice
-            if clock.now_s() >= reported_at_s + WAIT_REPORT_INTERVAL_S:
-                reported_at_s = clock.now_s()
-                events.log(
-                    events.Event.CHANGE_WAITS,
-                    service=self.target.name,
-                    former=former.value,
-                    silent_s=round(silent_s, 1),
-                    reason=choice.reason,
-                )
+            backend = self.former_server(primary)
+            reviewing = self.wait.review(
+                self.claim,
+                choice,
+                self.evidence,
+                self.report,
+                former=None if backend is None else backend.server,
+                silent_s=silent_s,
+            )
+            if await reviewing:
+                awaited_s = clock.now_s()
             if ended_since_s is not None and report.complete and former.has_ended:
                 await self.final_ends.add(
                     self.claim,
@@ -323,10 +344,40 @@
                 if unlisted_may_hold or self._awaits_acknowledged(paused, report):
                     awaited_s = clock.now_s()
                 if clock.now_s() - max(ended_since_s, awaited_s) > PAUSE_TIMEOUT_S:
+                    await self.wait.record(self.claim)
                     return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
             queried_s = clock.now_s()
-            statuses = await self.commands.query(self.confirming() - spared)
+            statuses = await self.commands.query(self.possible_holders() - spared)
+
+    def _stopped_before(self, primary: ids.ServerId | None) -> ids.ServerId | None:
+        """Return the last primary if it was stopped before and no other has led since.
+
+        Its log then has all that was ever acknowledged. None if that is not known.
+        """
+        former, stopped = self.former_server(primary), self.recorded_end
+        if former is None:
+            return None
+        by_earlier = stopped is not None and stopped.server == former.server
+        known = self.was_stopped or (by_earlier and self.final_ends.allowed)
+        return former.server if known else None
+
+    async def _pause_through_others(self) -> None:
+        """Have other instances pause the servers that give no answer, until this is cancelled."""
+        while True:
+            if self.silent and self.holds_claim():
+                self.coordination.relay_pauses(self.claim, self.silent, term=self.term)
+            await asyncio.sleep(claimed_attempt.POLL_S)
+
+    def _paused_through_others(self, *, since_s: float | None) -> server_commands.Statuses:
+        """Return the statuses of paused servers that others have read since commits ended."""
+        if since_s is None or not self.silent or not self.holds_claim():
+            return {}
+        found = self.coordination.relay_pauses(self.claim, self.silent, term=self.term)
+        found = {name: each for name, each in found.items() if each.read_after_s >= since_s}
+        for name, each in found.items():
+            self.commands.note_relayed(name, each)
+        return {name: each.status for name, each in found.items()}
 
     def note_stopped_by_any(self, order: stop_orders.StopOrder, report: ports.HoldReport) -> bool:
         """Note the end of a primary that any instance has stopped.
@@ -346,15 +397,3 @@
         if report.above is None:
             return False
         return all(promotion.lacks_acknowledged(each, report.above) for each in paused.values())
-
-    def _ignore_acknowledged(self, report: ports.HoldReport) -> ports.HoldReport:
-        """Return a report without the acknowledged positions, which no known server reaches.
-
-        The servers that had them are gone: without this, the service would stay without a primary.
-        """
-        if report.above is not None and not self.ignores_acknowledged:
-            self.ignores_acknowledged = True
-            events.log(
-                events.Event.ACKNOWLEDGED_IGNORED, service=self.target.name, above=report.above
-            )
-        return dataclasses.replace(report, above=None)
--- a/src/mustardswitch/proxy/member_writer.py
+++ b/src/mustardswitch/proxy/member_writer.py
@@ -6,8 +6,17 @@
 import itertools
 
 from mustardswitch import events
-from mustardswitch.internal import clock, gateways, ids, members, unlisted_servers
-from mustardswitch.proxy import directory, errors, fleet_records, member_records, ports, service
+from mustardswitch.internal import clock, ids, members, unlisted_servers
+from mustardswitch.proxy import (
+    connected_instances,
+    directory,
+    errors,
+    fleet_records,
+    member_records,
+    record_store,
+    service,
+    unlisted,
+)
 
 CHECK_S = 0.1
 """Interval between checks, each of which writes at most one record, and some sizes."""
@@ -20,7 +29,7 @@
 class MemberWriter:
     """Compares the members of all services with their records, and writes those that differ."""
 
-    def __init__(self, *, client: ports.RecordStore, directory: directory.Directory) -> None:
+    def __init__(self, *, client: record_store.RecordStore, directory: directory.Directory) -> None:
         self.client = client
         self.directory = directory
         self.schedule = members.WriteSchedule()
@@ -42,6 +51,10 @@
         if self.directory.servers.outage:
             return
         for name, target in self.directory.services.items():
+            book = self.directory.members
+            if book.seeded.get(name) != book.record(name).revision:
+                # It may name a server without an entry.
+                book.seed(target)
             if not self._differs(target, now_s):
                 self.schedule.note_equal(name)
             elif self.schedule.is_due(
@@ -77,7 +90,7 @@
         book = self.directory.members
         keys = {name: f"{fleet_records.SIZES}{name}" for name in sizes}
         puts = [
-            ports.Put(key=keys[name], value=member_records.encode_size(servers))
+            record_store.Put(key=keys[name], value=member_records.encode_size(servers))
             for name, servers in sizes.items()
         ]
         expected = {key: book.size(name).revision for name, key in keys.items()}
@@ -93,37 +106,49 @@
         counted = member_records.counted_entries(target)
         record = self.directory.members.record(target.name)
         listed = member_records.primaries(each.entry for each in target.servers.values())
+        covered = member_records.covered_members(target, counted)
+        if record.entries and not member_records.forgotten_members(target, counted, record) <= (
+            record.forgotten
+        ):
+            return True
+        if record.entries and (not record.is_durable or record.covered != covered):
+            return True
         if record.entries and listed and listed != member_records.primaries(record.entries):
             return True
         return members.needs_write(
             record.members,
-            frozenset(member_records.member_of(entry) for entry in counted),
+            frozenset(unlisted.member_of(entry) for entry in counted),
             any_listed=bool(target.servers),
             complete=self.directory.servers.is_complete(now_s),
         )
 
     def _rank(self, name: ids.ServiceName) -> int | None:
-        ranked = gateways.ranked(self.directory.candidates(), name)
-        instance = self.directory.instance
-        return ranked.index(instance) if instance in ranked else None
+        # Those that hold connections find out which servers are covered.
+        return connected_instances.rank(self.directory, name)
 
     async def _write(self, target: service.Service) -> None:
         """Replace the record that this instance knows; another one's write is applied first."""
         name, book = target.name, self.directory.members
         key = f"{fleet_records.MEMBERS}{name}"
         entries = member_records.counted_entries(target)
-        put = ports.Put(key=key, value=member_records.encode(entries))
+        covered = member_records.covered_members(target, entries)
+        forgotten = member_records.forgotten_members(target, entries, book.record(name))
+        value = member_records.encode(entries, covered=covered, forgotten=forgotten)
+        put = record_store.Put(key=key, value=value)
         revision = await self._change("members", {key: book.record(name).revision}, [put])
         if revision is None:
             self.schedule.note_failed(name, now_s=clock.now_s())
         else:
-            book.note_written(name, entries, revision)
+            written = member_records.MemberRecord(
+                entries=tuple(entries), covered=covered, forgotten=forgotten, revision=revision
+            )
+            book.note_written(name, written)
 
     async def _change(
         self,
         call: str,
         expected: collections.abc.Mapping[str, int],
-        puts: collections.abc.Sequence[ports.Put],
+        puts: collections.abc.Sequence[record_store.Put],
     ) -> int | None:
         """Write to the store; None if it failed, which is logged, or another has written."""
         try:
--- a/src/mustardswitch/proxy/takeover.py
+++ b/src/mustardswitch/proxy/takeover.py
@@ -12,8 +12,15 @@
 import contextlib
 
 from mustardswitch import events, tasks
-from mustardswitch.internal import clock, ids, promotion, server_contact
-from mustardswitch.proxy import claimed_attempt, errors, ports, service, successor_choice
+from mustardswitch.internal import clock, handover, ids, promotion, server_contact
+from mustardswitch.proxy import (
+    change_waits,
+    claimed_attempt,
+    errors,
+    ports,
+    service,
+    successor_choice,
+)
 
 PROMOTION_TIMEOUT_S = 4.0
 """Time for a promoted server to lead; longer than the platform usually takes."""
@@ -47,6 +54,8 @@
         """The record of an earlier holder; None without one."""
         self.request_sent = False
         """Whether this holder has requested a promotion."""
+        self.is_complete = False
+        """Whether another server leads by this attempt, or was found to lead."""
         self.request_unanswered = False
         """Whether a request of this holder got no answer, so that it may be executed later."""
 
@@ -80,6 +89,8 @@
                     service=self.target.name,
                     fencing_token=self.claim.fencing_token,
                 )
+            if choice.proof is not None:
+                self.target.registry.count("promotions_proved", choice.proof.value)
             if choice.verdict is promotion.Verdict.PROMOTE:
                 async with self._kept_paused(choice.server, primary=primary):
                     done = await self._promote(choice.server, primary=primary)
@@ -93,13 +104,16 @@
                 done = True
         finally:
             if done:
+                change_waits.remove_gauges(self.target.registry, self.target.name)
+                self.is_complete = True
                 self.requested = self._left_to_settle(choice)
                 self.recorded_end = None
                 # A promotion ends all pauses.
                 self.may_be_paused = set()
             elif not self.request_sent and not self.final_ends.known:
                 self.requested = self.requested_before
-            await asyncio.shield(self._end(self.answering(primary, silent)))
+            asked = self.answering(primary, silent) & self.confirming()
+            await asyncio.shield(self._end(asked | self.may_be_paused))
         events.log(
             events.Event.TAKEOVER_ENDED,
             service=self.target.name,
@@ -127,8 +141,8 @@
 
     async def resume_all(self) -> None:
         """Resume all servers, since another instance left replicas paused when it died."""
-        self.may_be_paused = self.confirming()
-        await self._end(self.confirming())
+        self.may_be_paused = self.possible_holders()
+        await self._end(self.possible_holders())
 
     @contextlib.asynccontextmanager
     async def renewing(self) -> collections.abc.AsyncIterator[None]:
@@ -170,7 +184,7 @@
         if self.holds_claim():
             statuses = await self.commands.query(servers)
             resumed = await self.commands.resume(
-                promotion.servers_to_resume(statuses, requested=self.requested)
+                handover.servers_to_resume(statuses, requested=self.requested)
             )
             receiving = {name for name, status in statuses.items() if not status.paused}
             self.may_be_paused -= receiving | resumed
@@ -326,8 +340,9 @@
                 await asyncio.sleep(claimed_attempt.POLL_S)
                 if self.record is not None:
                     self.hold_commits()
+                answering = self.confirming() | self.commands.answers.keys()
                 statuses = await self.commands.query(
-                    self.confirming() - {promoted, primary} | stopped
+                    (self.possible_holders() & answering) - {promoted, primary} | stopped
                 )
                 await self.pause_others(statuses, spared={promoted, primary})
                 for name in stopped & set(statuses):
