--- a/src/mustardswitch/proxy/member_records.py
+++ b/src/mustardswitch/proxy/member_records.py
@@ -128,7 +128,7 @@
 
 def decode(name: ids.ServiceName, value: bytes) -> tuple[ports.ServerEntry, ...]:
     """Decode the members of a service; raises FleetRecordError."""
-    return tuple(_decode_member(name, each) for each in _decode_list(name, value))
+    return decode_record(name, value, revision=0).entries
 
 
 def decode_record(name: ids.ServiceName, value: bytes, *, revision: int) -> MemberRecord:
@@ -146,11 +146,18 @@
         },
         is_durable=None not in marks,
         forgotten=frozenset(
-            _decode_forgotten(text) for each in listed[:1] for text in each.get("forgotten", ())
+            _decode_forgotten(text) for each in listed[:1] for text in _forgotten_texts(each)
         ),
     )
 
 
+def _forgotten_texts(record: collections.abc.Mapping[str, object]) -> list[object]:
+    texts = record.get("forgotten", [])
+    if not isinstance(texts, list):
+        raise errors.FleetRecordError(f"field forgotten is {texts!r:.64}; not a list")
+    return texts
+
+
 def _decode_forgotten(text: object) -> members.Member:
     name, _, started_ms = text.partition(" ") if isinstance(text, str) else ("", "", "")
     if not name or not started_ms.isdecimal() or len(started_ms) > len(str(MAX_TIME_MS)):
--- a/tests/proxy/test_member_records.py
+++ b/tests/proxy/test_member_records.py
@@ -164,7 +164,9 @@
     assert set(world.service.possible_holders()) == ({A, C} if forgotten else {A, B, C})
 
 
-@pytest.mark.parametrize("odd", [[5], ["x"], [" 5"], ["x 9999999999999999"], [None], [["x 5"]]])
+@pytest.mark.parametrize(
+    "odd", [[5], ["x"], [" 5"], ["x 9999999999999999"], [None], [["x 5"]], 5, None, "x 5"]
+)
 def test_a_record_with_odd_forgotten_members_is_rejected(odd):
     record = json.loads(member_records.encode([ENTRY]))
     record[0]["forgotten"] = odd
