--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,11 @@
-"""Many clients send one statement of nearly 64 KiB each, all at once."""
+"""The primary leaves, and the replicas crash for a few seconds at the same time."""
 
 import asyncio
 import os
 import pathlib
 import sys
 import tempfile
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -12,55 +13,71 @@
 import standins_2 as standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LIMIT_BYTES = standins.MEMORY_MB << 20
-SESSIONS = 1200
-STATEMENT_BYTES = 64000 if TROUBLE else 100
-"""Just below the size from which the instance counts the memory of a statement."""
-WORK_S = 0.018
-"""Time that a database takes for a read."""
+CRASH_AFTER_S = 0.3
+"""From the acknowledged report of the primary until the replicas crash."""
+DOWN_S = 7.0
+"""Time for which the replicas are down."""
+LEAVES_AFTER_S = 10.0
+"""From the acknowledged report until the database ends; it serves until then."""
+PAUSE_S = 0.1
+SETTLE_S = 6.0
+"""The machines are in touch after 5 s without disruption."""
 
 
-async def open_sessions(record, port):
-    """Open sessions; return their clients."""
-    clients = []
-    for number in range(SESSIONS):
-        client = standins.Client(record, f"c{number}")
-        if await client.open(port, "db-bounded_staleness", f"u{number}") == "READY I -":
-            clients.append(client)
-    return clients
+async def read_on(client, port, until_s):
+    """Send single reads, one after the other; opens the session again when it ends."""
+    connected = False
+    while time.monotonic() < until_s:
+        if not connected:
+            client.close()
+            connected = await client.open(port, "db-primary", "u1") == "READY I -"
+        elif not (await client.query("READ item"))[-1]:
+            connected = False
+        await asyncio.sleep(PAUSE_S)
 
 
 async def run(record, folder):
     """Return the exit status."""
-    if not standins.allow_descriptors():
-        record.note("too few descriptors are allowed here")
-        return 2
     platform = standins.Platform(record, folder)
+    group = platform.group
     try:
         await platform.start(3)
-        instance = platform.instances[0]
-        watching = asyncio.create_task(platform.enforce_memory(instance, LIMIT_BYTES))
-        ordinary = standins.Client(record, "ordinary")
-        await ordinary.open(instance.front, "db-primary", "u2")
-        if not standins.succeeded(await ordinary.query("WRITE item data")):
+        await asyncio.sleep(SETTLE_S)
+        first = standins.Client(record, "c0")
+        await first.open(platform.instances[0].front, "db-primary", "u0")
+        if not standins.succeeded(await first.query("WRITE item data")):
             return 2
-        record.note(f"{instance.name} has {instance.memory_bytes() / 1e6:.0f} MB")
-        clients = await open_sessions(record, instance.front)
-        record.note(f"{len(clients)} of {SESSIONS} sessions were accepted")
-        platform.group.work_s = WORK_S
-        item = "\U0001f600".ljust(STATEMENT_BYTES - 50, "x")
-        answers = await asyncio.gather(*[client.query(f"READ {item}") for client in clients])
-        cut = sum(not answer[-1] for answer in answers)
-        record.note(f"{cut} of {len(answers)} statements were cut off without a whole answer")
-        record.note(f"{instance.name} has {instance.memory_bytes() / 1e6:.0f} MB")
-        served = standins.succeeded(await ordinary.query("READ item"))
-        record.note(f"the ordinary session is served: {served}")
-        for client in clients:
-            client.close()
-        if watching.done():
-            return 1
-        watching.cancel()
-        return 0 if served else 1
+        leaving = "i-1"
+        acked_s = group.drain(leaving)
+        replicas = [name for name in group.databases if name != leaving]
+        await asyncio.sleep(CRASH_AFTER_S)
+        if TROUBLE:
+            for name in replicas:
+                group.crash(name)
+        reading = [
+            asyncio.create_task(
+                read_on(
+                    standins.Client(record, f"c{index + 1}"),
+                    instance.front,
+                    acked_s + LEAVES_AFTER_S,
+                )
+            )
+            for index, instance in enumerate(platform.instances)
+        ]
+        await asyncio.sleep(DOWN_S)
+        if TROUBLE:
+            for name in replicas:
+                await group.restart(name)
+        await asyncio.gather(*reading)
+        late = [
+            (at_s - acked_s, request)
+            for at_s, name, request in group.arrivals
+            if name == leaving and at_s > acked_s + standins.DRAIN_S
+        ]
+        for after_s, request in late[:10]:
+            record.note(f"{leaving} got {request} {after_s:.3f} s after its report")
+        record.note(f"{len(late)} requests reached {leaving} later than {standins.DRAIN_S} s")
+        return 1 if late else 0
     finally:
         await platform.stop()
 
@@ -70,7 +87,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             status = asyncio.run(asyncio.wait_for(run(record, folder), 110.0))
-        except (OSError, TimeoutError, asyncio.TimeoutError) as error:
+        except (OSError, TimeoutError) as error:
             record.note(f"the case could not run: {error!r}")
             status = 2
     record.note(f"exit status {status}")
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -80,6 +80,10 @@
         self.next_lease = 1
         self.changed = asyncio.Event()
         self.tokens = {}
+        self.unanswered = 0
+        """Promotion calls that get no answer from now on, and are executed late."""
+        self.late_s = 5.0
+        self.on_unanswered = lambda name: None
         self.server = None
 
     async def start(self):
@@ -191,19 +195,28 @@
             return 200, {}
         if path == "/promote":
             token = int(headers["fencing-token"])
-            service, name = body["service"], body["id"]
-            accepted = token >= self.tokens.get(service, 0) and self.group.accepts(name)
-            self.tokens[service] = max(token, self.tokens.get(service, 0))
-            self.record.note(
-                f"platform: promote {name} by {headers['lease-holder']} with token {token}:"
-                f" {'accepted' if accepted else 'refused'}"
-            )
-            if not accepted:
-                return 409, {}
-            self.group.promote_later(name)
-            return 200, {}
+            call = (body["service"], body["id"], token, headers["lease-holder"])
+            if self.unanswered:
+                self.unanswered -= 1
+                self.record.note(f"platform: promote {call[1]} by {call[3]} gets no answer")
+                asyncio.get_running_loop().call_later(self.late_s, self._promote, *call)
+                self.on_unanswered(call[1])
+                await asyncio.sleep(self.late_s)
+                raise OSError("no answer")
+            return (200, {}) if self._promote(*call) else (409, {})
         return 404, {}
 
+    def _promote(self, service, name, token, holder):
+        accepted = token >= self.tokens.get(service, 0) and self.group.accepts(name)
+        self.tokens[service] = max(token, self.tokens.get(service, 0))
+        self.record.note(
+            f"platform: promote {name} by {holder} with token {token}:"
+            f" {'accepted' if accepted else 'refused'}"
+        )
+        if accepted:
+            self.group.promote_later(name)
+        return accepted
+
     async def _watch(self, prefix, after, wait_s):
         end_s = time.monotonic() + wait_s
         while True:
@@ -221,7 +234,7 @@
             changed = self.changed
             try:
                 await asyncio.wait_for(changed.wait(), min(left_s, 0.2))
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 continue
 
     def _change(self, body):
@@ -251,7 +264,11 @@
         self.role = "replica"
         self.log = []
         """Entries as (term, request id)."""
+        self.ends = {}
+        """Its log at the beginning of each term that it led."""
         self.paused = 0
+        self.deaf = False
+        """Whether it receives nothing from the primary."""
         self.state = "ready"
         self.up = True
         self.down_since_s = 0.0
@@ -271,9 +288,7 @@
         """Return whether the log holds a position."""
         term, _, number = position.partition(".")
         number = int(number)
-        return number == 0 or (
-            number <= len(self.log) and self.log[number - 1][0] == int(term)
-        )
+        return number == 0 or (number <= len(self.log) and self.log[number - 1][0] == int(term))
 
     async def start(self, port=0):
         """Listen on a port; 0 for a free one."""
@@ -375,8 +390,10 @@
                 return [], f"ERROR READONLY {database.name}"
             self.term, self.reads_only, self.writes = group.term, rest == "READ", []
             return [], "COMPLETE -"
-        lost = self.term is not None and not self.reads_only and (
-            database.role != "primary" or self.term != group.term
+        lost = (
+            self.term is not None
+            and not self.reads_only
+            and (database.role != "primary" or self.term != group.term)
         )
         if lost and not (word == "COMMIT" and not self.writes):
             self.failed = True
@@ -473,10 +490,21 @@
             writer.transport.abort()
         self.record.note(f"{name} crashes")
 
-    async def restart(self, name):
-        """Start a crashed database again at its address, as a replica."""
+    def end(self, name):
+        """End a database that has reported that it leaves; it removes its entry."""
+        self.crash(name)
+        self.store.delete(f"servers/{name}")
+        del self.databases[name]
+
+    async def restart(self, name, empty=False, leads=False):
+        """Start a crashed database again at its address; ``empty`` without its log.
+
+        A primary ``leads`` again if no other was promoted.
+        """
         database = self.databases[name]
-        database.role, database.paused = "replica", 0
+        if empty:
+            database.log = []
+        database.role, database.paused = "primary" if leads else "replica", 0
         database.born_ms = int(time.time() * 1000)
         database.seq = 0
         await database.start(database.port)
@@ -496,7 +524,8 @@
     def catch_up(self, database):
         """Give a replica the log of the primary."""
         primary = next((d for d in self.databases.values() if d.role == "primary"), None)
-        if primary is not None and database.role == "replica" and not database.paused:
+        receives = database.role == "replica" and not database.paused and not database.deaf
+        if primary is not None and primary.up and receives:
             database.log = list(primary.log)
 
     async def commit(self, primary, writes):
@@ -506,7 +535,10 @@
         receivers = [
             each
             for each in self.databases.values()
-            if each is not primary and each.up and each.role == "replica" and not each.paused
+            if each is not primary
+            and each.up
+            and each.role == "replica"
+            and not (each.paused or each.deaf)
         ]
         for each in receivers:
             each.log = list(primary.log)
@@ -528,9 +560,10 @@
         for each in self.databases.values():
             each.role, each.paused = "replica", 0
         chosen.role = "primary"
+        chosen.ends[self.term] = list(chosen.log)
         for each in self.databases.values():
             self.catch_up(each)
-        self.record.note(f"{name} leads term {self.term}")
+        self.record.note(f"{name} leads term {self.term} with its log up to {chosen.position}")
         self.list_all()
 
 
@@ -633,7 +666,7 @@
                 if answer.split(b" ")[1:2] == [b"200"]:
                     self.platform.record.note(f"platform: {self.name} is ready")
                     return
-            except (OSError, asyncio.TimeoutError):
+            except (TimeoutError, OSError):
                 pass
             await asyncio.sleep(0.1)
         raise TimeoutError(f"{self.name} is not ready")
@@ -729,7 +762,7 @@
         """Read one line; empty if the connection has ended, or nothing comes for 20 s."""
         try:
             return (await asyncio.wait_for(self.reader.readline(), 20.0)).decode().rstrip("\r\n")
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return ""
 
     async def query(self, text):
