--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -410,8 +410,7 @@
                 return [], "ERROR NOSTMT -"
             word = self.prepared[name]
         group.arrivals.append((time.monotonic(), database.name, request))
-        if not text.startswith("EXECUTE"):
-            group.record.note(f"{database.name} runs {request} {text[:60]}")
+        group.record.note(f"{database.name} runs {request} {text[:60]}")
         await asyncio.sleep(group.work_s)
         if word == "READ":
             return ["row"], f"COMPLETE sig-{database.name}-{request}"
