--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -9,18 +9,16 @@
 from mustardswitch.internal import (
     clock,
     commit_permission,
-    gateways,
     ids,
     registration_list,
     unlisted_servers,
 )
 from mustardswitch.internal.admission import connection_shares
-from mustardswitch.internal.placement import forwarding
-from mustardswitch.internal.tenants import homes
 from mustardswitch.peers import datagrams
 from mustardswitch.proxy import (
     feature_set,
     forwarded,
+    gateway_plans,
     member_records,
     ports,
     routes,
@@ -28,9 +26,7 @@
     server_pace,
     service,
     stalls,
-    statement_context,
     tenant_limits,
-    tenant_roles,
 )
 
 PEER_VOTE_TTL_S = 1.0
@@ -60,7 +56,7 @@
     address: datagrams.PeerAddress | None = None
 
 
-class Directory:
+class Directory(gateway_plans.GatewayPlans):
     """Holds the latest state received, and derives the services and routes from it."""
 
     def __init__(
@@ -84,20 +80,17 @@
         """Measures the stalls of this instance for the feature ``placement``."""
         if forwarder is not None and self.stall_meter is not None:
             forwarder.place_by_answers(registry, self.stall_meter)
-        self.plans: dict[ids.ServiceName, forwarding.GatewayPlan] = {}
-        """Gateways of the services whose connections do not suffice for all instances."""
+        self.plans = {}
         self.instance = instance
         self.location = location
         self.opener = opener
         self.order_opener = order_opener
         self.registry = registry
-        self.configuration: routes.Configuration | None = None
+        self.configuration = None
         self.servers: registration_list.RegistrationList[ids.ServerId, ports.ServerEntry] = (
             registration_list.RegistrationList()
         )
-        self.instances: registration_list.RegistrationList[ids.InstanceId, Peer] = (
-            registration_list.RegistrationList()
-        )
+        self.instances = registration_list.RegistrationList[ids.InstanceId, Peer]()
         self.shares = connection_shares.ConnectionShares(started_s=clock.now_s())
         self.refreshed_s = clock.now_s()
         self.votes: set[Vote] = set()
@@ -259,11 +252,6 @@
         if self.has_tenants:
             self._report_connections()
 
-    @property
-    def has_tenants(self) -> bool:
-        """Whether callers belong to tenants, which servers are told."""
-        return self.configuration is not None and bool(self.configuration.tenants)
-
     def _report_connections(self) -> None:
         """Set the gauge of the connections that this instance holds for each tenant."""
         held = collections.Counter(
@@ -279,168 +267,12 @@
             self.registry.set_gauge("tenant_connections", count, tenant)
         self.reported_tenants = set(held)
 
-    def _share(self, name: ids.ServiceName) -> int:
-        limits = self.configuration.services.get(name) if self.configuration else None
-        if limits is None:
-            return 1
-        plan = self.plans.get(name)
-        if plan is not None:
-            return plan.connections if plan.is_gateway(self.instance) else 1
-        return self.shares.share(connections=limits.max_connections, now_s=clock.now_s())
-
-    def _holds_connections(self, name: ids.ServiceName) -> bool:
-        plan = self.plans.get(name)
-        return plan is None or plan.is_gateway(self.instance)
-
-    def candidates(self) -> list[gateways.Candidate]:
-        """Return the instances that may hold connections or change a primary."""
-        return [
-            gateways.Candidate(
-                instance=instance,
-                zone=peer.zone,
-                region=self.location.regions.get(peer.zone, ids.RegionName("")),
-            )
-            for instance, peer in self.instances.entries.items()
-        ]
-
-    def _plan(self, names: collections.abc.Collection[ids.ServiceName]) -> None:
-        """Choose the gateways of services whose connections do not suffice for all instances."""
-        if self.configuration is None or self.forwarder is None:
-            return
-        now_s, candidates = clock.now_s(), self.candidates()
-        if self.has_tenants:
-            self.plans |= self._tenant_plans(names, candidates, now_s)
-            return
-        for name in names:
-            limits = self.configuration.services.get(name)
-            if limits is None:
-                continue
-            plan = forwarding.plan(
-                candidates,
-                service=name,
-                connections=self.shares.usable(connections=limits.max_connections, now_s=now_s),
-                instances=self.shares.instances(now_s=now_s),
-            )
-            if plan is None:
-                self.plans.pop(name, None)
-            else:
-                self.plans[name] = plan
-
-    def _tenant_plans(
-        self,
-        names: collections.abc.Iterable[ids.ServiceName],
-        candidates: collections.abc.Sequence[gateways.Candidate],
-        now_s: float,
-    ) -> dict[ids.ServiceName, forwarding.GatewayPlan]:
-        """Return the plans for tenants of those services that have one.
-
-        Services of a group with equal limits share one plan: to rank all instances for each service
-        would stop a large fleet's instances for a part of a second at each change of the list.
-        """
-        services = self.configuration.services
-        groups = {name: homes.group_of(name, len(services)) for name in services}
-        least: dict[int, int] = {}
-        for name, group in groups.items():
-            connections = services[name].max_connections
-            least[group] = min(least.get(group, connections), connections)
-        by_limit: dict[tuple[int, int], forwarding.GatewayPlan | None] = {}
-        found = {}
-        for name in names:
-            if name not in services:
-                continue
-            group = groups[name]
-            usable = self.shares.usable(connections=services[name].max_connections, now_s=now_s)
-            if (group, usable) not in by_limit:
-                by_limit[group, usable] = homes.plan_gateways(
-                    candidates, group=group, connections=least[group], usable=usable
-                )
-            plan = by_limit[group, usable]
-            if plan is not None:
-                found[name] = plan
-        return found
-
-    def plans_without_self(self) -> list[forwarding.GatewayPlan]:
-        """Return the plans for tenants as they would be if this instance were not listed."""
-        others = [each for each in self.candidates() if each.instance != self.instance]
-        return list(self._tenant_plans(self.plans, others, clock.now_s()).values())
-
-    def _gateways_of_tenant(
-        self,
-        plan: forwarding.GatewayPlan,
-        tenant: ids.TenantName,
-        *,
-        single_read: bool,
-    ) -> list[ids.InstanceId] | None:
-        """Return the gateways of a tenant in order; None when this instance is a home of it."""
-        location = self.location
-        order = homes.order_for_tenant(
-            plan,
-            tenant,
-            region=location.regions.get(location.zone, ids.RegionName("")),
-            regions=location.regions,
-        )
-        known = self.configuration.tenants.get(tenant)
-        count = homes.homes_per_region(known.rate_per_s if known is not None else None)
-        if self.instance in order[:count]:
-            return None
-        in_zone = set(plan.gateways_by_zone.get(location.zone, ()))
-        # If the zone is cut off, only its own gateways can be reached.
-        nearest = [gateway for gateway in order if gateway in in_zone][:1]
-        first = [*order[: min(2 * count, forwarded.MAX_HOMES_TRIED - 1)], *nearest]
-        ranking = list(dict.fromkeys([*first, *order]))
-        return self.forwarder.order_homes(ranking, homes=count, single_read=single_read)
-
-    def homes_of(self, tenant: ids.TenantName) -> list[ids.InstanceId]:
-        """Return the instances that run a tenant's statements by the present list, in order."""
-        if not self.has_tenants:
-            return []
-        known = self.configuration.tenants.get(tenant)
-        return homes.homes_of_plans(
-            tenant_roles.distinct(self.plans.values()),
-            tenant,
-            rate_per_s=known.rate_per_s if known is not None else None,
-            regions=self.location.regions,
-        )
-
     def preview(self) -> "Directory":
         """Return a copy whose ``gateways_for`` decides as this one's would now, without a trace."""
         copied = copy.copy(self)
         copied.forwarder = self.forwarder.preview() if self.forwarder is not None else None
         return copied
 
-    def gateways_for(
-        self, context: statement_context.StatementContext, *, single_read: bool = False
-    ) -> list[forwarded.Gateway] | None:
-        """Return the gateways to forward a statement to; None when this instance runs it itself.
-
-        A ``single_read`` may go to a gateway first that is to be tried again.
-        """
-        plan = self.plans.get(context.service.name)
-        if plan is None:
-            return None
-        if self.has_tenants:
-            order = self._gateways_of_tenant(plan, context.tenant, single_read=single_read)
-        elif plan.is_gateway(self.instance):
-            order = None
-        else:
-            order = self.forwarder.order(plan, location=self.location, single_read=single_read)
-        peers = self.instances.entries
-        return [
-            forwarded.Gateway(instance=gateway, address=peers[gateway].address)
-            for gateway in order or ()
-            if gateway in peers and peers[gateway].address is not None and gateway != self.instance
-        ] or None
-
-    def connected_instance_count(self, name: ids.ServiceName) -> int:
-        """Return how many instances hold connections to a service."""
-        plan = self.plans.get(name)
-        return self.instance_count if plan is None else plan.gateway_count
-
-    @property
-    def instance_count(self) -> int:
-        """Number of instances that are registered, including this one; at least 1."""
-        return max(1, len(self.instances.entries))
-
     def voters(
         self, name: ids.ServiceName, server: ids.ServerId
     ) -> collections.abc.Set[ids.InstanceId]:
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -14,7 +14,14 @@
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, position_history, positions
 from mustardswitch.internal.placement import read_placement
-from mustardswitch.proxy import errors, ports, requests, server, statement_context
+from mustardswitch.proxy import (
+    errors,
+    leader_transactions,
+    ports,
+    requests,
+    server,
+    statement_context,
+)
 
 REFRESH_SHARE = 0.6
 """Fraction of a route's staleness limit after which the leader's position is queried again, before
@@ -27,15 +34,6 @@
 """Refusals that count as errors of the server; others are due to the statement."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PinnedLink:
-    """A connection with an open transaction."""
-
-    backend: server.Server
-    link: ports.Link
-    at_leader: bool
-
-
 class ReadRun:
     """The execution of one read, or of the begin of one read-only transaction."""
 
@@ -297,7 +295,9 @@
         self, statement: requests.Plain | ports.RunPrepared
     ) -> requests.Answer | None:
         try:
-            pinned = await begin_at_leader(self.context, statement.shape, holds=False)
+            pinned = await leader_transactions.begin_at_leader(
+                self.context, statement.shape, holds=False
+            )
         except errors.NoRoomError as error:
             self._note_full(error)
             return None
@@ -324,7 +324,7 @@
 
     # Read-only transactions
 
-    async def begin(self, shape: requests.Shape | None) -> PinnedLink:
+    async def begin(self, shape: requests.Shape | None) -> leader_transactions.PinnedLink:
         """Begin a transaction on a server whose log holds the minimum position.
 
         Raises ProxyError.
@@ -334,11 +334,11 @@
             pinned = await self._begin_at_replicas(shape, min_position)
             if pinned is not None:
                 return pinned
-        return await begin_at_leader(self.context, shape)
+        return await leader_transactions.begin_at_leader(self.context, shape)
 
     async def _begin_at_replicas(
         self, shape: requests.Shape | None, min_position: positions.Position
-    ) -> PinnedLink | None:
+    ) -> leader_transactions.PinnedLink | None:
         begin = ports.BeginAt(read_only=True, min_position=min_position)
         for backend in self._servers_to_try(min_position, may_probe=False):
             try:
@@ -350,50 +350,7 @@
             if answer.succeeded:
                 backend.note_answer()
                 backend.note_caught_up(min_position)
-                return PinnedLink(backend=backend, link=link, at_leader=False)
+                return leader_transactions.PinnedLink(backend=backend, link=link, at_leader=False)
             backend.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
             self._is_final(backend, answer, min_position)
         return None
-
-
-async def begin_at_leader(
-    context: statement_context.StatementContext,
-    shape: requests.Shape | None,
-    *,
-    holds: bool = True,
-    for_commits: bool = False,
-) -> PinnedLink:
-    """Begin a transaction at the leader, retrying while the leader changes.
-
-    With ``for_commits`` none is begun while the leader is being replaced, which would abort it.
-
-    Raises NoLeaderError or NotSentError when no transaction could be begun before the deadline, and
-    NoRoomError at once when the leader is full.
-    """
-    while True:
-        backend = await context.service.wait_leader(context.deadline_s, for_commits=for_commits)
-        try:
-            link = await context.acquire(backend, shape, holds=holds)
-            query_sent_at_s = clock.now_s()
-            answer = await context.prepare_link(
-                backend, link, shape=shape, begin=ports.BeginAt(read_only=False)
-            )
-        except errors.NoRoomError:
-            raise
-        except errors.NotSentError:
-            if not await context.wait_before_retry():
-                raise
-            continue
-        if answer.succeeded:
-            backend.note_answer()
-            context.service.note_leading(
-                backend.server, query_sent_at_s=query_sent_at_s, position=answer.position
-            )
-            return PinnedLink(backend=backend, link=link, at_leader=True)
-        backend.pool.release(link, clean=answer.state is requests.TransactionState.IDLE)
-        if answer.refusal is requests.Refusal.READ_ONLY:
-            context.service.note_not_leading(backend.server, query_sent_at_s=query_sent_at_s)
-        if not await context.wait_before_retry():
-            raise errors.NotSentError(
-                f"server {backend.server} did not begin a transaction: {answer.detail}"
-            )
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -5,8 +5,7 @@
 import contextlib
 import copy
 
-from mustardswitch import connection_pool, metrics
-from mustardswitch.backends import errors as backend_errors
+from mustardswitch import metrics
 from mustardswitch.internal import (
     acknowledged_end,
     clock,
@@ -14,7 +13,6 @@
     ids,
     position_history,
     positions,
-    promotion,
     suspicion,
     unlisted_servers,
 )
@@ -32,22 +30,18 @@
     server_list,
     server_pace,
     stalls,
-    tenant_pool,
+    status_queries,
 )
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept."""
-PROBE_TIMEOUT_S = 0.35
-"""Twice the time of a new connection and a query, which take three round trips between regions."""
-STATUS_TIMEOUT_S = 0.4
-"""Time for a status query over a pooled connection; ten round trips between regions."""
 PERMISSION_POLL_S = 0.05
 """Interval at which a commit that waits for current records looks for them."""
 FINISH_TIMEOUT_S = 1.0
 """Time for the answer to the last command on a connection before it is closed."""
 
 
-class Service(server_list.ServerList):
+class Service(status_queries.StatusQueries):
     """This instance's state of one service, and its connections to the service's servers."""
 
     def __init__(
@@ -99,8 +93,6 @@
         self.samples = acknowledged_end.RecentSamples()
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
-        self.refreshing: asyncio.Task[None] | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
         self.leader_changes = leader_changes.LeaderChanges(service=name)
 
     def __repr__(self) -> str:
@@ -322,76 +314,8 @@
             stall_s=stall_s,
         )
 
-    # Positions
-
-    def refresh_positions(self) -> asyncio.Task[None]:
-        """Query the leader's position; concurrent callers share one query."""
-        if self.refreshing is None or self.refreshing.done():
-            self.refreshing = self.start(self._query_positions())
-        return self.refreshing
-
-    async def _query_positions(self) -> None:
-        if (leader := self.leader) is not None:
-            await self.query_status(leader)
-
-    async def query_status(self, backend: server.Server) -> promotion.ServerStatus | None:
-        """Query a server's status over a pooled connection; None without an answer."""
-        loop = asyncio.get_running_loop()
-        request = connection_pool.ConnectionRequest(
-            caller=tenant_pool.ANY_TENANT if self.serves_tenants else "",
-            priority=0,
-            deadline_s=loop.time() + STATUS_TIMEOUT_S,
-        )
-        try:
-            link = await backend.pool.acquire(request)
-        except backend_errors.BackendError:
-            return None
-        query_sent_at_s = clock.now_s()
-        try:
-            status = await link.status(STATUS_TIMEOUT_S)
-        except backend_errors.BackendError:
-            backend.pool.release(link, clean=not link.broken)
-            return None
-        except BaseException:
-            backend.abandon(link)
-            raise
-        backend.note_answer()
-        backend.pool.release(link, clean=True)
-        self._note_status(backend, status, query_sent_at_s)
-        return status
-
-    def _note_status(
-        self, backend: server.Server, status: promotion.ServerStatus, query_sent_at_s: float
-    ) -> None:
-        self.acknowledged.note_status(backend.server, status)
-        self.note_running(backend)
-        if status.leads:
-            self.note_leading(
-                backend.server, query_sent_at_s=query_sent_at_s, position=status.received
-            )
-        else:
-            self.note_not_leading(backend.server, query_sent_at_s=query_sent_at_s)
-
-    async def probe(self, backend: server.Server) -> None:
-        """Query the status of a server that has not answered, over a new connection."""
-        query_sent_at_s = clock.now_s()
-        status = await backend.probe(PROBE_TIMEOUT_S)
-        if status is not None:
-            self._note_status(backend, status, query_sent_at_s)
-
-    async def find_leader(self) -> None:
-        """Query all servers' status, for example when updates of the store are missing."""
-        await asyncio.gather(*(self.query_status(backend) for backend in self.servers.values()))
-
     # Background tasks
 
-    def start(self, work: collections.abc.Coroutine[None, None, object]) -> asyncio.Task:
-        """Run a coroutine in the background; the service keeps its task until it is done."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
     def roll_back(self, backend: server.Server, link: ports.Link, *, sent: bool = False) -> None:
         """Roll back the transaction of a connection, then release it to the pool.
 
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -5,7 +5,14 @@
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock
 from mustardswitch.internal.pace import references
-from mustardswitch.proxy import errors, ports, reading, requests, statement_context
+from mustardswitch.proxy import (
+    errors,
+    leader_transactions,
+    ports,
+    reading,
+    requests,
+    statement_context,
+)
 
 OPEN = requests.TransactionState.OPEN
 FAILED = requests.TransactionState.FAILED
@@ -21,7 +28,7 @@
 
     def __init__(self, *, read_only: bool) -> None:
         self.read_only = read_only
-        self.pinned: reading.PinnedLink | None = None
+        self.pinned: leader_transactions.PinnedLink | None = None
         self.failed = False
         self.wrote = False
         self.statements = 0
@@ -73,7 +80,9 @@
                 if self.read_only:
                     self.pinned = await reading.ReadRun(context).begin(shape)
                 else:
-                    self.pinned = await reading.begin_at_leader(context, shape, for_commits=True)
+                    self.pinned = await leader_transactions.begin_at_leader(
+                        context, shape, for_commits=True
+                    )
             else:
                 pinned, self.pinned = self.pinned, None
                 pinned.backend.note_resumed(self)
