Log which instances a hand-over waits for (event 550)

The line names the instances each second, which of them have left the list, and whether the holder itself stops.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -243,6 +243,11 @@
     process has ended, then the position ``above`` which a commit was acknowledged that no log in
     reach has, and in ``decide`` the command by which an operator gives them up. ``former`` is what
     is known of the former primary, which has answered nobody for ``silent_s``."""
+    HOLD_AWAITED = EventKind(550, logbook.WARNING, "commits held back, unconfirmed")
+    """A hand-over has waited for another second until all instances confirm that they hold commits
+    back. ``unconfirmed`` names those that have not, ``missing`` is their number, and
+    ``unregistered`` names those of them that have left the list. ``holder_leaves`` tells whether
+    this instance stops."""
     COMMITS_NOT_PERMITTED = EventKind(534, logbook.WARNING, "commits not permitted")
     """This instance would not know of a recorded promotion: its records are too old, or do not list
     it. ``unheard`` are instances that have not said that they lack newer records, too."""
--- a/src/mustardswitch/proxy/claimed_attempt.py
+++ b/src/mustardswitch/proxy/claimed_attempt.py
@@ -23,6 +23,8 @@
 """Time before the claim's expiry from which its holder does nothing more; a promotion request may
 be under way for this long, between regions or to a slow platform."""
 
+HOLD_REPORT_S = 1.0
+"""Interval at which the instances are logged that have not confirmed a hold."""
 MAX_UNCONFIRMED = 5
 """Instances that have not confirmed a hold and are named in a log line."""
 
@@ -164,9 +166,29 @@
 
     async def await_hold(self) -> None:
         """Wait until all instances hold commits back, or the claim has ended."""
+        report_at_s = clock.now_s() + HOLD_REPORT_S
         while self.holds_claim() and not self.hold_commits().complete:
+            if clock.now_s() >= report_at_s:
+                report_at_s += HOLD_REPORT_S
+                self._report_hold()
             await asyncio.sleep(POLL_S)
 
+    def _report_hold(self) -> None:
+        """Log which instances have not confirmed the hold."""
+        unconfirmed = sorted(self.report.unconfirmed)
+        events.log(
+            events.Event.HOLD_AWAITED,
+            unconfirmed=" ".join(unconfirmed[:MAX_UNCONFIRMED]),
+            missing=len(unconfirmed),
+            unregistered=" ".join(
+                sorted(self.report.unregistered & self.report.unconfirmed)[:MAX_UNCONFIRMED]
+            ),
+            held_s=round(clock.now_s() - self.record.at_s, 1),
+            holder_leaves=self.target.permission.has_left,
+            service=self.target.name,
+            server=self.record.server,
+        )
+
     def describe_hold(self) -> str:
         """Describe for how long commits were held, who has not confirmed it, and what this knows.
 
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -328,6 +328,7 @@
             above=max(known, default=None),
             acknowledged_end=acknowledged_end,
             instances=frozenset(self.seen),
+            unregistered=frozenset(self.seen.keys() - self.listed_before),
             primary_reports=self._primary_reports(order),
         )
 
--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -232,6 +232,8 @@
     has taken since the record; None if none is known."""
     instances: frozenset[ids.InstanceId] = frozenset()
     """The other instances that may have sent commits."""
+    unregistered: frozenset[ids.InstanceId] = frozenset()
+    """Those of them that are not registered any more."""
     primary_reports: collections.abc.Mapping[ids.InstanceId, former_primary.Report] = (
         dataclasses.field(default_factory=dict)
     )
