Answer a holder of a claim that is not registered any more

Cause: an instance that stops ends its registration first, and may hold the claim of a change of primary. Others answered it at its registered address only, so instances that started after that confirmed the hold of commits to nobody, and the hand-over waited 4.5 s from its record.

Change: the address that the latest datagram of an instance came from is kept for 10 s, and used while the instance is not registered.

Test: test_a_holder_that_is_not_registered_any_more_receives_confirmations; failed before (TimeoutError: no answer within 2 s).

--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -23,6 +23,14 @@
 """Recorded promotions, and confirmations, in one datagram."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAddress:
+    """Address at which an instance receives datagrams and forwarded statements."""
+
+    host: str
+    port: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PrimaryRef:
     """The primary of a service: one that the sender suspects, or a new one."""
@@ -114,14 +122,8 @@
     pause_orders: tuple[pauses.PauseOrder, ...] = ()
     """Servers that the sender does not reach; the receivers answer with ``pause_reports``."""
     pause_reports: tuple[pauses.PauseReport, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerAddress:
-    """Address at which an instance receives datagrams and forwarded statements."""
-
-    host: str
-    port: int
+    sender: PeerAddress | None = None
+    """Address that it came from, which is not encoded; None if it was not received."""
 
 
 def encode(update: PeerUpdate) -> bytes:
@@ -334,7 +336,7 @@
             events.log(events.Event.DATAGRAM_REJECTED, sender=addr[0], reason=str(error))
             return
         self.registry.count("datagrams_received")
-        self.receiver(update)
+        self.receiver(dataclasses.replace(update, sender=PeerAddress(host=addr[0], port=addr[1])))
 
     def send(
         self,
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -10,6 +10,7 @@
     acknowledged_ends,
     commit_holds,
     directory,
+    peer_addresses,
     permission_log,
     ports,
     relayed_pauses,
@@ -35,6 +36,7 @@
         ] = {}
         """Confirmations of the promotions that this instance has announced."""
         self.acknowledged_ends = acknowledged_ends.AcknowledgedEnds(directory=directory)
+        self.addresses = peer_addresses.PeerAddresses(directory=directory)
         self.stop_orders = stop_orders.StopOrders()
         self.primary_reports: dict[
             datagrams.StopOrder, dict[ids.InstanceId, tuple[former_primary.Report, float]]
@@ -66,6 +68,7 @@
         self.note_instances()
         self.stop_orders.expire()
         self.pause_relays.expire()
+        self.addresses.expire()
         self._tell_stale()
         self.permission_log.check()
         for target in self.directory.services.values():
@@ -105,6 +108,7 @@
 
     def receive(self, update: datagrams.PeerUpdate) -> None:
         """Apply an update of another instance."""
+        self.addresses.note_heard(update)
         self.directory.receive_update(update)
         if update.stale and update.answers_s is not None:
             self.directory.permission.note_stale_peer(update.instance, update.answers_s)
@@ -225,8 +229,7 @@
 
     def _address_of(self, instance: ids.InstanceId) -> datagrams.PeerAddress | None:
         """Return where an instance can be answered; None if it cannot."""
-        peer = self.directory.instances.entries.get(instance)
-        return None if self.peers is None or peer is None else peer.address
+        return None if self.peers is None else self.addresses.find(instance)
 
     # Sending
 
