Complete a change of primary before an instance stops

Callers' statements reached a leaving primary later than drain_ms, by planned work alone: the instance that changed the primary was stopped as planned, ended as soon as its callers had gone, and cancelled the change. The next holder began anew.

Cause: the stop waited for callers and forwarded statements only.

Change: the stop also waits for a change of primary that is under way, until five sixths of the grace; no new one is begun after the request to stop, as before.

Test: test_an_instance_that_stops_completes_the_change_of_primary_that_it_has_begun.

--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -52,7 +52,7 @@
 """Deadline of the last statements after the request to stop, in halves of ``stop_grace_s``. Until
 the last sixth of the grace a server's answer is waited for; the rest is for the shutdown itself."""
 FORWARDED_POLL_S = 0.05
-"""Interval of the check whether all forwarded statements have ended."""
+"""Interval of the check whether all forwarded statements, or changes of primary, have ended."""
 
 
 class Instance:
@@ -243,6 +243,8 @@
             self.relay_server.running and loop.time() < started_s + LAST_STATEMENT_HALVES * half_s
         ):
             await asyncio.sleep(FORWARDED_POLL_S)
+        while self.watch.is_changing and loop.time() < started_s + LAST_STATEMENT_HALVES * half_s:
+            await asyncio.sleep(FORWARDED_POLL_S)
         events.log(
             events.Event.STOPPED,
             instance=self.config.instance,
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -92,6 +92,12 @@
     def __repr__(self) -> str:
         return f"FailoverWatch(directory={self.directory!r})"
 
+    @property
+    def is_changing(self) -> bool:
+        """Whether this instance is changing a primary."""
+        tasks = (watch.changing for watch in self.watches.values())
+        return any(task is not None and not task.done() for task in tasks)
+
     async def run(self) -> None:
         """Watch until cancelled."""
         loop = asyncio.get_running_loop()
--- a/tests/platform/test_changes_of_primary.py
+++ b/tests/platform/test_changes_of_primary.py
@@ -10,6 +10,8 @@
 
 PROMOTION_DELAY_S = 0.9
 """Time from a promotion request until its server leads."""
+TAKEOVER_STARTED = '"event": 515'
+"""Part of the line that an instance logs as it begins to change a primary."""
 
 
 class Changes:
@@ -18,6 +20,7 @@
     def __init__(self, deployment: platform_deployment.Deployment) -> None:
         self.deployment = deployment
         self.group = deployment.group
+        self.promotion_delay_s = PROMOTION_DELAY_S
         self.requested: asyncio.Future[ids.ServerId] = asyncio.Future()
         self.instances: list[platform_deployment.Instance] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -49,7 +52,7 @@
             return True
         if not self.requested.done():
             self.requested.set_result(ids.ServerId(server))
-        asyncio.get_running_loop().call_later(PROMOTION_DELAY_S, self.group.promote, server)
+        asyncio.get_running_loop().call_later(self.promotion_delay_s, self.group.promote, server)
         return True
 
     async def _keep_listed(self) -> None:
@@ -123,3 +126,21 @@
     changes.group.servers[successor].not_receiving = True
     await changes.wait_for_primary(successor)
     assert changes.group.lost == []
+
+
+async def test_an_instance_that_stops_completes_the_change_of_primary_that_it_has_begun(changes):
+    """Statements reached a leaving primary later than allowed: its hand-over was abandoned at a
+    planned stop as soon as the callers had gone, and the next holder of the claim began anew.
+    """
+    changes.promotion_delay_s = 2.0
+    changes.group.primary.leaving = True
+    successor = await changes.requested
+    began = [each for each in changes.instances if TAKEOVER_STARTED in each.log.read_text()]
+    assert len(began) == 1
+    began[0].process.terminate()
+    await began[0].process.wait()
+    assert changes.group.servers[successor].role is promotion.Role.PRIMARY
+    await changes.wait_for_primary(successor)
+    started = [each.log.read_text().count(TAKEOVER_STARTED) for each in changes.instances]
+    assert sum(started) == 1
+    assert changes.group.lost == []
