Ask servers without an entry for a short time in a hand-over

Cause: the removal of an entry cannot be told from its expiry unless the entry has changed within the last 2.5 s, so a server that has left counts like one that is cut off from the store, for 6 s. While the primary answers, its own end proves the choice without them.

Change: a server without an entry that has given the holder no answer gets 0.15 s after the others, in queries and in pauses.

--- a/src/mustardswitch/proxy/successor_choice.py
+++ b/src/mustardswitch/proxy/successor_choice.py
@@ -21,8 +21,13 @@
 STOP_ORDERS = 2
 """Orders to stop which a primary answers without stopping, after which it is asked no more."""
 UNLIKELY_ANSWER_S = 0.15
-"""Time that a replica whose entry expired long ago gets to answer after the others; a new
-connection and a query between regions."""
+"""Time that a server which has lost its entry, and has given no answer yet, gets to answer after
+the others; a new connection and a query between regions."""
+
+Command = collections.abc.Callable[
+    [collections.abc.Set[ids.ServerId]], collections.abc.Awaitable[server_commands.Statuses]
+]
+"""Sends one command to servers, and returns the status of each one that answers."""
 
 IGNORED = promotion.Choice(
     verdict=promotion.Verdict.WAIT, reason="the primary runs and does not take the order to stop"
@@ -87,15 +92,47 @@
     async def _query_known(
         self, servers: collections.abc.Set[ids.ServerId]
     ) -> server_commands.Statuses:
-        """Query servers; those without an entry for long get little time to answer."""
-        unlikely = servers - self.confirming()
-        looking = asyncio.create_task(self.commands.query(unlikely))
+        """Query servers; those that hardly answer get little time."""
+        unlikely = (servers - self.confirming()) | self._unlikely(servers)
+        return await self._ask(self.commands.query, servers, unlikely=unlikely)
+
+    def _unlikely(self, servers: collections.abc.Set[ids.ServerId]) -> set[ids.ServerId]:
+        """Return the servers without an entry that have given this holder no answer.
+
+        Most of them have left. The end of a primary that answers proves a choice without them.
+        """
+        return servers & self.target.unlisted.keys() - self.commands.answers.keys()
+
+    async def _ask(
+        self,
+        command: Command,
+        servers: collections.abc.Set[ids.ServerId],
+        *,
+        unlikely: collections.abc.Set[ids.ServerId],
+    ) -> server_commands.Statuses:
+        """Send a command to servers; the ``unlikely`` ones get little time after the others."""
+        asking = asyncio.create_task(command(unlikely))
         try:
-            statuses = await self.commands.query(servers - unlikely)
-            done, _ = await asyncio.wait({looking}, timeout=UNLIKELY_ANSWER_S)
-            return statuses | (looking.result() if done else {})
+            statuses = await command(servers - unlikely)
+            done, _ = await asyncio.wait({asking}, timeout=UNLIKELY_ANSWER_S)
+            return statuses | (asking.result() if done else {})
         finally:
-            await tasks.cancel_and_wait([looking])
+            await tasks.cancel_and_wait([asking])
+
+    async def _pause_beside_primary(
+        self,
+        statuses: server_commands.Statuses,
+        *,
+        spared: collections.abc.Set[ids.ServerId | None],
+    ) -> server_commands.Statuses:
+        """Pause the other servers of a primary that answers; see ``pause_others``."""
+
+        async def pause(servers: collections.abc.Set[ids.ServerId]) -> server_commands.Statuses:
+            others = self.possible_holders() - servers
+            return await self.pause_others(statuses, spared=spared | others)
+
+        servers = self.possible_holders() - spared
+        return await self._ask(pause, servers, unlikely=self._unlikely(servers))
 
     def _may_be_listed_again(self, name: ids.ServerId) -> bool:
         """Return whether a server is listed, or its entry was removed a short time ago.
@@ -148,7 +185,7 @@
         """Pause the other servers until the successor alone confirms commits and lacks none."""
         started_s = clock.now_s()
         while True:
-            paused = await self.pause_others(statuses, spared={primary, successor})
+            paused = await self._pause_beside_primary(statuses, spared={primary, successor})
             latest = await self.commands.query({successor})
             choice = promotion.Choice(
                 verdict=promotion.Verdict.WAIT, reason="the successor does not answer"
@@ -165,7 +202,7 @@
             if not waiting or clock.now_s() - started_s > HANDOVER_TIMEOUT_S:
                 return choice
             await asyncio.sleep(claimed_attempt.POLL_S)
-            statuses = await self.commands.query(self.confirming() - {primary, successor})
+            statuses = await self._query_known(self.confirming() - {primary, successor})
 
     async def _reaches(self, server: ids.ServerId, end: positions.Position) -> bool:
         """Return whether a server receives a position within ``end_of_commits.SUCCESSOR_LAG_S``."""
