End new work for a leaving server by its notice

Cause: nothing but a change of primary ended the work for a leaving primary, and drain_ms was not known to the instances.

Change: one decision without I/O, internal/leave_notices.py: when the notice began (the earliest time that the records allow), until when new work may be sent, and whether callers wait or are refused, and for how long. It is asked where a statement is written to its connection: single reads and writes, the first statement of a transaction, its COMMIT without statements, forwarded statements at their gateway. Statements that wait in a pool are refused as the notice ends.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -112,7 +112,8 @@
     """A backend server appeared in the platform's list, ``age_s`` after its start by the time of
     day."""
     SERVER_LEAVING = EventKind(411, logbook.INFO, "server leaving")
-    """A backend server announced that it leaves; it receives no new work."""
+    """A backend server announced that it leaves, at most ``announced_s`` before this line; None if
+    the time is not known. A replica gets no new work from now on, the primary until 419."""
     SERVER_GONE = EventKind(412, logbook.INFO, "server removed")
     """A backend server is no longer listed, or was restarted under its id."""
     SERVER_LOST = EventKind(413, logbook.WARNING, "connection to server lost")
@@ -129,6 +130,11 @@
     SERVER_COVERED = EventKind(418, logbook.INFO, "server listed no more, covered")
     """The process of a backend server has ended, and another one has received the end that the log
     of the primary had after that; so the server holds no commit alone, and is not waited for."""
+    SERVER_CLOSED = EventKind(419, logbook.WARNING, "server leaving, no new work")
+    """A backend server that leaves gets no single statements and no first ones of transactions any
+    more. It has announced that at most ``announced_s`` ago, which was read ``read_s`` ago.
+    ``leads`` tells whether it is the primary still, ``waiting`` how many statements had a place in
+    the queue for it, ``verdict`` and ``reason`` what its callers get."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
     """The latest evidence names another leader for a service. ``from`` tells the leader before, the
     term of the new lead, what proved the promotion, and the instance that held the claim, as far as
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -6,7 +6,7 @@
 
 from mustardswitch import build, events, metrics, tasks
 from mustardswitch.clients import caller_limits
-from mustardswitch.internal import ids
+from mustardswitch.internal import ids, leave_notices
 from mustardswitch.internal.admission import memory
 from mustardswitch.internal.tenants import handover
 from mustardswitch.peers import (
@@ -75,6 +75,7 @@
             forwarder=forwarded.Forwarder(client=self.relays),
             features=config.features,
             listing_s=config.listing_s,
+            drain=leave_notices.DrainSettings(drain_s=config.drain_s),
         )
         self.records = record_source.RecordSource(directory=self.directory)
         self.relay_server = relay_server.RelayServer(
@@ -109,7 +110,6 @@
         self.follower.on_applied = self.coordination.note_seen
         self.members = member_writer.MemberWriter(client=self.client, directory=self.directory)
         self.coverage = coverage.Coverage(directory=self.directory)
-        self.coverage = coverage.Coverage(directory=self.directory)
         self.directory.limits.valid_until = self._valid_until_s
         self.directory.limits.exchange = limit_loans.LimitExchange(client=self.relays)
         self.peers = datagrams.PeerDatagrams(
@@ -214,6 +214,7 @@
             events.log(events.Event.SETTINGS_REJECTED, reason=str(error))
             return
         self.config = reloaded
+        self.directory.drain.drain_s = reloaded.drain_s
         events.log(events.Event.SETTINGS_RELOADED, stop_grace_s=reloaded.stop_grace_s)
 
     async def _stop(self) -> None:
--- a/src/mustardswitch/platform/settings.py
+++ b/src/mustardswitch/platform/settings.py
@@ -16,6 +16,10 @@
 """Environment variable that holds the path of the settings file."""
 
 MAX_COUNT = 10**9
+MAX_MS = 24 * 3600 * 1000
+"""Longest time in milliseconds that a setting may give: a day."""
+DEFAULT_DRAIN_S = 7.0
+"""The time on the platforms that are known, in seconds; servers go on answering for longer."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +68,8 @@
     limits: Limits = dataclasses.field(default_factory=Limits)
     listing_s: float = unlisted_servers.DEFAULT_LISTING_S
     """Seconds from the start of a backend server until it is listed."""
+    drain_s: float = DEFAULT_DRAIN_S
+    """Seconds for which a backend server gets new work once it has announced that it leaves."""
 
 
 def settings_path() -> pathlib.Path:
@@ -112,6 +118,7 @@
         features=_read_features(reader) if fields.get("contracts") else feature_set.NO_FEATURES,
         limits=_read_limits(reader) if fields.get("limits") else Limits(),
         listing_s=_read_listing_s(reader),
+        drain_s=_read_drain_s(reader),
     )
 
 
@@ -125,6 +132,16 @@
     return unlisted_servers.time_to_list_s(given.seconds("heartbeat_ms") / 1000)
 
 
+def _read_drain_s(reader: "_Reader") -> float:
+    """Return the time for which leaving servers get new work."""
+    if not reader.fields.get("servers"):
+        return DEFAULT_DRAIN_S
+    given = _Reader(fields=reader.value("servers", dict), source=f"{reader.source}: servers")
+    if given.fields.get("drain_ms") is None:
+        return DEFAULT_DRAIN_S
+    return given.milliseconds("drain_ms") / 1000
+
+
 def _read_limits(reader: "_Reader") -> Limits:
     """Return the limits; one that is omitted has its default."""
     given = _Reader(fields=reader.value("limits", dict), source=f"{reader.source}: limits")
@@ -186,6 +203,15 @@
             )
         return int(value)
 
+    def milliseconds(self, name: str) -> float:
+        value = self.value(name, int | float)
+        if not 0 < value <= MAX_MS:
+            raise errors.SettingsError(
+                f"{self.source}: field {name} is {value!r}; give milliseconds above 0, at most"
+                f" {MAX_MS}"
+            )
+        return float(value)
+
     def seconds(self, name: str) -> float:
         value = self.value(name, int | float)
         if value <= 0:
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -10,6 +10,7 @@
     clock,
     commit_permission,
     ids,
+    leave_notices,
     registration_list,
     unlisted_servers,
 )
@@ -70,10 +71,12 @@
         forwarder: forwarded.Forwarder | None = None,
         features: feature_set.Features = feature_set.NO_FEATURES,
         listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
+        drain: leave_notices.DrainSettings | None = None,
     ) -> None:
         self.features = features
         self.listing_s = listing_s
         """Time from the start of a server until it is listed."""
+        self.drain = drain or leave_notices.DrainSettings()
         self.paces = server_pace.PaceBook(registry=registry) if features.pace else None
         self.forwarder = forwarder
         self.stall_meter = stalls.StallMeter() if features.placement else None
@@ -235,6 +238,7 @@
                     permission=self.permission,
                     permitted=self.may_send_commits,
                     listing_s=self.listing_s,
+                    drain=self.drain,
                 )
                 self.services[name] = target
                 target.note_recorded_promotion(self.promotions.get(name))
--- a/src/mustardswitch/proxy/errors.py
+++ b/src/mustardswitch/proxy/errors.py
@@ -21,6 +21,13 @@
     """Raised when no server is known to lead a service by the deadline."""
 
 
+class ServerLeavingError(NoLeaderError):
+    """Raised when the server that leads leaves and may get no new work; nothing was run.
+
+    The message tells after which time to try again.
+    """
+
+
 class NotSentError(ProxyError):
     """Raised when a statement could not be sent to any server; it was not run."""
 
--- a/src/mustardswitch/proxy/explanation.py
+++ b/src/mustardswitch/proxy/explanation.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 
-from mustardswitch.internal import clock, ids, positions
+from mustardswitch.internal import clock, ids, leave_notices, positions
 from mustardswitch.internal.placement import health, read_placement, server_choice
 from mustardswitch.proxy import (
     directory,
@@ -223,7 +223,7 @@
             cost_s=cost_s,
             latency_s=latency_s,
             in_flight=backend.in_flight,
-            reasons=self._reasons(backend, candidate),
+            reasons=self._reasons(backend, candidate, context),
             pool=explanation_fields.PoolState(
                 action=forecast.action.value,
                 ahead=forecast.ahead,
@@ -237,12 +237,17 @@
         )
 
     def _reasons(
-        self, backend: server.Server, candidate: read_placement.ReadCandidate
+        self,
+        backend: server.Server,
+        candidate: read_placement.ReadCandidate,
+        context: statement_context.StatementContext,
     ) -> list[str]:
         now_s = clock.now_s()
         reasons = [f"distance {candidate.distance.name.lower()}"]
         if candidate.leads:
             reasons.append("leads")
+        if backend.entry.leaving:
+            reasons.append(f"leaves: {self._new_work(backend, context, now_s)}")
         if read_placement.is_lagging(candidate, self.min_position):
             left_s = backend.recheck_at_s - now_s
             reasons.append(
@@ -259,6 +264,17 @@
             reasons += _health_reasons(backend.health)
         return reasons
 
+    def _new_work(
+        self,
+        backend: server.Server,
+        context: statement_context.StatementContext,
+        now_s: float,
+    ) -> str:
+        left_s = context.service.work_ends_s(backend) - now_s
+        if left_s == float("inf"):
+            return "gets new work until another server leads"
+        return f"gets new work for {left_s:.1f} s" if left_s > 0 else "gets no new work"
+
     # Verdict
 
     def _verdict(
@@ -289,6 +305,12 @@
         self, context: statement_context.StatementContext, first: explanation_fields.ServerState
     ) -> str:
         backend = context.service.servers[first.server]
+        decision = context.service.decide_new_work(backend)
+        if decision.verdict is leave_notices.Verdict.REFUSE:
+            refusal = context.service.refusal_of_new_work(backend, decision)
+            return f"refused: {refusal}"
+        if decision.verdict is leave_notices.Verdict.WAIT:
+            return f"waits: server {first.server} leaves; {decision.reason}"
         if self.kind is not Kind.READ and not context.service.may_commit(backend):
             if not context.service.commits.permitted():
                 return f"waits: primary {first.server} may have been replaced unnoticed"
--- a/src/mustardswitch/proxy/failover_watch.py
+++ b/src/mustardswitch/proxy/failover_watch.py
@@ -116,6 +116,7 @@
             for name, target in self.directory.services.items():
                 watch = self.watches.setdefault(name, ServiceWatch(target=target))
                 self._check(watch, stall_s)
+                target.end_new_work()
             self._send_votes()
             if self.updates is not None:
                 self.updates.check()
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -47,6 +47,8 @@
         self.leader_is_full = False
         """Whether the leader cannot serve the read before its deadline; it is not tried again then
         (``errors.NoRoomError``)."""
+        self.refused_by_leaver: requests.Answer | None = None
+        """The refusal since the leader leaves and gets no new work; None without one."""
 
     # Minimum positions
 
@@ -129,11 +131,22 @@
                 answer = await self._run_at_leader(statement)
             if answer is not None:
                 return answer
+            if self.refused_by_leaver is not None and not self._may_run_at_replicas():
+                return self.refused_by_leaver
             if self.leader_is_full or not await self.context.wait_before_retry():
                 return self.last_refusal or requests.refuse(
                     requests.Refusal.OVERLOADED, "no server could serve the read in time"
                 )
 
+    def _may_run_at_replicas(self) -> bool:
+        """Return whether a server that stays may serve the read before its deadline."""
+        if self.context.route.kind is requests.RouteKind.PRIMARY:
+            return False
+        return any(
+            not each.entry.leaving and not each.unreachable
+            for each in self.service.servers.values()
+        )
+
     async def _run_at_replicas(
         self, statement: requests.Plain | ports.RunPrepared, min_position: positions.Position
     ) -> requests.Answer | None:
@@ -238,6 +251,10 @@
     async def _exchange(
         self, backend: server.Server, link: ports.Link, command: ports.ReadAt
     ) -> requests.Answer | None:
+        if not self.service.accepts_new_work(backend):
+            backend.pool.release(link, clean=True)
+            self._note_skipped(backend, "the server leaves")
+            return None
         started_s = clock.now_s()
         answer = await self._send(backend, link, command)
         if answer is None:
@@ -301,10 +318,17 @@
         except errors.NoRoomError as error:
             self._note_full(error)
             return None
+        except errors.ServerLeavingError as error:
+            self.refused_by_leaver = requests.refuse(requests.Refusal.OVERLOADED, str(error))
+            self.last_refusal = self.refused_by_leaver
+            return None
         except errors.ProxyError as error:
             self.last_refusal = requests.refuse(requests.Refusal.OVERLOADED, str(error))
             return None
         backend, link = pinned.backend, pinned.link
+        if not self.service.accepts_new_work(backend):
+            self.service.roll_back(backend, link)
+            return None
         started_s = clock.now_s()
         answer = await self._send(backend, link, statement, last=requests.Rollback())
         if answer is None:
--- a/src/mustardswitch/proxy/server_list.py
+++ b/src/mustardswitch/proxy/server_list.py
@@ -10,6 +10,7 @@
     commit_permission,
     ids,
     leadership,
+    leave_notices,
     members,
     positions,
     promotion,
@@ -72,6 +73,13 @@
     return round(time.time() - entry.started_ms / 1000, 1) if entry.started_ms else None
 
 
+def _notice_age_s(notice: leave_notices.LeaveNotice | None) -> float | None:
+    """Return the most seconds since a server has announced that it leaves; None if unknown."""
+    if notice is None or notice.not_before_s == float("-inf"):
+        return None
+    return round(notice.read_at_s - notice.not_before_s, 3)
+
+
 class ServerList:
     """The servers of one service, and this instance's connections to them."""
 
@@ -88,6 +96,7 @@
         registrations: commit_holds.SourceList | None,
         listing_s: float,
         permission: commit_permission.CommitPermission,
+        drain: leave_notices.DrainSettings | None,
     ) -> None:
         self.paces = paces
         """Limits of servers that have just started; None when the feature is off."""
@@ -128,6 +137,8 @@
         self.leadership = leadership.Leadership()
         self.permission = permission
         """As of when the records are that this instance has applied."""
+        self.leave_notices = leave_notices.LeaveNotices(drain=drain)
+        """Which servers have announced that they leave, and until when they get new work."""
         self.forgotten: dict[members.Member, None] = {}
         """Covered servers that were forgotten here, the latest ones."""
 
@@ -150,11 +161,19 @@
                 self._remove(backend, "started anew")
         for entry in sorted(listed.values(), key=lambda each: each.revision):
             self._apply_entry(entry)
+        self.leave_notices.forget_old(clock.now_s())
         self._note_change()
 
     def _apply_entry(self, entry: ports.ServerEntry) -> None:
         backend = self.servers.get(entry.server)
         role_before = backend.entry.role if backend else None
+        notice = self.leave_notices.note_entry(
+            unlisted.member_of(entry),
+            leaving=entry.leaving,
+            listed_before=backend is not None and not backend.entry.leaving,
+            as_of_s=self.permission.as_of_s,
+            now_s=clock.now_s(),
+        )
         self.seen_listed.add(entry.server)
         if backend is None:
             distance = self.location.distance(entry.zone)
@@ -184,6 +203,7 @@
                 age_s=_age_s(entry),
                 revision=entry.revision,
                 leaving=entry.leaving,
+                announced_s=_notice_age_s(notice),
             )
         elif backend.entry.revision != entry.revision:
             backend.entry_written_at_s = self._written_since_s()
@@ -194,6 +214,7 @@
                 server=entry.server,
                 leaving=entry.leaving,
                 revision=entry.revision,
+                announced_s=_notice_age_s(notice),
             )
         backend.entry = entry
         if backend.pace is not None:
@@ -204,6 +225,14 @@
                 note = self.leadership.note_leading
             note(entry.server, at_s=clock.now_s())
 
+    def accepts_new_work(self, backend: server.Server) -> bool:
+        """Return whether a single statement, or a transaction's first one, may be sent now."""
+        return clock.now_s() < self.work_ends_s(backend)
+
+    def work_ends_s(self, backend: server.Server) -> float:
+        """Return the time from which a server gets no new work; infinite if none is known."""
+        return self.leave_notices.work_ends_s(unlisted.member_of(backend.entry))
+
     def _remove(self, backend: server.Server, why: str) -> None:
         del self.servers[backend.server]
         now_s = clock.now_s()
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -4,13 +4,16 @@
 import collections.abc
 import contextlib
 import copy
+import dataclasses
+import math
 
-from mustardswitch import metrics
+from mustardswitch import events, metrics
 from mustardswitch.internal import (
     acknowledged_end,
     clock,
     commit_permission,
     ids,
+    leave_notices,
     position_history,
     positions,
     suspicion,
@@ -31,12 +34,13 @@
     server_pace,
     stalls,
     status_queries,
+    unlisted,
 )
 
 HISTORY_RETENTION_S = 10.0
 """Largest staleness that reads can accept."""
 PERMISSION_POLL_S = 0.05
-"""Interval at which a commit that waits for current records looks for them."""
+"""Interval at which work looks whether it may be sent, if that may change with time only."""
 FINISH_TIMEOUT_S = 1.0
 """Time for the answer to the last command on a connection before it is closed."""
 
@@ -59,6 +63,7 @@
         permission: commit_permission.CommitPermission | None = None,
         permitted: collections.abc.Callable[[], bool] = lambda: True,
         listing_s: float = unlisted_servers.DEFAULT_LISTING_S,
+        drain: leave_notices.DrainSettings | None = None,
     ) -> None:
         super().__init__(
             name=name,
@@ -71,6 +76,7 @@
             registrations=registrations,
             listing_s=listing_s,
             permission=permission or commit_permission.CommitPermission(),
+            drain=drain,
         )
         self.order_opener = order_opener or self._open_for_order
         """Opens connections for orders to stop, with more time for a server that is slow."""
@@ -93,6 +99,8 @@
         self.samples = acknowledged_end.RecentSamples()
         self.changed = asyncio.Event()
         """Set, and then replaced, when the servers or the leader may have changed."""
+        self.closed_to_new_work: set[ids.ServerId] = set()
+        """Listed servers that leave and get no new work any more."""
         self.leader_changes = leader_changes.LeaderChanges(service=name)
 
     def __repr__(self) -> str:
@@ -260,34 +268,96 @@
         """
         return self.commits.allows(leader.server)
 
+    # New work
+
+    def decide_new_work(self, backend: server.Server) -> leave_notices.Decision:
+        """Decide what becomes of new work for a server that leads."""
+        staying = sum(not each.entry.leaving for each in self.servers.values())
+        succession = leave_notices.Succession(staying=staying)
+        if self.hold.since_s is not None:
+            succession = dataclasses.replace(succession, recorded_at_s=self.hold.since_s)
+        member = unlisted.member_of(backend.entry)
+        return self.leave_notices.decide(member, succession, clock.now_s())
+
+    def end_new_work(self) -> None:
+        """Refuse what waits for servers that get no new work any more; call at short intervals."""
+        if not self.leave_notices.notices and not self.closed_to_new_work:
+            return
+        now_s = clock.now_s()
+        closed = {each.server for each in self.servers.values() if not self.accepts_new_work(each)}
+        for name in closed - self.closed_to_new_work:
+            self._report_closed(self.servers[name], now_s)
+            self.servers[name].pool.reject_waiters(
+                "the server leaves", include_waiting_for_server=True
+            )
+        changed, self.closed_to_new_work = closed != self.closed_to_new_work, closed
+        if changed:
+            self._note_change()
+
+    def _report_closed(self, backend: server.Server, now_s: float) -> None:
+        notice = self.leave_notices.notice_of(unlisted.member_of(backend.entry))
+        decision = self.decide_new_work(backend)
+        self.registry.count("servers_closed_to_new_work", self.name)
+        events.log(
+            events.Event.SERVER_CLOSED,
+            service=self.name,
+            server=backend.server,
+            leads=self.leader is backend,
+            announced_s=round(now_s - notice.not_before_s, 3),
+            read_s=round(now_s - notice.read_at_s, 3),
+            waiting=backend.pool.waiting,
+            verdict=decision.verdict.value,
+            reason=decision.reason,
+        )
+
+    def refusal_of_new_work(
+        self, backend: server.Server, decision: leave_notices.Decision
+    ) -> errors.ServerLeavingError:
+        """Return the error for new work that may not be sent to a leaving server."""
+        retry_ms = math.ceil(1000 * decision.retry_s)
+        return errors.ServerLeavingError(
+            f"server {backend.server} of service {self.name} leaves: {decision.reason};"
+            f" retry after {retry_ms} ms"
+        )
+
     async def wait_leader(self, deadline_s: float, *, for_commits: bool = False) -> server.Server:
         """Return the leader, or wait for one until ``deadline_s`` on the event loop's clock.
 
-        With ``for_commits`` a leader that ``may_commit`` excludes is not returned. Raises
-        NoLeaderError, at once if this instance hears neither from the store nor from all others.
+        A leader that gets no new work is not returned, and with ``for_commits`` none that
+        ``may_commit`` excludes. Raises NoLeaderError: at once if this instance hears neither from
+        the store nor from all others, and as ServerLeavingError if the leader leaves and no other
+        server is about to lead.
         """
         loop = asyncio.get_running_loop()
         held = False
-        while (found := self.leader) is None or (for_commits and not self.may_commit(found)):
+        while True:
+            found = self.leader
+            closed = found is not None and not self.accepts_new_work(found)
+            if found is not None and not closed and (not for_commits or self.may_commit(found)):
+                return found
             if for_commits and self.commits.is_cut_off():
                 raise errors.NoLeaderError(
                     f"the primary of service {self.name} may have been replaced unnoticed"
                 )
+            if closed:
+                decision = self.decide_new_work(found)
+                if decision.verdict is leave_notices.Verdict.REFUSE:
+                    self.registry.count("new_work_refused", self.name)
+                    raise self.refusal_of_new_work(found, decision)
             if found is not None and not held:
                 held = True
                 self.hold.waited += 1
             changed = self.changed
             try:
                 async with asyncio.timeout(deadline_s - loop.time()):
-                    await self._wait_for(changed, for_commits=for_commits)
+                    await self._wait_for(changed, polls=for_commits or closed)
             except TimeoutError as error:
                 why = "no server leads" if found is None else "the primary is replaced in"
                 raise errors.NoLeaderError(f"{why} service {self.name}") from error
-        return found
 
-    async def _wait_for(self, changed: asyncio.Event, *, for_commits: bool) -> None:
-        """Wait for a change of the servers or the leader, or until commits may be permitted."""
-        if not for_commits:
+    async def _wait_for(self, changed: asyncio.Event, *, polls: bool) -> None:
+        """Wait for a change of the servers or the leader; with ``polls`` not for long."""
+        if not polls:
             await changed.wait()
             return
         with contextlib.suppress(TimeoutError):
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -54,7 +54,11 @@
             refused = await self._ensure_begun(context, statement.shape)
             if refused is not None:
                 return refused
-            answer = await self._send(context, statement)
+            try:
+                answer = await self._send(context, statement)
+            except errors.ServerLeavingError:
+                self._roll_back()
+                continue
             lost_lead = answer.refusal is requests.Refusal.READ_ONLY and self.statements == 0
             if lost_lead and await context.wait_before_retry():
                 self._roll_back()
@@ -99,7 +103,10 @@
         context: statement_context.StatementContext,
         statement: requests.Plain | ports.RunPrepared,
     ) -> requests.Answer:
-        """Send a statement, and again while the server rejects it as overloaded."""
+        """Send a statement, and again while the server rejects it as overloaded.
+
+        Raises ServerLeavingError for the first one if the server gets no new work any more.
+        """
         while True:
             answer = await self._send_once(context, statement)
             if answer.succeeded:
@@ -115,6 +122,8 @@
     ) -> requests.Answer:
         pinned = self.pinned
         backend, link = pinned.backend, pinned.link
+        if not self.statements and not self.service.accepts_new_work(backend):
+            raise errors.ServerLeavingError(f"server {backend.server} leaves")
         query_sent_at_s = clock.now_s()
         shown_before = context.service.acknowledged.shown_by(backend.server)
         backend.in_flight += 1
@@ -184,9 +193,17 @@
 
     async def commit(self, context: statement_context.StatementContext) -> requests.Answer:
         """Commit; without an answer the outcome is unknown if the transaction has written."""
-        refused = await self._ensure_begun(context, None)
-        if refused is not None:
-            return dataclasses.replace(refused, state=IDLE)
+        while True:
+            refused = await self._ensure_begun(context, None)
+            if refused is not None:
+                return dataclasses.replace(refused, state=IDLE)
+            try:
+                return await self._commit(context)
+            except errors.ServerLeavingError:
+                self._roll_back()
+
+    async def _commit(self, context: statement_context.StatementContext) -> requests.Answer:
+        """Commit on the connection of the transaction; raises ServerLeavingError as ``_send``."""
         while True:
             if self.wrote and not self.service.may_commit(self.pinned.backend):
                 # It would be aborted when the promotion takes effect; the caller can retry now.
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -26,7 +26,8 @@
             backend = await context.service.wait_leader(context.deadline_s, for_commits=True)
             link = await context.acquire(backend, statement.shape)
             await context.prepare_link(backend, link, shape=statement.shape)
-            if not context.service.may_commit(backend):
+            service = context.service
+            if not service.may_commit(backend) or not service.accepts_new_work(backend):
                 backend.pool.release(link, clean=True)
                 continue
         except (errors.NoLeaderError, errors.NoRoomError) as error:
--- a/src/mustardswitch_standins/platform_deployment.py
+++ b/src/mustardswitch_standins/platform_deployment.py
@@ -90,8 +90,13 @@
         await self.links.listen(listener)
         return listener.port
 
-    async def start_instance(self, name: str, limits: dict[str, int] | None = None) -> "Instance":
-        """Start an instance, with ``limits`` in its settings, and wait until it is ready.
+    async def start_instance(
+        self,
+        name: str,
+        limits: dict[str, int] | None = None,
+        servers: dict[str, int] | None = None,
+    ) -> "Instance":
+        """Start an instance, with these parts of its settings, and wait until it is ready.
 
         Raises ``TimeoutError`` if that takes longer than ``START_TIMEOUT_S``.
         """
@@ -110,7 +115,11 @@
         settings = self.directory / f"{name}.yaml"
         settings.write_text(
             encode_settings(
-                instance, store_port=store_port, promotion_port=self.store_port, limits=limits
+                instance,
+                store_port=store_port,
+                promotion_port=self.store_port,
+                limits=limits,
+                servers=servers,
             )
         )
         instance.log = self.directory / f"{name}-{len(self.processes)}.log"
@@ -207,6 +216,7 @@
     regions: collections.abc.Mapping[str, str] = REGIONS,
     stop_grace_s: float = 3,
     limits: dict[str, int] | None = None,
+    servers: dict[str, int] | None = None,
 ) -> str:
     """Return the settings file of an instance in an availability zone."""
     return f"""
@@ -221,6 +231,7 @@
 promotions: 127.0.0.1:{promotion_port}
 stop_grace_s: {stop_grace_s}
 limits: {json.dumps(limits)}
+servers: {json.dumps(servers)}
 """
 
 
