Ask other instances when a leaving server can have announced that

An instance that starts during a notice finds a leaving server and no time. It sends no new work then until another instance has told a time before which the store had not accepted the report; such times of several instances are all true, so the latest counts. One that has followed the store asks as well, since its own bound may be up to two seconds early.

The update about stale records is built in a module of its own.

--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -13,7 +13,13 @@
 
 from mustardswitch import events, metrics
 from mustardswitch.internal import former_primary, ids, positions
-from mustardswitch.peers import datagram_fields, errors, pauses, told_commits
+from mustardswitch.peers import (
+    datagram_fields,
+    errors,
+    leave_questions,
+    pauses,
+    told_commits,
+)
 
 MAX_BYTES = 1200
 """Fits one packet on any usual network link."""
@@ -21,6 +27,8 @@
 """Votes in one datagram; those for more services go into further datagrams."""
 MAX_PROMOTIONS = 8
 """Recorded promotions, and confirmations, in one datagram."""
+MAX_QUESTIONS = 4
+"""Questions about leaving servers, and answers to them, in one datagram."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -122,6 +130,9 @@
     pause_orders: tuple[pauses.PauseOrder, ...] = ()
     """Servers that the sender does not reach; the receivers answer with ``pause_reports``."""
     pause_reports: tuple[pauses.PauseReport, ...] = ()
+    leave_asked: tuple[leave_questions.LeaveQuestion, ...] = ()
+    """Leaving servers; the receivers answer with ``leave_told`` what they know."""
+    leave_told: tuple[leave_questions.LeaveAnswer, ...] = ()
     sender: PeerAddress | None = None
     """Address that it came from, which is not encoded; None if it was not received."""
 
@@ -175,6 +186,10 @@
         fields["pause"] = [pauses.encode_order(each) for each in update.pause_orders]
     if update.pause_reports:
         fields["paused"] = [pauses.encode_report(each) for each in update.pause_reports]
+    if update.leave_asked:
+        fields["leaving"] = list(map(leave_questions.encode_question, update.leave_asked))
+    if update.leave_told:
+        fields["left"] = list(map(leave_questions.encode_answer, update.leave_told))
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -278,6 +293,8 @@
     reports = datagram_fields.decode_list(fields.get("primaries", []), MAX_PROMOTIONS)
     pause = datagram_fields.decode_list(fields.get("pause", []), MAX_PROMOTIONS)
     paused = datagram_fields.decode_list(fields.get("paused", []), MAX_PROMOTIONS)
+    leaving = datagram_fields.decode_list(fields.get("leaving", []), MAX_QUESTIONS)
+    answers = datagram_fields.decode_list(fields.get("left", []), MAX_QUESTIONS)
     leading, proved = fields.get("leading"), fields.get("proved")
     summary = fields.get("summary", "")
     if not isinstance(summary, str):
@@ -297,6 +314,8 @@
         primary_reports=tuple(_decode_report(each) for each in reports),
         pause_orders=tuple(map(pauses.decode_order, pause)),
         pause_reports=tuple(map(pauses.decode_report, paused)),
+        leave_asked=tuple(map(leave_questions.decode_question, leaving)),
+        leave_told=tuple(map(leave_questions.decode_answer, answers)),
     )
 
 
--- a/src/mustardswitch/proxy/peer_updates.py
+++ b/src/mustardswitch/proxy/peer_updates.py
@@ -10,11 +10,13 @@
     acknowledged_ends,
     commit_holds,
     directory,
+    notice_exchange,
     peer_addresses,
     permission_log,
     ports,
     relayed_pauses,
     service,
+    stale_updates,
     stop_orders,
 )
 
@@ -53,6 +55,7 @@
         """Those that were listed when they were looked at last."""
         self.stale_sent_at_s = float("-inf")
         self.permission_log = permission_log.PermissionLog(directory=directory)
+        self.notices = notice_exchange.NoticeExchange(directory=directory)
         self.pause_relays = relayed_pauses.PauseRelays(directory=directory)
         self.relayed_pauses = relayed_pauses.RelayedPauses(directory=directory, peers=peers)
 
@@ -69,6 +72,8 @@
         self.stop_orders.expire()
         self.pause_relays.expire()
         self.addresses.expire()
+        if self.peers is not None:
+            self.notices.check(self.peers.send)
         self._tell_stale()
         self.permission_log.check()
         for target in self.directory.services.values():
@@ -131,6 +136,7 @@
             known = self.primary_reports.get(told.order)
             if known is not None:
                 known[update.instance] = told.report, clock.now_s()
+        self.notices.receive(update, answer=self._answer)
         self.pause_relays.receive(update, answer=self._answer)
         self.relayed_pauses.receive(update)
         recorded = {each.service: each.revision for each in update.promotions}
@@ -153,7 +159,9 @@
             update_back = datagrams.PeerUpdate(instance=self.directory.instance, held=(held,))
             self._answer(update.instance, update_back)
         if update.asked_at_s is not None and self.directory.permission.is_stale(clock.now_s()):
-            self._answer(update.instance, self._stale_update(answers_s=update.asked_at_s))
+            self._answer(
+                update.instance, stale_updates.build(self.directory, answers_s=update.asked_at_s)
+            )
 
     def _report_primary(
         self, order: datagrams.StopOrder, revision: int
@@ -243,51 +251,11 @@
         due = now_s >= self.stale_sent_at_s + repeat_s
         if self.peers is None or not due or not self.directory.permission.is_stale(now_s):
             return
-        update = self._stale_update(asked_at_s=now_s)
+        update = stale_updates.build(self.directory, asked_at_s=now_s)
         if update is not None:
             self.stale_sent_at_s = now_s
             self.peers.send(update)
 
-    def _stale_update(
-        self, *, asked_at_s: float | None = None, answers_s: float | None = None
-    ) -> datagrams.PeerUpdate | None:
-        """Return the update of an instance that does not hear from the store, with all it knows.
-
-        Returns None if that does not fit into one datagram, so that no receiver relies on a part of
-        it.
-        """
-        known = [
-            promoted
-            for target in self.directory.services.values()
-            for promoted in target.recorded_promotions()
-        ]
-        known += self._promotions_of_unknown_services()
-        if len(known) > datagrams.MAX_PROMOTIONS:
-            return None
-        return datagrams.PeerUpdate(
-            instance=self.directory.instance,
-            stale=True,
-            promotions=tuple(known),
-            asked_at_s=asked_at_s,
-            answers_s=answers_s,
-        )
-
-    def _promotions_of_unknown_services(self) -> list[datagrams.RecordedPromotion]:
-        """Return the recorded promotions of services of which no server was ever listed."""
-        listed = self.directory
-        known = [
-            datagrams.RecordedPromotion(
-                service=name, server=server, revision=listed.servers.revision
-            )
-            for name, server in listed.promotions.items()
-        ]
-        known += [
-            promoted
-            for promoted in listed.announced.values()
-            if promoted.revision > listed.servers.revision
-        ]
-        return [promoted for promoted in known if promoted.service not in listed.services]
-
     def hold_commits(
         self,
         promoted: datagrams.RecordedPromotion,
--- a/tests/decisions/test_datagram_parts.py
+++ b/tests/decisions/test_datagram_parts.py
@@ -1,4 +1,4 @@
-"""Parts of datagrams that tell what was acknowledged, and that ask for pauses."""
+"""Parts of datagrams that tell what was acknowledged, and that ask for pauses and notices."""
 
 import contextlib
 import dataclasses
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from mustardswitch.internal import former_primary, ids, positions, promotion
-from mustardswitch.peers import datagrams, errors, pauses, told_commits
+from mustardswitch.peers import datagrams, errors, leave_questions, pauses, told_commits
 from tests.common import datagram_values
 
 SECONDS = st.floats(0, 1e9)
@@ -46,7 +46,15 @@
         running=datagram_values.NUMBERS,
     ),
 )
+QUESTIONS = st.builds(
+    leave_questions.LeaveQuestion,
+    service=datagram_values.NAMES,
+    server=datagram_values.NAMES,
+    started_ms=datagram_values.NUMBERS,
+    asked_at_s=SECONDS,
+)
 PAUSE = ["s", "c", 3, 12.5]
+QUESTION = ["s", "a", 5, 12.5]
 PAUSE_REPORT = [*PAUSE, "replica", 3, [1, 2], True, 0]
 ACKNOWLEDGED = [[[1, 3], 12.5, [[0.5, 0.4, [1, 3]], [0.1, 0, [1, 4]]]], None]
 """What was acknowledged, for the rows of "held"."""
@@ -207,3 +215,59 @@
     datagrams.decode(json.dumps({**datagram_values.VALID, "acknowledged": ACKNOWLEDGED}).encode())
     with pytest.raises(errors.InvalidDatagramError):
         datagrams.decode(json.dumps({**datagram_values.VALID, "acknowledged": rows}).encode())
+
+
+@given(questions=st.lists(QUESTIONS, max_size=datagrams.MAX_QUESTIONS))
+def test_questions_about_leaving_servers_arrive_as_they_were_sent(questions):
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), leave_asked=tuple(questions))
+    assert datagrams.decode(datagrams.encode(update)) == update
+
+
+@given(question=QUESTIONS, age_s=st.floats(0, 1e5))
+def test_the_age_of_an_announcement_is_never_told_too_small(question, age_s):
+    """A receiver would send statements for as much longer."""
+    told = leave_questions.LeaveAnswer(question=question, age_s=age_s)
+    update = datagrams.PeerUpdate(instance=ids.InstanceId("one"), leave_told=(told,))
+    (decoded,) = datagrams.decode(datagrams.encode(update)).leave_told
+    assert decoded.question == question
+    assert age_s <= decoded.age_s <= age_s + 0.002
+
+
+@given(
+    value=datagram_values.VALUES,
+    field=st.sampled_from(["leaving", "left"]),
+    index=st.integers(0, 5),
+)
+def test_anything_told_about_leaving_servers_is_decoded_fully_or_raises_one_error(
+    value, field, index
+):
+    row = QUESTION if field == "leaving" else [*QUESTION, 0.5]
+    rows = value if index == 5 else [[*row[:index], value, *row[index + 1 :]]]
+    data = json.dumps({"instance": "one", field: rows}).encode()
+    with contextlib.suppress(errors.InvalidDatagramError):
+        update = datagrams.decode(data)
+        assert datagrams.decode(datagrams.encode(update)).leave_asked == update.leave_asked
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"leaving": None},
+        {"leaving": [QUESTION] * (datagrams.MAX_QUESTIONS + 1)},
+        {"leaving": [QUESTION[:-1]]},
+        {"leaving": [["", *QUESTION[1:]]]},
+        {"leaving": [["s", None, *QUESTION[2:]]]},
+        {"leaving": [["s", "a", -1, 12.5]]},
+        {"leaving": [["s", "a", 5, None]]},
+        {"left": [QUESTION]},
+        {"left": [[*QUESTION, None]]},
+        {"left": [[*QUESTION, -0.1]]},
+        {"left": [[*QUESTION, "0.1"]]},
+    ],
+    ids=str,
+)
+def test_an_odd_value_about_a_leaving_server_raises_one_error(changes):
+    sound = {"instance": "one", "leaving": [QUESTION], "left": [[*QUESTION, 0.5]]}
+    datagrams.decode(json.dumps(sound).encode())
+    with pytest.raises(errors.InvalidDatagramError):
+        datagrams.decode(json.dumps({**sound, **changes}).encode())
