Count a notice from the last sound entry if another writer has overwritten it

What callers saw: nothing.

Change: while an entry is overwritten, the time as of which its server was staying stands still.

Tests: test_an_announcement_that_another_writer_has_overwritten_counts_from_before (failed before), test_an_announcement_that_was_overwritten_counts_from_the_last_sound_entry.

--- a/src/mustardswitch/internal/leave_notices.py
+++ b/src/mustardswitch/internal/leave_notices.py
@@ -88,6 +88,8 @@
     """When its entry was last seen."""
     staying_as_of_s: float = -math.inf
     """The latest time as of which the records showed it as staying."""
+    is_sound: bool = True
+    """Whether its entry could be read, and was not overwritten by another writer."""
 
 
 class LeaveNotices:
@@ -111,23 +113,27 @@
         listed_before: bool,
         as_of_s: float,
         now_s: float,
+        is_sound: bool = True,
     ) -> LeaveNotice | None:
         """Record an entry that was read; return the announcement if it is new.
 
         The records held everything as of ``as_of_s`` before this reading, and ``listed_before``
         tells whether they listed the server as staying. An entry of a staying server takes an
-        announcement back. One that was removed and is back does not begin anew.
+        announcement back. One that was removed and is back does not begin anew. An entry is not
+        ``is_sound`` if another writer has overwritten it, which may hide an announcement.
         """
         listing = self.listings.setdefault(member, _Listing(listed_at_s=now_s))
         listing.listed_at_s = now_s
+        was_sound, listing.is_sound = listing.is_sound, is_sound
         if not leaving:
             self.notices.pop(member, None)
-            listing.staying_as_of_s = max(listing.staying_as_of_s, as_of_s)
+            if was_sound:
+                listing.staying_as_of_s = max(listing.staying_as_of_s, as_of_s)
             return None
         if member in self.notices:
             return None
         not_before_s = listing.staying_as_of_s
-        if listed_before:
+        if listed_before and was_sound:
             not_before_s = max(not_before_s, as_of_s)
         # Watches may have missed a change for some time.
         not_before_s -= commit_permission.WATCH_LAG_S
--- a/src/mustardswitch/proxy/server_list.py
+++ b/src/mustardswitch/proxy/server_list.py
@@ -173,6 +173,7 @@
             listed_before=backend is not None and not backend.entry.leaving,
             as_of_s=self.permission.as_of_s,
             now_s=clock.now_s(),
+            is_sound=entry.server not in self.hold.registrations.overwritten,
         )
         self.seen_listed.add(entry.server)
         if backend is None:
--- a/tests/decisions/test_leave_notices.py
+++ b/tests/decisions/test_leave_notices.py
@@ -87,6 +87,18 @@
     assert notice.not_before_s == 9.0 - commit_permission.WATCH_LAG_S
 
 
+def test_an_announcement_that_was_overwritten_counts_from_the_last_sound_entry():
+    """The store had accepted it before the entry of another writer, which was read first."""
+    notices = _notices()
+    _read(notices, leaving=False, at_s=10.0, as_of_s=9.0)
+    for at_s in (12.0, 13.0):
+        notices.note_entry(
+            A, leaving=False, listed_before=True, as_of_s=at_s - 0.5, now_s=at_s, is_sound=False
+        )
+    notice = _read(notices, at_s=14.0, as_of_s=13.5)
+    assert notice.not_before_s == 11.5 - commit_permission.WATCH_LAG_S
+
+
 def test_an_announcement_is_taken_back_by_an_entry_of_a_staying_server():
     notices = _notices()
     _read(notices, at_s=14.0, as_of_s=11.0)
--- a/tests/proxy/test_leaving_primary.py
+++ b/tests/proxy/test_leaving_primary.py
@@ -238,6 +238,19 @@
     await _refused_at_once(world, world.open_session(PRIMARY), READ)
 
 
+async def test_an_announcement_that_another_writer_has_overwritten_counts_from_before(world):
+    registrations = world.directory.servers
+    registrations.note_overwritten(A, clock.now_s())
+    world.directory.refresh()
+    for _ in range(3):
+        world.skip(1.0)
+        world.confirm_records()
+        world.directory.refresh()
+    world.leave()
+    (notice,) = world.service.leave_notices.notices.values()
+    assert notice.not_before_s <= clock.now_s() - 3.0
+
+
 async def test_a_server_that_starts_again_under_its_id_gets_new_work(world):
     world.leave()
     world.end_new_work()
