Soak: primaries that leave while no other server can lead, and serve on for long

The soak's leaving servers ended exactly after their notice, and nothing compared what reached them with their reports. Statements are judged where the faults leave the instances in touch with the store and the links whole.

--- a/src/mustardswitch_standins/database_group.py
+++ b/src/mustardswitch_standins/database_group.py
@@ -297,8 +297,6 @@
     server: ids.ServerId
     position: positions.Position
     link: "FakeLink"
-    at_s: float = dataclasses.field(default_factory=clock.now_s)
-    """When it was executed."""
 
 
 class FakeLink:
--- a/src/mustardswitch_standins/line_protocol_databases.py
+++ b/src/mustardswitch_standins/line_protocol_databases.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import json
+import math
 import time
 
 from mustardswitch.backends import errors
@@ -56,6 +57,27 @@
             self.lines.put_nowait(None)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A caller's statement that has reached a server."""
+
+    request: str
+    server: ids.ServerId
+    at_s: float
+    """Monotonic time."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Announcement:
+    """The report of a server that it leaves, which the store has accepted."""
+
+    server: ids.ServerId
+    accepted_s: float
+    """Monotonic time."""
+    taken_back_s: float = math.inf
+    """Monotonic time at which the server reported that it stays; infinite if it did not."""
+
+
 class LineProtocolDatabases:
     """Listens for each server of a group and lists the servers in the store.
 
@@ -76,6 +98,10 @@
         """Time from the last registration of a server that crashed until its entry is removed."""
         self.expires_at_s: dict[ids.ServerId, float] = {}
         """Monotonic time at which each entry is removed unless its server registers again."""
+        self.arrivals: list[Arrival] = []
+        """The callers' statements that have reached the servers, also those that were refused."""
+        self.announced: list[Announcement] = []
+        """The reports of servers that they leave."""
         self.stalled: set[ids.ServerId] = set()
         """Servers that accept connections, and execute nothing until they go on."""
         self.holding: set[ids.ServerId] = set()
@@ -136,6 +162,7 @@
             encoded = json.dumps({**entry, "seq": server.registrations}).encode()
             store.put(key, encoded)
             server.was_listed = True
+            self._note_announcement(server, now_s)
             self.written[server.name] = entry, now_s
             self.expires_at_s[server.name] = now_s + self.entry_expiry_s
         for name, expires_at_s in self.expires_at_s.items():
@@ -143,6 +170,31 @@
             if (server is None or not server.up) and now_s >= expires_at_s:
                 store.delete(f"servers/{name}")
 
+    def _note_announcement(self, server: database_group.FakeServer, now_s: float) -> None:
+        """Keep whether a server has reported that it leaves, as its entry is written."""
+        known = [
+            each
+            for each in self.announced
+            if each.server == server.name and each.taken_back_s == math.inf
+        ]
+        if server.leaving and not known:
+            self.announced.append(Announcement(server=server.name, accepted_s=now_s))
+        for each in known if not server.leaving else ():
+            each.taken_back_s = now_s
+
+    def late_arrivals(self, drain_s: float) -> list[tuple[Arrival, float]]:
+        """Return the statements that reached leaving servers ``drain_s`` after their reports.
+
+        Each comes with the seconds since the report.
+        """
+        return [
+            (arrival, arrival.at_s - announced.accepted_s)
+            for announced in self.announced
+            for arrival in self.arrivals
+            if arrival.server == announced.server
+            and announced.accepted_s + drain_s < arrival.at_s < announced.taken_back_s
+        ]
+
     def crash(self, name: ids.ServerId) -> None:
         """Crash a server: mark it down and abort its connections."""
         self.group.servers[name].up = False
@@ -201,6 +253,10 @@
             while (received := await incoming.lines.get()) is not None:
                 await self.pass_stall(server)
                 _, request, text = received[0].split(" ", 2)
+                if request != "-":
+                    self.arrivals.append(
+                        Arrival(request=request, server=server.name, at_s=received[1])
+                    )
                 await self.pass_hold(server, text)
                 writer.write(await self._answer(server, link, prepared_access, request, text))
         finally:
--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -19,6 +19,7 @@
     soak_entry_faults,
     soak_faults,
     soak_judge,
+    soak_leave_faults,
 )
 
 INSTANCES = 3
@@ -55,7 +56,7 @@
         self.deployment = platform_deployment.Deployment(
             directory, group=self.group, links_to_store=True
         )
-        self.faults = soak_entry_faults.Faults(
+        self.faults = soak_leave_faults.Faults(
             deployment=self.deployment, group=self.group, random_source=random.Random(seed)
         )
         self.instances = self.faults.instances
@@ -91,6 +92,8 @@
         if self.interruption_s > MAX_INTERRUPTION_S:
             found.append(f"no write was acknowledged for {self.interruption_s:.1f} s")
         found += soak_judge.find_missing_primary(self.group)
+        if soak_leave_faults.JUDGED.issuperset(self.fault_names):
+            found += soak_judge.find_late_statements(self.deployment.databases, soak_faults.DRAIN_S)
         log = soak_judge.surviving_log(self.group)
         return found + soak_judge.find_violations(self.observed, log, self.group.holders_of_lost)
 
@@ -244,7 +247,7 @@
     parser.add_argument(
         "--faults",
         nargs="+",
-        choices=sorted({*soak_faults.ALL, *soak_entry_faults.NAMES}),
+        choices=sorted({*soak_faults.ALL, *soak_entry_faults.NAMES, *soak_leave_faults.NAMES}),
         default=soak_faults.ALL,
         help="faults that are injected",
     )
--- a/src/mustardswitch_standins/soak_judge.py
+++ b/src/mustardswitch_standins/soak_judge.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 
-from mustardswitch_standins import replication
+from mustardswitch_standins import line_protocol_databases, replication
 
 MAX_STALENESS_S = 1.5
 """Staleness bound of the routes; as ``max_staleness_ms`` in the deployment's configuration."""
@@ -91,6 +91,16 @@
     return [f"no primary at the end, the last one was {group.leader.name}"]
 
 
+def find_late_statements(
+    databases: line_protocol_databases.LineProtocolDatabases, drain_s: float
+) -> list[str]:
+    """Describe the statements at leaving servers later than ``drain_s`` after their reports."""
+    return [
+        f"{arrival.request} reached {arrival.server} {after_s:.2f} s after its report"
+        for arrival, after_s in databases.late_arrivals(drain_s)
+    ]
+
+
 def longest_interruption_s(
     writes: collections.abc.Iterable[Write], started_s: float, ended_s: float
 ) -> float:
--- a/tests/platform/test_leaving_primary.py
+++ b/tests/platform/test_leaving_primary.py
@@ -1,11 +1,12 @@
 """Statements of real processes at a primary that leaves, while no other server can lead."""
 
 import asyncio
+import time
 
 import pytest
 
 from mustardswitch import tasks
-from mustardswitch.internal import clock, ids, promotion
+from mustardswitch.internal import ids, promotion
 from mustardswitch_standins import platform_deployment
 
 A, B, C = (ids.ServerId(f"server-{zone}") for zone in "abc")
@@ -27,9 +28,9 @@
         caller = await instance.session("db-primary")
         try:
             while True:
-                sent_s = clock.now_s()
+                sent_s = time.monotonic()
                 lines = await caller.query(text)
-                self.answers.append((sent_s, clock.now_s() - sent_s, lines))
+                self.answers.append((sent_s, time.monotonic() - sent_s, lines))
                 await asyncio.sleep(PAUSE_S)
         finally:
             caller.writer.close()
@@ -66,13 +67,14 @@
         await asyncio.sleep(1.0)
         group.servers[A].leaving = True
         deployment.databases.list_servers(deployment.store)
-        accepted_s = clock.now_s()
+        accepted_s = time.monotonic()
         for name in (B, C):
             deployment.databases.crash(name)
         await asyncio.sleep(drain_s + 1.0)
-        at_leaver = [each.at_s for each in group.statements if each.server == A]
+        arrivals = deployment.databases.arrivals
+        at_leaver = [each.at_s for each in arrivals if each.server == A]
         assert sum(accepted_s < at_s for at_s in at_leaver) > 10
-        assert max(at_leaver) <= accepted_s + drain_s
+        assert deployment.databases.late_arrivals(drain_s) == []
         late = [each for each in callers.answers if each[0] > accepted_s + drain_s]
         assert len(late) > 10
         for _, elapsed_s, lines in late:
@@ -88,9 +90,7 @@
             while len(group.acknowledged) < written + 10:
                 await asyncio.sleep(0.02)
         assert group.lost == []
-        assert max(each.at_s for each in group.statements if each.server == A) <= (
-            accepted_s + drain_s
-        )
+        assert deployment.databases.late_arrivals(drain_s) == []
     finally:
         await tasks.cancel_and_wait(running)
         await deployment.stop()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -6,7 +6,14 @@
 import pytest
 
 from mustardswitch import tasks
-from mustardswitch_standins import platform_deployment, soak, soak_faults, soak_judge
+from mustardswitch_standins import (
+    database_group,
+    line_protocol_databases,
+    platform_deployment,
+    soak,
+    soak_faults,
+    soak_judge,
+)
 
 
 def _write(
@@ -117,6 +124,37 @@
     assert soak.run_seed(1, seconds=4.0, fault_names=names) == []
 
 
+@pytest.mark.parametrize(
+    "seed, fault_names",
+    [
+        (1, ("leave_alone", "stop")),
+        (2, ("leave_alone", "roll", "reset")),
+        (3, ("leave_and_linger", "kill", "crash_server")),
+    ],
+)
+def test_no_statement_reaches_a_leaving_server_after_its_notice(seed, fault_names):
+    assert soak.run_seed(seed, seconds=4.0, fault_names=fault_names) == []
+
+
+def test_finds_statements_at_a_leaving_server_after_its_notice(tmp_path):
+    databases = soak.Soak(seed=1, seconds=1.0, directory=tmp_path).deployment.databases
+    server = database_group.FakeServer(name="server-a", zone="a")
+    server.leaving = True
+    databases._note_announcement(server, 10.0)
+    databases._note_announcement(server, 11.0)
+    databases.arrivals = [
+        line_protocol_databases.Arrival(request=f"r{at_s}", server="server-a", at_s=at_s)
+        for at_s in (16.9, 17.1, 19.0)
+    ]
+    assert soak_judge.find_late_statements(databases, 7.0) == [
+        "r17.1 reached server-a 7.10 s after its report",
+        "r19.0 reached server-a 9.00 s after its report",
+    ]
+    server.leaving = False
+    databases._note_announcement(server, 18.0)
+    assert len(databases.late_arrivals(7.0)) == 1
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_finds_no_violation_under_seeded_faults(seed):
     assert soak.run_seed(seed, seconds=4.0) == []
