--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -131,10 +131,10 @@
     """The process of a backend server has ended, and another one has received the end that the log
     of the primary had after that; so the server holds no commit alone, and is not waited for."""
     SERVER_CLOSED = EventKind(419, logbook.WARNING, "server leaving, no new work")
-    """A backend server that leaves gets no single statements and no first ones of transactions any
-    more. It has announced that at most ``announced_s`` ago, which was read ``read_s`` ago.
-    ``leads`` tells whether it is the primary still, ``waiting`` how many statements had a place in
-    the queue for it, ``verdict`` and ``reason`` what its callers get."""
+    """A primary that leaves gets no single statements and no first ones of transactions any more.
+    It has announced that at most ``announced_s`` ago (``inf`` if this instance cannot tell, which
+    has just started and asks others), and this was read ``read_s`` ago. ``waiting`` tells how many
+    statements had a place in the queue for it, ``verdict`` and ``reason`` what callers get."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
     """The latest evidence names another leader for a service. ``from`` tells the leader before, the
     term of the new lead, what proved the promotion, and the instance that held the claim, as far as
--- a/src/mustardswitch/proxy/service.py
+++ b/src/mustardswitch/proxy/service.py
@@ -286,7 +286,8 @@
         now_s = clock.now_s()
         closed = {each.server for each in self.servers.values() if not self.accepts_new_work(each)}
         for name in closed - self.closed_to_new_work:
-            self._report_closed(self.servers[name], now_s)
+            if self.leader is self.servers[name]:
+                self._report_closed(self.servers[name], now_s)
             self.servers[name].pool.reject_waiters(
                 "the server leaves", include_waiting_for_server=True
             )
@@ -297,12 +298,11 @@
     def _report_closed(self, backend: server.Server, now_s: float) -> None:
         notice = self.leave_notices.notice_of(unlisted.member_of(backend.entry))
         decision = self.decide_new_work(backend)
-        self.registry.count("servers_closed_to_new_work", self.name)
+        self.registry.count("primaries_closed_to_new_work", self.name)
         events.log(
             events.Event.SERVER_CLOSED,
             service=self.name,
             server=backend.server,
-            leads=self.leader is backend,
             announced_s=round(now_s - notice.not_before_s, 3),
             read_s=round(now_s - notice.read_at_s, 3),
             waiting=backend.pool.waiting,
