--- a/src/mustardswitch/proxy/ports.py
+++ b/src/mustardswitch/proxy/ports.py
@@ -5,13 +5,7 @@
 import enum
 import typing
 
-from mustardswitch.internal import (
-    former_primary,
-    ids,
-    positions,
-    promotion,
-    revisions,
-)
+from mustardswitch.internal import former_primary, ids, positions, promotion, revisions
 from mustardswitch.proxy import requests, routes, wait_records
 
 
