--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -46,8 +46,10 @@
         seconds: float,
         directory: pathlib.Path,
         fault_names: collections.abc.Sequence[str] = soak_faults.ALL,
+        instances: int = INSTANCES,
     ) -> None:
         self.seed = seed
+        self.instance_count = instances
         self.seconds = seconds
         self.fault_names = fault_names
         self.random = random.Random(seed)
@@ -75,7 +77,7 @@
         await self.deployment.start()
         background = [asyncio.create_task(self._refresh_registrations())]
         try:
-            for number in range(INSTANCES):
+            for number in range(self.instance_count):
                 name = f"instance-{number}"
                 self.instances[name] = await self.deployment.start_instance(name)
             self.started_s = time.monotonic()
@@ -205,6 +207,7 @@
     *,
     logs: pathlib.Path | None = None,
     fault_names: collections.abc.Sequence[str] = soak_faults.ALL,
+    instances: int = INSTANCES,
 ) -> list[str]:
     """Run one seed, print a summary and return a description of each violated guarantee.
 
@@ -216,6 +219,7 @@
             seconds=seconds,
             directory=pathlib.Path(directory),
             fault_names=fault_names,
+            instances=instances,
         )
         found = asyncio.run(asyncio.wait_for(soak.run(), RUN_TIMEOUT_S + seconds))
         if found and logs is not None:
@@ -243,6 +247,9 @@
     parser.add_argument(
         "--seconds", type=float, default=8.0, help="seconds of faults for each seed"
     )
+    parser.add_argument(
+        "--instances", type=int, default=INSTANCES, help="instances, each a process of its own"
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for logs of failed seeds")
     parser.add_argument(
         "--faults",
@@ -254,7 +261,13 @@
     options = parser.parse_args()
     violation_count = 0
     for seed in range(options.first, options.first + options.seeds):
-        for line in run_seed(seed, options.seconds, logs=options.logs, fault_names=options.faults):
+        for line in run_seed(
+            seed,
+            options.seconds,
+            logs=options.logs,
+            fault_names=options.faults,
+            instances=options.instances,
+        ):
             violation_count += 1
             print(f"seed {seed}: {line}", flush=True)
     return 1 if violation_count else 0
