Soak: count a time without a write from the return of the servers that can confirm one

A commit is acknowledged once one replica has received it. With leave_alone had 12.4 s without a write: the others were down for 5.8 s, all instances restarted as they returned, and a holder that has just started waits 4.5 s before the hold of commits counts as complete. The bound of 10 s is as before, and counts from the end of the time in which the primary runs alone.

--- a/src/mustardswitch_standins/soak.py
+++ b/src/mustardswitch_standins/soak.py
@@ -102,7 +102,12 @@
     @property
     def interruption_s(self) -> float:
         """Longest time without an acknowledged write while callers wrote, in seconds."""
-        return soak_judge.longest_interruption_s(self.observed.writes, self.started_s, self.ended_s)
+        return soak_judge.longest_interruption_s(
+            self.observed.writes,
+            self.started_s,
+            self.ended_s,
+            possible_from_s=self.faults.others_back_s,
+        )
 
     async def _refresh_registrations(self) -> None:
         while True:
--- a/src/mustardswitch_standins/soak_leave_faults.py
+++ b/src/mustardswitch_standins/soak_leave_faults.py
@@ -26,6 +26,11 @@
 class Faults(soak_entry_faults.Faults):
     """Adds the faults of this module to the others."""
 
+    def __init__(self, **fields: object) -> None:
+        super().__init__(**fields)
+        self.others_back_s: list[float] = []
+        """Monotonic times at which all other servers than the primary were up again."""
+
     async def leave_alone(self) -> None:
         """Let the primary leave, crash all others for a while, and let it serve for long."""
         server = self.group.primary
@@ -41,6 +46,7 @@
         for other in others:
             if self._runs(other) and not other.up:
                 self.group.restart(other, leads_again=True)
+        self.others_back_s.append(time.monotonic())
         self.group.note(f"{', '.join(each.name for each in others)} are back")
         await ending
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -136,6 +136,12 @@
     assert soak.run_seed(seed, seconds=4.0, fault_names=fault_names) == []
 
 
+def test_no_write_is_expected_while_the_primary_runs_alone():
+    writes = [_write("w1", at_s=1.0), _write("w2", at_s=13.0)]
+    assert soak_judge.longest_interruption_s(writes, 0.0, 14.0) == 12.0
+    assert soak_judge.longest_interruption_s(writes, 0.0, 14.0, possible_from_s=[7.0]) == 6.0
+
+
 def test_finds_statements_at_a_leaving_server_after_its_notice(tmp_path):
     databases = soak.Soak(seed=1, seconds=1.0, directory=tmp_path).deployment.databases
     server = database_group.FakeServer(name="server-a", zone="a")
