--- a/src/mustardswitch/peers/datagram_fields.py
+++ b/src/mustardswitch/peers/datagram_fields.py
@@ -35,6 +35,21 @@
     return value
 
 
+def decode_server(service: object, server: object) -> tuple[ids.ServiceName, ids.ServerId]:
+    """Decode the names of a service and of one of its servers; raises InvalidDatagramError."""
+    if not all(isinstance(part, str) and part for part in (service, server)):
+        raise errors.InvalidDatagramError("service and server must be non-empty strings")
+    return ids.ServiceName(service), ids.ServerId(server)
+
+
+def decode_asked_at(value: object) -> float:
+    """Decode when a sender asked, in seconds of its own clock; raises InvalidDatagramError."""
+    asked_at_s = decode_time(value)
+    if asked_at_s is None:
+        raise errors.InvalidDatagramError("expected the time at which it was asked")
+    return asked_at_s
+
+
 def decode_time(value: object) -> float | None:
     """Decode a time in seconds, or None; raises InvalidDatagramError."""
     if value is None:
--- a/src/mustardswitch/peers/datagrams.py
+++ b/src/mustardswitch/peers/datagrams.py
@@ -200,9 +200,8 @@
 def _decode_primary(value: object) -> PrimaryRef:
     if not isinstance(value, list) or len(value) != 2:
         raise errors.InvalidDatagramError("expected a pair of service and server")
-    if not all(isinstance(part, str) and part for part in value):
-        raise errors.InvalidDatagramError("service and server must be non-empty strings")
-    return PrimaryRef(service=ids.ServiceName(value[0]), server=ids.ServerId(value[1]))
+    service, server = datagram_fields.decode_server(*value)
+    return PrimaryRef(service=service, server=server)
 
 
 def _decode_proved(value: object) -> ProvedPromotion:
--- a/src/mustardswitch/peers/leave_questions.py
+++ b/src/mustardswitch/peers/leave_questions.py
@@ -35,17 +35,12 @@
     """Decode a question; raises InvalidDatagramError."""
     if not isinstance(value, list) or len(value) != 4:
         raise errors.InvalidDatagramError("expected a service, a server, its start and a time")
-    service, server, started_ms, asked = value
-    if not all(isinstance(part, str) and part for part in (service, server)):
-        raise errors.InvalidDatagramError("service and server must be non-empty strings")
-    asked_at_s = datagram_fields.decode_time(asked)
-    if asked_at_s is None:
-        raise errors.InvalidDatagramError("expected the time of a question")
+    service, server = datagram_fields.decode_server(*value[:2])
     return LeaveQuestion(
-        service=ids.ServiceName(service),
-        server=ids.ServerId(server),
-        started_ms=datagram_fields.decode_number(started_ms),
-        asked_at_s=asked_at_s,
+        service=service,
+        server=server,
+        started_ms=datagram_fields.decode_number(value[2]),
+        asked_at_s=datagram_fields.decode_asked_at(value[3]),
     )
 
 
--- a/src/mustardswitch/peers/pauses.py
+++ b/src/mustardswitch/peers/pauses.py
@@ -34,17 +34,12 @@
     """Decode an order; raises InvalidDatagramError."""
     if not isinstance(value, list) or len(value) != 4:
         raise errors.InvalidDatagramError("expected a service, a server, a term and a time")
-    service, server, term, asked = value
-    if not all(isinstance(part, str) and part for part in (service, server)):
-        raise errors.InvalidDatagramError("service and server must be non-empty strings")
-    asked_at_s = datagram_fields.decode_time(asked)
-    if asked_at_s is None:
-        raise errors.InvalidDatagramError("expected the time of an order")
+    service, server = datagram_fields.decode_server(*value[:2])
     return PauseOrder(
-        service=ids.ServiceName(service),
-        server=ids.ServerId(server),
-        term=ids.Term(datagram_fields.decode_number(term)),
-        asked_at_s=asked_at_s,
+        service=service,
+        server=server,
+        term=ids.Term(datagram_fields.decode_number(value[2])),
+        asked_at_s=datagram_fields.decode_asked_at(value[3]),
     )
 
 
