Record with a lease that a leaving primary still gets new work

All instances started anew during a notice, so none could tell when it had begun, and none sent anything until another led.

Change: one of the two instances ranked first records the announcement of a primary, bound to a lease that ends 0.8 s before its own end of new work. An instance that cannot date a notice reads the record, and sends new work for the stated time from each question on.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -135,6 +135,9 @@
     It has announced that at most ``announced_s`` ago (``inf`` if this instance cannot tell, which
     has just started and asks others), and this was read ``read_s`` ago. ``waiting`` tells how many
     statements had a place in the queue for it, ``verdict`` and ``reason`` what callers get."""
+    NOTICE_RECORDED = EventKind(420, logbook.INFO, "leave notice recorded")
+    """This instance has recorded that a leaving primary still gets new work, for instances that
+    start: the record ends with its lease after ``lease_s``, and new work ``left_s`` later."""
     LEADER_CHANGED = EventKind(510, logbook.INFO, "leader changed")
     """The latest evidence names another leader for a service. ``from`` tells the leader before, the
     term of the new lead, what proved the promotion, and the instance that held the claim, as far as
--- a/src/mustardswitch/internal/leave_notices.py
+++ b/src/mustardswitch/internal/leave_notices.py
@@ -27,6 +27,11 @@
 ALONE_RETRY_S = 2.0
 """Times after which refused callers may try again: while a promotion is recorded, while another
 server could be promoted, and while none is listed."""
+RECORDED_LEFT_S = 0.8
+"""Time for which new work may be sent after a record of an announcement has ended; it is read
+several times within it."""
+MIN_LEASE_S = 1.0
+"""Shortest lease of such a record."""
 RETENTION_S = 60.0
 """Time for which a server is remembered without an entry, which may come back."""
 
@@ -49,6 +54,15 @@
     """When this instance read it."""
 
 
+def lease_s(left_s: float) -> float | None:
+    """Return for how long to record that a server gets new work; None if it is not worth it.
+
+    New work may be sent for ``left_s`` from now on.
+    """
+    lease = left_s - RECORDED_LEFT_S
+    return lease if MIN_LEASE_S <= lease < math.inf else None
+
+
 class Verdict(enum.Enum):
     """What becomes of new work for a server."""
 
@@ -90,6 +104,8 @@
     """The latest time as of which the records showed it as staying."""
     is_sound: bool = True
     """Whether its entry could be read, and was not overwritten by another writer."""
+    is_undated: bool = False
+    """Whether nothing that this instance has read tells when its announcement was accepted."""
 
 
 class LeaveNotices:
@@ -133,6 +149,7 @@
         if member in self.notices:
             return None
         not_before_s = listing.staying_as_of_s
+        listing.is_undated = not listed_before and not_before_s == -math.inf
         if listed_before and was_sound:
             not_before_s = max(not_before_s, as_of_s)
         # Watches may have missed a change for some time.
@@ -151,6 +168,26 @@
         self.notices[member] = dataclasses.replace(notice, not_before_s=not_before_s)
         return True
 
+    def needs_record(self, member: members.Member, now_s: float) -> bool:
+        """Return whether an instance is to read the record of an announcement that it cannot date.
+
+        That is so until new work may be sent for some time, and no longer than the notice lasts.
+        """
+        notice, listing = self.notices.get(member), self.listings.get(member)
+        if notice is None or listing is None or self.drain.drain_s is None:
+            return False
+        in_time = now_s < notice.read_at_s + self.drain.drain_s
+        ends_soon = self.work_ends_s(member) < now_s + RECORDED_LEFT_S
+        return listing.is_undated and in_time and ends_soon
+
+    def note_recorded(self, member: members.Member, left_s: float, *, asked_at_s: float) -> None:
+        """Note that a record was there, by which new work may be sent for ``left_s``.
+
+        It was read after ``asked_at_s``.
+        """
+        ends_s = asked_at_s + min(left_s, RECORDED_LEFT_S)
+        self.note_told(member, ends_s + TRANSIT_S - self.drain.drain_s)
+
     def forget_old(self, now_s: float) -> None:
         """Forget servers that had no entry for ``RETENTION_S``; call at intervals."""
         oldest_s = now_s - RETENTION_S
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -36,6 +36,7 @@
     failover_watch,
     fleet_records,
     forwarded,
+    leave_records,
     member_writer,
     peer_updates,
     record_source,
@@ -109,6 +110,9 @@
         )
         self.follower.on_applied = self.coordination.note_seen
         self.members = member_writer.MemberWriter(client=self.client, directory=self.directory)
+        self.leave_records = leave_records.LeaveRecords(
+            client=self.client, directory=self.directory
+        )
         self.coverage = coverage.Coverage(directory=self.directory)
         self.directory.limits.valid_until = self._valid_until_s
         self.directory.limits.exchange = limit_loans.LimitExchange(client=self.relays)
@@ -182,6 +186,7 @@
             ("failover watch", self.watch.run),
             ("members", self.members.run),
             ("coverage", self.coverage.run),
+            ("leave records", self.leave_records.run),
             ("tenant limits", self.directory.limits.run),
             ("peer limits", self.relay_server.limits.run),
         ):
--- a/src/mustardswitch/platform/store.py
+++ b/src/mustardswitch/platform/store.py
@@ -201,11 +201,19 @@
             _expect(answer, "/kv-txn")
             return answer.revision("revision")
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease that expires after ``ttl_s`` unless renewed, and return its id."""
-        answer = await self._call("POST", "/kv-lease", body={"ttl_ms": int(ttl_s * 1000)})
+    async def grant_lease(self, ttl_s: float, *, exact: bool = False) -> int:
+        """Create a lease that expires after ``ttl_s`` unless renewed, and return its id.
+
+        With ``exact``, raises StoreError if the store lets it last longer.
+        """
+        ttl_ms = int(ttl_s * 1000)
+        answer = await self._call("POST", "/kv-lease", body={"ttl_ms": ttl_ms})
         with _decoding("/kv-lease"):
-            return _expect(answer, "/kv-lease")["lease"]
+            granted = _expect(answer, "/kv-lease")
+            lease, applied_ms = granted["lease"], granted["ttl_ms"] if exact else ttl_ms
+        if applied_ms > ttl_ms:
+            raise proxy_errors.StoreError(f"/kv-lease: lasts {applied_ms} ms instead of {ttl_ms}")
+        return lease
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return False when it has expired."""
--- a/src/mustardswitch/proxy/fleet_records.py
+++ b/src/mustardswitch/proxy/fleet_records.py
@@ -20,6 +20,7 @@
 SIZES = f"{PREFIX}sizes/"
 WAITS = f"{PREFIX}waits/"
 GIVEN_UP = f"{PREFIX}given-up/"
+LEAVING = f"{PREFIX}leaving/"
 MAX_PORT = 65535
 
 
--- a/src/mustardswitch/proxy/record_store.py
+++ b/src/mustardswitch/proxy/record_store.py
@@ -40,8 +40,11 @@
         lease has expired.
         """
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease that expires after ``ttl_s`` unless renewed, and return its id."""
+    async def grant_lease(self, ttl_s: float, *, exact: bool = False) -> int:
+        """Create a lease that expires after ``ttl_s`` unless renewed, and return its id.
+
+        With ``exact``, raises StoreError if the store lets it last longer.
+        """
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return False when it has expired."""
