Soak: remove an unused constant of the leave faults

soak_leave_faults kept a copy of ROLL_GAP_S after the restarts of instances had moved to soak_entry_faults, which has and uses its own. Nothing read the copy; behaviour is unchanged.

--- a/src/mustardswitch_standins/soak_leave_faults.py
+++ b/src/mustardswitch_standins/soak_leave_faults.py
@@ -11,8 +11,6 @@
 """Range of the time for which the others are down."""
 LINGERS_S = (0.1, 6.0)
 """Range of the time for which a leaving server serves on after its notice."""
-ROLL_GAP_S = (0.1, 0.8)
-"""Range of the interval between the restarts of two instances."""
 NAMES = ("leave_alone", "leave_alone", "leave_and_linger", "roll")
 """Names of the faults; each is drawn as often as it is named."""
 JUDGED = frozenset(
