--- a/review/standins-3/platform_3.py
+++ b/review/standins-3/platform_3.py
@@ -206,6 +206,7 @@
         self.paused = 0
         self.lag_s = 0.02
         self.deaf = False
+        self.lost_share = 0.0
         self.up = True
         self.draining = False
         self.sequence = 0
@@ -268,7 +269,11 @@
                 if line == "TERMINATE":
                     return
                 _, request, text = line.split(" ", 2)
-                writer.write(await session.answer(request, text))
+                answer = await session.answer(request, text)
+                if request != "-" and random.random() < self.lost_share:
+                    self.group.record.note(f"{self.name}: the answer to {request} is lost")
+                    continue
+                writer.write(answer)
                 await writer.drain()
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
