--- a/review/standins-3/deployment_3.py
+++ b/review/standins-3/deployment_3.py
@@ -1,9 +1,11 @@
 """Starts instances with the deploy file's command, and speaks to them as clients do."""
 
 import asyncio
+import http.client
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -16,6 +18,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_S = 40.0
 MAX_STARTS = 4
+PORTS = (10000, 32000)
+USED_PORTS = set()
 SETTLE_S = 10.0
 """Traffic starts some seconds after the machines do."""
 ANSWER_S = 20.0
@@ -25,13 +29,19 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return ports below those that the system gives to connections, each one only once."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            found.append(port)
+    return found
 
 
 def render(template, fields):
@@ -114,7 +124,7 @@
         try:
             url = f"http://{HOST}:{self.ready}/readiness"
             return urllib.request.urlopen(url, timeout=2).status == 200
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return False
 
     def signal(self, number):
