Roll back a transaction whose caller is no longer the one that began it

What callers saw: on a public route, a transaction that was open when the caller's key was taken away ran on for the tenant, writes and COMMIT included. The same for a key that was added, for the last tenant that was removed, for statements that waited while their key was taken away, and at gateways. A transaction whose route was removed got UNKNOWN_DATABASE, which does not tell that nothing of it is kept.

Cause: Session._check_key compared truth values of tenants. It was asked when a statement was read, not when it was sent, and gateways did not compare at all.

Change: one decision (internal/transaction_callers) compares the tenant of the first statement with the caller's present one. Sessions and gateways ask it, and so does each place that writes a statement to a connection. A single statement that waited is served anew. Counting and logging of statements moved into a module of its own.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -285,6 +285,9 @@
     """A statement was sent to another server because this one could not run it."""
     TRANSACTION_EXPIRED = EventKind(612, logbook.INFO, "transaction expired")
     """A transaction was idle for too long and was rolled back."""
+    CALLER_CHANGED = EventKind(617, logbook.INFO, "transaction rolled back, caller changed")
+    """The key of an open transaction's caller was taken away, added or given to another tenant, or
+    its database was removed."""
     SESSION_REFUSED = EventKind(613, logbook.INFO, "session refused")
     """No database has the name that the caller requested."""
     LINE_REJECTED = EventKind(614, logbook.INFO, "line rejected")
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -3,9 +3,10 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 
 from mustardswitch import events, listening, metrics
-from mustardswitch.internal import clock
+from mustardswitch.internal import clock, transaction_callers
 from mustardswitch.peers import (
     datagrams,
     errors,
@@ -178,6 +179,8 @@
         self.idle_timer: asyncio.TimerHandle | None = None
         self.service: service.Service | None = None
         """Service of the current statement; it stays the same while a transaction is open."""
+        self.transaction_tenant = routes.NO_TENANT
+        """Tenant of the open transaction's first statement."""
 
     def close(self) -> None:
         """Roll back the open transaction, if any."""
@@ -225,19 +228,40 @@
         if context is None:
             self.close()
             self.transaction = None
-            return requests.refuse(
-                requests.Refusal.UNKNOWN_DATABASE,
-                f"the gateway has no route for database {forwarded.database} and its tenant",
-            )
+            return self._refuse_unknown(forwarded)
         if forwarded.begin:
             self.close()
             self.transaction = transaction.Transaction(read_only=forwarded.begin == "read")
+            self.transaction_tenant = forwarded.tenant
         if self.transaction is not None:
             return await self._run_in_transaction(context, forwarded)
         command = forwarded.command
         if isinstance(command, requests.Commit | requests.Rollback):
             return requests.refuse(requests.Refusal.ABORTED, "the transaction is no longer open")
-        return await local_run.run_locally(context, command)
+        try:
+            return await local_run.run_locally(context, command)
+        except proxy_errors.CallerChangedError:
+            return self._refuse_unknown(forwarded)
+
+    def _find_change(
+        self, forwarded: relay_codec.ForwardedStatement
+    ) -> transaction_callers.Change | None:
+        """Return why a forwarded statement must not run for its tenant here; None if it may."""
+        route = self.directory.route(forwarded.database)
+        if route is None:
+            return transaction_callers.Change.DATABASE_REMOVED
+        if not self.directory.serves_tenant(forwarded.tenant, route):
+            if forwarded.tenant:
+                return transaction_callers.Change.KEY_REMOVED
+            return transaction_callers.Change.KEY_REQUIRED
+        return None
+
+    @staticmethod
+    def _refuse_unknown(forwarded: relay_codec.ForwardedStatement) -> requests.Answer:
+        return requests.refuse(
+            requests.Refusal.UNKNOWN_DATABASE,
+            f"the gateway has no route for database {forwarded.database} and its tenant",
+        )
 
     async def _run_in_transaction(
         self, context: statement_context.StatementContext, forwarded: relay_codec.ForwardedStatement
@@ -249,13 +273,20 @@
             if self.aborting:
                 why = "the gateway is stopping and rolled the transaction back"
             return requests.refuse(requests.Refusal.ABORTED, why)
-        if isinstance(command, requests.Commit):
-            self.transaction = None
-            return await current.commit(context)
         if isinstance(command, requests.Rollback):
             self.transaction = None
             current.fail()
             return requests.Answer()
+        change = transaction_callers.find_change(self.transaction_tenant, forwarded.tenant)
+        if change is not None:
+            # An instance of the build before lets a transaction go on without its tenant.
+            self.transaction = None
+            current.fail()
+            context.note_rolled_back(change)
+            return requests.refuse(requests.Refusal.ABORTED, change.value)
+        if isinstance(command, requests.Commit):
+            self.transaction = None
+            return await current.commit(context)
         answer = await current.run(context, command)
         if current.failed:
             self.transaction = None
@@ -286,6 +317,7 @@
             route=route,
             service=self.service,
             tenant=forwarded.tenant,
+            caller_change=functools.partial(self._find_change, forwarded),
             rate_limits=self.directory.limits,
             first_byte_s=now_s - forwarded.age_s,
             operation_started_s=(
--- a/src/mustardswitch/proxy/errors.py
+++ b/src/mustardswitch/proxy/errors.py
@@ -1,5 +1,7 @@
 """Errors of the proxy layer."""
 
+from mustardswitch.internal import transaction_callers
+
 
 class ProxyError(Exception):
     """Base class of the errors raised by a step of serving a statement."""
@@ -38,3 +40,14 @@
     Retrying until the deadline does not help: statements that arrive later have more time left
     and get the connections that become free.
     """
+
+
+class CallerChangedError(ProxyError):
+    """Raised before a statement is sent for a tenant that its caller is not any more.
+
+    It was not run.
+    """
+
+    def __init__(self, change: transaction_callers.Change) -> None:
+        super().__init__(change.value)
+        self.change = change
--- a/src/mustardswitch/proxy/forwarded.py
+++ b/src/mustardswitch/proxy/forwarded.py
@@ -13,6 +13,7 @@
 from mustardswitch.internal import clock, ids, recent_failures
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, errors, relay_client, relay_codec
+from mustardswitch.proxy import errors as proxy_errors
 from mustardswitch.proxy import (
     gateway_placing,
     ports,
@@ -186,7 +187,7 @@
         """Forward a statement that runs outside of a transaction.
 
         Returns the answer, or None when no gateway gave one: a write was not run then, and the
-        statement may be run elsewhere.
+        statement may be run elsewhere. Raises CallerChangedError before it is sent.
         """
         may_cut_short = True
         for gateway in gateways:
@@ -200,6 +201,11 @@
             except errors.PeerError as error:
                 self.note_failure(gateway, context, str(error))
                 continue
+            try:
+                context.check_caller()
+            except proxy_errors.CallerChangedError:
+                self.client.release(gateway.address, connection)
+                raise
             try:
                 answer = await self._execute(
                     gateway, connection, context, command, may_cut_short=may_cut_short
@@ -298,7 +304,7 @@
         self.read_only = read_only
         self.failed = False
         self.wrote = False
-        """Whether a write of the transaction has succeeded."""
+        """Whether a write of the transaction has succeeded, and may be kept."""
         self.service = None
         self.gateway: Gateway | None = None
         self.connection: relay_client.RelayConnection | None = None
@@ -370,6 +376,13 @@
     ) -> requests.Answer:
         if self.connection is None:
             return requests.refuse(requests.Refusal.OVERLOADED, "no gateway can be reached")
+        try:
+            context.check_caller()
+        except proxy_errors.CallerChangedError as error:
+            self.fail()
+            self.wrote = False
+            context.note_rolled_back(error.change)
+            return requests.refuse(requests.Refusal.ABORTED, str(error))
         context.sent = True
         answering = self.connection.execute(
             build_message(context, command, begin), context.remaining_s + ANSWER_SLACK_S
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -7,7 +7,7 @@
 import typing
 
 from mustardswitch import events, metrics
-from mustardswitch.internal import clock, ids
+from mustardswitch.internal import clock, ids, transaction_callers
 from mustardswitch.proxy import (
     errors,
     feature_set,
@@ -17,32 +17,25 @@
     requests,
     routes,
     service,
+    session_caller,
     statement_context,
+    statement_log,
     tenant_limits,
     transaction,
 )
 
 OK = requests.Answer()
-NO_KEY = ids.CallerKey("")
-SLOW_S = 0.5
-"""Latency above which a success is logged; near the users' strictest latency target, 0.6 s."""
 
 
-class Directory(typing.Protocol):
+class Directory(session_caller.Directory, typing.Protocol):
     """The services, routes and gateways that sessions look up."""
 
     registry: metrics.Registry
     features: feature_set.Features
 
-    def route(self, database: ids.DatabaseName) -> routes.Route | None:
-        """Return the route of a database, or None."""
-
     def service(self, name: ids.ServiceName) -> service.Service | None:
         """Return a service, or None when no server of it is known."""
 
-    def identify(self, key: ids.CallerKey, route: routes.Route) -> ids.TenantName:
-        """Return the tenant of a caller on a route; raises UnknownKeyError."""
-
     def serves_tenant(self, tenant: ids.TenantName, route: routes.Route) -> bool:
         """Return whether a forwarded statement of a tenant may run on a route."""
 
@@ -67,18 +60,15 @@
         *,
         directory: Directory,
         database: ids.DatabaseName,
-        key: ids.CallerKey = NO_KEY,
+        key: ids.CallerKey = session_caller.NO_KEY,
     ) -> None:
         self.directory = directory
         self.database = database
-        self.key = key
-        """Identifies the caller's tenant; a secret, which stays in this object."""
+        self.caller = session_caller.SessionCaller(directory=directory, database=database, key=key)
         self.state = statement_context.SessionState()
         self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
         self.transaction_began_s = 0.0
         """When the BEGIN of the transaction was read (``clock.now_s``)."""
-        self.transaction_tenant = routes.NO_TENANT
-        """Tenant of the transaction's first statement, for which its connection was opened."""
         self.idle_timer: asyncio.TimerHandle | None = None
         self.failure_reported = False
         """Whether the failure of the transaction was reported to the caller; a transaction can also
@@ -119,7 +109,14 @@
             self.idle_timer = asyncio.get_running_loop().call_later(
                 self.directory.transaction_idle_s, self._expire
             )
-        self._record(request, statement, answer, first_byte_s)
+        statement_log.record(
+            self.directory.registry,
+            self.database,
+            request,
+            statement,
+            answer,
+            first_byte_s=first_byte_s,
+        )
         return answer
 
     def _expire(self) -> None:
@@ -178,36 +175,48 @@
             self.transaction = None
         self.state.drop()
 
-    def _check_key(self, statement: requests.Statement) -> requests.Answer | None:
-        """Return the refusal of a statement whose key is no longer in force; None if it is.
+    def _check_caller(
+        self, statement: requests.Statement, request: ids.RequestId
+    ) -> requests.Answer | None:
+        """Return the refusal of a statement whose caller may not run it any more; None if it may.
 
         An open transaction is rolled back. The caller may still end a transaction itself, and
         learns by the refusal of the next statement that its key was taken away.
         """
+        if isinstance(statement, requests.Rollback):
+            return None
+        is_open = self.transaction_state is requests.TransactionState.OPEN
+        change = self.caller.find_transaction_change() if is_open else None
+        if change is not None:
+            return self._abort_for_caller(statement, request, change)
         route = self.directory.route(self.database)
-        if route is None or isinstance(statement, requests.Rollback):
+        if route is None:
             return None
         try:
-            tenant = self.directory.identify(self.key, route)
+            self.caller.identify(route)
         except errors.UnknownKeyError as error:
             if self.transaction is None:
                 return requests.refuse(requests.Refusal.UNAUTHORIZED, str(error))
-            return self._abort_for_key(statement, str(error))
-        began = self.transaction is not None and self.transaction.service is not None
-        if began and tenant and self.transaction_tenant not in (tenant, routes.NO_TENANT):
-            return self._abort_for_key(statement, "the key belongs to another tenant now")
+            change = transaction_callers.Change.KEY_REQUIRED
+            return self._abort_for_caller(statement, request, change)
         return None
 
-    def _abort_for_key(self, statement: requests.Statement, why: str) -> requests.Answer:
+    def _abort_for_caller(
+        self,
+        statement: requests.Statement,
+        request: ids.RequestId,
+        change: transaction_callers.Change,
+    ) -> requests.Answer:
         self.transaction.fail()
+        self.caller.note_rolled_back(request, change)
         if isinstance(statement, requests.Commit):
             self.transaction = None
-        return requests.refuse(requests.Refusal.ABORTED, why, state=self.transaction_state)
+        return requests.refuse(requests.Refusal.ABORTED, change.value, state=self.transaction_state)
 
     async def _dispatch(
         self, request: ids.RequestId, statement: requests.Statement, first_byte_s: float
     ) -> requests.Answer:
-        refused = self._check_key(statement)
+        refused = self._check_caller(statement, request)
         if refused is not None:
             return refused
         failed = self.transaction_state is requests.TransactionState.FAILED
@@ -247,6 +256,7 @@
             return self._refuse(requests.Refusal.MALFORMED, "a transaction is already open")
         self.transaction = transaction.Transaction(read_only=statement.read_only)
         self.transaction_began_s = first_byte_s
+        self.caller.transaction_tenant = None
         return requests.Answer(state=requests.TransactionState.OPEN)
 
     @_run.register
@@ -328,6 +338,24 @@
         if self.transaction is not None:
             self._route_transaction(context)
             return await self.transaction.run(context, command)
+        while True:
+            try:
+                return await self._run_single(context, command)
+            except errors.CallerChangedError:
+                earlier, context = context, self._context(request, first_byte_s)
+                if isinstance(context, requests.Answer):
+                    return context
+                context.take_over_admission(earlier)
+
+    async def _run_single(
+        self,
+        context: statement_context.StatementContext,
+        command: requests.Plain | ports.RunPrepared,
+    ) -> requests.Answer:
+        """Run a statement outside of transactions, at a gateway or here.
+
+        Raises CallerChangedError before it is sent.
+        """
         single_read = command.access is requests.Access.READ
         gateways = self.directory.gateways_for(context, single_read=single_read)
         if gateways is not None:
@@ -340,7 +368,7 @@
         """Choose at a transaction's first statement whether it runs here or at a gateway."""
         if self.transaction.service is not None:
             return
-        self.transaction_tenant = context.tenant
+        self.caller.transaction_tenant = context.tenant
         gateways = self.directory.gateways_for(context)
         if gateways is not None:
             self.transaction = forwarded.ForwardedTransaction(
@@ -365,7 +393,7 @@
             )
             return self._refuse(refusal, f"database {self.database}")
         try:
-            tenant = self.directory.identify(self.key, route)
+            tenant = self.caller.identify(route)
         except errors.UnknownKeyError as error:
             return self._refuse(requests.Refusal.UNAUTHORIZED, str(error))
         waited_s = clock.now_s() - first_byte_s
@@ -375,6 +403,7 @@
             route=route,
             service=found,
             tenant=tenant,
+            caller_change=functools.partial(self.caller.find_change, tenant),
             rate_limits=self.directory.limits,
             first_byte_s=first_byte_s,
             operation_started_s=self.transaction_began_s if self.transaction is not None else None,
@@ -399,39 +428,6 @@
             requests.Refusal.UNKNOWN_STATEMENT, f"no prepared statement has the name {name}"
         )
 
-    def _record(
-        self,
-        request: ids.RequestId,
-        statement: requests.Statement,
-        answer: requests.Answer,
-        first_byte_s: float,
-    ) -> None:
-        elapsed_s = clock.now_s() - first_byte_s
-        registry = self.directory.registry
-        outcome = answer.refusal.value if answer.refusal is not None else "ran"
-        registry.count("statements", outcome)
-        if answer.signature is not None:
-            registry.record_seconds("statement", elapsed_s)
-        if answer.refusal is not None:
-            events.log(
-                events.Event.STATEMENT_REFUSED,
-                request=request,
-                database=self.database,
-                statement=type(statement).__name__.lower(),
-                outcome=outcome,
-                reason=answer.detail,
-                elapsed_s=round(elapsed_s, 4),
-            )
-        elif elapsed_s > SLOW_S:
-            events.log(
-                events.Event.STATEMENT_SLOW,
-                request=request,
-                database=self.database,
-                statement=type(statement).__name__.lower(),
-                elapsed_s=round(elapsed_s, 4),
-                position=answer.position,
-            )
-
 
 SessionOpener = collections.abc.Callable[
     [ids.DatabaseName, ids.CallerKey], Session | requests.Answer
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -1,13 +1,14 @@
 """The state that serving one statement depends on: its session, route, service and deadline."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import math
 import sys
 
-from mustardswitch import connection_pool
+from mustardswitch import connection_pool, events
 from mustardswitch.backends import errors as backend_errors
-from mustardswitch.internal import clock, ids, positions, session_sync
+from mustardswitch.internal import clock, ids, positions, session_sync, transaction_callers
 from mustardswitch.internal.tenants import limits
 from mustardswitch.proxy import errors, ports, requests, routes, server, service, tenant_limits
 
@@ -112,6 +113,8 @@
     with None this statement."""
     tenant: ids.TenantName = routes.NO_TENANT
     """The caller's tenant, which the server is told."""
+    caller_change: collections.abc.Callable[[], transaction_callers.Change | None] = lambda: None
+    """Tells why the caller is not the tenant any more by the configuration in force, or None."""
     rate_limits: tenant_limits.TenantLimits | None = None
     """The rate limits of tenants; None where operations are not limited."""
     starts_operation: bool = False
@@ -126,13 +129,45 @@
         """Time left to the deadline; negative after it."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
+    def check_caller(self) -> None:
+        """Raise CallerChangedError if the statement must not be sent for its tenant any more.
+
+        Must be called when the statement is sent: it may have waited since it was read.
+        """
+        change = self.caller_change()
+        if change is not None:
+            raise errors.CallerChangedError(change)
+
+    def check_caller_on(self, backend: server.Server, link: ports.Link) -> None:
+        """As ``check_caller``; releases the connection, on which nothing was sent, if it raises."""
+        try:
+            self.check_caller()
+        except errors.CallerChangedError:
+            backend.pool.release(link, clean=True)
+            raise
+
+    def note_rolled_back(self, change: transaction_callers.Change) -> None:
+        """Count and log that the transaction was rolled back since its caller has changed."""
+        self.service.registry.count("transactions_of_changed_callers", change.name.lower())
+        events.log(
+            events.Event.CALLER_CHANGED,
+            request=self.request,
+            database=self.route.database,
+            reason=change.value,
+        )
+
+    def take_over_admission(self, earlier: "StatementContext") -> None:
+        """Count the operation once though its statement is served anew, for the same tenant."""
+        if earlier.tenant == self.tenant:
+            self.starts_operation, self.sent_at_s = earlier.starts_operation, earlier.sent_at_s
+
     def refuse_above_limit(self) -> requests.Answer | None:
         """Count an operation of the tenant that starts here; returns the refusal above its limit.
 
-        Must be called once for each operation: a statement outside of transactions, or a
-        transaction.
+        Must be called for each operation: a statement outside of transactions, or a transaction. A
+        statement that is served anew has been counted.
         """
-        if self.rate_limits is None:
+        if self.rate_limits is None or self.starts_operation:
             return None
         self.starts_operation = True
         return self.rate_limits.start(self.tenant, clock.now_s())
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -59,6 +59,10 @@
             except errors.ServerLeavingError:
                 self._roll_back()
                 continue
+            except errors.CallerChangedError as error:
+                self.fail()
+                context.note_rolled_back(error.change)
+                return requests.refuse(requests.Refusal.ABORTED, str(error), state=FAILED)
             lost_lead = answer.refusal is requests.Refusal.READ_ONLY and self.statements == 0
             if lost_lead and await context.wait_before_retry():
                 self._roll_back()
@@ -105,7 +109,8 @@
     ) -> requests.Answer:
         """Send a statement, and again while the server rejects it as overloaded.
 
-        Raises ServerLeavingError for the first one if the server gets no new work any more.
+        Raises ServerLeavingError for the first one if the server gets no new work any more, and
+        CallerChangedError.
         """
         while True:
             answer = await self._send_once(context, statement)
@@ -124,6 +129,7 @@
         backend, link = pinned.backend, pinned.link
         if not self.statements and not self.service.accepts_new_work(backend):
             raise errors.ServerLeavingError(f"server {backend.server} leaves")
+        context.check_caller()
         query_sent_at_s = clock.now_s()
         shown_before = context.service.acknowledged.shown_by(backend.server)
         backend.in_flight += 1
@@ -201,6 +207,10 @@
                 return await self._commit(context)
             except errors.ServerLeavingError:
                 self._roll_back()
+            except errors.CallerChangedError as error:
+                self.fail()
+                context.note_rolled_back(error.change)
+                return requests.refuse(requests.Refusal.ABORTED, str(error), state=IDLE)
 
     async def _commit(self, context: statement_context.StatementContext) -> requests.Answer:
         """Commit on the connection of the transaction; raises ServerLeavingError as ``_send``."""
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -19,7 +19,10 @@
     context: statement_context.StatementContext,
     statement: requests.Plain | ports.RunPrepared,
 ) -> requests.Answer:
-    """Return the answer to a write; a write that was sent and not answered is OUTCOME_UNKNOWN."""
+    """Return the answer to a write; a write that was sent and not answered is OUTCOME_UNKNOWN.
+
+    Raises CallerChangedError before it is sent.
+    """
     refusal = requests.refuse(requests.Refusal.OVERLOADED, "the deadline has passed")
     while True:
         try:
@@ -30,6 +33,7 @@
             if not service.may_commit(backend) or not service.accepts_new_work(backend):
                 backend.pool.release(link, clean=True)
                 continue
+            context.check_caller_on(backend, link)
         except (errors.NoLeaderError, errors.NoRoomError) as error:
             return requests.refuse(requests.Refusal.OVERLOADED, str(error))
         except errors.NotSentError as error:
