Follow the newest version that two instances know of a route

Cause: a forwarded statement named its database only, and its answer nothing. Entry instance and gateway each resolved the name by their own version, and a position of one log was noted as one of another.

Change: a statement names the version, service, kind and staleness that its entry instance knows. Its answer names the service that ran it and what the gateway knows, if that differs. The newest routing is followed and remembered; every path asks Directory.place. Messages have the session's commits at other services, too. A statement that waits is placed anew if its route moves. The last commit of a session at a service counts, also if its position is lower: the service's name is used again then. Opening of sessions, forwarded transactions and messages moved into modules of their own.

--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -94,6 +94,12 @@
     """A record is older than the one of its key that is in force here."""
     CONFIGURATION_SKIPPED = EventKind(217, logbook.INFO, "older configuration not applied")
     """The store holds an older version of the configuration than the one in force here."""
+    ROUTING_LEARNED = EventKind(218, logbook.INFO, "newer routing learned")
+    """Another instance has a newer version by which a database is routed otherwise; its statements
+    follow that version here, too, from now on."""
+    CONFIGURATION_FETCHED = EventKind(219, logbook.INFO, "configuration fetched")
+    """The configuration came from another instance, which has told of a newer version, before the
+    store has told of it."""
     REGISTERED = EventKind(310, logbook.INFO, "instance registered")
     """The other instances can see this one in the store."""
     REGISTRATION_LOST = EventKind(311, logbook.WARNING, "registration lost")
--- a/src/mustardswitch/peers/relay_client.py
+++ b/src/mustardswitch/peers/relay_client.py
@@ -6,7 +6,6 @@
 import typing
 
 from mustardswitch.peers import datagrams, errors, relay_codec
-from mustardswitch.proxy import requests
 
 CONNECT_TIMEOUT_S = 0.25
 """Two round trips between regions; gateways are usually in the same availability zone."""
@@ -35,7 +34,7 @@
 
     async def execute(
         self, forwarded: relay_codec.ForwardedStatement, timeout_s: float
-    ) -> requests.Answer:
+    ) -> relay_codec.ForwardedAnswer:
         """Forward a statement and return its answer.
 
         Raises PeerBrokenError, and closes the connection, when no valid answer arrives within
--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -11,7 +11,7 @@
 
 from mustardswitch.internal import ids, positions
 from mustardswitch.peers import errors
-from mustardswitch.proxy import ports, requests, routes
+from mustardswitch.proxy import ports, requests, route_versions, routes
 
 MAX_FRAME_BYTES = 8 << 20
 """Holds a caller's largest message, even if JSON doubles it, and the values of a session."""
@@ -27,9 +27,18 @@
 """What reading a frame of an unexpected shape raises; OverflowError for an infinite number."""
 
 
+KINDS = {
+    "p": requests.RouteKind.PRIMARY,
+    "b": requests.RouteKind.BOUNDED_STALENESS,
+    "r": requests.RouteKind.READ_YOUR_WRITES,
+}
+"""Codes of the kinds of routes."""
+KIND_CODES = {kind: code for code, kind in KINDS.items()}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SessionCommit:
-    """The latest commit of the caller's session at the service, ``age_s`` seconds ago."""
+    """The latest commit of the caller's session at a service, ``age_s`` seconds ago."""
 
     position: positions.Position
     age_s: float
@@ -48,12 +57,28 @@
     operation_age_s: float | None = None
     """Seconds since the first statement of the operation was read; None as ``age_s``."""
     session_commit: SessionCommit | None = None
+    """The commit at the service that ``routing`` names."""
+    other_commits: dict[ids.ServiceName, SessionCommit] = dataclasses.field(default_factory=dict)
+    """The commits at other services, to which the database was routed before."""
+    routing: route_versions.Routing | None = None
+    """What the entry instance knows of the database's routing; None from the build before."""
     begin: str = ""
     """Transaction to begin first, ``read`` or ``write``; empty for none."""
     tenant: ids.TenantName = routes.NO_TENANT
     """The caller's tenant, as the entry instance identified it."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardedAnswer:
+    """The answer to a forwarded statement, and by which routing it was run."""
+
+    answer: requests.Answer
+    service: ids.ServiceName | None = None
+    """Service at which it was run, if another one than the statement names."""
+    routing: route_versions.Routing | None = None
+    """What the gateway knows of the database's routing, if newer than the statement's."""
+
+
 def decode_seconds(value: object) -> float:
     """Return a duration; raises ValueError for one that is negative, infinite or not a number."""
     seconds = float(value)
@@ -77,6 +102,36 @@
     return positions.Position(term=ids.Term(int(term)), offset=ids.Offset(int(offset)))
 
 
+def _encode_commit(commit: SessionCommit | None) -> list[object] | None:
+    return None if commit is None else [_encode_position(commit.position), commit.age_s]
+
+
+def _decode_commit(value: list[object] | None) -> SessionCommit | None:
+    if value is None:
+        return None
+    position = _decode_position(value[0])
+    if position is None:
+        raise ValueError("a commit has no position")
+    return SessionCommit(position=position, age_s=decode_seconds(value[1]))
+
+
+def _encode_routing(routing: route_versions.Routing) -> list[object]:
+    fields = [routing.version, routing.service, KIND_CODES[routing.kind]]
+    return [*fields, routing.max_staleness_s] if routing.max_staleness_s else fields
+
+
+def _decode_routing(value: list[object] | None) -> route_versions.Routing | None:
+    if value is None:
+        return None
+    version, service, kind, *staleness = value
+    return route_versions.Routing(
+        version=int(version),
+        service=ids.ServiceName(str(service)),
+        kind=KINDS[kind],
+        max_staleness_s=decode_seconds(staleness[0]) if staleness else 0.0,
+    )
+
+
 def _encode_command(command: object) -> list[str]:
     if isinstance(command, requests.Plain):
         return ["plain", command.access.value, command.arguments]
@@ -106,7 +161,7 @@
 
 def encode_forwarded(forwarded: ForwardedStatement) -> bytes:
     """Encode a statement as a frame."""
-    session_commit = forwarded.session_commit
+    others = {name: _encode_commit(each) for name, each in forwarded.other_commits.items()}
     return encode_fields(
         {
             "request": forwarded.request,
@@ -114,14 +169,12 @@
             "command": _encode_command(forwarded.command),
             "age_s": forwarded.age_s,
             "values": forwarded.values,
-            "own": (
-                None
-                if session_commit is None
-                else [_encode_position(session_commit.position), session_commit.age_s]
-            ),
+            "own": _encode_commit(forwarded.session_commit),
             "begin": forwarded.begin,
             "operation_age_s": forwarded.operation_age_s,
             **({"tenant": forwarded.tenant} if forwarded.tenant else {}),
+            **({"route": _encode_routing(forwarded.routing)} if forwarded.routing else {}),
+            **({"others": others} if others else {}),
         }
     )
 
@@ -130,7 +183,6 @@
     """Decode the body of a statement's frame; raises InvalidFrameError."""
     try:
         fields = json.loads(body)
-        session_commit = fields["own"]
         return ForwardedStatement(
             request=ids.RequestId(str(fields["request"])),
             database=ids.DatabaseName(str(fields["database"])),
@@ -138,14 +190,13 @@
             age_s=decode_seconds(fields["age_s"]),
             operation_age_s=_decode_optional_seconds(fields.get("operation_age_s")),
             values={str(name): str(value) for name, value in fields["values"].items()},
-            session_commit=(
-                None
-                if session_commit is None
-                else SessionCommit(
-                    position=_decode_position(session_commit[0]),
-                    age_s=decode_seconds(session_commit[1]),
-                )
-            ),
+            session_commit=_decode_commit(fields["own"]),
+            other_commits={
+                ids.ServiceName(str(name)): _decode_commit(each)
+                for name, each in fields.get("others", {}).items()
+                if each is not None
+            },
+            routing=_decode_routing(fields.get("route")),
             begin=str(fields["begin"]),
             tenant=ids.TenantName(str(fields.get("tenant", routes.NO_TENANT))),
         )
@@ -153,8 +204,9 @@
         raise errors.InvalidFrameError(f"invalid forwarded statement: {error}") from error
 
 
-def encode_answer(answer: requests.Answer) -> bytes:
+def encode_answer(forwarded: ForwardedAnswer) -> bytes:
     """Encode an answer as a frame."""
+    answer, routing = forwarded.answer, forwarded.routing
     return encode_fields(
         {
             "rows": answer.rows,
@@ -164,23 +216,29 @@
             "state": answer.state.value,
             "position": _encode_position(answer.position),
             **({"retry_s": answer.retry_s} if answer.retry_s else {}),
+            **({"service": forwarded.service} if forwarded.service is not None else {}),
+            **({"route": _encode_routing(routing)} if routing is not None else {}),
         }
     )
 
 
-def decode_answer(body: bytes) -> requests.Answer:
+def decode_answer(body: bytes) -> ForwardedAnswer:
     """Decode the body of an answer's frame; raises InvalidFrameError."""
     try:
         fields = json.loads(body)
-        refusal = fields["refusal"]
-        return requests.Answer(
-            rows=tuple(str(row) for row in fields["rows"]),
-            signature=fields["signature"],
-            refusal=None if refusal is None else requests.Refusal(refusal),
-            detail=str(fields["detail"]),
-            state=requests.TransactionState(fields["state"]),
-            position=_decode_position(fields["position"]),
-            retry_s=decode_seconds(fields.get("retry_s", 0.0)),
+        refusal, service = fields["refusal"], fields.get("service")
+        return ForwardedAnswer(
+            answer=requests.Answer(
+                rows=tuple(str(row) for row in fields["rows"]),
+                signature=fields["signature"],
+                refusal=None if refusal is None else requests.Refusal(refusal),
+                detail=str(fields["detail"]),
+                state=requests.TransactionState(fields["state"]),
+                position=_decode_position(fields["position"]),
+                retry_s=decode_seconds(fields.get("retry_s", 0.0)),
+            ),
+            service=None if service is None else ids.ServiceName(str(service)),
+            routing=_decode_routing(fields.get("route")),
         )
     except MALFORMED as error:
         raise errors.InvalidFrameError(f"invalid answer: {error}") from error
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -6,7 +6,7 @@
 import functools
 
 from mustardswitch import events, listening, metrics
-from mustardswitch.internal import clock, transaction_callers
+from mustardswitch.internal import clock, ids, transaction_callers
 from mustardswitch.peers import (
     datagrams,
     errors,
@@ -23,7 +23,7 @@
     requests,
     routes,
     service,
-    session,
+    session_directory,
     statement_context,
     transaction,
 )
@@ -43,7 +43,7 @@
     def __init__(
         self,
         *,
-        directory: session.Directory,
+        directory: session_directory.Directory,
         registry: metrics.Registry,
         feed: record_relay.RecordFeed | None = None,
         limits: frame_limits.FrameLimits | None = None,
@@ -118,7 +118,8 @@
                 finally:
                     self.running -= 1
                 self.registry.count("statements_run_for_others")
-                await connection.send(relay_codec.encode_answer(answer))
+                described = gateway_session.describe(forwarded, answer)
+                await connection.send(relay_codec.encode_answer(described))
         except (OSError, EOFError):
             self.registry.count("relay_connections_ended")
         except asyncio.CancelledError:
@@ -168,7 +169,7 @@
 class _GatewaySession:
     """Session values and open transaction of one connection from another instance."""
 
-    def __init__(self, *, directory: session.Directory) -> None:
+    def __init__(self, *, directory: session_directory.Directory) -> None:
         self.directory = directory
         self.transaction: transaction.Transaction | None = None
         self.busy = False
@@ -224,24 +225,48 @@
 
     async def run(self, forwarded: relay_codec.ForwardedStatement) -> requests.Answer:
         """Run one forwarded statement."""
-        context = self._context(forwarded)
-        if context is None:
-            self.close()
-            self.transaction = None
-            return self._refuse_unknown(forwarded)
-        if forwarded.begin:
-            self.close()
-            self.transaction = transaction.Transaction(read_only=forwarded.begin == "read")
-            self.transaction_tenant = forwarded.tenant
-        if self.transaction is not None:
-            return await self._run_in_transaction(context, forwarded)
-        command = forwarded.command
-        if isinstance(command, requests.Commit | requests.Rollback):
-            return requests.refuse(requests.Refusal.ABORTED, "the transaction is no longer open")
-        try:
-            return await local_run.run_locally(context, command)
-        except proxy_errors.CallerChangedError:
-            return self._refuse_unknown(forwarded)
+        if forwarded.routing is not None:
+            self.directory.learn_routing(forwarded.database, forwarded.routing)
+        earlier: statement_context.StatementContext | None = None
+        while True:
+            context = self._context(forwarded)
+            if context is None:
+                self.close()
+                self.transaction = None
+                return self._refuse_unknown(forwarded)
+            if forwarded.begin:
+                self.close()
+                self.transaction = transaction.Transaction(read_only=forwarded.begin == "read")
+                self.transaction_tenant = forwarded.tenant
+            if self.transaction is not None:
+                return await self._run_in_transaction(context, forwarded)
+            command = forwarded.command
+            if isinstance(command, requests.Commit | requests.Rollback):
+                return requests.refuse(
+                    requests.Refusal.ABORTED, "the transaction is no longer open"
+                )
+            if earlier is not None:
+                context.take_over_admission(earlier)
+            try:
+                return await local_run.run_locally(context, command)
+            except proxy_errors.OutdatedError:
+                earlier = context
+
+    def describe(
+        self, forwarded: relay_codec.ForwardedStatement, answer: requests.Answer
+    ) -> relay_codec.ForwardedAnswer:
+        """Tell the entry instance where its statement was run, as far as it does not know that."""
+        told = forwarded.routing
+        if told is None:
+            return relay_codec.ForwardedAnswer(answer=answer)
+        ran_at = self.service.name if self.service is not None else told.service
+        newest = self.directory.routing(forwarded.database)
+        is_newer = newest is not None and newest.version > told.version
+        return relay_codec.ForwardedAnswer(
+            answer=answer,
+            service=ran_at if ran_at != told.service else None,
+            routing=newest if is_newer else None,
+        )
 
     def _find_change(
         self, forwarded: relay_codec.ForwardedStatement
@@ -299,17 +324,15 @@
         if route is None or not self.directory.serves_tenant(forwarded.tenant, route):
             return None
         if self.transaction is None:
-            self.service = self.directory.service(route.service)
+            placement = self.directory.place(forwarded.database)
+            known = placement is not None and not placement.only_forwards
+            self.service = placement.service if known else None
         if self.service is None:
             return None
         now_s = clock.now_s()
         self.state.values = forwarded.values
-        self.state.commits.clear()
-        session_commit = forwarded.session_commit
-        if session_commit is not None:
-            self.state.commits[self.service.name] = statement_context.SessionCommit(
-                position=session_commit.position, acknowledged_s=now_s - session_commit.age_s
-            )
+        self.state.commits = self._commits(forwarded, now_s)
+        in_transaction = self.transaction is not None or bool(forwarded.begin)
         loop = asyncio.get_running_loop()
         return statement_context.StatementContext(
             request=forwarded.request,
@@ -318,6 +341,8 @@
             service=self.service,
             tenant=forwarded.tenant,
             caller_change=functools.partial(self._find_change, forwarded),
+            routings=self.directory,
+            routing=None if in_transaction else self.directory.routing(forwarded.database),
             rate_limits=self.directory.limits,
             first_byte_s=now_s - forwarded.age_s,
             operation_started_s=(
@@ -325,3 +350,19 @@
             ),
             deadline_s=loop.time() + route.statement_timeout_s - forwarded.age_s,
         )
+
+    def _commits(
+        self, forwarded: relay_codec.ForwardedStatement, now_s: float
+    ) -> dict[ids.ServiceName, statement_context.SessionCommit]:
+        """Return the commits of the caller's session at each service."""
+        commits = dict(forwarded.other_commits)
+        if forwarded.session_commit is not None:
+            # An instance of the build before means the service by its own configuration.
+            told = forwarded.routing
+            commits[told.service if told else self.service.name] = forwarded.session_commit
+        return {
+            name: statement_context.SessionCommit(
+                position=each.position, acknowledged_s=now_s - each.age_s
+            )
+            for name, each in commits.items()
+        }
--- a/src/mustardswitch/platform/callers.py
+++ b/src/mustardswitch/platform/callers.py
@@ -8,7 +8,7 @@
 from mustardswitch.internal import clock
 from mustardswitch.internal.admission import memory
 from mustardswitch.platform import errors, lines
-from mustardswitch.proxy import requests, session
+from mustardswitch.proxy import requests, session, session_opening
 
 LARGE_LINE_BYTES = 64 * 1024
 """Lines longer than this wait until there is memory to serve them."""
@@ -23,7 +23,7 @@
         self,
         *,
         stream: caller_stream.CallerStream,
-        opener: session.SessionOpener,
+        opener: session_opening.SessionOpener,
         registry: metrics.Registry,
         limits: caller_limits.CallerLimits,
     ) -> None:
@@ -244,7 +244,7 @@
     def __init__(
         self,
         *,
-        opener: session.SessionOpener,
+        opener: session_opening.SessionOpener,
         registry: metrics.Registry,
         limits: caller_limits.CallerLimits,
     ) -> None:
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -43,6 +43,7 @@
     requests,
     server_list,
     session,
+    session_opening,
 )
 from mustardswitch.proxy import errors as proxy_errors
 
@@ -152,7 +153,7 @@
     def _open_session(
         self, database: ids.DatabaseName, key: ids.CallerKey
     ) -> session.Session | requests.Answer:
-        return session.open_session(self.directory, database, key)
+        return session_opening.open_session(self.directory, database, key)
 
     def _valid_until_s(self) -> float:
         """Return until when shares of tenants' limits may be spent by the list of instances."""
--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -21,7 +21,9 @@
     forwarded,
     gateway_plans,
     member_records,
+    placements,
     ports,
+    route_versions,
     routes,
     server_list,
     server_pace,
@@ -90,6 +92,10 @@
         self.order_opener = order_opener
         self.registry = registry
         self.configuration = None
+        self.learned = route_versions.LearnedRoutings()
+        """What other instances know of newer versions than ``configuration``."""
+        self.on_behind: collections.abc.Callable[[], None] = lambda: None
+        """Called when another instance has run or sent a statement by a newer version."""
         self.servers: registration_list.RegistrationList[ids.ServerId, ports.ServerEntry] = (
             registration_list.RegistrationList()
         )
@@ -130,10 +136,50 @@
         return self.configuration.transaction_idle_s
 
     def route(self, database: ids.DatabaseName) -> routes.Route | None:
-        """Return the route of a database, or None."""
+        """Return the route of a database by the newest version that is known, or None."""
         if self.configuration is None:
             return None
-        return self.configuration.routes.get(database)
+        return self.learned.route(self.configuration, database)
+
+    def routing(self, database: ids.DatabaseName) -> route_versions.Routing | None:
+        """Return the newest routing of a database; None without a route."""
+        if self.configuration is None:
+            return None
+        return self.learned.routing(self.configuration, database)
+
+    def learn_routing(self, database: ids.DatabaseName, told: route_versions.Routing) -> None:
+        """Follow what another instance knows of a database's routing, if that is newer."""
+        if self.configuration is None or not self.learned.learn(self.configuration, database, told):
+            return
+        events.log(
+            events.Event.ROUTING_LEARNED,
+            database=database,
+            version=told.version,
+            service=told.service,
+            applied_version=self.configuration.version,
+        )
+        self.registry.count("routings_learned")
+        self.on_behind()
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether another instance has told of a newer version than the configuration."""
+        newest = self.learned.newest_version
+        return newest is not None and newest > self.configuration.version
+
+    def place(self, database: ids.DatabaseName) -> placements.Placement | None:
+        """Return where the statements of a database run now; None without a route or service."""
+        route = self.route(database)
+        if route is None:
+            return None
+        found = self.service(route.service)
+        if found is not None:
+            return placements.Placement(route=route, service=found)
+        # Another instance told of a service that is newer than the records here.
+        configured = self.service(self.configuration.routes[database].service)
+        if configured is None:
+            return None
+        return placements.Placement(route=route, service=configured, only_forwards=True)
 
     def identify(self, key: ids.CallerKey, route: routes.Route) -> ids.TenantName:
         """Return the tenant of a caller on a route; raises UnknownKeyError."""
@@ -194,6 +240,7 @@
                 )
             return
         self.configuration = configuration
+        self.learned.note_configured(configuration.version)
         events.log(
             events.Event.CONFIGURATION_APPLIED,
             version=configuration.version,
--- a/src/mustardswitch/proxy/errors.py
+++ b/src/mustardswitch/proxy/errors.py
@@ -42,12 +42,20 @@
     """
 
 
-class CallerChangedError(ProxyError):
-    """Raised before a statement is sent for a tenant that its caller is not any more.
+class OutdatedError(ProxyError):
+    """Raised before a statement is sent that was placed by what is not in force any more.
 
-    It was not run.
+    It was not run, and is to be placed anew.
     """
 
+
+class RouteChangedError(OutdatedError):
+    """Raised before a statement is sent whose database is routed otherwise now."""
+
+
+class CallerChangedError(OutdatedError):
+    """Raised before a statement is sent for a tenant that its caller is not any more."""
+
     def __init__(self, change: transaction_callers.Change) -> None:
         super().__init__(change.value)
         self.change = change
--- a/src/mustardswitch/proxy/explanation.py
+++ b/src/mustardswitch/proxy/explanation.py
@@ -87,15 +87,17 @@
 
     def explain(self) -> explanation_fields.Explanation:
         route = self.route
-        target = self.found.service(route.service)
+        placement = self.found.place(route.database)
+        self._note_learned_routing()
         limit = self._limit()
         gateways: list[forwarded.Gateway] = []
         backends: list[server.Server] = []
         states: list[explanation_fields.ServerState] = []
         leader = None
         verdict = f"refused: no server of service {route.service} is known"
-        if target is not None:
-            context = self._context(target.preview())
+        if placement is not None:
+            context = self._context(placement.service.preview())
+            context.only_forwards = placement.only_forwards
             gateways = self.found.gateways_for(context, single_read=self.kind is Kind.READ) or []
             backends = self._servers(context)
             leader = context.service.leader
@@ -139,6 +141,13 @@
             deadline_s=asyncio.get_running_loop().time() + self.route.statement_timeout_s,
         )
 
+    def _note_learned_routing(self) -> None:
+        routing = self.found.routing(self.route.database)
+        if routing is not None and routing.version > self.found.configuration.version:
+            self.notes.append(
+                f"routed by version {routing.version}, of which another instance told"
+            )
+
     def _limit(self) -> explanation_fields.LimitState | None:
         now_s = clock.now_s()
         known = self.found.limits.preview(self.tenant, now_s)
@@ -294,6 +303,8 @@
             if self.kind is not Kind.TRANSACTION:
                 self.notes.append("the servers are used from here only if no gateway answers")
             return f"forwarded to gateway {gateways[0].instance}"
+        if context.only_forwards:
+            return f"refused: no server of service {self.route.service} is known"
         if limit is not None and not limit.admits:
             retry_s = float("inf") if limit.retry_s is None else limit.retry_s
             return f"refused: {tenant_state.refusal(self.tenant, retry_s).detail}"
--- a/src/mustardswitch/proxy/gateway_plans.py
+++ b/src/mustardswitch/proxy/gateway_plans.py
@@ -165,6 +165,16 @@
             regions=self.location.regions,
         )
 
+    def _planned_service(self, context: statement_context.StatementContext) -> ids.ServiceName:
+        """Return the service whose gateways a statement goes to.
+
+        It is that of the configured route for a service that only a newer version has.
+        """
+        service, database = context.service.name, context.route.database
+        if service in self.configuration.services or database not in self.configuration.routes:
+            return service
+        return self.configuration.routes[database].service
+
     def gateways_for(
         self, context: statement_context.StatementContext, *, single_read: bool = False
     ) -> list[forwarded.Gateway] | None:
@@ -172,7 +182,7 @@
 
         A ``single_read`` may go to a gateway first that is to be tried again.
         """
-        plan = self.plans.get(context.service.name)
+        plan = self.plans.get(self._planned_service(context))
         if plan is None:
             return None
         if self.has_tenants:
--- a/src/mustardswitch/proxy/reading.py
+++ b/src/mustardswitch/proxy/reading.py
@@ -121,7 +121,7 @@
     # One read
 
     async def run(self, statement: requests.Plain | ports.RunPrepared) -> requests.Answer:
-        """Return the answer to the read; raises CallerChangedError before it is sent."""
+        """Return the answer to the read; raises OutdatedError before it is sent."""
         while True:
             min_position = await self._min_position()
             answer = None
@@ -255,7 +255,7 @@
             backend.pool.release(link, clean=True)
             self._note_skipped(backend, "the server leaves")
             return None
-        self.context.check_caller_on(backend, link)
+        self.context.check_current_on(backend, link)
         started_s = clock.now_s()
         answer = await self._send(backend, link, command)
         if answer is None:
@@ -331,8 +331,8 @@
             self.service.roll_back(backend, link)
             return None
         try:
-            self.context.check_caller()
-        except errors.CallerChangedError:
+            self.context.check_current()
+        except errors.OutdatedError:
             self.service.roll_back(backend, link)
             raise
         started_s = clock.now_s()
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -1,64 +1,34 @@
 """One caller's session: its values, prepared statements, transaction and own commits."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import functools
-import typing
 
-from mustardswitch import events, metrics
-from mustardswitch.internal import clock, ids, transaction_callers
+from mustardswitch import events
+from mustardswitch.internal import clock, ids
 from mustardswitch.proxy import (
     errors,
-    feature_set,
-    forwarded,
+    forwarded_transaction,
     local_run,
     ports,
     requests,
-    routes,
-    service,
     session_caller,
+    session_directory,
     statement_context,
     statement_log,
-    tenant_limits,
     transaction,
 )
 
 OK = requests.Answer()
 
 
-class Directory(session_caller.Directory, typing.Protocol):
-    """The services, routes and gateways that sessions look up."""
-
-    registry: metrics.Registry
-    features: feature_set.Features
-
-    def service(self, name: ids.ServiceName) -> service.Service | None:
-        """Return a service, or None when no server of it is known."""
-
-    def serves_tenant(self, tenant: ids.TenantName, route: routes.Route) -> bool:
-        """Return whether a forwarded statement of a tenant may run on a route."""
-
-    forwarder: forwarded.Forwarder | None
-    limits: tenant_limits.TenantLimits
-
-    def gateways_for(
-        self, context: statement_context.StatementContext, *, single_read: bool = False
-    ) -> list[forwarded.Gateway] | None:
-        """Return the gateways to forward a statement to; None when this instance runs it itself."""
-
-    @property
-    def transaction_idle_s(self) -> float:
-        """How long a transaction may stay idle."""
-
-
 class Session:
     """Serves the statements of one caller, one at a time."""
 
     def __init__(
         self,
         *,
-        directory: Directory,
+        directory: session_directory.Directory,
         database: ids.DatabaseName,
         key: ids.CallerKey = session_caller.NO_KEY,
     ) -> None:
@@ -66,7 +36,9 @@
         self.database = database
         self.caller = session_caller.SessionCaller(directory=directory, database=database, key=key)
         self.state = statement_context.SessionState()
-        self.transaction: transaction.Transaction | forwarded.ForwardedTransaction | None = None
+        self.transaction: (
+            transaction.Transaction | forwarded_transaction.ForwardedTransaction | None
+        ) = None
         self.transaction_began_s = 0.0
         """When the BEGIN of the transaction was read (``clock.now_s``)."""
         self.idle_timer: asyncio.TimerHandle | None = None
@@ -186,27 +158,11 @@
         if isinstance(statement, requests.Rollback):
             return None
         is_open = self.transaction_state is requests.TransactionState.OPEN
-        change = self.caller.find_transaction_change() if is_open else None
-        if change is not None:
-            return self._abort_for_caller(statement, request, change)
-        route = self.directory.route(self.database)
-        if route is None:
+        change = self.caller.find_refusal(is_open=is_open)
+        if change is None:
             return None
-        try:
-            self.caller.identify(route)
-        except errors.UnknownKeyError as error:
-            if self.transaction is None:
-                return requests.refuse(requests.Refusal.UNAUTHORIZED, str(error))
-            change = transaction_callers.Change.KEY_REQUIRED
-            return self._abort_for_caller(statement, request, change)
-        return None
-
-    def _abort_for_caller(
-        self,
-        statement: requests.Statement,
-        request: ids.RequestId,
-        change: transaction_callers.Change,
-    ) -> requests.Answer:
+        if self.transaction is None:
+            return requests.refuse(requests.Refusal.UNAUTHORIZED, change.value)
         self.transaction.fail()
         self.caller.note_rolled_back(request, change)
         if isinstance(statement, requests.Commit):
@@ -337,11 +293,13 @@
             return context
         if self.transaction is not None:
             self._route_transaction(context)
+            if context.only_forwards and isinstance(self.transaction, transaction.Transaction):
+                return self._refuse_unknown_service(context)
             return await self.transaction.run(context, command)
         while True:
             try:
                 return await self._run_single(context, command)
-            except errors.CallerChangedError:
+            except errors.OutdatedError:
                 earlier, context = context, self._context(request, first_byte_s)
                 if isinstance(context, requests.Answer):
                     return context
@@ -354,7 +312,7 @@
     ) -> requests.Answer:
         """Run a statement outside of transactions, at a gateway or here.
 
-        Raises CallerChangedError before it is sent.
+        Raises OutdatedError before it is sent.
         """
         single_read = command.access is requests.Access.READ
         gateways = self.directory.gateways_for(context, single_read=single_read)
@@ -362,6 +320,8 @@
             answer = await self.directory.forwarder.run_single(gateways, context, command)
             if answer is not None:
                 return answer
+        if context.only_forwards:
+            return self._refuse_unknown_service(context)
         return await local_run.run_locally(context, command)
 
     def _route_transaction(self, context: statement_context.StatementContext) -> None:
@@ -371,7 +331,7 @@
         self.caller.transaction_tenant = context.tenant
         gateways = self.directory.gateways_for(context)
         if gateways is not None:
-            self.transaction = forwarded.ForwardedTransaction(
+            self.transaction = forwarded_transaction.ForwardedTransaction(
                 forwarder=self.directory.forwarder,
                 gateways=gateways,
                 read_only=self.transaction.read_only,
@@ -385,8 +345,9 @@
         Returns a refusal when the database is unknown or its service has no known server.
         """
         route = self.directory.route(self.database)
+        placement = self.directory.place(self.database)
         pinned = self.transaction.service if self.transaction is not None else None
-        found = pinned or (self.directory.service(route.service) if route is not None else None)
+        found = pinned or (placement.service if placement is not None else None)
         if route is None or found is None:
             refusal = (
                 requests.Refusal.UNKNOWN_DATABASE if route is None else requests.Refusal.OVERLOADED
@@ -404,6 +365,9 @@
             service=found,
             tenant=tenant,
             caller_change=functools.partial(self.caller.find_change, tenant),
+            routings=self.directory,
+            routing=self.directory.routing(self.database) if self.transaction is None else None,
+            only_forwards=pinned is None and placement.only_forwards,
             rate_limits=self.directory.limits,
             first_byte_s=first_byte_s,
             operation_started_s=self.transaction_began_s if self.transaction is not None else None,
@@ -417,6 +381,13 @@
             self.transaction.fail()
         return requests.refuse(refusal, why, state=self.transaction_state)
 
+    def _refuse_unknown_service(
+        self, context: statement_context.StatementContext
+    ) -> requests.Answer:
+        return self._refuse(
+            requests.Refusal.OVERLOADED, f"no server of service {context.route.service} is known"
+        )
+
     def _refuse_state(self) -> requests.Answer:
         return self._refuse(
             requests.Refusal.TOO_LARGE,
@@ -427,25 +398,3 @@
         return self._refuse(
             requests.Refusal.UNKNOWN_STATEMENT, f"no prepared statement has the name {name}"
         )
-
-
-SessionOpener = collections.abc.Callable[
-    [ids.DatabaseName, ids.CallerKey], Session | requests.Answer
-]
-"""Opens a session of a database for a key, or returns the refusal."""
-
-
-def open_session(
-    directory: Directory, database: ids.DatabaseName, key: ids.CallerKey
-) -> Session | requests.Answer:
-    """Open a session, or return the refusal of an unknown database or key."""
-    route = directory.route(database)
-    if route is None:
-        return requests.refuse(
-            requests.Refusal.UNKNOWN_DATABASE, f"no database is named {database}"
-        )
-    try:
-        directory.identify(key, route)
-    except errors.UnknownKeyError as error:
-        return requests.refuse(requests.Refusal.UNAUTHORIZED, str(error))
-    return Session(directory=directory, database=database, key=key)
--- a/src/mustardswitch/proxy/session_caller.py
+++ b/src/mustardswitch/proxy/session_caller.py
@@ -51,11 +51,21 @@
         except errors.UnknownKeyError:
             return transaction_callers.Change.KEY_REQUIRED
 
-    def find_transaction_change(self) -> transaction_callers.Change | None:
-        """Return why the open transaction must not go on; None if it may, or has not begun."""
-        if self.transaction_tenant is None:
+    def find_refusal(self, *, is_open: bool) -> transaction_callers.Change | None:
+        """Return why the next statement must not run; None if it may.
+
+        ``is_open`` tells whether a transaction is open, which has to run for its first caller.
+        """
+        if is_open and self.transaction_tenant is not None:
+            return self.find_change(self.transaction_tenant)
+        route = self.directory.route(self.database)
+        if route is None:
             return None
-        return self.find_change(self.transaction_tenant)
+        try:
+            self.identify(route)
+        except errors.UnknownKeyError:
+            return transaction_callers.Change.KEY_REQUIRED
+        return None
 
     def note_rolled_back(self, request: ids.RequestId, change: transaction_callers.Change) -> None:
         """Count and log that the open transaction was rolled back since its caller has changed."""
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -10,7 +10,16 @@
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids, positions, session_sync, transaction_callers
 from mustardswitch.internal.tenants import limits
-from mustardswitch.proxy import errors, ports, requests, routes, server, service, tenant_limits
+from mustardswitch.proxy import (
+    errors,
+    ports,
+    requests,
+    route_versions,
+    routes,
+    server,
+    service,
+    tenant_limits,
+)
 
 RETRY_DELAY_S = 0.02
 """Pause before a statement that was not run is tried again; about the time of one statement's
@@ -86,11 +95,12 @@
     def note_commit(
         self, committed_at: ids.ServiceName, position: positions.Position | None
     ) -> None:
-        """Raise the minimum position of the session's reads to a commit of its own."""
-        if position is None:
-            return
-        latest = self.commits.get(committed_at)
-        if latest is None or latest.position < position:
+        """Set the minimum position of the session's reads at a service to a commit of its own.
+
+        A session commits one after the other, so that a lower position is one of another log: the
+        service was removed, and its name is used again.
+        """
+        if position is not None:
             self.commits[committed_at] = SessionCommit(
                 position=position, acknowledged_s=clock.now_s()
             )
@@ -115,6 +125,15 @@
     """The caller's tenant, which the server is told."""
     caller_change: collections.abc.Callable[[], transaction_callers.Change | None] = lambda: None
     """Tells why the caller is not the tenant any more by the configuration in force, or None."""
+    routings: route_versions.KnownRoutings | None = None
+    """What the instance knows of routings; None where nothing is sent."""
+    routing: route_versions.Routing | None = None
+    """The routing by which a statement outside of transactions was placed; None in a transaction,
+    which stays where it began."""
+    only_forwards: bool = False
+    """Whether only a gateway may run the statement: the route's service is not known here."""
+    ran_at: ids.ServiceName | None = None
+    """Service at which a gateway has run the statement."""
     rate_limits: tenant_limits.TenantLimits | None = None
     """The rate limits of tenants; None where operations are not limited."""
     starts_operation: bool = False
@@ -129,20 +148,27 @@
         """Time left to the deadline; negative after it."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
-    def check_caller(self) -> None:
-        """Raise CallerChangedError if the statement must not be sent for its tenant any more.
+    def check_current(self) -> None:
+        """Raise OutdatedError if the statement must not be sent as it was placed any more.
 
         Must be called when the statement is sent: it may have waited since it was read.
         """
         change = self.caller_change()
         if change is not None:
             raise errors.CallerChangedError(change)
+        if self.routing is None or self.routings is None:
+            return
+        newest = self.routings.routing(self.route.database)
+        if newest is None or newest.differs(self.routing):
+            raise errors.RouteChangedError(
+                f"database {self.route.database} is routed otherwise now"
+            )
 
-    def check_caller_on(self, backend: server.Server, link: ports.Link) -> None:
-        """As ``check_caller``; releases the connection, on which nothing was sent, if it raises."""
+    def check_current_on(self, backend: server.Server, link: ports.Link) -> None:
+        """As ``check_current``, but release the connection, which is unused, before raising."""
         try:
-            self.check_caller()
-        except errors.CallerChangedError:
+            self.check_current()
+        except errors.OutdatedError:
             backend.pool.release(link, clean=True)
             raise
 
--- a/src/mustardswitch/proxy/transaction.py
+++ b/src/mustardswitch/proxy/transaction.py
@@ -129,7 +129,7 @@
         backend, link = pinned.backend, pinned.link
         if not self.statements and not self.service.accepts_new_work(backend):
             raise errors.ServerLeavingError(f"server {backend.server} leaves")
-        context.check_caller()
+        context.check_current()
         query_sent_at_s = clock.now_s()
         shown_before = context.service.acknowledged.shown_by(backend.server)
         backend.in_flight += 1
--- a/src/mustardswitch/proxy/writing.py
+++ b/src/mustardswitch/proxy/writing.py
@@ -21,7 +21,7 @@
 ) -> requests.Answer:
     """Return the answer to a write; a write that was sent and not answered is OUTCOME_UNKNOWN.
 
-    Raises CallerChangedError before it is sent.
+    Raises OutdatedError before it is sent.
     """
     refusal = requests.refuse(requests.Refusal.OVERLOADED, "the deadline has passed")
     while True:
@@ -33,7 +33,7 @@
             if not service.may_commit(backend) or not service.accepts_new_work(backend):
                 backend.pool.release(link, clean=True)
                 continue
-            context.check_caller_on(backend, link)
+            context.check_current_on(backend, link)
         except (errors.NoLeaderError, errors.NoRoomError) as error:
             return requests.refuse(requests.Refusal.OVERLOADED, str(error))
         except errors.NotSentError as error:
