Fetch the configuration from an instance that has a newer version

What callers saw: an instance that is cut off from the store followed a newer version for the databases of which it had learned, and its old version for all others, until it noticed the cut (about 2.7 s).

Cause: nothing but the store, or a relay after a failed call, tells an instance of a version.

Only the configuration is taken over, so that what is known of servers and promotions, and how current it is, does not change.

--- a/src/mustardswitch/peers/record_relay.py
+++ b/src/mustardswitch/peers/record_relay.py
@@ -149,20 +149,26 @@
         self.close()
 
     async def watch(
-        self, relay: ids.InstanceId, address: datagrams.PeerAddress, *, after: int | None
+        self,
+        relay: ids.InstanceId,
+        address: datagrams.PeerAddress,
+        *,
+        after: int | None,
+        wait_s: float | None = None,
     ) -> tuple[change_log.Listing, Times]:
         """Return a relay's changes after a revision, and how current they are.
 
-        Raises PeerError when the relay does not answer or does not
-        follow the store.
+        The relay waits for a change up to ``wait_s``, or MAX_WAIT_S. Raises PeerError when it does
+        not answer or does not follow the store.
         """
         try:
             if self.relay != relay or self.writer is None:
                 await self._connect(relay, address)
             asked_at_s = clock.now_s()
-            request = record_codec.RecordRequest(after=after, wait_s=MAX_WAIT_S)
+            wait_s = MAX_WAIT_S if wait_s is None else wait_s
+            request = record_codec.RecordRequest(after=after, wait_s=wait_s)
             self.writer.write(record_codec.encode_request(request))
-            async with asyncio.timeout(MAX_WAIT_S + ANSWER_SLACK_S):
+            async with asyncio.timeout(wait_s + ANSWER_SLACK_S):
                 header = record_codec.decode_header(
                     await relay_codec.read_frame(self.reader),
                     default_era=revisions.era_of(after or 0),
--- a/src/mustardswitch/platform/instance.py
+++ b/src/mustardswitch/platform/instance.py
@@ -29,6 +29,7 @@
     store,
 )
 from mustardswitch.proxy import (
+    configuration_fetch,
     coordination,
     coverage,
     directory,
@@ -94,6 +95,14 @@
         self.follower = follower.Follower(
             client=self.client, directory=self.directory, record_relays=self.records
         )
+        self.fetch = configuration_fetch.ConfigurationFetch(
+            directory=self.directory,
+            source=self.records,
+            key=records.CONFIGURATION_KEY,
+            apply=self.follower.apply,
+            applied_revision=lambda: self.follower.applied_revision,
+        )
+        self.directory.on_behind = self.fetch.start
         self.updates = peer_updates.PeerUpdates(directory=self.directory)
         self.coordination = coordination.Coordination(
             client=self.client,
@@ -257,7 +266,7 @@
             instance=self.config.instance,
             callers=len(self.callers.connections),
         )
-        await tasks.cancel_and_wait([*self.tasks, *self.directory.limits.asking])
+        await tasks.cancel_and_wait([*self.tasks, *self.directory.limits.asking, *self.fetch.tasks])
         await self._end_background_work()
         self._close()
 
--- a/src/mustardswitch/proxy/record_source.py
+++ b/src/mustardswitch/proxy/record_source.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import collections.abc
 import random
 
+from mustardswitch import events
 from mustardswitch.internal import change_log, clock, ids, record_relays
 from mustardswitch.peers import errors, record_relay
 from mustardswitch.proxy import directory
@@ -117,6 +119,25 @@
         self.feed.publish(listing, confirmed_at_s=times.confirmed_at_s, as_of_s=times.as_of_s)
         return listing
 
+    async def fetch(self, after: int) -> collections.abc.AsyncIterator[change_log.Listing]:
+        """Yield the changes after a revision that other instances have now.
+
+        What is passed on to followers, and who is followed, does not change.
+        """
+        for instance in self._other_instances():
+            peer = self.directory.instances.entries.get(instance)
+            if peer is None or peer.address is None:
+                continue
+            connection = record_relay.RelayFollower()
+            try:
+                listing, _ = await connection.watch(instance, peer.address, after=after, wait_s=0.0)
+            except errors.PeerError as error:
+                events.log(events.Event.RELAY_SKIPPED, relay=instance, reason=str(error))
+                continue
+            finally:
+                connection.close()
+            yield listing
+
     def publish(self, listing: change_log.Listing, *, asked_at_s: float | None = None) -> None:
         """Pass on what the store has answered just now, when asked at ``asked_at_s``."""
         self.feed.publish(listing, confirmed_at_s=clock.now_s(), as_of_s=asked_at_s)
