Own interface: run nothing more for a login that was removed

What callers saw: a connection whose login had been removed from the document ran on, and its open transaction committed.

Cause: the login was looked up when a caller connects, and never again.

Change: each statement asks the document in force. An open transaction is rolled back at once (50103); later statements are refused (50105). Logins are indexed by name. Columns of results moved into a module of their own.

--- a/src/mustardswitch/callers/session.py
+++ b/src/mustardswitch/callers/session.py
@@ -1,7 +1,6 @@
 """One caller's session: its minimum positions, its transaction and its statements."""
 
 import dataclasses
-import functools
 import re
 import time
 import typing
@@ -13,13 +12,12 @@
 from mysql_mimic import variables as mimic_variables
 
 from mustardswitch import events, tracing
-from mustardswitch.callers import completions, errors
+from mustardswitch.callers import columns, completions, errors
 from mustardswitch.instance import node, router
 from mustardswitch.internal import errors as decision_errors
 from mustardswitch.internal import ids, outcomes, positions, statements, tokens
 
 TOKEN_VARIABLE = "mustardswitch_session_token"
-COLUMN_CACHE_ENTRIES = 1024
 SERVER_VERSION = "8.0.40-mustardswitch"
 
 _SET = re.compile(r"^\s*SET\s+(?:SESSION\s+|@@session\.|@@)?(.+?)\s*;?\s*$", re.I | re.S)
@@ -108,6 +106,7 @@
     async def _handle(self, sql: str) -> typing.Any:
         started_s = time.monotonic()
         registry = self.entry.registry
+        await self._check_login()
         try:
             kind = self.classifier.classify(sql)
             hints = statements.parse_hints(sql)
@@ -123,6 +122,22 @@
         finally:
             registry.record_seconds("statement", time.monotonic() - started_s)
 
+    async def _check_login(self) -> None:
+        """Raise CallerError if the login was removed from the document; rolls back at once then."""
+        document = self.entry.router.document
+        if not document.has_callers or document.find_caller(self.username) is not None:
+            return
+        self.entry.registry.count("statements_of_removed_logins")
+        events.log(events.Event.CALLER_REFUSED, reason="the login was removed")
+        if self.transaction is None:
+            raise errors.rejection("the login is no longer in the document; connect with another")
+        await self.close()
+        self._clear_transaction()
+        raise errors.CallerError(
+            "NOT RUN: transaction_lost: the login is no longer in the document",
+            errors.CallerErrorCode.NOT_RUN_TRANSACTION_LOST,
+        )
+
     # Statements that the session answers itself
 
     async def _execute_session_statement(self, sql: str) -> typing.Any:
@@ -317,7 +332,7 @@
         self._require_ran(reply)
         result = reply.result or outcomes.Result()
         if result.columns:
-            return mimic_results.ResultSet(rows=result.rows, columns=_columns(result.columns))
+            return mimic_results.ResultSet(rows=result.rows, columns=columns.build(result.columns))
         self.completion.affected_rows = result.affected_rows
         self.completion.last_insert_id = result.last_insert_id
         return None
@@ -415,45 +430,3 @@
     def _clear_transaction(self) -> None:
         self.transaction = None
         self._set_transaction_flag(False)
-
-
-_INTEGER_TYPES = frozenset(
-    {
-        mimic_types.ColumnType.TINY,
-        mimic_types.ColumnType.SHORT,
-        mimic_types.ColumnType.INT24,
-        mimic_types.ColumnType.LONG,
-        mimic_types.ColumnType.LONGLONG,
-        mimic_types.ColumnType.YEAR,
-    }
-)
-_FLOAT_TYPES = frozenset({mimic_types.ColumnType.FLOAT, mimic_types.ColumnType.DOUBLE})
-
-
-def _encode_text(column: mimic_results.ResultColumn, value: bytes) -> bytes:
-    """Return a cell as the backend server sent it."""
-    return value
-
-
-def _encode_binary(column: mimic_results.ResultColumn, value: bytes) -> bytes:
-    """Encode a cell for a prepared statement, whose binary protocol carries typed values."""
-    plain = mimic_results.ResultColumn(name=column.name, type=column.type)
-    if column.type in _INTEGER_TYPES:
-        return plain.binary_encode(int(value))
-    if column.type in _FLOAT_TYPES:
-        return plain.binary_encode(float(value))
-    return plain.binary_encode(value)
-
-
-@functools.lru_cache(maxsize=COLUMN_CACHE_ENTRIES)
-def _columns(columns: tuple[outcomes.Column, ...]) -> list[mimic_results.ResultColumn]:
-    return [_column(column) for column in columns]
-
-
-def _column(column: outcomes.Column) -> mimic_results.ResultColumn:
-    return mimic_results.ResultColumn(
-        name=column.name,
-        type=mimic_types.ColumnType(column.type_code),
-        text_encoder=_encode_text,
-        binary_encoder=_encode_binary,
-    )
--- a/src/mustardswitch/document/sections.py
+++ b/src/mustardswitch/document/sections.py
@@ -242,21 +242,22 @@
 
     def find_caller(self, name: str) -> models.Caller | None:
         """Return the login ``name``, or None when no section has it."""
+        return self.callers_by_name.get(name)
+
+    @functools.cached_property
+    def callers_by_name(self) -> dict[str, models.Caller]:
+        """The logins of all sections; the first section counts where two have one name."""
+        found: dict[str, models.Caller] = {}
         for section in self.sections.values():
             if isinstance(section, models.ServiceSection):
                 for caller in section.callers:
-                    if caller.name == name:
-                        return caller
-        return None
+                    found.setdefault(caller.name, caller)
+        return found
 
     @functools.cached_property
     def has_callers(self) -> bool:
         """Whether any section lists logins."""
-        return any(
-            section.callers
-            for section in self.sections.values()
-            if isinstance(section, models.ServiceSection)
-        )
+        return bool(self.callers_by_name)
 
 
 def check_across_sections(
--- a/src/mustardswitch/events.py
+++ b/src/mustardswitch/events.py
@@ -65,7 +65,7 @@
     PRUNE_FAILED = EventKind(602, logbook.WARNING, "request records not pruned")
     """Old request ids could not be removed; the removal is retried."""
     CALLER_REFUSED = EventKind(601, logbook.INFO, "caller refused")
-    """A caller could not log in."""
+    """A caller could not log in, or its login was removed while it was connected."""
     KEYS_RELOADED = EventKind(700, logbook.INFO, "keys reloaded")
     """TLS keys were read again."""
     KEYS_REJECTED = EventKind(701, logbook.ERROR, "keys rejected")
