Let a gateway follow only a version whose service it knows

What callers saw: nothing yet; found by reading. A gateway that was told of a service without servers in its records would have refused its own callers by the newer version, though it had run nothing by it.

Change: such a statement is refused as not run, and goes to the next gateway; the gateway keeps its version. An empty transaction is refused, too, where no server of its service is known.

Evidence: two tests in tests/proxy/test_route_versions.py.

--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -225,8 +225,8 @@
 
     async def run(self, forwarded: relay_codec.ForwardedStatement) -> requests.Answer:
         """Run one forwarded statement."""
-        if forwarded.routing is not None:
-            self.directory.learn_routing(forwarded.database, forwarded.routing)
+        if self.transaction is None and not self._follow(forwarded):
+            return self._refuse_unknown(forwarded)
         earlier: statement_context.StatementContext | None = None
         while True:
             context = self._context(forwarded)
@@ -252,6 +252,20 @@
             except proxy_errors.OutdatedError:
                 earlier = context
 
+    def _follow(self, forwarded: relay_codec.ForwardedStatement) -> bool:
+        """Follow the statement's routing if it is newer; return False if it cannot be run here.
+
+        A service that is not known here is not followed: callers of this instance are still served
+        by the version that it has.
+        """
+        told, known = forwarded.routing, self.directory.routing(forwarded.database)
+        if told is None or known is None or told.version <= known.version:
+            return True
+        if told.differs(known) and self.directory.service(told.service) is None:
+            return False
+        self.directory.learn_routing(forwarded.database, told)
+        return True
+
     def describe(
         self, forwarded: relay_codec.ForwardedStatement, answer: requests.Answer
     ) -> relay_codec.ForwardedAnswer:
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -238,7 +238,10 @@
             self.transaction.fail()
             self.transaction = None
             return dataclasses.replace(context, state=requests.TransactionState.IDLE)
-        self._route_transaction(context)
+        refused = self._route_transaction(context)
+        if refused is not None:
+            self.transaction = None
+            return dataclasses.replace(refused, state=requests.TransactionState.IDLE)
         ending, self.transaction = self.transaction, None
         return await ending.commit(context)
 
@@ -292,10 +295,8 @@
         if isinstance(context, requests.Answer):
             return context
         if self.transaction is not None:
-            self._route_transaction(context)
-            if context.only_forwards and isinstance(self.transaction, transaction.Transaction):
-                return self._refuse_unknown_service(context)
-            return await self.transaction.run(context, command)
+            refused = self._route_transaction(context)
+            return refused or await self.transaction.run(context, command)
         while True:
             try:
                 return await self._run_single(context, command)
@@ -324,10 +325,15 @@
             return self._refuse_unknown_service(context)
         return await local_run.run_locally(context, command)
 
-    def _route_transaction(self, context: statement_context.StatementContext) -> None:
-        """Choose at a transaction's first statement whether it runs here or at a gateway."""
+    def _route_transaction(
+        self, context: statement_context.StatementContext
+    ) -> requests.Answer | None:
+        """Choose at a transaction's first statement whether it runs here or at a gateway.
+
+        Returns the refusal of one that no gateway takes and that cannot run here.
+        """
         if self.transaction.service is not None:
-            return
+            return None
         self.caller.transaction_tenant = context.tenant
         gateways = self.directory.gateways_for(context)
         if gateways is not None:
@@ -336,6 +342,9 @@
                 gateways=gateways,
                 read_only=self.transaction.read_only,
             )
+        elif context.only_forwards:
+            return self._refuse_unknown_service(context)
+        return None
 
     def _context(
         self, request: ids.RequestId, first_byte_s: float
--- a/tests/proxy/test_route_versions.py
+++ b/tests/proxy/test_route_versions.py
@@ -236,6 +236,33 @@
         assert fleet.groups.by_service[OLD].acknowledged == []
 
 
+async def test_a_gateway_that_does_not_know_a_new_service_serves_its_own_callers_on():
+    """Guards against a gateway that refuses its callers by a version that it cannot follow."""
+    async with forwarding_world.Fleet(_moved(2, OLD), gateways=2) as fleet:
+        lacking = fleet.gateways[0]
+        del lacking.directory.services[NEW]
+        fleet.entry.directory.configure(_moved(3))
+        fleet.gateways[1].directory.configure(_moved(3))
+        caller = Caller(fleet)
+        await caller.run(WRITE, READ, BEGIN, WRITE, COMMIT, WRITE)
+        assert fleet.groups.by_service[OLD].acknowledged == []
+        assert (await lacking.run(lacking.open_session(OWN), WRITE)).succeeded
+        assert len(fleet.groups.by_service[OLD].acknowledged) == 1
+
+
+async def test_an_empty_transaction_is_refused_where_its_service_is_not_known():
+    async with forwarding_world.Fleet(_moved(2, OLD)) as fleet:
+        known = fleet.entry.directory
+        del known.services[NEW]
+        known.learn_routing(DATABASE, _routing(3, NEW))
+        fleet.run_all_here()
+        session = fleet.entry.open_session(OWN)
+        await fleet.entry.run(session, BEGIN)
+        answer = await fleet.entry.run(session, COMMIT)
+        assert answer.refusal is requests.Refusal.OVERLOADED
+        assert answer.state is requests.TransactionState.IDLE
+
+
 async def test_the_configuration_replaces_what_was_learned_of_its_version_and_earlier_ones():
     async with forwarding_world.Fleet(_moved(2, OLD)) as fleet:
         known = fleet.entry.directory
