--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -117,7 +117,7 @@
         if self.context is None or not self.context.sent:
             refusal = requests.Refusal.OVERLOADED
         elif isinstance(self.serving, requests.Commit) or (
-            self.transaction is None and not self._only_reads(self.serving)
+            self.transaction is None and not self.state.only_reads(self.serving)
         ):
             refusal = requests.Refusal.OUTCOME_UNKNOWN
         state = self.transaction_state
@@ -132,12 +132,6 @@
         self.directory.registry.count("statements", refusal.value)
         return answer
 
-    def _only_reads(self, statement: requests.Statement) -> bool:
-        if isinstance(statement, requests.Execute):
-            shape = self.state.prepared.get(statement.name)
-            return shape is not None and shape.access is requests.Access.READ
-        return isinstance(statement, requests.Plain) and statement.access is requests.Access.READ
-
     def close(self) -> None:
         """End the session; an open transaction is rolled back."""
         if self.idle_timer is not None:
@@ -322,7 +316,7 @@
             if answer is not None:
                 return answer
         if context.only_forwards:
-            return self._refuse_unknown_service(context)
+            return self._refuse_service(context.route.service)
         return await local_run.run_locally(context, command)
 
     def _route_transaction(
@@ -343,7 +337,7 @@
                 read_only=self.transaction.read_only,
             )
         elif context.only_forwards:
-            return self._refuse_unknown_service(context)
+            return self._refuse_service(context.route.service)
         return None
 
     def _context(
@@ -390,12 +384,8 @@
             self.transaction.fail()
         return requests.refuse(refusal, why, state=self.transaction_state)
 
-    def _refuse_unknown_service(
-        self, context: statement_context.StatementContext
-    ) -> requests.Answer:
-        return self._refuse(
-            requests.Refusal.OVERLOADED, f"no server of service {context.route.service} is known"
-        )
+    def _refuse_service(self, name: ids.ServiceName) -> requests.Answer:
+        return self._refuse(requests.Refusal.OVERLOADED, f"no server of service {name} is known")
 
     def _refuse_state(self) -> requests.Answer:
         return self._refuse(
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -85,6 +85,13 @@
             self.held_bytes += _text_bytes(name, None) - sys.getsizeof(removed.text)
         return removed is not None
 
+    def only_reads(self, statement: requests.Statement) -> bool:
+        """Return whether a statement, which may be a prepared one, changes no data."""
+        if isinstance(statement, requests.Execute):
+            shape = self.prepared.get(statement.name)
+            return shape is not None and shape.access is requests.Access.READ
+        return isinstance(statement, requests.Plain) and statement.access is requests.Access.READ
+
     def _may_hold(self, change: int) -> bool:
         held_bytes = self.held_bytes + change
         if change > 0 and self.limit_bytes is not None and held_bytes > self.limit_bytes:
--- a/tests/common/forwarding_world.py
+++ b/tests/common/forwarding_world.py
@@ -1,11 +1,13 @@
 """An entry instance and gateways in front of the in-memory groups of two services."""
 
+import asyncio
 import dataclasses
 
+from mustardswitch import connection_pool
 from mustardswitch.internal import ids
 from mustardswitch.internal.placement import forwarding
 from mustardswitch.peers import datagrams, relay_client, relay_server
-from mustardswitch.proxy import directory, forwarded, ports, requests, routes
+from mustardswitch.proxy import directory, forwarded, ports, requests, route_versions, routes
 from mustardswitch_standins import database_group, fleet
 from tests.common import proxy_world
 
@@ -55,6 +57,28 @@
     return dataclasses.replace(base, services=limits, transaction_idle_s=30.0)
 
 
+def moved(version: int, service: ids.ServiceName = NEW, **changes: object) -> routes.Configuration:
+    """Build a version whose reads accept old data, so that only own commits raise their minimum."""
+    return configuration(version, service, **{"max_staleness_s": 60.0, **changes})
+
+
+def routing(version: int, service: ids.ServiceName = OLD) -> route_versions.Routing:
+    """Build what a version says of a database that reads its sessions' own writes."""
+    return route_versions.Routing(
+        version=version, service=service, kind=KINDS.READ_YOUR_WRITES, max_staleness_s=1.5
+    )
+
+
+def pool_request(tenant: str = "") -> connection_pool.ConnectionRequest:
+    """Build a request for a connection of a tenant, or of none."""
+    return connection_pool.ConnectionRequest(
+        caller=tenant,
+        priority=0,
+        deadline_s=asyncio.get_running_loop().time() + 5.0,
+        holds=False,
+    )
+
+
 def _world(groups: Groups, instance: str, first: routes.Configuration) -> proxy_world.World:
     world = proxy_world.World(group=groups, zone=ZONE)
     world.directory.instances.remove(ids.InstanceId("one"), 0.0)
@@ -145,3 +169,35 @@
     known.forwarder, known.plans = former.forwarder, former.plans
     for instance, peer in former.instances.entries.items():
         known.instances.put(instance, peer)
+
+
+class Caller:
+    """A session at the entry instance of a fleet."""
+
+    def __init__(self, fleet: Fleet, kind: requests.RouteKind = KINDS.READ_YOUR_WRITES) -> None:
+        self.fleet = fleet
+        self.session = fleet.entry.open_session(kind)
+
+    async def run(self, *statements: requests.Statement) -> requests.Answer:
+        """Run statements, each of which must succeed; returns the last answer."""
+        for statement in statements:
+            answer = await self.fleet.entry.run(self.session, statement)
+            assert answer.succeeded, answer
+        return answer
+
+    def commits(self) -> dict[ids.ServiceName, int]:
+        """Return the position of the session's latest commit at each service."""
+        return {name: each.position.offset for name, each in self.session.state.commits.items()}
+
+
+def commit_before(fleet: Fleet, service: ids.ServiceName, count: int) -> None:
+    """Let a service's log have commits of others."""
+    group = fleet.groups.by_service[service]
+    for number in range(count):
+        group.commit(group.primary, f"earlier-{number}")
+
+
+def let_lag(fleet: Fleet, service: ids.ServiceName, *zones: str) -> None:
+    """Let the replicas of a service in some zones receive nothing from now on."""
+    for zone in zones:
+        fleet.groups.by_service[service].servers[f"server-{zone}"].not_receiving = True
--- a/tests/proxy/test_route_versions_machine.py
+++ b/tests/proxy/test_route_versions_machine.py
@@ -9,7 +9,7 @@
 
 from mustardswitch.internal import clock, ids
 from mustardswitch.peers import relay_codec, relay_server
-from mustardswitch.proxy import requests, route_versions, routes
+from mustardswitch.proxy import requests, route_versions
 from tests.common import forwarding_world, proxy_world
 
 OLD, NEW = forwarding_world.OLD, forwarding_world.NEW
@@ -22,18 +22,13 @@
 """The entry instance is the last one."""
 
 
-def _version(version, service, **changes) -> routes.Configuration:
-    """Build a version whose reads accept old data, so that only own commits raise their minimum."""
-    return forwarding_world.configuration(version, service, max_staleness_s=60.0, **changes)
-
-
 class Versions(stateful.RuleBasedStateMachine):
     """A session that an instance serves through gateways, which apply versions when they can."""
 
     def __init__(self) -> None:
         super().__init__()
         self.runner = asyncio.Runner()
-        self.issued = [_version(2, OLD)]
+        self.issued = [forwarding_world.moved(2, OLD)]
         self.shown = [2] * (GATEWAYS + 1)
         """Each instance's latest version, at the least, whose effect a database has seen."""
         self.own: dict[str, list[str]] = {name: [] for name in SERVICES}
@@ -67,7 +62,7 @@
     @stateful.rule(service=st.sampled_from(SERVICES), timeout_s=st.sampled_from([1.0, 2.0]))
     def issue_a_version(self, service, timeout_s):
         version = self.issued[-1].version + 3
-        self.issued.append(_version(version, service, statement_timeout_s=timeout_s))
+        self.issued.append(forwarding_world.moved(version, service, statement_timeout_s=timeout_s))
 
     @stateful.rule(instance=instances, behind=st.integers(0, 2))
     def apply_a_version(self, instance, behind):
--- a/tests/proxy/test_transaction_callers.py
+++ b/tests/proxy/test_transaction_callers.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from mustardswitch import connection_pool
 from mustardswitch.internal import clock, ids, transaction_callers
 from mustardswitch.proxy import requests, routes, session_opening
 from tests.common import forwarding_world, proxy_world, tenant_builders
@@ -186,7 +185,7 @@
 async def _occupy(world):
     """Take all connections to the primary; returns what releases them."""
     pool = world.directory.services[forwarding_world.OLD].leader.pool
-    request = _pool_request()
+    request = forwarding_world.pool_request(ACME)
     held = [await pool.acquire(request) for _ in range(pool.size)]
 
     def release():
@@ -196,15 +195,6 @@
     return release
 
 
-def _pool_request():
-    return connection_pool.ConnectionRequest(
-        caller=ACME,
-        priority=0,
-        deadline_s=asyncio.get_running_loop().time() + 5.0,
-        holds=False,
-    )
-
-
 @paths
 @pytest.mark.parametrize("begins", [False, True], ids=["single", "transaction"])
 async def test_a_statement_that_waits_is_not_sent_for_a_tenant_that_lost_the_key(begins, forwards):
