--- a/src/mustardswitch/peers/relay_codec.py
+++ b/src/mustardswitch/peers/relay_codec.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import json
 import math
 
@@ -33,6 +34,8 @@
     "r": requests.RouteKind.READ_YOUR_WRITES,
 }
 """Codes of the kinds of routes."""
+CACHED_ROUTINGS = 1024
+"""Decoded routings that are kept; most statements name the same few."""
 KIND_CODES = {kind: code for code, kind in KINDS.items()}
 
 
@@ -121,9 +124,13 @@
 
 
 def _decode_routing(value: list[object] | None) -> route_versions.Routing | None:
-    if value is None:
-        return None
-    version, service, kind, *staleness = value
+    return None if value is None else _build_routing(*value)
+
+
+@functools.lru_cache(maxsize=CACHED_ROUTINGS)
+def _build_routing(
+    version: object, service: object, kind: object, *staleness: object
+) -> route_versions.Routing:
     return route_versions.Routing(
         version=int(version),
         service=ids.ServiceName(str(service)),
--- a/src/mustardswitch/peers/relay_server.py
+++ b/src/mustardswitch/peers/relay_server.py
@@ -356,6 +356,7 @@
             tenant=forwarded.tenant,
             caller_change=functools.partial(self._find_change, forwarded),
             routings=self.directory,
+            configuration=self.directory.configuration,
             routing=None if in_transaction else self.directory.routing(forwarded.database),
             rate_limits=self.directory.limits,
             first_byte_s=now_s - forwarded.age_s,
@@ -369,6 +370,8 @@
         self, forwarded: relay_codec.ForwardedStatement, now_s: float
     ) -> dict[ids.ServiceName, statement_context.SessionCommit]:
         """Return the commits of the caller's session at each service."""
+        if not forwarded.other_commits and forwarded.session_commit is None:
+            return {}
         commits = dict(forwarded.other_commits)
         if forwarded.session_commit is not None:
             # An instance of the build before means the service by its own configuration.
--- a/src/mustardswitch/proxy/route_versions.py
+++ b/src/mustardswitch/proxy/route_versions.py
@@ -36,6 +36,9 @@
 class KnownRoutings(typing.Protocol):
     """The newest version that an instance knows of each database's routing."""
 
+    configuration: routes.Configuration | None
+    """The configuration in force."""
+
     def routing(self, database: ids.DatabaseName) -> Routing | None:
         """Return the newest routing of a database; None without a route."""
 
@@ -48,6 +51,9 @@
 
     def __init__(self) -> None:
         self.newer: dict[ids.DatabaseName, Routing] = {}
+        self.configured: routes.Configuration | None = None
+        """The configuration of ``by_database``, which is computed once for each version."""
+        self.by_database: dict[ids.DatabaseName, Routing] = {}
 
     def __repr__(self) -> str:
         return f"LearnedRoutings(newer={self.newer!r})"
@@ -60,16 +66,24 @@
     def routing(
         self, configured: routes.Configuration, database: ids.DatabaseName
     ) -> Routing | None:
-        """Return the newest routing of a database; None without a configured route."""
-        route = configured.routes.get(database)
-        if route is None:
-            return None
-        return self.newer.get(database) or Routing(
-            version=configured.version,
-            service=route.service,
-            kind=route.kind,
-            max_staleness_s=route.max_staleness_s,
-        )
+        """Return the newest routing of a database; None without a configured route.
+
+        It is the same object until another one is in force.
+        """
+        if configured is not self.configured:
+            self.configured, self.by_database = configured, {}
+        known = self.by_database.get(database)
+        if known is None:
+            route = configured.routes.get(database)
+            if route is None:
+                return None
+            known = self.by_database[database] = Routing(
+                version=configured.version,
+                service=route.service,
+                kind=route.kind,
+                max_staleness_s=route.max_staleness_s,
+            )
+        return self.newer.get(database, known) if self.newer else known
 
     def route(
         self, configured: routes.Configuration, database: ids.DatabaseName
--- a/src/mustardswitch/proxy/session.py
+++ b/src/mustardswitch/proxy/session.py
@@ -347,8 +347,8 @@
 
         Returns a refusal when the database is unknown or its service has no known server.
         """
-        route = self.directory.route(self.database)
         placement = self.directory.place(self.database)
+        route = placement.route if placement else self.directory.route(self.database)
         pinned = self.transaction.service if self.transaction is not None else None
         found = pinned or (placement.service if placement is not None else None)
         if route is None or found is None:
@@ -369,6 +369,7 @@
             tenant=tenant,
             caller_change=functools.partial(self.caller.find_change, tenant),
             routings=self.directory,
+            configuration=self.directory.configuration,
             routing=self.directory.routing(self.database) if self.transaction is None else None,
             only_forwards=pinned is None and placement.only_forwards,
             rate_limits=self.directory.limits,
--- a/src/mustardswitch/proxy/statement_context.py
+++ b/src/mustardswitch/proxy/statement_context.py
@@ -134,6 +134,8 @@
     """Tells why the caller is not the tenant any more by the configuration in force, or None."""
     routings: route_versions.KnownRoutings | None = None
     """What the instance knows of routings; None where nothing is sent."""
+    configuration: routes.Configuration | None = None
+    """The configuration by which the statement was placed and its caller identified."""
     routing: route_versions.Routing | None = None
     """The routing by which a statement outside of transactions was placed; None in a transaction,
     which stays where it began."""
@@ -160,13 +162,16 @@
 
         Must be called when the statement is sent: it may have waited since it was read.
         """
-        change = self.caller_change()
-        if change is not None:
-            raise errors.CallerChangedError(change)
-        if self.routing is None or self.routings is None:
+        if self.routings is None:
+            return
+        if self.routings.configuration is not self.configuration:
+            change = self.caller_change()
+            if change is not None:
+                raise errors.CallerChangedError(change)
+        if self.routing is None:
             return
         newest = self.routings.routing(self.route.database)
-        if newest is None or newest.differs(self.routing):
+        if newest is not self.routing and (newest is None or newest.differs(self.routing)):
             raise errors.RouteChangedError(
                 f"database {self.route.database} is routed otherwise now"
             )
