Explain routings from a copy, and let the replayed gateways answer as the others do

An explanation filled the routings that are computed once for each version, which changes the instance's state, and the gateways of replayed loads gave answers of the former type.

Change: the preview of a directory has routings of its own. The stand-in gateways wrap their answers.

--- a/src/mustardswitch/proxy/directory.py
+++ b/src/mustardswitch/proxy/directory.py
@@ -322,6 +322,7 @@
         """Return a copy whose ``gateways_for`` decides as this one's would now, without a trace."""
         copied = copy.copy(self)
         copied.forwarder = self.forwarder.preview() if self.forwarder is not None else None
+        copied.learned = self.learned.preview()
         return copied
 
     def voters(
--- a/src/mustardswitch/proxy/route_versions.py
+++ b/src/mustardswitch/proxy/route_versions.py
@@ -58,6 +58,12 @@
     def __repr__(self) -> str:
         return f"LearnedRoutings(newer={self.newer!r})"
 
+    def preview(self) -> "LearnedRoutings":
+        """Return a copy that finds the same routings; what it computes is kept in the copy."""
+        copied = LearnedRoutings()
+        copied.newer = dict(self.newer)
+        return copied
+
     @property
     def newest_version(self) -> int | None:
         """The newest version that was learned; None if the configuration is as new."""
--- a/tests/common/replayed_load.py
+++ b/tests/common/replayed_load.py
@@ -15,7 +15,7 @@
 from mustardswitch.backends import errors as backend_errors
 from mustardswitch.internal import clock, ids
 from mustardswitch.internal.placement import forwarding
-from mustardswitch.peers import datagrams
+from mustardswitch.peers import datagrams, relay_codec
 from mustardswitch.peers import errors as peer_errors
 from mustardswitch.proxy import directory, feature_set, forwarded, ports, requests, session
 from mustardswitch_standins import database_group
@@ -300,15 +300,17 @@
     def __init__(self, model: Model) -> None:
         self.model = model
 
-    async def execute(self, statement: object, timeout_s: float) -> requests.Answer:
+    async def execute(self, statement: object, timeout_s: float) -> relay_codec.ForwardedAnswer:
         try:
             async with asyncio.timeout(timeout_s):
                 succeeds = await self.model.work()
         except TimeoutError as error:
             raise peer_errors.PeerBrokenError("no answer") from error
         if succeeds:
-            return requests.Answer(signature="s")
-        return requests.refuse(requests.Refusal.OVERLOADED, "busy")
+            return relay_codec.ForwardedAnswer(answer=requests.Answer(signature="s"))
+        return relay_codec.ForwardedAnswer(
+            answer=requests.refuse(requests.Refusal.OVERLOADED, "busy")
+        )
 
 
 def replay(
